SIGHUP reads the configuration anew and moves the watch to the discovery it names

At fault: serve caught only SIGTERM and Interrupt, and Run gave the watch its one address at the start.

A reload is an event of the program that any phase takes. The file is read without ROUTER_DISCOVERY, which has the address of the start; a bad one is logged and changes nothing; the old watch has ended before the new one asks for the whole list. Checked on the way: the module passes over lists with a version below its own, and a new discovery may count lower, so the core numbers the news itself.

Clients' failures at 10 and 15 s are still unexplained.

--- a/cmd/reachspread/main.go
+++ b/cmd/reachspread/main.go
@@ -33,16 +33,19 @@
 	root.AddCommand(
 		&cobra.Command{
 			Use:   "serve",
-			Short: "Serve as the environment and the file in ROUTER_CONFIG say, until SIGTERM",
+			Short: "Serve as the environment and the file in ROUTER_CONFIG say, until SIGTERM; SIGHUP reloads that file",
 			Args:  cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
-				cfg, err := program.Load(os.Getenv)
+				reload := make(chan os.Signal, 1)
+				signal.Notify(reload, syscall.SIGHUP)
+				defer signal.Stop(reload)
+				ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+				defer stop()
+				p, err := program.New(os.Getenv, log.New(os.Stderr, "", 0))
 				if err != nil {
 					return err
 				}
-				ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
-				defer stop()
-				return program.New(cfg, log.New(os.Stderr, "", 0)).Run(ctx)
+				return p.Run(ctx, reload)
 			},
 		},
 		&cobra.Command{
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -24,8 +24,9 @@
 	Known     protocol.List `json:"known"`
 	Settings  wire.Options  `json:"settings"`
 
-	seed    uint64
-	balance balance.Config
+	seed      uint64
+	balance   balance.Config
+	discovery string // as the file says it, whatever the environment does
 }
 
 // Limits is what a router may use.
@@ -55,6 +56,7 @@
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.discovery = c.Discovery
 	for name, field := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen,
 		"ROUTER_DISCOVERY": &c.Discovery} {
 		if v := getenv(name); v != "" {
@@ -64,6 +66,16 @@
 	return c, c.check()
 }
 
+// Reload reads the file anew. It may name another discovery than the environment, which is as it was at the start.
+func Reload(getenv func(string) string) (*Config, error) {
+	return Load(func(name string) string {
+		if name == "ROUTER_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
 func (c *Config) check() error {
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -40,6 +41,7 @@
 // Program is one router from start to exit.
 type Program struct {
 	cfg    *Config
+	getenv func(string) string
 	log    routing.Logger
 	router *routing.Router
 	front  *transport.Front
@@ -51,13 +53,15 @@
 	once  sync.Once
 }
 
-// New returns a program that has done nothing yet.
-func New(cfg *Config, log routing.Logger) *Program {
-	return &Program{cfg: cfg, log: log, phase: Starting, known: make(chan struct{})}
+// New reads the configuration and returns a program that has done nothing else yet.
+func New(getenv func(string) string, log routing.Logger) (*Program, error) {
+	cfg, err := Load(getenv)
+	return &Program{cfg: cfg, getenv: getenv, log: log, phase: Starting, known: make(chan struct{})}, err
 }
 
-// Run serves until ctx ends, then leaves in order.
-func (p *Program) Run(ctx context.Context) error {
+// Run serves until ctx ends, then leaves in order. Whenever something comes from reload, it takes up the
+// configuration anew, in any phase.
+func (p *Program) Run(ctx context.Context, reload <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(p.cfg.Limits.Cores)), 1))
 	debug.SetMemoryLimit(int64(memoryShare * float64(p.cfg.Limits.MemoryMB) * (1 << 20)))
 	b, err := balance.New(p.cfg.balance, p.cfg.seed)
@@ -80,7 +84,7 @@
 	defer stop()
 	go p.router.Run(work)
 	p.tell(&p.cfg.Known)
-	go transport.NewDiscovery(p.cfg.Discovery, p.log, p.tell).Run(work)
+	go p.watch(work, reload)
 	p.enter(Listing)
 	served := make(chan error, 1)
 	go func() { served <- p.front.Serve(p.ln) }()
@@ -107,6 +111,44 @@
 	return nil
 }
 
+// watch follows discovery until ctx ends. A reload moves it to the address that the file names by then; all else
+// goes on as it was. The old watch has ended before the new one begins, so no older list can come last.
+func (p *Program) watch(ctx context.Context, reload <-chan os.Signal) {
+	for addr, moved := p.cfg.Discovery, true; moved; {
+		watching, move := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			transport.NewDiscovery(addr, p.log, p.tell).Run(watching)
+		}()
+		addr, moved = p.newAddress(ctx, reload)
+		move()
+		<-ended
+	}
+}
+
+// newAddress waits until a reload names another address of discovery; moved is false if ctx ended first. The
+// environment still has the address of the start, so the file is compared with what it said before.
+func (p *Program) newAddress(ctx context.Context, reload <-chan os.Signal) (addr string, moved bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return "", false
+		case <-reload:
+		}
+		cfg, err := Reload(p.getenv)
+		if err != nil {
+			p.log.Printf("reload refused: %v", err)
+			continue
+		}
+		p.log.Printf("reloaded: discovery is %s", cfg.discovery)
+		if cfg.discovery != p.cfg.discovery {
+			p.cfg.discovery = cfg.discovery
+			return cfg.discovery, true
+		}
+	}
+}
+
 // tell hands a list of service entries to the core.
 func (p *Program) tell(l *protocol.List) {
 	p.router.Told(l.Members(), l.Addrs())
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 
 	"reachspread/internal/peers"
@@ -27,10 +28,15 @@
 		t.Fatalf("the configuration has no %q", old)
 	}
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(strings.Replace(text, old, new, 1)), 0o600); err != nil {
+	write(t, path, strings.Replace(text, old, new, 1))
+	return func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] }
+}
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] }
 }
 
 // A bad configuration is one line that names the field.
@@ -75,16 +81,15 @@
 	more := make(chan bool)
 	s := peers.NewServer(t, peers.Held(more))
 	d := peers.NewDiscovery(t, peers.List(1, true))
-	cfg, err := Load(configFile(t, "127.0.0.1:1", d.Addr))
+	lines := make(logger, 20)
+	p, err := New(configFile(t, "127.0.0.1:1", d.Addr), lines)
 	if err != nil {
 		t.Fatal(err)
 	}
-	lines := make(logger, 20)
-	p := New(cfg, lines)
 	ctx, sigterm := context.WithCancel(context.Background())
 	defer sigterm()
 	exit := make(chan error, 1)
-	go func() { exit <- p.Run(ctx) }()
+	go func() { exit <- p.Run(ctx, nil) }()
 	enter := func(phase Phase) {
 		t.Helper()
 		if got := peers.Next(t, lines, string(phase)); got != fmt.Sprintf("phase: %s", phase) || p.Phase() != phase {
@@ -152,6 +157,76 @@
 	}
 }
 
+// A reload moves the watch to the discovery that the file names by then, whatever the environment says, and takes
+// the whole list there although its versions begin lower. A bad file changes nothing, and a stream goes on.
+func TestReload(t *testing.T) {
+	more := make(chan bool)
+	s := peers.NewServer(t, peers.Held(more))
+	fresh := peers.NewServer(t, peers.Answer(peers.Whole()))
+	d := peers.NewDiscovery(t, peers.List(41, true, peers.Entry("s0", s.Addr, "Ready")))
+	d2 := peers.NewDiscovery(t, peers.List(7, true, peers.Entry("s1", fresh.Addr, "Ready")))
+	file := configFile(t, "127.0.0.1:1", d.Addr)
+	path := file("ROUTER_CONFIG")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := make(logger, 20)
+	p, err := New(func(name string) string {
+		if name == "ROUTER_DISCOVERY" {
+			return d.Addr
+		}
+		return file(name)
+	}, lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, sigterm := context.WithCancel(context.Background())
+	defer sigterm()
+	sighup, exit := make(chan os.Signal), make(chan error, 1)
+	go func() { exit <- p.Run(ctx, sighup) }()
+	expect := func(want string) {
+		t.Helper()
+		if got := peers.Next(t, lines, want); !strings.HasPrefix(got, want) {
+			t.Fatalf("got the line %q, want %q", got, want)
+		}
+	}
+	expect("phase: listing")
+	expect("phase: serving")
+	ends := make(chan string, 1)
+	go func() {
+		_, body, err := peers.Do(t, peers.Ask(t, p.ln.Addr().String(), "held", nil))
+		ends <- fmt.Sprint(body, err)
+	}()
+	peers.Next(t, s.Requests, "a scheduling")
+
+	for _, bad := range []string{"{", strings.Replace(string(text), d.Addr, "nowhere", 1)} {
+		write(t, path, bad)
+		sighup <- syscall.SIGHUP
+		expect("reload refused: ")
+	}
+	write(t, path, strings.Replace(string(text), d.Addr, d2.Addr, 1))
+	sighup <- syscall.SIGHUP
+	expect("reloaded: discovery is " + d2.Addr)
+	for _, want := range []string{"/api/targets", "/api/targets?index=7&wait=5000"} {
+		if got := peers.Next(t, d2.Calls, want); got != want {
+			t.Errorf("the new discovery was asked for %s, want %s", got, want)
+		}
+	}
+	if status, body, err := peers.Do(t, peers.Ask(t, p.ln.Addr().String(), "q", nil)); status != 200 || err != nil {
+		t.Errorf("after the reload: got %d %q, %v; want it served by the new list", status, body, err)
+	}
+	more <- true
+	if got := peers.Next(t, ends, "the held answer"); got != peers.Event+peers.Done+"<nil>" {
+		t.Errorf("the stream that was out ended with %q", got)
+	}
+	sigterm()
+	expect("phase: leaving")
+	if err := peers.Next(t, exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
+
 type logger chan string
 
 func (l logger) Printf(format string, v ...any) { l <- fmt.Sprintf(format, v...) }
--- a/internal/routing/entries.go
+++ b/internal/routing/entries.go
@@ -9,10 +9,14 @@
 }
 
 // Told applies news from discovery: at once to what may be sent to, and as an event to the decisions. It returns
-// when both are done, so that the next call to discovery finds them applied.
+// when both are done, so that the next call to discovery finds them applied. News comes in its order, and each
+// discovery counts versions of its own, so the decisions are told the number of the news as its version: by the
+// count of a new discovery that begins lower they would pass all of it over.
 func (r *Router) Told(ev balance.Members, addrs map[string]string) {
 	var moved []string // whose idle connections lead nowhere any more
 	r.mu.Lock()
+	r.told++
+	ev.Version = r.told
 	if ev.Whole {
 		for id, e := range r.entries {
 			e.state = balance.Gone
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -65,6 +65,7 @@
 	mu      sync.Mutex
 	pending []balance.Event
 	entries map[string]entry
+	told    int64 // news from discovery so far
 	flows   map[string]*Flow
 	ended   []*Flow       // to be forgotten once the events before are decided on
 	wake    chan struct{} // holds one token while events are pending
