Silent and bad clients get a word or a close in time and crowd nobody out

The trace shows failures without attempts, descriptors at the bound of client connections, and CPU at 6% of a core: places ran out, not time.

At fault: front.go kept a silent connection for 30 s and an idle one for 2 min inside a fixed Concurrency, so fasthttp turned the next ones away. It buffered announced bodies whole, passed on a request with both Content-Length and Transfer-Encoding, admit sent a second flow on under an id in use, and classify held a real server's 4xx against that server.

--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -113,12 +113,11 @@
 	return nil
 }
 
-// clients returns how many client connections fit: each may need a second one to a real server, and bodies may
-// take half of the memory at most.
-func (c *Config) clients() int {
-	const bodiesPerMB = 4
-	return max(min((c.Limits.Sockets-otherSockets)/2, c.Limits.MemoryMB*bodiesPerMB/2), fewestClient)
-}
+// clients returns how many client connections fit: each may need a second one to a real server.
+func (c *Config) clients() int { return (c.Limits.Sockets - otherSockets) / 2 }
+
+// bodies returns how many bytes the bodies of requests may take up together.
+func (c *Config) bodies() int { return c.Limits.MemoryMB << 20 / 4 }
 
 // connectFor is the time for a connection to a real server to come up.
 func (c *Config) connectFor() time.Duration { return time.Duration(c.Settings.Limits.ConnectTimeoutNs) }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -74,7 +74,7 @@
 		Silent:      silentFor,
 		Connections: p.cfg.Limits.Sockets - otherSockets - clients}, p.log)
 	p.router = routing.New(b, servers, p.log, p.cfg.connectFor()+probeAnswer)
-	p.front = transport.NewFront(p.router, clients)
+	p.front = transport.NewFront(p.router, transport.FrontLimits{Connections: clients, Bodies: p.cfg.bodies()})
 	if p.ln, err = net.Listen("tcp", p.cfg.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -3,6 +3,7 @@
 package protocol
 
 import (
+	"bytes"
 	"fmt"
 	"strconv"
 	"strings"
@@ -60,6 +61,25 @@
 	return a, nil
 }
 
+// CheckFraming refuses a head whose lines, as they came, leave room for two opinions on where its body ends: what one
+// reader takes for a body may be a second request to the next. What a reader of HTTP refuses by itself (repeated or
+// signed lengths, other codings) is not looked for.
+func CheckFraming(head []byte) error {
+	lengths, codings := false, false
+	for line := range bytes.Lines(head) {
+		if line[0] == ' ' || line[0] == '\t' {
+			return fmt.Errorf("a header is folded over two lines")
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		lengths = lengths || bytes.EqualFold(name, []byte("Content-Length"))
+		codings = codings || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	if lengths && codings {
+		return fmt.Errorf("both Content-Length and Transfer-Encoding are given")
+	}
+	return nil
+}
+
 // parseFacts reads name=value pairs; names that it does not know are left alone.
 func parseFacts(facts string, a *balance.Arrival) error {
 	for _, pair := range strings.Split(facts, ",") {
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -1,22 +1,24 @@
 package routing
 
 import (
-	"fmt"
+	"errors"
 	"time"
 )
 
-// admit names the flow to the module. Ids are fresh by the platform's word; one that is in use all the same gets
-// a name of its own, as the module would pass over a second request of one name and never answer it.
-func (r *Router) admit(f *Flow) {
+// ErrInUse says that another flow has the id. Ids are fresh by the platform's word, so this client is at fault.
+var ErrInUse = errors.New("the id is that of an open request")
+
+// admit names the flow to the module, unless its id is in use: the module would pass over a second request of one
+// name and never answer it, and a real server would take it for a copy of the first.
+func (r *Router) admit(f *Flow) error {
 	r.mu.Lock()
-	f.id = f.arrival.ID
-	for n := 2; r.flows[f.id] != nil; n++ {
-		f.id = fmt.Sprintf("%s#%d", f.arrival.ID, n)
+	if r.flows[f.id] != nil {
+		r.mu.Unlock()
+		return ErrInUse
 	}
 	r.flows[f.id] = f
 	r.mu.Unlock()
-
-	f.arrival.ID = f.id
 	f.arrival.Left = time.Until(f.deadline)
 	r.post(f.arrival)
+	return nil
 }
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -11,7 +11,7 @@
 // book tells the module how a scheduling ended that gave its client nothing.
 func (r *Router) book(s *scheduling, h Head) {
 	r.post(balance.Outcome{ID: s.flow.id, Attempt: s.number, Result: h.Result, Load: h.Load,
-		Final: s.flow.ctx.Err() != nil})
+		Final: s.flow.answered.Load() || s.flow.ctx.Err() != nil})
 	r.release(s.flow)
 }
 
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -16,6 +16,7 @@
 	Served Verdict = iota
 	TurnedDown
 	Failed
+	Unfit // the request itself is at fault, by a real server's word
 )
 
 // Answer is the final answer to a flow.
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -20,6 +20,7 @@
 
 // relay hands a begun answer over to the flow's client, to whom it belongs from now on.
 func (r *Router) relay(s *scheduling, body Body) {
+	s.flow.message = nil // nothing more is sent
 	r.post(balance.FirstToken{ID: s.flow.id, Attempt: s.number})
 	stream := &Stream{router: r, s: s, body: body}
 	if !s.flow.answer(Answer{Verdict: Served, Stream: stream}) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -41,6 +41,7 @@
 	Result balance.Result // OK if there is a body
 	Load   *balance.Load
 	Body   Body
+	Unfit  bool // the real server finds the request itself at fault, as any other would
 }
 
 // Body is the rest of an answer. Read returns io.EOF only once the last of it has come.
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -23,6 +23,9 @@
 			r.relay(s, head.Body)
 			return
 		}
+		if head.Unfit {
+			f.answer(Answer{Verdict: Unfit})
+		}
 		r.book(s, head)
 	}()
 }
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -7,13 +7,17 @@
 	"reachspread/balance"
 )
 
-// TakeIn starts a flow for a request whose last byte came at the time given. Its caller owes one call of Done.
-func (r *Router) TakeIn(a balance.Arrival, came time.Time, m Message) *Flow {
+// TakeIn starts a flow for a request whose last byte came at the time given. Its caller owes one call of Done,
+// unless there is an error.
+func (r *Router) TakeIn(a balance.Arrival, came time.Time, m Message) (*Flow, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Flow{arrival: a, message: m, deadline: came.Add(a.Left), ctx: ctx, cancel: cancel, final: make(chan Answer, 1)}
+	f := &Flow{id: a.ID, arrival: a, message: m, deadline: came.Add(a.Left), ctx: ctx, cancel: cancel, final: make(chan Answer, 1)}
 	f.holds.Store(1)
-	r.admit(f)
-	return f
+	if err := r.admit(f); err != nil {
+		cancel()
+		return nil, err
+	}
+	return f, nil
 }
 
 // Leave notes that the client of a flow has gone: the module is told and what is out is given up.
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -78,15 +78,16 @@
 		return routing.Head{Result: balance.OK, Body: &body{exchange: x, ctx: ctx, text: x.resp.BodyStream()}}
 	}
 	load := s.readLoad(to.ID, x.resp.Header.Peek(protocol.HeaderLoad))
+	unfit := false
 	if x.resp.StatusCode() == fasthttp.StatusOK {
 		result = ended(headCtx, balance.TimedOut, balance.Reset)
 	} else {
-		result = classify(x.resp)
+		result, unfit = classify(x.resp)
 		_, err := x.rest()
 		x.whole = err == nil
 	}
 	x.close()
-	return routing.Head{Result: result, Load: load}
+	return routing.Head{Result: result, Load: load, Unfit: unfit}
 }
 
 // Probe implements routing.Network.
@@ -201,14 +202,18 @@
 	return broke
 }
 
-// classify tells the result of an answer that is no stream.
-func classify(resp *fasthttp.Response) balance.Result {
+// classify tells the result of an answer that is no stream, and whether it blames the request. That says nothing
+// against the real server: held against it, one client's bad requests would shut out the whole fleet.
+func classify(resp *fasthttp.Response) (result balance.Result, unfit bool) {
 	code := resp.StatusCode()
 	unprocessed := string(resp.Header.Peek(protocol.HeaderUnprocessed)) == "1"
 	if unprocessed && (code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusGatewayTimeout) {
-		return balance.Full
+		return balance.Full, false
 	}
-	return balance.Error
+	if code/100 == 4 && code != fasthttp.StatusRequestTimeout && code != fasthttp.StatusTooManyRequests {
+		return balance.Cancelled, true
+	}
+	return balance.Error, false
 }
 
 // readLoad reads a load report. One that can not be read is logged once until a good one comes.
