--- a/internal/transport/stories_test.go
+++ b/internal/transport/stories_test.go
@@ -211,6 +211,7 @@
 	r := newRouter(t, s)
 	long := strings.Repeat("x", transport.MaxBody+1)
 	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n"
+	good := head + "X-Correlation-Id: q\r\nX-Service-Class: chat\r\nX-Time-Left: 900m\r\n"
 	for _, tt := range []struct {
 		name, text string
 		status     int
@@ -218,14 +219,14 @@
 		{"no id", head + "Content-Length: 2\r\n\r\n{}", 400},
 		{"no HTTP", "hello\r\n\r\n", 400},
 		{"odd length", head + "Content-Length: x\r\n\r\n", 400},
-		{"two ways to tell the end", head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + peers.End, 400},
-		{"two ways, one of no effect", head + "Transfer-Encoding: identity\r\ncontent-length: 2\r\n\r\n{}", 400},
-		{"two lengths", head + "Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}", 400},
-		{"signed length", head + "Content-Length: +2\r\n\r\n{}", 400},
-		{"negative length", head + "Content-Length: -2\r\n\r\n{}", 400},
-		{"folded header", head + "X: y\r\n Content-Length: 2\r\n\r\n{}", 400},
-		{"head without end", head + strings.Repeat("X-More: y\r\n", 2000), 400},
-		{"bad chunk size", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		{"two ways to tell the end", good + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + peers.End, 400},
+		{"two ways, one of no effect", good + "Transfer-Encoding: identity\r\ncontent-length: 2\r\n\r\n{}", 400},
+		{"two lengths", good + "Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}", 400},
+		{"signed length", good + "Content-Length: +2\r\n\r\n{}", 400},
+		{"negative length", good + "Content-Length: -2\r\n\r\n{}", 400},
+		{"folded header", good + "X: y\r\n Content-Length: 2\r\n\r\n{}", 400},
+		{"head without end", good + strings.Repeat("X-More: y\r\n", 2000), 400},
+		{"bad chunk size", good + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
 		{"too long", head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long), 413},
 		{"too long in chunks", head + "Transfer-Encoding: chunked\r\n\r\n" + peers.Chunk(long) + peers.End, 413},
 		{"unknown path", "GET /v1/models HTTP/1.1\r\nHost: r\r\n\r\n", 404},
