An answer is its client's from the first whole event; a spoilt one before is tried elsewhere

A probe printed what came: noise for a head, status words swapped, lengths of -1, heads of more than 4 KB, chunk sizes such as z, sizes 4 over longer text, and second answers of 43 bytes in the same write (13 of 13 buffered at once, none later).

At fault: Schedule handed an answer over at its head, so noise in place of the first event was the client's; every failure to read was booked as a reset, which ejects a real server at once and takes it for cold; a head that stops was waited for until the deadline; a chunk of a wrong size passed on the next one's framing as text.

Now open waits for the first whole event, a head has 1 s from its first byte, 1xx are counted, lines that are no events and streams over the platform's 256 KiB end an answer, and what can't be read on a standing connection is an error, not a reset.

--- a/internal/protocol/events.go
+++ b/internal/protocol/events.go
@@ -21,28 +21,59 @@
 	long bool // the line being read is too long to be a note
 }
 
-// Feed takes in the next bytes of the stream, cut anywhere.
-func (n *Notes) Feed(p []byte) {
-	for {
-		i := bytes.IndexByte(p, '\n')
-		part := p
-		if i >= 0 {
-			part = p[:i]
+// HasEvent tells whether a stream's beginning holds a whole event: a line of data, and the empty line that ends it.
+func HasEvent(p []byte) bool {
+	data := false
+	for line := range bytes.Lines(p) {
+		switch bare := bytes.TrimRight(line, "\r\n"); {
+		case len(bare) == len(line): // cut off
+			return false
+		case len(bare) == 0 && data:
+			return true
+		default:
+			data = data || bytes.HasPrefix(bare, []byte("data:"))
 		}
-		if n.long = n.long || len(n.line)+len(part) > longestNote; !n.long {
-			n.line = append(n.line, part...)
+	}
+	return false
+}
+
+// fields are the ways in which a line of a stream may begin; the first is a comment's.
+var fields = []string{":", "data:", "event:", "id:", "retry:"}
+
+// Feed takes in the next bytes of the stream, cut anywhere. It reports whether they are lines of events.
+func (n *Notes) Feed(p []byte) bool {
+	for len(p) > 0 {
+		part, rest, ended := bytes.Cut(p, []byte("\n"))
+		room := longestNote - len(n.line)
+		n.long = n.long || len(part) > room
+		n.line = append(n.line, part[:min(len(part), room)]...)
+		if !isField(n.line, ended) {
+			return false
 		}
-		if i < 0 {
-			return
+		if !ended {
+			return true
 		}
 		if !n.long {
 			n.read(bytes.TrimSuffix(n.line, []byte("\r")))
 		}
 		n.line, n.long = n.line[:0], false
-		p = p[i+1:]
+		p = rest
 	}
+	return true
 }
 
+// isField tells whether a line, or what has come of it, is empty or begins with a field.
+func isField(line []byte, whole bool) bool {
+	if len(line) == 0 || string(line) == "\r" {
+		return true
+	}
+	for _, f := range fields {
+		if bytes.HasPrefix(line, []byte(f)) || !whole && len(line) < len(f) && f[:len(line)] == string(line) {
+			return true
+		}
+	}
+	return false
+}
 func (n *Notes) read(line []byte) {
 	if comment, ok := bytes.CutPrefix(line, []byte(": "+HeaderLoad+":")); ok {
 		load, err := ParseLoad(comment)
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -46,6 +46,8 @@
 			head.Result = balance.OK
 		case st.s.flow.ctx.Err() != nil || st.err == nil:
 			head.Result = balance.Cancelled // by the client
+		case errors.Is(st.err, ErrSpoilt):
+			head.Result = balance.Error // the process that made it goes on
 		case errors.Is(st.err, os.ErrDeadlineExceeded):
 			head.Result = balance.TimedOut // silent: the process need not be dead
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -26,7 +27,7 @@
 
 // Network is what the core needs of the real servers.
 type Network interface {
-	// Schedule sends m to a real server once and waits until the deadline for the head of its answer. The end
+	// Schedule sends m to a real server once and waits until the deadline for the first event of its answer. The end
 	// of ctx ends all of it, the body too. Whatever does not return a body has been given up by then, so that
 	// no two schedulings of a flow overlap.
 	Schedule(ctx context.Context, deadline time.Time, to Entry, m Message) Head
@@ -44,7 +45,10 @@
 	Unfit  bool // the real server finds the request itself at fault, as any other would
 }
 
-// Body is the rest of an answer. Read returns io.EOF only once the last of it has come.
+// ErrSpoilt says that what came is no answer, although the real server and its connection stand.
+var ErrSpoilt = errors.New("spoilt")
+
+// Body is an answer from its first whole event on. Read returns io.EOF only once the last of it has come.
 type Body interface {
 	io.Reader
 	// End closes the body and tells what was learnt from it. Only a body that was read to io.EOF gives back a
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -35,6 +35,7 @@
 // conn is a connection to a real server. Its user has it alone.
 type conn struct {
 	net.Conn
+	err   error  // the last one of the socket: without one, an answer that fails was spoilt
 	to    string // id of the real server
 	in    *bufio.Reader
 	since time.Time // in the pool
@@ -61,7 +62,9 @@
 		p.count(-1)
 		return nil, err
 	}
-	return &conn{Conn: nc, to: id, in: bufio.NewReaderSize(nc, readBuffer)}, nil
+	c := &conn{Conn: nc, to: id}
+	c.in = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 // pop returns the most recently used idle connection. Without one it returns nil and reserves room for a new one,
@@ -153,6 +156,14 @@
 	delete(p.idle, id)
 }
 
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.err = err
+	}
+	return n, err
+}
+
 // quiet tells that the other side has neither closed an idle connection nor sent anything on it.
 func (c *conn) quiet() bool {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"sync"
 	"time"
 
@@ -17,8 +18,15 @@
 )
 
 const (
-	// mostRefusal bounds the body of an answer that is no stream.
+	// mostRefusal bounds the body of an answer that is no stream, mostOpening a stream's first event, and mostStream,
+	// the platform's word for any body, all of a stream: a chunk said to hold gigabytes would go on for ever.
 	mostRefusal = 64 << 10
+	mostOpening = 64 << 10
+	mostStream  = MaxBody
+	// headIn is how long the head of an answer may take from its first byte on. A real server writes it at once.
+	headIn = time.Second
+	// mostInterim bounds the 1xx answers before the answer itself.
+	mostInterim = 100
 )
 
 // message is a client's request as it came. It implements routing.Message.
@@ -74,18 +82,21 @@
 	if x == nil {
 		return routing.Head{Result: result}
 	}
-	if x.resp.StatusCode() == fasthttp.StatusOK && x.commit(ctx) {
-		return routing.Head{Result: balance.OK, Body: &body{exchange: x, ctx: ctx, text: x.resp.BodyStream()}}
-	}
-	load := s.readLoad(to.ID, x.resp.Header.Peek(protocol.HeaderLoad))
 	unfit := false
 	if x.resp.StatusCode() == fasthttp.StatusOK {
-		result = ended(headCtx, balance.TimedOut, balance.Reset)
+		b := &body{exchange: x, ctx: headCtx, text: x.resp.BodyStream()}
+		err := b.open()
+		if err == nil && x.commit(ctx) {
+			b.ctx = ctx
+			return routing.Head{Result: balance.OK, Body: b}
+		}
+		result = x.failed(headCtx, balance.TimedOut)
 	} else {
 		result, unfit = classify(x.resp)
 		_, err := x.rest()
 		x.whole = err == nil
 	}
+	load := s.readLoad(to.ID, x.resp.Header.Peek(protocol.HeaderLoad))
 	x.close()
 	return routing.Head{Result: result, Load: load, Unfit: unfit}
 }
@@ -102,7 +113,7 @@
 	defer x.close()
 	text, err := x.rest()
 	if err != nil {
-		return ended(ctx, balance.TimedOut, balance.Reset), nil
+		return x.failed(ctx, balance.TimedOut), nil
 	}
 	x.whole = true
 	switch x.resp.StatusCode() {
@@ -149,14 +160,59 @@
 		x.close()
 		return nil, ended(ctx, balance.NotSent, balance.NoConnection)
 	}
-	x.resp.StreamBody = true
-	if err := x.resp.ReadLimitBody(c.in, 0); err != nil {
+	if err := x.readHead(ctx); err != nil {
+		result := x.failed(ctx, balance.TimedOut)
 		x.close()
-		return nil, ended(ctx, balance.TimedOut, balance.Reset)
+		return nil, result
 	}
 	return x, balance.OK
 }
 
+// readHead reads the head of the answer, after any 1xx. It waits for the first byte of each as long as ctx lasts,
+// but not for the rest: a head that stops half-way would take all the time that another real server might use.
+func (x *exchange) readHead(ctx context.Context) error {
+	for range mostInterim {
+		if _, err := x.conn.in.Peek(1); err != nil {
+			return err
+		}
+		x.conn.SetReadDeadline(time.Now().Add(headIn))
+		if err := ctx.Err(); err != nil { // after the line above, lest it undo the end of ctx
+			return err
+		}
+		if err := x.resp.Header.Read(x.conn.in); err != nil {
+			return err
+		}
+		x.conn.SetReadDeadline(time.Time{})
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		switch code := x.resp.StatusCode(); {
+		case code >= 200:
+			if code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified {
+				return nil // has no body, whatever the head says
+			}
+			x.resp.StreamBody = true
+			return x.resp.ReadBody(x.conn.in, 0)
+		case code == fasthttp.StatusSwitchingProtocols:
+			return errSpoilt
+		}
+	}
+	return errSpoilt
+}
+
+// errSpoilt says that an answer can't be read although its connection stands.
+var errSpoilt = fmt.Errorf("%w: the answer can not be read", routing.ErrSpoilt)
+
+// failed tells why the answer broke off: by the end of ctx, with the connection, or else because it was spoilt,
+// which the process that made it has outlived.
+func (x *exchange) failed(ctx context.Context, over balance.Result) balance.Result {
+	broke := balance.Error
+	if x.conn.err != nil && !errors.Is(x.conn.err, os.ErrDeadlineExceeded) {
+		broke = balance.Reset
+	}
+	return ended(ctx, over, broke)
+}
+
 // commit lets go of the deadline: the answer has begun, so only the end of ctx may end it. It fails if the
 // deadline was first.
 func (x *exchange) commit(ctx context.Context) bool {
@@ -240,11 +296,45 @@
 	*exchange
 	ctx   context.Context
 	text  io.Reader
+	first []byte // read by open, due to the next Read
+	end   error  // that open came to
+	size  int    // read so far
 	notes protocol.Notes
 }
 
-// Read passes on what has come. A broken or silent stream gives an error other than io.EOF.
+// open waits for the first whole event. Up to there, another real server may still serve the flow.
+func (b *body) open() error {
+	buf := make([]byte, readBuffer)
+	for len(b.first) < mostOpening {
+		n, err := b.next(buf)
+		b.first = append(b.first, buf[:n]...)
+		if protocol.HasEvent(b.first) {
+			b.end = err
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return errSpoilt
+}
+
+// Read passes on what has come. A broken, silent or spoilt stream gives an error other than io.EOF.
 func (b *body) Read(p []byte) (int, error) {
+	if len(b.first) > 0 {
+		n := copy(p, b.first)
+		b.first = b.first[n:]
+		return n, nil
+	}
+	if b.end != nil {
+		return 0, b.end
+	}
+	return b.next(p)
+}
+
+// next reads from the connection. What is no stream of events is not passed on: a chunk of the wrong size has the
+// next one's framing among its text.
+func (b *body) next(p []byte) (int, error) {
 	b.conn.SetReadDeadline(time.Now().Add(b.servers.silent))
 	if err := b.ctx.Err(); err != nil { // after the line above, lest it undo the end of ctx
 		return 0, err
@@ -254,8 +344,13 @@
 		// Neither length nor chunks: an end of the connection does not tell that the stream was whole.
 		err = io.ErrUnexpectedEOF
 	}
-	b.notes.Feed(p[:n])
+	if b.size += n; !b.notes.Feed(p[:n]) || b.size > mostStream {
+		return 0, errSpoilt
+	}
 	b.whole = err == io.EOF
+	if err != nil && err != io.EOF && b.conn.err == nil {
+		err = fmt.Errorf("%w: %w", errSpoilt, err)
+	}
 	return n, err
 }
 
--- a/internal/transport/stories_test.go
+++ b/internal/transport/stories_test.go
@@ -119,6 +119,18 @@
 		{"error", peers.Answer(peers.Error), 503, 2, false},
 		{"turned away", peers.Answer(peers.Full), 503, 2, false},
 		{"status without a body", peers.Answer("HTTP/1.1 204 No Content\r\n\r\n"), 503, 2, false},
+		{"noise", peers.Answer("\x01\x02noise\r\n\r\n"), 503, 2, false},
+		{"head without a status", peers.Answer(strings.Replace(peers.Whole(), "200 OK", "OK 200", 1)), 503, 2, false},
+		{"head that stops", peers.Answer("HTTP/1.1 200 OK\r\nX-Pa"), 503, 2, false},
+		{"head without end", peers.Answer("HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: y\r\n", 1000)), 503, 2, false},
+		{"interim answers without end", peers.Answer(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)), 503, 2, false},
+		{"spoilt before its first event", peers.Answer(peers.Head + "z\r\nabcde\r\n" + peers.End), 503, 2, false},
+		{"spoilt in its first event", peers.Answer(peers.Head + "4\r\n" + peers.Event + "\r\n" + peers.End), 503, 2, false},
+		{"no event at all", peers.Answer(peers.Head + peers.End), 503, 2, false},
+		{"spoilt later", peers.Answer(torn + "z\r\nabcde\r\n" + peers.End), 200, 1, true},
+		{"a chunk that has the next one in it", peers.Answer(torn + "80\r\n" + peers.Event + "\r\n" + peers.Chunk(peers.Event)), 200, 1, true},
+		{"a chunk of gigabytes", peers.Answer(torn + "c0000000\r\n" + strings.Repeat("x", 1<<12)), 200, 1, true},
+		{"a stream without end", peers.Answer(torn + strings.Repeat(peers.Chunk(peers.Event), 2*transport.MaxBody/len(peers.Event))), 200, 1, true},
 		{"broken stream", func(c net.Conn) bool { io.WriteString(c, torn); return false }, 200, 1, true},
 		{"stream reset in a chunk", func(c net.Conn) bool { io.WriteString(c, torn+"20\r\nhalf"); return false }, 200, 1, true},
 		{"silent stream", peers.Answer(torn), 200, 1, true},
@@ -140,6 +152,22 @@
 	}
 }
 
+// What a real server sends beyond its answer harms nobody: not this client, and not the next one on the connection.
+func TestMoreThanAnAnswer(t *testing.T) {
+	interim := "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+	for name, script := range map[string]func(net.Conn) bool{
+		"interim answers first":   peers.Answer(strings.Repeat(interim, 3) + peers.Whole()),
+		"a second answer at once": peers.Answer(peers.Whole() + peers.Error),
+	} {
+		r := newRouter(t, peers.NewServer(t, script))
+		for i := range 3 {
+			if status, body, err := peers.Do(t, peers.Ask(t, r.addr, fmt.Sprint(i), nil)); status != 200 || err != nil || body != peers.Event+peers.Done {
+				t.Errorf("%s: request %d got %d %q, %v; want its own answer", name, i, status, body, err)
+			}
+		}
+	}
+}
+
 // A connection that was refused or closed while idle proves that nothing ran: the flow goes on elsewhere.
 func TestConnectionsThatAreGone(t *testing.T) {
 	closed := make(chan bool, 1)
