A request cut off half-way is refused, not passed on

At fault: readBody, since bodies are streamed, took the stream's EOF for the body's end. fasthttp's request stream ends with a plain EOF when the client closes short of Content-Length and more than its first 8 KB have come (streaming.go: strictEOF is set for answers only). Chunked bodies and short ones were reported as cut off already; the new test has all four, and the long one fails without the change.

--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -161,9 +161,10 @@
 var errCrowded = errors.New("no room for the body")
 
 // readBody reads a request's body. Its buffer grows with what comes, not with what was announced, and counts in
-// f.bodies, whatever the error.
+// f.bodies, whatever the error. A client that closes half-way ends fasthttp's stream like a whole body.
 func (f *Front) readBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
-	if ctx.Request.Header.ContentLength() > MaxBody {
+	length := ctx.Request.Header.ContentLength() // negative where it was not announced
+	if length > MaxBody {
 		return nil, fasthttp.ErrBodyTooLarge
 	}
 	var body []byte
@@ -181,6 +182,8 @@
 		switch {
 		case len(body) > MaxBody:
 			return body, fasthttp.ErrBodyTooLarge
+		case err == io.EOF && length >= 0 && len(body) < length:
+			return body, io.ErrUnexpectedEOF
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
--- a/internal/transport/stories_test.go
+++ b/internal/transport/stories_test.go
@@ -294,6 +294,32 @@
 	}
 }
 
+// A client that closes before its request's last byte must not have the rest of it sent, however long that is.
+func TestHalfARequestIsNotPassedOn(t *testing.T) {
+	s := peers.NewServer(t, peers.Answer(peers.Whole()))
+	r := newRouter(t, s)
+	for name, body := range map[string]string{
+		"a length, little sent": "Content-Length: 100000\r\n\r\n{",
+		"a length, much sent":   "Content-Length: 100000\r\n\r\n" + strings.Repeat(" ", 50000),
+		"chunks":                "Transfer-Encoding: chunked\r\n\r\n" + peers.Chunk(strings.Repeat(" ", 50000)),
+		"in a chunk":            "Transfer-Encoding: chunked\r\n\r\n100000\r\n" + strings.Repeat(" ", 50000),
+	} {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nX-Correlation-Id: q\r\nX-Service-Class: chat\r\n"+
+			"X-Time-Left: 900m\r\n"+body)
+		c.(*net.TCPConn).CloseWrite()
+		c.SetReadDeadline(time.Now().Add(peers.Patience))
+		got, err := io.ReadAll(c)
+		c.Close()
+		if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 400 ") || len(s.Requests) > 0 {
+			t.Errorf("%s: got %.20q, %v and %d schedulings; want 400 and none", name, got, err, len(s.Requests))
+		}
+	}
+}
+
 // Ids are fresh by the platform's word. Who uses that of an open request gets an error; the first one is unharmed.
 func TestTwoFlowsOfOneID(t *testing.T) {
 	more := make(chan bool)
