--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,7 +12,8 @@
 //   - choose: homes in the own zone take part where crossing costs more than reading a prefix again, and
 //     where no report tells the unread tokens of other gateways, which are fewest there;
 //   - ask: a prompt is held for some ms while samples are probed whose last reports are old;
-//   - hopeless, crowded, spent: a prompt that would miss an aim is refused, or held if others yield to it;
+//   - weigh: where the sample would miss an aim, all replicas with room are compared;
+//   - hopeless, spent: a prompt that would miss its aim is refused, or held if others yield to it;
 //   - yields: a prompt is held where it would take much of the time that a class of more worth has;
 //   - coldRoom: a replica that has just started gets a budget, and no heavy prompt;
 //   - room, fail: a failing replica is ejected, then tried with one prompt at a time.
@@ -20,6 +21,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -44,27 +46,24 @@
 	crossScale  = 4.0   // a crossing counts as this many times its price in missed aims
 	coldMargin  = 0.7   // of the cold budget, as the work of warm replicas is known by average only
 	heavy       = 3.0   // times the mean work: heavier prompts are kept from cold replicas
-	laterTry    = 0.95  // of the usual share of a deadline given to a try: less means a later one
 	shareStep   = 0.004 // by which the usual share falls, or four times that rises, with a try
+	laterTry    = 0.95  // of the usual share of a deadline given to a try: less means a later one
 	learn       = 0.1   // weight of a sample in a moving average
 	awayShare   = 0.2   // of the time left to its aim a refused client stays away, as longer costs it the aim
 	leastAway   = 50 * time.Millisecond
-	startPace   = 0.3  // of the token aim: the quickest answers, where lengths are not known
-	someAnswers = 20.0 // of a class tell the usual time of an answer
-	outpaced    = 1.5  // times the token aim: beyond, what is sent to a replica is late whenever it begins
-	mostLate    = 2.0  // times the token aim count at most, lest one slow replica speak for its kind
 	slowRead    = 1e-4 // seconds to read a token, before any was seen
 	slowFirst   = 0.05 // seconds to a first token with nothing to read, likewise
-	lostTokens  = 256  // fewer kept than expected by this many: the prefix was lost
 	mostKept    = 4096 // prefixes and sessions remembered for a replica, before old ones are dropped
 	workSpan    = 5.0  // seconds over which sent work is averaged
 	firstEject  = time.Second
 	longEject   = 8 * time.Second
-	forget      = 5 * time.Second       // half of what is held against a slow replica is forgotten after this
-	stale       = time.Second           // a report older than this tells nothing
-	askWait     = 25 * time.Millisecond // for probes, before a prompt leaves on what is known
-	askAgain    = time.Second           // between calls to a discovery that failed
-	retryCold   = 100 * time.Millisecond
+	forget      = 5 * time.Second        // half of what is held against a slow replica is forgotten after this
+	stale       = time.Second            // a report older than this tells nothing
+	askWait     = 25 * time.Millisecond  // for probes, before a prompt leaves on what is known
+	askAgain    = time.Second            // between calls to a discovery that failed
+	lookAgain   = 100 * time.Millisecond // at what is held: a cold or ejected replica may have room by then
+	fewHeld     = 5                      // prompts are weighed at each step
+	weighAgain  = 3 * time.Millisecond   // for each one beyond, until a prompt weighed in vain is weighed again
 )
 
 // Balancer holds what one gateway knows. It is not safe for concurrent use.
@@ -74,13 +73,13 @@
 	now         time.Duration
 	out         []Action
 	classes     map[string]*class
-	kinds       map[string]*kind
+	kinds       map[string]*fit // seconds to the first token by tokens ahead, alike for machines of one kind
 	replicas    map[string]*replica
+	pool, near  []*replica // of choose, kept for their room
 	order       []*replica // by name: no result may depend on map order
 	requests    map[string]*request
 	held        []*request
 	version     int64
-	begun       bool          // the first Step was taken
 	askAt       time.Duration // when to ask discovery again, 0 for not
 	wakeAt      time.Duration // the timer that is out, 0 for none
 	token       int64
@@ -89,7 +88,6 @@
 	workAt      time.Duration
 	meanWork    float64            // of a request
 	prompts     map[string]float64 // seen of late, by prefix; "" for all
-	unread      float64            // mean unread tokens of a prompt sent
 	sighted     bool               // reports tell unread tokens
 	most, least float64            // worth of any class
 }
@@ -98,17 +96,9 @@
 	Class
 	decode float64 // mean seconds from first token to end
 	seen   float64 // answers in it
-	best   float64 // the lowest that it was
 	share  float64 // usual share of the deadline given to a try
 }
 
-// kind is what machines of one kind have shown.
-type kind struct {
-	read   fit     // seconds to the first token by tokens ahead
-	late   float64 // mean time between tokens against their aim
-	beside float64 // streams on a replica while that was seen
-}
-
 // fit is a decayed least-squares line from a fixed start.
 type fit struct{ xx, xy float64 }
 
@@ -119,9 +109,11 @@
 	aim      time.Duration // how long it may take
 	aimAt    time.Duration // until when; earlier for a client's later try
 	deadline time.Duration
+	keys     [2]uint64  // hashes of the names by which it is sent to the same few replicas: prefix, session
 	dice     float64    // drawn at arrival, between 0 and 1: the chance of a cold replica must be higher
 	asked    []*replica // samples, whose probes it waits for
 	askedTo  time.Duration
+	again    time.Duration // not weighed before
 	attempts []*attempt
 	out      int  // attempts without outcome
 	closed   bool // nothing is owed any more
@@ -135,16 +127,16 @@
 	unread   float64       // tokens that it was expected to read
 	ahead    float64       // unread tokens in front of its first token, its own included
 	expected float64       // seconds to the first token
-	relied   time.Duration // last use of the kept prefix it relied on, 0 for none
 	over     bool
 	ran      bool // may have run
 }
 
 type replica struct {
 	Member
-	kind    *kind
+	read    *fit              // of its kind
 	kept    map[string]memory // by prefix and by session
-	score   float64           // of the last ranking
+	name    uint64            // hash of its name
+	score   uint64            // of the last ranking
 	lost    time.Duration     // what was last used until then is no longer kept
 	streams int               // own
 	waiting []*attempt        // own, without first token
@@ -177,7 +169,7 @@
 // New returns a Balancer for one gateway, or an error that names the setting at fault.
 func New(cfg Config, seed uint64) (*Balancer, error) {
 	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
-		kinds: map[string]*kind{}, replicas: map[string]*replica{}, requests: map[string]*request{},
+		kinds: map[string]*fit{}, replicas: map[string]*replica{}, requests: map[string]*request{},
 		prompts: map[string]float64{},
 		most:    math.Inf(-1), least: math.Inf(1)}
 	if len(cfg.Classes) == 0 {
@@ -199,16 +191,15 @@
 		return nil, fmt.Errorf("ColdTime, OverloadWindow, Tick or MaxAway is negative; they must be 0 or more")
 	}
 	b.cfg.MaxAttempts = max(cfg.MaxAttempts, 1)
+	if cfg.AskForList {
+		b.askAt = 1 // with the first Step
+	}
 	return b, nil
 }
 
 // Step takes in what has happened, then dispatches once.
 func (b *Balancer) Step(now time.Duration, events []Event) []Action {
 	b.now, b.out = now, nil
-	if b.cfg.AskForList && !b.begun {
-		b.do(Subscribe{})
-	}
-	b.begun = true
 	for _, ev := range events {
 		b.take(ev)
 	}
@@ -249,8 +240,6 @@
 	}
 }
 
-// --- discovery ---
-
 func (b *Balancer) takeMembers(ev Members) {
 	if ev.Failed {
 		b.askAt = b.now + askAgain/2 + time.Duration(b.rng.Float64()*float64(askAgain))
@@ -268,21 +257,27 @@
 	for _, m := range ev.Members {
 		b.takeMember(m)
 	}
+	b.order = slices.DeleteFunc(b.order, func(r *replica) bool {
+		over := r.State == Gone && r.streams == 0
+		if over {
+			delete(b.replicas, r.Replica)
+		}
+		return over
+	})
 }
-
 func (b *Balancer) takeMember(m Member) {
 	r := b.replicas[m.Replica]
 	if r == nil {
-		r = &replica{cap: firstCap, slow: 1, kept: map[string]memory{}}
+		r = &replica{name: hash(m.Replica), cap: firstCap, slow: 1, kept: map[string]memory{}}
 		b.replicas[m.Replica] = r
 		i := sort.Search(len(b.order), func(i int) bool { return b.order[i].Replica > m.Replica })
 		b.order = slices.Insert(b.order, i, r)
 	}
 	if b.kinds[m.Kind] == nil {
-		b.kinds[m.Kind] = &kind{}
+		b.kinds[m.Kind] = &fit{}
 	}
 	started := m.Born > r.Born && b.now-m.Born < b.cfg.ColdTime
-	r.Member, r.kind = m, b.kinds[m.Kind]
+	r.Member, r.read = m, b.kinds[m.Kind]
 	if started {
 		b.makeCold(r, m.Born)
 		r.fails, r.died, r.ejected = 0, false, 0
@@ -295,8 +290,6 @@
 	r.cap, r.slow = coldCap, 1
 }
 
-// --- requests ---
-
 func (b *Balancer) takeArrival(ev Arrival) {
 	c := b.classes[ev.Class]
 	if b.requests[ev.ID] != nil {
@@ -308,18 +301,21 @@
 	}
 	aim := c.aimOf(ev.Prompt)
 	q := &request{Arrival: ev, class: c, since: b.now, deadline: b.now + ev.Left, dice: b.rng.Float64(),
-		aim: aim + time.Duration(c.AimStretch*float64(ev.Hint))}
+		aim:  aim + time.Duration(c.AimStretch*float64(ev.Hint)),
+		keys: [2]uint64{hash(ev.Prefix), hash(cmp.Or(ev.Session, ev.ID))}}
 	q.aimAt = b.now + q.aim
-	// A client's later try has less time left than a first one: what is missing was spent before. A few have
-	// more, such as streams that broke, so the largest share would make all others look like later tries.
+	// A client's later try may have less time left than a first one: what is missing was spent before. A last
+	// try has all that remains: the largest share, or marked tries, would make others look like later ones.
 	whole := c.Deadline + 2*(aim-c.Aim)
 	share := float64(ev.Left) / float64(max(whole, 1))
-	if share > c.share {
+	switch {
+	case ev.Later:
+	case share > c.share:
 		c.share += 4 * shareStep
-	} else {
+	default:
 		c.share -= shareStep
 	}
-	if share < laterTry*c.share {
+	if (ev.Later || !b.cfg.MarksLater) && share < laterTry*c.share {
 		q.aimAt -= max(whole-ev.Left, 0)
 	}
 	b.requests[ev.ID] = q
@@ -393,8 +389,6 @@
 		(q.class.Scope != ScopeCell || r.Cell == first.rep.Cell)
 }
 
-// --- dispatch ---
-
 // dispatch lets held prompts leave, the highest response ratio first.
 func (b *Balancer) dispatch() {
 	ratio := make(map[*request]float64, len(b.held))
@@ -402,18 +396,13 @@
 		ratio[q] = 1 + (b.now-q.since).Seconds()/((q.Prompt-q.Shared)*slowRead+q.class.decode)
 	}
 	sort.SliceStable(b.held, func(i, j int) bool { return ratio[b.held[i]] > ratio[b.held[j]] })
-	keep := b.held[:0]
+	keep, soonest := b.held[:0], b.soonest()
 	for _, q := range b.held {
-		if q.closed {
-			continue
-		}
-		r := b.choose(q)
-		ready := r != nil && !b.asking(q)
-		hopeless := ready && b.hopeless(q, r)
-		switch {
-		case b.now >= b.spent(q) || hopeless && !b.first(q.class):
+		switch r, late := b.weigh(q, soonest); {
+		case q.closed:
+		case b.now >= b.spent(q) || late && !b.first(q.class):
 			b.answer(q)
-		case ready && !hopeless && !b.yields(q, r):
+		case r != nil:
 			b.send(q, r)
 		default:
 			keep = append(keep, q)
@@ -423,6 +412,29 @@
 	b.held = keep
 }
 
+// weigh finds a replica on which q keeps all aims; late tells that it would miss its own. Where even
+// the soonest is too late, none need be chosen; the more prompts are held, the rarer is each weighed again.
+func (b *Balancer) weigh(q *request, soonest float64) (r *replica, late bool) {
+	if q.closed || b.now < q.again || math.IsInf(soonest, 1) {
+		return nil, false
+	}
+	if late = b.hopeless(q, soonest); late || b.yields(q, soonest) {
+		return nil, late
+	}
+	if r = b.choose(q); r == nil || b.asking(q) {
+		return nil, false
+	}
+	for range 2 { // the sample's best, then the best of all with room
+		wait := b.wait(q, r)
+		if late = b.hopeless(q, wait); !late && !b.yields(q, wait) {
+			return r, false
+		}
+		r = b.better(q, b.pool)
+	}
+	q.again = b.now + time.Duration(max(len(b.held)-fewHeld, 0))*weighAgain
+	return nil, late
+}
+
 // spent returns when holding a request any longer is of no use.
 func (b *Balancer) spent(q *request) time.Duration {
 	end := q.deadline - 2*b.cfg.Tick
@@ -432,27 +444,34 @@
 	return end
 }
 
-// hopeless tells that q would miss an aim even on the replica chosen for it, so that its work would be lost.
-// An idle replica is worth a try: the estimate may be wrong, and nothing else would correct it.
-func (b *Balancer) hopeless(q *request, r *replica) bool {
-	return q.class.LateWorth == 0 && q.mayRefuse() && q.out == 0 &&
-		(r.streams > 0 && b.firstToken(q, r) > prudent*(q.aimAt-b.now).Seconds() || r.crowded())
+// hopeless tells that q would miss its aim if it waited so long for its first token: its work would be lost.
+func (b *Balancer) hopeless(q *request, wait float64) bool {
+	return q.class.LateWorth == 0 && q.mayRefuse() && q.out == 0 && wait > prudent*(q.aimAt-b.now).Seconds()
 }
 
-// crowded tells that so many streams run on r that each misses its token aim, although their first tokens may
-// come at once. Fewer make shorter steps, so r is to keep the number that would meet the aim. The lengths of
-// answers are told nowhere, so the quickest that were seen are taken to run well within it.
-func (r *replica) crowded() bool {
-	return r.kind.late > outpaced && r.load() >= max(r.kind.beside*outpaced/r.kind.late, lateFloor)
+// wait is what counts of the first token of q on r. An idle replica is worth a try: nothing else would
+// correct a wrong estimate.
+func (b *Balancer) wait(q *request, r *replica) float64 {
+	if r.streams == 0 {
+		return 0
+	}
+	return b.firstToken(q, r)
 }
 
-// yields tells that q would take much of the time that a class of more worth has on r: there is no room for
-// it, as the patient and cheap would fill the queues and slip in again whenever a place gets free.
-func (b *Balancer) yields(q *request, r *replica) bool {
-	if r.streams == 0 {
-		return false
+// soonest is the least wait on any replica with room.
+func (b *Balancer) soonest() float64 {
+	least := math.Inf(1)
+	for _, r := range b.order {
+		if b.room(r) {
+			least = min(least, b.wait(nil, r))
+		}
 	}
-	wait := b.firstToken(q, r)
+	return least
+}
+
+// yields tells that q, waiting so long, would take much of the time that a class of more worth has: there is
+// no room, as the patient and cheap would fill the queues and slip in again whenever a place gets free.
+func (b *Balancer) yields(q *request, wait float64) bool {
 	return slices.ContainsFunc(b.cfg.Classes, func(c Class) bool {
 		return c.Worth > q.class.Worth && wait > yielding*c.aimOf(q.Prompt).Seconds()
 	})
@@ -470,7 +489,7 @@
 // choose returns the better of two sampled replicas with room, or nil if none has any.
 func (b *Balancer) choose(q *request) *replica {
 	local := !b.sighted || b.crossTime(q) > q.Shared*slowRead
-	var pool, near []*replica
+	pool, near := b.pool[:0], b.near[:0]
 	for _, r := range b.order {
 		if !b.room(r) || !b.mayUse(q, r) {
 			continue
@@ -483,6 +502,7 @@
 	sharing := cmp.Or(len(near), len(pool))
 	shut := func(r *replica) bool { return !b.coldRoom(q, r, sharing) }
 	pool, near = slices.DeleteFunc(pool, shut), slices.DeleteFunc(near, shut)
+	b.pool, b.near = pool, near
 	return b.better(q, b.ask(q, append(b.homes(q, near), b.homes(q, pool)...)))
 }
 
@@ -504,9 +524,9 @@
 	sample := pool
 	if q.Prefix != "" {
 		part := b.prompts[q.Prefix] / (b.prompts[""] + unseen)
-		sample = ranked(q.Prefix, pool, max(int(math.Ceil(spread*part*float64(len(pool)))), 2))
+		sample = ranked(q.keys[0], pool, max(int(math.Ceil(spread*part*float64(len(pool)))), 2))
 	}
-	return ranked(cmp.Or(q.Session, q.ID), sample, 2)
+	return ranked(q.keys[1], sample, 2)
 }
 
 // ask probes the replicas of a sample whose last report is old: of many gateways each hears of a replica too
@@ -546,48 +566,42 @@
 }
 
 // ranked returns the first n of pool in the rendezvous order of key.
-func ranked(key string, pool []*replica, n int) []*replica {
-	var top []*replica
-	for _, r := range pool {
-		r.score = hash(key, r.Replica)
-		i := sort.Search(len(top), func(i int) bool { return top[i].score < r.score })
-		if i < n {
-			top = slices.Insert(top, i, r)[:min(len(top)+1, n)]
-		}
+func ranked(key uint64, pool []*replica, n int) []*replica {
+	top := slices.Clone(pool)
+	for _, r := range top {
+		r.score = mix(key ^ r.name)
 	}
-	return top
+	slices.SortFunc(top, func(r, o *replica) int { return cmp.Compare(o.score, r.score) })
+	return top[:min(n, len(top))]
 }
 
-// hash maps a key and a replica to a number between 0 and 1 (64-bit FNV-1a and a final mix).
-func hash(key, replica string) float64 {
-	h := uint64(14695981039346656037)
-	for _, s := range []string{key, "\x00", replica} {
-		for i := 0; i < len(s); i++ {
-			h = (h ^ uint64(s[i])) * 1099511628211
-		}
-	}
+// hash maps a name to a number.
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return mix(h.Sum64())
+}
+
+// mix spreads each bit of a number over all of them.
+func mix(h uint64) uint64 {
 	h = (h ^ h>>33) * 0xff51afd7ed558ccd
 	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
-	return float64((h^h>>33)>>11) / (1 << 53)
+	return h ^ h>>33
 }
-
 func (b *Balancer) send(q *request, r *replica) {
 	a := &attempt{req: q, rep: r, sent: b.now, ran: true}
-	a.unread, a.relied = b.unreadOn(q, r)
+	a.unread = b.unreadOn(q, r)
 	a.ahead = r.backlog() + a.unread
 	a.expected = b.firstToken(q, r)
 	q.attempts = append(q.attempts, a)
 	q.out++
 	r.streams++
 	r.waiting = append(r.waiting, a)
-	b.unread = average(b.unread, a.unread)
 	r.credit -= b.workOn(q, r)
 	b.remember(q, r)
 	b.do(Send{ID: q.ID, Replica: r.Replica})
 }
 
-// --- estimates ---
-
 // average moves a mean, whose first sample counts whole.
 func average(mean, sample float64) float64 {
 	if mean == 0 {
@@ -627,18 +641,24 @@
 
 // slowness is what r took over what was expected, fading to 1.
 func (b *Balancer) slowness(r *replica) float64 {
-	return 1 + (r.slow-1)*math.Exp2(-(b.now-r.slowAt).Seconds()/forget.Seconds())
+	if r.slowAt != b.now {
+		r.slow, r.slowAt = 1+(r.slow-1)*math.Exp2(-(b.now-r.slowAt).Seconds()/forget.Seconds()), b.now
+	}
+	return r.slow
 }
 
-// unreadOn returns the tokens of q that r would have to read, and when it last used the part that it keeps.
-func (b *Balancer) unreadOn(q *request, r *replica) (unread float64, relied time.Duration) {
+// unreadOn returns the tokens of q that r would have to read.
+func (b *Balancer) unreadOn(q *request, r *replica) float64 {
+	if q == nil {
+		return 0
+	}
 	kept := 0.0
 	for _, key := range []string{q.Prefix, q.Session} {
-		if m, ok := r.kept[key]; ok && m.at > r.lost && min(m.tokens, q.Prompt) > kept {
-			kept, relied = min(m.tokens, q.Prompt), m.at
+		if m, ok := r.kept[key]; ok && m.at > r.lost {
+			kept = max(kept, min(m.tokens, q.Prompt))
 		}
 	}
-	return max(q.Prompt-kept, 1), relied
+	return max(q.Prompt-kept, 1)
 }
 
 // remember notes that r keeps q's prompt from now on.
@@ -654,10 +674,9 @@
 	}
 }
 
-// firstToken estimates the seconds to the first token of q on r.
+// firstToken estimates the seconds to the first token of q on r, or of a prompt with nothing to read for nil.
 func (b *Balancer) firstToken(q *request, r *replica) float64 {
-	unread, _ := b.unreadOn(q, r)
-	t := r.kind.read.at(r.backlog()+unread) * b.slowness(r)
+	t := r.read.at(r.backlog()+b.unreadOn(q, r)) * b.slowness(r)
 	// A replica that accepts and never answers looks idle: what is overdue there counts in full.
 	if len(r.waiting) > 0 {
 		a := r.waiting[0]
@@ -680,8 +699,6 @@
 	return b.cfg.CrossZonePrice * crossScale * q.aim.Seconds()
 }
 
-// --- room ---
-
 // room tells whether this gateway lets r have one more stream.
 func (b *Balancer) room(r *replica) bool {
 	if r.State != Serving {
@@ -738,8 +755,7 @@
 
 // workOn adds the reading of a prefix that r isn't known to keep, as one fresh from its start seldom does.
 func (b *Balancer) workOn(q *request, r *replica) float64 {
-	unread, _ := b.unreadOn(q, r)
-	return b.workOf(q) + max(unread-(q.Prompt-q.Shared), 0)*r.kind.read.slope()
+	return b.workOf(q) + max(b.unreadOn(q, r)-(q.Prompt-q.Shared), 0)*r.read.slope()
 }
 
 // fade takes from the work counted what is long ago.
@@ -764,8 +780,6 @@
 	}
 }
 
-// --- outcomes ---
-
 func (b *Balancer) takeFirst(a *attempt) {
 	q, r := a.req, a.rep
 	a.began = b.now
@@ -774,8 +788,8 @@
 	b.well(r)
 	took := (b.now - a.sent).Seconds()
 	slow := b.slowness(r)
-	r.slow, r.slowAt = slow+(min(max(took/r.kind.read.at(a.ahead), 0.2), 20)-slow)*2*learn, b.now
-	r.kind.read.add(a.ahead, took)
+	r.slow, r.slowAt = slow+(min(max(took/r.read.at(a.ahead), 0.2), 20)-slow)*2*learn, b.now
+	r.read.add(a.ahead, took)
 	if q.class.Streamed {
 		b.judge(a)
 	}
@@ -796,7 +810,7 @@
 	switch ev.Result {
 	case OK:
 		b.well(r)
-		b.takeServed(a, ev.Kept)
+		b.takeServed(a)
 	case Full:
 		b.cutCap(a, 1)
 	case NoConnection, Reset, TimedOut, Error:
@@ -825,24 +839,15 @@
 	})
 }
 
-func (b *Balancer) takeServed(a *attempt, kept float64) {
-	q, r, c := a.req, a.rep, a.req.class
-	b.countWork(q, r)
+func (b *Balancer) takeServed(a *attempt) {
+	c := a.req.class
+	b.countWork(a.req, a.rep)
 	if !c.Streamed {
 		b.judge(a)
 	}
 	if decode := min((b.now - max(a.began, a.sent)).Seconds(), 5*c.decode); decode > 0 {
 		c.seen++
 		c.decode += (decode - c.decode) * max(learn/4, 1/c.seen)
-		if c.seen >= someAnswers && c.TokenAim > 0 {
-			c.best = min(cmp.Or(c.best, c.decode), c.decode)
-			r.kind.late = average(r.kind.late, min(startPace*decode/c.best, mostLate))
-			r.kind.beside = average(r.kind.beside, r.load()+1)
-		}
-	}
-	// A prefix that was not found was dropped, and with it all that had not been used for longer.
-	if a.relied > 0 && kept+a.unread < q.Prompt-lostTokens {
-		r.lost = max(r.lost, a.relied)
 	}
 }
 
@@ -860,13 +865,9 @@
 	if l.Unread >= 0 {
 		b.sighted = true
 		r.unread = max(l.Unread-(r.backlog()-r.unread), 0)
-	} else if l.Waiting >= 0 {
-		r.unread = max(l.Waiting-float64(len(r.waiting)), 0) * b.unread
 	}
 }
 
-// --- health ---
-
 // well notes that r works. One that comes back after dying is cold.
 func (b *Balancer) well(r *replica) {
 	if r.ejected > 0 {
@@ -902,8 +903,6 @@
 	}
 }
 
-// --- upkeep ---
-
 // upkeep asks discovery again and sets the one timer.
 func (b *Balancer) upkeep() {
 	next := time.Duration(math.MaxInt64)
@@ -913,15 +912,8 @@
 	} else if b.askAt > 0 {
 		next = b.askAt
 	}
-	if len(b.held) > 0 {
-		for _, r := range b.order {
-			if r.cold || r.ejected > b.now {
-				next = min(next, max(r.ejected, b.now+retryCold))
-			}
-		}
-	}
 	for _, q := range b.held {
-		next = min(next, b.spent(q))
+		next = min(next, b.spent(q), max(q.again, b.now+lookAgain))
 		if b.asking(q) {
 			next = min(next, q.askedTo)
 		}
--- a/balance/types.go
+++ b/balance/types.go
@@ -58,6 +58,7 @@
 	OverloadWindow time.Duration // for this long falls over
 	Tick           time.Duration // the host calls Step at most this often
 	CrossZonePrice float64       // points lost when every request crosses zones once
+	MarksLater     bool          // clients mark their later tries
 	MaxAway        time.Duration // the longest that a refusal may tell a client to stay away, 0 for not at all
 }
 
@@ -85,7 +86,6 @@
 type Load struct {
 	Streams float64 // requests it holds
 	Busy    float64 // share of its slots in use
-	Waiting float64 // requests not yet started
 	Unread  float64 // prompt tokens waiting to be read
 }
 
@@ -110,6 +110,7 @@
 	Hint    time.Duration // a guess of its work, 0 for none
 	Prompt  float64       // tokens
 	Shared  float64       // of these, tokens of the shared prefix
+	Later   bool          // the client marks it as a later try
 }
 
 // FirstToken says that an attempt's answer has begun; the request now belongs to its client.
--- a/internal/protocol/load.go
+++ b/internal/protocol/load.go
@@ -35,7 +35,6 @@
 	}{
 		{&load.Streams, 1, []string{"busy_reqs", "inflight"}},
 		{&load.Busy, 1, []string{"cpu_share", "util"}},
-		{&load.Waiting, 1, []string{"pending", "queue"}},
 		{&load.Unread, 1000, []string{"x1"}}, // reported in thousands
 	} {
 		v, err := get(field.scale, field.names...)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,10 +44,13 @@
 
 // Options are the settings of an instance; keys that are not listed here are ignored.
 type Options struct {
-	Zone       string  `json:"az"`
-	Discovery  string  `json:"discovery"`
-	QuantumNs  int64   `json:"quantumNs"`
-	Services   []Class `json:"services"`
+	Zone      string  `json:"az"`
+	Discovery string  `json:"discovery"`
+	QuantumNs int64   `json:"quantumNs"`
+	Services  []Class `json:"services"`
+	Clients   struct {
+		MarksRetry bool `json:"marksRetry"`
+	} `json:"clients"`
 	Deductions struct {
 		CrossZone float64 `json:"crossZone"`
 	} `json:"deductions"`
@@ -114,6 +117,7 @@
 	Template       string  `json:"template"`
 	NPrompt        float64 `json:"nPrompt"`
 	PrefixTokens   float64 `json:"prefixTokens"`
+	Retry          bool    `json:"retry"`
 }
 
 // Streaming says that an answer has begun.
@@ -167,6 +171,7 @@
 		OverloadWindow: time.Duration(o.Rules.TipAfterNs),
 		Tick:           time.Duration(o.QuantumNs),
 		CrossZonePrice: o.Deductions.CrossZone,
+		MarksLater:     o.Clients.MarksRetry,
 	}
 	if o.Limits.RetryAfter {
 		c.MaxAway = time.Duration(o.Limits.MaxRetryAfterNs)
@@ -219,7 +224,7 @@
 		a := m.Arrival
 		return a.I, balance.Arrival{ID: a.Txn, Class: a.Service, Session: a.Object,
 			Prefix: a.Template, Left: time.Duration(a.PatienceLeftNs), Hint: time.Duration(a.WorkHintNs),
-			Prompt: a.NPrompt, Shared: a.PrefixTokens}, nil
+			Prompt: a.NPrompt, Shared: a.PrefixTokens, Later: a.Retry}, nil
 	case m.Streaming != nil:
 		s := m.Streaming
 		return s.I, balance.FirstToken{ID: s.Txn, Attempt: s.Try}, nil
@@ -282,7 +287,7 @@
 		}
 		return -1
 	}
-	return &balance.Load{Streams: get("busy_reqs", 1), Busy: get("cpu_share", 1), Waiting: get("pending", 1),
+	return &balance.Load{Streams: get("busy_reqs", 1), Busy: get("cpu_share", 1),
 		Unread: get("x1", 1000)}
 }
 
