A stray reset ejects no replica and makes none look cold

At fault in balance.go: fail took one Reset for a dead process and ejected; well then called makeCold, so each real server that had lost one connection got four streams and a cold budget for 8 s. Soon that was the whole fleet. Checked: discovery reports real restarts (started_ms), and nothing restarted then. Resets now eject from the second in a row on, as time-outs do; only repeated refused connections are taken for a new process.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -879,13 +879,13 @@
 	r.fails, r.died, r.ejected, r.penalty = 0, false, 0, 0
 }
 
-// fail counts a failure of r. One that looks like a dead process ejects at once, others from the second in
-// a row on; each further one doubles the time until the next trial.
+// fail counts a failure of r. A refused connection ejects at once, others from the second in a row on: single
+// ones break under processes that go on. Each further one doubles the time until the next trial.
 func (b *Balancer) fail(r *replica, how Result) {
 	r.fails++
-	dead := how == NoConnection || how == Reset
-	r.died = r.died || dead
-	if b.now < r.ejected || !dead && r.fails < 2 {
+	refused := how == NoConnection
+	r.died = r.died || refused && r.fails > 1
+	if b.now < r.ejected || !refused && r.fails < 2 {
 		return
 	}
 	if r.ejected == 0 {
