Prompts yield to a better class later, and less the longer they are held

At fault: yields left room to field-fill (aim 0.4 s) from 0.12 s of expected wait on. That is less than the reading of one usual prompt, so a low class went to an idle replica only, and where none is ever idle, nowhere.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,7 +42,8 @@
 	unseen      = 10.0  // prompts of other prefixes are taken as seen at the start
 	mostCounted = 1000  // prompts, before their numbers are halved
 	prudent     = 0.6   // of the time left may be expected to pass before a first token: pace must hold after it
-	yielding    = 0.3   // of a better class's aim: a wait from which on room is left to that class
+	yielding    = 0.4   // of a better class's aim: a wait from which on room is left to that class
+	impatience  = 0.25  // more of it once a prompt was held as long as its own aim
 	crossScale  = 4.0   // a crossing counts as this many times its price in missed aims
 	coldMargin  = 0.7   // of the cold budget, as the work of warm replicas is known by average only
 	heavy       = 3.0   // times the mean work: heavier prompts are kept from cold replicas
@@ -257,13 +258,8 @@
 	for _, m := range ev.Members {
 		b.takeMember(m)
 	}
-	b.order = slices.DeleteFunc(b.order, func(r *replica) bool {
-		over := r.State == Gone && r.streams == 0
-		if over {
-			delete(b.replicas, r.Replica)
-		}
-		return over
-	})
+	maps.DeleteFunc(b.replicas, func(_ string, r *replica) bool { return r.State == Gone && r.streams == 0 })
+	b.order = slices.DeleteFunc(b.order, func(r *replica) bool { return b.replicas[r.Replica] == nil })
 }
 func (b *Balancer) takeMember(m Member) {
 	r := b.replicas[m.Replica]
@@ -472,8 +468,9 @@
 // yields tells that q, waiting so long, would take much of the time that a class of more worth has: there is
 // no room, as the patient and cheap would fill the queues and slip in again whenever a place gets free.
 func (b *Balancer) yields(q *request, wait float64) bool {
+	part := yielding + impatience*float64(b.now-q.since)/float64(max(q.aim, 1))
 	return slices.ContainsFunc(b.cfg.Classes, func(c Class) bool {
-		return c.Worth > q.class.Worth && wait > yielding*c.aimOf(q.Prompt).Seconds()
+		return c.Worth > q.class.Worth && wait > part*c.aimOf(q.Prompt).Seconds()
 	})
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1062,3 +1062,17 @@
 		t.Errorf("%d replicas are known, want 2", len(g.b.replicas))
 	}
 }
+
+// Where each replica always has something to do, a prompt that yields for ever is never served, on quiet days too.
+func TestHeldPromptsYieldLessWithTime(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[0].Worth = 5
+	g := newGateway(t, cfg, members("a")...)
+	q := &request{class: g.b.classes["keyed"], aim: 10 * sec}
+	for held, want := range map[time.Duration]bool{0: true, 9 * sec: false} {
+		q.since = g.now - held
+		if got := g.b.yields(q, 0.55); got != want {
+			t.Errorf("held for %v, a wait of 0.55 s against an aim of 1 s: yields %v", held, got)
+		}
+	}
+}
