Nothing stays of real servers that went: lists, report marks, connections to old addresses

Read, then shown by a test on the parts themselves: pool.idle kept an empty list and RealServers.unclear an entry for each id ever met, and a connection given back after Forget was used for the same id at its new address, as idle connections were found by id alone. They are kept by id and address now, no list is empty, and only marks that say something are kept.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"reachspread/internal/routing"
 )
 
 const (
@@ -27,7 +29,7 @@
 	limit      int           // connections in all
 
 	mu    sync.Mutex
-	idle  map[string][]*conn // by real server, the oldest first
+	idle  map[routing.Entry][]*conn // by real server and address, the oldest first; none is empty
 	open  int
 	swept time.Time
 }
@@ -35,16 +37,16 @@
 // conn is a connection to a real server. Its user has it alone.
 type conn struct {
 	net.Conn
-	err   error  // the last one of the socket: without one, an answer that fails was spoilt
-	to    string // id of the real server
+	err   error // the last one of the socket: without one, an answer that fails was spoilt
+	to    routing.Entry
 	in    *bufio.Reader
 	since time.Time // in the pool
 }
 
 // take returns an idle connection to a real server, or a new one.
-func (p *pool) take(ctx context.Context, id, addr string) (*conn, error) {
+func (p *pool) take(ctx context.Context, to routing.Entry) (*conn, error) {
 	for {
-		c, err := p.pop(id)
+		c, err := p.pop(to)
 		if err != nil {
 			return nil, err
 		}
@@ -57,26 +59,25 @@
 		p.discard(c) // closed by the other side while idle: nothing was sent on it
 	}
 	dialer := net.Dialer{Timeout: p.connectFor, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	nc, err := dialer.DialContext(ctx, "tcp", to.Addr)
 	if err != nil {
 		p.count(-1)
 		return nil, err
 	}
-	c := &conn{Conn: nc, to: id}
+	c := &conn{Conn: nc, to: to}
 	c.in = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
 
 // pop returns the most recently used idle connection. Without one it returns nil and reserves room for a new one,
 // if need be in place of the longest idle connection to any real server.
-func (p *pool) pop(id string) (*conn, error) {
+func (p *pool) pop(to routing.Entry) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep()
-	if l := p.idle[id]; len(l) > 0 {
-		c := l[len(l)-1]
-		p.idle[id] = l[:len(l)-1]
-		return c, nil
+	if l := p.idle[to]; len(l) > 0 {
+		p.keep(to, l[:len(l)-1])
+		return l[len(l)-1], nil
 	}
 	if p.open >= p.limit && !p.evict() {
 		return nil, errNoSocket
@@ -87,21 +88,28 @@
 
 // evict closes the longest idle connection.
 func (p *pool) evict() bool {
-	var oldest string
-	for id, l := range p.idle {
-		if len(l) > 0 && (oldest == "" || l[0].since.Before(p.idle[oldest][0].since)) {
-			oldest = id
+	var oldest *conn
+	for _, l := range p.idle {
+		if oldest == nil || l[0].since.Before(oldest.since) {
+			oldest = l[0]
 		}
 	}
-	if oldest == "" {
+	if oldest == nil {
 		return false
 	}
-	p.idle[oldest][0].Close()
-	p.idle[oldest] = p.idle[oldest][1:]
+	oldest.Close()
+	p.keep(oldest.to, p.idle[oldest.to][1:])
 	p.open--
 	return true
 }
 
+// keep has a real server's idle connections be these. On a long day each id is one of thousands: none leaves a trace.
+func (p *pool) keep(to routing.Entry, l []*conn) {
+	if p.idle[to] = l; len(l) == 0 {
+		delete(p.idle, to)
+	}
+}
+
 // sweep closes what has been idle for too long: written to any later, it might meet the other side's close.
 func (p *pool) sweep() {
 	now := time.Now()
@@ -109,14 +117,14 @@
 		return
 	}
 	p.swept = now
-	for id, l := range p.idle {
+	for to, l := range p.idle {
 		n := 0
 		for n < len(l) && now.Sub(l[n].since) >= p.idleFor {
 			l[n].Close()
 			n++
 		}
 		p.open -= n
-		p.idle[id] = l[n:]
+		p.keep(to, l[n:])
 	}
 }
 
@@ -149,13 +157,17 @@
 func (p *pool) forget(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[id] {
-		c.Close()
+	for to, l := range p.idle {
+		if to.ID != id {
+			continue
+		}
+		for _, c := range l {
+			c.Close()
+		}
+		p.open -= len(l)
+		delete(p.idle, to)
 	}
-	p.open -= len(p.idle[id])
-	delete(p.idle, id)
 }
-
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil {
--- /dev/null
+++ b/internal/transport/pool_test.go
@@ -0,0 +1,34 @@
+package transport
+
+import (
+	"errors"
+	"log"
+	"testing"
+	"time"
+
+	"reachspread/internal/peers"
+	"reachspread/internal/routing"
+)
+
+// On the long day every real server is replaced, some at the address of one that has gone. Neither id nor connection
+// of the old ones may stay, and a connection given back after its server moved must not lead to the old address.
+func TestNothingStaysOfRealServersThatWent(t *testing.T) {
+	a, b := peers.NewServer(t, nil), peers.NewServer(t, nil)
+	s := NewRealServers(ServerLimits{Connect: peers.Patience, Keepalive: time.Minute, Connections: 2}, log.Default())
+	old, moved := routing.Entry{ID: "s0", Addr: a.Addr}, routing.Entry{ID: "s0", Addr: b.Addr}
+	c, err := s.pool.take(t.Context(), old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.judgeLoad("s0", errors.New("odd"))
+	s.Forget("s0")
+	s.pool.put(c)
+	if c, err = s.pool.take(t.Context(), moved); err != nil || c.RemoteAddr().String() != b.Addr {
+		t.Fatalf("got a connection to %v, %v; want one to %s", c.RemoteAddr(), err, b.Addr)
+	}
+	s.pool.put(c)
+	s.Forget("s0")
+	if len(s.pool.idle) > 0 || s.pool.open != 0 || len(s.unclear) > 0 {
+		t.Errorf("%d lists, %d connections, %d ids stay", len(s.pool.idle), s.pool.open, len(s.unclear))
+	}
+}
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -56,11 +56,14 @@
 // NewRealServers returns a RealServers without connections.
 func NewRealServers(l ServerLimits, log routing.Logger) *RealServers {
 	return &RealServers{log: log, unclear: map[string]bool{}, silent: l.Silent,
-		pool: &pool{connectFor: l.Connect, idleFor: l.Keepalive * 3 / 4, limit: l.Connections, idle: map[string][]*conn{}}}
+		pool: &pool{connectFor: l.Connect, idleFor: l.Keepalive * 3 / 4, limit: l.Connections, idle: map[routing.Entry][]*conn{}}}
 }
 
 // Forget closes the idle connections to a real server.
-func (s *RealServers) Forget(id string) { s.pool.forget(id) }
+func (s *RealServers) Forget(id string) {
+	s.judgeLoad(id, nil)
+	s.pool.forget(id)
+}
 
 // Schedule implements routing.Network. Nothing is ever sent a second time here: that is the module's decision.
 func (s *RealServers) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message) routing.Head {
@@ -137,7 +140,7 @@
 // exchange writes a request and reads the head of its answer. Without one it tells the result, which depends on
 // whether the last byte had been written.
 func (s *RealServers) exchange(ctx context.Context, deadline time.Time, to routing.Entry, req *fasthttp.Request) (*exchange, balance.Result) {
-	c, err := s.pool.take(ctx, to.ID, to.Addr)
+	c, err := s.pool.take(ctx, to)
 	if err != nil {
 		if errors.Is(err, errNoSocket) {
 			return nil, balance.NotSent
@@ -285,10 +288,14 @@
 func (s *RealServers) judgeLoad(id string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil && !s.unclear[id] {
+	if err == nil {
+		delete(s.unclear, id)
+		return
+	}
+	if !s.unclear[id] {
 		s.log.Printf("load report unreadable: %s: %v", id, err)
 	}
-	s.unclear[id] = err != nil
+	s.unclear[id] = true
 }
 
 // body is a stream on its way from a real server. It implements routing.Body.
@@ -358,10 +365,10 @@
 func (b *body) End() (float64, *balance.Load) {
 	load := b.notes.Load
 	if load == nil {
-		load = b.servers.readLoad(b.conn.to, b.resp.Header.Peek(protocol.HeaderLoad))
+		load = b.servers.readLoad(b.conn.to.ID, b.resp.Header.Peek(protocol.HeaderLoad))
 	}
 	if load != nil || b.notes.Err != nil {
-		b.servers.judgeLoad(b.conn.to, b.notes.Err)
+		b.servers.judgeLoad(b.conn.to.ID, b.notes.Err)
 	}
 	b.close()
 	return b.notes.Kept, load
