--- a/cmd/reachspread/main.go
+++ b/cmd/reachspread/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -12,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"reachspread/internal/logging"
 	"reachspread/internal/program"
 )
 
@@ -41,7 +41,7 @@
 				defer signal.Stop(reload)
 				ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
 				defer stop()
-				p, err := program.New(os.Getenv, log.New(os.Stderr, "", 0))
+				p, err := program.New(os.Getenv, logging.New(os.Stderr, logging.Text))
 				if err != nil {
 					return err
 				}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,32 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// A line is one write of one line, whatever its fields hold, in either format.
+func TestLines(t *testing.T) {
+	var out bytes.Buffer
+	With(New(&out, Text), "pool", "next").Warn("discovery lost", "cause", "two\nlines")
+	if got, want := out.String(), "WRN discovery lost cause=\"two\\nlines\" pool=next\n"; got != want {
+		t.Errorf("text: got %q, want %q", got, want)
+	}
+	out.Reset()
+	New(&out, JSON).Info("phase", "name", "serving")
+	var got map[string]any
+	if err := json.Unmarshal(out.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	if got["time"] == nil {
+		t.Error("JSON: no time")
+	}
+	delete(got, "time")
+	want := map[string]any{"level": "info", "event": "phase", "name": "serving"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -219,3 +219,19 @@
 		panic("unreachable")
 	}
 }
+
+// Lines collects what is logged, as the event and its fields. It implements routing.Logger.
+type Lines chan string
+
+// Info implements routing.Logger.
+func (l Lines) Info(event string, fields ...any) { l.add(event, fields) }
+
+// Warn implements routing.Logger.
+func (l Lines) Warn(event string, fields ...any) { l.add(event, fields) }
+
+func (l Lines) add(event string, fields []any) {
+	for i := 0; i+1 < len(fields); i += 2 {
+		event += fmt.Sprintf(" %v=%v", fields[i], fields[i+1])
+	}
+	l <- event
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -138,10 +138,10 @@
 		}
 		cfg, err := Reload(p.getenv)
 		if err != nil {
-			p.log.Printf("reload refused: %v", err)
+			p.log.Warn("reload refused", "cause", err)
 			continue
 		}
-		p.log.Printf("reloaded: discovery is %s", cfg.discovery)
+		p.log.Info("reloaded", "discovery", cfg.discovery)
 		if cfg.discovery != p.cfg.discovery {
 			p.cfg.discovery = cfg.discovery
 			return cfg.discovery, true
@@ -166,7 +166,7 @@
 	if phase == Leaving {
 		p.front.Leave()
 	}
-	p.log.Printf("phase: %s", phase)
+	p.log.Info("phase", "name", phase)
 }
 
 // Phase returns the state that the program is in.
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -1,6 +1,10 @@
 package routing
 
-import "reachspread/balance"
+import (
+	"strings"
+
+	"reachspread/balance"
+)
 
 // route carries out one action of the module. It runs on the deciding goroutine and never waits.
 func (r *Router) route(action balance.Action) {
@@ -14,7 +18,7 @@
 	case balance.Probe:
 		r.probe(a.Replica)
 	case balance.Log:
-		r.log.Printf("%s", a.Text)
+		r.tellDecision(a.Text)
 	case balance.Subscribe:
 		// Discovery is watched from the start to the end, so there is nothing to ask for.
 	}
@@ -26,3 +30,13 @@
 	defer r.mu.Unlock()
 	return r.flows[id]
 }
+
+// tellDecision logs the module's own words, of the form "event: replica".
+func (r *Router) tellDecision(text string) {
+	event, replica, _ := strings.Cut(text, ": ")
+	if event == "back" {
+		r.log.Info(event, "server", replica)
+		return
+	}
+	r.log.Warn(event, "server", replica)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -56,8 +56,11 @@
 	End() (kept float64, load *balance.Load)
 }
 
-// Logger writes one plain line for on-call staff.
-type Logger interface{ Printf(format string, v ...any) }
+// Logger writes one line for on-call staff: an event, and its fields as name and value by turns.
+type Logger interface {
+	Info(event string, fields ...any) // needs nobody
+	Warn(event string, fields ...any) // somebody may have to act
+}
 
 // Router owns the decisions. One goroutine runs Step; all others only leave events for it.
 type Router struct {
--- /dev/null
+++ b/internal/shadow/decider.go
@@ -0,0 +1,469 @@
+package shadow
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// staleAfter is how old a sample may be before the live path is taken to be in trouble that nobody could report.
+	staleAfter = 500 * time.Millisecond
+	// mostGaps bounds the conversations known to have a gap; the oldest is forgotten first.
+	mostGaps = 1024
+	// pairingFor bounds the records that wait for a live answer, as a multiple of the copies that may be out.
+	pairingFor = 4
+	// mostCalm bounds the doubling of Pressure.Calm, as a multiple.
+	mostCalm = 16
+	// steady is how long the pool must have been up, as a multiple of Health.Most, for its trials to begin anew.
+	steady = 1
+)
+
+// state is how far a copy has come.
+type state int
+
+const (
+	waiting state = iota
+	out
+	pairing // the copy has ended, its live answer has not
+)
+
+// copying is one copy. It is forgotten with its Drop or Record.
+type copying struct {
+	id      uint64
+	session uint64
+	bytes   int64
+	state   state
+	since   time.Duration // offered, then started
+	cause   Cause         // why it is not comparable, so far
+	ending  bool          // End was given
+	trial   bool
+	held    Cause // what kept it waiting last
+	live    bool  // the live answer has ended
+	whole   bool  // and was whole
+}
+
+// Decider decides for one pool.
+type Decider struct {
+	c   Config
+	rng *rand.Rand
+	now time.Duration
+	act []Action
+
+	copies  map[uint64]*copying
+	queue   []*copying // that wait, in their order
+	outs    []*copying // that are out, in the order of their start
+	pairs   int
+	bytes   int64
+	seats   map[string]int
+	starts  []time.Duration // the last ones, as many as may start in a window
+	gaps    map[uint64]bool
+	gapRing []uint64
+	gapNext int
+	closed  bool
+	hosts   int
+	count   Counts
+
+	level     Level
+	sampled   time.Duration // the last one, 0 for none
+	refused   float64       // decays over a second
+	hotSince  time.Duration // level left Calm
+	lastHot   time.Duration // a signal was last above its lower bound
+	calmAgain time.Duration // level went back to Calm
+	calmFor   time.Duration // in force
+
+	down     bool
+	failures int
+	backoff  time.Duration
+	retry    time.Duration
+	upSince  time.Duration
+	trial    *copying
+}
+
+// New returns a Decider for a pool without hosts. It starts nothing before its first Sample and Hosts.
+func New(c Config, seed uint64) *Decider {
+	return &Decider{c: c, rng: rand.New(rand.NewPCG(seed, 0)), copies: map[uint64]*copying{}, seats: map[string]int{},
+		gaps: map[uint64]bool{}, calmFor: c.Pressure.Calm, backoff: c.Health.First,
+		count: Counts{Dropped: map[Cause]uint64{}, Ended: map[Cause]uint64{}, Incomparable: map[Cause]uint64{},
+			Pressed: map[string]uint64{}}}
+}
+
+// Step takes in what has happened by now and returns what is to be done. An empty one lets time pass.
+func (d *Decider) Step(now time.Duration, events []Event) []Action {
+	d.now, d.act = max(now, d.now), nil
+	for _, event := range events {
+		switch e := event.(type) {
+		case Offer:
+			d.offer(e)
+		case Seat:
+			d.seat(e)
+		case Left:
+			if d.seats[e.Host]--; d.seats[e.Host] <= 0 {
+				delete(d.seats, e.Host)
+			}
+		case Ended:
+			d.ended(e)
+		case LiveEnded:
+			d.liveEnded(e)
+		case Sample:
+			d.sample(e)
+		case Hosts:
+			d.hosts = e.Serving
+		case Retune:
+			d.c = e.Config
+			d.calmFor, d.backoff = d.c.Pressure.Calm, max(d.backoff, d.c.Health.First)
+		case Close:
+			d.closed = true
+		}
+	}
+	d.settle()
+	return d.act
+}
+
+// Counts returns the counters and the state by now. The maps are copies.
+func (d *Decider) Counts() Counts {
+	c := d.count
+	c.Dropped, c.Ended, c.Incomparable, c.Pressed = clone(c.Dropped), clone(c.Ended), clone(c.Incomparable), clone(c.Pressed)
+	c.Waiting, c.Out, c.Pairing, c.Bytes = len(d.queue), len(d.outs), d.pairs, d.bytes
+	c.Level, c.Hosts, c.Down = d.level, d.hosts, d.down
+	if d.down {
+		c.Retry = d.retry
+	}
+	return c
+}
+
+func clone[K comparable](m map[K]uint64) map[K]uint64 {
+	c := make(map[K]uint64, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+func (d *Decider) do(a Action) { d.act = append(d.act, a) }
+
+// offer takes a copy into the queue, or drops it at once. A name that is in use is the host's mistake and passed over.
+func (d *Decider) offer(e Offer) {
+	if d.copies[e.Copy] != nil {
+		return
+	}
+	d.count.Offered++
+	c := &copying{id: e.Copy, session: e.Session, bytes: int64(e.Bytes), since: d.now}
+	switch {
+	case d.closed:
+		d.drop(c, Closing)
+	case d.level != Calm:
+		d.drop(c, Pressed)
+	case d.hosts == 0:
+		d.drop(c, NoHosts)
+	case d.down && (d.trial != nil || d.now < d.retry):
+		d.drop(c, PoolDown)
+	case d.bytes+c.bytes > d.c.Caps.Bytes:
+		d.drop(c, OverBytes)
+	case len(d.queue) >= d.c.Caps.Waiting && !d.startable(c):
+		d.drop(c, OverQueue)
+	default:
+		d.copies[c.id] = c
+		d.bytes += c.bytes
+		d.queue = append(d.queue, c)
+		d.fill() // so that the queue has room for the next one
+	}
+}
+
+// drop forgets a copy that is in no list, and remembers its conversation.
+func (d *Decider) drop(c *copying, cause Cause) {
+	d.count.Dropped[cause]++
+	d.do(Drop{c.id, cause})
+	if d.gaps[c.session] {
+		return
+	}
+	if len(d.gapRing) < mostGaps {
+		d.gapRing = append(d.gapRing, c.session)
+	} else {
+		delete(d.gaps, d.gapRing[d.gapNext])
+		d.gapRing[d.gapNext] = c.session
+		d.gapNext = (d.gapNext + 1) % mostGaps
+	}
+	d.gaps[c.session] = true
+}
+
+// seat grants a scheduling unless the host has as many as it may, or the copy is to end.
+func (d *Decider) seat(e Seat) {
+	c := d.copies[e.Copy]
+	ok := c != nil && c.state == out && !c.ending && d.level == Calm && !d.closed
+	if ok && d.seats[e.Host] >= d.c.Caps.PerHost {
+		ok = false
+		d.count.HostFull++
+	}
+	if ok {
+		d.seats[e.Host]++
+	}
+	d.do(Seated{e.Copy, e.Host, ok})
+}
+
+func (d *Decider) ended(e Ended) {
+	c := d.copies[e.Copy]
+	if c == nil || c.state != out {
+		return
+	}
+	d.outs = without(d.outs, c)
+	d.bytes -= c.bytes
+	c.state = pairing
+	if c.cause == "" {
+		c.cause = e.How
+	}
+	d.judge(c, e.How)
+	if c.live {
+		d.record(c)
+		return
+	}
+	d.pairs++
+}
+
+// liveEnded pairs the answers up. Without a whole live answer there is nothing to compare with, so a copy that waits
+// is dropped and one that is out ends.
+func (d *Decider) liveEnded(e LiveEnded) {
+	c := d.copies[e.Copy]
+	if c == nil || c.live {
+		return
+	}
+	c.live, c.whole = true, e.Whole
+	switch {
+	case c.state == pairing:
+		d.pairs--
+		d.record(c)
+	case !e.Whole && c.state == waiting:
+		d.unqueue(c, NoLive)
+	case !e.Whole:
+		d.end(c, NoLive)
+	}
+}
+
+func (d *Decider) record(c *copying) {
+	if c.cause == "" && !c.whole {
+		c.cause = NoLive
+	}
+	delete(d.copies, c.id)
+	d.count.Recorded++
+	if c.cause == "" {
+		d.count.Compared++
+	} else {
+		d.count.Incomparable[c.cause]++
+	}
+	d.do(Record{c.id, c.cause})
+}
+
+// end gives up a copy that is out. The first cause stays.
+func (d *Decider) end(c *copying, cause Cause) {
+	if c.ending {
+		return
+	}
+	c.ending, c.cause = true, cause
+	d.count.Ended[cause]++
+	d.do(End{c.id, cause})
+}
+
+// unqueue drops a copy that waits.
+func (d *Decider) unqueue(c *copying, cause Cause) {
+	d.queue = without(d.queue, c)
+	d.bytes -= c.bytes
+	delete(d.copies, c.id)
+	d.drop(c, cause)
+}
+
+// judge takes the end of a copy as word on the pool's health. What we ended ourselves says nothing, but that an
+// answer took too long does; nor does a request that is itself at fault.
+func (d *Decider) judge(c *copying, how Cause) {
+	trial := c == d.trial
+	if trial {
+		d.trial = nil
+	}
+	bad := how != "" && how != Unfit
+	if c.ending {
+		bad = c.cause == TooLong
+	}
+	switch {
+	case c.ending && !bad || how == Unfit:
+		return
+	case bad:
+		d.failures++
+		if d.down && trial {
+			d.backoff = min(2*d.backoff, d.c.Health.Most)
+			d.postpone()
+		}
+		if !d.down && d.failures >= d.c.Health.Failures {
+			if d.now-d.upSince > steady*d.c.Health.Most {
+				d.backoff = d.c.Health.First
+			}
+			d.down = true
+			d.postpone()
+			d.do(Down{d.failures, d.retry - d.now})
+		}
+	default:
+		d.failures = 0
+		if d.down {
+			d.down, d.upSince = false, d.now
+			d.backoff = min(2*d.backoff, d.c.Health.Most) // unless it stays up: see above
+			d.do(Back{})
+		}
+	}
+}
+
+// postpone sets the time of the next trial, up to a fifth later so that routers do not try together.
+func (d *Decider) postpone() {
+	d.retry = d.now + d.backoff + time.Duration(d.rng.Float64()*float64(d.backoff)/5)
+}
+
+// sample judges the live path. The lower of two bounds ends a signal, so that it does not flap.
+func (d *Decider) sample(e Sample) {
+	p := &d.c.Pressure
+	d.refused = d.refused*math.Exp(-(d.now-d.sampled).Seconds()) + float64(e.Refusals)
+	d.sampled = d.now
+	worst, signal := 0.0, ""
+	for _, s := range []struct {
+		name      string
+		value, at float64
+	}{
+		{"held", float64(e.Held), p.Held},
+		{"bodies", e.Bodies, p.Bodies},
+		{"sockets", e.Sockets, p.Sockets},
+		{"late", float64(e.Late), float64(p.Late)},
+		{"refusals", d.refused, p.Refusals},
+	} {
+		if by := s.value / s.at; by > worst {
+			worst, signal = by, s.name
+		}
+	}
+	if worst > 0.5 && d.level != Calm {
+		d.lastHot = d.now
+	}
+	if worst < 1 {
+		return
+	}
+	if d.level == Calm {
+		d.press(signal)
+	}
+	if worst >= p.Hard {
+		d.level = Hard
+	}
+}
+
+// press leaves Calm. Pressure that returns soon makes the next calm a longer one.
+func (d *Decider) press(signal string) {
+	d.count.Pressed[signal]++
+	if d.calmAgain > 0 && d.now-d.calmAgain < d.calmFor {
+		d.calmFor = min(2*d.calmFor, mostCalm*d.c.Pressure.Calm)
+	} else {
+		d.calmFor = d.c.Pressure.Calm
+	}
+	d.level, d.hotSince, d.lastHot = Tense, d.now, d.now
+}
+
+// settle brings all copies in line with the time and the level: waiting ones go first, then none starts, then
+// running ones end.
+func (d *Decider) settle() {
+	switch {
+	case d.now-d.sampled > staleAfter && d.level == Calm && (d.sampled > 0 || len(d.copies) > 0):
+		d.press("no sample")
+	case d.level != Calm && d.now-d.sampled <= staleAfter && d.now-d.lastHot >= d.calmFor:
+		d.level, d.calmAgain = Calm, d.now
+	case d.level == Tense && d.now-d.hotSince >= d.c.Pressure.Grace && d.now-d.lastHot < d.c.Pressure.Grace:
+		d.level = Hard
+	}
+	for _, c := range append([]*copying(nil), d.queue...) {
+		if cause := d.unwanted(c); cause != "" {
+			d.unqueue(c, cause)
+		}
+	}
+	d.fill()
+	for _, c := range d.outs {
+		switch {
+		case d.closed:
+			d.end(c, Closing)
+		case d.level == Hard:
+			d.end(c, Pressed)
+		case d.now-c.since >= d.c.Caps.Longest:
+			d.end(c, TooLong)
+		}
+	}
+}
+
+// unwanted tells why a copy must not wait any longer.
+func (d *Decider) unwanted(c *copying) Cause {
+	switch {
+	case d.closed:
+		return Closing
+	case d.level != Calm:
+		return Pressed
+	case d.hosts == 0:
+		return NoHosts
+	case d.down && (d.trial != nil || d.now < d.retry):
+		return PoolDown
+	case d.now-c.since > d.c.Caps.Wait:
+		if c.held == "" {
+			return OverOut
+		}
+		return c.held
+	}
+	return ""
+}
+
+// fill starts what waits, in its order, as far as the caps allow.
+func (d *Decider) fill() {
+	for len(d.queue) > 0 && d.startable(d.queue[0]) {
+		c := d.queue[0]
+		d.queue = d.queue[1:]
+		d.start(c)
+	}
+}
+
+// startable tells whether a copy may start now, and notes on it what keeps it.
+func (d *Decider) startable(c *copying) bool {
+	switch {
+	case d.closed || d.level != Calm || d.hosts == 0 || d.sampled == 0 || d.now-d.sampled > staleAfter:
+		return false
+	case d.down && (d.trial != nil || d.now < d.retry):
+		return false
+	case len(d.outs) >= d.c.Caps.Out || d.pairs >= pairingFor*d.c.Caps.Out:
+		c.held = OverOut
+		return false
+	}
+	n, window := d.rate()
+	if len(d.starts) >= n && d.now-d.starts[len(d.starts)-n] < window {
+		c.held = OverRate
+		return false
+	}
+	return true
+}
+
+// rate returns how many copies may start in any window, and its length.
+func (d *Decider) rate() (n int, window time.Duration) {
+	if r := d.c.Caps.PerSecond; r < 1 {
+		return 1, time.Duration(float64(time.Second) / r)
+	}
+	return int(d.c.Caps.PerSecond), time.Second
+}
+
+func (d *Decider) start(c *copying) {
+	n, _ := d.rate()
+	d.starts = append(d.starts, d.now)
+	if len(d.starts) > n {
+		d.starts = append(d.starts[:0], d.starts[len(d.starts)-n:]...)
+	}
+	c.state, c.since = out, d.now
+	d.outs = append(d.outs, c)
+	if d.down {
+		c.trial, d.trial = true, c
+	}
+	d.count.Started++
+	d.do(Start{c.id, d.gaps[c.session]})
+}
+
+func without(l []*copying, c *copying) []*copying {
+	for i := range l {
+		if l[i] == c {
+			return append(l[:i:i], l[i+1:]...)
+		}
+	}
+	return l
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -44,7 +44,7 @@
 		}
 		if !d.down {
 			d.down = true
-			d.log.Printf("discovery lost: %v", err)
+			d.log.Warn("discovery lost", "cause", err)
 		}
 		if good {
 			backoff = firstBackoff
@@ -77,7 +77,7 @@
 		good = true
 		if d.down {
 			d.down = false
-			d.log.Printf("discovery back: version %d", list.Version)
+			d.log.Info("discovery back", "version", list.Version)
 		}
 		path = protocol.WatchPath(list.Version, watchFor)
 	}
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -293,7 +293,7 @@
 		return
 	}
 	if !s.unclear[id] {
-		s.log.Printf("load report unreadable: %s: %v", id, err)
+		s.log.Warn("load report unreadable", "server", id, "cause", err)
 	}
 	s.unclear[id] = true
 }
