--- a/cmd/reachspread/main.go
+++ b/cmd/reachspread/main.go
@@ -30,50 +30,77 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(
-		&cobra.Command{
-			Use:   "serve",
-			Short: "Serve as the environment and the file in ROUTER_CONFIG say, until SIGTERM; SIGHUP reloads that file",
-			Args:  cobra.NoArgs,
-			RunE: func(cmd *cobra.Command, _ []string) error {
-				reload := make(chan os.Signal, 1)
-				signal.Notify(reload, syscall.SIGHUP)
-				defer signal.Stop(reload)
-				ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
-				defer stop()
-				p, err := program.New(os.Getenv, logging.New(os.Stderr, logging.Text))
-				if err != nil {
-					return err
-				}
-				return p.Run(ctx, reload)
-			},
-		},
-		&cobra.Command{
-			Use:   "check",
-			Short: "Check the configuration and start nothing",
-			Args:  cobra.NoArgs,
-			RunE: func(cmd *cobra.Command, _ []string) error {
-				cfg, err := program.Load(os.Getenv)
-				if err != nil {
-					return err
-				}
-				fmt.Fprintf(cmd.OutOrStdout(), "%s: the configuration is good\n", cfg.Name)
-				return nil
-			},
-		},
-		&cobra.Command{
-			Use:   "version",
-			Short: "Print the version",
-			Args:  cobra.NoArgs,
-			Run: func(cmd *cobra.Command, _ []string) {
-				version := "unknown"
-				if info, ok := debug.ReadBuildInfo(); ok {
-					version = info.Main.Version + " " + info.GoVersion
-				}
-				fmt.Fprintln(cmd.OutOrStdout(), "reachspread", version)
-			},
-		},
-	)
+	root.AddCommand(serveCommand(), checkCommand(), shadowCommand(), versionCommand())
 	root.SetContext(context.Background())
 	return root
 }
+
+// settingsFlag adds the flag that names the operators' settings.
+func settingsFlag(c *cobra.Command) *string {
+	return c.Flags().String("settings", "", "the operators' settings `file`, in HCL; without it nothing of it is on")
+}
+
+// load reads the configuration, and the settings if there is a file.
+func load(file string) (*program.Config, logging.Format, error) {
+	cfg, err := program.Load(os.Getenv)
+	if err != nil || file == "" {
+		return cfg, logging.Text, err
+	}
+	err = cfg.ReadSettings(file)
+	return cfg, cfg.LogFormat(), err
+}
+
+func serveCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "serve",
+		Short: "Serve as the environment and the file in ROUTER_CONFIG say, until SIGTERM; SIGHUP reloads",
+		Args:  cobra.NoArgs,
+	}
+	file := settingsFlag(c)
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		reload := make(chan os.Signal, 1)
+		signal.Notify(reload, syscall.SIGHUP)
+		defer signal.Stop(reload)
+		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+		defer stop()
+		cfg, format, err := load(*file)
+		if err != nil {
+			return err
+		}
+		return program.New(cfg, os.Getenv, *file, logging.New(os.Stderr, format)).Run(ctx, reload)
+	}
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "check",
+		Short: "Check the configuration and the settings, and start nothing",
+		Args:  cobra.NoArgs,
+	}
+	file := settingsFlag(c)
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		cfg, _, err := load(*file)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "%s: the configuration is good\n", cfg.Name)
+		return nil
+	}
+	return c
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			version := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version + " " + info.GoVersion
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "reachspread", version)
+		},
+	}
+}
--- /dev/null
+++ b/cmd/reachspread/shadow.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/mirror"
+	"reachspread/internal/program"
+	"reachspread/internal/settings"
+	"reachspread/internal/shadow"
+	"reachspread/internal/transport"
+)
+
+// reporter is the program that makes reports. It is one of its own, found beside this one: what draws charts would
+// take memory from the router.
+const reporter = "reachreport"
+
+func shadowCommand() *cobra.Command {
+	c := &cobra.Command{Use: "shadow", Short: "Ask about the shadow pools"}
+	c.AddCommand(shadowStatusCommand(), &cobra.Command{
+		Use:                "report DIR [--format terminal|markdown|csv|json] [--html FILE]",
+		Short:              "Report on the records in a folder; runs " + reporter + ", which stands beside this program",
+		DisableFlagParsing: true,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			run := exec.Command(filepath.Join(filepath.Dir(self), reporter), append([]string{"shadow"}, args...)...)
+			run.Stdout, run.Stderr = cmd.OutOrStdout(), cmd.ErrOrStderr()
+			err = run.Run()
+			var exit *exec.ExitError
+			switch {
+			case errors.As(err, &exit):
+				os.Exit(exit.ExitCode()) // it has told why
+			case err != nil:
+				return fmt.Errorf("%w; build it with go build -o bin/ ./cmd/...", err)
+			}
+			return nil
+		},
+	})
+	return c
+}
+
+func shadowStatusCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Ask the running router for its caps, drops by cause and the health of its pools",
+		Args:  cobra.NoArgs,
+	}
+	file := settingsFlag(c)
+	name := c.Flags().String("name", "", "the router's `name`, where several share the folder")
+	asJSON := c.Flags().Bool("json", false, "print JSON")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		if *file == "" {
+			return errors.New("--settings must name the file whose status block names the folder")
+		}
+		set, err := settings.Read(*file)
+		if err != nil {
+			return err
+		}
+		if set.StatusDir == "" {
+			return fmt.Errorf("%s: there is no block status", *file)
+		}
+		socket, err := transport.StatusSocket(set.StatusDir, *name)
+		if err != nil {
+			return err
+		}
+		text, err := transport.AskStatus(socket, program.ShadowTopic)
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), string(text))
+			return err
+		}
+		var r mirror.Report
+		if err := json.Unmarshal(text, &r); err != nil {
+			return err
+		}
+		printShadow(cmd.OutOrStdout(), &r)
+		return nil
+	}
+	return c
+}
+
+// printShadow prints one table for each pool, and a line on the records.
+func printShadow(w io.Writer, r *mirror.Report) {
+	for _, p := range r.Pools {
+		t := table.NewWriter()
+		t.SetOutputMirror(w)
+		t.SetTitle("pool %s: %s, %d hosts, pressure %s", p.Pool, p.Health, p.Hosts, p.Level)
+		row := func(name string, v any) { t.AppendRow(table.Row{name, v}) }
+		if p.RetryIn != "" {
+			row("next trial in", p.RetryIn)
+		}
+		row("share", strconv.FormatFloat(p.Share, 'g', -1, 64))
+		row("copies a second, at most", p.Caps.PerSecond)
+		row("copies out", fmt.Sprintf("%d of %d, %d a host", p.Out, p.Caps.Out, p.Caps.PerHost))
+		row("copies waiting", fmt.Sprintf("%d of %d", p.Waiting, p.Caps.Waiting))
+		row("waiting for the live answer", p.Pairing)
+		row("bytes of bodies", fmt.Sprintf("%d of %d", p.BodyBytes, p.Caps.BodyBytes))
+		row("offered", p.Offered)
+		row("started", p.Started)
+		row("recorded", fmt.Sprintf("%d, %d of them compared", p.Recorded, p.Compared))
+		row("passed over, busy", p.Busy)
+		row("schedulings denied by copies_per_host", p.HostFull)
+		for _, m := range []struct {
+			name   string
+			counts map[shadow.Cause]uint64
+		}{{"dropped", p.Dropped}, {"ended", p.Ended}, {"not comparable", p.Incomparable}} {
+			for _, cause := range slices.Sorted(maps.Keys(m.counts)) {
+				row(m.name+": "+string(cause), m.counts[cause])
+			}
+		}
+		for _, signal := range slices.Sorted(maps.Keys(p.Pressed)) {
+			row("pressure by "+signal, p.Pressed[signal])
+		}
+		for _, class := range slices.Sorted(maps.Keys(p.Times)) {
+			x := p.Times[class]
+			row(class+", first event, ms p50/p90/p99", spreads(x.LiveFirst, x.CopyFirst))
+			row(class+", whole answer, ms p50/p90/p99", spreads(x.LiveWhole, x.CopyWhole))
+		}
+		t.Render()
+	}
+	switch {
+	case r.Records.Folder == "":
+		fmt.Fprintln(w, "records: not kept")
+	case r.Records.Failing != "":
+		fmt.Fprintf(w, "records: %d written, %d lost; failing: %s\n", r.Records.Written, r.Records.Lost, r.Records.Failing)
+	default:
+		fmt.Fprintf(w, "records: %d written to %s, %d lost\n", r.Records.Written, r.Records.Folder, r.Records.Lost)
+	}
+}
+
+func spreads(live, copied mirror.Spread) string {
+	return fmt.Sprintf("live %d/%d/%d, copies %d/%d/%d", live.P50, live.P90, live.P99, copied.P50, copied.P90, copied.P99)
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,239 @@
+// Package mirror carries out what package shadow decides: it takes copies of live requests from the front, sends them
+// to candidate pools through a core and a decision module of their own, watches both answers, and hands the compared
+// ones to the files of package records. It owns the goroutines and the clock; sockets are package transport's.
+//
+// It promises that nothing here ever waits on the live path's account: what the live path calls either finishes in a
+// bounded number of steps under a lock that nobody holds for longer, or is passed over and counted.
+package mirror
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"reachspread/balance"
+	"reachspread/internal/logging"
+	"reachspread/internal/routing"
+	"reachspread/internal/settings"
+	"reachspread/internal/shadow"
+	"reachspread/internal/transport"
+)
+
+// sampleEvery is how often the live path is looked at; copies get a step of their decider as often.
+const sampleEvery = 25 * time.Millisecond
+
+// Options is what a Mirror is made of.
+type Options struct {
+	Balance balance.Config // the live one; each pool's module keeps its rules and classes
+	Seed    uint64
+	Connect time.Duration // for a connection to come up
+	Idle    time.Duration // after which a host closes an idle one
+	Log     routing.Logger
+	Sample  func() shadow.Sample // of the live path; asked by one goroutine
+}
+
+// Mirror has the pools in force. It implements transport.Tap.
+type Mirror struct {
+	o     Options
+	key   [32]byte // of the digests
+	copy  atomic.Uint64
+	force atomic.Pointer[choosing]
+
+	mu     sync.Mutex // guards what follows, and is never taken on the live path
+	pools  []*pool
+	sink   *sink
+	ended  bool
+	leave  context.CancelFunc
+	idle   sync.WaitGroup // the sampler
+	closed []*pool        // that were taken out and may still end
+}
+
+// choosing is what the live path sees: who gets copies. It implements transport.Copier and never changes.
+type choosing struct {
+	m        *Mirror
+	selector *shadow.Selector
+	idle     bool
+	tenant   string
+	pools    []*pool // by their place in the selector
+}
+
+// New returns a Mirror without pools. Nothing is sampled before the first Apply.
+func New(o Options) *Mirror {
+	m := &Mirror{o: o}
+	if _, err := rand.Read(m.key[:]); err != nil {
+		panic(err) // by its page, it never fails
+	}
+	m.force.Store(&choosing{idle: true})
+	return m
+}
+
+// Apply puts settings in force. Pools that stay keep what they have out; those that are gone, or whose way of
+// sending has changed, end theirs at once.
+func (m *Mirror) Apply(s settings.Shadow) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended {
+		return errors.New("the program is ending")
+	}
+	old := map[string]*pool{}
+	for _, p := range m.pools {
+		old[p.name] = p
+	}
+	var pools, fresh []*pool
+	var choices []shadow.Choice
+	for _, set := range s.Pools {
+		p := old[set.Choice.Pool]
+		if p == nil || !p.keeps(set) {
+			var err error
+			if p, err = newPool(m, set); err != nil {
+				for _, p := range fresh {
+					p.close()
+				}
+				return fmt.Errorf("shadow pool %q: %w", set.Choice.Pool, err)
+			}
+			fresh = append(fresh, p)
+		}
+		pools, choices = append(pools, p), append(choices, set.Choice)
+	}
+	// Nothing fails from here on.
+	if m.leave == nil {
+		ctx, leave := context.WithCancel(context.Background())
+		m.leave = leave
+		m.idle.Add(1)
+		go m.sample(ctx)
+	}
+	last := m.sink
+	if last == nil || last.set != s.Records {
+		m.sink = newSink(s.Records, m.o.Log)
+	}
+	for i, p := range pools {
+		if old[p.name] == p {
+			delete(old, p.name)
+		}
+		p.apply(s.Pools[i], m.sink, s.Records.Texts)
+	}
+	if last != nil && last != m.sink {
+		last.close()
+	}
+	m.pools = pools
+	selector := shadow.NewSelector(choices)
+	m.force.Store(&choosing{m: m, selector: selector, idle: selector.Idle(), tenant: s.TenantHeader, pools: pools})
+	m.closed = slices.DeleteFunc(m.closed, (*pool).isOver)
+	for _, p := range old {
+		p.close()
+		m.closed = append(m.closed, p)
+	}
+	return nil
+}
+
+// TenantHeader implements transport.Tap.
+func (m *Mirror) TenantHeader() string { return m.force.Load().tenant }
+
+// Choose implements transport.Tap.
+func (m *Mirror) Choose(class, session, id string, tenant []byte) (transport.Copier, uint64) {
+	c := m.force.Load()
+	if c.idle {
+		return nil, 0
+	}
+	pools := c.selector.Choose(class, tenant, shadow.Session(session, id))
+	if pools == 0 {
+		return nil, 0
+	}
+	return c, uint64(pools)
+}
+
+// Copy implements transport.Copier.
+func (c *choosing) Copy(pools uint64, r transport.Taken) transport.Watcher {
+	most := 0
+	for i, p := range c.pools {
+		if shadow.Pools(pools).Has(i) {
+			most = max(most, p.answerBytes())
+		}
+	}
+	l := &live{answer: capture{most: most, since: r.Came}}
+	for i, p := range c.pools {
+		if !shadow.Pools(pools).Has(i) {
+			continue
+		}
+		cp := &copied{id: c.m.copy.Add(1), live: l, taken: r, session: shadow.Session(r.Arrival.Session, r.Arrival.ID)}
+		if p.offer(cp) {
+			l.copies = append(l.copies, liveCopy{p, cp.id})
+			l.wanted.Add(1)
+		}
+	}
+	if len(l.copies) == 0 {
+		return nil
+	}
+	return l
+}
+
+// sample looks at the live path again and again until ctx ends. That it is late itself is a sign, too.
+func (m *Mirror) sample(ctx context.Context) {
+	defer m.idle.Done()
+	ticker := time.NewTicker(sampleEvery)
+	defer ticker.Stop()
+	for last := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		s := m.o.Sample()
+		s.Late = max(s.Late, now.Sub(last)-sampleEvery)
+		last = now
+		m.mu.Lock()
+		pools := m.pools
+		m.mu.Unlock()
+		for _, p := range pools {
+			p.post(posted{event: s})
+		}
+	}
+}
+
+// Leave ends all copies at once, without waiting.
+func (m *Mirror) Leave() {
+	m.force.Store(&choosing{idle: true})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = true
+	for _, p := range m.pools {
+		p.close()
+	}
+}
+
+// Close ends all copies and waits until their records are written, or until ctx ends.
+func (m *Mirror) Close(ctx context.Context) {
+	m.Leave()
+	m.mu.Lock()
+	leave := m.leave
+	m.mu.Unlock()
+	if leave == nil {
+		return // nothing was ever put in force
+	}
+	leave()
+	m.idle.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range append(m.closed, m.pools...) {
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+		}
+	}
+	if m.sink != nil {
+		m.sink.close()
+		select {
+		case <-m.sink.done:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// pooled names a pool in log lines.
+func pooled(log routing.Logger, name string) routing.Logger { return logging.With(log, "pool", name) }
--- /dev/null
+++ b/internal/mirror/pool.go
@@ -0,0 +1,433 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"reachspread/balance"
+	"reachspread/internal/protocol"
+	"reachspread/internal/records"
+	"reachspread/internal/routing"
+	"reachspread/internal/settings"
+	"reachspread/internal/shadow"
+	"reachspread/internal/transport"
+)
+
+const (
+	mostOffers = 256                    // that wait for the pool's goroutine; more are counted as busy
+	probeFor   = 100 * time.Millisecond // unused: copies' modules send no probes
+	askFor     = time.Second            // for the pool's goroutine to answer a question
+)
+
+// pool is one candidate pool: a decider that one goroutine owns, and a core of its own to send with.
+type pool struct {
+	name    string
+	m       *Mirror
+	set     settings.Pool // the Mirror's lock guards it
+	start   time.Time
+	log     routing.Logger
+	router  *routing.Router
+	servers *transport.RealServers
+	stop    context.CancelFunc
+	done    chan struct{} // closed when its goroutine has ended
+	answers atomic.Int64  // bytes to be kept of each
+	busy    atomic.Uint64 // offers passed over
+
+	mu      sync.Mutex
+	pending []posted
+	offers  int  // among pending
+	over    bool // the goroutine has ended: nothing is taken any more
+	wake    chan struct{}
+
+	// The goroutine's alone.
+	decider *shadow.Decider
+	force   settings.Pool
+	sink    *sink
+	texts   bool
+	copies  map[uint64]*copied
+	closing bool
+	times   *times
+	hosts   map[string]protocol.ServiceEntry // of the settings, as told last
+	version int64
+}
+
+// posted is something for the pool's goroutine.
+type posted struct {
+	event   shadow.Event
+	copied  *copied       // with an Offer
+	granted chan<- bool   // with a Seat
+	ask     chan<- Status // in place of an event
+	apply   *applied      // in place of an event
+}
+
+type applied struct {
+	set   settings.Pool
+	sink  *sink
+	texts bool
+}
+
+// copied is a copy on its way.
+type copied struct {
+	id      uint64
+	session uint64
+	live    *live
+	taken   transport.Taken
+
+	ctx    context.Context // from its start on; ends when it is given up
+	cancel context.CancelFunc
+	gap    bool
+	answer capture
+}
+
+// newPool starts a pool; what its settings say comes with apply.
+func newPool(m *Mirror, set settings.Pool) (*pool, error) {
+	p := &pool{name: set.Choice.Pool, m: m, set: set, force: set, start: time.Now(), log: pooled(m.o.Log, set.Choice.Pool),
+		wake: make(chan struct{}, 1), done: make(chan struct{}), copies: map[uint64]*copied{}, times: newTimes(),
+		decider: shadow.New(set.Decider, m.o.Seed), hosts: map[string]protocol.ServiceEntry{}}
+	b, err := balance.New(copyConfig(m.o.Balance, set.Patience), m.o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	p.servers = transport.NewRealServers(transport.ServerLimits{Connect: m.o.Connect, Keepalive: m.o.Idle,
+		Silent: set.Silent, Connections: set.Sockets}, p.log)
+	p.router = routing.New(b, seated{p.servers, p}, p.log, probeFor)
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	go p.router.Run(ctx)
+	if set.Discovery != "" {
+		go transport.NewDiscovery(set.Discovery, p.log, p.tell).Run(ctx)
+	}
+	go p.run()
+	return p, nil
+}
+
+// copyConfig is the live module's with the patience of copies: nobody waits for them, so a late answer is as good
+// as any, and a slow candidate must be seen, not refused.
+func copyConfig(c balance.Config, patience time.Duration) balance.Config {
+	c.Classes = slices.Clone(c.Classes)
+	for i := range c.Classes {
+		class := &c.Classes[i]
+		class.Aim, class.Deadline, class.AimPer1000, class.AimStretch, class.TokenAim = patience, patience, 0, 0, 0
+	}
+	c.MayProbe, c.MarksLater, c.MaxAway = false, false, 0
+	return c
+}
+
+// keeps tells whether other settings can be taken up without ending what is out.
+func (p *pool) keeps(set settings.Pool) bool {
+	return set.Discovery == p.set.Discovery && set.Sockets == p.set.Sockets && set.Patience == p.set.Patience &&
+		set.Silent == p.set.Silent
+}
+
+// apply has the goroutine take up settings. Only Mirror.Apply calls it.
+func (p *pool) apply(set settings.Pool, sink *sink, texts bool) {
+	p.set = set
+	p.answers.Store(int64(set.AnswerBytes))
+	p.post(posted{apply: &applied{set, sink, texts}})
+}
+
+func (p *pool) answerBytes() int { return int(p.answers.Load()) }
+
+// offer leaves a copy for the goroutine, unless too many wait already.
+func (p *pool) offer(c *copied) bool {
+	p.mu.Lock()
+	if p.over || p.offers >= mostOffers {
+		p.mu.Unlock()
+		p.busy.Add(1)
+		return false
+	}
+	p.offers++
+	p.pending = append(p.pending, posted{copied: c, event: shadow.Offer{Copy: c.id, Session: c.session,
+		Bytes: len(c.taken.Message.Body())}})
+	p.mu.Unlock()
+	p.rouse()
+	return true
+}
+
+// post leaves something for the goroutine.
+func (p *pool) post(x posted) {
+	p.mu.Lock()
+	over := p.over
+	if !over {
+		p.pending = append(p.pending, x)
+	}
+	p.mu.Unlock()
+	switch {
+	case !over:
+		p.rouse()
+	case x.granted != nil:
+		x.granted <- false
+	}
+}
+
+func (p *pool) rouse() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// close ends all copies; the pool's goroutine ends when theirs have.
+func (p *pool) close() { p.post(posted{event: shadow.Close{}}) }
+
+// isOver tells that the pool's goroutine has ended.
+func (p *pool) isOver() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// run owns the decider until the pool is closed and nothing of it is left.
+func (p *pool) run() {
+	defer close(p.done)
+	defer p.servers.Close()
+	defer p.stop()
+	for !p.closing || len(p.copies) > 0 {
+		<-p.wake
+		p.mu.Lock()
+		batch := p.pending
+		p.pending, p.offers = nil, 0
+		p.mu.Unlock()
+		p.step(batch)
+	}
+	// What comes now finds nobody: seats that were asked for are denied, questions go unanswered.
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.over = true
+	for _, x := range p.pending {
+		if x.granted != nil {
+			x.granted <- false
+		}
+	}
+}
+
+func (p *pool) step(batch []posted) {
+	var events []shadow.Event
+	var seats []chan<- bool
+	for _, x := range batch {
+		switch {
+		case x.apply != nil:
+			p.force, p.sink, p.texts = x.apply.set, x.apply.sink, x.apply.texts
+			events = append(events, shadow.Retune{Config: x.apply.set.Decider})
+			if p.tellHosts(x.apply.set) {
+				events = append(events, shadow.Hosts{Serving: p.router.Serving()})
+			}
+			continue
+		case x.ask != nil:
+			x.ask <- p.status(p.force)
+			continue
+		case x.copied != nil:
+			p.copies[x.copied.id] = x.copied
+		case x.granted != nil:
+			seats = append(seats, x.granted)
+		}
+		if _, ok := x.event.(shadow.Close); ok {
+			p.closing = true
+		}
+		events = append(events, x.event)
+	}
+	for _, action := range p.decider.Step(time.Since(p.start), events) {
+		switch a := action.(type) {
+		case shadow.Start:
+			p.launch(p.copies[a.Copy], a.Gap)
+		case shadow.Drop:
+			p.forget(a.Copy)
+		case shadow.End:
+			p.copies[a.Copy].cancel()
+		case shadow.Seated: // in the order of the Seats
+			seats[0] <- a.OK
+			seats = seats[1:]
+		case shadow.Record:
+			p.record(p.copies[a.Copy], a)
+			p.forget(a.Copy)
+		case shadow.Down:
+			p.log.Warn("shadow pool down", "failures", a.Failures, "retry", a.Retry.Round(time.Millisecond))
+		case shadow.Back:
+			p.log.Info("shadow pool back")
+		}
+	}
+}
+
+func (p *pool) forget(id uint64) {
+	p.copies[id].live.wanted.Add(-1)
+	delete(p.copies, id)
+}
+
+// launch sends a copy out. From here on it belongs to a goroutine of its own until its Ended.
+func (p *pool) launch(c *copied, gap bool) {
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.gap = gap
+	c.answer = capture{most: p.answerBytes(), since: time.Now()}
+	arrival := c.taken.Arrival
+	// An id of its own: a copy is never taken for an attempt of the real request, nor for another copy of it.
+	arrival.ID += "~" + p.name + "~" + strconv.FormatUint(c.id, 10)
+	arrival.Left, arrival.Later = p.force.Patience, false
+	go func() {
+		how := p.carry(c, arrival)
+		c.cancel()
+		p.post(posted{event: shadow.Ended{Copy: c.id, How: how}})
+	}()
+}
+
+// carry takes a copy through the pool's core, as a front does with a request, and reads its answer to the end.
+func (p *pool) carry(c *copied, arrival balance.Arrival) (how shadow.Cause) {
+	flow, err := p.router.TakeIn(arrival, time.Now(), copyMessage{c.taken.Message.WithID(arrival.ID), c})
+	if err != nil {
+		c.answer.finish(string(shadow.Failed))
+		return shadow.Failed
+	}
+	defer p.router.Done(flow)
+	defer context.AfterFunc(c.ctx, func() { p.router.Leave(flow) })()
+	answer, ok := flow.Wait()
+	if !ok {
+		c.answer.finish("left")
+		return shadow.Broken
+	}
+	if answer.Verdict != routing.Served {
+		how = unserved(answer.Verdict)
+		c.answer.finish(string(how))
+		return how
+	}
+	defer answer.Stream.Close()
+	c.answer.server, c.answer.before = answer.Stream.Server()
+	for buf := make([]byte, 4096); ; {
+		n, err := answer.Stream.Read(buf)
+		if n > 0 {
+			c.answer.feed(buf[:n])
+		}
+		switch {
+		case err == io.EOF:
+			c.answer.finish(whole)
+			return ""
+		case err != nil:
+			c.answer.finish(string(shadow.Broken))
+			return shadow.Broken
+		}
+	}
+}
+
+// record compares a copy's answer with the live one and hands the record on.
+func (p *pool) record(c *copied, a shadow.Record) {
+	taken, texts := c.taken, p.texts
+	answer := c.answer.answer(p.m.key[:])
+	r := &records.Record{Version: records.Version, At: taken.Came.UTC(), Pool: p.name, Class: taken.Arrival.Class,
+		Tenant: taken.Tenant, ID: taken.Arrival.ID, Session: hex16(c.session), Gap: c.gap, Cause: string(a.Cause),
+		BodySize: len(taken.Message.Body()), Copy: side(answer, c.answer.outcome, texts)}
+	if texts {
+		r.Body = string(taken.Message.Body())
+	}
+	if !a.Live { // still on its way, and another's to write
+		r.Live = records.Side{Outcome: "open"}
+	} else {
+		real := c.live.answer.answer(p.m.key[:])
+		r.Live = side(real, c.live.answer.outcome, texts)
+		if a.Cause == "" {
+			cmp := shadow.Compare(real, answer)
+			r.Compared = &records.Compared{Text: string(cmp.Text), Similarity: cmp.Similarity, Partial: cmp.Partial,
+				Finish: cmp.Finish, Tokens: cmp.Tokens, Kept: cmp.Kept}
+			p.times.add(taken.Arrival.Class, real, answer)
+		}
+	}
+	p.sink.put(r)
+}
+
+func hex16(h uint64) string {
+	s := strconv.FormatUint(h, 16)
+	return "0000000000000000"[len(s):] + s
+}
+
+// tell takes a list of discovery.
+func (p *pool) tell(l *protocol.List) {
+	p.router.Told(l.Members(), l.Addrs())
+	p.post(posted{event: shadow.Hosts{Serving: p.router.Serving()}})
+}
+
+// tellHosts tells the core the hosts of the settings. One that they name for the first time is taken for cold: its
+// start is not known, and too slow a beginning costs copies alone.
+func (p *pool) tellHosts(set settings.Pool) bool {
+	if set.Discovery != "" {
+		return false
+	}
+	p.version++
+	l := protocol.List{Version: p.version, Full: true}
+	hosts := map[string]protocol.ServiceEntry{}
+	for _, h := range set.Hosts {
+		e := protocol.ServiceEntry{ID: h.ID, Addr: h.Addr, Zone: h.Zone, Kind: h.Kind, State: "Ready",
+			StartedMs: float64(time.Now().UnixMilli())}
+		if old, ok := p.hosts[h.ID]; ok && old.Addr == h.Addr {
+			e.StartedMs = old.StartedMs
+		}
+		hosts[h.ID] = e
+		l.Servers = append(l.Servers, e)
+	}
+	p.hosts = hosts
+	p.router.Told(l.Members(), l.Addrs())
+	return true
+}
+
+// copyMessage is what the pool's core sends.
+type copyMessage struct {
+	*transport.Message
+	copied *copied
+}
+
+// seated is the pool's network: each scheduling needs a seat at its host, which the decider grants.
+type seated struct {
+	*transport.RealServers
+	pool *pool
+}
+
+// Schedule implements routing.Network.
+func (s seated) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message) routing.Head {
+	cm := m.(copyMessage)
+	granted := make(chan bool, 1)
+	s.pool.post(posted{granted: granted, event: shadow.Seat{Copy: cm.copied.id, Host: to.ID}})
+	if !<-granted {
+		return routing.Head{Result: balance.Full}
+	}
+	left := func() { s.pool.post(posted{event: shadow.Left{Host: to.ID}}) }
+	if !s.pool.router.Ready(to.ID) { // asking took a moment, in which it may have begun to drain
+		left()
+		return routing.Head{Result: balance.NotSent}
+	}
+	head := s.RealServers.Schedule(ctx, deadline, to, cm.Message)
+	if head.Body == nil {
+		left()
+	} else {
+		head.Body = &seatedBody{head.Body, left}
+	}
+	return head
+}
+
+// seatedBody gives the seat back with its end.
+type seatedBody struct {
+	routing.Body
+	left func()
+}
+
+// End implements routing.Body.
+func (b *seatedBody) End() (float64, *balance.Load) {
+	defer b.left()
+	return b.Body.End()
+}
+
+// status asks the goroutine for the pool's state.
+func (p *pool) ask() (Status, error) {
+	answer := make(chan Status, 1)
+	p.post(posted{ask: answer})
+	select {
+	case s := <-answer:
+		return s, nil
+	case <-time.After(askFor):
+		return Status{}, errors.New("the pool " + p.name + " does not answer")
+	}
+}
--- /dev/null
+++ b/internal/mirror/sink.go
@@ -0,0 +1,109 @@
+package mirror
+
+import (
+	"sync/atomic"
+	"time"
+
+	"reachspread/internal/records"
+	"reachspread/internal/routing"
+	"reachspread/internal/settings"
+)
+
+const (
+	queued     = 256             // records that wait to be written
+	queuedMost = 1 << 20         // bytes of texts in them
+	retryFor   = 5 * time.Second // after the folder failed
+)
+
+// sink writes records on a goroutine of its own. What it can't take is counted and lost: neither the live path nor
+// the copies ever wait for a disk.
+type sink struct {
+	set     settings.Records
+	log     routing.Logger
+	writer  *records.Writer
+	queue   chan *records.Record
+	quit    chan struct{}
+	done    chan struct{}
+	bytes   atomic.Int64
+	written atomic.Uint64
+	lost    atomic.Uint64
+	failing atomic.Pointer[string] // why, nil while it works
+}
+
+func newSink(set settings.Records, log routing.Logger) *sink {
+	s := &sink{set: set, log: log, queue: make(chan *records.Record, queued), quit: make(chan struct{}), done: make(chan struct{}),
+		writer: &records.Writer{Folder: set.Folder, FileBytes: set.FileBytes, Files: set.Files}}
+	go s.run()
+	return s
+}
+
+// put leaves a record to be written.
+func (s *sink) put(r *records.Record) {
+	if s.set.Folder == "" {
+		return
+	}
+	size := recordBytes(r)
+	if s.bytes.Add(size) <= queuedMost {
+		select {
+		case <-s.quit:
+		default:
+			select {
+			case s.queue <- r:
+				return
+			default:
+			}
+		}
+	}
+	s.bytes.Add(-size)
+	s.lost.Add(1)
+}
+
+func recordBytes(r *records.Record) int64 {
+	return int64(len(r.Body) + len(r.Live.Text) + len(r.Copy.Text))
+}
+
+// close has what is queued written, then ends.
+func (s *sink) close() { close(s.quit) }
+
+func (s *sink) run() {
+	defer close(s.done)
+	defer s.writer.Close()
+	var retry time.Time
+	for {
+		select {
+		case r := <-s.queue:
+			s.write(r, &retry)
+		case <-s.quit:
+			for {
+				select {
+				case r := <-s.queue:
+					s.write(r, &retry)
+				default:
+					return
+				}
+			}
+		}
+	}
+}
+
+// write appends a record. While the folder fails, it is tried again now and then, and on-call is told once.
+func (s *sink) write(r *records.Record, retry *time.Time) {
+	s.bytes.Add(-recordBytes(r))
+	if time.Now().Before(*retry) {
+		s.lost.Add(1)
+		return
+	}
+	if err := s.writer.Append(r); err != nil {
+		s.lost.Add(1)
+		*retry = time.Now().Add(retryFor)
+		why := err.Error()
+		if s.failing.Swap(&why) == nil {
+			s.log.Warn("shadow records lost", "cause", why)
+		}
+		return
+	}
+	s.written.Add(1)
+	if s.failing.Swap(nil) != nil {
+		s.log.Info("shadow records back", "lost", s.lost.Load())
+	}
+}
--- /dev/null
+++ b/internal/mirror/status.go
@@ -0,0 +1,162 @@
+package mirror
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"reachspread/internal/settings"
+	"reachspread/internal/shadow"
+)
+
+// Report is the state of all pools, as `shadow status` prints it.
+type Report struct {
+	Pools   []Status      `json:"pools"`
+	Records RecordsStatus `json:"records"`
+}
+
+// RecordsStatus is the state of the record files.
+type RecordsStatus struct {
+	Folder  string `json:"folder"`
+	Written uint64 `json:"written"`
+	Lost    uint64 `json:"lost"`
+	Failing string `json:"failing,omitempty"` // why the last record could not be written
+}
+
+// Status is the state of a pool. Counters count from the pool's start.
+type Status struct {
+	Pool         string                  `json:"pool"`
+	Share        float64                 `json:"share"`
+	Classes      []string                `json:"classes,omitempty"`
+	Tenants      []string                `json:"tenants,omitempty"`
+	Caps         Caps                    `json:"caps"`
+	Hosts        int                     `json:"hosts"`
+	Health       string                  `json:"health"` // up, down or no hosts
+	RetryIn      string                  `json:"retry_in,omitempty"`
+	Level        string                  `json:"level"`
+	Offered      uint64                  `json:"offered"`
+	Busy         uint64                  `json:"busy"` // not even offered: the pool's goroutine was behind
+	Started      uint64                  `json:"started"`
+	Recorded     uint64                  `json:"recorded"`
+	Compared     uint64                  `json:"compared"`
+	Waiting      int                     `json:"waiting"`
+	Out          int                     `json:"out"`
+	Pairing      int                     `json:"pairing"`
+	BodyBytes    int64                   `json:"body_bytes"`
+	Dropped      map[shadow.Cause]uint64 `json:"dropped"`
+	Ended        map[shadow.Cause]uint64 `json:"ended"`
+	Incomparable map[shadow.Cause]uint64 `json:"incomparable"`
+	Pressed      map[string]uint64       `json:"pressed"`
+	HostFull     uint64                  `json:"host_full"`
+	Times        map[string]Times        `json:"times"` // by class
+}
+
+// Caps is the caps in force.
+type Caps struct {
+	PerSecond float64 `json:"copies_per_second"`
+	Out       int     `json:"copies_out"`
+	PerHost   int     `json:"copies_per_host"`
+	Waiting   int     `json:"copies_waiting"`
+	BodyBytes int64   `json:"body_bytes"`
+	Sockets   int     `json:"sockets"`
+}
+
+// Times is how long comparable answers took, in milliseconds.
+type Times struct {
+	Count     int64  `json:"count"`
+	LiveFirst Spread `json:"live_first_ms"`
+	CopyFirst Spread `json:"copy_first_ms"`
+	LiveWhole Spread `json:"live_whole_ms"`
+	CopyWhole Spread `json:"copy_whole_ms"`
+}
+
+// Spread is three places of a distribution.
+type Spread struct {
+	P50 int64 `json:"p50"`
+	P90 int64 `json:"p90"`
+	P99 int64 `json:"p99"`
+}
+
+// Status asks all pools. It fails if one does not answer in a second.
+func (m *Mirror) Status() (any, error) {
+	m.mu.Lock()
+	pools, sink := m.pools, m.sink
+	m.mu.Unlock()
+	r := Report{Pools: []Status{}}
+	for _, p := range pools {
+		s, err := p.ask()
+		if err != nil {
+			return nil, err
+		}
+		r.Pools = append(r.Pools, s)
+	}
+	if sink != nil {
+		r.Records = RecordsStatus{Folder: sink.set.Folder, Written: sink.written.Load(), Lost: sink.lost.Load()}
+		if why := sink.failing.Load(); why != nil {
+			r.Records.Failing = *why
+		}
+	}
+	return r, nil
+}
+
+func (p *pool) status(set settings.Pool) Status {
+	c := p.decider.Counts()
+	caps := set.Decider.Caps
+	s := Status{Pool: p.name, Share: set.Choice.Share, Classes: set.Choice.Classes, Tenants: set.Choice.Tenants,
+		Caps: Caps{PerSecond: caps.PerSecond, Out: caps.Out, PerHost: caps.PerHost, Waiting: caps.Waiting,
+			BodyBytes: caps.Bytes, Sockets: set.Sockets},
+		Hosts: c.Hosts, Health: "up", Level: c.Level.String(), Offered: c.Offered, Busy: p.busy.Load(),
+		Started: c.Started, Recorded: c.Recorded, Compared: c.Compared, Waiting: c.Waiting, Out: c.Out,
+		Pairing: c.Pairing, BodyBytes: c.Bytes, Dropped: c.Dropped, Ended: c.Ended, Incomparable: c.Incomparable,
+		Pressed: c.Pressed, HostFull: c.HostFull, Times: p.times.report()}
+	switch {
+	case c.Hosts == 0:
+		s.Health = "no hosts"
+	case c.Down:
+		s.Health = "down"
+		s.RetryIn = max(c.Retry-time.Since(p.start), 0).Round(time.Millisecond).String()
+	}
+	return s
+}
+
+const (
+	longestTime = 10 * 60 * 1000 // of a histogram, in milliseconds
+	mostClasses = 16             // with histograms of their own: the settings name the classes, but clients send the words
+	otherClass  = "other"
+)
+
+// times holds what comparable answers took, by class.
+type times struct {
+	classes map[string]*[4]*hdrhistogram.Histogram
+}
+
+func newTimes() *times { return &times{map[string]*[4]*hdrhistogram.Histogram{}} }
+
+func (t *times) add(class string, live, copied shadow.Answer) {
+	h := t.classes[class]
+	if h == nil && len(t.classes) >= mostClasses {
+		class = otherClass
+		h = t.classes[class]
+	}
+	if h == nil {
+		h = new([4]*hdrhistogram.Histogram)
+		for i := range h {
+			h[i] = hdrhistogram.New(1, longestTime, 2)
+		}
+		t.classes[class] = h
+	}
+	for i, d := range []time.Duration{live.First, copied.First, live.Whole, copied.Whole} {
+		h[i].RecordValue(min(max(d.Milliseconds(), 1), longestTime)) // within its range, it can't fail
+	}
+}
+
+func (t *times) report() map[string]Times {
+	r := map[string]Times{}
+	for class, h := range t.classes {
+		spread := func(i int) Spread {
+			return Spread{h[i].ValueAtQuantile(50), h[i].ValueAtQuantile(90), h[i].ValueAtQuantile(99)}
+		}
+		r[class] = Times{h[0].TotalCount(), spread(0), spread(1), spread(2), spread(3)}
+	}
+	return r
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/logging"
 	"reachspread/internal/protocol"
+	"reachspread/internal/settings"
 	"reachspread/internal/wire"
 )
 
@@ -26,7 +28,8 @@
 
 	seed      uint64
 	balance   balance.Config
-	discovery string // as the file says it, whatever the environment does
+	discovery string             // as the file says it, whatever the environment does
+	set       *settings.Settings // the operators' file, nil for none
 }
 
 // Limits is what a router may use.
@@ -113,11 +116,47 @@
 	return nil
 }
 
-// clients returns how many client connections fit: each may need a second one to a real server.
-func (c *Config) clients() int { return (c.Limits.Sockets - otherSockets) / 2 }
+// clients returns how many client connections fit: each may need a second one to a real server. What the operators'
+// settings need is set aside first.
+func (c *Config) clients() int { return (c.Limits.Sockets - otherSockets - c.aside()) / 2 }
+
+// aside returns how many descriptors are set aside for what the operators' settings turn on.
+func (c *Config) aside() int {
+	if c.set == nil {
+		return 0
+	}
+	return c.set.Descriptors()
+}
+
+// memoryPart is the part of the memory limit that the operators' settings may use for copies and their answers.
+const memoryPart = 8
+
+// ReadSettings reads the operators' settings file, which must fit the limits.
+func (c *Config) ReadSettings(path string) error {
+	set, err := settings.Read(path)
+	if err != nil {
+		return err
+	}
+	if most := c.Limits.Sockets - otherSockets - 2*fewestClient; set.Descriptors() > most {
+		return fmt.Errorf("%s: shadow and status may use %d descriptors; limits.sockets leaves %d for them", path, set.Descriptors(), most)
+	}
+	if most := int64(c.Limits.MemoryMB) << 20 / memoryPart; set.Memory() > most {
+		return fmt.Errorf("%s: shadow may hold %d bytes of bodies and answers; an eighth of limits.memory_mb is %d", path, set.Memory(), most)
+	}
+	c.set = set
+	return nil
+}
 
 // bodies returns how many bytes the bodies of requests may take up together.
 func (c *Config) bodies() int { return c.Limits.MemoryMB << 20 / 4 }
 
 // connectFor is the time for a connection to a real server to come up.
 func (c *Config) connectFor() time.Duration { return time.Duration(c.Settings.Limits.ConnectTimeoutNs) }
+
+// LogFormat returns how log lines are written.
+func (c *Config) LogFormat() logging.Format {
+	if c.set == nil {
+		return logging.Text
+	}
+	return c.set.LogFormat
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/mirror"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
 	"reachspread/internal/transport"
@@ -42,7 +43,10 @@
 type Program struct {
 	cfg    *Config
 	getenv func(string) string
+	file   string // the operators' settings, empty for none
 	log    routing.Logger
+	mirror *mirror.Mirror    // nil without a file
+	status *transport.Status // nil where the settings name no folder
 	router *routing.Router
 	front  *transport.Front
 	ln     net.Listener
@@ -53,10 +57,10 @@
 	once  sync.Once
 }
 
-// New reads the configuration and returns a program that has done nothing else yet.
-func New(getenv func(string) string, log routing.Logger) (*Program, error) {
-	cfg, err := Load(getenv)
-	return &Program{cfg: cfg, getenv: getenv, log: log, phase: Starting, known: make(chan struct{})}, err
+// New returns a program that has done nothing yet with its configuration, which Load and ReadSettings gave; file
+// names the operators' settings, and is empty where there are none.
+func New(cfg *Config, getenv func(string) string, file string, log routing.Logger) *Program {
+	return &Program{cfg: cfg, getenv: getenv, file: file, log: log, phase: Starting, known: make(chan struct{})}
 }
 
 // Run serves until ctx ends, then leaves in order. Whenever something comes from reload, it takes up the
@@ -72,9 +76,21 @@
 	servers := transport.NewRealServers(transport.ServerLimits{Connect: p.cfg.connectFor(),
 		Keepalive:   time.Duration(p.cfg.Settings.Limits.KeepaliveNs),
 		Silent:      silentFor,
-		Connections: p.cfg.Limits.Sockets - otherSockets - clients}, p.log)
+		Connections: p.cfg.Limits.Sockets - otherSockets - p.cfg.aside() - clients}, p.log)
 	p.router = routing.New(b, servers, p.log, p.cfg.connectFor()+probeAnswer)
-	p.front = transport.NewFront(p.router, transport.FrontLimits{Connections: clients, Bodies: p.cfg.bodies()})
+	var tap transport.Tap
+	if p.file != "" {
+		if err := p.startMirror(servers); err != nil {
+			return err
+		}
+		tap = p.mirror
+	}
+	p.front = transport.NewFront(p.router, transport.FrontLimits{Connections: clients, Bodies: p.cfg.bodies()}, tap)
+	if p.mirror != nil {
+		if err := p.mirror.Apply(p.cfg.set.Shadow); err != nil {
+			return err
+		}
+	}
 	if p.ln, err = net.Listen("tcp", p.cfg.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -107,6 +123,7 @@
 	if err := p.front.Shutdown(); err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
+	p.stopMirror()
 	p.enter(Stopped)
 	return nil
 }
@@ -141,6 +158,10 @@
 			p.log.Warn("reload refused", "cause", err)
 			continue
 		}
+		if err := p.reloadSettings(cfg); err != nil {
+			p.log.Warn("reload refused", "cause", err)
+			continue
+		}
 		p.log.Info("reloaded", "discovery", cfg.discovery)
 		if cfg.discovery != p.cfg.discovery {
 			p.cfg.discovery = cfg.discovery
@@ -165,6 +186,9 @@
 	p.front.SetReady(phase == Serving)
 	if phase == Leaving {
 		p.front.Leave()
+		if p.mirror != nil {
+			p.mirror.Leave()
+		}
 	}
 	p.log.Info("phase", "name", phase)
 }
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -15,15 +15,15 @@
 	"reachspread/internal/peers"
 )
 
-const settings = `{"az":"a","quantumNs":5000000,"services":[{"name":"chat","effect":"safe","streaming":true,` +
+const platform = `{"az":"a","quantumNs":5000000,"services":[{"name":"chat","effect":"safe","streaming":true,` +
 	`"aimNs":8000000000,"hardLimitNs":8000000000}],"limits":{"maxAttempts":3,"connectTimeoutNs":50000000,` +
 	`"keepaliveNs":15000000000}}`
 
 // configFile writes a good configuration with some text replaced, and returns the environment that names it.
-func configFile(t *testing.T, old, new string) func(string) string {
+func configFile(t testing.TB, old, new string) func(string) string {
 	t.Helper()
 	text := `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",` +
-		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":` + peers.List(1, true) + `,"settings":` + settings + `}`
+		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":` + peers.List(1, true) + `,"settings":` + platform + `}`
 	if !strings.Contains(text, old) {
 		t.Fatalf("the configuration has no %q", old)
 	}
@@ -32,7 +32,16 @@
 	return func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] }
 }
 
-func write(t *testing.T, path, text string) {
+func load(t testing.TB, env func(string) string) *Config {
+	t.Helper()
+	cfg, err := Load(env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func write(t testing.TB, path, text string) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -82,10 +91,8 @@
 	s := peers.NewServer(t, peers.Held(more))
 	d := peers.NewDiscovery(t, peers.List(1, true))
 	lines := make(peers.Lines, 20)
-	p, err := New(configFile(t, "127.0.0.1:1", d.Addr), lines)
-	if err != nil {
-		t.Fatal(err)
-	}
+	env := configFile(t, "127.0.0.1:1", d.Addr)
+	p := New(load(t, env), env, "", lines)
 	ctx, sigterm := context.WithCancel(context.Background())
 	defer sigterm()
 	exit := make(chan error, 1)
@@ -172,15 +179,13 @@
 		t.Fatal(err)
 	}
 	lines := make(peers.Lines, 20)
-	p, err := New(func(name string) string {
+	env := func(name string) string {
 		if name == "ROUTER_DISCOVERY" {
 			return d.Addr
 		}
 		return file(name)
-	}, lines)
-	if err != nil {
-		t.Fatal(err)
 	}
+	p := New(load(t, env), env, "", lines)
 	ctx, sigterm := context.WithCancel(context.Background())
 	defer sigterm()
 	sighup, exit := make(chan os.Signal), make(chan error, 1)
--- /dev/null
+++ b/internal/program/shadow.go
@@ -0,0 +1,72 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"reachspread/internal/mirror"
+	"reachspread/internal/settings"
+	"reachspread/internal/shadow"
+	"reachspread/internal/transport"
+)
+
+// closeFor is how long the end of the program may wait for the last records.
+const closeFor = 200 * time.Millisecond
+
+// startMirror turns on what the operators' settings say.
+func (p *Program) startMirror(servers *transport.RealServers) error {
+	var refused uint64
+	p.mirror = mirror.New(mirror.Options{Balance: p.cfg.balance, Seed: p.cfg.seed, Connect: p.cfg.connectFor(),
+		Idle: time.Duration(p.cfg.Settings.Limits.KeepaliveNs), Log: p.log,
+		Sample: func() shadow.Sample {
+			core, front := p.router.Load(), p.front.Load()
+			s := shadow.Sample{Held: core.Held, Late: core.Late, Bodies: front.Bodies,
+				Sockets: max(front.Connections, servers.Load()), Refusals: int(core.TurnedDown - refused)}
+			refused = core.TurnedDown
+			return s
+		}})
+	if dir := p.cfg.set.StatusDir; dir != "" {
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return fmt.Errorf("status: %w", err)
+		}
+		var err error
+		if p.status, err = transport.NewStatus(dir, p.cfg.Name, settings.StatusClients,
+			map[string]func() (any, error){ShadowTopic: p.mirror.Status}); err != nil {
+			return fmt.Errorf("status: %w", err)
+		}
+	}
+	return nil
+}
+
+// ShadowTopic is the path of the shadow pools' state on the status socket.
+const ShadowTopic = "/shadow"
+
+// stopMirror waits a moment for the records of the last copies.
+func (p *Program) stopMirror() {
+	if p.mirror == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeFor)
+	defer cancel()
+	p.mirror.Close(ctx)
+	if p.status != nil {
+		p.status.Close()
+	}
+}
+
+// reloadSettings reads the operators' settings anew and puts the pools in force. The log's format, the status folder
+// and the descriptors set aside count from the start.
+func (p *Program) reloadSettings(cfg *Config) error {
+	if p.file == "" {
+		return nil
+	}
+	if err := cfg.ReadSettings(p.file); err != nil {
+		return err
+	}
+	if got, most := cfg.aside(), p.cfg.aside(); got > most {
+		return fmt.Errorf("%s: shadow and status may use %d descriptors; %d were set aside at the start", p.file, got, most)
+	}
+	return p.mirror.Apply(cfg.set.Shadow)
+}
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -6,6 +6,7 @@
 type scheduling struct {
 	flow   *Flow
 	number int
+	to     string // the real server's id
 }
 
 // book tells the module how a scheduling ended that gave its client nothing.
--- a/internal/routing/entries.go
+++ b/internal/routing/entries.go
@@ -50,3 +50,22 @@
 	e, ok := r.entries[id]
 	return e.Entry, ok && e.state == balance.Serving
 }
+
+// Ready tells whether a real server may be sent to by now.
+func (r *Router) Ready(id string) bool {
+	_, ok := r.ready(id)
+	return ok
+}
+
+// Serving returns how many real servers may be sent to.
+func (r *Router) Serving() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.entries {
+		if e.state == balance.Serving {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -57,3 +57,6 @@
 	})
 	return nil
 }
+
+// Server returns the id of the real server that makes the answer, and how many schedulings came before.
+func (st *Stream) Server() (id string, before int) { return st.s.to, st.s.number }
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -12,6 +12,7 @@
 	case balance.Send:
 		r.send(r.flow(a.ID), a)
 	case balance.Refuse:
+		r.refused.Add(1)
 		r.flow(a.ID).answer(Answer{Verdict: TurnedDown, Wait: a.Away})
 	case balance.Fail:
 		r.flow(a.ID).answer(Answer{Verdict: Failed})
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"reachspread/balance"
@@ -69,9 +70,12 @@
 	log      Logger
 	clock    clock
 	probeFor time.Duration
+	refused  atomic.Uint64 // flows turned down so far
 
 	mu      sync.Mutex
 	pending []balance.Event
+	since   time.Time     // the first of them came
+	late    time.Duration // the longest wait for the deciding goroutine since the last Load
 	entries map[string]entry
 	told    int64 // news from discovery so far
 	flows   map[string]*Flow
@@ -118,9 +122,35 @@
 	}
 }
 
+// Load is how the core fares.
+type Load struct {
+	Held       int           // flows that wait for a real server
+	Late       time.Duration // the longest that an event waited for its decision since the last Load
+	TurnedDown uint64        // flows so far
+}
+
+// Load looks at all open flows, so it is for a few calls in a second.
+func (r *Router) Load() Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := Load{Late: r.late, TurnedDown: r.refused.Load()}
+	if r.late = 0; len(r.pending) > 0 {
+		l.Late = max(l.Late, time.Since(r.since))
+	}
+	for _, f := range r.flows {
+		if f.holds.Load() == 1 && !f.answered.Load() {
+			l.Held++
+		}
+	}
+	return l
+}
+
 // post leaves an event for the deciding goroutine.
 func (r *Router) post(ev balance.Event) {
 	r.mu.Lock()
+	if len(r.pending) == 0 {
+		r.since = time.Now()
+	}
 	r.pending = append(r.pending, ev)
 	r.mu.Unlock()
 	r.rouse()
@@ -139,6 +169,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	events, ended := r.pending, r.ended
+	if len(events) > 0 {
+		r.late = max(r.late, time.Since(r.since))
+	}
 	r.pending, r.ended = nil, nil
 	return events, ended
 }
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -9,7 +9,7 @@
 // send starts one scheduling. The flow's deadline ends it until its answer has begun; its client's leaving ends
 // it at any time.
 func (r *Router) send(f *Flow, a balance.Send) {
-	s := &scheduling{flow: f, number: f.tries}
+	s := &scheduling{flow: f, number: f.tries, to: a.Replica}
 	f.tries++
 	f.holds.Add(1)
 	to, ok := r.ready(a.Replica)
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,404 @@
+// Package settings reads the operators' settings file: HCL, typed, every field checked. An error is one line with
+// the file, the line and the field. It imports the types that it fills and opens nothing but the file itself.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"reachspread/internal/logging"
+	"reachspread/internal/shadow"
+)
+
+// Settings is the whole file. The zero value is that of no file.
+type Settings struct {
+	LogFormat logging.Format
+	StatusDir string // folder of the status socket, empty for none
+	Shadow    Shadow
+}
+
+// Shadow is the block of that name.
+type Shadow struct {
+	TenantHeader string // empty: no tenants
+	Records      Records
+	Pools        []Pool
+}
+
+// Records says where the records of compared answers go.
+type Records struct {
+	Folder    string // empty: none are kept
+	FileBytes int64
+	Files     int
+	Texts     bool // prompts and answers too
+}
+
+// Pool is one candidate pool.
+type Pool struct {
+	Choice      shadow.Choice
+	Decider     shadow.Config
+	Hosts       []Host // in place of Discovery
+	Discovery   string
+	Sockets     int           // connections to its hosts
+	Patience    time.Duration // for the first event of a copy's answer
+	Silent      time.Duration // for its stream
+	AnswerBytes int           // kept of each of the two answers
+}
+
+// Host is a candidate host.
+type Host struct{ ID, Addr, Zone, Kind string }
+
+// Descriptors returns how many the block may use.
+func (s *Settings) Descriptors() int {
+	n := 0
+	for _, p := range s.Shadow.Pools {
+		if n += p.Sockets; p.Discovery != "" {
+			n++
+		}
+	}
+	if s.Shadow.Records.Folder != "" {
+		n += 2 // a file, and the folder when it is listed
+	}
+	if s.StatusDir != "" {
+		n += 1 + StatusClients
+	}
+	return n
+}
+
+// Memory returns how many bytes of bodies and answers the block may hold.
+func (s *Settings) Memory() int64 {
+	var n int64
+	for _, p := range s.Shadow.Pools {
+		n += p.Decider.Caps.Bytes + int64(p.AnswerBytes)*int64(p.Decider.Caps.Answers())
+	}
+	return n
+}
+
+// StatusClients is how many may ask for the status at once.
+const StatusClients = 4
+
+// The file as HCL has it. Durations and sizes are words such as "250ms" and "1MiB".
+type file struct {
+	Body   hcl.Body     `hcl:",body"`
+	Log    *logBlock    `hcl:"log,block"`
+	Status *statusBlock `hcl:"status,block"`
+	Shadow *shadowBlock `hcl:"shadow,block"`
+}
+
+type logBlock struct {
+	Body   hcl.Body `hcl:",body"`
+	Format string   `hcl:"format,optional"`
+}
+
+type statusBlock struct {
+	Body   hcl.Body `hcl:",body"`
+	Folder string   `hcl:"folder"`
+}
+
+type shadowBlock struct {
+	Body         hcl.Body       `hcl:",body"`
+	TenantHeader string         `hcl:"tenant_header,optional"`
+	Records      *recordsBlock  `hcl:"records,block"`
+	Pressure     *pressureBlock `hcl:"pressure,block"`
+	Pools        []poolBlock    `hcl:"pool,block"`
+}
+
+type recordsBlock struct {
+	Body      hcl.Body `hcl:",body"`
+	Folder    string   `hcl:"folder"`
+	FileBytes string   `hcl:"file_bytes,optional"`
+	Files     *int     `hcl:"files,optional"`
+	Texts     bool     `hcl:"texts,optional"`
+}
+
+type pressureBlock struct {
+	Body     hcl.Body `hcl:",body"`
+	Held     *float64 `hcl:"held,optional"`
+	Bodies   *float64 `hcl:"bodies,optional"`
+	Sockets  *float64 `hcl:"sockets,optional"`
+	Late     string   `hcl:"late,optional"`
+	Refusals *float64 `hcl:"refusals,optional"`
+	Hard     *float64 `hcl:"hard,optional"`
+	Grace    string   `hcl:"grace,optional"`
+	Calm     string   `hcl:"calm,optional"`
+}
+
+type poolBlock struct {
+	Body        hcl.Body    `hcl:",body"`
+	Name        string      `hcl:"name,label"`
+	Range       hcl.Range   `hcl:",def_range"`
+	Share       float64     `hcl:"share"`
+	Classes     []string    `hcl:"classes,optional"`
+	Tenants     []string    `hcl:"tenants,optional"`
+	Discovery   string      `hcl:"discovery,optional"`
+	Hosts       []hostBlock `hcl:"host,block"`
+	PerSecond   *float64    `hcl:"copies_per_second,optional"`
+	Out         *int        `hcl:"copies_out,optional"`
+	PerHost     *int        `hcl:"copies_per_host,optional"`
+	Waiting     *int        `hcl:"copies_waiting,optional"`
+	Bytes       string      `hcl:"body_bytes,optional"`
+	Sockets     *int        `hcl:"sockets,optional"`
+	Wait        string      `hcl:"wait,optional"`
+	Patience    string      `hcl:"patience,optional"`
+	Silent      string      `hcl:"silent,optional"`
+	Longest     string      `hcl:"longest,optional"`
+	AnswerBytes string      `hcl:"answer_bytes,optional"`
+	Failures    *int        `hcl:"failures,optional"`
+	RetryFirst  string      `hcl:"retry_first,optional"`
+	RetryMost   string      `hcl:"retry_most,optional"`
+}
+
+type hostBlock struct {
+	Body  hcl.Body  `hcl:",body"`
+	ID    string    `hcl:"id,label"`
+	Range hcl.Range `hcl:",def_range"`
+	Addr  string    `hcl:"addr"`
+	Zone  string    `hcl:"zone,optional"`
+	Kind  string    `hcl:"kind,optional"`
+}
+
+// Read reads and checks the file at path.
+func Read(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text, path)
+}
+
+// Parse reads and checks a file's text; path is for the errors.
+func Parse(text []byte, path string) (*Settings, error) {
+	parsed, diags := hclparse.NewParser().ParseHCL(text, path)
+	if diags.HasErrors() {
+		return nil, oneLine(diags)
+	}
+	var f file
+	if diags := gohcl.DecodeBody(parsed.Body, nil, &f); diags.HasErrors() {
+		return nil, oneLine(diags)
+	}
+	c := new(checker)
+	s := c.settings(&f)
+	return s, c.err
+}
+
+// oneLine makes the first error one line.
+func oneLine(diags hcl.Diagnostics) error {
+	for _, d := range diags {
+		if d.Severity != hcl.DiagError {
+			continue
+		}
+		where := ""
+		if d.Subject != nil {
+			where = fmt.Sprintf("%s:%d: ", d.Subject.Filename, d.Subject.Start.Line)
+		}
+		return fmt.Errorf("%s%s", where, strings.Join(strings.Fields(d.Summary+": "+d.Detail), " "))
+	}
+	return nil
+}
+
+// checker fills in defaults and keeps the first fault.
+type checker struct{ err error }
+
+// fault notes that a field of a block is wrong. What is not set at all is told at the block.
+func (c *checker) fault(body hcl.Body, field, format string, v ...any) {
+	where := hcl.Range{}
+	if b, ok := body.(*hclsyntax.Body); ok {
+		where = b.SrcRange
+		if a := b.Attributes[field]; a != nil {
+			where = a.SrcRange
+		}
+	}
+	c.faultAt(where, field, format, v...)
+}
+
+func (c *checker) faultAt(where hcl.Range, field, format string, v ...any) {
+	if c.err == nil {
+		c.err = fmt.Errorf("%s:%d: %s %s", where.Filename, where.Start.Line, field, fmt.Sprintf(format, v...))
+	}
+}
+
+func (c *checker) duration(body hcl.Body, field, word string, usual time.Duration) time.Duration {
+	if word == "" {
+		return usual
+	}
+	d, err := time.ParseDuration(word)
+	if err != nil || d <= 0 || d > 24*time.Hour {
+		c.fault(body, field, "is %q; it must be a time over 0 and up to 24h, such as 250ms or 2s", word)
+	}
+	return d
+}
+
+func (c *checker) size(body hcl.Body, field, word string, usual, least int64) int64 {
+	if word == "" {
+		return usual
+	}
+	n, err := humanize.ParseBytes(word)
+	if err != nil || n > 1<<40 || int64(n) < least {
+		c.fault(body, field, "is %q; it must be a size such as 64KiB or 1MiB, and %s at least", word, humanize.IBytes(uint64(least)))
+		return usual
+	}
+	return int64(n)
+}
+
+func (c *checker) count(body hcl.Body, field string, n *int, usual, most int) int {
+	if n == nil {
+		return usual
+	}
+	if *n < 1 || *n > most {
+		c.fault(body, field, "is %d; it must be from 1 to %d", *n, most)
+	}
+	return *n
+}
+
+func (c *checker) number(body hcl.Body, field string, n *float64, usual, least, most float64) float64 {
+	if n == nil {
+		return usual
+	}
+	if !(*n >= least && *n <= most) {
+		c.fault(body, field, "is %v; it must be from %v to %v", *n, least, most)
+	}
+	return *n
+}
+
+func (c *checker) settings(f *file) *Settings {
+	s := &Settings{LogFormat: logging.Text}
+	if f.Log != nil && f.Log.Format != "" {
+		s.LogFormat = logging.Format(f.Log.Format)
+		if s.LogFormat != logging.Text && s.LogFormat != logging.JSON {
+			c.fault(f.Log.Body, "format", "is %q; it must be text or json", f.Log.Format)
+		}
+	}
+	if f.Status != nil {
+		if s.StatusDir = f.Status.Folder; s.StatusDir == "" {
+			c.fault(f.Status.Body, "folder", "is empty; it must name a folder for the socket")
+		}
+	}
+	if f.Shadow != nil {
+		s.Shadow = c.shadow(f.Shadow)
+	}
+	return s
+}
+
+var headerName = regexp.MustCompile(`^[A-Za-z0-9-]+$`)
+
+func (c *checker) shadow(b *shadowBlock) Shadow {
+	s := Shadow{TenantHeader: b.TenantHeader}
+	if b.TenantHeader != "" && !headerName.MatchString(b.TenantHeader) {
+		c.fault(b.Body, "tenant_header", "is %q; it must be the name of a header", b.TenantHeader)
+	}
+	if r := b.Records; r != nil {
+		s.Records = Records{Folder: r.Folder, Texts: r.Texts, Files: c.count(r.Body, "files", r.Files, 16, 10_000),
+			FileBytes: c.size(r.Body, "file_bytes", r.FileBytes, 8<<20, 4<<10)}
+		if r.Folder == "" {
+			c.fault(r.Body, "folder", "is empty; it must name a folder")
+		}
+		s.Records.Folder = filepath.Clean(s.Records.Folder)
+	}
+	pressure := c.pressure(b.Pressure)
+	names := map[string]bool{}
+	for i := range b.Pools {
+		p := &b.Pools[i]
+		if names[p.Name] {
+			c.faultAt(p.Range, "pool", "%q is there twice; each pool needs a name of its own", p.Name)
+		}
+		names[p.Name] = true
+		pool := c.pool(p, s.TenantHeader)
+		pool.Decider.Pressure = pressure
+		s.Pools = append(s.Pools, pool)
+	}
+	if len(b.Pools) > shadow.MostPools {
+		c.faultAt(b.Pools[shadow.MostPools].Range, "pool", "is number %d; there may be %d", shadow.MostPools+1, shadow.MostPools)
+	}
+	return s
+}
+
+func (c *checker) pressure(b *pressureBlock) shadow.Pressure {
+	if b == nil {
+		b = new(pressureBlock)
+	}
+	return shadow.Pressure{
+		Held:     c.number(b.Body, "held", b.Held, 8, 1, 1e6),
+		Bodies:   c.number(b.Body, "bodies", b.Bodies, 0.5, 0.01, 1),
+		Sockets:  c.number(b.Body, "sockets", b.Sockets, 0.7, 0.01, 1),
+		Late:     c.duration(b.Body, "late", b.Late, 10*time.Millisecond),
+		Refusals: c.number(b.Body, "refusals", b.Refusals, 2, 0.1, 1e6),
+		Hard:     c.number(b.Body, "hard", b.Hard, 2, 1, 100),
+		Grace:    c.duration(b.Body, "grace", b.Grace, 500*time.Millisecond),
+		Calm:     c.duration(b.Body, "calm", b.Calm, 2*time.Second),
+	}
+}
+
+var poolName = regexp.MustCompile(`^[a-z0-9-]{1,32}$`)
+
+func (c *checker) pool(b *poolBlock, tenants string) Pool {
+	p := Pool{
+		Choice:    shadow.Choice{Pool: b.Name, Share: b.Share, Classes: b.Classes, Tenants: b.Tenants},
+		Discovery: b.Discovery,
+		Sockets:   c.count(b.Body, "sockets", b.Sockets, 16, 10_000),
+		Patience:  c.duration(b.Body, "patience", b.Patience, 30*time.Second),
+		Silent:    c.duration(b.Body, "silent", b.Silent, 15*time.Second),
+		// An answer of the platform's longest body must not push out the caps of everything else.
+		AnswerBytes: int(c.size(b.Body, "answer_bytes", b.AnswerBytes, 32<<10, 1<<10)),
+		Decider: shadow.Config{
+			Caps: shadow.Caps{
+				PerSecond: c.number(b.Body, "copies_per_second", b.PerSecond, 5, 0.01, 1000),
+				Out:       c.count(b.Body, "copies_out", b.Out, 8, 1000),
+				PerHost:   c.count(b.Body, "copies_per_host", b.PerHost, 4, 1000),
+				Waiting:   c.count(b.Body, "copies_waiting", b.Waiting, 16, 1000),
+				Bytes:     c.size(b.Body, "body_bytes", b.Bytes, 1<<20, 1<<10),
+				Wait:      c.duration(b.Body, "wait", b.Wait, time.Second),
+				Longest:   c.duration(b.Body, "longest", b.Longest, 2*time.Minute),
+			},
+			Health: shadow.Health{
+				Failures: c.count(b.Body, "failures", b.Failures, 5, 1000),
+				First:    c.duration(b.Body, "retry_first", b.RetryFirst, time.Second),
+				Most:     c.duration(b.Body, "retry_most", b.RetryMost, time.Minute),
+			},
+		},
+	}
+	h := &p.Decider.Health
+	switch {
+	case !poolName.MatchString(b.Name):
+		c.faultAt(b.Range, "pool", "%q: a name has 1 to 32 small letters, digits and hyphens", b.Name)
+	case !(b.Share >= 0 && b.Share <= 1):
+		c.fault(b.Body, "share", "is %v; it must be from 0 to 1", b.Share)
+	case len(b.Tenants) > 0 && tenants == "":
+		c.fault(b.Body, "tenants", "needs tenant_header in the block shadow, which says where a tenant stands")
+	case slices.Contains(b.Classes, "") || slices.Contains(b.Tenants, ""):
+		c.fault(b.Body, "classes", "and tenants hold an empty name")
+	case b.Discovery == "" && len(b.Hosts) == 0:
+		c.faultAt(b.Range, "pool", "%q has no hosts; it needs blocks host, or discovery", b.Name)
+	case b.Discovery != "" && len(b.Hosts) > 0:
+		c.fault(b.Body, "discovery", "and blocks host exclude each other")
+	case h.First > h.Most:
+		c.fault(b.Body, "retry_first", "is %v; it must not be more than retry_most, %v", h.First, h.Most)
+	case p.Patience > p.Decider.Caps.Longest:
+		c.fault(b.Body, "patience", "is %v; it must not be more than longest, %v", p.Patience, p.Decider.Caps.Longest)
+	}
+	if _, _, err := net.SplitHostPort(b.Discovery); b.Discovery != "" && err != nil {
+		c.fault(b.Body, "discovery", "is %q; it must be an address with a port", b.Discovery)
+	}
+	ids := map[string]bool{}
+	for _, host := range b.Hosts {
+		if _, _, err := net.SplitHostPort(host.Addr); err != nil {
+			c.fault(host.Body, "addr", "is %q; it must be an address with a port", host.Addr)
+		}
+		if host.ID == "" || ids[host.ID] {
+			c.faultAt(host.Range, "host", "%q is empty or there twice in its pool", host.ID)
+		}
+		ids[host.ID] = true
+		p.Hosts = append(p.Hosts, Host{ID: host.ID, Addr: host.Addr, Zone: host.Zone, Kind: host.Kind})
+	}
+	return p
+}
--- a/internal/shadow/decider.go
+++ b/internal/shadow/decider.go
@@ -11,8 +11,8 @@
 	staleAfter = 500 * time.Millisecond
 	// mostGaps bounds the conversations known to have a gap; the oldest is forgotten first.
 	mostGaps = 1024
-	// pairingFor bounds the records that wait for a live answer, as a multiple of the copies that may be out.
-	pairingFor = 4
+	// pairingFor bounds the copies that have ended and wait for their live answer, as a multiple of those out.
+	pairingFor = 2
 	// mostCalm bounds the doubling of Pressure.Calm, as a multiple.
 	mostCalm = 16
 	// steady is how long the pool must have been up, as a multiple of Health.Most, for its trials to begin anew.
@@ -37,10 +37,10 @@
 	since   time.Duration // offered, then started
 	cause   Cause         // why it is not comparable, so far
 	ending  bool          // End was given
-	trial   bool
-	held    Cause // what kept it waiting last
-	live    bool  // the live answer has ended
-	whole   bool  // and was whole
+	capped  bool          // a host was denied to it for PerHost
+	held    Cause         // what kept it waiting last
+	live    bool          // the live answer has ended
+	whole   bool          // and was whole
 }
 
 // Decider decides for one pool.
@@ -53,7 +53,7 @@
 	copies  map[uint64]*copying
 	queue   []*copying // that wait, in their order
 	outs    []*copying // that are out, in the order of their start
-	pairs   int
+	pairs   []*copying // that have ended and wait for their live answer
 	bytes   int64
 	seats   map[string]int
 	starts  []time.Duration // the last ones, as many as may start in a window
@@ -124,7 +124,7 @@
 func (d *Decider) Counts() Counts {
 	c := d.count
 	c.Dropped, c.Ended, c.Incomparable, c.Pressed = clone(c.Dropped), clone(c.Ended), clone(c.Incomparable), clone(c.Pressed)
-	c.Waiting, c.Out, c.Pairing, c.Bytes = len(d.queue), len(d.outs), d.pairs, d.bytes
+	c.Waiting, c.Out, c.Pairing, c.Bytes = len(d.queue), len(d.outs), len(d.pairs), d.bytes
 	c.Level, c.Hosts, c.Down = d.level, d.hosts, d.down
 	if d.down {
 		c.Retry = d.retry
@@ -190,12 +190,15 @@
 // seat grants a scheduling unless the host has as many as it may, or the copy is to end.
 func (d *Decider) seat(e Seat) {
 	c := d.copies[e.Copy]
-	ok := c != nil && c.state == out && !c.ending && d.level == Calm && !d.closed
-	if ok && d.seats[e.Host] >= d.c.Caps.PerHost {
+	ok := c != nil && c.state == out && !c.ending
+	switch {
+	case ok && d.level != Calm:
 		ok = false
+		d.end(c, Pressed)
+	case ok && d.seats[e.Host] >= d.c.Caps.PerHost:
+		ok, c.capped = false, true
 		d.count.HostFull++
-	}
-	if ok {
+	case ok:
 		d.seats[e.Host]++
 	}
 	d.do(Seated{e.Copy, e.Host, ok})
@@ -207,7 +210,6 @@
 		return
 	}
 	d.outs = without(d.outs, c)
-	d.bytes -= c.bytes
 	c.state = pairing
 	if c.cause == "" {
 		c.cause = e.How
@@ -217,7 +219,7 @@
 		d.record(c)
 		return
 	}
-	d.pairs++
+	d.pairs = append(d.pairs, c)
 }
 
 // liveEnded pairs the answers up. Without a whole live answer there is nothing to compare with, so a copy that waits
@@ -230,7 +232,7 @@
 	c.live, c.whole = true, e.Whole
 	switch {
 	case c.state == pairing:
-		d.pairs--
+		d.pairs = without(d.pairs, c)
 		d.record(c)
 	case !e.Whole && c.state == waiting:
 		d.unqueue(c, NoLive)
@@ -240,17 +242,21 @@
 }
 
 func (d *Decider) record(c *copying) {
+	if c.cause == "" && !c.live {
+		c.cause = Closing
+	}
 	if c.cause == "" && !c.whole {
 		c.cause = NoLive
 	}
 	delete(d.copies, c.id)
+	d.bytes -= c.bytes
 	d.count.Recorded++
 	if c.cause == "" {
 		d.count.Compared++
 	} else {
 		d.count.Incomparable[c.cause]++
 	}
-	d.do(Record{c.id, c.cause})
+	d.do(Record{c.id, c.cause, c.live})
 }
 
 // end gives up a copy that is out. The first cause stays.
@@ -283,7 +289,7 @@
 		bad = c.cause == TooLong
 	}
 	switch {
-	case c.ending && !bad || how == Unfit:
+	case c.ending && !bad, how == Unfit, how == TurnedDown && c.capped:
 		return
 	case bad:
 		d.failures++
@@ -386,6 +392,11 @@
 			d.end(c, TooLong)
 		}
 	}
+	for d.closed && len(d.pairs) > 0 { // nobody waits for their live answers any more
+		c := d.pairs[0]
+		d.pairs = d.pairs[1:]
+		d.record(c)
+	}
 }
 
 // unwanted tells why a copy must not wait any longer.
@@ -401,7 +412,7 @@
 		return PoolDown
 	case d.now-c.since > d.c.Caps.Wait:
 		if c.held == "" {
-			return OverOut
+			return Pressed // nothing but the lack of a sample kept it
 		}
 		return c.held
 	}
@@ -424,7 +435,7 @@
 		return false
 	case d.down && (d.trial != nil || d.now < d.retry):
 		return false
-	case len(d.outs) >= d.c.Caps.Out || d.pairs >= pairingFor*d.c.Caps.Out:
+	case len(d.outs) >= d.c.Caps.Out || len(d.pairs) >= pairingFor*d.c.Caps.Out:
 		c.held = OverOut
 		return false
 	}
@@ -453,7 +464,7 @@
 	c.state, c.since = out, d.now
 	d.outs = append(d.outs, c)
 	if d.down {
-		c.trial, d.trial = true, c
+		d.trial = c
 	}
 	d.count.Started++
 	d.do(Start{c.id, d.gaps[c.session]})
--- a/internal/shadow/types.go
+++ b/internal/shadow/types.go
@@ -17,12 +17,15 @@
 	PerSecond float64       // copies started in any second; under 1, one in that many seconds
 	Out       int           // copies started and not ended
 	PerHost   int           // schedulings out to one candidate host
-	Bytes     int64         // of the bodies of all copies that wait or are out
+	Bytes     int64         // of the bodies of all copies, until their Drop or Record
 	Waiting   int           // copies that wait to be started
 	Wait      time.Duration // for a copy to be started; after that it is dropped
 	Longest   time.Duration // from a copy's start to the end of its answer
 }
 
+// Answers returns how many answers may be kept at once, of both sides.
+func (c Caps) Answers() int { return c.Waiting + 2*(1+pairingFor)*c.Out }
+
 // Pressure says when the live path is taken to be short of something. A signal counts from High on and is over at
 // half of it; at Hard times High, running copies end as well.
 type Pressure struct {
@@ -165,6 +168,7 @@
 type Record struct {
 	Copy  uint64
 	Cause Cause
+	Live  bool // the live answer has ended
 }
 
 // Down says that the pool is taken for down until a trial copy succeeds.
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -26,12 +26,14 @@
 
 // Front listens for clients and hands their requests to the core.
 type Front struct {
-	router  *routing.Router
-	server  *fasthttp.Server
-	limits  FrontLimits
-	bodies  atomic.Int64 // bytes of all bodies that are held
-	ready   atomic.Bool
-	leaving atomic.Bool
+	router   *routing.Router
+	server   *fasthttp.Server
+	limits   FrontLimits
+	listener *listener
+	tap      Tap          // nil for none
+	bodies   atomic.Int64 // bytes of all bodies that are held
+	ready    atomic.Bool
+	leaving  atomic.Bool
 }
 
 // FrontLimits bounds what clients may take up.
@@ -41,8 +43,10 @@
 }
 
 // NewFront returns a front that keeps to the limits.
-func NewFront(r *routing.Router, limits FrontLimits) *Front {
-	f := &Front{router: r, limits: limits}
+// A tap may be nil.
+func NewFront(r *routing.Router, limits FrontLimits, tap Tap) *Front {
+	f := &Front{router: r, limits: limits, tap: tap}
+	f.listener = &listener{most: limits.Connections, conns: map[*clientConn]bool{}}
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
 		ErrorHandler:                 refuse,
@@ -64,7 +68,8 @@
 
 // Serve answers the clients that connect to ln until Shutdown.
 func (f *Front) Serve(ln net.Listener) error {
-	return f.server.Serve(&listener{Listener: ln, most: f.limits.Connections, conns: map[*clientConn]bool{}})
+	f.listener.Listener = ln
+	return f.server.Serve(f.listener)
 }
 
 // SetReady says what /-/ready is to answer.
@@ -116,7 +121,7 @@
 		reject(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	m := &message{
+	m := &Message{
 		method:      append([]byte(nil), header.Method()...),
 		uri:         append([]byte(nil), header.RequestURI()...),
 		contentType: append([]byte(nil), header.ContentType()...),
@@ -130,6 +135,10 @@
 		reject(ctx, fasthttp.StatusConflict, err.Error())
 		return
 	}
+	var watcher Watcher
+	if f.tap != nil {
+		watcher = f.offer(header, &arrival, came, m)
+	}
 	stop := conn.watch(func() { f.router.Leave(flow) })
 	end := func() {
 		stop()
@@ -138,10 +147,18 @@
 	answer, ok := flow.Wait()
 	if ok && answer.Verdict == routing.Served {
 		ctx.Response.Header.SetContentType("text/event-stream")
+		if watcher != nil {
+			watched := &watchedStream{Stream: answer.Stream, watcher: watcher, end: end}
+			ctx.Response.SetBodyStream(watched, -1)
+			return
+		}
 		ctx.Response.SetBodyStream(&relayed{Stream: answer.Stream, end: end}, -1)
 		return
 	}
 	end()
+	if watcher != nil {
+		watcher.Refused(ok, answer.Verdict)
+	}
 	switch {
 	case !ok:
 		ctx.SetConnectionClose() // nobody reads it
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -15,7 +15,7 @@
 // serve starts a front with short times, without a core behind it, and returns its address.
 func serve(t *testing.T, limits FrontLimits) string {
 	t.Helper()
-	front := NewFront(nil, limits)
+	front := NewFront(nil, limits, nil)
 	front.server.ReadTimeout = 200 * time.Millisecond
 	front.SetReady(true)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -131,3 +131,10 @@
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// load returns the share of the connections that are taken.
+func (l *listener) load() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(len(l.conns)) / float64(l.most)
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -28,10 +28,11 @@
 	idleFor    time.Duration // safely under the time after which the other side closes
 	limit      int           // connections in all
 
-	mu    sync.Mutex
-	idle  map[routing.Entry][]*conn // by real server and address, the oldest first; none is empty
-	open  int
-	swept time.Time
+	mu     sync.Mutex
+	idle   map[routing.Entry][]*conn // by real server and address, the oldest first; none is empty
+	open   int
+	closed bool
+	swept  time.Time
 }
 
 // conn is a connection to a real server. Its user has it alone.
@@ -136,6 +137,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		c.Close()
+		p.open--
+		return
+	}
 	c.since = time.Now()
 	p.idle[c.to] = append(p.idle[c.to], c)
 	p.sweep()
@@ -168,6 +174,32 @@
 		delete(p.idle, to)
 	}
 }
+
+// load returns the share of the connections that are in use.
+func (p *pool) load() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := p.open
+	for _, l := range p.idle {
+		used -= len(l)
+	}
+	return float64(used) / float64(p.limit)
+}
+
+// close closes the idle connections, and each other one as soon as it would become idle.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for to, l := range p.idle {
+		for _, c := range l {
+			c.Close()
+		}
+		p.open -= len(l)
+		delete(p.idle, to)
+	}
+}
+
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil {
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -29,11 +29,21 @@
 	mostInterim = 100
 )
 
-// message is a client's request as it came. It implements routing.Message.
-type message struct {
+// Message is a client's request as it came. It implements routing.Message.
+type Message struct {
 	method, uri, contentType, id, body []byte
 }
 
+// WithID returns a copy that shares all bytes with m but goes by another id.
+func (m *Message) WithID(id string) *Message {
+	c := *m
+	c.id = []byte(id)
+	return &c
+}
+
+// Body returns the body as it came, to be read only.
+func (m *Message) Body() []byte { return m.body }
+
 // RealServers sends to real servers. It implements routing.Network.
 type RealServers struct {
 	pool *pool
@@ -59,6 +69,12 @@
 		pool: &pool{connectFor: l.Connect, idleFor: l.Keepalive * 3 / 4, limit: l.Connections, idle: map[routing.Entry][]*conn{}}}
 }
 
+// Load returns the share of the connections that are in use.
+func (s *RealServers) Load() float64 { return s.pool.load() }
+
+// Close closes the idle connections. Those in use close with their users.
+func (s *RealServers) Close() { s.pool.close() }
+
 // Forget closes the idle connections to a real server.
 func (s *RealServers) Forget(id string) {
 	s.judgeLoad(id, nil)
@@ -67,7 +83,7 @@
 
 // Schedule implements routing.Network. Nothing is ever sent a second time here: that is the module's decision.
 func (s *RealServers) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message) routing.Head {
-	msg := m.(*message)
+	msg := m.(*Message)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethodBytes(msg.method)
--- /dev/null
+++ b/internal/transport/status.go
@@ -0,0 +1,107 @@
+package transport
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	statusFor  = 2 * time.Second // for each side to be done with one question
+	statusMost = 4 << 20
+)
+
+// Status answers questions about the running router on a Unix socket, which only its own user may open.
+type Status struct {
+	path   string
+	server *fasthttp.Server
+	ln     net.Listener
+}
+
+// NewStatus listens on the socket name.sock in a folder that must exist. Each topic is asked for as a path and
+// answered as JSON. A socket left over by a process that is gone is replaced; one that answers is an error.
+func NewStatus(folder, name string, clients int, topics map[string]func() (any, error)) (*Status, error) {
+	s := &Status{path: filepath.Join(folder, name+".sock")}
+	if c, err := net.DialTimeout("unix", s.path, statusFor); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("%s is another router's", s.path)
+	}
+	if err := os.Remove(s.path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	var err error
+	if s.ln, err = net.Listen("unix", s.path); err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(s.path, 0o600); err != nil {
+		s.ln.Close()
+		return nil, err
+	}
+	s.server = &fasthttp.Server{
+		Concurrency: clients, IdleTimeout: statusFor, ReadTimeout: statusFor, WriteTimeout: statusFor,
+		DisableKeepalive: true, NoDefaultServerHeader: true, Logger: log.New(io.Discard, "", 0),
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			topic, ok := topics[string(ctx.Path())]
+			if !ok {
+				answerLine(ctx, fasthttp.StatusNotFound, "no such topic")
+				return
+			}
+			state, err := topic()
+			if err != nil {
+				answerLine(ctx, fasthttp.StatusServiceUnavailable, err.Error())
+				return
+			}
+			text, err := json.Marshal(state)
+			if err != nil {
+				answerLine(ctx, fasthttp.StatusInternalServerError, err.Error())
+				return
+			}
+			ctx.SetContentType("application/json")
+			ctx.SetBody(text)
+		},
+	}
+	go s.server.Serve(s.ln)
+	return s, nil
+}
+
+// Close ends it and removes the socket.
+func (s *Status) Close() { s.ln.Close() }
+
+// AskStatus asks the router on a socket about a topic.
+func AskStatus(socket, topic string) ([]byte, error) {
+	client := fasthttp.Client{
+		Dial:        func(string) (net.Conn, error) { return net.DialTimeout("unix", socket, statusFor) },
+		ReadTimeout: statusFor, WriteTimeout: statusFor, MaxResponseBodySize: statusMost,
+	}
+	code, text, err := client.GetTimeout(nil, "http://status"+topic, statusFor)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", socket, err)
+	}
+	if code != fasthttp.StatusOK {
+		return nil, fmt.Errorf("%s: status %d: %s", socket, code, text)
+	}
+	return text, nil
+}
+
+// StatusSocket returns the only socket in a folder, or that of the router named.
+func StatusSocket(folder, name string) (string, error) {
+	if name != "" {
+		return filepath.Join(folder, name+".sock"), nil
+	}
+	found, err := filepath.Glob(filepath.Join(folder, "*.sock"))
+	if err != nil {
+		return "", err
+	}
+	if len(found) != 1 {
+		return "", fmt.Errorf("%s holds %d sockets; name the router", folder, len(found))
+	}
+	return found[0], nil
+}
--- a/internal/transport/stories_test.go
+++ b/internal/transport/stories_test.go
@@ -41,7 +41,7 @@
 	network := transport.NewRealServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute,
 		Connections: 10, Silent: 300 * time.Millisecond}, log)
 	r := &router{core: routing.New(b, network, log, time.Second)}
-	front := transport.NewFront(r.core, transport.FrontLimits{Connections: 100, Bodies: 1 << 20})
+	front := transport.NewFront(r.core, transport.FrontLimits{Connections: 100, Bodies: 1 << 20}, nil)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/transport/tap.go
@@ -0,0 +1,100 @@
+package transport
+
+import (
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"reachspread/balance"
+	"reachspread/internal/routing"
+)
+
+// Tap may ask for a copy of each request that is taken in, and never waits. What it costs a request that is not
+// copied is one call of TenantHeader and one of Choose, which take no lock and allocate nothing.
+type Tap interface {
+	// TenantHeader names the header that holds a request's tenant, empty for none.
+	TenantHeader() string
+	// Choose returns who wants a copy of a request, and in the name of which pools. Nil means nobody.
+	Choose(class, session, id string, tenant []byte) (Copier, uint64)
+}
+
+// Copier takes copies.
+type Copier interface {
+	// Copy takes a request, whose bytes it shares from now on, and returns who watches its answer; nil means nobody.
+	Copy(pools uint64, r Taken) Watcher
+}
+
+// Taken is a request that was taken in.
+type Taken struct {
+	Arrival balance.Arrival
+	Tenant  string
+	Came    time.Time // its last byte
+	Message *Message
+}
+
+// Watcher sees the answer to one request as it passes to the client. It is used by one goroutine and never waits.
+type Watcher interface {
+	// Begun says who makes the answer, and how many schedulings came before.
+	Begun(server string, before int)
+	// Feed is given each piece before it goes to the client, and must not keep it.
+	Feed(p []byte)
+	// Ended closes a begun answer: io.EOF says that it was whole, nil that its client left, all else that it broke.
+	Ended(err error)
+	// Refused closes a request that got no answer: ok is false if its client had left.
+	Refused(ok bool, v routing.Verdict)
+}
+
+// offer lets the tap have a copy.
+func (f *Front) offer(header *fasthttp.RequestHeader, a *balance.Arrival, came time.Time, m *Message) Watcher {
+	var tenant []byte
+	if name := f.tap.TenantHeader(); name != "" {
+		tenant = header.Peek(name)
+	}
+	copier, pools := f.tap.Choose(a.Class, a.Session, a.ID, tenant)
+	if copier == nil {
+		return nil
+	}
+	return copier.Copy(pools, Taken{Arrival: *a, Tenant: string(tenant), Came: came, Message: m})
+}
+
+// watchedStream is a stream that ends its flow and shows itself to a watcher.
+type watchedStream struct {
+	*routing.Stream
+	watcher Watcher
+	end     func()
+	begun   bool
+	err     error // the one that ended it
+}
+
+func (w *watchedStream) Read(p []byte) (int, error) {
+	n, err := w.Stream.Read(p)
+	if !w.begun {
+		w.begun = true
+		w.watcher.Begun(w.Stream.Server())
+	}
+	if n > 0 {
+		w.watcher.Feed(p[:n])
+	}
+	if err != nil {
+		w.err = err
+	}
+	return n, err
+}
+
+func (w *watchedStream) Close() error {
+	err := w.Stream.Close()
+	w.end()
+	w.watcher.Ended(w.err)
+	return err
+}
+
+// FrontLoad is how full the front is, in shares of its limits.
+type FrontLoad struct{ Bodies, Connections float64 }
+
+// Load returns how full the front is.
+func (f *Front) Load() FrontLoad {
+	return FrontLoad{Bodies: float64(f.bodies.Load()) / float64(f.limits.Bodies), Connections: f.listener.load()}
+}
+
+var _ io.ReadCloser = (*watchedStream)(nil)
