--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -28,8 +28,7 @@
 	first   time.Time
 	last    time.Time // of the last piece with text
 	end     time.Time
-	server  string
-	before  int
+	from    routing.Source
 	outcome string
 }
 
@@ -66,10 +65,11 @@
 func (c *capture) answer(key []byte) shadow.Answer {
 	read := protocol.ReadAnswer(c.kept)
 	a := shadow.Answer{Text: read.Text, Cut: c.rest != nil, Bytes: c.size, Finish: read.Finish, Tokens: read.Tokens,
-		Kept: read.Kept, First: -1, Between: -1, Whole: -1, Host: c.server, Schedules: c.before}
+		Kept: read.Kept, First: -1, Between: -1, Whole: -1, Wait: -1, Host: c.from.Server, Schedules: c.from.Before}
 	if c.size > 0 {
 		a.First = c.first.Sub(c.since)
 		a.Schedules++
+		a.Wait = max(c.from.Sent.Sub(c.since), 0)
 		digest := hmac.New(sha256.New, key)
 		if c.rest == nil {
 			io.WriteString(digest, a.Text)
@@ -91,7 +91,7 @@
 // side is an answer in a record.
 func side(a shadow.Answer, outcome string, texts bool) records.Side {
 	s := records.Side{Outcome: outcome, Host: a.Host, Schedulings: a.Schedules, Bytes: a.Bytes, Chars: len(a.Text),
-		Digest: a.Digest, Finish: a.Finish, Tokens: known(a.Tokens), Kept: known(a.Kept), FirstMs: millis(a.First),
+		Digest: a.Digest, Finish: a.Finish, Tokens: known(a.Tokens), Kept: known(a.Kept), WaitMs: millis(a.Wait), FirstMs: millis(a.First),
 		BetweenMs: millis(a.Between), WholeMs: millis(a.Whole)}
 	if texts {
 		s.Text = a.Text
@@ -128,7 +128,7 @@
 }
 
 // Begun implements transport.Watcher.
-func (l *live) Begun(server string, before int) { l.answer.server, l.answer.before = server, before }
+func (l *live) Begun(from routing.Source) { l.answer.from = from }
 
 // Feed implements transport.Watcher.
 func (l *live) Feed(p []byte) {
--- a/internal/mirror/pool.go
+++ b/internal/mirror/pool.go
@@ -298,7 +298,7 @@
 		return how
 	}
 	defer answer.Stream.Close()
-	c.answer.server, c.answer.before = answer.Stream.Server()
+	c.answer.from = answer.Stream.Source()
 	for buf := make([]byte, 4096); ; {
 		n, err := answer.Stream.Read(buf)
 		if n > 0 {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -121,9 +121,10 @@
 	Addr  string
 	Calls chan string // the URIs asked for, in their order
 
-	mu    sync.Mutex
-	whole string
-	told  chan string
+	server *http.Server
+	mu     sync.Mutex
+	whole  string
+	told   chan string
 }
 
 // NewDiscovery starts a discovery with this whole list.
@@ -133,13 +134,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return ServeDiscovery(t, ln, whole)
+}
+
+// ServeDiscovery starts a discovery on a listener.
+func ServeDiscovery(t testing.TB, ln net.Listener, whole string) *Discovery {
 	d := &Discovery{Addr: ln.Addr().String(), Calls: make(chan string, 100), whole: whole, told: make(chan string)}
-	server := &http.Server{Handler: d}
-	t.Cleanup(func() { server.Close() })
-	go server.Serve(ln)
+	d.server = &http.Server{Handler: d}
+	t.Cleanup(d.Stop)
+	go d.server.Serve(ln)
 	return d
 }
 
+// Stop ends it with all its connections.
+func (d *Discovery) Stop() { d.server.Close() }
+
 // Tell answers the watch that waits, or the next one.
 func (d *Discovery) Tell(t testing.TB, text string) {
 	t.Helper()
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"reachspread/internal/peers"
+	"reachspread/internal/protocol"
 )
 
 const platform = `{"az":"a","quantumNs":5000000,"services":[{"name":"chat","effect":"safe","streaming":true,` +
@@ -32,6 +33,15 @@
 	return func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] }
 }
 
+func mustList(t testing.TB, text string) *protocol.List {
+	t.Helper()
+	l, err := protocol.ParseList([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 func load(t testing.TB, env func(string) string) *Config {
 	t.Helper()
 	cfg, err := Load(env)
--- /dev/null
+++ b/internal/program/shadow_test.go
@@ -0,0 +1,635 @@
+package program
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"reachspread/internal/mirror"
+	"reachspread/internal/peers"
+	"reachspread/internal/records"
+	"reachspread/internal/shadow"
+	"reachspread/internal/transport"
+)
+
+// shadowed is a running program with one live host and one pool, next.
+type shadowed struct {
+	t       *testing.T
+	p       *Program
+	live    *peers.Model
+	lines   peers.Lines
+	dir     string // of the records, the socket and the settings
+	reload  chan os.Signal
+	sigterm func()
+	exit    chan error
+	addr    string
+	client  *http.Client
+}
+
+// usual is a pool that gets all there is, under pressure thresholds that no busy test machine reaches.
+const usual = `
+status { folder = "DIR" }
+shadow {
+  tenant_header = "X-Tenant"
+  records {
+    folder = "DIR/records"
+  }
+  pressure {
+    late = "1m"
+    calm = "50ms"
+  }
+  pool "next" {
+    share = 1
+    copies_per_second = 1000
+    copies_out = 50
+    copies_per_host = 50
+    failures = 3
+    retry_first = "50ms"
+    retry_most = "200ms"
+    wait = "10s"
+    HOSTS
+  }
+}
+`
+
+func host(addr string) string { return fmt.Sprintf("host \"c0\" {\n addr = %q\n }", addr) }
+
+// startShadow starts it; each pair of replaced words is replaced in the usual settings.
+func startShadow(t *testing.T, hosts string, replaced ...string) *shadowed {
+	t.Helper()
+	return startShadowed(t, peers.NewModel(t, peers.Manner{}), hosts, replaced...)
+}
+
+func startShadowed(t *testing.T, live *peers.Model, hosts string, replaced ...string) *shadowed {
+	t.Helper()
+	d := peers.NewDiscovery(t, peers.List(1, true, peers.Entry("s0", live.Addr, "Ready")))
+	env := configFile(t, "127.0.0.1:1", d.Addr)
+	s := &shadowed{t: t, live: live, lines: make(peers.Lines, 1000), reload: make(chan os.Signal), exit: make(chan error, 1),
+		dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50}}}
+	s.settings(hosts, replaced...)
+	cfg := load(t, env)
+	if err := cfg.ReadSettings(s.path()); err != nil {
+		t.Fatal(err)
+	}
+	s.p = New(cfg, env, s.path(), s.lines)
+	ctx, stop := context.WithCancel(context.Background())
+	s.sigterm = stop
+	go func() { s.exit <- s.p.Run(ctx, s.reload) }()
+	t.Cleanup(func() {
+		stop()
+		s.client.CloseIdleConnections()
+	})
+	s.line("phase name=listing")
+	s.line("phase name=serving")
+	s.addr = s.p.ln.Addr().String()
+	if !strings.Contains(hosts, "discovery") {
+		s.until("hosts are known", func(st mirror.Status) bool { return st.Hosts > 0 })
+	}
+	return s
+}
+
+func (s *shadowed) path() string { return filepath.Join(s.dir, "settings.hcl") }
+
+func (s *shadowed) settings(hosts string, replaced ...string) {
+	text := strings.ReplaceAll(strings.Replace(usual, "HOSTS", hosts, 1), "DIR", s.dir)
+	for i := 0; i < len(replaced); i += 2 {
+		if !strings.Contains(text, replaced[i]) {
+			s.t.Fatalf("the settings have no %q", replaced[i])
+		}
+		text = strings.Replace(text, replaced[i], replaced[i+1], 1)
+	}
+	write(s.t, s.path(), text)
+}
+
+// line waits for a log line that begins so.
+func (s *shadowed) line(want string) string {
+	s.t.Helper()
+	got := peers.Next(s.t, s.lines, want)
+	if !strings.HasPrefix(got, want) {
+		s.t.Fatalf("got the line %q, want %q", got, want)
+	}
+	return got
+}
+
+func (s *shadowed) status() mirror.Report {
+	s.t.Helper()
+	socket, err := transport.StatusSocket(s.dir, "")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	text, err := transport.AskStatus(socket, ShadowTopic)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var r mirror.Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		s.t.Fatal(err)
+	}
+	return r
+}
+
+// until waits for a state of the pool.
+func (s *shadowed) until(what string, ok func(mirror.Status) bool) mirror.Status {
+	s.t.Helper()
+	var r mirror.Report
+	for end := time.Now().Add(peers.Patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if r = s.status(); len(r.Pools) > 0 && ok(r.Pools[0]) {
+			return r.Pools[0]
+		}
+	}
+	s.t.Fatalf("waited in vain until %s: %+v", what, r)
+	panic("unreachable")
+}
+
+// ask sends one live request with a body of its own and returns the answer.
+func (s *shadowed) ask(id, body string, set map[string]string) (status int, answer string, end error) {
+	r := peers.Ask(s.t, s.addr, id, set)
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// served asks and wants the live host's answer.
+func (s *shadowed) served(id string) {
+	s.t.Helper()
+	status, text, err := s.ask(id, id, nil)
+	if want := peers.Words(id, peers.Manner{}); status != 200 || err != nil || strings.Count(text, `"content":"w`) != len(want) ||
+		!strings.Contains(text, want[len(want)-1]) {
+		s.t.Fatalf("%s: got %d %q, %v; want it served by the live host", id, status, text, err)
+	}
+}
+
+var schema = sync.OnceValue(func() *jsonschema.Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(records.Schema))
+	if err != nil {
+		panic(err)
+	}
+	c := jsonschema.NewCompiler()
+	c.AssertFormat()
+	if err := c.AddResource("record.json", doc); err != nil {
+		panic(err)
+	}
+	return c.MustCompile("record.json")
+})
+
+// records ends the program and returns its records, each checked against the schema.
+func (s *shadowed) records() map[string]*records.Record {
+	s.t.Helper()
+	s.stop()
+	found := map[string]*records.Record{}
+	_, err := records.Read(filepath.Join(s.dir, "records"), func(line []byte, r *records.Record) error {
+		doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(line))
+		if err != nil {
+			return err
+		}
+		if err := schema().Validate(doc); err != nil {
+			return fmt.Errorf("%s: %w", line, err)
+		}
+		if found[r.ID] != nil {
+			return fmt.Errorf("%s has two records", r.ID)
+		}
+		found[r.ID] = r
+		return nil
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return found
+}
+
+func (s *shadowed) stop() {
+	s.t.Helper()
+	s.sigterm()
+	if err := peers.Next(s.t, s.exit, "exit"); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// A copy carries the bytes that came under an id of its own, and both answers are compared in text and time.
+func TestShadowCopiesAndCompares(t *testing.T) {
+	seen := make(chan peers.Request, 10)
+	candidate := peers.NewServer(t, peers.Answer(peers.Whole()))
+	go func() {
+		for r := range candidate.Requests {
+			seen <- r
+		}
+	}()
+	s := startShadow(t, host(candidate.Addr))
+	status, _, err := s.ask("q1", `{"stream": true}`, map[string]string{"X-Tenant": "partner"})
+	if status != 200 || err != nil {
+		t.Fatal(status, err)
+	}
+	r := peers.Next(t, seen, "a copy")
+	if r.Body != `{"stream": true}` || r.URI != "/v1/chat/completions?a=%20b" || !strings.HasPrefix(r.Header.Get("X-Correlation-Id"), "q1~next~") {
+		t.Errorf("the copy is %+v", r)
+	}
+	st := s.until("it is recorded", func(st mirror.Status) bool { return st.Recorded == 1 })
+	if st.Times["chat"].Count != 1 || st.BodyBytes != 0 || st.Out != 0 {
+		t.Errorf("%+v", st)
+	}
+	if n, _, _, _ := s.live.Counts(); n != 1 {
+		t.Errorf("the live host had %d attempts", n)
+	}
+	got := s.records()["q1"]
+	if got == nil || got.Compared == nil || got.Live.FirstMs == nil || got.Live.WaitMs == nil || *got.Live.WaitMs > *got.Live.FirstMs || got.Copy.WholeMs == nil || got.Live.Digest == got.Copy.Digest {
+		t.Fatalf("%+v", got)
+	}
+	if diff := cmp.Diff(&records.Compared{Text: "differs", Similarity: 0, Finish: false}, got.Compared); diff != "" {
+		t.Error(diff)
+	}
+	if got.Tenant != "partner" || got.Live.Host != "s0" || got.Copy.Host != "c0" || *got.Live.Tokens != 10 || got.Copy.Tokens != nil || *got.Live.Kept != 3 {
+		t.Errorf("%+v", got)
+	}
+	text, err := json.Marshal(got)
+	if err != nil || bytes.Contains(text, []byte("oqvh")) || bytes.Contains(text, []byte("stream")) {
+		t.Errorf("a record holds a customer's words: %s %v", text, err)
+	}
+}
+
+func TestShadowKeepsTextsWhereTold(t *testing.T) {
+	s := startShadow(t, host(peers.NewModel(t, peers.Manner{Accent: "x"}).Addr), "records {", "records {\n texts = true")
+	s.served("prompt")
+	s.until("it is recorded", func(st mirror.Status) bool { return st.Recorded == 1 })
+	r := s.records()["prompt"]
+	words := strings.Join(peers.Words("prompt", peers.Manner{}), "")
+	if r.Body != "prompt" || r.Live.Text != words || r.Copy.Text != words+"x" || r.Compared.Similarity != 0.9 {
+		t.Errorf("%+v %+v", r, r.Compared)
+	}
+}
+
+// Whatever the candidates do, each live request has its answer, and each copy its record with the cause.
+func TestShadowCandidatesThatFail(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		manner peers.Manner
+		set    []string
+		cause  shadow.Cause // of the records
+		down   bool
+	}{
+		{"says nothing", peers.Manner{Silent: true}, []string{"share = 1", "share = 1\n patience = \"100ms\""}, shadow.TurnedDown, true},
+		{"a twentieth of the pace", peers.Manner{Gap: 40 * time.Millisecond}, []string{"share = 1", "share = 1\n patience = \"150ms\"\n longest = \"200ms\""}, shadow.TooLong, true},
+		{"falls silent", peers.Manner{Gap: time.Minute}, []string{"share = 1", "share = 1\n silent = \"100ms\""}, shadow.Broken, true},
+		{"breaks halfway", peers.Manner{Break: true}, nil, shadow.Broken, true},
+		{"errors", peers.Manner{Status: 500}, nil, shadow.TurnedDown, true},
+		{"finds the request at fault", peers.Manner{Status: 404}, nil, shadow.Unfit, false},
+		{"a report that can't be read", peers.Manner{Report: "{"}, nil, "", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			candidate := peers.NewModel(t, tt.manner)
+			s := startShadow(t, host(candidate.Addr), tt.set...)
+			for i := range 3 {
+				s.served(fmt.Sprint("q", i))
+				s.until("the copy is recorded", func(st mirror.Status) bool { return st.Recorded == uint64(i+1) })
+			}
+			st := s.until("nothing is out", func(st mirror.Status) bool { return st.Out+st.Pairing == 0 })
+			if (st.Health == "down") != tt.down {
+				t.Errorf("%+v", st)
+			}
+			if n, _, _, twice := s.live.Counts(); n != 3 || twice != nil {
+				t.Errorf("%d live attempts, %v twice", n, twice)
+			}
+			if _, _, out, twice := candidate.Counts(); out != 0 || twice != nil {
+				t.Errorf("%d candidate attempts are still out, %v twice", out, twice)
+			}
+			got := s.records()
+			for id, r := range got {
+				if shadow.Cause(r.Cause) != tt.cause {
+					t.Errorf("%s: %q, want %q", id, r.Cause, tt.cause)
+				}
+			}
+			if len(got) != 3 {
+				t.Errorf("%d records", len(got))
+			}
+			downs, reports := 0, 0
+			for len(s.lines) > 0 {
+				switch line := <-s.lines; {
+				case strings.HasPrefix(line, "shadow pool down pool=next failures=3"):
+					downs++
+				case strings.HasPrefix(line, "load report unreadable pool=next server=c0"):
+					reports++
+				}
+			}
+			if (downs == 1) != tt.down || (reports == 1) != (tt.manner.Report != "") {
+				t.Errorf("%d lines of a pool that is down, %d of reports", downs, reports)
+			}
+		})
+	}
+}
+
+// Down from the start, revived, killed and revived under load: trials find out, on-call gets a line for each turn, and
+// no live request feels it.
+func TestShadowPoolKilledAndRevived(t *testing.T) {
+	candidate := peers.NewModel(t, peers.Manner{})
+	candidate.Kill()
+	s := startShadow(t, host(candidate.Addr), "share = 1", "share = 1\n patience = \"500ms\"")
+	stop, n := make(chan bool), 0
+	var load sync.WaitGroup
+	load.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				s.served(fmt.Sprint("q", n))
+				n++
+			}
+		}
+	})
+	for range 2 {
+		s.until("it is down", func(st mirror.Status) bool {
+			return st.Health == "down" && st.RetryIn != "" && st.Dropped[shadow.PoolDown] > 0
+		})
+		candidate.Revive(t)
+		before := s.until("it is back", func(st mirror.Status) bool { return st.Health == "up" })
+		s.until("copies are compared", func(st mirror.Status) bool { return st.Compared > before.Compared+10 })
+		candidate.Kill()
+	}
+	s.until("it is down again", func(st mirror.Status) bool { return st.Health == "down" })
+	close(stop)
+	load.Wait()
+	if total, _, _, twice := s.live.Counts(); total != n || twice != nil {
+		t.Errorf("%d live attempts for %d requests, %v twice", total, n, twice)
+	}
+	st := s.until("nothing is out", func(st mirror.Status) bool { return st.Out+st.Pairing+st.Waiting == 0 })
+	if got := s.records(); uint64(len(got)) != st.Started {
+		t.Errorf("%d records of %d copies", len(got), st.Started)
+	}
+}
+
+// A host that drains gets nothing new and finishes what it has; with none left copies are dropped. A lost discovery
+// leaves the last good list in force.
+func TestShadowDrainsAndLostDiscovery(t *testing.T) {
+	hold := make(chan bool)
+	c0, c1 := peers.NewModel(t, peers.Manner{Hold: hold}), peers.NewModel(t, peers.Manner{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := peers.ServeDiscovery(t, ln, peers.List(1, true, peers.Entry("c0", c0.Addr, "Ready")))
+	s := startShadow(t, fmt.Sprintf("discovery = %q", d.Addr))
+	s.until("c0 is known", func(st mirror.Status) bool { return st.Hosts == 1 })
+	s.served("q0")
+	peers.Next(t, c0.Started, "a copy")
+	d.Tell(t, peers.List(2, false, peers.Entry("c0", c0.Addr, "Terminating"), peers.Entry("c1", c1.Addr, "Ready")))
+	// Both are told at once, so one serves before and after: what is sent must tell them apart.
+	for i := 1; c1.Attempts(fmt.Sprintf("q%d~next~%d", i-1, i)) == 0 && i < 50; i++ {
+		s.served(fmt.Sprint("q", i))
+		s.until("it has its record", func(st mirror.Status) bool { return st.Recorded == uint64(i) })
+	}
+	hold <- true
+	st := s.until("the copy that was out is compared", func(st mirror.Status) bool { return st.Out == 0 && st.Pairing == 0 })
+	if st.Compared != st.Started {
+		t.Errorf("%+v", st)
+	}
+	if n, _, _, _ := c0.Counts(); n != 1 {
+		t.Errorf("the host that drains had %d copies, want the first one alone", n)
+	}
+	d.Stop()
+	s.line("discovery lost pool=next")
+	s.served("alone")
+	s.until("the last list serves", func(next mirror.Status) bool { return next.Compared == st.Compared+1 })
+}
+
+// A live answer that fails, or a client that leaves, ends the copy at once: there is nothing to compare it with.
+func TestShadowWithoutALiveAnswer(t *testing.T) {
+	hold := make(chan bool)
+	for name, live := range map[string]peers.Manner{"breaks": {Break: true, Gap: 20 * time.Millisecond}, "client leaves": {Hold: hold}, "fails": {Status: 500, First: 50 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			candidate := peers.NewModel(t, peers.Manner{Hold: hold})
+			s := startShadowed(t, peers.NewModel(t, live), host(candidate.Addr))
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			answered := make(chan bool)
+			go func() {
+				defer close(answered)
+				resp, err := s.client.Do(peers.Ask(t, s.addr, "q", nil).WithContext(ctx))
+				if err == nil {
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			}()
+			peers.Next(t, candidate.Started, "a copy")
+			if live.Hold != nil {
+				peers.Next(t, s.live.Started, "a scheduling")
+				leave()
+			}
+			<-answered
+			s.until("the copy was ended", func(st mirror.Status) bool { return st.Recorded == 1 && st.Ended[shadow.NoLive] == 1 })
+			if r := s.records()["q"]; r.Cause != string(shadow.NoLive) || r.Compared != nil || r.Live.Outcome == "whole" {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+}
+
+// A reload takes up another share with copies out, which go on; a pool that is gone ends its own; a bad file changes
+// nothing, nor does one for which too few descriptors were set aside.
+func TestShadowReload(t *testing.T) {
+	hold := make(chan bool)
+	candidate := peers.NewModel(t, peers.Manner{Hold: hold})
+	s := startShadow(t, host(candidate.Addr))
+	s.served("q0")
+	peers.Next(t, candidate.Started, "a copy")
+	for _, bad := range [][]string{{"share = 1", "share = 2"}, {"share = 1", "share = 1\n sockets = 500"}} {
+		s.settings(host(candidate.Addr), bad...)
+		s.reload <- syscall.SIGHUP
+		s.line("reload refused cause=" + s.path())
+	}
+	s.settings(host(candidate.Addr), "share = 1", "share = 0", "copies_out = 50", "copies_out = 7")
+	s.reload <- syscall.SIGHUP
+	s.line("reloaded")
+	s.served("q1")
+	st := s.until("the share is 0", func(st mirror.Status) bool { return st.Share == 0 && st.Caps.Out == 7 })
+	if st.Offered != 1 || st.Out != 1 {
+		t.Errorf("%+v", st)
+	}
+	hold <- true
+	s.until("the copy went on", func(st mirror.Status) bool { return st.Compared == 1 })
+	s.settings(host(candidate.Addr))
+	s.reload <- syscall.SIGHUP
+	s.line("reloaded")
+	s.served("q2")
+	peers.Next(t, candidate.Started, "a copy")
+	s.settings(host(candidate.Addr), `"next"`, `"other"`)
+	s.reload <- syscall.SIGHUP
+	s.line("reloaded")
+	s.served("q3")
+	s.until("another pool has its place", func(st mirror.Status) bool { return st.Pool == "other" && st.Out == 1 })
+	got := s.records()
+	if got["q0"].Cause != "" || got["q2"].Cause != string(shadow.Closing) || got["q3"].Pool != "other" || len(got) != 3 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// SIGTERM ends copies at once and delays nothing: the live stream that is out is finished, and so is the program
+// once it is.
+func TestShadowSigterm(t *testing.T) {
+	hold := make(chan bool)
+	candidate := peers.NewModel(t, peers.Manner{Silent: true})
+	s := startShadowed(t, peers.NewModel(t, peers.Manner{Hold: hold}), host(candidate.Addr))
+	answered := make(chan error, 1)
+	go func() {
+		status, text, err := s.ask("q", "q", nil)
+		if err == nil && (status != 200 || !strings.Contains(text, "[DONE]")) {
+			err = fmt.Errorf("got %d %q", status, text)
+		}
+		answered <- err
+	}()
+	peers.Next(t, candidate.Started, "a copy")
+	peers.Next(t, s.live.Started, "a scheduling")
+	s.sigterm()
+	for end := time.Now().Add(peers.Patience); ; time.Sleep(time.Millisecond) {
+		if _, _, out, _ := candidate.Counts(); out == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the copy is still out")
+		}
+	}
+	if s.p.Phase() != Leaving {
+		t.Errorf("the copy was out until %s", s.p.Phase())
+	}
+	hold <- true
+	if err := peers.Next(t, answered, "the live answer"); err != nil {
+		t.Error(err)
+	}
+	if r := s.records()["q"]; r.Cause != string(shadow.Closing) || r.Live.Outcome != "open" {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Bodies of 256 KiB under a cap of 1 MiB: four are held, the others dropped, and all live requests served.
+func TestShadowBodiesUnderTheirCap(t *testing.T) {
+	candidate := peers.NewModel(t, peers.Manner{Silent: true})
+	s := startShadow(t, host(candidate.Addr))
+	body := strings.Repeat("x", 256<<10)
+	var asks sync.WaitGroup
+	for i := range 10 {
+		asks.Go(func() {
+			if status, _, err := s.ask(fmt.Sprint("q", i), body, nil); status != 200 || err != nil {
+				t.Errorf("got %d, %v", status, err)
+			}
+		})
+	}
+	asks.Wait()
+	st := s.until("all were offered", func(st mirror.Status) bool { return st.Offered == 10 })
+	if st.Started != 4 || st.Dropped[shadow.OverBytes] != 6 || st.BodyBytes != 1<<20 {
+		t.Errorf("%+v", st)
+	}
+}
+
+// A folder that can't be written costs records and one line, then works again; the router serves on.
+func TestShadowRecordFolderFails(t *testing.T) {
+	s := startShadow(t, host(peers.NewModel(t, peers.Manner{}).Addr))
+	folder := filepath.Join(s.dir, "records")
+	write(t, folder, "a file in its place")
+	for i := range 3 {
+		s.served(fmt.Sprint("q", i))
+	}
+	s.until("all are recorded", func(st mirror.Status) bool { return st.Recorded == 3 })
+	s.line("shadow records lost cause=")
+	if r := s.status().Records; r.Failing == "" || r.Written != 0 {
+		t.Errorf("%+v", r)
+	}
+	if len(s.lines) > 0 {
+		t.Errorf("one more line: %s", <-s.lines)
+	}
+}
+
+// A day with the pool killed, slow, silent and revived by turns: each live request has one final answer, of the same
+// bytes as on the same day without the pool, and no request ever has two attempts out.
+func TestShadowScriptedDay(t *testing.T) {
+	day := func(hosts string, between func(i int), settings ...string) []string {
+		s := startShadow(t, hosts, settings...)
+		answers := make([]string, 120)
+		work := make(chan int)
+		var clients sync.WaitGroup
+		for range 6 {
+			clients.Go(func() {
+				for i := range work {
+					status, text, err := s.ask(fmt.Sprint("q", i), fmt.Sprint("prompt ", i), map[string]string{"X-Session-Key": fmt.Sprint(i / 3)})
+					answers[i] = fmt.Sprint(status, text, err)
+				}
+			})
+		}
+		for i := range answers {
+			between(i)
+			work <- i
+		}
+		close(work)
+		clients.Wait()
+		total, _, out, twice := s.live.Counts()
+		if total != len(answers) || out != 0 || twice != nil {
+			t.Errorf("%d attempts for %d requests, %d out, %v twice", total, len(answers), out, twice)
+		}
+		s.stop()
+		return answers
+	}
+	candidate := peers.NewModel(t, peers.Manner{})
+	without := day(host(candidate.Addr), func(int) {}, "share = 1", "share = 0")
+	if n, _, _, _ := candidate.Counts(); n != 0 {
+		t.Fatalf("%d copies with a share of 0", n)
+	}
+	with := day(host(candidate.Addr), func(i int) {
+		switch i {
+		case 20:
+			candidate.Set(peers.Manner{Silent: true})
+		case 40:
+			candidate.Kill()
+		case 60:
+			candidate.Set(peers.Manner{Gap: 5 * time.Millisecond})
+			candidate.Revive(t)
+		case 80:
+			candidate.Kill()
+		case 100:
+			candidate.Set(peers.Manner{})
+			candidate.Revive(t)
+		}
+	}, "share = 1", "share = 1\n patience = \"100ms\"\n longest = \"300ms\"")
+	if diff := cmp.Diff(without, with); diff != "" {
+		t.Error(diff)
+	}
+	if n, _, _, twice := candidate.Counts(); n == 0 || twice != nil {
+		t.Errorf("%d copies, %v twice", n, twice)
+	}
+}
+
+// Pressure on the live path, here by flows that wait for a real server, drops copies and lets them back.
+func TestShadowYieldsToPressure(t *testing.T) {
+	candidate := peers.NewModel(t, peers.Manner{Silent: true})
+	s := startShadow(t, host(candidate.Addr), "late = \"1m\"", "late = \"1m\"\n held = 1\n grace = \"30ms\"")
+	s.served("q0")
+	peers.Next(t, candidate.Started, "a copy")
+	s.live.Set(peers.Manner{Status: 503})
+	for _, e := range []string{"Terminating", "Ready"} { // no real server: requests are held
+		s.p.tell(mustList(t, peers.List(9, false, peers.Entry("s0", s.live.Addr, e))))
+		if e == "Ready" {
+			break
+		}
+		go s.ask("held", "held", nil)
+		s.until("it yields", func(st mirror.Status) bool { return st.Level == "hard" && st.Ended[shadow.Pressed] > 0 && st.Out == 0 })
+		s.live.Set(peers.Manner{})
+	}
+	s.until("it is calm again", func(st mirror.Status) bool { return st.Level == "calm" })
+	s.served("q1")
+	s.until("a copy is out", func(st mirror.Status) bool { return st.Out == 1 })
+}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -57,6 +57,7 @@
 	Finish      string   `json:"finish,omitempty"`
 	Tokens      *int     `json:"tokens,omitempty"`
 	Kept        *int     `json:"kept_tokens,omitempty"`
+	WaitMs      *float64 `json:"wait_ms,omitempty"`    // from take-in until the scheduling that answered was sent
 	FirstMs     *float64 `json:"first_ms,omitempty"`   // from take-in to the first event
 	BetweenMs   *float64 `json:"between_ms,omitempty"` // mean time between tokens
 	WholeMs     *float64 `json:"whole_ms,omitempty"`
--- /dev/null
+++ b/internal/records/records_test.go
@@ -0,0 +1,106 @@
+package records
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func record(id string) *Record {
+	return &Record{Version: Version, At: time.Unix(1, 0).UTC(), Pool: "next", Class: "chat", ID: id, Session: "0123456789abcdef",
+		Cause: "broken", Live: Side{Outcome: "whole"}, Copy: Side{Outcome: "broken"}}
+}
+
+func ids(t *testing.T, folder string) (found string, cut int) {
+	t.Helper()
+	cut, err := Read(folder, func(_ []byte, r *Record) error { found += r.ID + " "; return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return found, cut
+}
+
+// Files keep to their size and number, and the oldest go first, also those of an earlier process.
+func TestRotation(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "made")
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		w := &Writer{Folder: folder, FileBytes: 1, Files: 3}
+		for _, n := range []string{"1", "2"} {
+			if err := w.Append(record(id + n)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * time.Millisecond) // names count milliseconds
+	}
+	if got, _ := ids(t, folder); got != "d2 e1 e2 " {
+		t.Errorf("left: %s", got)
+	}
+	w := &Writer{Folder: folder, FileBytes: 1 << 20, Files: 3}
+	for range 3 {
+		if err := w.Append(record("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, _ := ids(t, folder); got != "e1 e2 x x x " {
+		t.Errorf("left: %s", got)
+	}
+}
+
+// full takes so many bytes, as a disk does.
+type full struct {
+	io.WriteCloser
+	room int
+}
+
+func (f *full) Write(p []byte) (int, error) {
+	if len(p) <= f.room {
+		f.room -= len(p)
+		return f.WriteCloser.Write(p)
+	}
+	n, _ := f.WriteCloser.Write(p[:f.room])
+	f.room = 0
+	return n, errors.New("no space left")
+}
+
+// A disk that fills up cuts a line off. It stays the last of its file, is passed over when read, and writing goes on
+// in the next file.
+func TestFullDisk(t *testing.T) {
+	folder := t.TempDir()
+	w := &Writer{Folder: folder, FileBytes: 1 << 20, Files: 9, Open: func(path string) (io.WriteCloser, error) {
+		f, err := create(path)
+		return &full{f, 450}, err
+	}}
+	for _, id := range []string{"a", "b", "c"} {
+		if err := w.Append(record(id)); (err != nil) != (id == "b") {
+			t.Fatalf("%s: %v", id, err)
+		}
+	}
+	if got, cut := ids(t, folder); got != "a c " || cut != 1 {
+		t.Errorf("read %s, %d cut off", got, cut)
+	}
+}
+
+// What can't be read is told with file and line; only a last line may be cut off.
+func TestSpoiltFiles(t *testing.T) {
+	for text, want := range map[string]string{
+		"{}\n":                           ":1: version is 0",
+		"{\"version\":1}\n{\n{}":         ":2: unexpected end",
+		"{\"version\":1}\n{\"version\":": "",
+	} {
+		folder := t.TempDir()
+		if err := os.WriteFile(filepath.Join(folder, "shadow-1.ndjson"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Read(folder, func([]byte, *Record) error { return nil })
+		if (err != nil) != (want != "") || err != nil && !strings.Contains(err.Error(), "shadow-1.ndjson"+want) {
+			t.Errorf("%q: got %v, want %q", text, err, want)
+		}
+	}
+	if _, err := Read("nowhere", nil); err == nil {
+		t.Error("a folder that is not there was read")
+	}
+}
--- a/internal/routing/book.go
+++ b/internal/routing/book.go
@@ -1,12 +1,17 @@
 package routing
 
-import "reachspread/balance"
+import (
+	"time"
+
+	"reachspread/balance"
+)
 
 // scheduling is one attempt of a flow.
 type scheduling struct {
 	flow   *Flow
 	number int
-	to     string // the real server's id
+	to     string    // the real server's id
+	sent   time.Time // that it was given to the network
 }
 
 // book tells the module how a scheduling ended that gave its client nothing.
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"sync"
+	"time"
 
 	"reachspread/balance"
 )
@@ -58,5 +59,12 @@
 	return nil
 }
 
-// Server returns the id of the real server that makes the answer, and how many schedulings came before.
-func (st *Stream) Server() (id string, before int) { return st.s.to, st.s.number }
+// Source is where an answer comes from.
+type Source struct {
+	Server string    // the real server's id
+	Before int       // schedulings that came to nothing before
+	Sent   time.Time // that the one which answered was given to the network
+}
+
+// Source returns where the answer comes from.
+func (st *Stream) Source() Source { return Source{st.s.to, st.s.number, st.s.sent} }
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"reachspread/balance"
 )
@@ -9,7 +10,7 @@
 // send starts one scheduling. The flow's deadline ends it until its answer has begun; its client's leaving ends
 // it at any time.
 func (r *Router) send(f *Flow, a balance.Send) {
-	s := &scheduling{flow: f, number: f.tries, to: a.Replica}
+	s := &scheduling{flow: f, number: f.tries, to: a.Replica, sent: time.Now()}
 	f.tries++
 	f.holds.Add(1)
 	to, ok := r.ready(a.Replica)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -346,7 +346,7 @@
 		Choice:    shadow.Choice{Pool: b.Name, Share: b.Share, Classes: b.Classes, Tenants: b.Tenants},
 		Discovery: b.Discovery,
 		Sockets:   c.count(b.Body, "sockets", b.Sockets, 16, 10_000),
-		Patience:  c.duration(b.Body, "patience", b.Patience, 30*time.Second),
+		Patience:  c.duration(b.Body, "patience", b.Patience, 15*time.Second),
 		Silent:    c.duration(b.Body, "silent", b.Silent, 15*time.Second),
 		// An answer of the platform's longest body must not push out the caps of everything else.
 		AnswerBytes: int(c.size(b.Body, "answer_bytes", b.AnswerBytes, 32<<10, 1<<10)),
--- a/internal/shadow/compare.go
+++ b/internal/shadow/compare.go
@@ -37,7 +37,8 @@
 	Digest    string // of the whole stream
 	Finish    string // the reason that it gives for its end
 	Tokens    int
-	Kept      int // prompt tokens that the host still held
+	Kept      int           // prompt tokens that the host still held
+	Wait      time.Duration // until the scheduling that answered was sent: the host's own time begins there
 	First     time.Duration
 	Between   time.Duration // mean time between tokens
 	Whole     time.Duration
--- a/internal/transport/tap.go
+++ b/internal/transport/tap.go
@@ -35,8 +35,8 @@
 
 // Watcher sees the answer to one request as it passes to the client. It is used by one goroutine and never waits.
 type Watcher interface {
-	// Begun says who makes the answer, and how many schedulings came before.
-	Begun(server string, before int)
+	// Begun says where the answer comes from.
+	Begun(from routing.Source)
 	// Feed is given each piece before it goes to the client, and must not keep it.
 	Feed(p []byte)
 	// Ended closes a begun answer: io.EOF says that it was whole, nil that its client left, all else that it broke.
@@ -71,7 +71,7 @@
 	n, err := w.Stream.Read(p)
 	if !w.begun {
 		w.begun = true
-		w.watcher.Begun(w.Stream.Server())
+		w.watcher.Begun(w.Stream.Source())
 	}
 	if n > 0 {
 		w.watcher.Feed(p[:n])
