--- /dev/null
+++ b/cmd/reachreport/main.go
@@ -0,0 +1,66 @@
+// Reachreport makes tables and charts of what the router records.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/report"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "reachreport:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{Use: "reachreport", Short: "Makes reports of what the router records", SilenceUsage: true, SilenceErrors: true}
+	c := &cobra.Command{
+		Use:   "shadow DIR",
+		Short: "Report on the records of shadow pools in a folder",
+		Args:  cobra.ExactArgs(1),
+	}
+	format := c.Flags().String("format", "terminal", "how to print: "+strings.Join(report.Formats, ", "))
+	page := c.Flags().String("html", "", "write one page with charts to this `file`, too")
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		r, err := report.Read(args[0])
+		if err != nil {
+			return err
+		}
+		if *page != "" {
+			if err := writePage(r, *page); err != nil {
+				return err
+			}
+		}
+		return r.Write(cmd.OutOrStdout(), *format)
+	}
+	root.AddCommand(c)
+	return root
+}
+
+// writePage leaves the whole page or none: it takes its name last.
+func writePage(r *report.Report, path string) error {
+	f, err := os.CreateTemp(filepath.Dir(path), ".reachreport-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	out := bufio.NewWriter(f)
+	if err := r.WriteHTML(out); err != nil {
+		return err
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
--- a/cmd/reachspread/shadow.go
+++ b/cmd/reachspread/shadow.go
@@ -11,8 +11,8 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"text/tabwriter"
 
-	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
 	"reachspread/internal/mirror"
@@ -98,10 +98,9 @@
 // printShadow prints one table for each pool, and a line on the records.
 func printShadow(w io.Writer, r *mirror.Report) {
 	for _, p := range r.Pools {
-		t := table.NewWriter()
-		t.SetOutputMirror(w)
-		t.SetTitle("pool %s: %s, %d hosts, pressure %s", p.Pool, p.Health, p.Hosts, p.Level)
-		row := func(name string, v any) { t.AppendRow(table.Row{name, v}) }
+		fmt.Fprintf(w, "pool %s: %s, %d hosts, pressure %s\n", p.Pool, p.Health, p.Hosts, p.Level)
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		row := func(name string, v any) { fmt.Fprintf(t, "  %s\t%v\n", name, v) }
 		if p.RetryIn != "" {
 			row("next trial in", p.RetryIn)
 		}
@@ -132,7 +131,7 @@
 			row(class+", first event, ms p50/p90/p99", spreads(x.LiveFirst, x.CopyFirst))
 			row(class+", whole answer, ms p50/p90/p99", spreads(x.LiveWhole, x.CopyWhole))
 		}
-		t.Render()
+		t.Flush()
 	}
 	switch {
 	case r.Records.Folder == "":
--- /dev/null
+++ b/internal/program/measure_test.go
@@ -0,0 +1,339 @@
+package program
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"reachspread/internal/peers"
+)
+
+// The measurements run the program as a process of its own, on one core, against stand-ins in this one. They are not
+// for CI: docs/measurements/ has the commands and what came of them.
+var (
+	measure  = flag.Bool("measure", false, "run the measurements")
+	seconds  = flag.Int("seconds", 10, "of each turn of a measurement")
+	rounds   = flag.Int("rounds", 3, "of a measurement's turns")
+	rate     = flag.Float64("rate", 60, "requests a second")
+	binaries = flag.String("binaries", "", "programs to compare without settings, by comma")
+	keep     = flag.String("keep", "", "folder to leave the records of the measurement in")
+)
+
+// process is a router under measurement.
+type process struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	addr string
+	log  chan string
+}
+
+func buildRouter(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "reachspread")
+	if out, err := exec.Command("go", "build", "-o", path, "reachspread/cmd/reachspread").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+func startRouter(t *testing.T, binary string, live []*peers.Model, args ...string) *process {
+	t.Helper()
+	var entries []string
+	for i, h := range live {
+		entries = append(entries, peers.Entry(fmt.Sprint("s", i), h.Addr, "Ready"))
+	}
+	d := peers.NewDiscovery(t, peers.List(1, true, entries...))
+	env := configFile(t, "127.0.0.1:1", d.Addr)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, addr: ln.Addr().String(), log: make(chan string, 1000)}
+	ln.Close()
+	p.cmd = exec.Command(binary, append([]string{"serve"}, args...)...)
+	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+env("ROUTER_CONFIG"), "ROUTER_LISTEN="+p.addr)
+	errs, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for lines := bufio.NewScanner(errs); lines.Scan(); {
+			p.log <- lines.Text()
+		}
+		close(p.log)
+	}()
+	t.Cleanup(func() { p.cmd.Process.Kill(); p.cmd.Wait() })
+	p.until("serving")
+	return p
+}
+
+func (p *process) until(words string) {
+	p.t.Helper()
+	for {
+		line := peers.Next(p.t, p.log, words)
+		if line == "" {
+			p.t.Fatalf("the router ended before %q", words)
+		}
+		if strings.Contains(line, words) {
+			return
+		}
+	}
+}
+
+// used returns the CPU time and the most memory that the process has used.
+func (p *process) used() (cpu time.Duration, peakKB int) {
+	p.t.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	for _, field := range fields[11:13] { // user and system time, in hundredths of a second
+		n, _ := strconv.Atoi(field)
+		cpu += time.Duration(n) * 10 * time.Millisecond
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if _, err := fmt.Sscanf(string(status[strings.Index(string(status), "VmHWM:"):]), "VmHWM: %d kB", &peakKB); err != nil {
+		p.t.Fatal(err)
+	}
+	return cpu, peakKB
+}
+
+// parts returns how much of the memory is the process's own, and how much is pages of its file.
+func (p *process) parts() string {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var found []string
+	for line := range strings.Lines(string(status)) {
+		if strings.HasPrefix(line, "RssAnon") || strings.HasPrefix(line, "RssFile") {
+			found = append(found, strings.Join(strings.Fields(line), " "))
+		}
+	}
+	return strings.Join(found, ", ")
+}
+
+// load200 sends requests in an open loop, at times drawn beforehand, and returns when the first event of each came after
+// its time, in microseconds. What is not answered by 200 is counted.
+func load200(t *testing.T, client *http.Client, addr, name string, forSeconds int, perSecond float64) (first *hdrhistogram.Histogram, failed int) {
+	t.Helper()
+	first = hdrhistogram.New(1, 60e6, 3)
+	rng := rand.New(rand.NewPCG(1, uint64(len(name))))
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	start := time.Now()
+	for i, at := 0, 0.0; at < float64(forSeconds); i, at = i+1, at+rng.ExpFloat64()/perSecond {
+		due := start.Add(time.Duration(at * float64(time.Second)))
+		time.Sleep(time.Until(due))
+		all.Go(func() {
+			r := peers.Ask(t, addr, fmt.Sprint(name, i), map[string]string{"X-Session-Key": fmt.Sprint(name, i/3)})
+			body := strings.Repeat("order ", 300) + fmt.Sprint(i)
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+			resp, err := client.Do(r)
+			took := time.Since(due)
+			ok := err == nil && resp.StatusCode == 200
+			if err == nil {
+				var one [1]byte
+				if _, e := resp.Body.Read(one[:]); e != nil {
+					ok = false
+				}
+				took = time.Since(due)
+				if _, e := io.Copy(io.Discard, resp.Body); e != nil {
+					ok = false
+				}
+				resp.Body.Close()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok {
+				failed++
+				return
+			}
+			first.RecordValue(min(took.Microseconds(), 60e6))
+		})
+	}
+	all.Wait()
+	return first, failed
+}
+
+func models(t *testing.T, n int, m peers.Manner) (hosts []*peers.Model) {
+	for range n {
+		hosts = append(hosts, peers.NewModel(t, m))
+	}
+	return hosts
+}
+
+// TestMeasureShadow measures what shadow pools cost live clients: first-event times with the share at 0 and with half
+// of all conversations copied to a pool that is well, killed and revived, slow, or silent, by turns in one process.
+func TestMeasureShadow(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; see docs/measurements/")
+	}
+	manner := peers.Manner{First: 10 * time.Millisecond, Gap: 3 * time.Millisecond, Events: 20}
+	slow := peers.Manner{First: 200 * time.Millisecond, Gap: 60 * time.Millisecond, Events: 20}
+	live, candidates := models(t, 4, manner), models(t, 2, manner)
+	dir := t.TempDir()
+	records := filepath.Join(dir, "records")
+	if *keep != "" {
+		records = *keep
+	}
+	path := filepath.Join(dir, "settings.hcl")
+	share := func(s string) {
+		write(t, path, fmt.Sprintf(`status { folder = %q }
+shadow {
+  records {
+    folder = %q
+  }
+  pool "next" {
+    share = %s
+    copies_per_second = 100
+    copies_out = 16
+    copies_per_host = 8
+    patience = "5s"
+    longest = "20s"
+    host "c0" { 
+      addr = %q
+    }
+    host "c1" { 
+      addr = %q
+    }
+  }
+}
+`, dir, records, s, candidates[0].Addr, candidates[1].Addr))
+	}
+	share("0")
+	p := startRouter(t, buildRouter(t), live, "--settings", path)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+	load200(t, client, p.addr, "warm-up", 3, *rate)
+	turn := func(name, s string, manner peers.Manner) *hdrhistogram.Histogram {
+		share(s)
+		for _, c := range candidates {
+			c.Set(manner)
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.until("reloaded")
+		stop := make(chan bool)
+		var killer sync.WaitGroup
+		if strings.HasPrefix(name, "killed") {
+			killer.Go(func() {
+				for {
+					for _, c := range candidates {
+						c.Kill()
+					}
+					select {
+					case <-time.After(2 * time.Second):
+					case <-stop:
+					}
+					for _, c := range candidates {
+						c.Revive(t)
+					}
+					select {
+					case <-time.After(2 * time.Second):
+					case <-stop:
+						return
+					}
+				}
+			})
+		}
+		before, _ := p.used()
+		h, failed := load200(t, client, p.addr, name, *seconds, *rate)
+		after, _ := p.used()
+		close(stop)
+		killer.Wait()
+		t.Logf("%-22s %5d requests, %d failed, p50 %6.2f ms, p99 %6.2f ms, CPU %5.2f ms a request", name, h.TotalCount(), failed,
+			float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64((after-before).Milliseconds())/float64(h.TotalCount()))
+		return h
+	}
+	kinds := []string{"on", "killed and revived", "slow", "silent"}
+	manners := map[string]peers.Manner{"on": manner, "killed and revived": manner, "slow": slow, "silent": {Silent: true}}
+	sums := map[string]*hdrhistogram.Histogram{}
+	sum := func(kind string, h *hdrhistogram.Histogram) {
+		if sums[kind] == nil {
+			sums[kind] = hdrhistogram.New(1, 60e6, 3)
+		}
+		sums[kind].Merge(h)
+	}
+	var offs []*hdrhistogram.Histogram
+	for round := range *rounds {
+		for _, kind := range kinds {
+			h := turn(fmt.Sprintf("off %d", len(offs)), "0", manner)
+			offs = append(offs, h)
+			sum("off", h)
+			sum(kind, turn(fmt.Sprintf("%s %d", kind, round), "0.5", manners[kind]))
+		}
+	}
+	out, err := exec.Command(p.cmd.Path, "shadow", "status", "--settings", path).CombinedOutput()
+	t.Logf("%v\n%s", err, out)
+	at := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	var table strings.Builder
+	fmt.Fprintf(&table, "\n| shadow | answers | p50 ms | p99 ms | p50 less off | p99 less off |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, kind := range append([]string{"off"}, kinds...) {
+		h := sums[kind]
+		fmt.Fprintf(&table, "| %s | %d | %.2f | %.2f | %+.2f | %+.2f |\n", kind, h.TotalCount(), at(h, 50), at(h, 99),
+			at(h, 50)-at(sums["off"], 50), at(h, 99)-at(sums["off"], 99))
+	}
+	for _, q := range []float64{50, 99} {
+		var each, steps []float64
+		for i, h := range offs {
+			each = append(each, at(h, q))
+			if i > 0 {
+				steps = append(steps, max(each[i]-each[i-1], each[i-1]-each[i]))
+			}
+		}
+		slices.Sort(steps)
+		fmt.Fprintf(&table, "\np%.0f of the %d runs with it off: from %.2f to %.2f ms; two that follow one another differ by %.2f in the median, by %.2f at most.\n",
+			q, len(each), slices.Min(each), slices.Max(each), steps[len(steps)/2], steps[len(steps)-1])
+	}
+	t.Log(table.String())
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestMeasureBinaries compares programs that run without settings, by turns: CPU time a request and the most memory.
+func TestMeasureBinaries(t *testing.T) {
+	if !*measure || *binaries == "" {
+		t.Skip("a measurement; see docs/measurements/")
+	}
+	live := models(t, 4, peers.Manner{First: 10 * time.Millisecond, Gap: 3 * time.Millisecond, Events: 20})
+	for range *rounds {
+		for _, binary := range strings.Split(*binaries, ",") {
+			p := startRouter(t, binary, live)
+			begun, idle := p.used()
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+			h, failed := load200(t, client, p.addr, "q", *seconds, *rate)
+			cpu, peak := p.used()
+			cpu -= begun
+			t.Logf("%s: %d requests, %d failed, p50 %.2f ms, p99 %.2f ms, CPU %.3f ms a request, memory %d kB at the start and %d at most, %s", binary,
+				h.TotalCount(), failed, float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000,
+				float64(cpu.Microseconds())/1000/float64(h.TotalCount()), idle, peak, p.parts())
+			client.CloseIdleConnections()
+			p.cmd.Process.Signal(syscall.SIGTERM)
+			p.cmd.Wait()
+		}
+	}
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,244 @@
+// Package report sums up the records of shadow pools: what was compared, what was not and why, how the texts differ,
+// and how long both sides took, as HDR histograms by pool, class and host. It reads package records and writes
+// tables; charts.go draws. It is for the program reachreport: the router does without it.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"reachspread/internal/records"
+)
+
+// Report is what a folder of records says.
+type Report struct {
+	Folder string    `json:"folder"`
+	From   time.Time `json:"from"`
+	To     time.Time `json:"to"`
+	Cut    int       `json:"cut_lines"` // last lines that were cut off and passed over
+	Pools  []*Pool   `json:"pools"`
+}
+
+// Pool is one pool's part.
+type Pool struct {
+	Name       string         `json:"pool"`
+	Records    int            `json:"records"`
+	Compared   int            `json:"compared"`
+	Gaps       int            `json:"compared_with_gap"` // of conversations that had lost an earlier turn
+	Causes     map[string]int `json:"not_comparable"`
+	Texts      map[string]int `json:"texts"`
+	SameFinish int            `json:"same_finish"`
+	Partial    int            `json:"similarity_of_a_part"`
+	Similarity Spread         `json:"similarity"` // from 0 to 1
+	Tokens     Spread         `json:"more_tokens"`
+	Kept       Spread         `json:"more_kept_tokens"`
+	Groups     []*Group       `json:"groups"`
+
+	similar      []float64
+	tokens, kept []float64
+	groups       map[[2]string]*Group
+}
+
+// Group is the times of comparable answers of one class at one host; empty names stand for all.
+type Group struct {
+	Class string          `json:"class"`
+	Host  string          `json:"host"`
+	Count int             `json:"count"`
+	Times map[string]Pair `json:"times"` // by the name of the time
+
+	live, copied map[string]*hdrhistogram.Histogram
+}
+
+// Pair is one time on both sides, in milliseconds, and the copies' median as a multiple of the live one.
+type Pair struct {
+	Live  Spread  `json:"live_ms"`
+	Copy  Spread  `json:"copy_ms"`
+	Ratio float64 `json:"ratio_p50"`
+}
+
+// Spread is places of a distribution.
+type Spread struct {
+	Count int     `json:"count"`
+	Mean  float64 `json:"mean"`
+	P10   float64 `json:"p10"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+}
+
+// The times, in the order in which they are shown. The host's own first event leaves out the wait for a host.
+const (
+	First   = "first event"
+	Host    = "first event, host's own"
+	Between = "between tokens"
+	Whole   = "whole answer"
+)
+
+var times = []string{First, Host, Between, Whole}
+
+// longest is the most that a histogram holds, in microseconds: an hour.
+const longest = 3600 * 1e6
+
+// Read sums up a folder. Each line must be valid by the records' schema.
+func Read(folder string) (*Report, error) {
+	schema, err := compile()
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{Folder: folder, Pools: []*Pool{}}
+	pools := map[string]*Pool{}
+	r.Cut, err = records.Read(folder, func(line []byte, rec *records.Record) error {
+		doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(line))
+		if err != nil {
+			return err
+		}
+		if err := schema.Validate(doc); err != nil {
+			return fmt.Errorf("not a record: %s", oneLine(err))
+		}
+		p := pools[rec.Pool]
+		if p == nil {
+			p = &Pool{Name: rec.Pool, Causes: map[string]int{}, Texts: map[string]int{}, groups: map[[2]string]*Group{}}
+			pools[rec.Pool] = p
+		}
+		if r.From.IsZero() || rec.At.Before(r.From) {
+			r.From = rec.At
+		}
+		if rec.At.After(r.To) {
+			r.To = rec.At
+		}
+		p.add(rec)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		p := pools[name]
+		p.finish()
+		r.Pools = append(r.Pools, p)
+	}
+	return r, nil
+}
+
+func compile() (*jsonschema.Schema, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(records.Schema))
+	if err != nil {
+		return nil, err
+	}
+	c := jsonschema.NewCompiler()
+	c.AssertFormat()
+	if err := c.AddResource("record.schema.json", doc); err != nil {
+		return nil, err
+	}
+	return c.Compile("record.schema.json")
+}
+
+// oneLine joins the lines of the schema's own words.
+func oneLine(err error) string {
+	return string(bytes.Join(bytes.Fields([]byte(err.Error())), []byte(" ")))
+}
+
+func (p *Pool) add(r *records.Record) {
+	p.Records++
+	if r.Compared == nil {
+		p.Causes[r.Cause]++
+		return
+	}
+	p.Compared++
+	if r.Gap {
+		p.Gaps++
+	}
+	p.Texts[r.Compared.Text]++
+	if r.Compared.Finish {
+		p.SameFinish++
+	}
+	if r.Compared.Partial {
+		p.Partial++
+	}
+	p.similar = append(p.similar, r.Compared.Similarity)
+	if r.Live.Tokens != nil && r.Copy.Tokens != nil {
+		p.tokens = append(p.tokens, float64(r.Compared.Tokens))
+	}
+	if r.Live.Kept != nil && r.Copy.Kept != nil && !r.Gap {
+		p.kept = append(p.kept, float64(r.Compared.Kept))
+	}
+	for _, of := range [][2]string{{"", ""}, {r.Class, ""}, {"", r.Copy.Host}, {r.Class, r.Copy.Host}} {
+		g := p.groups[of]
+		if g == nil {
+			g = &Group{Class: of[0], Host: of[1], live: histograms(), copied: histograms()}
+			p.groups[of] = g
+		}
+		g.Count++
+		record(g.live, &r.Live)
+		record(g.copied, &r.Copy)
+	}
+}
+
+func histograms() map[string]*hdrhistogram.Histogram {
+	m := map[string]*hdrhistogram.Histogram{}
+	for _, name := range times {
+		m[name] = hdrhistogram.New(1, longest, 3)
+	}
+	return m
+}
+
+func record(to map[string]*hdrhistogram.Histogram, s *records.Side) {
+	note := func(name string, ms *float64, less *float64) {
+		if ms == nil {
+			return
+		}
+		v := *ms
+		if less != nil {
+			v -= *less
+		}
+		to[name].RecordValue(int64(min(max(v*1000, 1), longest))) // within its range, it can't fail
+	}
+	note(First, s.FirstMs, nil)
+	note(Host, s.FirstMs, s.WaitMs)
+	note(Between, s.BetweenMs, nil)
+	note(Whole, s.WholeMs, nil)
+}
+
+func (p *Pool) finish() {
+	p.Similarity, p.Tokens, p.Kept = spread(p.similar), spread(p.tokens), spread(p.kept)
+	for _, of := range slices.SortedFunc(maps.Keys(p.groups), func(a, b [2]string) int { return slices.Compare(a[:], b[:]) }) {
+		g := p.groups[of]
+		g.Times = map[string]Pair{}
+		for _, name := range times {
+			pair := Pair{Live: ofHistogram(g.live[name]), Copy: ofHistogram(g.copied[name])}
+			if pair.Live.P50 > 0 {
+				pair.Ratio = pair.Copy.P50 / pair.Live.P50
+			}
+			g.Times[name] = pair
+		}
+		p.Groups = append(p.Groups, g)
+	}
+}
+
+func ofHistogram(h *hdrhistogram.Histogram) Spread {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	if h.TotalCount() == 0 {
+		return Spread{}
+	}
+	return Spread{Count: int(h.TotalCount()), Mean: h.Mean() / 1000, P10: at(10), P50: at(50), P90: at(90), P99: at(99)}
+}
+
+// spread takes the places of values that may be negative, which a histogram can't hold.
+func spread(values []float64) Spread {
+	if len(values) == 0 {
+		return Spread{}
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	at := func(q float64) float64 { return sorted[int(q*float64(len(sorted)-1)+0.5)] }
+	sum := 0.0
+	for _, v := range sorted {
+		sum += v
+	}
+	return Spread{Count: len(sorted), Mean: sum / float64(len(sorted)), P10: at(0.1), P50: at(0.5), P90: at(0.9), P99: at(0.99)}
+}
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,163 @@
+package report
+
+import (
+	"bytes"
+	"encoding/csv"
+	"encoding/json"
+	"encoding/xml"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"reachspread/internal/records"
+)
+
+func num[T any](v T) *T { return &v }
+
+// fill writes a folder of 100 records: 90 compared, 10 broken. Live answers take i ms, copies twice that at a host of
+// two that is found by turns.
+func fill(t testing.TB) string {
+	t.Helper()
+	folder := t.TempDir()
+	w := &records.Writer{Folder: folder, FileBytes: 1 << 20, Files: 9}
+	for i := 1; i <= 100; i++ {
+		ms := float64(i)
+		r := &records.Record{Version: records.Version, At: time.Unix(int64(i), 0).UTC(), Pool: "next", Class: "chat", ID: fmt.Sprint("q", i),
+			Session: "0123456789abcdef", Gap: i == 1,
+			Live: records.Side{Outcome: "whole", Host: "s0", FirstMs: num(ms), WaitMs: num(ms / 2), WholeMs: num(3 * ms), Tokens: num(10), Kept: num(4)},
+			Copy: records.Side{Outcome: "whole", Host: fmt.Sprint("c", i%2), FirstMs: num(2 * ms), WaitMs: num(0.0), WholeMs: num(6 * ms), Tokens: num(12), Kept: num(1)}}
+		if i%10 == 0 {
+			r.Cause, r.Copy = "broken", records.Side{Outcome: "broken"}
+		} else {
+			r.Compared = &records.Compared{Text: "differs", Similarity: ms / 100, Finish: i < 50, Tokens: 2, Kept: -3}
+		}
+		if err := w.Append(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return folder
+}
+
+func near(got, want float64) bool { return math.Abs(got-want) <= 0.01*want+0.01 }
+
+func TestSums(t *testing.T) {
+	r, err := Read(fill(t))
+	if err != nil || len(r.Pools) != 1 {
+		t.Fatal(r, err)
+	}
+	p := r.Pools[0]
+	if p.Records != 100 || p.Compared != 90 || p.Causes["broken"] != 10 || p.Texts["differs"] != 90 || p.SameFinish != 45 || p.Gaps != 1 {
+		t.Errorf("%+v", p)
+	}
+	if p.Tokens != (Spread{90, 2, 2, 2, 2, 2}) || p.Kept.Mean != -3 || p.Kept.Count != 89 {
+		t.Errorf("tokens %+v, kept %+v", p.Tokens, p.Kept)
+	}
+	if len(p.Groups) != 6 { // all, each host, the class, the class at each host
+		t.Fatalf("%d groups", len(p.Groups))
+	}
+	first, own := p.Groups[0].Times[First], p.Groups[0].Times[Host]
+	if !near(first.Live.P50, 50) && !near(first.Live.P50, 49) || !near(first.Ratio, 2) || !near(own.Ratio, 4) || first.Live.Count != 90 {
+		t.Errorf("%+v %+v", first, own)
+	}
+	if g := p.Groups[1]; g.Host != "c0" || g.Count != 40 || g.Times[Between].Live.Count != 0 {
+		t.Errorf("%+v", g)
+	}
+}
+
+func TestFormats(t *testing.T) {
+	folder := fill(t)
+	r, err := Read(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]string{}
+	for _, format := range Formats {
+		var b bytes.Buffer
+		if err := r.Write(&b, format); err != nil {
+			t.Fatal(err)
+		}
+		out[format] = b.String()
+	}
+	for _, format := range []string{"terminal", "markdown"} {
+		for _, want := range []string{"not comparable: broken", "10.0%", "Pool next", "first event, host's own", "2.00"} {
+			if !strings.Contains(out[format], want) {
+				t.Errorf("%s lacks %q:\n%s", format, want, out[format])
+			}
+		}
+	}
+	rows, err := csv.NewReader(strings.NewReader(out["csv"])).ReadAll()
+	if err != nil || len(rows) != 1+7+3*6+6*4*2*6 {
+		t.Errorf("csv: %d rows, %v", len(rows), err)
+	}
+	var back Report
+	if err := json.Unmarshal([]byte(out["json"]), &back); err != nil || back.Pools[0].Compared != 90 {
+		t.Errorf("json: %v %+v", err, back)
+	}
+	if err := r.Write(&bytes.Buffer{}, "odd"); err == nil {
+		t.Error("an odd format was taken")
+	}
+}
+
+// The page stands alone: nothing in it is fetched, and its charts are whole drawings.
+func TestPage(t *testing.T) {
+	folder := fill(t)
+	r, err := Read(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	if err := r.WriteHTML(&b); err != nil {
+		t.Fatal(err)
+	}
+	page := b.String()
+	for _, bad := range []string{"src=", "href=", "<script", "@import", "url("} {
+		if strings.Contains(page, bad) {
+			t.Errorf("the page has %q", bad)
+		}
+	}
+	if n := strings.Count(page, "<svg"); n != 3 {
+		t.Errorf("%d charts", n)
+	}
+	for _, part := range strings.Split(page, "<figure>")[1:] {
+		drawing, _, _ := strings.Cut(part, "</figure>")
+		var any struct{}
+		if err := xml.Unmarshal([]byte(drawing), &any); err != nil {
+			t.Error(err)
+		}
+	}
+	if !strings.HasSuffix(page, "</html>\n") {
+		t.Error("the page is cut off")
+	}
+	// For whoever wants to look at it: REPORT_PAGE=FILE go test ./internal/report -run TestPage
+	if path := os.Getenv("REPORT_PAGE"); path != "" {
+		if err := os.WriteFile(path, b.Bytes(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A line that is JSON but no record is told with file and line; an empty folder is a report of nothing.
+func TestOddFolders(t *testing.T) {
+	folder := t.TempDir()
+	r, err := Read(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	if err := r.Write(&b, "terminal"); err != nil || !strings.Contains(b.String(), "no records") {
+		t.Errorf("%q %v", b.String(), err)
+	}
+	if err := r.WriteHTML(&b); err != nil {
+		t.Error(err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "shadow-1.ndjson"), []byte("{\"version\":1,\"pool\":\"next\"}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Read(folder); err == nil || !strings.Contains(err.Error(), "shadow-1.ndjson:1: not a record") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,7 +15,6 @@
 	"github.com/dustin/go-humanize"
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"reachspread/internal/logging"
@@ -179,7 +178,7 @@
 
 // Parse reads and checks a file's text; path is for the errors.
 func Parse(text []byte, path string) (*Settings, error) {
-	parsed, diags := hclparse.NewParser().ParseHCL(text, path)
+	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
 	if diags.HasErrors() {
 		return nil, oneLine(diags)
 	}
