--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,141 @@
+package mirror
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"reachspread/balance"
+	"reachspread/internal/peers"
+	"reachspread/internal/routing"
+	"reachspread/internal/settings"
+	"reachspread/internal/shadow"
+	"reachspread/internal/transport"
+)
+
+// tapped is a Mirror with one pool of that share, whose host says nothing.
+func tapped(t testing.TB, share float64) *Mirror {
+	t.Helper()
+	m := New(Options{Balance: balance.Config{Zone: "a", MaxAttempts: 3, Tick: time.Millisecond,
+		Classes: []balance.Class{{Name: "chat", Aim: time.Second, Deadline: time.Second, Streamed: true}}},
+		Connect: time.Second, Idle: time.Minute, Log: make(peers.Lines, 100), Sample: func() shadow.Sample { return shadow.Sample{} }})
+	host := peers.NewModel(t, peers.Manner{Silent: true})
+	caps := shadow.Caps{PerSecond: 1000, Out: 4, PerHost: 4, Bytes: 1 << 20, Waiting: 4, Wait: time.Second, Longest: time.Minute}
+	if err := m.Apply(settings.Shadow{Pools: []settings.Pool{{Choice: shadow.Choice{Pool: "next", Share: share},
+		Hosts: []settings.Host{{ID: "c0", Addr: host.Addr}}, Sockets: 10, Patience: time.Minute, Silent: time.Minute, AnswerBytes: 32 << 10,
+		Decider: shadow.Config{Caps: caps, Health: shadow.Health{Failures: 5, First: time.Second, Most: time.Minute},
+			Pressure: shadow.Pressure{Held: 8, Bodies: 0.5, Sockets: 0.7, Late: time.Hour, Refusals: 2, Hard: 2, Grace: time.Second, Calm: time.Second}},
+	}}}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, stop := context.WithTimeout(context.Background(), peers.Patience)
+		defer stop()
+		m.Close(ctx)
+		if ctx.Err() != nil {
+			t.Error("it did not close")
+		}
+	})
+	return m
+}
+
+var arrival = balance.Arrival{ID: "9b1f03aa5c7e2d41", Class: "chat", Session: "7f3a9c21e0b4d655"}
+
+// A request that is not copied costs the live path no allocation, whether nothing is chosen or nothing of it.
+func TestWhatIsNotCopiedAllocatesNothing(t *testing.T) {
+	for _, share := range []float64{0, 1e-9} {
+		var tap transport.Tap = tapped(t, share)
+		if n := testing.AllocsPerRun(1000, func() {
+			if c, _ := tap.Choose(arrival.Class, arrival.Session, arrival.ID, nil); c != nil || tap.TenantHeader() != "" {
+				t.Fatal("chosen")
+			}
+		}); n != 0 {
+			t.Errorf("a share of %v: %v allocations", share, n)
+		}
+	}
+}
+
+// What is not kept of an answer still counts in its length and its digest.
+func TestCapture(t *testing.T) {
+	take := func(most int, pieces ...string) shadow.Answer {
+		c := &capture{most: most, since: time.Now()}
+		for _, p := range pieces {
+			c.feed([]byte(p))
+		}
+		c.finish(whole)
+		return c.answer([]byte("key"))
+	}
+	long := strings.Repeat(peers.Event, 3)
+	kept, cut := take(1<<10, long), take(len(peers.Event), long)
+	if kept.Cut || kept.Text != "oqvhoqvhoqvh" || !cut.Cut || cut.Text != "oqvh" || cut.Bytes != int64(len(long)) {
+		t.Errorf("%+v\n%+v", kept, cut)
+	}
+	if again := take(len(peers.Event), peers.Event, peers.Event[:3], peers.Event[3:], peers.Event); again.Digest != cut.Digest {
+		t.Error("the digest depends on how the answer came")
+	}
+	if other := take(len(peers.Event), peers.Event+strings.ToUpper(peers.Event)+peers.Event); other.Digest == cut.Digest {
+		t.Error("what was not kept is not in the digest")
+	}
+}
+
+// A pool that has ended takes nothing more: seats are denied at once, and nothing piles up.
+func TestAfterTheEnd(t *testing.T) {
+	m := tapped(t, 1)
+	p := m.pools[0]
+	m.Leave()
+	peers.Next(t, p.done, "its end")
+	granted := make(chan bool, 1)
+	p.post(posted{event: shadow.Seat{Copy: 1, Host: "c0"}, granted: granted})
+	if peers.Next(t, granted, "an answer") || len(p.pending) > 0 {
+		t.Error("a seat was granted, or waits")
+	}
+	if c, _ := m.Choose("chat", "s", "q", nil); c != nil {
+		t.Error("a copy was chosen")
+	}
+	if m.Apply(settings.Shadow{}) == nil {
+		t.Error("settings were taken up")
+	}
+}
+
+// offered is what the front does for a request that may be copied.
+func offered(tap transport.Tap, header *fasthttp.RequestHeader, m *transport.Message) transport.Watcher {
+	var tenant []byte
+	if name := tap.TenantHeader(); name != "" {
+		tenant = header.Peek(name)
+	}
+	copier, pools := tap.Choose(arrival.Class, arrival.Session, arrival.ID, tenant)
+	if copier == nil {
+		return nil
+	}
+	return copier.Copy(pools, transport.Taken{Arrival: arrival, Tenant: string(tenant), Came: time.Now(), Message: m})
+}
+
+func BenchmarkTapNothingChosen(b *testing.B) { benchmarkTap(b, 0) }
+func BenchmarkTapNotCopied(b *testing.B)     { benchmarkTap(b, 1e-9) }
+
+// BenchmarkTapCopied is the whole of what a copied request costs its client's path: the offer, the watch of an answer
+// of 20 pieces, and its end. The pool is full most of the time, as a cap is for.
+func BenchmarkTapCopied(b *testing.B) { benchmarkTap(b, 1) }
+
+func benchmarkTap(b *testing.B, share float64) {
+	tap := tapped(b, share)
+	var header fasthttp.RequestHeader
+	message := new(transport.Message)
+	piece := []byte(peers.Event)
+	b.ReportAllocs()
+	for b.Loop() {
+		w := offered(tap, &header, message)
+		if w == nil {
+			continue
+		}
+		w.Begun(routing.Source{Server: "s0"})
+		for range 20 {
+			w.Feed(piece)
+		}
+		w.Ended(io.EOF)
+	}
+}
--- a/internal/program/shadow_test.go
+++ b/internal/program/shadow_test.go
@@ -441,6 +441,29 @@
 	}
 }
 
+// What the settings may take must fit the limits, and a status socket in use is another router's.
+func TestShadowSettingsFitTheLimits(t *testing.T) {
+	s := startShadow(t, host("127.0.0.1:1"))
+	for _, tt := range []struct{ old, new, want string }{
+		{"share = 1", "share = 1\n sockets = 930", "limits.sockets leaves"},
+		{"share = 1", "share = 1\n body_bytes = \"30MiB\"", "an eighth of limits.memory_mb is 25165824"},
+	} {
+		s.settings(host("127.0.0.1:1"), tt.old, tt.new)
+		if err := load(t, configFile(t, "n1", "n1")).ReadSettings(s.path()); err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: got %v", tt.new, err)
+		}
+	}
+	s.settings(host("127.0.0.1:1"))
+	env := configFile(t, "n1", "n1")
+	cfg := load(t, env)
+	if err := cfg.ReadSettings(s.path()); err != nil {
+		t.Fatal(err)
+	}
+	if err := New(cfg, env, s.path(), make(peers.Lines, 10)).Run(context.Background(), nil); err == nil || !strings.Contains(err.Error(), "another router's") {
+		t.Errorf("a second router on the socket: %v", err)
+	}
+}
+
 // A reload takes up another share with copies out, which go on; a pool that is gone ends its own; a bad file changes
 // nothing, nor does one for which too few descriptors were set aside.
 func TestShadowReload(t *testing.T) {
