--- a/internal/shadow/decider.go
+++ b/internal/shadow/decider.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// staleAfter is how old a sample may be before the live path is taken to be in trouble that nobody could report.
+	// staleAfter is how old a sample may be before the live path is taken to be in trouble that nobody could report;
+	// it may be twice Pressure.Late where that is more.
 	staleAfter = 500 * time.Millisecond
 	// mostGaps bounds the conversations known to have a gap; the oldest is forgotten first.
 	mostGaps = 1024
@@ -354,6 +355,9 @@
 	}
 }
 
+// stale is how old a sample may be.
+func (d *Decider) stale() time.Duration { return max(staleAfter, 2*d.c.Pressure.Late) }
+
 // press leaves Calm. Pressure that returns soon makes the next calm a longer one.
 func (d *Decider) press(signal string) {
 	d.count.Pressed[signal]++
@@ -369,9 +373,9 @@
 // running ones end.
 func (d *Decider) settle() {
 	switch {
-	case d.now-d.sampled > staleAfter && d.level == Calm && (d.sampled > 0 || len(d.copies) > 0):
+	case d.now-d.sampled > d.stale() && d.level == Calm && (d.sampled > 0 || len(d.copies) > 0):
 		d.press("no sample")
-	case d.level != Calm && d.now-d.sampled <= staleAfter && d.now-d.lastHot >= d.calmFor:
+	case d.level != Calm && d.now-d.sampled <= d.stale() && d.now-d.lastHot >= d.calmFor:
 		d.level, d.calmAgain = Calm, d.now
 	case d.level == Tense && d.now-d.hotSince >= d.c.Pressure.Grace && d.now-d.lastHot < d.c.Pressure.Grace:
 		d.level = Hard
@@ -431,7 +435,7 @@
 // startable tells whether a copy may start now, and notes on it what keeps it.
 func (d *Decider) startable(c *copying) bool {
 	switch {
-	case d.closed || d.level != Calm || d.hosts == 0 || d.sampled == 0 || d.now-d.sampled > staleAfter:
+	case d.closed || d.level != Calm || d.hosts == 0 || d.sampled == 0 || d.now-d.sampled > d.stale():
 		return false
 	case d.down && (d.trial != nil || d.now < d.retry):
 		return false
