Door: floods of bad clients, and what they do to known ones today, measured

Need: the door's work begins with the failure it is for. Change: peers.Flood and a measurement that plays seven floods at 256 descriptors.

--- a/internal/program/measure_test.go
+++ b/internal/program/measure_test.go
@@ -43,6 +43,9 @@
 	log  chan string
 }
 
+// sockets is the limit of descriptors of the next router.
+var sockets = 1024
+
 func buildRouter(t *testing.T) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "reachspread")
@@ -59,7 +62,7 @@
 		entries = append(entries, peers.Entry(fmt.Sprint("s", i), h.Addr, "Ready"))
 	}
 	d := peers.NewDiscovery(t, peers.List(1, true, entries...))
-	env := configFile(t, "127.0.0.1:1", d.Addr)
+	env := configFile(t, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -67,7 +70,7 @@
 	p := &process{t: t, addr: ln.Addr().String(), log: make(chan string, 1000)}
 	ln.Close()
 	p.cmd = exec.Command(binary, append([]string{"serve"}, args...)...)
-	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+env("ROUTER_CONFIG"), "ROUTER_LISTEN="+p.addr)
+	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+env("ROUTER_CONFIG"), "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+d.Addr)
 	errs, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -337,3 +340,128 @@
 		}
 	}
 }
+
+// floods are what TestMeasureDoor plays: how many bad clients, what they do and from where.
+var floods = []struct {
+	name    string
+	clients int
+	harm    peers.Harm
+	from    func(i int) string
+}{
+	{"no flood", 0, peers.Mute, nil},
+	{"500 silent, one address", 500, peers.Mute, oneAddress},
+	{"500 asking, one address", 500, peers.Asking, oneAddress},
+	{"500 asking, 500 addresses", 500, peers.Asking, manyAddresses},
+	{"2000 silent, 2000 addresses", 2000, peers.Mute, manyAddresses},
+	{"50 connect and close", 50, peers.Flapping, manyAddresses},
+	{"200 trickling", 200, peers.Trickling, manyAddresses},
+}
+
+func oneAddress(int) string      { return "127.0.0.2" }
+func manyAddresses(i int) string { return fmt.Sprintf("127.1.%d.%d", i/250, 1+i%250) }
+
+// TestMeasureDoor measures what floods do to known clients: 40 new connections a second with one request each, at 256
+// descriptors, before a host that answers in 30 ms. -door names a settings file, and -binaries other programs.
+func TestMeasureDoor(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; see docs/measurements/")
+	}
+	programs := []string{""}
+	if *binaries != "" {
+		programs = strings.Split(*binaries, ",")
+	} else {
+		programs[0] = buildRouter(t)
+	}
+	t.Logf("| %s | served | p50 ms | p99 ms | refused | no answer | CPU ms a second | flood |", "flood")
+	for _, binary := range programs {
+		for _, fl := range floods {
+			live := models(t, 4, peers.Manner{First: 30 * time.Millisecond, Events: 2})
+			var args []string
+			if *doorFile != "" {
+				args = []string{"--settings", *doorFile}
+			}
+			sockets = 256
+			p := startRouter(t, binary, live, args...)
+			sockets = 1024
+			var flood *peers.Flood
+			if fl.clients > 0 {
+				flood = peers.NewFlood(p.addr, fl.clients, fl.harm, fl.from, time.Minute)
+				time.Sleep(500 * time.Millisecond)
+			}
+			before, _ := p.used()
+			h, refused, silent := known(t, p.addr, *seconds, 40)
+			after, _ := p.used()
+			summary := "-"
+			if flood != nil {
+				flood.Stop()
+				summary = flood.Summary()
+			}
+			all := int(h.TotalCount()) + refused + silent
+			t.Logf("| %s | %.2f of %d | %.1f | %.1f | %d | %d | %.0f | %s |", fl.name, float64(h.TotalCount())/float64(all), all,
+				float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, refused, silent,
+				float64((after-before).Milliseconds())/float64(*seconds), summary)
+			p.cmd.Process.Signal(syscall.SIGTERM)
+			p.cmd.Wait()
+		}
+	}
+}
+
+// known sends requests of a known client, each on a connection of its own.
+func known(t *testing.T, addr string, forSeconds int, perSecond float64) (first *hdrhistogram.Histogram, refused, silent int) {
+	first = hdrhistogram.New(1, 60e6, 3)
+	rng := rand.New(rand.NewPCG(2, 2))
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	start := time.Now()
+	for i, at := 0, 0.0; at < float64(forSeconds); i, at = i+1, at+rng.ExpFloat64()/perSecond {
+		due := start.Add(time.Duration(at * float64(time.Second)))
+		time.Sleep(time.Until(due))
+		all.Go(func() {
+			status, took := askOnce(addr, fmt.Sprint("known", i), due)
+			mu.Lock()
+			defer mu.Unlock()
+			switch status {
+			case 200:
+				first.RecordValue(min(took.Microseconds(), 60e6))
+			case 0:
+				silent++
+			default:
+				refused++
+			}
+		})
+	}
+	all.Wait()
+	return first, refused, silent
+}
+
+// askOnce returns the status, 0 for none, and how long after its due time the first event came.
+func askOnce(addr, id string, due time.Time) (status int, took time.Duration) {
+	c, err := net.DialTimeout("tcp", addr, 3*time.Second)
+	if err != nil {
+		return 0, 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(c, peers.AskText(id, "X-Client: tool-1\r\n")); err != nil {
+		return 0, 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, 0
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != 200 {
+		return resp.StatusCode, 0
+	}
+	var one [1]byte
+	if _, err := resp.Body.Read(one[:]); err != nil {
+		return 0, 0
+	}
+	took = time.Since(due)
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, 0
+	}
+	return 200, took
+}
+
+var doorFile = flag.String("door", "", "settings file of the measurement of the door")
