--- /dev/null
+++ b/cmd/reachspread/door.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/program"
+)
+
+func doorCommand() *cobra.Command {
+	c := &cobra.Command{Use: "door", Short: "Ask about the door: who gets in, who holds what"}
+	c.AddCommand(statusCommand("Ask the running router for its level, its ledger, refusals by cause and who holds the most",
+		program.DoorTopic, func(w io.Writer, text []byte) error {
+			var s program.DoorStatus
+			if err := json.Unmarshal(text, &s); err != nil {
+				return err
+			}
+			printDoor(w, &s)
+			return nil
+		}))
+	return c
+}
+
+func printDoor(w io.Writer, s *program.DoorStatus) {
+	fmt.Fprintf(w, "door: %s, %d places, %d of them for known clients, %d lent\n", s.Level, s.Places, s.Reserve, s.Lent)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer t.Flush()
+	fmt.Fprintf(t, "  connections\tknown %d, unknown %d (in the lobby %d), on the step %d\n", s.Known, s.Unknown, s.Lobby, s.Step)
+	fmt.Fprintf(t, "  open requests\t%d\n  admitted\t%d, %d promoted\n  served\t%d\n", s.Open, s.Admitted, s.Promoted, s.Served)
+	for _, m := range []struct {
+		name   string
+		counts map[string]uint64
+	}{{"requests refused", s.Refused}, {"connections turned away", s.Turned}, {"silent connections shut", s.Shut}} {
+		for _, cause := range slices.Sorted(maps.Keys(m.counts)) {
+			fmt.Fprintf(t, "  %s: %s\t%d\n", m.name, cause, m.counts[cause])
+		}
+	}
+	fmt.Fprintf(t, "  episodes without a descriptor\t%d\n", s.Shorts)
+	for _, l := range s.Ledger.Lines {
+		fmt.Fprintf(t, "  descriptors: %s\t%d of %d\n", l.Owner, l.Used, l.Share)
+	}
+	fmt.Fprintf(t, "  descriptors: all\t%d counted, %d open, limit %d\n", s.Ledger.Used(), s.Ledger.Open, s.Ledger.Limit)
+	for _, h := range s.Holdings {
+		known := ""
+		if h.Known {
+			known = ", known"
+		}
+		fmt.Fprintf(t, "  holds: %s\t%d connections, %d open requests%s\n", h.Name, h.Conns, h.Open, known)
+	}
+}
--- a/cmd/reachspread/main.go
+++ b/cmd/reachspread/main.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), shadowCommand(), versionCommand())
+	root.AddCommand(serveCommand(), checkCommand(), shadowCommand(), doorCommand(), versionCommand())
 	root.SetContext(context.Background())
 	return root
 }
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,569 @@
+package door
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// vouchFor is how long an address from which a known client came counts as one of known clients.
+	vouchFor = 10 * time.Minute
+	// shortFor is how long a lack of descriptors keeps the level at Critical, and makes one episode of several.
+	shortFor = time.Second
+	// young is how long a connection has to say something before it may have to make room: what it asked may have
+	// come already, and only the host is behind.
+	young = 5 * time.Millisecond
+)
+
+// place is where a connection is.
+type place int
+
+const (
+	free  place = iota
+	lobby       // of an unknown client, no request read yet
+	guest       // of an unknown client
+	known       // of a known one
+	step        // beyond the places: to be read and refused, unless its identity lets it in
+)
+
+// conn is one connection. The names of connections are their places in Door.conns.
+type conn struct {
+	id         int32
+	place      place
+	busy       bool // its request is open
+	refused    bool // its request was: it only waits to be closed
+	shut       bool // Shut or Hurry was given
+	since      time.Duration
+	addr, net  *holder
+	owner      *holder // the address, or the identity of a known client
+	code       int     // on the step: what it is to be told
+	cause      Cause
+	prev, next *conn // in owner.silent, or in Door.steps
+	oPrev      *conn // in Door.waits
+	oNext      *conn
+	waits      bool
+}
+
+// Door decides for one listener.
+type Door struct {
+	c     Config
+	rng   *rand.Rand
+	now   time.Duration
+	act   []Action
+	conns []*conn
+	spare []int32 // names that are free
+
+	table      table
+	identities map[string]*holder
+	ranked     [2]ranks // unknown and known holders with silent connections
+	steps      list     // silent ones on the step
+	waits      struct{ head, tail *conn }
+
+	known, unknown, lobbies, step, open int
+	lent                                int
+	level                               Level
+	short                               time.Duration
+	count                               Counts
+}
+
+// New returns a Door without connections.
+func New(c Config, seed uint64) *Door {
+	d := &Door{rng: rand.New(rand.NewPCG(seed, 1)), table: table{holders: map[netip.Prefix]*holder{}}, identities: map[string]*holder{}}
+	d.tune(c)
+	return d
+}
+
+func (d *Door) tune(c Config) {
+	d.c, d.table.most = c, max(c.Addresses, 1)
+	for name := range c.Identities {
+		if d.identities[name] == nil {
+			d.identities[name] = &holder{name: name, known: true}
+		}
+	}
+	for name, h := range d.identities {
+		if !c.Identities[name] && h.conns == 0 {
+			delete(d.identities, name)
+		}
+	}
+}
+
+// Step takes in one event and returns what is to be done.
+func (d *Door) Step(now time.Duration, e Event) []Action {
+	d.now, d.act = max(now, d.now), d.act[:0]
+	switch e.Kind {
+	case Opened:
+		d.opened(e.Addr)
+	case Began:
+		if c := d.conn(e.Conn); c != nil && !c.busy && !c.refused && !c.shut {
+			d.loud(c)
+			c.since = d.now
+			d.quiet(c)
+		}
+	case Asked:
+		if c := d.conn(e.Conn); c != nil {
+			d.asked(c, e.Identity)
+		}
+	case Done:
+		if c := d.conn(e.Conn); c != nil {
+			d.done(c)
+		}
+	case Closed:
+		if c := d.conn(e.Conn); c != nil {
+			d.closed(c)
+		}
+	case Lent:
+		d.lent = max(e.N, 0)
+	case Short:
+		if d.now >= d.short {
+			d.count.Shorts++
+		}
+		d.short = d.now + shortFor
+	case Retune:
+		d.tune(*e.Config)
+		d.shrink()
+	}
+	d.judge()
+	d.hurry()
+	return d.act
+}
+
+func (d *Door) conn(id int32) *conn {
+	if id < 0 || int(id) >= len(d.conns) || d.conns[id].place == free {
+		return nil
+	}
+	return d.conns[id]
+}
+
+func (d *Door) do(a Action) { d.act = append(d.act, a) }
+
+// due returns when the next connection of a holder would be due after this one, and whether this one may come.
+func (d *Door) due(h *holder, perSecond float64) (time.Duration, bool) {
+	every := time.Duration(float64(time.Second) / perSecond)
+	due := max(h.tat, d.now) + every
+	return due, due-d.now <= max(time.Second, every)
+}
+
+// rated takes one connection off a holder's rate, if it has one left: a leaky bucket kept as the time at which the
+// next connection would be due (the generic cell rate algorithm of ATM Forum TM 4.0). One number a holder, where a
+// limiter of a library would be an allocation with a lock.
+func (d *Door) rated(h *holder, perSecond float64) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	due, ok := d.due(h, perSecond)
+	if ok {
+		h.tat = due
+	}
+	return ok
+}
+
+// full tells that an unknown client finds no free place.
+func (d *Door) full() bool {
+	return d.total() >= d.c.Places || d.unknown >= d.c.Places-d.c.Reserve
+}
+
+// crowded tells that no place is free and that nobody, here or on the step, was silent for long enough to make room.
+// That passes in moments: the silent grow older, and who stands on the step is answered at once.
+func (d *Door) crowded() bool {
+	switch {
+	case !d.full() || d.oldEnough(0):
+		return false
+	case d.next(0) != nil:
+		return true
+	}
+	return d.step >= d.c.Step && (d.steps.head == nil || d.now-d.steps.head.since < young)
+}
+
+// opened finds a place for a new connection.
+func (d *Door) opened(from netip.Addr) {
+	address, net := keys(from)
+	a, n := d.table.get(address), d.table.get(net)
+	a.pinned, n.pinned = true, true // whoever makes room may be their last connection
+	d.find(from, a, n)
+	a.pinned, n.pinned = false, false
+	d.table.put(a)
+	d.table.put(n)
+}
+
+func (d *Door) find(from netip.Addr, a, n *holder) {
+	in := slices.ContainsFunc(d.c.Ranges, func(p netip.Prefix) bool { return p.Contains(from.Unmap()) })
+	vouched := in || d.now < a.vouch
+	bound, around := d.c.Address, d.c.Net
+	if vouched {
+		bound, around = d.c.Known, Cap{}
+	}
+	if bound.PerSecond > 0 {
+		if _, ok := d.due(a, bound.PerSecond); !ok {
+			d.turn(OverRate)
+			return
+		}
+	}
+	if !in && d.crowded() {
+		d.do(Action{Kind: Hold})
+		return
+	}
+	switch {
+	// The address comes first: what is refused by it takes nothing from its neighbours.
+	case !d.rated(a, bound.PerSecond) || !d.rated(n, around.PerSecond):
+		d.turn(OverRate)
+	case over(a.conns, bound.Conns) || over(n.conns, around.Conns):
+		d.toStep(a, n, 429, OverConns)
+	case in:
+		if d.total() >= d.c.Places+d.lent && !d.makeRoom(0) && !(d.oldEnough(1) && d.makeRoom(1)) {
+			d.toStep(a, n, 503, FullHouse)
+			return
+		}
+		d.admit(a, n, known)
+	default:
+		if d.full() && !d.makeRoom(0) {
+			d.toStep(a, n, 503, FullHouse)
+			return
+		}
+		d.admit(a, n, lobby)
+	}
+}
+
+func over(n, most int) bool { return most > 0 && n >= most }
+
+func (d *Door) total() int { return d.known + d.unknown }
+
+func (d *Door) turn(cause Cause) {
+	d.count.Turned[cause]++
+	d.do(Action{Kind: Turn, Cause: cause})
+}
+
+// toStep lets a connection onto the step, where it is told why it may not come in. If the step is full, whoever has
+// stood there silent for longest makes room.
+func (d *Door) toStep(a, n *holder, code int, cause Cause) {
+	if d.step >= d.c.Step {
+		c := d.steps.head
+		if c == nil {
+			d.turn(cause)
+			return
+		}
+		d.shut(c, MadeRoom)
+	}
+	c := d.admit(a, n, step)
+	c.code, c.cause = code, cause
+}
+
+// admit gives a connection its name and place.
+func (d *Door) admit(a, n *holder, at place) *conn {
+	var c *conn
+	if k := len(d.spare); k > 0 {
+		c = d.conns[d.spare[k-1]]
+		d.spare = d.spare[:k-1]
+	} else {
+		c = &conn{id: int32(len(d.conns))}
+		d.conns = append(d.conns, c)
+	}
+	*c = conn{id: c.id, place: at, since: d.now, addr: a, net: n, owner: a}
+	a.conns++
+	n.conns++
+	if at == known {
+		a.known = true
+	}
+	d.enter(c, 1)
+	d.quiet(c)
+	d.count.Admitted++
+	d.do(Action{Kind: Admit, Conn: c.id})
+	return c
+}
+
+// enter counts a connection in or out of its place.
+func (d *Door) enter(c *conn, by int) {
+	switch c.place {
+	case lobby:
+		d.lobbies += by
+		d.unknown += by
+	case guest:
+		d.unknown += by
+	case known:
+		d.known += by
+	case step:
+		d.step += by
+	}
+}
+
+// quiet puts a connection among the silent ones, at the end; loud takes it out.
+func (d *Door) quiet(c *conn) {
+	if c.place == step {
+		d.steps.push(c)
+	} else {
+		h, r := c.owner, &d.ranked[rank(c)]
+		r.remove(h, h.silent.n)
+		h.silent.push(c)
+		r.add(h, h.silent.n)
+	}
+	if c.place != known { // known clients keep their idle connections as long as the front lets them
+		c.waits = true
+		c.oPrev, c.oNext = d.waits.tail, nil
+		if d.waits.tail != nil {
+			d.waits.tail.oNext = c
+		} else {
+			d.waits.head = c
+		}
+		d.waits.tail = c
+	}
+}
+
+func (d *Door) loud(c *conn) {
+	if c.place == step {
+		d.steps.remove(c)
+	} else {
+		h, r := c.owner, &d.ranked[rank(c)]
+		r.remove(h, h.silent.n)
+		h.silent.remove(c)
+		r.add(h, h.silent.n)
+	}
+	d.unwait(c)
+}
+
+func (d *Door) unwait(c *conn) {
+	if !c.waits {
+		return
+	}
+	c.waits = false
+	if c.oPrev != nil {
+		c.oPrev.oNext = c.oNext
+	} else {
+		d.waits.head = c.oNext
+	}
+	if c.oNext != nil {
+		c.oNext.oPrev = c.oPrev
+	} else {
+		d.waits.tail = c.oPrev
+	}
+	c.oPrev, c.oNext = nil, nil
+}
+
+func rank(c *conn) int {
+	if c.place == known {
+		return 1
+	}
+	return 0
+}
+
+// oldEnough tells that whom makeRoom would shut has had the time to say something.
+func (d *Door) oldEnough(among int) bool {
+	c := d.next(among)
+	return c != nil && d.now-c.since >= young
+}
+
+// next returns who is to make room, nil if nobody is silent.
+func (d *Door) next(among int) *conn {
+	if !d.c.Fair && among == 0 {
+		c := d.waits.head
+		for c != nil && c.place == step { // there are few of those
+			c = c.oNext
+		}
+		return c
+	}
+	if h := d.ranked[among].top(); h != nil {
+		return h.silent.head
+	}
+	return nil
+}
+
+// makeRoom shuts a silent connection of the unknown (0) or the known (1): where it is to be fair, the oldest of whoever
+// has the most.
+func (d *Door) makeRoom(among int) bool {
+	c := d.next(among)
+	if c == nil {
+		return false
+	}
+	d.shut(c, MadeRoom)
+	return true
+}
+
+// shut gives up a silent connection. Its place is free at once: the host closes it before anything else.
+func (d *Door) shut(c *conn, cause Cause) {
+	d.count.Shut[cause]++
+	d.do(Action{Kind: Shut, Conn: c.id, Cause: cause})
+	d.leave(c)
+	c.shut = true
+}
+
+// leave takes a connection out of all counts; its name stays in use until Closed.
+func (d *Door) leave(c *conn) {
+	if c.place == free || c.shut {
+		return
+	}
+	if c.busy {
+		d.openBy(c, -1)
+	} else if !c.refused {
+		d.loud(c)
+	}
+	d.enter(c, -1)
+	c.addr.conns--
+	c.net.conns--
+	if c.owner != c.addr {
+		c.owner.conns--
+	}
+	d.table.put(c.addr)
+	d.table.put(c.net)
+}
+
+func (d *Door) closed(c *conn) {
+	d.leave(c)
+	c.place = free
+	c.addr, c.net, c.owner = nil, nil, nil
+	d.spare = append(d.spare, c.id)
+}
+
+func (d *Door) openBy(c *conn, by int) {
+	d.open += by
+	c.addr.open += by
+	c.net.open += by
+	if c.owner != c.addr {
+		c.owner.open += by
+	}
+}
+
+// asked serves or refuses a request whose head was read. A known identity lets its connection in.
+func (d *Door) asked(c *conn, identity string) {
+	if c.busy || c.refused || c.shut {
+		return
+	}
+	d.loud(c)
+	if h := d.identities[identity]; identity != "" && h != nil && d.c.Identities[identity] {
+		if code, cause := d.promote(c, h); code != 0 {
+			d.refuse(c, code, cause)
+			return
+		}
+	}
+	switch {
+	case c.place == step:
+		d.refuse(c, c.code, c.cause)
+		return
+	case c.place != known && (over(c.addr.open, d.c.Address.Open) || over(c.net.open, d.c.Net.Open)):
+		d.refuse(c, 429, OverOpen)
+		return
+	case c.place == known && c.owner == c.addr && over(c.addr.open, d.c.Known.Open),
+		c.place == known && c.owner != c.addr && over(c.owner.open, d.c.Identity.Open):
+		d.refuse(c, 429, OverOpen)
+		return
+	case c.place == lobby:
+		d.move(c, guest, c.addr)
+	}
+	c.busy = true
+	d.openBy(c, 1)
+	d.count.Served++
+	d.do(Action{Kind: Serve, Conn: c.id, Last: d.c.Last && d.level == Critical && c.place != known})
+}
+
+// promote makes a connection one of a known client. It returns the code of a refusal, 0 for none.
+func (d *Door) promote(c *conn, h *holder) (code int, cause Cause) {
+	if c.owner == h {
+		return 0, NoCause
+	}
+	if over(h.conns, d.c.Identity.Conns) {
+		return 429, OverConns
+	}
+	if c.place == step && d.total() >= d.c.Places+d.lent && !d.makeRoom(0) {
+		return 503, FullHouse
+	}
+	if c.owner != c.addr {
+		c.owner.conns--
+	}
+	h.conns++
+	if c.place != known {
+		d.count.Promoted++
+	}
+	d.move(c, known, h)
+	c.addr.vouch, c.addr.known = d.now+vouchFor, true
+	return 0, NoCause
+}
+
+// move changes the place and the owner of a connection that is in no list.
+func (d *Door) move(c *conn, to place, owner *holder) {
+	d.enter(c, -1)
+	c.place, c.owner = to, owner
+	d.enter(c, 1)
+}
+
+// refuse answers a request. The time told is spread, so that the refused don't come back at once.
+func (d *Door) refuse(c *conn, code int, cause Cause) {
+	c.refused = true
+	d.count.Refused[cause]++
+	d.do(Action{Kind: Refuse, Conn: c.id, Code: code, Cause: cause, Away: d.c.Away + time.Duration(d.rng.Float64()*float64(d.c.Away))})
+}
+
+// done makes a connection silent again.
+func (d *Door) done(c *conn) {
+	if !c.busy || c.shut {
+		return
+	}
+	c.busy, c.since = false, d.now
+	d.openBy(c, -1)
+	d.quiet(c)
+}
+
+// shrink makes the silent leave until the bounds hold again.
+func (d *Door) shrink() {
+	for d.total() > d.c.Places+d.lent || d.unknown > d.c.Places-d.c.Reserve {
+		if !d.makeRoom(0) && (d.unknown > d.c.Places-d.c.Reserve || !d.makeRoom(1)) {
+			return
+		}
+	}
+}
+
+// judge finds the level. Each ends lower than it begins, so that it does not flap.
+func (d *Door) judge() {
+	use := float64(d.total()+d.step) / float64(max(d.c.Places, 1))
+	if d.now < d.short {
+		use = 1
+	}
+	for d.level < Critical && use >= levels[d.level+1].from {
+		d.level++
+	}
+	for d.level > Calm && use < levels[d.level].to {
+		d.level--
+	}
+}
+
+// hurry finds the silent connections of unknown clients whose time is up.
+func (d *Door) hurry() {
+	patience := d.c.Patience[d.level]
+	for c := d.waits.head; patience > 0 && c != nil && d.now-c.since >= patience; c = d.waits.head {
+		d.unwait(c)
+		d.count.Shut[TooSlow]++
+		d.do(Action{Kind: Hurry, Conn: c.id, Cause: TooSlow})
+	}
+}
+
+// Counts returns the counters and the state.
+func (d *Door) Counts() Counts {
+	c := d.count
+	c.Level, c.Places, c.Reserve, c.Lent = d.level, d.c.Places, d.c.Reserve, d.lent
+	c.Known, c.Unknown, c.Lobby, c.Step, c.Open, c.Addresses = d.known, d.unknown, d.lobbies, d.step, d.open, len(d.table.holders)
+	return c
+}
+
+// Level returns the level.
+func (d *Door) Level() Level { return d.level }
+
+// Use returns the share of the places that is taken; lent ones count beyond 1.
+func (d *Door) Use() float64 { return float64(d.total()) / float64(max(d.c.Places, 1)) }
+
+// Holdings returns the addresses and identities that hold the most connections. It looks at all of them.
+func (d *Door) Holdings(most int) []Holding {
+	var all []Holding
+	for key, h := range d.table.holders {
+		if own, _ := keys(key.Addr()); own == key && h.conns > 0 {
+			all = append(all, Holding{Name: key.String(), Conns: h.conns, Open: h.open, Known: h.known})
+		}
+	}
+	for name, h := range d.identities {
+		if h.conns > 0 {
+			all = append(all, Holding{Name: name, Conns: h.conns, Open: h.open, Known: true})
+		}
+	}
+	slices.SortFunc(all, func(a, b Holding) int {
+		return cmp.Or(cmp.Compare(b.Conns, a.Conns), cmp.Compare(a.Name, b.Name))
+	})
+	return all[:min(len(all), most)]
+}
--- /dev/null
+++ b/internal/door/types.go
@@ -0,0 +1,150 @@
+// Package door decides who gets in: which connection is accepted, which waits in the lobby until its first request,
+// which one makes room for another, which request is refused at once and with what word, and how long anyone may be
+// slow. It keeps the ledger of descriptors.
+//
+// This file is the interface; door.go has the decisions and table.go the table of addresses. A Door is a state machine
+// without I/O, clock or goroutine. Its host calls Step with the time and one event and carries out the actions before
+// the next call; the slice that it gets is used again. The host owes it one caller at a time, a clock that never goes
+// back, and one Closed for each connection that was admitted. It may expect that the limits are never passed, that the
+// reserve is never used by the unknown, that no connection with an open request is shut for another's sake, and that a
+// request that was asked gets one Serve or one Refuse. Its memory is bounded for any sequence of addresses, and an
+// address that it knows costs no allocation. It imports nothing of ours.
+package door
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Cap bounds what one holder (an address, a net or an identity) may have. A field that is 0 is no bound.
+type Cap struct {
+	Conns     int     // connections
+	Open      int     // open requests
+	PerSecond float64 // new connections; as many may come at once
+}
+
+// Config is the settings of a Door. Its zero value, but for Places, accepts as many as there is room for.
+type Config struct {
+	Places  int // client connections that may be served
+	Reserve int // of these, for known clients alone
+	Step    int // connections beyond Places, which are read and refused
+
+	Address  Cap // of one that is not known: an IPv4 address, or an IPv6 /64
+	Net      Cap // of all unknown ones of an IPv4 /24 or an IPv6 /48
+	Known    Cap // of an address of known clients
+	Identity Cap
+
+	Ranges     []netip.Prefix  // whose clients are known without a word
+	Identities map[string]bool // that are known; nil for none
+
+	Addresses int              // that are remembered without a connection, known and unknown each
+	Patience  [3]time.Duration // with a silent connection of an unknown client, by level; 0 for no bound of the door's
+	Fair      bool             // whoever holds the most makes room; otherwise whoever was silent for longest
+	Last      bool             // at Critical, an unknown client's answer ends its connection
+	Away      time.Duration    // the least time that a refusal tells; up to twice that, spread
+}
+
+// Level is how short places are.
+type Level int
+
+// The levels. Each begins at a share of the places in use, and ends at a lower one; see levels.
+const (
+	Calm Level = iota
+	Tight
+	Critical
+)
+
+// String returns the level's name.
+func (l Level) String() string { return [...]string{"calm", "tight", "critical"}[l] }
+
+// levels has where each level begins and ends, in shares of the places.
+var levels = [3]struct{ from, to float64 }{Tight: {0.75, 0.6}, Critical: {0.95, 0.85}}
+
+// Cause says why someone was refused, turned away or shut.
+type Cause int
+
+// The causes.
+const (
+	NoCause   Cause = iota
+	OverRate        // new connections in a second
+	OverConns       // connections of one holder
+	OverOpen        // open requests of one holder
+	FullHouse       // all places taken
+	MadeRoom        // for another client
+	TooSlow         // longer silent than the level's patience
+	Exhausted       // the process had no descriptor left
+	causes
+)
+
+// String returns the cause in words.
+func (c Cause) String() string {
+	return [...]string{"none", "rate", "connections", "open requests", "full house", "made room", "too slow", "no descriptor"}[c]
+}
+
+// EventKind tells what an Event is.
+type EventKind int
+
+// The kinds of events, with the fields that they need.
+const (
+	Opened EventKind = iota // Addr: a connection was accepted from it
+	Began                   // Conn: the first byte of its next request came
+	Asked                   // Conn, Identity (empty for none): a request was read whole
+	Done                    // Conn: its request has its final answer
+	Closed                  // Conn: it is closed, by whomever
+	Lent                    // N: places that others' descriptors leave to known clients
+	Short                   // the process had no descriptor left
+	Passed                  // time did
+	Retune                  // Config: new settings; who is over a lower bound stays, unless silent
+)
+
+// Event is something that happened.
+type Event struct {
+	Kind     EventKind
+	Conn     int32
+	N        int
+	Addr     netip.Addr
+	Identity string
+	Config   *Config
+}
+
+// ActionKind tells what an Action is.
+type ActionKind int
+
+// The kinds of actions.
+const (
+	Admit  ActionKind = iota // the connection just opened gets the name Conn
+	Turn                     // close the connection just opened, before a byte is read
+	Hold                     // nobody can be asked to make room yet: open it again in a moment
+	Shut                     // close Conn: it is silent, and another needs its place
+	Hurry                    // Conn has been silent for too long: it has the time until now to say something
+	Serve                    // the request just asked; with Last its answer ends the connection
+	Refuse                   // answer the request just asked with Code, at once, and close
+)
+
+// Action is something for the host to do.
+type Action struct {
+	Kind  ActionKind
+	Conn  int32
+	Cause Cause
+	Code  int           // 429 for a client over its own cap, 503 for a full house
+	Away  time.Duration // not to come back before
+	Last  bool
+}
+
+// Counts is what a Door has done so far, and its state.
+type Counts struct {
+	Level                             Level
+	Places, Reserve, Lent             int
+	Known, Unknown, Lobby, Step, Open int // connections; Lobby is of Unknown, Open has an open request
+	Admitted, Promoted, Served        uint64
+	Refused, Turned, Shut             [causes]uint64
+	Shorts                            uint64 // episodes without a descriptor
+	Addresses                         int    // in the table
+}
+
+// Holding is how much a holder has.
+type Holding struct {
+	Name        string
+	Conns, Open int
+	Known       bool
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -237,3 +237,16 @@
 
 // pooled names a pool in log lines.
 func pooled(log routing.Logger, name string) routing.Logger { return logging.With(log, "pool", name) }
+
+// Sockets returns how many descriptors copies have, of pools that end too.
+func (m *Mirror) Sockets() (n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.pools {
+		n += p.servers.Open()
+	}
+	for _, p := range m.closed {
+		n += p.servers.Open()
+	}
+	return n
+}
--- a/internal/mirror/status.go
+++ b/internal/mirror/status.go
@@ -34,6 +34,7 @@
 	Health       string                  `json:"health"` // up, down or no hosts
 	RetryIn      string                  `json:"retry_in,omitempty"`
 	Level        string                  `json:"level"`
+	Sampled      bool                    `json:"sampled"` // before the first look at the live path no copy starts
 	Offered      uint64                  `json:"offered"`
 	Busy         uint64                  `json:"busy"` // not even offered: the pool's goroutine was behind
 	Started      uint64                  `json:"started"`
@@ -105,7 +106,7 @@
 	s := Status{Pool: p.name, Share: set.Choice.Share, Classes: set.Choice.Classes, Tenants: set.Choice.Tenants,
 		Caps: Caps{PerSecond: caps.PerSecond, Out: caps.Out, PerHost: caps.PerHost, Waiting: caps.Waiting,
 			BodyBytes: caps.Bytes, Sockets: set.Sockets},
-		Hosts: c.Hosts, Health: "up", Level: c.Level.String(), Offered: c.Offered, Busy: p.busy.Load(),
+		Hosts: c.Hosts, Health: "up", Level: c.Level.String(), Sampled: c.Sampled, Offered: c.Offered, Busy: p.busy.Load(),
 		Started: c.Started, Recorded: c.Recorded, Compared: c.Compared, Waiting: c.Waiting, Out: c.Out,
 		Pairing: c.Pairing, BodyBytes: c.Bytes, Dropped: c.Dropped, Ended: c.Ended, Incomparable: c.Incomparable,
 		Pressed: c.Pressed, HostFull: c.HostFull, Times: p.times.report()}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -41,15 +41,16 @@
 
 // Program is one router from start to exit.
 type Program struct {
-	cfg    *Config
-	getenv func(string) string
-	file   string // the operators' settings, empty for none
-	log    routing.Logger
-	mirror *mirror.Mirror    // nil without a file
-	status *transport.Status // nil where the settings name no folder
-	router *routing.Router
-	front  *transport.Front
-	ln     net.Listener
+	cfg     *Config
+	getenv  func(string) string
+	file    string // the operators' settings, empty for none
+	log     routing.Logger
+	servers *transport.RealServers
+	mirror  *mirror.Mirror    // nil without a file
+	status  *transport.Status // nil where the settings name no folder
+	router  *routing.Router
+	front   *transport.Front
+	ln      net.Listener
 
 	mu    sync.Mutex
 	phase Phase
@@ -77,6 +78,7 @@
 		Keepalive:   time.Duration(p.cfg.Settings.Limits.KeepaliveNs),
 		Silent:      silentFor,
 		Connections: p.cfg.Limits.Sockets - otherSockets - p.cfg.aside() - clients}, p.log)
+	p.servers = servers
 	p.router = routing.New(b, servers, p.log, p.cfg.connectFor()+probeAnswer)
 	var tap transport.Tap
 	if p.file != "" {
@@ -85,13 +87,15 @@
 		}
 		tap = p.mirror
 	}
-	p.front = transport.NewFront(p.router, transport.FrontLimits{Connections: clients, Bodies: p.cfg.bodies()}, tap)
+	p.front = transport.NewFront(p.router, p.frontLimits(clients), tap)
 	if p.mirror != nil {
 		if err := p.mirror.Apply(p.cfg.set.Shadow); err != nil {
 			return err
 		}
 	}
-	if p.ln, err = net.Listen("tcp", p.cfg.Listen); err != nil {
+	// Keep-alive of TCP finds no client that the front's own bounds don't.
+	listen := net.ListenConfig{KeepAlive: -1}
+	if p.ln, err = listen.Listen(ctx, "tcp", p.cfg.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 
@@ -99,6 +103,9 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	go p.router.Run(work)
+	if p.mirror != nil {
+		go p.tendDoor(work)
+	}
 	p.tell(&p.cfg.Known)
 	go p.watch(work, reload)
 	p.enter(Listing)
--- a/internal/program/shadow.go
+++ b/internal/program/shadow.go
@@ -33,7 +33,7 @@
 		}
 		var err error
 		if p.status, err = transport.NewStatus(dir, p.cfg.Name, settings.StatusClients,
-			map[string]func() (any, error){ShadowTopic: p.mirror.Status}); err != nil {
+			map[string]func() (any, error){ShadowTopic: p.mirror.Status, DoorTopic: p.doorStatus}); err != nil {
 			return fmt.Errorf("status: %w", err)
 		}
 	}
@@ -68,5 +68,14 @@
 	if got, most := cfg.aside(), p.cfg.aside(); got > most {
 		return fmt.Errorf("%s: shadow and status may use %d descriptors; %d were set aside at the start", p.file, got, most)
 	}
-	return p.mirror.Apply(cfg.set.Shadow)
+	if err := p.reloadDoor(cfg); err != nil {
+		return err
+	}
+	if err := p.mirror.Apply(cfg.set.Shadow); err != nil {
+		return err
+	}
+	if cfg.set.Door != nil {
+		p.front.Retune(cfg.door(p.cfg.clients()))
+	}
+	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -17,6 +18,7 @@
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
+	"reachspread/internal/door"
 	"reachspread/internal/logging"
 	"reachspread/internal/shadow"
 )
@@ -26,6 +28,14 @@
 	LogFormat logging.Format
 	StatusDir string // folder of the status socket, empty for none
 	Shadow    Shadow
+	Door      *Door // nil for none
+}
+
+// Door is the block of that name. Places and the step's own room come from the limits.
+type Door struct {
+	Config   door.Config
+	Reserve  float64 // share of the places
+	Identity string  // header
 }
 
 // Shadow is the block of that name.
@@ -93,6 +103,37 @@
 	Log    *logBlock    `hcl:"log,block"`
 	Status *statusBlock `hcl:"status,block"`
 	Shadow *shadowBlock `hcl:"shadow,block"`
+	Door   *doorBlock   `hcl:"door,block"`
+}
+
+type doorBlock struct {
+	Body       hcl.Body       `hcl:",body"`
+	Header     string         `hcl:"identity_header,optional"`
+	Identities []string       `hcl:"identities,optional"`
+	Ranges     []string       `hcl:"ranges,optional"`
+	Reserve    *float64       `hcl:"reserve,optional"`
+	Step       *int           `hcl:"step,optional"`
+	Away       string         `hcl:"away,optional"`
+	Addresses  *int           `hcl:"addresses,optional"`
+	Address    *capBlock      `hcl:"address,block"`
+	Net        *capBlock      `hcl:"net,block"`
+	Known      *capBlock      `hcl:"known,block"`
+	Identity   *capBlock      `hcl:"identity,block"`
+	Patience   *patienceBlock `hcl:"patience,block"`
+}
+
+type capBlock struct {
+	Body      hcl.Body `hcl:",body"`
+	Conns     *int     `hcl:"connections,optional"`
+	Open      *int     `hcl:"open,optional"`
+	PerSecond *float64 `hcl:"per_second,optional"`
+}
+
+type patienceBlock struct {
+	Body     hcl.Body `hcl:",body"`
+	Calm     string   `hcl:"calm,optional"`
+	Tight    string   `hcl:"tight,optional"`
+	Critical string   `hcl:"critical,optional"`
 }
 
 type logBlock struct {
@@ -286,6 +327,9 @@
 	if f.Shadow != nil {
 		s.Shadow = c.shadow(f.Shadow)
 	}
+	if f.Door != nil {
+		s.Door = c.door(f.Door)
+	}
 	return s
 }
 
@@ -401,3 +445,69 @@
 	}
 	return p
 }
+
+func (c *checker) door(b *doorBlock) *Door {
+	d := &Door{Identity: b.Header, Reserve: c.number(b.Body, "reserve", b.Reserve, 0.25, 0, 0.9)}
+	d.Config = door.Config{
+		Step:      c.count(b.Body, "step", b.Step, 16, 32), // more would not fit what is set aside for them
+		Addresses: c.count(b.Body, "addresses", b.Addresses, 4096, 1<<20),
+		Away:      c.duration(b.Body, "away", b.Away, time.Second),
+		Address:   c.cap(b.Address, door.Cap{Conns: 16, Open: 16, PerSecond: 20}),
+		Net:       c.cap(b.Net, door.Cap{Conns: 64, Open: 64, PerSecond: 100}),
+		Known:     c.cap(b.Known, door.Cap{}),
+		Identity:  c.cap(b.Identity, door.Cap{}),
+		Fair:      true,
+		Last:      true,
+	}
+	if b.Patience == nil {
+		b.Patience = new(patienceBlock)
+	}
+	for i, word := range []string{b.Patience.Calm, b.Patience.Tight, b.Patience.Critical} {
+		usual := [...]time.Duration{2 * time.Second, 500 * time.Millisecond, 100 * time.Millisecond}[i]
+		d.Config.Patience[i] = c.duration(b.Patience.Body, [...]string{"calm", "tight", "critical"}[i], word, usual)
+	}
+	switch {
+	case b.Header != "" && !headerName.MatchString(b.Header):
+		c.fault(b.Body, "identity_header", "is %q; it must be the name of a header", b.Header)
+	case len(b.Identities) > 0 && b.Header == "":
+		c.fault(b.Body, "identities", "needs identity_header, which says where an identity stands")
+	case slices.Contains(b.Identities, ""):
+		c.fault(b.Body, "identities", "holds an empty name")
+	}
+	for _, word := range b.Ranges {
+		p, err := netip.ParsePrefix(word)
+		if err != nil || p != p.Masked() {
+			c.fault(b.Body, "ranges", "holds %q; it must be the first address of a net and its length, such as 10.0.0.0/8", word)
+		}
+		d.Config.Ranges = append(d.Config.Ranges, p)
+	}
+	if len(b.Identities) > 0 {
+		d.Config.Identities = map[string]bool{}
+		for _, name := range b.Identities {
+			d.Config.Identities[name] = true
+		}
+	}
+	return d
+}
+
+// cap reads the bounds of one holder; 0 is no bound.
+func (c *checker) cap(b *capBlock, usual door.Cap) door.Cap {
+	if b == nil {
+		return usual
+	}
+	whole := func(field string, n *int, usual int) int {
+		if n == nil {
+			return usual
+		}
+		if *n < 0 || *n > 1e6 {
+			c.fault(b.Body, field, "is %d; it must be from 0, for no bound, to 1000000", *n)
+		}
+		return *n
+	}
+	bound := door.Cap{Conns: whole("connections", b.Conns, usual.Conns), Open: whole("open", b.Open, usual.Open),
+		PerSecond: c.number(b.Body, "per_second", b.PerSecond, usual.PerSecond, 0, 1e6)}
+	if bound.Conns > 0 && bound.Open > bound.Conns && b.Open != nil {
+		c.fault(b.Body, "open", "is %d; one connection carries one request, and connections is %d", bound.Open, bound.Conns)
+	}
+	return bound
+}
--- a/internal/shadow/decider.go
+++ b/internal/shadow/decider.go
@@ -126,7 +126,7 @@
 	c := d.count
 	c.Dropped, c.Ended, c.Incomparable, c.Pressed = clone(c.Dropped), clone(c.Ended), clone(c.Incomparable), clone(c.Pressed)
 	c.Waiting, c.Out, c.Pairing, c.Bytes = len(d.queue), len(d.outs), len(d.pairs), d.bytes
-	c.Level, c.Hosts, c.Down = d.level, d.hosts, d.down
+	c.Level, c.Sampled, c.Hosts, c.Down = d.level, d.sampled > 0, d.hosts, d.down
 	if d.down {
 		c.Retry = d.retry
 	}
--- a/internal/shadow/types.go
+++ b/internal/shadow/types.go
@@ -213,6 +213,7 @@
 	Waiting, Out, Pairing int // pairing: the copy has ended, the live answer has not
 	Bytes                 int64
 	Level                 Level
+	Sampled               bool // the live path was looked at
 	Hosts                 int
 	Down                  bool
 	Retry                 time.Duration // the time of the next trial, while down
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"reachspread/internal/door"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
 )
@@ -38,20 +39,26 @@
 
 // FrontLimits bounds what clients may take up.
 type FrontLimits struct {
-	Connections int
-	Bodies      int // bytes, of all requests together
+	Bodies   int         // bytes, of all requests together
+	Door     door.Config // who gets in
+	Seed     uint64      // of the door
+	Identity string      // the header that names a client, empty for none
+	Short    func()      // told that the process had no descriptor left; nil for nobody
 }
 
 // NewFront returns a front that keeps to the limits.
 // A tap may be nil.
 func NewFront(r *routing.Router, limits FrontLimits, tap Tap) *Front {
 	f := &Front{router: r, limits: limits, tap: tap}
-	f.listener = &listener{most: limits.Connections, conns: map[*clientConn]bool{}}
+	if limits.Short == nil {
+		limits.Short = func() {}
+	}
+	f.listener = newListener(limits.Door, limits.Seed, limits.Short)
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
 		ErrorHandler:                 refuse,
-		Concurrency:                  2 * limits.Connections, // the listener's bound; those it closed take a moment to end
-		StreamRequestBody:            true,                   // a body is read here, so that what it takes up is bounded
+		Concurrency:                  f.listener.most + 1, // never reached: the listener waits before
+		StreamRequestBody:            true,                // a body is read here, so that what it takes up is bounded
 		MaxRequestBodySize:           MaxBody,
 		ReadBufferSize:               8 << 10,
 		IdleTimeout:                  idleClient,
@@ -68,7 +75,9 @@
 
 // Serve answers the clients that connect to ln until Shutdown.
 func (f *Front) Serve(ln net.Listener) error {
-	f.listener.Listener = ln
+	if err := f.listener.listen(ln); err != nil {
+		return err
+	}
 	return f.server.Serve(f.listener)
 }
 
@@ -116,6 +125,11 @@
 		return
 	}
 	came := time.Now()
+	// Up to here its connection counts as silent: who sends half a request must not keep others out.
+	conn := ctx.Conn().(*clientConn)
+	if !f.ask(ctx, conn) {
+		return
+	}
 	arrival, err := protocol.ParseArrival(func(name string) string { return string(header.Peek(name)) }, len(body))
 	if err != nil {
 		reject(ctx, fasthttp.StatusBadRequest, err.Error())
@@ -128,8 +142,7 @@
 		id:          []byte(arrival.ID),
 		body:        body,
 	}
-	conn := ctx.Conn().(*clientConn)
-	conn.setOpen(true)
+	conn.open = true
 	flow, err := f.router.TakeIn(arrival, came, m)
 	if err != nil {
 		reject(ctx, fasthttp.StatusConflict, err.Error())
@@ -174,6 +187,33 @@
 	}
 }
 
+// ask has the door decide on a request that was read, and answers it if it is refused.
+func (f *Front) ask(ctx *fasthttp.RequestCtx, conn *clientConn) bool {
+	identity := ""
+	if f.limits.Identity != "" {
+		identity = string(ctx.Request.Header.Peek(f.limits.Identity))
+	}
+	answer := f.listener.tell(door.Event{Kind: door.Asked, Conn: conn.name, Identity: identity})
+	if answer.Kind == door.Serve {
+		if answer.Last {
+			ctx.SetConnectionClose()
+		}
+		return true
+	}
+	if answer.Away > 0 {
+		ctx.Response.Header.Set("Retry-After", protocol.FormatRetryAfter(answer.Away))
+	}
+	code, line := answer.Code, "no place for this request; trying again is harmless"
+	if code == fasthttp.StatusTooManyRequests {
+		line = "too many " + answer.Cause.String() + " of this client; trying again is harmless"
+	}
+	if code == 0 { // its connection was shut while the request came: nobody reads this
+		code = fasthttp.StatusServiceUnavailable
+	}
+	reject(ctx, code, line)
+	return false
+}
+
 // errCrowded says that the bodies of other requests take all the room that there is.
 var errCrowded = errors.New("no room for the body")
 
@@ -235,7 +275,7 @@
 	ctx.SetConnectionClose()
 	if c, ok := ctx.Conn().(*clientConn); ok {
 		c.unread = true
-		c.setOpen(false)
+		c.open = false
 	}
 }
 
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -1,51 +1,265 @@
 package transport
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/netip"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"reachspread/internal/door"
 )
 
 const (
-	// lingerFor and lingerBytes bound what is read of a request that was refused before its end.
+	// lingerFor and lingerBytes bound what is read of a request that was refused before its end, lingerShort where
+	// places are short.
 	lingerFor   = time.Second
+	lingerShort = 100 * time.Millisecond
 	lingerBytes = 4 << 20
-	stuckClient = 10 * time.Second // to read what one write sent
+
+	// ending is how many connections that were shut may still be on their way out of the HTTP server; then nothing is
+	// accepted until some are. Its workers end slower than new connections come, and it refuses beyond its own bound.
+	ending = 32
+	// A flood is taken in turns: after so many connections that came to nothing the listener rests, so that the
+	// poller gets to those that are served.
+	turnOf   = 64
+	restFor  = 200 * time.Microsecond
+	holdFor  = time.Millisecond     // where nobody can make room yet
+	shortNap = 2 * time.Millisecond // for a request to come that is refused without a descriptor of its own
 )
 
-// listener bounds the client connections. Where there are too many, the one that has waited longest without an open
-// request makes room: those who connect and say nothing must not keep others out.
+// stuckFor is how long a client may take to read what one write sent, by level where the settings have the door
+// look at it.
+var stuckFor = [3]time.Duration{10 * time.Second, 5 * time.Second, 2 * time.Second}
+
+// listener carries out what package door decides on client connections.
 type listener struct {
 	net.Listener
-	most int
+	socket *os.File // the listener's, as a listener itself lets nobody at its descriptor
+	raw    syscall.RawConn
+	start  time.Time
+	strict bool   // levels bound slow clients
+	log    func() // the process had no descriptor left
 
 	mu    sync.Mutex
-	conns map[*clientConn]bool
+	door  *door.Door
+	conns []*clientConn // by their names at the door
+	alive int           // given to the HTTP server and not closed by it
+	most  int           // of alive
+	room  *sync.Cond    // alive went down
+
+	idle  int      // connections that came to nothing since the last rest; Accept's alone
+	spare *os.File // held back for when there is no other descriptor; Accept's alone
 }
 
+func newListener(c door.Config, seed uint64, short func()) *listener {
+	l := &listener{start: time.Now(), door: door.New(c, seed), most: c.Places + c.Step + ending, log: short,
+		strict: c.Patience != [3]time.Duration{}}
+	l.room = sync.NewCond(&l.mu)
+	return l
+}
+
+// now is the door's clock. It begins at a second, as 0 is never.
+func (l *listener) now() time.Duration { return time.Second + time.Since(l.start) }
+
+// listen has l listen on ln, which must be a socket of the system's.
+func (l *listener) listen(ln net.Listener) (err error) {
+	l.Listener = ln
+	socket, ok := ln.(interface{ File() (*os.File, error) })
+	if !ok {
+		return fmt.Errorf("%s is no socket", ln.Addr())
+	}
+	if l.socket, err = socket.File(); err != nil {
+		return err
+	}
+	l.raw, err = l.socket.SyscallConn()
+	return err
+}
+
+// Close ends the listener; connections stay.
+func (l *listener) Close() error { return errors.Join(l.Listener.Close(), l.socket.Close()) }
+
+// accept returns the descriptor of the next connection. Those that are turned away never come any further: making a
+// net.Conn of one costs as much as all else that is done for it.
+func (l *listener) accept() (fd int, from netip.Addr, err error) {
+	var failed error
+	err = l.raw.Read(func(socket uintptr) bool {
+		var sa syscall.Sockaddr
+		for {
+			if fd, sa, failed = syscall.Accept4(int(socket), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); failed != syscall.EINTR {
+				break
+			}
+		}
+		switch a := sa.(type) {
+		case *syscall.SockaddrInet4:
+			from = netip.AddrFrom4(a.Addr)
+		case *syscall.SockaddrInet6:
+			from = netip.AddrFrom16(a.Addr)
+		}
+		return failed != syscall.EAGAIN
+	})
+	if errors.Is(err, os.ErrClosed) {
+		err = net.ErrClosed
+	}
+	if err == nil {
+		err = failed
+	}
+	return fd, from, err
+}
+
+// made makes a connection of a descriptor, which it takes.
+func made(fd int) (net.Conn, error) {
+	f := os.NewFile(uintptr(fd), "client")
+	defer f.Close()
+	c, err := net.FileConn(f) // has a second descriptor until f is closed
+	if short(err) {
+		sayShort(fd)
+	}
+	return c, err
+}
+
+// short tells that an error is the lack of a descriptor.
+func short(err error) bool { return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) }
+
+// sayShort refuses a client on its descriptor as it is. What it asked so far must be read, or the close would take
+// back the answer.
+func sayShort(fd int) {
+	syscall.Read(fd, make([]byte, 4096))
+	syscall.Write(fd, []byte(refusedShort))
+}
+
+// Accept returns the next connection that is let in. Those that are not are closed here.
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		if l.spare == nil {
+			l.spare, _ = os.Open(os.DevNull) // without one there is nothing to be done now
+		}
+		if l.idle >= turnOf {
+			l.idle = 0
+			time.Sleep(restFor)
+		}
+		fd, from, err := l.accept()
+		switch {
+		case err == nil:
+			if c := l.opened(fd, from); c != nil {
+				return c, nil
+			}
+		case short(err):
+			l.refuseShort()
+		case errors.Is(err, syscall.ECONNABORTED): // by its client, before it was accepted
+		default:
+			return nil, err
+		}
 	}
-	c := &clientConn{Conn: nc, listener: l, since: time.Now()}
+}
+
+// opened asks the door, and waits while too many connections are still on their way out.
+func (l *listener) opened(fd int, from netip.Addr) (c *clientConn) {
 	l.mu.Lock()
-	var oldest *clientConn
-	if len(l.conns) >= l.most {
-		for o := range l.conns {
-			if !o.open && (oldest == nil || o.since.Before(oldest.since)) {
-				oldest = o
+	defer l.mu.Unlock()
+again:
+	for l.alive >= l.most {
+		l.room.Wait()
+	}
+	for _, a := range l.door.Step(l.now(), door.Event{Kind: door.Opened, Addr: from}) {
+		switch a.Kind {
+		case door.Admit:
+			nc, err := made(fd)
+			if err != nil { // it is gone already, or there is no descriptor for the moment that this takes two
+				l.door.Step(l.now(), door.Event{Kind: door.Closed, Conn: a.Conn})
+				if short(err) {
+					l.door.Step(l.now(), door.Event{Kind: door.Short})
+					l.idle = turnOf // a rest, and then whoever is next
+					go l.log()      // asks for the counts, which the lock guards
+				}
+				return nil
+			}
+			c = &clientConn{Conn: nc, listener: l, name: a.Conn}
+			for int(a.Conn) >= len(l.conns) {
+				l.conns = append(l.conns, nil)
 			}
+			l.conns[a.Conn] = c
+			l.alive++
+		case door.Turn:
+			l.idle++
+			syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1}) // nothing was read, so nothing is owed
+			syscall.Close(fd)
+		case door.Hold:
+			l.mu.Unlock()
+			time.Sleep(holdFor)
+			l.mu.Lock()
+			goto again
+		default:
+			l.carryOut(a)
 		}
-		delete(l.conns, oldest)
 	}
-	l.conns[c] = true
-	l.mu.Unlock()
-	if oldest != nil {
-		oldest.Conn.Close()
+	return c
+}
+
+// carryOut does what the door wants of a connection. The lock is held.
+func (l *listener) carryOut(a door.Action) {
+	switch a.Kind {
+	case door.Shut:
+		l.idle++
+		l.conns[a.Conn].Conn.Close()
+	case door.Hurry:
+		l.conns[a.Conn].Conn.SetReadDeadline(time.Unix(1, 0))
 	}
-	return c, nil
+}
+
+// tell has the door know of something that concerns one connection, or none.
+func (l *listener) tell(e door.Event) (answer door.Action) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.door.Step(l.now(), e) {
+		if a.Kind == door.Serve || a.Kind == door.Refuse {
+			answer = a
+			continue
+		}
+		l.carryOut(a)
+	}
+	return answer
+}
+
+// refuseShort spends the descriptor held back to tell one client that there is no other, and takes a new one.
+func (l *listener) refuseShort() {
+	l.tell(door.Event{Kind: door.Short})
+	l.log()
+	if l.spare == nil {
+		time.Sleep(shortNap)
+		return
+	}
+	l.spare.Close()
+	l.spare = nil
+	fd, _, err := l.accept()
+	if err != nil {
+		time.Sleep(shortNap)
+		return
+	}
+	time.Sleep(shortNap) // for its request to come
+	sayShort(fd)
+	syscall.Close(fd)
+}
+
+// refusedShort is the answer of a process without descriptors.
+const refusedShort = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// level returns the door's level.
+func (l *listener) level() door.Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.door.Level()
+}
+
+// use returns the share of the places that is taken.
+func (l *listener) use() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.door.Use()
 }
 
 // clientConn is a client's connection, which can be watched while its request is held or out: fasthttp does not
@@ -53,27 +267,20 @@
 type clientConn struct {
 	net.Conn
 	listener *listener
+	name     int32  // at the door
 	ahead    []byte // read by the watch, due to the next Read
 	used     bool   // something was read
 	begun    bool   // something of the next request was read
 	unread   bool   // more of a refused request may come
-
-	open  bool      // a request was read whole and is not answered; the listener's lock guards this and since
-	since time.Time // of the connection, of the end of its last answer, or of the first byte since then
-}
-
-// setOpen notes that a request was read whole, or that the next one is waited for.
-func (c *clientConn) setOpen(open bool) {
-	c.listener.mu.Lock()
-	c.open, c.since = open, time.Now()
-	c.listener.mu.Unlock()
+	open     bool   // a request was read whole and is not answered
+	closed   bool
 }
 
 // Read is called by fasthttp between requests and for what is left of one, never while one is open.
 func (c *clientConn) Read(p []byte) (int, error) {
-	if c.open { // only the goroutine that serves the connection sets it, so it may look without the lock
-		c.begun = false
-		c.setOpen(false)
+	if c.open { // only the goroutine that serves the connection sets it
+		c.open, c.begun = false, false
+		c.listener.tell(door.Event{Kind: door.Done, Conn: c.name})
 	}
 	var n int
 	var err error
@@ -85,14 +292,19 @@
 	}
 	if n > 0 && !c.begun {
 		c.used, c.begun = true, true
-		c.setOpen(false) // it is not idle any more: later bytes gain a slow sender no time
+		// It is not idle any more; later bytes gain a slow sender no time.
+		c.listener.tell(door.Event{Kind: door.Began, Conn: c.name})
 	}
 	return n, err
 }
 
 // Write gives up on a client that reads no more: its stream would hold a real server's connection for ever.
 func (c *clientConn) Write(p []byte) (int, error) {
-	c.Conn.SetWriteDeadline(time.Now().Add(stuckClient))
+	most := stuckFor[door.Calm]
+	if c.listener.strict {
+		most = stuckFor[c.listener.level()]
+	}
+	c.Conn.SetWriteDeadline(time.Now().Add(most))
 	return c.Conn.Write(p)
 }
 
@@ -122,19 +334,28 @@
 // Close reads on for a moment where a request was refused before its end: closed with bytes unread, the
 // connection would be reset and the client might lose the answer.
 func (c *clientConn) Close() error {
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	l := c.listener
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.unread && tcp.CloseWrite() == nil {
-		c.Conn.SetReadDeadline(time.Now().Add(lingerFor))
+		linger := lingerFor
+		if l.level() > door.Calm {
+			linger = lingerShort
+		}
+		c.Conn.SetReadDeadline(time.Now().Add(linger))
 		io.CopyN(io.Discard, c.Conn, lingerBytes)
 	}
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
-	return c.Conn.Close()
-}
-
-// load returns the share of the connections that are taken.
-func (l *listener) load() float64 {
+	err := c.Conn.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return float64(len(l.conns)) / float64(l.most)
+	l.alive--
+	actions := l.door.Step(l.now(), door.Event{Kind: door.Closed, Conn: c.name})
+	l.conns[c.name] = nil
+	for _, a := range actions {
+		l.carryOut(a)
+	}
+	l.room.Signal()
+	return err
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -153,10 +153,12 @@
 	p.count(-1)
 }
 
-func (p *pool) count(n int) {
+// count notes n more connections and returns how many there are.
+func (p *pool) count(n int) int {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.open += n
-	p.mu.Unlock()
+	return p.open
 }
 
 // forget closes the idle connections to a real server.
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -72,6 +72,9 @@
 // Load returns the share of the connections that are in use.
 func (s *RealServers) Load() float64 { return s.pool.load() }
 
+// Open returns the connections that are open, idle ones among them.
+func (s *RealServers) Open() int { return s.pool.count(0) }
+
 // Close closes the idle connections. Those in use close with their users.
 func (s *RealServers) Close() { s.pool.close() }
 
--- a/internal/transport/tap.go
+++ b/internal/transport/tap.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"reachspread/balance"
+	"reachspread/internal/door"
 	"reachspread/internal/routing"
 )
 
@@ -89,12 +90,32 @@
 	return err
 }
 
+// DoorStatus returns what the door has done, its state, and who holds the most.
+func (f *Front) DoorStatus(most int) (door.Counts, []door.Holding) {
+	f.listener.mu.Lock()
+	defer f.listener.mu.Unlock()
+	return f.listener.door.Counts(), f.listener.door.Holdings(most)
+}
+
+// Alive returns the connections that the HTTP server has, those on their way out among them.
+func (f *Front) Alive() int {
+	f.listener.mu.Lock()
+	defer f.listener.mu.Unlock()
+	return f.listener.alive
+}
+
+// Door tells the door that time has passed, and how many places others lend it by now.
+func (f *Front) Door(lent int) { f.listener.tell(door.Event{Kind: door.Lent, N: lent}) }
+
+// Retune gives the door other settings.
+func (f *Front) Retune(c door.Config) { f.listener.tell(door.Event{Kind: door.Retune, Config: &c}) }
+
 // FrontLoad is how full the front is, in shares of its limits.
 type FrontLoad struct{ Bodies, Connections float64 }
 
 // Load returns how full the front is.
 func (f *Front) Load() FrontLoad {
-	return FrontLoad{Bodies: float64(f.bodies.Load()) / float64(f.limits.Bodies), Connections: f.listener.load()}
+	return FrontLoad{Bodies: float64(f.bodies.Load()) / float64(f.limits.Bodies), Connections: f.listener.use()}
 }
 
 var _ io.ReadCloser = (*watchedStream)(nil)
