Door: only the accepting goroutine counts what came to nothing

Cause: a connection shut on another event than an arrival was counted by that event's goroutine, while the accepting one read the count without the lock. Change: only shuts that an arrival makes count, which is what the rest is for. Measured: the packages' tests pass with -race.

--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -194,6 +194,9 @@
 			l.mu.Lock()
 			goto again
 		default:
+			if a.Kind == door.Shut {
+				l.idle++
+			}
 			l.carryOut(a)
 		}
 	}
@@ -204,7 +207,6 @@
 func (l *listener) carryOut(a door.Action) {
 	switch a.Kind {
 	case door.Shut:
-		l.idle++
 		l.conns[a.Conn].Conn.Close()
 	case door.Hurry:
 		l.conns[a.Conn].Conn.SetReadDeadline(time.Unix(1, 0))
