Door: one kind of list and one look at a rate serve all

Need: the door had four hand-made lists of the same logic, and looked at an address's rate twice. Change: one list with links held by its elements, and one function for rates.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -31,20 +31,18 @@
 
 // conn is one connection. The names of connections are their places in Door.conns.
 type conn struct {
-	id         int32
-	place      place
-	busy       bool // its request is open
-	refused    bool // its request was: it only waits to be closed
-	shut       bool // Shut or Hurry was given
-	since      time.Duration
-	addr, net  *holder
-	owner      *holder // the address, or the identity of a known client
-	code       int     // on the step: what it is to be told
-	cause      Cause
-	prev, next *conn // in owner.silent, or in Door.steps
-	oPrev      *conn // in Door.waits
-	oNext      *conn
-	waits      bool
+	id        int32
+	place     place
+	busy      bool // its request is open
+	refused   bool // its request was: it only waits to be closed
+	shut      bool // Shut or Hurry was given
+	since     time.Duration
+	addr, net *holder
+	owner     *holder // the address, or the identity of a known client
+	code      int     // on the step: what it is to be told
+	cause     Cause
+	silence   links[conn] // in owner.silent, or in Door.steps
+	waiting   links[conn] // in Door.waits
 }
 
 // Door decides for one listener.
@@ -58,9 +56,9 @@
 
 	table      table
 	identities map[string]*holder
-	ranked     [2]ranks // unknown and known holders with silent connections
-	steps      list     // silent ones on the step
-	waits      struct{ head, tail *conn }
+	ranked     [2]ranks   // unknown and known holders with silent connections
+	steps      list[conn] // silent ones on the step
+	waits      list[conn] // silent ones that are not known, the longest silent first
 
 	known, unknown, lobbies, step, open int
 	lent                                int
@@ -71,7 +69,8 @@
 
 // New returns a Door without connections.
 func New(c Config, seed uint64) *Door {
-	d := &Door{rng: rand.New(rand.NewPCG(seed, 1)), table: table{holders: map[netip.Prefix]*holder{}}, identities: map[string]*holder{}}
+	d := &Door{rng: rand.New(rand.NewPCG(seed, 1)), table: newTable(), identities: map[string]*holder{},
+		steps: list[conn]{of: silence}, waits: list[conn]{of: waiting}}
 	d.tune(c)
 	return d
 }
@@ -80,7 +79,7 @@
 	d.c, d.table.most = c, max(c.Addresses, 1)
 	for name := range c.Identities {
 		if d.identities[name] == nil {
-			d.identities[name] = &holder{name: name, known: true}
+			d.identities[name] = &holder{name: name, known: true, silent: list[conn]{of: silence}}
 		}
 	}
 	for name, h := range d.identities {
@@ -139,27 +138,18 @@
 
 func (d *Door) do(a Action) { d.act = append(d.act, a) }
 
-// due returns when the next connection of a holder would be due after this one, and whether this one may come.
+// due returns when the next connection of a holder would be due after this one, and whether this one may come: a leaky
+// bucket kept as one time (the generic cell rate algorithm of ATM Forum TM 4.0), where a limiter of a library would be an
+// allocation with a lock for each holder.
 func (d *Door) due(h *holder, perSecond float64) (time.Duration, bool) {
+	if perSecond <= 0 {
+		return h.tat, true
+	}
 	every := time.Duration(float64(time.Second) / perSecond)
 	due := max(h.tat, d.now) + every
 	return due, due-d.now <= max(time.Second, every)
 }
 
-// rated takes one connection off a holder's rate, if it has one left: a leaky bucket kept as the time at which the
-// next connection would be due (the generic cell rate algorithm of ATM Forum TM 4.0). One number a holder, where a
-// limiter of a library would be an allocation with a lock.
-func (d *Door) rated(h *holder, perSecond float64) bool {
-	if perSecond <= 0 {
-		return true
-	}
-	due, ok := d.due(h, perSecond)
-	if ok {
-		h.tat = due
-	}
-	return ok
-}
-
 // full tells that an unknown client finds no free place.
 func (d *Door) full() bool {
 	return d.total() >= d.c.Places || d.unknown >= d.c.Places-d.c.Reserve
@@ -195,20 +185,23 @@
 	if vouched {
 		bound, around = d.c.Known, Cap{}
 	}
-	if bound.PerSecond > 0 {
-		if _, ok := d.due(a, bound.PerSecond); !ok {
-			d.turn(OverRate)
-			return
-		}
+	// The address comes first: what is refused by it takes nothing from its neighbours.
+	due, ok := d.due(a, bound.PerSecond)
+	if !ok {
+		d.turn(OverRate)
+		return
 	}
 	if !in && d.crowded() {
 		d.do(Action{Kind: Hold})
 		return
 	}
-	switch {
-	// The address comes first: what is refused by it takes nothing from its neighbours.
-	case !d.rated(a, bound.PerSecond) || !d.rated(n, around.PerSecond):
+	a.tat = due
+	if due, ok = d.due(n, around.PerSecond); !ok {
 		d.turn(OverRate)
+		return
+	}
+	n.tat = due
+	switch {
 	case over(a.conns, bound.Conns) || over(n.conns, around.Conns):
 		d.toStep(a, n, 429, OverConns)
 	case in:
@@ -299,14 +292,7 @@
 		r.add(h, h.silent.n)
 	}
 	if c.place != known { // known clients keep their idle connections as long as the front lets them
-		c.waits = true
-		c.oPrev, c.oNext = d.waits.tail, nil
-		if d.waits.tail != nil {
-			d.waits.tail.oNext = c
-		} else {
-			d.waits.head = c
-		}
-		d.waits.tail = c
+		d.waits.push(c)
 	}
 }
 
@@ -319,25 +305,7 @@
 		h.silent.remove(c)
 		r.add(h, h.silent.n)
 	}
-	d.unwait(c)
-}
-
-func (d *Door) unwait(c *conn) {
-	if !c.waits {
-		return
-	}
-	c.waits = false
-	if c.oPrev != nil {
-		c.oPrev.oNext = c.oNext
-	} else {
-		d.waits.head = c.oNext
-	}
-	if c.oNext != nil {
-		c.oNext.oPrev = c.oPrev
-	} else {
-		d.waits.tail = c.oPrev
-	}
-	c.oPrev, c.oNext = nil, nil
+	d.waits.remove(c)
 }
 
 func rank(c *conn) int {
@@ -358,7 +326,7 @@
 	if !d.c.Fair && among == 0 {
 		c := d.waits.head
 		for c != nil && c.place == step { // there are few of those
-			c = c.oNext
+			c = c.waiting.next
 		}
 		return c
 	}
@@ -529,7 +497,7 @@
 func (d *Door) hurry() {
 	patience := d.c.Patience[d.level]
 	for c := d.waits.head; patience > 0 && c != nil && d.now-c.since >= patience; c = d.waits.head {
-		d.unwait(c)
+		d.waits.remove(c)
 		d.count.Shut[TooSlow]++
 		d.do(Action{Kind: Hurry, Conn: c.id, Cause: TooSlow})
 	}
--- a/internal/door/table.go
+++ b/internal/door/table.go
@@ -15,49 +15,68 @@
 	vouch  time.Duration // until when it counts as an address of known clients
 	known  bool          // which of the two lists of the idle it belongs to
 	pinned bool          // in use by the event at hand
-	silent list          // its connections without an open request, the longest silent first
+	silent list[conn]    // its connections without an open request, the longest silent first
 
-	// Places in a bucket of all that hold as many silent ones, and in the list of the idle.
-	bPrev, bNext *holder
-	iPrev, iNext *holder
-	idle         bool
+	bucketing links[holder] // among all that hold as many silent ones
+	idling    links[holder] // among those without a connection
+	spare     *holder       // the next to be used again
 }
 
-// list is a list of connections; each is in one at most.
-type list struct {
-	head, tail *conn
+// links are an element's places in one list.
+type links[T any] struct {
+	prev, next *T
+	in         bool
+}
+
+// list is a list whose elements hold their own links, so that it allocates nothing. Of tells which of an element's
+// links are this list's.
+type list[T any] struct {
+	of         func(*T) *links[T]
+	head, tail *T
 	n          int
 }
 
-func (l *list) push(c *conn) {
-	c.prev, c.next = l.tail, nil
+// push puts an element at the end.
+func (l *list[T]) push(x *T) {
+	at := l.of(x)
+	*at = links[T]{prev: l.tail, in: true}
 	if l.tail != nil {
-		l.tail.next = c
+		l.of(l.tail).next = x
 	} else {
-		l.head = c
+		l.head = x
 	}
-	l.tail = c
+	l.tail = x
 	l.n++
 }
 
-func (l *list) remove(c *conn) {
-	if c.prev != nil {
-		c.prev.next = c.next
+// remove takes an element out, if it is in.
+func (l *list[T]) remove(x *T) {
+	at := l.of(x)
+	if !at.in {
+		return
+	}
+	if at.prev != nil {
+		l.of(at.prev).next = at.next
 	} else {
-		l.head = c.next
+		l.head = at.next
 	}
-	if c.next != nil {
-		c.next.prev = c.prev
+	if at.next != nil {
+		l.of(at.next).prev = at.prev
 	} else {
-		l.tail = c.prev
+		l.tail = at.prev
 	}
-	c.prev, c.next = nil, nil
+	*at = links[T]{}
 	l.n--
 }
 
+func silence(c *conn) *links[conn]       { return &c.silence }
+func waiting(c *conn) *links[conn]       { return &c.waiting }
+func bucketing(h *holder) *links[holder] { return &h.bucketing }
+func idling(h *holder) *links[holder]    { return &h.idling }
+
 // ranks orders holders by how many silent connections they have, so that who has the most is found at once.
 type ranks struct {
-	buckets []struct{ head, tail *holder }
+	buckets []list[holder]
 	most    int // no bucket above has any
 }
 
@@ -66,16 +85,9 @@
 		return
 	}
 	for len(r.buckets) <= n {
-		r.buckets = append(r.buckets, struct{ head, tail *holder }{})
-	}
-	b := &r.buckets[n]
-	h.bPrev, h.bNext = b.tail, nil
-	if b.tail != nil {
-		b.tail.bNext = h
-	} else {
-		b.head = h
+		r.buckets = append(r.buckets, list[holder]{of: bucketing})
 	}
-	b.tail = h
+	r.buckets[n].push(h)
 	r.most = max(r.most, n)
 }
 
@@ -83,18 +95,7 @@
 	if n == 0 {
 		return
 	}
-	b := &r.buckets[n]
-	if h.bPrev != nil {
-		h.bPrev.bNext = h.bNext
-	} else {
-		b.head = h.bNext
-	}
-	if h.bNext != nil {
-		h.bNext.bPrev = h.bPrev
-	} else {
-		b.tail = h.bPrev
-	}
-	h.bPrev, h.bNext = nil, nil
+	r.buckets[n].remove(h)
 	for r.most > 0 && r.buckets[r.most].head == nil {
 		r.most--
 	}
@@ -112,12 +113,13 @@
 // unknown each with a bound of its own, so that no crowd of unknown ones pushes out a known one.
 type table struct {
 	holders map[netip.Prefix]*holder
-	idle    [2]struct { // by known
-		head, tail *holder
-		n          int
-	}
-	free *holder // to be used again, by bNext
-	most int
+	idle    [2]list[holder] // by known
+	free    *holder         // to be used again
+	most    int
+}
+
+func newTable() table {
+	return table{holders: map[netip.Prefix]*holder{}, idle: [2]list[holder]{{of: idling}, {of: idling}}}
 }
 
 func index(known bool) int {
@@ -132,57 +134,30 @@
 	h := t.holders[key]
 	if h == nil {
 		if h = t.free; h != nil {
-			t.free = h.bNext
-			*h = holder{}
+			t.free = h.spare
 		} else {
 			h = new(holder)
 		}
-		h.key = key
+		*h = holder{key: key, silent: list[conn]{of: silence}}
 		t.holders[key] = h
 	} else {
-		t.unidle(h)
+		t.idle[index(h.known)].remove(h)
 	}
 	return h
 }
 
-func (t *table) unidle(h *holder) {
-	if !h.idle {
-		return
-	}
-	l := &t.idle[index(h.known)]
-	if h.iPrev != nil {
-		h.iPrev.iNext = h.iNext
-	} else {
-		l.head = h.iNext
-	}
-	if h.iNext != nil {
-		h.iNext.iPrev = h.iPrev
-	} else {
-		l.tail = h.iPrev
-	}
-	h.iPrev, h.iNext, h.idle = nil, nil, false
-	l.n--
-}
-
 // put remembers a holder that has no connection any more, and forgets the one idle for longest if there are too many.
 func (t *table) put(h *holder) {
-	if h.conns > 0 || h.pinned || h.idle || t.holders[h.key] != h {
+	if h.conns > 0 || h.pinned || h.idling.in || t.holders[h.key] != h {
 		return
 	}
 	l := &t.idle[index(h.known)]
-	h.iPrev, h.iNext, h.idle = l.tail, nil, true
-	if l.tail != nil {
-		l.tail.iNext = h
-	} else {
-		l.head = h
-	}
-	l.tail = h
-	l.n++
+	l.push(h)
 	for l.n > t.most {
 		old := l.head
-		t.unidle(old)
+		l.remove(old)
 		delete(t.holders, old.key)
-		old.bNext, t.free = t.free, old
+		old.spare, t.free = t.free, old
 	}
 }
 
