Records' schema, causes and session hashes each have one way of being read

Need: the schema was compiled by two pieces of code, sessions were padded by hand, and a loop ranged over a map of maps. Change: report.Schema serves the tests too; a small function names counts by cause.

--- a/internal/mirror/pool.go
+++ b/internal/mirror/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"strconv"
@@ -320,7 +321,7 @@
 	taken, texts := c.taken, p.texts
 	answer := c.answer.answer(p.m.key[:])
 	r := &records.Record{Version: records.Version, At: taken.Came.UTC(), Pool: p.name, Class: taken.Arrival.Class,
-		Tenant: taken.Tenant, ID: taken.Arrival.ID, Session: hex16(c.session), Gap: c.gap, Cause: string(a.Cause),
+		Tenant: taken.Tenant, ID: taken.Arrival.ID, Session: fmt.Sprintf("%016x", c.session), Gap: c.gap, Cause: string(a.Cause),
 		BodySize: len(taken.Message.Body()), Copy: side(answer, c.answer.outcome, texts)}
 	if texts {
 		r.Body = string(taken.Message.Body())
@@ -340,11 +341,6 @@
 	p.sink.put(r)
 }
 
-func hex16(h uint64) string {
-	s := strconv.FormatUint(h, 16)
-	return "0000000000000000"[len(s):] + s
-}
-
 // tell takes a list of discovery.
 func (p *pool) tell(l *protocol.List) {
 	p.router.Told(l.Members(), l.Addrs())
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -141,14 +141,19 @@
 	s := DoorStatus{Level: c.Level.String(), Places: c.Places, Reserve: c.Reserve, Lent: c.Lent, Known: c.Known, Unknown: c.Unknown,
 		Lobby: c.Lobby, Step: c.Step, Open: c.Open, Admitted: c.Admitted, Promoted: c.Promoted, Served: c.Served,
 		Refused: map[string]uint64{}, Turned: map[string]uint64{}, Shut: map[string]uint64{}, Shorts: c.Shorts, Holdings: top, Ledger: p.ledger()}
-	for i := range c.Refused {
-		for to, n := range map[*map[string]uint64]uint64{&s.Refused: c.Refused[i], &s.Turned: c.Turned[i], &s.Shut: c.Shut[i]} {
-			if n > 0 {
-				(*to)[door.Cause(i).String()] = n
-			}
+	byCause(s.Refused, c.Refused[:])
+	byCause(s.Turned, c.Turned[:])
+	byCause(s.Shut, c.Shut[:])
+	return s, nil
+}
+
+// byCause names what was counted.
+func byCause(to map[string]uint64, counts []uint64) {
+	for i, n := range counts {
+		if n > 0 {
+			to[door.Cause(i).String()] = n
 		}
 	}
-	return s, nil
 }
 
 // reloadDoor takes up the door's settings anew. Whether there are any counts from the start.
--- a/internal/program/shadow_test.go
+++ b/internal/program/shadow_test.go
@@ -22,6 +22,7 @@
 	"reachspread/internal/mirror"
 	"reachspread/internal/peers"
 	"reachspread/internal/records"
+	"reachspread/internal/report"
 	"reachspread/internal/shadow"
 	"reachspread/internal/transport"
 )
@@ -180,30 +181,21 @@
 	}
 }
 
-var schema = sync.OnceValue(func() *jsonschema.Schema {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(records.Schema))
-	if err != nil {
-		panic(err)
-	}
-	c := jsonschema.NewCompiler()
-	c.AssertFormat()
-	if err := c.AddResource("record.json", doc); err != nil {
-		panic(err)
-	}
-	return c.MustCompile("record.json")
-})
-
 // records ends the program and returns its records, each checked against the schema.
 func (s *shadowed) records() map[string]*records.Record {
 	s.t.Helper()
 	s.stop()
 	found := map[string]*records.Record{}
-	_, err := records.Read(filepath.Join(s.dir, "records"), func(line []byte, r *records.Record) error {
+	schema, err := report.Schema()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_, err = records.Read(filepath.Join(s.dir, "records"), func(line []byte, r *records.Record) error {
 		doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(line))
 		if err != nil {
 			return err
 		}
-		if err := schema().Validate(doc); err != nil {
+		if err := schema.Validate(doc); err != nil {
 			return fmt.Errorf("%s: %w", line, err)
 		}
 		if found[r.ID] != nil {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -87,7 +87,7 @@
 
 // Read sums up a folder. Each line must be valid by the records' schema.
 func Read(folder string) (*Report, error) {
-	schema, err := compile()
+	schema, err := Schema()
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +126,8 @@
 	return r, nil
 }
 
-func compile() (*jsonschema.Schema, error) {
+// Schema returns the records' schema, ready to judge a line.
+func Schema() (*jsonschema.Schema, error) {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(records.Schema))
 	if err != nil {
 		return nil, err
