--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
 )
@@ -34,6 +33,8 @@
 	id        int32
 	place     place
 	busy      bool // its request is open
+	sending   bool // its request has begun and was not read whole
+	ready     bool // its request is there and was not asked yet: nobody shuts it
 	refused   bool // its request was: it only waits to be closed
 	shut      bool // Shut or Hurry was given
 	since     time.Duration
@@ -42,7 +43,7 @@
 	code      int     // on the step: what it is to be told
 	cause     Cause
 	silence   links[conn] // in owner.silent, or in Door.steps
-	waiting   links[conn] // in Door.waits
+	waiting   links[conn] // in one of Door.waits
 }
 
 // Door decides for one listener.
@@ -56,9 +57,9 @@
 
 	table      table
 	identities map[string]*holder
-	ranked     [2]ranks   // unknown and known holders with silent connections
-	steps      list[conn] // silent ones on the step
-	waits      list[conn] // silent ones that are not known, the longest silent first
+	ranked     [2]ranks      // unknown and known holders with silent connections
+	steps      list[conn]    // silent ones on the step
+	waits      [2]list[conn] // those without an open request that are not known, by sending, the oldest first
 
 	known, unknown, lobbies, step, open int
 	lent                                int
@@ -70,13 +71,14 @@
 // New returns a Door without connections.
 func New(c Config, seed uint64) *Door {
 	d := &Door{rng: rand.New(rand.NewPCG(seed, 1)), table: newTable(), identities: map[string]*holder{},
-		steps: list[conn]{of: silence}, waits: list[conn]{of: waiting}}
+		steps: list[conn]{of: silence}, waits: [2]list[conn]{{of: waiting}, {of: waiting}}}
 	d.tune(c)
 	return d
 }
 
 func (d *Door) tune(c Config) {
 	d.c, d.table.most = c, max(c.Addresses, 1)
+	d.c.Lengths = c.Lengths.orUsual()
 	for name := range c.Identities {
 		if d.identities[name] == nil {
 			d.identities[name] = &holder{name: name, known: true, silent: list[conn]{of: silence}}
@@ -94,11 +96,11 @@
 	d.now, d.act = max(now, d.now), d.act[:0]
 	switch e.Kind {
 	case Opened:
-		d.opened(e.Addr)
+		d.opened(&e)
 	case Began:
-		if c := d.conn(e.Conn); c != nil && !c.busy && !c.refused && !c.shut {
+		if c := d.conn(e.Conn); c != nil && !c.busy && !c.refused && !c.shut && !c.ready {
 			d.loud(c)
-			c.since = d.now
+			c.since, c.sending = d.now, true
 			d.quiet(c)
 		}
 	case Asked:
@@ -138,113 +140,8 @@
 
 func (d *Door) do(a Action) { d.act = append(d.act, a) }
 
-// due returns when the next connection of a holder would be due after this one, and whether this one may come: a leaky
-// bucket kept as one time (the generic cell rate algorithm of ATM Forum TM 4.0), where a limiter of a library would be an
-// allocation with a lock for each holder.
-func (d *Door) due(h *holder, perSecond float64) (time.Duration, bool) {
-	if perSecond <= 0 {
-		return h.tat, true
-	}
-	every := time.Duration(float64(time.Second) / perSecond)
-	due := max(h.tat, d.now) + every
-	return due, due-d.now <= max(time.Second, every)
-}
-
-// full tells that an unknown client finds no free place.
-func (d *Door) full() bool {
-	return d.total() >= d.c.Places || d.unknown >= d.c.Places-d.c.Reserve
-}
-
-// crowded tells that no place is free and that nobody, here or on the step, was silent for long enough to make room.
-// That passes in moments: the silent grow older, and who stands on the step is answered at once.
-func (d *Door) crowded() bool {
-	switch {
-	case !d.full() || d.oldEnough(0):
-		return false
-	case d.next(0) != nil:
-		return true
-	}
-	return d.step >= d.c.Step && (d.steps.head == nil || d.now-d.steps.head.since < young)
-}
-
-// opened finds a place for a new connection.
-func (d *Door) opened(from netip.Addr) {
-	address, net := keys(from)
-	a, n := d.table.get(address), d.table.get(net)
-	a.pinned, n.pinned = true, true // whoever makes room may be their last connection
-	d.find(from, a, n)
-	a.pinned, n.pinned = false, false
-	d.table.put(a)
-	d.table.put(n)
-}
-
-func (d *Door) find(from netip.Addr, a, n *holder) {
-	in := slices.ContainsFunc(d.c.Ranges, func(p netip.Prefix) bool { return p.Contains(from.Unmap()) })
-	vouched := in || d.now < a.vouch
-	bound, around := d.c.Address, d.c.Net
-	if vouched {
-		bound, around = d.c.Known, Cap{}
-	}
-	// The address comes first: what is refused by it takes nothing from its neighbours.
-	due, ok := d.due(a, bound.PerSecond)
-	if !ok {
-		d.turn(OverRate)
-		return
-	}
-	if !in && d.crowded() {
-		d.do(Action{Kind: Hold})
-		return
-	}
-	a.tat = due
-	if due, ok = d.due(n, around.PerSecond); !ok {
-		d.turn(OverRate)
-		return
-	}
-	n.tat = due
-	switch {
-	case over(a.conns, bound.Conns) || over(n.conns, around.Conns):
-		d.toStep(a, n, 429, OverConns)
-	case in:
-		if d.total() >= d.c.Places+d.lent && !d.makeRoom(0) && !(d.oldEnough(1) && d.makeRoom(1)) {
-			d.toStep(a, n, 503, FullHouse)
-			return
-		}
-		d.admit(a, n, known)
-	default:
-		if d.full() && !d.makeRoom(0) {
-			d.toStep(a, n, 503, FullHouse)
-			return
-		}
-		d.admit(a, n, lobby)
-	}
-}
-
-func over(n, most int) bool { return most > 0 && n >= most }
-
-func (d *Door) total() int { return d.known + d.unknown }
-
-func (d *Door) turn(cause Cause) {
-	d.count.Turned[cause]++
-	d.do(Action{Kind: Turn, Cause: cause})
-}
-
-// toStep lets a connection onto the step, where it is told why it may not come in. If the step is full, whoever has
-// stood there silent for longest makes room.
-func (d *Door) toStep(a, n *holder, code int, cause Cause) {
-	if d.step >= d.c.Step {
-		c := d.steps.head
-		if c == nil {
-			d.turn(cause)
-			return
-		}
-		d.shut(c, MadeRoom)
-	}
-	c := d.admit(a, n, step)
-	c.code, c.cause = code, cause
-}
-
 // admit gives a connection its name and place.
-func (d *Door) admit(a, n *holder, at place) *conn {
+func (d *Door) admit(e *Event, a, n *holder, at place, owner *holder) *conn {
 	var c *conn
 	if k := len(d.spare); k > 0 {
 		c = d.conns[d.spare[k-1]]
@@ -253,14 +150,19 @@
 		c = &conn{id: int32(len(d.conns))}
 		d.conns = append(d.conns, c)
 	}
-	*c = conn{id: c.id, place: at, since: d.now, addr: a, net: n, owner: a}
+	*c = conn{id: c.id, place: at, since: d.now, addr: a, net: n, owner: owner, sending: e.Said, ready: e.Whole}
 	a.conns++
 	n.conns++
+	if owner != a {
+		owner.conns++
+	}
 	if at == known {
 		a.known = true
 	}
 	d.enter(c, 1)
-	d.quiet(c)
+	if !c.ready {
+		d.quiet(c)
+	}
 	d.count.Admitted++
 	d.do(Action{Kind: Admit, Conn: c.id})
 	return c
@@ -292,7 +194,7 @@
 		r.add(h, h.silent.n)
 	}
 	if c.place != known { // known clients keep their idle connections as long as the front lets them
-		d.waits.push(c)
+		d.waits[index(c.sending)].push(c)
 	}
 }
 
@@ -305,14 +207,11 @@
 		h.silent.remove(c)
 		r.add(h, h.silent.n)
 	}
-	d.waits.remove(c)
+	d.waits[index(c.sending)].remove(c)
 }
 
 func rank(c *conn) int {
-	if c.place == known {
-		return 1
-	}
-	return 0
+	return index(c.place == known)
 }
 
 // oldEnough tells that whom makeRoom would shut has had the time to say something.
@@ -324,11 +223,17 @@
 // next returns who is to make room, nil if nobody is silent.
 func (d *Door) next(among int) *conn {
 	if !d.c.Fair && among == 0 {
-		c := d.waits.head
-		for c != nil && c.place == step { // there are few of those
-			c = c.waiting.next
+		var oldest *conn
+		for _, l := range d.waits {
+			c := l.head
+			for c != nil && c.place == step { // there are few of those
+				c = c.waiting.next
+			}
+			if oldest == nil || c != nil && c.since < oldest.since {
+				oldest = c
+			}
 		}
-		return c
+		return oldest
 	}
 	if h := d.ranked[among].top(); h != nil {
 		return h.silent.head
@@ -397,7 +302,8 @@
 		return
 	}
 	d.loud(c)
-	if h := d.identities[identity]; identity != "" && h != nil && d.c.Identities[identity] {
+	c.sending, c.ready = false, false
+	if h := d.identity(identity); h != nil {
 		if code, cause := d.promote(c, h); code != 0 {
 			d.refuse(c, code, cause)
 			return
@@ -428,11 +334,8 @@
 	if c.owner == h {
 		return 0, NoCause
 	}
-	if over(h.conns, d.c.Identity.Conns) {
-		return 429, OverConns
-	}
-	if c.place == step && d.total() >= d.c.Places+d.lent && !d.makeRoom(0) {
-		return 503, FullHouse
+	if code, cause = d.fits(h, c.place == step); code != 0 {
+		return code, cause
 	}
 	if c.owner != c.addr {
 		c.owner.conns--
@@ -442,7 +345,7 @@
 		d.count.Promoted++
 	}
 	d.move(c, known, h)
-	c.addr.vouch, c.addr.known = d.now+vouchFor, true
+	d.vouch(c.addr)
 	return 0, NoCause
 }
 
@@ -456,8 +359,12 @@
 // refuse answers a request. The time told is spread, so that the refused don't come back at once.
 func (d *Door) refuse(c *conn, code int, cause Cause) {
 	c.refused = true
+	d.refusal(c.id, code, cause)
+}
+
+func (d *Door) refusal(conn int32, code int, cause Cause) {
 	d.count.Refused[cause]++
-	d.do(Action{Kind: Refuse, Conn: c.id, Code: code, Cause: cause, Away: d.c.Away + time.Duration(d.rng.Float64()*float64(d.c.Away))})
+	d.do(Action{Kind: Refuse, Conn: conn, Code: code, Cause: cause, Away: d.c.Away + time.Duration(d.rng.Float64()*float64(d.c.Away))})
 }
 
 // done makes a connection silent again.
@@ -493,13 +400,15 @@
 	}
 }
 
-// hurry finds the silent connections of unknown clients whose time is up.
+// hurry finds the connections of unknown clients that were silent, or at sending a request, for too long.
 func (d *Door) hurry() {
-	patience := d.c.Patience[d.level]
-	for c := d.waits.head; patience > 0 && c != nil && d.now-c.since >= patience; c = d.waits.head {
-		d.waits.remove(c)
-		d.count.Shut[TooSlow]++
-		d.do(Action{Kind: Hurry, Conn: c.id, Cause: TooSlow})
+	for i, most := range [2]time.Duration{d.c.Patience[d.level], d.c.Sending[d.level]} {
+		l := &d.waits[i]
+		for c := l.head; most > 0 && c != nil && d.now-c.since >= most; c = l.head {
+			l.remove(c)
+			d.count.Shut[TooSlow]++
+			d.do(Action{Kind: Hurry, Conn: c.id, Cause: TooSlow})
+		}
 	}
 }
 
@@ -511,6 +420,9 @@
 	return c
 }
 
+// Reading returns how long a client may take for what one write sent, 0 for no bound of the door's.
+func (d *Door) Reading() time.Duration { return d.c.Reading[d.level] }
+
 // Level returns the level.
 func (d *Door) Level() Level { return d.level }
 
@@ -521,7 +433,7 @@
 func (d *Door) Holdings(most int) []Holding {
 	var all []Holding
 	for key, h := range d.table.holders {
-		if own, _ := keys(key.Addr()); own == key && h.conns > 0 {
+		if own, _ := d.c.Lengths.keys(key.Addr()); own == key && h.conns > 0 {
 			all = append(all, Holding{Name: key.String(), Conns: h.conns, Open: h.open, Known: h.known})
 		}
 	}
--- a/internal/door/ledger.go
+++ b/internal/door/ledger.go
@@ -21,7 +21,7 @@
 // Line is one owner's part of the ledger.
 type Line struct {
 	Owner Owner `json:"owner"`
-	Share int   `json:"share"` // as many as it may have, 0 if that is counted with another
+	Share int   `json:"share"` // as many as it may have
 	Used  int   `json:"used"`
 }
 
@@ -40,6 +40,16 @@
 	return n
 }
 
+// Float returns how many descriptors are counted in the float.
+func (l *Ledger) Float() (n int) {
+	for _, x := range l.Lines {
+		if x.Owner == Float {
+			n += x.Used
+		}
+	}
+	return n
+}
+
 // Shares returns the sum of what owners may have; it must not be over the limit.
 func (l *Ledger) Shares() (n int) {
 	for _, x := range l.Lines {
--- a/internal/door/table.go
+++ b/internal/door/table.go
@@ -1,6 +1,7 @@
 package door
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -161,12 +162,17 @@
 	}
 }
 
+// orUsual fills in the usual lengths.
+func (l Lengths) orUsual() Lengths {
+	return Lengths{cmp.Or(l.Address4, 32), cmp.Or(l.Net4, 24), cmp.Or(l.Address6, 64), cmp.Or(l.Net6, 48)}
+}
+
 // keys returns the keys of an address and its net.
-func keys(a netip.Addr) (address, net netip.Prefix) {
+func (l Lengths) keys(a netip.Addr) (address, net netip.Prefix) {
 	a = a.Unmap()
-	own, around := 32, 24
+	own, around := l.Address4, l.Net4
 	if a.Is6() {
-		own, around = 64, 48
+		own, around = l.Address6, l.Net6
 	}
 	address, _ = a.WithZone("").Prefix(own) // within their lengths, they can't fail
 	net, _ = a.WithZone("").Prefix(around)
--- a/internal/door/types.go
+++ b/internal/door/types.go
@@ -2,13 +2,14 @@
 // which one makes room for another, which request is refused at once and with what word, and how long anyone may be
 // slow. It keeps the ledger of descriptors.
 //
-// This file is the interface; door.go has the decisions and table.go the table of addresses. A Door is a state machine
-// without I/O, clock or goroutine. Its host calls Step with the time and one event and carries out the actions before
-// the next call; the slice that it gets is used again. The host owes it one caller at a time, a clock that never goes
-// back, and one Closed for each connection that was admitted. It may expect that the limits are never passed, that the
-// reserve is never used by the unknown, that no connection with an open request is shut for another's sake, and that a
-// request that was asked gets one Serve or one Refuse. Its memory is bounded for any sequence of addresses, and an
-// address that it knows costs no allocation. It imports nothing of ours.
+// This file is the interface; door.go has the decisions, find.go those on a new connection, and table.go the table of
+// addresses. A Door is a state machine without I/O, clock or goroutine. Its host calls Step with the time and one event
+// and carries out the actions before the next call; the slice that it gets is used again. The host owes it one caller at
+// a time, a clock that never goes back, and one Closed for each connection that was admitted. It may expect that the
+// limits are never passed, that the reserve is never used by the unknown, that no connection with an open request is
+// shut for another's sake, and that a request that was asked, or seen as its connection opened, gets one Serve or one
+// Refuse. Its memory is bounded for any sequence of addresses, and an address that it knows costs no allocation. It
+// imports nothing of ours.
 package door
 
 import (
@@ -34,16 +35,24 @@
 	Known    Cap // of an address of known clients
 	Identity Cap
 
+	Lengths Lengths // of what counts as one address and as one net
+
 	Ranges     []netip.Prefix  // whose clients are known without a word
 	Identities map[string]bool // that are known; nil for none
 
 	Addresses int              // that are remembered without a connection, known and unknown each
 	Patience  [3]time.Duration // with a silent connection of an unknown client, by level; 0 for no bound of the door's
+	Sending   [3]time.Duration // with a request that an unknown client has begun, by level; 0 for no bound of the door's
+	Reading   [3]time.Duration // a client may take for what one write sent, by level; the host sees to it; 0 for no bound
 	Fair      bool             // whoever holds the most makes room; otherwise whoever was silent for longest
 	Last      bool             // at Critical, an unknown client's answer ends its connection
 	Away      time.Duration    // the least time that a refusal tells; up to twice that, spread
 }
 
+// Lengths are those of the prefixes that count as one address and as one net. A field that is 0 is the usual one: an
+// IPv4 address and /24, an IPv6 /64 and /48. A net's must be shorter than an address's.
+type Lengths struct{ Address4, Net4, Address6, Net6 int }
+
 // Level is how short places are.
 type Level int
 
@@ -73,12 +82,13 @@
 	MadeRoom        // for another client
 	TooSlow         // longer silent than the level's patience
 	Exhausted       // the process had no descriptor left
+	Left            // ended by the client before it was accepted
 	causes
 )
 
 // String returns the cause in words.
 func (c Cause) String() string {
-	return [...]string{"none", "rate", "connections", "open requests", "full house", "made room", "too slow", "no descriptor"}[c]
+	return [...]string{"none", "rate", "connections", "open requests", "full house", "made room", "too slow", "no descriptor", "left at once"}[c]
 }
 
 // EventKind tells what an Event is.
@@ -86,7 +96,7 @@
 
 // The kinds of events, with the fields that they need.
 const (
-	Opened EventKind = iota // Addr: a connection was accepted from it
+	Opened EventKind = iota // Addr: a connection was accepted from it; Said, Whole, Identity, Left: what is seen of it by then
 	Began                   // Conn: the first byte of its next request came
 	Asked                   // Conn, Identity (empty for none): a request was read whole
 	Done                    // Conn: its request has its final answer
@@ -104,9 +114,15 @@
 	N        int
 	Addr     netip.Addr
 	Identity string
+	Said     bool // the whole head of its first request is there; its identity is Identity
+	Whole    bool // and the rest of the request, too: one Asked or Closed is due without anybody's doing
+	Left     bool // its client has ended it without a word
 	Config   *Config
 }
 
+// Nobody is the name of a connection that was not admitted.
+const Nobody int32 = -1
+
 // ActionKind tells what an Action is.
 type ActionKind int
 
@@ -118,7 +134,7 @@
 	Shut                     // close Conn: it is silent, and another needs its place
 	Hurry                    // Conn has been silent for too long: it has the time until now to say something
 	Serve                    // the request just asked; with Last its answer ends the connection
-	Refuse                   // answer the request just asked with Code, at once, and close
+	Refuse                   // answer the request just asked, or seen as its connection opened, with Code, at once, and close
 )
 
 // Action is something for the host to do.
--- a/internal/mirror/pool.go
+++ b/internal/mirror/pool.go
@@ -53,6 +53,7 @@
 	texts   bool
 	copies  map[uint64]*copied
 	closing bool
+	pressed bool // the decider is not calm
 	times   *times
 	hosts   map[string]protocol.ServiceEntry // of the settings, as told last
 	version int64
@@ -256,6 +257,10 @@
 			p.log.Info("shadow pool back")
 		}
 	}
+	if pressed := p.decider.Level() != shadow.Calm; pressed != p.pressed {
+		p.pressed = pressed
+		p.servers.KeepIdle(!pressed) // their descriptors may be lent to known clients
+	}
 }
 
 func (p *pool) forget(id uint64) {
--- a/internal/peers/flood.go
+++ b/internal/peers/flood.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -39,7 +41,7 @@
 	end := time.Now().Add(most)
 	for i := range clients {
 		f.all.Go(func() {
-			dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from(i))}, Timeout: time.Second}
+			dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from(i))}, Timeout: time.Second, Control: portLater}
 			for n := 0; time.Now().Before(end); n++ {
 				select {
 				case <-f.stop:
@@ -60,6 +62,16 @@
 	return f
 }
 
+// portLater has the system choose the port when it knows the other side: to find one that is free for all takes ever
+// longer with thousands of connections that ended, and holds up others who connect.
+func portLater(_, _ string, c syscall.RawConn) (err error) {
+	const bindAddressNoPort = 24 // IP_BIND_ADDRESS_NO_PORT of ip(7)
+	failed := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, bindAddressNoPort, 1)
+	})
+	return errors.Join(failed, err)
+}
+
 func (f *Flood) harm(c net.Conn, harm Harm, id string) {
 	c.SetDeadline(time.Now().Add(Patience))
 	done := make(chan bool)
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -18,6 +18,8 @@
 	// shortAgain is the least time between two lines of a lack of descriptors: one for each episode, whoever makes it.
 	shortAgain = time.Minute
 	topTen     = 10
+	// listenerSockets are the listener's two descriptors and the one held back.
+	listenerSockets = 3
 	// DoorTopic is the path of the door's state on the status socket.
 	DoorTopic = "/door"
 )
@@ -87,27 +89,38 @@
 	return n
 }
 
+// shares is the ledger as the configuration divides it, before anybody has a descriptor.
+func (c *Config) shares() door.Ledger {
+	clients, reserve, step := c.clients(), c.door(c.clients()).Reserve, c.door(c.clients()).Step
+	return door.Ledger{Limit: c.Limits.Sockets, Lines: []door.Line{
+		{Owner: door.Listeners, Share: listenerSockets},
+		{Owner: door.KnownOnes, Share: reserve},
+		{Owner: door.Unknown, Share: clients - reserve},
+		{Owner: door.StepOnes, Share: step},
+		{Owner: door.RealServers, Share: c.Limits.Sockets - otherSockets - c.aside() - clients},
+		{Owner: door.Discovery, Share: 1},
+		{Owner: door.Copies, Share: c.copies()},
+		{Owner: door.StatusOnes, Share: c.aside() - c.copies()}, // with the files of the records
+		{Owner: door.Float, Share: otherSockets - listenerSockets - 1 - step},
+	}}
+}
+
 // ledger is who may have and who has the descriptors of the process.
 func (p *Program) ledger() door.Ledger {
 	counts, _ := p.front.DoorStatus(0)
-	clients := p.cfg.clients()
-	l := door.Ledger{Limit: p.cfg.Limits.Sockets, Lines: []door.Line{
-		{Owner: door.Listeners, Share: 3, Used: 3},
-		{Owner: door.KnownOnes, Share: counts.Reserve, Used: counts.Known},
-		{Owner: door.Unknown, Share: clients - counts.Reserve, Used: counts.Unknown},
-		{Owner: door.StepOnes, Used: counts.Step},
-		{Owner: door.RealServers, Share: p.cfg.Limits.Sockets - otherSockets - p.cfg.aside() - clients, Used: p.servers.Open()},
-		{Owner: door.Discovery, Share: 1, Used: 1},
-	}}
+	used := map[door.Owner]int{door.Listeners: 3, door.Discovery: 1, door.KnownOnes: counts.Known, door.Unknown: counts.Unknown,
+		door.StepOnes: counts.Step, door.RealServers: p.servers.Open(),
+		door.Float: max(p.front.Alive()-counts.Known-counts.Unknown-counts.Step, 0)}
 	if p.mirror != nil {
-		l.Lines = append(l.Lines, door.Line{Owner: door.Copies, Share: p.cfg.copies(), Used: p.mirror.Sockets()})
-		others := p.cfg.aside() - p.cfg.copies()
-		l.Lines = append(l.Lines, door.Line{Owner: door.StatusOnes, Share: others})
-		if p.status != nil {
-			l.Lines[len(l.Lines)-1].Used = 1
-		}
+		used[door.Copies] = p.mirror.Sockets()
+	}
+	if p.status != nil {
+		used[door.StatusOnes] = 1
+	}
+	l := p.cfg.shares()
+	for i := range l.Lines {
+		l.Lines[i].Used = used[l.Lines[i].Owner]
 	}
-	l.Lines = append(l.Lines, door.Line{Owner: door.Float, Share: otherSockets - 4, Used: max(p.front.Alive()-counts.Known-counts.Unknown-counts.Step, 0)})
 	if open, err := os.ReadDir("/proc/self/fd"); err == nil {
 		l.Open = len(open) - 1 // without the one that reads it
 	}
--- a/internal/program/door_test.go
+++ b/internal/program/door_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,37 +18,101 @@
 	"reachspread/internal/transport"
 )
 
-// doored starts a router process with a door: 256 descriptors by the configuration, and limit by the system.
-func doored(t *testing.T, limit int, settings string) (p *process, status func() DoorStatus) {
+// house is a router process with a door that can be asked for its state.
+type house struct {
+	*process
+	dir, path, binary string
+	hosts             []*peers.Model
+}
+
+// doored starts a router process with a door: 256 descriptors by the configuration, and limit by the system. Without
+// hosts it gets two that answer at once.
+func doored(t *testing.T, limit int, settings string, hosts ...*peers.Model) *house {
 	t.Helper()
-	dir := t.TempDir()
-	path := filepath.Join(dir, "settings.hcl")
-	write(t, path, fmt.Sprintf("status {\n folder = %q\n}\n", dir)+settings)
-	binary := filepath.Join(dir, "limited")
+	h := &house{dir: t.TempDir(), hosts: hosts}
+	if len(hosts) == 0 {
+		h.hosts = models(t, 2, peers.Manner{Events: 2})
+	}
+	h.path = filepath.Join(h.dir, "settings.hcl")
+	h.set(t, settings)
+	h.binary = filepath.Join(h.dir, "limited")
 	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", limit, buildRouter(t))
-	if err := os.WriteFile(binary, []byte(script), 0o700); err != nil {
+	if err := os.WriteFile(h.binary, []byte(script), 0o700); err != nil {
 		t.Fatal(err)
 	}
 	sockets = 256
 	defer func() { sockets = 1024 }()
-	p = startRouter(t, binary, models(t, 2, peers.Manner{Events: 2}), "--settings", path)
-	return p, func() (s DoorStatus) {
-		t.Helper()
-		socket, err := transport.StatusSocket(dir, "")
-		if err != nil {
-			t.Fatal(err)
-		}
-		text, err := transport.AskStatus(socket, DoorTopic)
-		if err != nil {
-			t.Fatal(err)
+	h.process = startRouter(t, h.binary, h.hosts, "--settings", h.path)
+	return h
+}
+
+func (h *house) set(t *testing.T, settings string) {
+	write(t, h.path, fmt.Sprintf("status {\n folder = %q\n}\n", h.dir)+settings)
+}
+
+// again starts the router once more at the same address.
+func (h *house) again(t *testing.T) {
+	t.Helper()
+	sockets = 256
+	defer func() { sockets = 1024 }()
+	h.process = startRouterAt(t, h.addr, h.binary, h.hosts, "--settings", h.path)
+}
+
+func (h *house) status() (s DoorStatus) {
+	h.t.Helper()
+	socket, err := transport.StatusSocket(h.dir, "")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	text, err := transport.AskStatus(socket, DoorTopic)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		h.t.Fatal(err)
+	}
+	return s
+}
+
+// wait asks for the state until it is as wanted.
+func (h *house) wait(what string, ok func(*DoorStatus) bool) DoorStatus {
+	h.t.Helper()
+	for end := time.Now().Add(peers.Patience); ; time.Sleep(10 * time.Millisecond) {
+		s := h.status()
+		if ok(&s) {
+			return s
 		}
-		if err := json.Unmarshal(text, &s); err != nil {
-			t.Fatal(err)
+		if time.Now().After(end) {
+			h.t.Fatalf("no %s: %+v", what, s)
 		}
-		return s
 	}
 }
 
+// dial connects and sends a text; the connection ends with the test.
+func (h *house) dial(text string) net.Conn {
+	h.t.Helper()
+	c, err := net.DialTimeout("tcp", h.addr, peers.Patience)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(peers.Patience))
+	if _, err := io.WriteString(c, text); err != nil {
+		h.t.Fatal(err)
+	}
+	return c
+}
+
+// read returns what comes on a connection until its end.
+func read(t *testing.T, c net.Conn) string {
+	t.Helper()
+	text, err := io.ReadAll(c)
+	if err != nil {
+		t.Errorf("no end, after %q: %v", text, err)
+	}
+	return string(text)
+}
+
 const doorBlock = `
 door {
   identity_header = "X-Client"
@@ -68,83 +133,179 @@
 // Known clients get in through floods that take all places; who is refused has an answer, and afterwards no descriptor
 // is lost.
 func TestKnownClientsGetThroughFloods(t *testing.T) {
-	p, status := doored(t, 256, doorBlock)
-	if n := askOften(p, "before", 5); n != 5 {
+	h := doored(t, 256, doorBlock)
+	if n := askOften(h.process, "before", 5); n != 5 {
 		t.Fatalf("%d of 5 served without a flood", n)
 	}
-	for name, harm := range map[string]peers.Harm{"silent": peers.Mute, "asking": peers.Asking, "flapping": peers.Flapping} {
-		flood := peers.NewFlood(p.addr, 150, harm, oneAddress, time.Minute)
-		served := askOften(p, name, 40)
+	for _, f := range []struct {
+		name    string
+		clients int
+		harm    peers.Harm
+		from    func(int) string
+	}{
+		{"silent", 300, peers.Mute, oneAddress},
+		{"asking", 150, peers.Asking, oneAddress},
+		{"asking from many addresses", 150, peers.Asking, manyAddresses},
+		{"silent from 2,000 addresses", 2000, peers.Mute, manyAddresses},
+		{"flapping", 50, peers.Flapping, oneAddress},
+		{"trickling", 100, peers.Trickling, manyAddresses},
+	} {
+		flood := peers.NewFlood(h.addr, f.clients, f.harm, f.from, time.Minute)
+		served := askOften(h.process, f.name, 40)
 		flood.Stop()
-		if served < 39 { // the first word of an address may still stand in line
-			t.Errorf("%s: %d of 40 served; the flood: %s", name, served, flood.Summary())
+		if served < 40 {
+			t.Errorf("%s: %d of 40 served; the flood: %s", f.name, served, flood.Summary())
 		}
 	}
-	for end := time.Now().Add(peers.Patience); ; time.Sleep(10 * time.Millisecond) {
-		s := status()
-		if s.Known+s.Unknown+s.Step == 0 {
-			// What the ledger counts is what the process has; connections that just end, idle ones, probes and the
-			// poller stand in the float.
-			if s.Ledger.Used() > s.Ledger.Open || s.Ledger.Open-s.Ledger.Used() > 20 {
-				t.Errorf("the ledger has %d of %d open descriptors: %+v", s.Ledger.Used(), s.Ledger.Open, s.Ledger)
-			}
-			if s.Ledger.Shares() > s.Ledger.Limit {
-				t.Errorf("shares of %d under a limit of %d", s.Ledger.Shares(), s.Ledger.Limit)
+	s := h.wait("end of the floods", func(s *DoorStatus) bool { return s.Known+s.Unknown+s.Step == 0 && s.Ledger.Float() == 0 })
+	// What the ledger counts is what the process has; probes, the poller and the standard streams stand in the float.
+	if s.Ledger.Used() > s.Ledger.Open || s.Ledger.Open-s.Ledger.Used() > 20 {
+		t.Errorf("the ledger has %d of %d open descriptors: %+v", s.Ledger.Used(), s.Ledger.Open, s.Ledger)
+	}
+	if s.Ledger.Shares() > s.Ledger.Limit || s.Promoted == 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Where every place has an open request, the next one is read and refused at once, whatever else was sent with it, and
+// who is known gets in still.
+func TestFullHouseAnswers(t *testing.T) {
+	for _, settings := range []string{"", doorBlock + "\n"} {
+		hold := make(chan bool)
+		h := doored(t, 256, strings.Replace(settings, "}", " address {\n connections = 0\n open = 0\n per_second = 0\n }\n net {\n connections = 0\n open = 0\n per_second = 0\n }\n}", 1),
+			peers.NewModel(t, peers.Manner{Hold: hold, Events: 2}))
+		places := h.status().Places - h.status().Reserve
+		for i := range places {
+			h.dial(peers.AskText(fmt.Sprint("q", i), ""))
+		}
+		h.wait("full house", func(s *DoorStatus) bool { return s.Open == places })
+		for i := range 24 {
+			// Three requests in one go have one answer: what follows on a connection that ends was not taken.
+			text := peers.AskText(fmt.Sprint("x", i), "") + peers.AskText(fmt.Sprint("y", i), "") + peers.AskText(fmt.Sprint("z", i), "")
+			asked := time.Now()
+			c := h.dial(text)
+			got := read(t, c)
+			if strings.Count(got, "HTTP/1.1 ") != 1 || !strings.HasPrefix(got, "HTTP/1.1 503 ") || settings != "" && !strings.Contains(got, "Retry-After: ") {
+				t.Errorf("request %d got %q", i, got)
 			}
-			if s.Turned["rate"] == 0 || s.Promoted == 0 {
-				t.Errorf("%+v", s)
+			if took := time.Since(asked); took > time.Second {
+				t.Errorf("request %d was refused after %v", i, took)
 			}
-			break
 		}
-		if time.Now().After(end) {
-			t.Fatalf("places are still taken: %+v", s)
+		if s := h.status(); s.Refused["full house"] != 24 || s.Open != places {
+			t.Errorf("%+v", s)
 		}
+		if settings != "" {
+			c := h.dial(peers.AskText("known", "X-Client: tool-1\r\n"))
+			h.wait("known client", func(s *DoorStatus) bool { return s.Known == 1 && s.Open == places+1 })
+			// One whose word comes later stands on the step until it does.
+			late := h.dial("")
+			h.wait("client on the step", func(s *DoorStatus) bool { return s.Step == 1 })
+			io.WriteString(late, peers.AskText("late", "X-Client: tool-1\r\n"))
+			h.wait("known client from the step", func(s *DoorStatus) bool { return s.Known == 2 && s.Step == 0 && s.Open == places+2 })
+			c.Close()
+		}
+		close(hold)
+		h.wait("end", func(s *DoorStatus) bool { return s.Open == 0 })
 	}
 }
 
-// Where every place has an open request, the next one is read and refused at once, and one that is let go makes room.
-func TestFullHouseAnswers(t *testing.T) {
+// Bounds lowered by SIGHUP below what is in use: silent connections go, open requests are finished, and nothing is let
+// in before there is room.
+func TestLoweredByReload(t *testing.T) {
 	hold := make(chan bool)
-	live := peers.NewModel(t, peers.Manner{Hold: hold, Events: 2})
-	sockets = 256
-	defer func() { sockets = 1024 }()
-	p := startRouter(t, buildRouter(t), []*peers.Model{live})
-	var held []net.Conn
-	defer func() {
-		for _, c := range held {
-			c.Close()
-		}
-	}()
-	refused := 0
-	for i := range 120 { // there are 96 places; what the hosts do with them is the module's
-		c, err := net.Dial("tcp", p.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		held = append(held, c)
-		io.WriteString(c, peers.AskText(fmt.Sprint("q", i), ""))
-		if i < 96 {
-			continue
-		}
-		c.SetDeadline(time.Now().Add(peers.Patience))
+	h := doored(t, 256, doorBlock, peers.NewModel(t, peers.Manner{Hold: hold, Events: 2}))
+	var asked []net.Conn
+	for i := range 12 {
+		asked = append(asked, h.dial(peers.AskText(fmt.Sprint("q", i), "")))
+	}
+	h.wait("open requests", func(s *DoorStatus) bool { return s.Open == 12 })
+	h.set(t, strings.Replace(doorBlock, "}", " address {\n connections = 3\n per_second = 0\n }\n reserve = 0.9\n}", 1))
+	h.cmd.Process.Signal(syscall.SIGHUP)
+	h.until("reloaded")
+	if got := read(t, h.dial(peers.AskText("more", ""))); !strings.HasPrefix(got, "HTTP/1.1 429 ") {
+		t.Errorf("over the lowered bound: %q", got)
+	}
+	close(hold)
+	for i, c := range asked {
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			t.Fatalf("request %d got no answer: %v", i, err)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("open request %d: %v, %v", i, resp, err)
 		}
-		if resp.StatusCode == 503 && resp.Close {
-			refused++
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Errorf("open request %d: %v", i, err)
 		}
+		c.Close()
 	}
-	if refused != 24 {
-		t.Errorf("%d of 24 refused beyond the places", refused)
+	h.wait("room", func(s *DoorStatus) bool { return s.Unknown < 3 })
+	if got, _ := askOnce(h.addr, "after", time.Now()); got != 200 {
+		t.Errorf("after the rest was answered: %d", got)
 	}
+}
+
+// A restart in the middle of a flood: what is open is finished, the program ends well, and the next one serves known
+// clients though the flood is there before it.
+func TestRestartInAFlood(t *testing.T) {
+	hold := make(chan bool)
+	h := doored(t, 256, doorBlock, peers.NewModel(t, peers.Manner{Events: 2, Hold: hold}))
+	open := h.dial(peers.AskText("open", "X-Client: tool-1\r\n"))
+	h.wait("open request", func(s *DoorStatus) bool { return s.Known == 1 && s.Open == 1 })
+	flood := peers.NewFlood(h.addr, 100, peers.Asking, manyAddresses, time.Minute)
+	defer flood.Stop()
+	h.wait("flood", func(s *DoorStatus) bool { return s.Admitted > 20 })
+	h.cmd.Process.Signal(syscall.SIGTERM)
 	close(hold)
+	if got := read(t, open); !strings.HasPrefix(got, "HTTP/1.1 200 ") || !strings.HasSuffix(got, "0\r\n\r\n") {
+		t.Errorf("the open request got %q", got)
+	}
+	if err := h.cmd.Wait(); err != nil {
+		t.Errorf("the router ended with %v", err)
+	}
+	h.again(t)
+	if n := askOften(h.process, "again", 20); n != 20 {
+		t.Errorf("%d of 20 known requests served after the restart", n)
+	}
+}
+
+// Who sends a body a byte at a time, and who reads nothing, has a bound of its own; known clients have those of the front.
+func TestSlowClients(t *testing.T) {
+	h := doored(t, 256, strings.Replace(doorBlock, "}", ` sending {
+  calm = "300ms"
+ }
+ reading {
+  calm = "400ms"
+ }
+}`, 1), peers.NewModel(t, peers.Manner{Events: 100000}))
+	deaf := h.dial(peers.AskText("deaf", ""))
+	h.wait("open request", func(s *DoorStatus) bool { return s.Open == 1 })
+	started := time.Now()
+	slow := h.dial("POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nContent-Length: 100\r\n\r\n")
+	go func() {
+		for i := 0; i < 100 && slow != nil; i++ {
+			if _, err := io.WriteString(slow, " "); err != nil {
+				return
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+	}()
+	answer := make([]byte, 12)
+	if _, err := io.ReadFull(slow, answer); err != nil || string(answer) != "HTTP/1.1 408" || time.Since(started) > 1400*time.Millisecond {
+		t.Errorf("a trickled body got %q, %v, after %v", answer, err, time.Since(started))
+	}
+	h.wait("end of the request that nobody reads", func(s *DoorStatus) bool { return s.Open == 0 })
+	if text, err := io.ReadAll(deaf); err == nil && strings.HasSuffix(string(text), "0\r\n\r\n") {
+		t.Error("an answer that nobody read is said whole")
+	}
+	if s := h.status(); s.Shut["too slow"] != 1 {
+		t.Errorf("%+v", s)
+	}
 }
 
 // With no descriptor left at all, the one held back refuses clients in turn, on-call gets one line with the owners,
 // and service comes back by itself.
 func TestDescriptorsExhausted(t *testing.T) {
-	p, status := doored(t, 40, "")
+	h := doored(t, 40, "")
+	p := h.process
 	var held []net.Conn
 	for range 60 {
 		c, err := net.DialTimeout("tcp", p.addr, peers.Patience)
@@ -168,7 +329,7 @@
 			t.Fatal("no service after the shortage")
 		}
 	}
-	if s := status(); s.Shorts == 0 {
+	if s := h.status(); s.Shorts == 0 {
 		t.Errorf("%+v", s)
 	}
 }
--- a/internal/program/measure_test.go
+++ b/internal/program/measure_test.go
@@ -56,6 +56,16 @@
 }
 
 func startRouter(t *testing.T, binary string, live []*peers.Model, args ...string) *process {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	return startRouterAt(t, ln.Addr().String(), binary, live, args...)
+}
+
+func startRouterAt(t *testing.T, addr, binary string, live []*peers.Model, args ...string) *process {
 	t.Helper()
 	var entries []string
 	for i, h := range live {
@@ -63,12 +73,7 @@
 	}
 	d := peers.NewDiscovery(t, peers.List(1, true, entries...))
 	env := configFile(t, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets))
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &process{t: t, addr: ln.Addr().String(), log: make(chan string, 1000)}
-	ln.Close()
+	p := &process{t: t, addr: addr, log: make(chan string, 1000)}
 	p.cmd = exec.Command(binary, append([]string{"serve"}, args...)...)
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+env("ROUTER_CONFIG"), "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+d.Addr)
 	errs, err := p.cmd.StderrPipe()
@@ -372,9 +377,12 @@
 	} else {
 		programs[0] = buildRouter(t)
 	}
-	t.Logf("| %s | served | p50 ms | p99 ms | refused | no answer | CPU ms a second | flood |", "flood")
+	t.Logf("| %s | served | p50 ms | p99 ms | p99 ms without the router | refused | no answer | CPU ms a second | flood |", "flood")
 	for _, binary := range programs {
-		for _, fl := range floods {
+		for i, fl := range floods {
+			if !strings.Contains(fl.name, *floodName) {
+				continue
+			}
 			live := models(t, 4, peers.Manner{First: 30 * time.Millisecond, Events: 2})
 			var args []string
 			if *doorFile != "" {
@@ -383,29 +391,73 @@
 			sockets = 256
 			p := startRouter(t, binary, live, args...)
 			sockets = 1024
-			var flood *peers.Flood
+			stop := func() string { return "-" }
 			if fl.clients > 0 {
-				flood = peers.NewFlood(p.addr, fl.clients, fl.harm, fl.from, time.Minute)
+				stop = floodProcess(t, p.addr, i)
 				time.Sleep(500 * time.Millisecond)
 			}
 			before, _ := p.used()
+			// The flood takes from the machine, too: what it does to those who ask a host without the router.
+			var direct *hdrhistogram.Histogram
+			var beside sync.WaitGroup
+			beside.Go(func() { direct, _, _ = known(t, live[0].Addr, *seconds, 40) })
 			h, refused, silent := known(t, p.addr, *seconds, 40)
+			beside.Wait()
 			after, _ := p.used()
-			summary := "-"
-			if flood != nil {
-				flood.Stop()
-				summary = flood.Summary()
-			}
+			summary := stop()
 			all := int(h.TotalCount()) + refused + silent
-			t.Logf("| %s | %.2f of %d | %.1f | %.1f | %d | %d | %.0f | %s |", fl.name, float64(h.TotalCount())/float64(all), all,
-				float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, refused, silent,
-				float64((after-before).Milliseconds())/float64(*seconds), summary)
+			t.Logf("| %s | %.2f of %d | %.1f | %.1f | %.1f | %d | %d | %.0f | %s |", fl.name, float64(h.TotalCount())/float64(all), all,
+				float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000,
+				float64(direct.ValueAtQuantile(99))/1000, refused, silent, float64((after-before).Milliseconds())/float64(*seconds), summary)
 			p.cmd.Process.Signal(syscall.SIGTERM)
 			p.cmd.Wait()
 		}
 	}
 }
 
+// floodProcess plays one of the floods in a process of its own: in this one it would hold up the known clients by
+// itself. Stop returns what came back.
+func floodProcess(t *testing.T, addr string, which int) (stop func() string) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], "-test.run", "^TestFloodProcess$", "-test.v")
+	cmd.Env = append(os.Environ(), fmt.Sprintf("FLOOD=%s %d", addr, which), "GOMAXPROCS=2")
+	end, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	cmd.Stdout = &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return func() string {
+		end.Close()
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("the flood: %v, %s", err, out.String())
+		}
+		_, summary, _ := strings.Cut(out.String(), "flood: ")
+		summary, _, _ = strings.Cut(summary, "\n")
+		return summary
+	}
+}
+
+// TestFloodProcess is what floodProcess starts.
+func TestFloodProcess(t *testing.T) {
+	words := strings.Fields(os.Getenv("FLOOD"))
+	if len(words) != 2 {
+		t.Skip("a part of the measurement of the door")
+	}
+	which, err := strconv.Atoi(words[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := floods[which]
+	flood := peers.NewFlood(words[0], f.clients, f.harm, f.from, time.Minute)
+	io.Copy(io.Discard, os.Stdin) // until the measurement ends it
+	flood.Stop()
+	fmt.Println("flood:", flood.Summary())
+}
+
 // known sends requests of a known client, each on a connection of its own.
 func known(t *testing.T, addr string, forSeconds int, perSecond float64) (first *hdrhistogram.Histogram, refused, silent int) {
 	first = hdrhistogram.New(1, 60e6, 3)
@@ -464,4 +516,6 @@
 	return 200, took
 }
 
+var floodName = flag.String("flood", "", "a part of the name of the floods to measure")
+
 var doorFile = flag.String("door", "", "settings file of the measurement of the door")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,11 +115,13 @@
 	Step       *int           `hcl:"step,optional"`
 	Away       string         `hcl:"away,optional"`
 	Addresses  *int           `hcl:"addresses,optional"`
-	Address    *capBlock      `hcl:"address,block"`
-	Net        *capBlock      `hcl:"net,block"`
+	Address    *netBlock      `hcl:"address,block"`
+	Net        *netBlock      `hcl:"net,block"`
 	Known      *capBlock      `hcl:"known,block"`
 	Identity   *capBlock      `hcl:"identity,block"`
 	Patience   *patienceBlock `hcl:"patience,block"`
+	Sending    *patienceBlock `hcl:"sending,block"`
+	Reading    *patienceBlock `hcl:"reading,block"`
 }
 
 type capBlock struct {
@@ -129,6 +131,23 @@
 	PerSecond *float64 `hcl:"per_second,optional"`
 }
 
+// netBlock is a capBlock with the lengths of the prefixes that count as one. HCL has no embedding.
+type netBlock struct {
+	Body      hcl.Body `hcl:",body"`
+	Conns     *int     `hcl:"connections,optional"`
+	Open      *int     `hcl:"open,optional"`
+	PerSecond *float64 `hcl:"per_second,optional"`
+	IPv4      *int     `hcl:"ipv4,optional"`
+	IPv6      *int     `hcl:"ipv6,optional"`
+}
+
+func (b *netBlock) cap() *capBlock {
+	if b == nil {
+		return nil
+	}
+	return &capBlock{Body: b.Body, Conns: b.Conns, Open: b.Open, PerSecond: b.PerSecond}
+}
+
 type patienceBlock struct {
 	Body     hcl.Body `hcl:",body"`
 	Calm     string   `hcl:"calm,optional"`
@@ -449,23 +468,20 @@
 func (c *checker) door(b *doorBlock) *Door {
 	d := &Door{Identity: b.Header, Reserve: c.number(b.Body, "reserve", b.Reserve, 0.25, 0, 0.9)}
 	d.Config = door.Config{
-		Step:      c.count(b.Body, "step", b.Step, 16, 32), // more would not fit what is set aside for them
+		Step:      c.count(b.Body, "step", b.Step, 16, 20), // more would not fit what is set aside for them
 		Addresses: c.count(b.Body, "addresses", b.Addresses, 4096, 1<<20),
 		Away:      c.duration(b.Body, "away", b.Away, time.Second),
-		Address:   c.cap(b.Address, door.Cap{Conns: 16, Open: 16, PerSecond: 20}),
-		Net:       c.cap(b.Net, door.Cap{Conns: 64, Open: 64, PerSecond: 100}),
+		Address:   c.cap(b.Address.cap(), door.Cap{Conns: 16, Open: 16, PerSecond: 20}),
+		Net:       c.cap(b.Net.cap(), door.Cap{Conns: 64, Open: 64, PerSecond: 100}),
 		Known:     c.cap(b.Known, door.Cap{}),
 		Identity:  c.cap(b.Identity, door.Cap{}),
 		Fair:      true,
 		Last:      true,
 	}
-	if b.Patience == nil {
-		b.Patience = new(patienceBlock)
-	}
-	for i, word := range []string{b.Patience.Calm, b.Patience.Tight, b.Patience.Critical} {
-		usual := [...]time.Duration{2 * time.Second, 500 * time.Millisecond, 100 * time.Millisecond}[i]
-		d.Config.Patience[i] = c.duration(b.Patience.Body, [...]string{"calm", "tight", "critical"}[i], word, usual)
-	}
+	d.Config.Lengths = c.lengths(b)
+	d.Config.Patience = c.byLevel(b.Patience, 2*time.Second, 500*time.Millisecond, 100*time.Millisecond)
+	d.Config.Reading = c.byLevel(b.Reading, 10*time.Second, 5*time.Second, 2*time.Second)
+	d.Config.Sending = c.byLevel(b.Sending, 2*time.Second, time.Second, 300*time.Millisecond)
 	switch {
 	case b.Header != "" && !headerName.MatchString(b.Header):
 		c.fault(b.Body, "identity_header", "is %q; it must be the name of a header", b.Header)
@@ -490,6 +506,55 @@
 	return d
 }
 
+// byLevel reads a time for each level.
+func (c *checker) byLevel(b *patienceBlock, usual ...time.Duration) (times [3]time.Duration) {
+	if b == nil {
+		b = new(patienceBlock)
+	}
+	for i, word := range []string{b.Calm, b.Tight, b.Critical} {
+		times[i] = c.duration(b.Body, [...]string{"calm", "tight", "critical"}[i], word, usual[i])
+	}
+	return times
+}
+
+// lengths reads how long the prefixes are that count as one address and as one net.
+func (c *checker) lengths(b *doorBlock) door.Lengths {
+	l := door.Lengths{Address4: 32, Net4: 24, Address6: 64, Net6: 48}
+	read := func(b *netBlock, field string, length *int, to *int, most int) {
+		if length == nil {
+			return
+		}
+		if *to = *length; *length < 1 || *length > most {
+			c.fault(b.Body, field, "is %d; a prefix has from 1 to %d bits", *length, most)
+		}
+	}
+	if a := b.Address; a != nil {
+		read(a, "ipv4", a.IPv4, &l.Address4, 32)
+		read(a, "ipv6", a.IPv6, &l.Address6, 128)
+	}
+	if n := b.Net; n != nil {
+		read(n, "ipv4", n.IPv4, &l.Net4, 32)
+		read(n, "ipv6", n.IPv6, &l.Net6, 128)
+	}
+	for _, both := range []struct {
+		field        string
+		address, net int
+	}{{"ipv4", l.Address4, l.Net4}, {"ipv6", l.Address6, l.Net6}} {
+		if both.net < both.address {
+			continue
+		}
+		at, block := b.Body, ""
+		if b.Address != nil {
+			at, block = b.Address.Body, "address"
+		}
+		if b.Net != nil {
+			at, block = b.Net.Body, "net"
+		}
+		c.fault(at, both.field, "(%s) makes an address /%d and its net /%d; a net must be the shorter one", block, both.address, both.net)
+	}
+	return l
+}
+
 // cap reads the bounds of one holder; 0 is no bound.
 func (c *checker) cap(b *capBlock, usual door.Cap) door.Cap {
 	if b == nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,11 +1,15 @@
 package settings
 
 import (
+	"net/netip"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"reachspread/internal/door"
 	"reachspread/internal/logging"
 	"reachspread/internal/shadow"
 )
@@ -62,9 +66,25 @@
 	}
 }
 
+// bad is a fault put into a good file, and what is to be said about it.
+type bad struct{ old, new, want string }
+
+func badFiles(t *testing.T, good string, faults []bad) {
+	t.Helper()
+	for _, tt := range faults {
+		if !strings.Contains(good, tt.old) {
+			t.Fatalf("the good file has no %q", tt.old)
+		}
+		_, err := Parse([]byte(strings.Replace(good, tt.old, tt.new, 1)), "f.hcl")
+		if err == nil || !strings.Contains(err.Error(), tt.want) || !strings.HasPrefix(err.Error(), "f.hcl:") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v, want one line with %q", tt.new, err, tt.want)
+		}
+	}
+}
+
 // Each fault is one line with file, line and field.
 func TestBadFiles(t *testing.T) {
-	for _, tt := range []struct{ old, new, want string }{
+	badFiles(t, good, []bad{
 		{`status {`, `statue {`, `f.hcl:4: Unsupported block type: Blocks of type "statue"`},
 		{`late = "5ms"`, `later = "5ms"`, `f.hcl:15: Unsupported argument: An argument named "later"`},
 		{`share = 0.25`, `share = 1.5`, "f.hcl:18: share is 1.5; it must be from 0 to 1"},
@@ -96,20 +116,93 @@
 		{`classes = ["chat"]`, `classes = [""]`, "f.hcl:19: classes"},
 		{`    host "c0"`, "host \"c0\" {\n addr = \"h:1\"\n }\n host \"c0\"", `host "c0" is empty or there twice`},
 		{`log {`, `log {{`, "f.hcl:1: "},
-	} {
-		if !strings.Contains(good, tt.old) {
-			t.Fatalf("the good file has no %q", tt.old)
-		}
-		_, err := Parse([]byte(strings.Replace(good, tt.old, tt.new, 1)), "f.hcl")
-		if err == nil || !strings.Contains(err.Error(), tt.want) || !strings.HasPrefix(err.Error(), "f.hcl:") || strings.Contains(err.Error(), "\n") {
-			t.Errorf("%s: got %v, want one line with %q", tt.new, err, tt.want)
-		}
-	}
+	})
 	if _, err := Read("nowhere.hcl"); err == nil || !strings.Contains(err.Error(), "nowhere.hcl") {
 		t.Errorf("a file that is not there: %v", err)
 	}
 }
 
+const goodDoor = `door {
+  identity_header = "X-Client"
+  identities = ["tool-1"]
+  ranges = ["10.20.0.0/16", "2001:db8::/32"]
+  reserve = 0.5
+  step = 8
+  away = "2s"
+  address {
+    connections = 4
+    open = 2
+    ipv4 = 31
+    ipv6 = 56
+  }
+  net {
+    per_second = 7.5
+  }
+  identity {
+    connections = 30
+  }
+  patience {
+    tight = "300ms"
+  }
+  sending {
+    critical = "200ms"
+  }
+  reading {
+    calm = "4s"
+  }
+}
+`
+
+func TestGoodDoor(t *testing.T) {
+	s, err := Parse([]byte(goodDoor), "f.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms := time.Millisecond
+	want := &Door{Identity: "X-Client", Reserve: 0.5, Config: door.Config{Step: 8, Away: 2 * time.Second, Addresses: 4096,
+		Address: door.Cap{Conns: 4, Open: 2, PerSecond: 20}, Net: door.Cap{Conns: 64, Open: 64, PerSecond: 7.5},
+		Identity: door.Cap{Conns: 30}, Lengths: door.Lengths{Address4: 31, Net4: 24, Address6: 56, Net6: 48},
+		Ranges:     []netip.Prefix{netip.MustParsePrefix("10.20.0.0/16"), netip.MustParsePrefix("2001:db8::/32")},
+		Identities: map[string]bool{"tool-1": true}, Fair: true, Last: true,
+		Patience: [3]time.Duration{2000 * ms, 300 * ms, 100 * ms}, Sending: [3]time.Duration{2000 * ms, 1000 * ms, 200 * ms},
+		Reading: [3]time.Duration{4000 * ms, 5000 * ms, 2000 * ms}}}
+	if diff := cmp.Diff(want, s.Door, cmp.Comparer(func(a, b netip.Prefix) bool { return a == b })); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestBadDoors(t *testing.T) {
+	badFiles(t, goodDoor, []bad{
+		{`reserve = 0.5`, `reserve = 1.5`, "f.hcl:5: reserve is 1.5; it must be from 0 to 0.9"},
+		{`reserve = 0.5`, `reserve = -1`, "f.hcl:5: reserve is -1"},
+		{`step = 8`, `step = 0`, "f.hcl:6: step is 0; it must be from 1 to 20"},
+		{`step = 8`, `step = 21`, "f.hcl:6: step is 21"},
+		{`step = 8`, `steps = 8`, `f.hcl:6: Unsupported argument`},
+		{`step = 8`, `addresses = 0`, "f.hcl:6: addresses is 0"},
+		{`away = "2s"`, `away = "0s"`, `f.hcl:7: away is "0s"`},
+		{`open = 2`, `open = 5`, "f.hcl:10: open is 5; one connection carries one request, and connections is 4"},
+		{`connections = 4`, `connections = -4`, "f.hcl:9: connections is -4"},
+		{`per_second = 7.5`, `per_second = -1`, "f.hcl:15: per_second is -1"},
+		{`ipv4 = 31`, `ipv4 = 33`, "f.hcl:11: ipv4 is 33; a prefix has from 1 to 32 bits"},
+		{`ipv6 = 56`, `ipv6 = 129`, "f.hcl:12: ipv6 is 129; a prefix has from 1 to 128 bits"},
+		{`ipv6 = 56`, `ipv6 = 0`, "f.hcl:12: ipv6 is 0"},
+		{`ipv4 = 31`, `ipv4 = 24`, "makes an address /24 and its net /24; a net must be the shorter one"},
+		{`per_second = 7.5`, `ipv6 = 60`, "f.hcl:15: ipv6 (net) makes an address /56 and its net /60"},
+		{`connections = 30`, `ipv4 = 30`, `f.hcl:18: Unsupported argument`},
+		{`tight = "300ms"`, `tight = "soon"`, `f.hcl:21: tight is "soon"`},
+		{`tight = "300ms"`, `late = "1s"`, `f.hcl:21: Unsupported argument`},
+		{`critical = "200ms"`, `critical = "-1s"`, `f.hcl:24: critical is "-1s"`},
+		{`calm = "4s"`, `calm = "48h"`, `f.hcl:27: calm is "48h"`},
+		{`"X-Client"`, `"X Client"`, `f.hcl:2: identity_header is "X Client"; it must be the name of a header`},
+		{`identity_header = "X-Client"`, ``, "f.hcl:3: identities needs identity_header"},
+		{`["tool-1"]`, `["tool-1", ""]`, "f.hcl:3: identities holds an empty name"},
+		{`10.20.0.0/16`, `10.20.1.0/16`, `f.hcl:4: ranges holds "10.20.1.0/16"; it must be the first address of a net`},
+		{`10.20.0.0/16`, `10.20.0.0/33`, `f.hcl:4: ranges holds "10.20.0.0/33"`},
+		{`10.20.0.0/16`, `desk`, `f.hcl:4: ranges holds "desk"`},
+		{`door {`, "door {\n}\ndoor {", "f.hcl:3: Duplicate door block"},
+	})
+}
+
 // The file that stands under deploy is one that can be used.
 func TestDeployedFile(t *testing.T) {
 	if _, err := Read("../../deploy/settings.hcl"); err != nil {
@@ -120,6 +213,7 @@
 // Whatever a file holds, reading it ends in settings or in one line.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(good))
+	f.Add([]byte(goodDoor))
 	text, err := os.ReadFile("../../deploy/settings.hcl")
 	if err != nil {
 		f.Fatal(err)
--- a/internal/shadow/decider.go
+++ b/internal/shadow/decider.go
@@ -141,6 +141,9 @@
 	return c
 }
 
+// Level returns the level.
+func (d *Decider) Level() Level { return d.level }
+
 func (d *Decider) do(a Action) { d.act = append(d.act, a) }
 
 // offer takes a copy into the queue, or drops it at once. A name that is in use is the host's mistake and passed over.
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -21,6 +21,7 @@
 	MaxBody = 256 << 10
 	// A client is owed a word or a close 3 s after it connects, whatever it holds back.
 	slowClient = 2 * time.Second         // to send one request, the first one from connecting on
+	slowSilent = 1500 * time.Millisecond // the same where it is accepted up to deferFor after it connected
 	idleClient = 2200 * time.Millisecond // between requests; the platform lets a router close after 2 s
 	firstGrow  = 8 << 10                 // of a body's buffer, which then doubles
 )
@@ -53,7 +54,11 @@
 	if limits.Short == nil {
 		limits.Short = func() {}
 	}
-	f.listener = newListener(limits.Door, limits.Seed, limits.Short)
+	f.listener = newListener(&limits)
+	slow := slowClient
+	if f.listener.strict {
+		slow = slowSilent
+	}
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
 		ErrorHandler:                 refuse,
@@ -62,7 +67,7 @@
 		MaxRequestBodySize:           MaxBody,
 		ReadBufferSize:               8 << 10,
 		IdleTimeout:                  idleClient,
-		ReadTimeout:                  slowClient,
+		ReadTimeout:                  slow,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		CloseOnShutdown:              true,
@@ -203,10 +208,7 @@
 	if answer.Away > 0 {
 		ctx.Response.Header.Set("Retry-After", protocol.FormatRetryAfter(answer.Away))
 	}
-	code, line := answer.Code, "no place for this request; trying again is harmless"
-	if code == fasthttp.StatusTooManyRequests {
-		line = "too many " + answer.Cause.String() + " of this client; trying again is harmless"
-	}
+	code, line := answer.Code, refusalLine(answer)
 	if code == 0 { // its connection was shut while the request came: nobody reads this
 		code = fasthttp.StatusServiceUnavailable
 	}
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -60,8 +60,10 @@
 			t.Errorf("after %.90q: got %q, %v; want %q and the end", text, got, err, want)
 		}
 	}
-	if slowClient+lingerFor > 3*time.Second {
-		t.Errorf("%v to send and %v to linger; the platform grants 3 s from connecting to the end", slowClient, lingerFor)
+	for _, whole := range []time.Duration{slowClient + lingerFor, deferFor + slowSilent + lingerLess} {
+		if whole > 3*time.Second {
+			t.Errorf("%v to send and to linger; the platform grants 3 s from connecting to the end", whole)
+		}
 	}
 }
 
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -1,10 +1,13 @@
 package transport
 
 import (
+	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync"
@@ -12,12 +15,14 @@
 	"time"
 
 	"reachspread/internal/door"
+	"reachspread/internal/protocol"
 )
 
 const (
 	// lingerFor and lingerBytes bound what is read of a request that was refused before its end, lingerShort where
 	// places are short.
 	lingerFor   = time.Second
+	lingerLess  = 500 * time.Millisecond // where the client may have been accepted late
 	lingerShort = 100 * time.Millisecond
 	lingerBytes = 4 << 20
 
@@ -25,16 +30,18 @@
 	// accepted until some are. Its workers end slower than new connections come, and it refuses beyond its own bound.
 	ending = 32
 	// A flood is taken in turns: after so many connections that came to nothing the listener rests, so that the
-	// poller gets to those that are served.
+	// poller gets to those that are served. While more stand in line than are taken, its turns grow up to mostTurn:
+	// who is served next stands in that line, too.
 	turnOf   = 64
+	mostTurn = 256
 	restFor  = 200 * time.Microsecond
 	holdFor  = time.Millisecond     // where nobody can make room yet
 	shortNap = 2 * time.Millisecond // for a request to come that is refused without a descriptor of its own
+	deferFor = time.Second          // that the system waits for a client's first word, where the door looks at it
 )
 
-// stuckFor is how long a client may take to read what one write sent, by level where the settings have the door
-// look at it.
-var stuckFor = [3]time.Duration{10 * time.Second, 5 * time.Second, 2 * time.Second}
+// stuckFor is how long a client may take to read what one write sent, where the door has no bound of its own.
+const stuckFor = 10 * time.Second
 
 // listener carries out what package door decides on client connections.
 type listener struct {
@@ -42,7 +49,8 @@
 	socket *os.File // the listener's, as a listener itself lets nobody at its descriptor
 	raw    syscall.RawConn
 	start  time.Time
-	strict bool   // levels bound slow clients
+	strict bool   // levels bound slow clients, and what a client has said is looked at before it is let in
+	header string // that names a client, empty for none
 	log    func() // the process had no descriptor left
 
 	mu    sync.Mutex
@@ -52,13 +60,18 @@
 	most  int           // of alive
 	room  *sync.Cond    // alive went down
 
-	idle  int      // connections that came to nothing since the last rest; Accept's alone
-	spare *os.File // held back for when there is no other descriptor; Accept's alone
+	// Accept's alone:
+	idle  int           // connections that came to nothing since the last rest
+	turn  int           // as many make a rest due
+	spare *os.File      // held back for when there is no other descriptor
+	ahead [8 << 10]byte // what a client has said by the time that it is accepted
+	text  []byte        // of a refusal
 }
 
-func newListener(c door.Config, seed uint64, short func()) *listener {
-	l := &listener{start: time.Now(), door: door.New(c, seed), most: c.Places + c.Step + ending, log: short,
-		strict: c.Patience != [3]time.Duration{}}
+func newListener(limits *FrontLimits) *listener {
+	c := limits.Door
+	l := &listener{start: time.Now(), door: door.New(c, limits.Seed), most: c.Places + c.Step + ending, log: limits.Short,
+		strict: c.Patience != [3]time.Duration{}, header: limits.Identity, turn: turnOf}
 	l.room = sync.NewCond(&l.mu)
 	return l
 }
@@ -77,7 +90,14 @@
 		return err
 	}
 	l.raw, err = l.socket.SyscallConn()
-	return err
+	if err != nil || !l.strict {
+		return err
+	}
+	// The system keeps a silent client to itself for a second; whoever speaks is accepted when its word is there.
+	failed := l.raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_DEFER_ACCEPT, int(deferFor/time.Second))
+	})
+	return errors.Join(failed, err)
 }
 
 // Close ends the listener; connections stay.
@@ -100,7 +120,11 @@
 		case *syscall.SockaddrInet6:
 			from = netip.AddrFrom16(a.Addr)
 		}
-		return failed != syscall.EAGAIN
+		if failed == syscall.EAGAIN { // nobody stands in line
+			l.idle, l.turn = 0, turnOf
+			return false
+		}
+		return true
 	})
 	if errors.Is(err, os.ErrClosed) {
 		err = net.ErrClosed
@@ -138,8 +162,9 @@
 		if l.spare == nil {
 			l.spare, _ = os.Open(os.DevNull) // without one there is nothing to be done now
 		}
-		if l.idle >= turnOf {
+		if l.idle >= l.turn {
 			l.idle = 0
+			l.turn = min(2*l.turn, mostTurn)
 			time.Sleep(restFor)
 		}
 		fd, from, err := l.accept()
@@ -157,15 +182,35 @@
 	}
 }
 
+// look reads what a client has said by now, if the door wants to know. It returns the door's event and how many bytes
+// are in l.ahead.
+func (l *listener) look(fd int, from netip.Addr) (e door.Event, got int) {
+	e = door.Event{Kind: door.Opened, Addr: from}
+	if !l.strict {
+		return e, 0
+	}
+	got, err := syscall.Read(fd, l.ahead[:])
+	switch {
+	case got > 0:
+		var seen protocol.Glance
+		seen, e.Said = protocol.Look(l.ahead[:got], l.header)
+		e.Identity, e.Whole = seen.Named, e.Said && seen.Length >= 0 && got >= seen.Length
+	case err != syscall.EAGAIN && err != syscall.EINTR:
+		e.Left = true
+	}
+	return e, max(got, 0)
+}
+
 // opened asks the door, and waits while too many connections are still on their way out.
 func (l *listener) opened(fd int, from netip.Addr) (c *clientConn) {
+	e, got := l.look(fd, from)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 again:
 	for l.alive >= l.most {
 		l.room.Wait()
 	}
-	for _, a := range l.door.Step(l.now(), door.Event{Kind: door.Opened, Addr: from}) {
+	for _, a := range l.door.Step(l.now(), e) {
 		switch a.Kind {
 		case door.Admit:
 			nc, err := made(fd)
@@ -173,12 +218,12 @@
 				l.door.Step(l.now(), door.Event{Kind: door.Closed, Conn: a.Conn})
 				if short(err) {
 					l.door.Step(l.now(), door.Event{Kind: door.Short})
-					l.idle = turnOf // a rest, and then whoever is next
-					go l.log()      // asks for the counts, which the lock guards
+					l.idle = mostTurn // a rest, and then whoever is next
+					go l.log()        // asks for the counts, which the lock guards
 				}
 				return nil
 			}
-			c = &clientConn{Conn: nc, listener: l, name: a.Conn}
+			c = &clientConn{Conn: nc, listener: l, name: a.Conn, ahead: bytes.Clone(l.ahead[:got])}
 			for int(a.Conn) >= len(l.conns) {
 				l.conns = append(l.conns, nil)
 			}
@@ -186,8 +231,13 @@
 			l.alive++
 		case door.Turn:
 			l.idle++
-			syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1}) // nothing was read, so nothing is owed
+			if !e.Left { // nothing was read, so nothing is owed
+				syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+			}
 			syscall.Close(fd)
+		case door.Refuse:
+			l.idle++
+			l.refuse(fd, e.Whole && got < len(l.ahead), a)
 		case door.Hold:
 			l.mu.Unlock()
 			time.Sleep(holdFor)
@@ -203,6 +253,42 @@
 	return c
 }
 
+// refuse answers a request that was read as its connection was accepted, whole or not. The lock is held.
+func (l *listener) refuse(fd int, whole bool, a door.Action) {
+	l.text = protocol.AppendRefusal(l.text[:0], a.Code, a.Away, refusalLine(a))
+	// All of it goes out, in one packet with the end, or the client is gone.
+	syscall.SendmsgN(fd, l.text, nil, nil, syscall.MSG_MORE|syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL)
+	if whole || l.alive >= l.most {
+		syscall.Close(fd)
+		return
+	}
+	// More of it is on its way; a close with bytes unread would take back the answer.
+	syscall.Shutdown(fd, syscall.SHUT_WR)
+	l.alive++
+	time.AfterFunc(lingerShort, func() {
+		rest := make([]byte, 8<<10)
+		for n, got := 1, 0; n > 0 && got < lingerBytes; got += n {
+			n, _ = syscall.Read(fd, rest)
+		}
+		syscall.Close(fd)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.alive--
+		l.room.Signal()
+	})
+}
+
+// refusalLine is the text of a refusal.
+func refusalLine(a door.Action) string {
+	switch {
+	case a.Code == http.StatusTooManyRequests && a.Cause == door.OverRate:
+		return "too many new connections of this client; trying again is harmless"
+	case a.Code == http.StatusTooManyRequests:
+		return "too many " + a.Cause.String() + " of this client; trying again is harmless"
+	}
+	return "no place for this request; trying again is harmless"
+}
+
 // carryOut does what the door wants of a connection. The lock is held.
 func (l *listener) carryOut(a door.Action) {
 	switch a.Kind {
@@ -257,6 +343,16 @@
 	return l.door.Level()
 }
 
+// reading returns how long a client may take for what one write sent.
+func (l *listener) reading() time.Duration {
+	if !l.strict {
+		return stuckFor
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return cmp.Or(l.door.Reading(), stuckFor)
+}
+
 // use returns the share of the places that is taken.
 func (l *listener) use() float64 {
 	l.mu.Lock()
@@ -302,11 +398,7 @@
 
 // Write gives up on a client that reads no more: its stream would hold a real server's connection for ever.
 func (c *clientConn) Write(p []byte) (int, error) {
-	most := stuckFor[door.Calm]
-	if c.listener.strict {
-		most = stuckFor[c.listener.level()]
-	}
-	c.Conn.SetWriteDeadline(time.Now().Add(most))
+	c.Conn.SetWriteDeadline(time.Now().Add(c.listener.reading()))
 	return c.Conn.Write(p)
 }
 
@@ -319,7 +411,7 @@
 		var b [1]byte
 		n, err := c.Conn.Read(b[:])
 		if n > 0 {
-			c.ahead = b[:n]
+			c.ahead = append(c.ahead, b[:n]...)
 			return
 		}
 		if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
@@ -343,8 +435,11 @@
 	l := c.listener
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.unread && tcp.CloseWrite() == nil {
 		linger := lingerFor
-		if l.level() > door.Calm {
+		switch {
+		case l.level() > door.Calm:
 			linger = lingerShort
+		case l.strict:
+			linger = lingerLess
 		}
 		c.Conn.SetReadDeadline(time.Now().Add(linger))
 		io.CopyN(io.Discard, c.Conn, lingerBytes)
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -188,11 +188,14 @@
 	return float64(used) / float64(p.limit)
 }
 
-// close closes the idle connections, and each other one as soon as it would become idle.
-func (p *pool) close() {
+// keepIdle says whether connections may stay without a use. Where they may not, the idle ones are closed, and each other
+// one as soon as it would become idle.
+func (p *pool) keepIdle(may bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = true
+	if p.closed = !may; may {
+		return
+	}
 	for to, l := range p.idle {
 		for _, c := range l {
 			c.Close()
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -76,7 +76,11 @@
 func (s *RealServers) Open() int { return s.pool.count(0) }
 
 // Close closes the idle connections. Those in use close with their users.
-func (s *RealServers) Close() { s.pool.close() }
+func (s *RealServers) Close() { s.pool.keepIdle(false) }
+
+// KeepIdle says whether connections may stay open without a use; if not, the idle ones give their descriptors back at
+// once.
+func (s *RealServers) KeepIdle(may bool) { s.pool.keepIdle(may) }
 
 // Forget closes the idle connections to a real server.
 func (s *RealServers) Forget(id string) {
