--- a/cmd/reachspread/main_test.go
+++ b/cmd/reachspread/main_test.go
@@ -5,7 +5,9 @@
 	"strings"
 	"testing"
 
+	"reachspread/internal/door"
 	"reachspread/internal/mirror"
+	"reachspread/internal/program"
 	"reachspread/internal/shadow"
 )
 
@@ -51,3 +53,21 @@
 		}
 	}
 }
+
+// The state of the door names each cause, each owner and who holds the most.
+func TestDoorStatusIsPrinted(t *testing.T) {
+	var out bytes.Buffer
+	printDoor(&out, &program.DoorStatus{Level: "critical", Places: 96, Reserve: 24, Lent: 3, Known: 5, Unknown: 60, Lobby: 2, Step: 1, Open: 40,
+		Admitted: 7, Promoted: 6, Served: 8, Refused: map[string]uint64{"full house": 9}, Turned: map[string]uint64{"rate": 10, "left at once": 12},
+		Shut: map[string]uint64{"too slow": 11}, Shorts: 2, Holdings: []door.Holding{{Name: "10.0.0.0/8", Conns: 4, Open: 3}, {Name: "tool-1", Conns: 2, Known: true}},
+		Ledger: door.Ledger{Limit: 256, Open: 99, Lines: []door.Line{{Owner: door.Copies, Share: 20, Used: 17}, {Owner: door.Unknown, Used: 60, Share: 72}}}})
+	got := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{"door: critical, 96 places, 24 of them for known clients, 3 lent", "known 5, unknown 60 (in the lobby 2), on the step 1",
+		"open requests 40", "admitted 7, 6 promoted", "requests refused: full house 9", "turned away: left at once 12", "turned away: rate 10", "shut: too slow 11",
+		"episodes without a descriptor 2", "descriptors: copies 17 of 20", "all 77 counted, 99 open, limit 256", "holds: 10.0.0.0/8 4 connections, 3 open requests",
+		"holds: tool-1 2 connections, 0 open requests, known"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("the status lacks %q: %s", want, got)
+		}
+	}
+}
--- a/deploy/settings.hcl
+++ b/deploy/settings.hcl
@@ -11,6 +11,17 @@
   folder = "/tmp/reachspread"
 }
 
+# Who gets in when places are short: docs/operators/door.md.
+door {
+  identity_header = "X-Client"
+  identities      = ["order-tool"]
+  reserve         = 0.25 # of the places
+
+  patience {
+    critical = "100ms" # a silent client's, when places are all but gone
+  }
+}
+
 shadow {
   records {
     folder     = "/tmp/reachspread/records"
--- a/internal/peers/flood.go
+++ b/internal/peers/flood.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Flood is a crowd of bad clients. Each connects from an address of its own choice, does its harm, and comes again as
@@ -19,6 +22,8 @@
 type Flood struct {
 	Answers sync.Map // how often each status came, as *atomic.Int64; 0 for a connection that ended without an answer
 	Conns   atomic.Int64
+	mu      sync.Mutex
+	refused *hdrhistogram.Histogram // microseconds from connecting, or asking again, to the word of a refusal
 	stop    chan bool
 	all     sync.WaitGroup
 }
@@ -37,24 +42,25 @@
 
 // NewFlood starts so many bad clients; from gives the address of each. They stop after a while even if nobody says so.
 func NewFlood(addr string, clients int, harm Harm, from func(i int) string, most time.Duration) *Flood {
-	f := &Flood{stop: make(chan bool)}
+	f := &Flood{stop: make(chan bool), refused: hdrhistogram.New(1, 60e6, 3)}
 	end := time.Now().Add(most)
 	for i := range clients {
 		f.all.Go(func() {
-			dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from(i))}, Timeout: time.Second, Control: portLater}
+			dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from(i))}, Timeout: time.Second, Control: PortLater}
 			for n := 0; time.Now().Before(end); n++ {
 				select {
 				case <-f.stop:
 					return
 				default:
 				}
+				begun := time.Now()
 				c, err := dialer.Dial("tcp", addr)
 				if err != nil {
 					time.Sleep(time.Millisecond)
 					continue
 				}
 				f.Conns.Add(1)
-				f.harm(c, harm, fmt.Sprintf("flood-%d-%d", i, n))
+				f.harm(c, harm, fmt.Sprintf("flood-%d-%d", i, n), begun)
 				c.Close()
 			}
 		})
@@ -62,9 +68,9 @@
 	return f
 }
 
-// portLater has the system choose the port when it knows the other side: to find one that is free for all takes ever
+// PortLater has the system choose the port when it knows the other side: to find one that is free for all takes ever
 // longer with thousands of connections that ended, and holds up others who connect.
-func portLater(_, _ string, c syscall.RawConn) (err error) {
+func PortLater(_, _ string, c syscall.RawConn) (err error) {
 	const bindAddressNoPort = 24 // IP_BIND_ADDRESS_NO_PORT of ip(7)
 	failed := c.Control(func(fd uintptr) {
 		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, bindAddressNoPort, 1)
@@ -72,7 +78,7 @@
 	return errors.Join(failed, err)
 }
 
-func (f *Flood) harm(c net.Conn, harm Harm, id string) {
+func (f *Flood) harm(c net.Conn, harm Harm, id string, begun time.Time) {
 	c.SetDeadline(time.Now().Add(Patience))
 	done := make(chan bool)
 	defer close(done)
@@ -110,9 +116,15 @@
 			io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
 			f.count(resp.StatusCode)
+			if resp.StatusCode != http.StatusOK {
+				f.mu.Lock()
+				f.refused.RecordValue(min(time.Since(begun).Microseconds(), 60e6))
+				f.mu.Unlock()
+			}
 			if resp.Close {
 				return
 			}
+			begun = time.Now()
 		}
 	}
 }
@@ -135,6 +147,12 @@
 		parts = append(parts, fmt.Sprintf("%d: %d", status, n.(*atomic.Int64).Load()))
 		return true
 	})
+	slices.Sort(parts)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refused.TotalCount() > 0 {
+		parts = append(parts, fmt.Sprintf("refused within p50 %.1f ms, p99 %.1f ms", float64(f.refused.ValueAtQuantile(50))/1000, float64(f.refused.ValueAtQuantile(99))/1000))
+	}
 	return fmt.Sprintf("%d connections, answers %s", f.Conns.Load(), strings.Join(parts, ", "))
 }
 
--- a/internal/program/measure_test.go
+++ b/internal/program/measure_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -458,6 +459,64 @@
 	fmt.Println("flood:", flood.Summary())
 }
 
+// TestMeasureRefusal measures what a refusal costs beside a served request, each on a connection of its own: CPU time of
+// the router, before hosts that answer at once with two events.
+func TestMeasureRefusal(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; see docs/measurements/")
+	}
+	live := models(t, 4, peers.Manner{Events: 2})
+	p := startRouter(t, buildRouter(t), live, "--settings", *doorFile)
+	ask := func(times int, more string, want int) time.Duration {
+		before, _ := p.used()
+		var all sync.WaitGroup
+		var odd atomic.Int64
+		for worker := range 8 {
+			all.Go(func() {
+				for i := range times / 8 {
+					if status := askFrom(p.addr, fmt.Sprint(want, "-", worker, "-", i), more); status != want {
+						odd.Add(1)
+					}
+				}
+			})
+		}
+		all.Wait()
+		after, _ := p.used()
+		if odd := odd.Load(); odd > int64(times/100) {
+			t.Errorf("%d of %d were not answered with %d", odd, times, want)
+		}
+		return (after - before) / time.Duration(times)
+	}
+	for range *rounds {
+		served := ask(4000, "X-Client: tool-1\r\n", 200)
+		refused := ask(80000, "", 429)
+		t.Logf("CPU of a served request %.1f us, of a refusal %.1f us: one in %.0f", float64(served.Nanoseconds())/1000,
+			float64(refused.Nanoseconds())/1000, float64(served)/float64(refused))
+	}
+}
+
+// askFrom asks once from an address other than that of known clients, unless there is a word of theirs.
+func askFrom(addr, id, more string) (status int) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(oneAddress(0))}, Timeout: 3 * time.Second, Control: peers.PortLater}
+	if more != "" {
+		dialer = net.Dialer{Timeout: 3 * time.Second}
+	}
+	c, err := dialer.Dial("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	io.WriteString(c, peers.AskText(id, more))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
 // known sends requests of a known client, each on a connection of its own.
 func known(t *testing.T, addr string, forSeconds int, perSecond float64) (first *hdrhistogram.Histogram, refused, silent int) {
 	first = hdrhistogram.New(1, 60e6, 3)
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -12,8 +12,11 @@
 	"syscall"
 	"testing"
 
+	"pgregory.net/rapid"
 	"reachspread/internal/peers"
 	"reachspread/internal/protocol"
+
+	"reachspread/internal/door"
 )
 
 const platform = `{"az":"a","quantumNs":5000000,"services":[{"name":"chat","effect":"safe","streaming":true,` +
@@ -94,6 +97,50 @@
 	}
 }
 
+// However the limits and the settings divide the descriptors, the shares of all owners fit the limit, and none is
+// without any that needs one.
+func TestSharesFitTheLimit(t *testing.T) {
+	env := configFile(t, "n1", "n1")
+	path := filepath.Join(t.TempDir(), "settings.hcl")
+	rapid.Check(t, func(t *rapid.T) {
+		c, err := Load(env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Limits.Sockets = rapid.IntRange(otherSockets+2*fewestClient, 70000).Draw(t, "sockets")
+		text := ""
+		if rapid.Bool().Draw(t, "door") {
+			text += fmt.Sprintf("door {\n reserve = %v\n step = %d\n}\n", rapid.Float64Range(0, 0.9).Draw(t, "reserve"), rapid.IntRange(1, 20).Draw(t, "step"))
+		}
+		if rapid.Bool().Draw(t, "status") {
+			text += "status {\n folder = \"f\"\n}\n"
+		}
+		if rapid.Bool().Draw(t, "shadow") {
+			text += fmt.Sprintf("shadow {\n records {\n folder = \"r\"\n }\n pool \"p\" {\n share = 1\n sockets = %d\n body_bytes = \"1KiB\"\n host \"h\" {\n addr = \"h:1\"\n }\n }\n}\n",
+				rapid.IntRange(1, 64).Draw(t, "copies"))
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.ReadSettings(path); err != nil {
+			if !strings.Contains(err.Error(), "descriptors") {
+				t.Fatal(err)
+			}
+			return // they do not fit, and it is said
+		}
+		ledger := c.shares()
+		if ledger.Shares() > ledger.Limit || ledger.Limit != c.Limits.Sockets {
+			t.Errorf("shares of %d under a limit of %d: %+v", ledger.Shares(), ledger.Limit, ledger)
+		}
+		for _, line := range ledger.Lines {
+			needs := line.Owner == door.Unknown || line.Owner == door.StepOnes || line.Owner == door.RealServers || line.Owner == door.Float
+			if line.Share < 0 || needs && line.Share == 0 {
+				t.Errorf("%s has a share of %d under a limit of %d", line.Owner, line.Share, ledger.Limit)
+			}
+		}
+	})
+}
+
 // From start to exit: ready once a service entry is known; after SIGTERM each answer ends its connection, what
 // was taken is finished, and the program ends by itself.
 func TestPhases(t *testing.T) {
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -86,3 +87,75 @@
 		}
 	}
 }
+
+// An IPv6 client that comes from a new address each time, of one net: on loopback there is one such address, so the
+// listener is told others. What it sends in small pieces is read and answered as what it sends at once.
+func TestNewAddressEachTime(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newListener(&FrontLimits{Door: door.Config{Places: 20, Step: 4, Fair: true, Away: time.Second, Addresses: 10,
+		Address: door.Cap{Conns: 3}, Net: door.Cap{Conns: 5}, Patience: [3]time.Duration{time.Second, time.Second, time.Second}}})
+	if err := l.listen(ln); err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	admitted, refused := 0, 0
+	for i := range 12 {
+		c := dial(t, ln.Addr().String(), peers.AskText(fmt.Sprint("q", i), ""))
+		fd, _, err := l.accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		from := netip.MustParseAddr("2001:db8::1").As16()
+		from[7], from[15] = byte(i/4), byte(i) // three networks of one /48
+		if cc := l.opened(fd, netip.AddrFrom16(from)); cc != nil {
+			admitted++
+			defer cc.Close()
+			head := make([]byte, 4)
+			if _, err := io.ReadFull(cc, head); err != nil || string(head) != "POST" {
+				t.Errorf("client %d: its request begins with %q, %v", i, head, err)
+			}
+			continue
+		}
+		if got, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 429 ") {
+			t.Errorf("client %d got %q, %v", i, got, err)
+		}
+		refused++
+	}
+	if admitted != 5 || refused != 7 {
+		t.Errorf("%d let in, %d refused", admitted, refused)
+	}
+}
+
+// A request whose body is still on its way is refused at once, and the rest of it does not take back the answer.
+func TestRefusedHalfway(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newListener(&FrontLimits{Door: door.Config{Places: 20, Step: 4, Fair: true, Away: time.Second, Address: door.Cap{PerSecond: 1},
+		Patience: [3]time.Duration{time.Second, time.Second, time.Second}}})
+	if err := l.listen(ln); err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for i := range 4 {
+		c := dial(t, ln.Addr().String(), "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nContent-Length: 60000\r\n\r\n{")
+		fd, from, err := l.accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if cc := l.opened(fd, from); (cc != nil) != (i == 0) {
+			t.Fatalf("client %d: let in: %v", i, cc != nil)
+		} else if cc != nil {
+			defer cc.Close()
+			continue
+		}
+		io.WriteString(c, strings.Repeat(" ", 59999))
+		if got, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 429 ") {
+			t.Errorf("client %d got %q, %v", i, got, err)
+		}
+	}
+}
