--- /dev/null
+++ b/internal/experiment/file.go
@@ -0,0 +1,374 @@
+// Package experiment reads experiments from HCL, plays their worlds side by side, one a core, and keeps and compares what
+// comes of them. The worlds are package lab's; nothing here decides anything in them.
+package experiment
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/zclconf/go-cty/cty"
+
+	"reachspread/balance"
+	"reachspread/internal/fleet"
+	"reachspread/internal/lab"
+)
+
+// Experiment is worlds that differ by seed and by variant.
+type Experiment struct {
+	Name     string
+	Seeds    []uint64
+	Spec     lab.Spec // of the first variant, but for the seed
+	Variants []Variant
+	Text     []byte // as it was read
+}
+
+// Variant is a change to the module's settings or to the routers.
+type Variant struct {
+	Name  string
+	apply func(*lab.Spec)
+}
+
+// Worlds returns how many worlds the experiment has.
+func (x *Experiment) Worlds() int { return len(x.Seeds) * len(x.Variants) }
+
+// World returns the spec of one world.
+func (x *Experiment) World(variant int, seed uint64) lab.Spec {
+	s := x.Spec
+	s.Seed = seed
+	x.Variants[variant].apply(&s)
+	return s
+}
+
+const (
+	mostSeeds = 10000
+	aDay      = 24 * time.Hour
+)
+
+// Read reads an experiment's file. An error is one line with file, line and field.
+func Read(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text, filepath.Base(path))
+}
+
+// Parse is Read for a text; name is that of its file.
+func Parse(text []byte, name string) (*Experiment, error) {
+	f, diags := hclsyntax.ParseConfig(text, name, hcl.InitialPos)
+	if diags.HasErrors() {
+		d := diags[0]
+		return nil, fmt.Errorf("%s:%d: %s: %s", name, d.Subject.Start.Line, d.Summary, strings.ReplaceAll(d.Detail, "\n", " "))
+	}
+	x := &Experiment{Name: strings.TrimSuffix(name, filepath.Ext(name)), Text: text}
+	d := &decoder{}
+	d.file(x, f.Body.(*hclsyntax.Body))
+	if d.err != nil {
+		return nil, d.err
+	}
+	if err := x.Spec.Check(); err != nil {
+		return nil, fmt.Errorf("%s:1: %w", name, err)
+	}
+	return x, nil
+}
+
+// decoder reads blocks by tables of their fields. The first fault counts.
+type decoder struct{ err error }
+
+func (d *decoder) fault(at hcl.Range, field, format string, v ...any) {
+	if d.err == nil {
+		d.err = fmt.Errorf("%s:%d: %s %s", at.Filename, at.Start.Line, field, fmt.Sprintf(format, v...))
+	}
+}
+
+// fields is what a block may hold: each takes a value, or says what is wrong with it.
+type fields map[string]func(cty.Value) string
+
+// blocks are those that a block may hold.
+type blocks map[string]func(*hclsyntax.Block)
+
+func (d *decoder) body(b *hclsyntax.Body, what string, f fields, inner blocks, needed ...string) {
+	names := make([]string, 0, len(b.Attributes))
+	for name := range b.Attributes {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(x, y string) int {
+		return b.Attributes[x].SrcRange.Start.Line - b.Attributes[y].SrcRange.Start.Line
+	})
+	for _, name := range names {
+		a := b.Attributes[name]
+		take := f[name]
+		if take == nil {
+			d.fault(a.SrcRange, name, "is not a field of %s", what)
+			continue
+		}
+		v, diags := a.Expr.Value(nil)
+		if diags.HasErrors() {
+			d.fault(a.SrcRange, name, "has no value: %s", diags[0].Detail)
+			continue
+		}
+		if wrong := take(v); wrong != "" {
+			d.fault(a.SrcRange, name, "%s", wrong)
+		}
+	}
+	for _, name := range needed {
+		if b.Attributes[name] == nil {
+			d.fault(b.SrcRange, name, "is missing from %s", what)
+		}
+	}
+	for _, in := range b.Blocks {
+		take := inner[in.Type]
+		if take == nil {
+			d.fault(in.TypeRange, in.Type, "is not a block of %s", what)
+			continue
+		}
+		take(in)
+	}
+}
+
+// label returns a block's one label.
+func (d *decoder) label(b *hclsyntax.Block) string {
+	if len(b.Labels) != 1 || b.Labels[0] == "" {
+		d.fault(b.TypeRange, b.Type, "needs one name behind it")
+		return ""
+	}
+	return b.Labels[0]
+}
+
+func number(v cty.Value) (float64, bool) {
+	if v.IsNull() || !v.IsKnown() || v.Type() != cty.Number {
+		return 0, false
+	}
+	x, _ := v.AsBigFloat().Float64()
+	return x, true
+}
+
+func num(to *float64, least, most float64) func(cty.Value) string {
+	return func(v cty.Value) string {
+		x, ok := number(v)
+		if !ok || !(x >= least && x <= most) {
+			return fmt.Sprintf("must be a number from %v to %v", least, most)
+		}
+		*to = x
+		return ""
+	}
+}
+
+func whole(to *int, least, most int) func(cty.Value) string {
+	return func(v cty.Value) string {
+		x, ok := number(v)
+		if !ok || x != float64(int(x)) || int(x) < least || int(x) > most {
+			return fmt.Sprintf("must be a whole number from %d to %d", least, most)
+		}
+		*to = int(x)
+		return ""
+	}
+}
+
+func text(v cty.Value) (string, bool) {
+	if v.IsNull() || !v.IsKnown() || v.Type() != cty.String {
+		return "", false
+	}
+	return v.AsString(), true
+}
+
+func span(to *time.Duration, least time.Duration) func(cty.Value) string {
+	return func(v cty.Value) string {
+		word, _ := text(v)
+		x, err := time.ParseDuration(word)
+		if err != nil || x < least || x > aDay {
+			return fmt.Sprintf("must be a time from %v to %v, such as \"250ms\"", least, aDay)
+		}
+		*to = x
+		return ""
+	}
+}
+
+func word(to *string) func(cty.Value) string {
+	return func(v cty.Value) string {
+		x, ok := text(v)
+		if !ok || x == "" {
+			return "must be a word"
+		}
+		*to = x
+		return ""
+	}
+}
+
+func flag(to *bool) func(cty.Value) string {
+	return func(v cty.Value) string {
+		if v.IsNull() || !v.IsKnown() || v.Type() != cty.Bool {
+			return "must be true or false"
+		}
+		*to = v.True()
+		return ""
+	}
+}
+
+func (d *decoder) file(x *Experiment, b *hclsyntax.Body) {
+	s := &x.Spec
+	*s = lab.Spec{Length: time.Minute, Tick: 5 * time.Millisecond, Routers: 1,
+		Balance: balance.Config{MaxAttempts: 4, StartCapacity: 1},
+		Net: lab.Network{Same: 300 * time.Microsecond, Cross: 2 * time.Millisecond, Jitter: 0.2, Connect: 50 * time.Millisecond,
+			Idle: 15 * time.Second},
+		List: lab.List{Delay: 50 * time.Millisecond, Spread: 200 * time.Millisecond}, Front: lab.Front{Notice: 2 * time.Second},
+		Retries: lab.Retries{Max: 2, After: 200 * time.Millisecond, Marks: true, Heed: true}}
+	names := map[string]bool{}
+	d.body(b, "an experiment", fields{
+		"seeds":   d.seeds(x),
+		"length":  span(&s.Length, time.Millisecond),
+		"tick":    span(&s.Tick, time.Microsecond),
+		"routers": whole(&s.Routers, 1, 10000),
+	}, blocks{
+		"module": func(b *hclsyntax.Block) { d.body(b.Body, "module", d.module(&s.Balance), nil) },
+		"group":  func(b *hclsyntax.Block) { s.Groups = append(s.Groups, d.group(b)) },
+		"class":  func(b *hclsyntax.Block) { s.Classes = append(s.Classes, d.class(b)) },
+		"network": func(b *hclsyntax.Block) {
+			d.body(b.Body, "network", fields{"same": span(&s.Net.Same, 0), "cross": span(&s.Net.Cross, 0), "jitter": num(&s.Net.Jitter, 0, 10),
+				"connect": span(&s.Net.Connect, 1), "idle": span(&s.Net.Idle, 1)}, nil)
+		},
+		"list": func(b *hclsyntax.Block) {
+			d.body(b.Body, "list", fields{"delay": span(&s.List.Delay, 0), "spread": span(&s.List.Spread, 0)}, nil)
+		},
+		"front": func(b *hclsyntax.Block) {
+			d.body(b.Body, "front", fields{"notice": span(&s.Front.Notice, 0)}, nil)
+		},
+		"retries": func(b *hclsyntax.Block) {
+			d.body(b.Body, "retries", fields{"most": whole(&s.Retries.Max, 0, 100), "after": span(&s.Retries.After, 0),
+				"marked": flag(&s.Retries.Marks), "heed": flag(&s.Retries.Heed)}, nil)
+		},
+		"trouble": func(b *hclsyntax.Block) { s.Troubles = append(s.Troubles, d.trouble(b)) },
+		"variant": func(b *hclsyntax.Block) {
+			name := d.label(b)
+			if names[name] {
+				d.fault(b.TypeRange, "variant", "%q is there twice", name)
+			}
+			names[name] = true
+			x.Variants = append(x.Variants, Variant{name, d.variant(b)})
+		},
+	}, "seeds")
+	if len(x.Variants) == 0 {
+		x.Variants = []Variant{{"base", func(*lab.Spec) {}}}
+	}
+	if len(s.Classes) == 0 {
+		d.fault(b.SrcRange, "class", "is missing: an experiment needs one at least")
+	}
+	s.Balance.MarksLater = s.Retries.Marks
+}
+
+// seeds takes a list of whole numbers, or one for as many seeds from 1 on.
+func (d *decoder) seeds(x *Experiment) func(cty.Value) string {
+	return func(v cty.Value) string {
+		const wrong = "must be how many seeds, from 1 to 10000, or a list of them"
+		if n, ok := number(v); ok && n == float64(int(n)) && n >= 1 && n <= mostSeeds {
+			for i := range int(n) {
+				x.Seeds = append(x.Seeds, uint64(i+1))
+			}
+			return ""
+		}
+		if v.IsNull() || !v.IsKnown() || !v.CanIterateElements() || v.LengthInt() == 0 || v.LengthInt() > mostSeeds {
+			return wrong
+		}
+		for _, e := range v.AsValueSlice() {
+			n, ok := number(e)
+			if !ok || n != float64(uint64(n)) || slices.Contains(x.Seeds, uint64(n)) {
+				return wrong + ", whole and each once"
+			}
+			x.Seeds = append(x.Seeds, uint64(n))
+		}
+		return ""
+	}
+}
+
+func (d *decoder) module(c *balance.Config) fields {
+	return fields{
+		"may_probe":        flag(&c.MayProbe),
+		"max_attempts":     whole(&c.MaxAttempts, 1, 100),
+		"start_capacity":   num(&c.StartCapacity, 0, 1),
+		"cold_time":        span(&c.ColdTime, 0),
+		"overload_factor":  num(&c.OverloadFactor, 0, 1000),
+		"overload_window":  span(&c.OverloadWindow, 0),
+		"cross_zone_price": num(&c.CrossZonePrice, 0, 1),
+		"max_away":         span(&c.MaxAway, 0),
+	}
+}
+
+// variant reads a block and returns what it changes. The block is read again for each world.
+func (d *decoder) variant(b *hclsyntax.Block) func(*lab.Spec) {
+	read := func(d *decoder, s *lab.Spec) {
+		f := d.module(&s.Balance)
+		f["routers"] = whole(&s.Routers, 1, 10000)
+		f["tick"] = span(&s.Tick, time.Microsecond)
+		d.body(b.Body, "variant", f, nil)
+	}
+	read(d, &lab.Spec{})
+	return func(s *lab.Spec) { read(&decoder{}, s) }
+}
+
+func (d *decoder) group(b *hclsyntax.Block) lab.Group {
+	g := lab.Group{Kind: d.label(b), Zone: "a", Host: fleet.Config{Slots: 64, Queue: 64, Memory: 200000, Chunk: 2048, Block: 16,
+		Base: 12 * time.Millisecond, PerSeq: 200 * time.Microsecond, ContextPerK: 50 * time.Microsecond, PairsPerM: time.Millisecond,
+		ReadPerS: 20000, KeepsMade: true}}
+	h := &g.Host
+	d.body(b.Body, "group", fields{
+		"hosts": whole(&g.Count, 0, 100000), "zone": word(&g.Zone),
+		"slots": whole(&h.Slots, 1, 100000), "queue": whole(&h.Queue, 0, 1000000), "memory": whole(&h.Memory, 1, 1<<31),
+		"chunk": whole(&h.Chunk, 1, 1<<20), "block": whole(&h.Block, 1, 1<<20), "step": span(&h.Base, 1), "per_seq": span(&h.PerSeq, 0),
+		"context_per_k": span(&h.ContextPerK, 0), "pairs_per_m": span(&h.PairsPerM, 0), "read_per_s": num(&h.ReadPerS, 0, 1e9),
+		"keeps_made": flag(&h.KeepsMade), "connections": whole(&h.Conns, 0, 1<<20), "handshake": span(&h.Handshake, 0),
+		"table_cost": num(&h.TableCost, 0, 0.9), "probe": span(&h.Probe, 0), "probes_per_second": whole(&h.ProbesMax, 0, 1<<20),
+		"report_every": span(&h.ReportEvery, 0), "report_noise": num(&h.ReportNoise, 0, 1),
+	}, blocks{"cold": func(b *hclsyntax.Block) {
+		c := &h.Cold
+		d.body(b.Body, "cold", fields{"share": num(&c.Share, 0.01, 1), "time": span(&c.Time, 0), "work": span(&c.Work, 0),
+			"factor": num(&c.Factor, 0, 1000), "window": span(&c.Window, 0), "per_token": span(&c.PerToken, 0), "per_made": span(&c.PerMade, 0)},
+			nil, "share", "time")
+	}}, "hosts")
+	return g
+}
+
+func (d *decoder) class(b *hclsyntax.Block) lab.Class {
+	c := lab.Class{Class: balance.Class{Name: d.label(b), Worth: 1, Streamed: true}, Turns: 1, MaxOut: 800, MaxContext: 32000,
+		New: lab.Length{Median: 300, Sigma: 0.8}, Out: lab.Length{Median: 120, Sigma: 0.7}, PrefixLen: lab.Length{Median: 1000, Sigma: 0.5}, Zipf: 1}
+	d.body(b.Body, "class", fields{
+		"aim": span(&c.Class.Aim, 0), "aim_per_1000": span(&c.Class.AimPer1000, 0), "token_aim": span(&c.Class.TokenAim, 0),
+		"deadline": span(&c.Class.Deadline, 1), "worth": num(&c.Class.Worth, 0, 1e6), "late_worth": num(&c.Class.LateWorth, 0, 1),
+		"rate": num(&c.Rate, 0, 1e6), "turns": num(&c.Turns, 1, 1000), "think": span(&c.Think, 0),
+		"new_median": num(&c.New.Median, 1, 1e6), "new_sigma": num(&c.New.Sigma, 0, 5),
+		"out_median": num(&c.Out.Median, 1, 1e6), "out_sigma": num(&c.Out.Sigma, 0, 5),
+		"max_out": whole(&c.MaxOut, 1, 1<<20), "max_context": whole(&c.MaxContext, 1, 1<<24),
+		"prefixes": whole(&c.Prefixes, 0, 1<<20), "prefix_zipf": num(&c.Zipf, 0, 10),
+		"prefix_median": num(&c.PrefixLen.Median, 1, 1e6), "prefix_sigma": num(&c.PrefixLen.Sigma, 0, 5),
+		"patience": num(&c.Patience, 0, 1),
+	}, nil, "aim", "deadline", "rate")
+	return c
+}
+
+func (d *decoder) trouble(b *hclsyntax.Block) lab.Trouble {
+	t := lab.Trouble{Kind: lab.TroubleKind(d.label(b))}
+	known := lab.Trouble{Kind: t.Kind, Part: 1, Size: 1, Length: 1, Zone: t.Zone}
+	if probe := (&lab.Spec{Length: 1, Tick: 1, Routers: 1, Classes: []lab.Class{{Class: balance.Class{Deadline: 1}, Turns: 1, MaxOut: 1, MaxContext: 1}},
+		Groups: []lab.Group{{Host: fleet.Config{Slots: 1, Memory: 1, Chunk: 1, Base: 1}}}, Troubles: []lab.Trouble{known}}); probe.Check() != nil {
+		d.fault(b.TypeRange, "trouble", "%q is unknown", t.Kind)
+	}
+	needed := []string{"at", "length"}
+	switch t.Kind {
+	case lab.SlowHosts, lab.HeavyTail:
+		needed = append(needed, "part", "size")
+	case lab.Burst:
+		needed = append(needed, "size")
+	case lab.RouterCrash, lab.HostsDie, lab.Replace, lab.Release:
+		needed = append(needed, "part")
+	case lab.LostZone:
+		needed = append(needed, "zone")
+	}
+	d.body(b.Body, "trouble", fields{"at": span(&t.At, 0), "length": span(&t.Length, 1), "part": num(&t.Part, 0, 1),
+		"size": num(&t.Size, 0.01, 1000), "zone": word(&t.Zone)}, nil, needed...)
+	return t
+}
--- /dev/null
+++ b/internal/experiment/keep.go
@@ -0,0 +1,200 @@
+package experiment
+
+import (
+	"bufio"
+	"encoding/csv"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// The files of a run's folder. The last one is written when all else is there.
+const (
+	SpecFile    = "experiment.hcl"
+	RunsFile    = "runs.ndjson"
+	SummaryFile = "summary.md"
+	TableFile   = "summary.csv"
+	WholeFile   = "whole"
+)
+
+// Summary is one variant over all its seeds.
+type Summary struct {
+	Variant                                    string
+	Worlds, Broken                             int
+	G, Least                                   float64 // mean and lowest
+	Asked, Good, Refused, BrokenOff, Lost      uint64
+	P50, P99                                   float64 // ms to the first token, the largest of the classes'
+	AttemptsPerRequest, Wasted, KeptPerRequest float64
+}
+
+// Summarize returns a row for each variant, in their order.
+func Summarize(runs []*Run) (rows []Summary) {
+	for _, r := range runs {
+		i := slices.IndexFunc(rows, func(s Summary) bool { return s.Variant == r.Variant })
+		if i < 0 {
+			i = len(rows)
+			rows = append(rows, Summary{Variant: r.Variant, Least: 1})
+		}
+		s := &rows[i]
+		s.Worlds++
+		if r.Broken != "" {
+			s.Broken++
+			continue
+		}
+		g := r.Result.G()
+		s.G += g
+		s.Least = min(s.Least, g)
+		var asked uint64
+		for _, c := range r.Result.Classes {
+			asked += c.Asked
+			s.Good += c.Good
+			s.Refused += c.Refused
+			s.BrokenOff += c.BrokenOff
+			s.Lost += c.Lost + c.Failed
+			if c.First.TotalCount() > 0 {
+				s.P50 = max(s.P50, float64(c.First.ValueAtQuantile(50))/1000)
+				s.P99 = max(s.P99, float64(c.First.ValueAtQuantile(99))/1000)
+			}
+		}
+		s.Asked += asked
+		s.AttemptsPerRequest += float64(r.Result.Attempts)
+		s.KeptPerRequest += float64(r.Result.Kept)
+		s.Wasted += float64(r.Result.Wasted) / float64(max(r.Result.Tokens, 1))
+	}
+	for i := range rows {
+		s := &rows[i]
+		n := float64(max(s.Worlds-s.Broken, 1))
+		s.G /= n
+		s.Wasted /= n
+		s.AttemptsPerRequest /= float64(max(s.Asked, 1))
+		s.KeptPerRequest /= float64(max(s.Asked, 1))
+	}
+	return rows
+}
+
+var columns = []string{"variant", "worlds", "rule broken", "G", "lowest G", "asked", "good", "refused", "broken off", "lost", "p50 ms", "p99 ms",
+	"attempts a request", "tokens wasted", "prompt tokens kept a request"}
+
+func (s *Summary) row() []string {
+	return []string{s.Variant, strconv.Itoa(s.Worlds), strconv.Itoa(s.Broken), fmt.Sprintf("%.3f", s.G), fmt.Sprintf("%.3f", s.Least),
+		fmt.Sprint(s.Asked), fmt.Sprint(s.Good), fmt.Sprint(s.Refused), fmt.Sprint(s.BrokenOff), fmt.Sprint(s.Lost), fmt.Sprintf("%.1f", s.P50),
+		fmt.Sprintf("%.1f", s.P99), fmt.Sprintf("%.3f", s.AttemptsPerRequest), fmt.Sprintf("%.4f", s.Wasted), fmt.Sprintf("%.0f", s.KeptPerRequest)}
+}
+
+// WriteTable writes the summary as Markdown, with what the variants differ by.
+func WriteTable(out io.Writer, runs []*Run) error {
+	w := bufio.NewWriter(out)
+	fmt.Fprintf(w, "| %s |\n|%s\n", strings.Join(columns, " | "), strings.Repeat(" --- |", len(columns)))
+	for _, s := range Summarize(runs) {
+		fmt.Fprintf(w, "| %s |\n", strings.Join(s.row(), " | "))
+	}
+	for i, d := range Compare(runs) {
+		if i == 0 {
+			fmt.Fprintln(w)
+		}
+		if d.Shown() {
+			fmt.Fprintf(w, "%s has a G %+.4f from that of %s (95 in 100: %+.4f to %+.4f, %d pairs).\n", d.To, d.Mean, d.From, d.Low, d.High, d.Pairs)
+		} else {
+			fmt.Fprintf(w, "%s against %s: no difference shown (%+.4f; 95 in 100: %+.4f to %+.4f, %d pairs).\n", d.To, d.From, d.Mean, d.Low, d.High, d.Pairs)
+		}
+	}
+	for _, r := range runs {
+		if r.Broken != "" {
+			fmt.Fprintf(w, "\n%s: %s\n", r.Variant, r.Broken)
+		}
+	}
+	return w.Flush()
+}
+
+// Keep leaves an experiment's runs in a folder that must be new or empty.
+func (x *Experiment) Keep(folder string, runs []*Run) (err error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	if held, err := os.ReadDir(folder); err != nil {
+		return err
+	} else if len(held) > 0 {
+		return fmt.Errorf("%s is not empty; a run is kept in a folder of its own", folder)
+	}
+	file := func(name string, write func(io.Writer) error) {
+		if err != nil {
+			return
+		}
+		f, e := os.Create(filepath.Join(folder, name))
+		if e != nil {
+			err = e
+			return
+		}
+		w := bufio.NewWriter(f)
+		err = errors.Join(write(w), w.Flush(), f.Sync(), f.Close())
+	}
+	file(SpecFile, func(w io.Writer) error { _, err := w.Write(x.Text); return err })
+	file(RunsFile, func(w io.Writer) error {
+		to := json.NewEncoder(w)
+		for _, r := range runs {
+			if err := to.Encode(r); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	file(SummaryFile, func(w io.Writer) error { return WriteTable(w, runs) })
+	file(TableFile, func(w io.Writer) error {
+		to := csv.NewWriter(w)
+		to.Write(columns)
+		for _, s := range Summarize(runs) {
+			to.Write(s.row())
+		}
+		to.Flush()
+		return to.Error()
+	})
+	file(WholeFile, func(w io.Writer) error { _, err := fmt.Fprintln(w, len(runs)); return err })
+	return err
+}
+
+// Open reads a folder that Keep left: its experiment and the G of each run. One that was not left whole is not read.
+func Open(folder string) (*Experiment, []Kept, error) {
+	count, err := os.ReadFile(filepath.Join(folder, WholeFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil, fmt.Errorf("%s: is no whole run: there is no file %q, which is written last", folder, WholeFile)
+	} else if err != nil {
+		return nil, nil, err
+	}
+	x, err := Read(filepath.Join(folder, SpecFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	f, err := os.Open(filepath.Join(folder, RunsFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	defer f.Close()
+	var kept []Kept
+	for from := json.NewDecoder(f); ; {
+		var k Kept
+		switch err := from.Decode(&k); {
+		case err == io.EOF:
+			if want := strings.TrimSpace(string(count)); strconv.Itoa(len(kept)) != want {
+				return nil, nil, fmt.Errorf("%s: has %d runs; %s were left", filepath.Join(folder, RunsFile), len(kept), want)
+			}
+			return x, kept, nil
+		case err != nil:
+			return nil, nil, fmt.Errorf("%s: run %d: %w", filepath.Join(folder, RunsFile), len(kept)+1, err)
+		}
+		kept = append(kept, k)
+	}
+}
+
+// Kept is a run as a folder has it.
+type Kept struct {
+	Variant string                         `json:"variant"`
+	Seed    uint64                         `json:"seed"`
+	Broken  string                         `json:"broken"`
+	Result  struct{ Worth, Asked float64 } `json:"result"`
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,146 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"reachspread/internal/lab"
+)
+
+// Run is one world that was played.
+type Run struct {
+	Variant string      `json:"variant"`
+	Seed    uint64      `json:"seed"`
+	Result  *lab.Result `json:"result"`
+	Broken  string      `json:"broken,omitempty"` // a rule: one line; the world ended there
+
+	Report string `json:"-"` // of a broken rule, with what came before
+	err    error
+}
+
+// Play plays all worlds of an experiment, so many at a time. Done is told of each that is over, by one caller at a time;
+// it may be nil. The runs come by variant, then by seed, however they were played.
+func (x *Experiment) Play(ctx context.Context, atOnce int, done func(*Run)) ([]*Run, error) {
+	runs := make([]*Run, x.Worlds())
+	next := make(chan int)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for range max(min(atOnce, len(runs)), 1) {
+		all.Go(func() {
+			for i := range next {
+				v, seed := i/len(x.Seeds), x.Seeds[i%len(x.Seeds)]
+				r := play(x.World(v, seed))
+				r.Variant, r.Seed = x.Variants[v].Name, seed
+				mu.Lock()
+				runs[i] = r
+				if done != nil {
+					done(r)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	var stopped error
+feed:
+	for i := range runs {
+		select {
+		case next <- i:
+		case <-ctx.Done():
+			stopped = ctx.Err()
+			break feed
+		}
+	}
+	close(next)
+	all.Wait()
+	if stopped != nil {
+		return nil, stopped
+	}
+	for _, r := range runs {
+		if r.err != nil {
+			return nil, r.err
+		}
+	}
+	return runs, nil
+}
+
+func play(s lab.Spec) *Run {
+	w, err := lab.New(s)
+	if err != nil {
+		return &Run{err: err}
+	}
+	r := &Run{}
+	var v *lab.Violation
+	if r.Result, err = w.Run(0); errors.As(err, &v) {
+		r.Broken, r.Report = v.Error(), v.Report()
+	} else {
+		r.err = err
+	}
+	return r
+}
+
+// Difference is by how much a variant's G is above another's, in pairs by seed.
+type Difference struct {
+	From, To  string
+	Pairs     int
+	Mean      float64
+	Low, High float64 // of the mean, 95 in 100
+}
+
+// Shown tells whether the difference is more than chance would give.
+func (d *Difference) Shown() bool { return d.Pairs > 1 && (d.Low > 0 || d.High < 0) }
+
+const resamples = 4000
+
+// Compare compares each further variant with the first. The interval is a percentile bootstrap over seeds (Efron and
+// Tibshirani, An Introduction to the Bootstrap, chapter 13), with a fixed seed of its own.
+func Compare(runs []*Run) (all []Difference) {
+	var names []string
+	g := map[string]map[uint64]float64{}
+	for _, r := range runs {
+		if g[r.Variant] == nil {
+			g[r.Variant] = map[uint64]float64{}
+			names = append(names, r.Variant)
+		}
+		if r.Broken == "" {
+			g[r.Variant][r.Seed] = r.Result.G()
+		}
+	}
+	for _, name := range names[min(1, len(names)):] {
+		var diffs []float64
+		var seeds []uint64
+		for seed := range g[name] {
+			if _, ok := g[names[0]][seed]; ok {
+				seeds = append(seeds, seed)
+			}
+		}
+		slices.Sort(seeds)
+		for _, seed := range seeds {
+			diffs = append(diffs, g[name][seed]-g[names[0]][seed])
+		}
+		d := Difference{From: names[0], To: name, Pairs: len(diffs)}
+		if len(diffs) > 0 {
+			d.Mean, d.Low, d.High = bootstrap(diffs)
+		}
+		all = append(all, d)
+	}
+	return all
+}
+
+func bootstrap(x []float64) (mean, low, high float64) {
+	rng := rand.New(rand.NewPCG(1, uint64(len(x))))
+	means := make([]float64, resamples)
+	for i := range means {
+		for range x {
+			means[i] += x[rng.IntN(len(x))]
+		}
+		means[i] /= float64(len(x))
+	}
+	slices.Sort(means)
+	for _, v := range x {
+		mean += v / float64(len(x))
+	}
+	return mean, means[resamples*25/1000], means[resamples*975/1000-1]
+}
--- /dev/null
+++ b/internal/fleet/cold.go
@@ -0,0 +1,56 @@
+package fleet
+
+import "time"
+
+// warmth is a host's way from its start to its full capacity, and the budget that it has until then.
+type warmth struct {
+	c     Cold
+	born  time.Duration
+	never bool          // it was never started anew: warm from the beginning
+	done  time.Duration // work, as a warm host counts it
+	sent  []sending     // within the window, the oldest first
+	sum   time.Duration // of sent
+}
+
+// sending is work that was sent to a cold host.
+type sending struct {
+	at   time.Duration
+	work time.Duration
+}
+
+// share returns the part of the capacity that the host has by now.
+func (w *warmth) share(now time.Duration) float64 {
+	if w.never || w.c.Time <= 0 || w.c.Share >= 1 {
+		return 1
+	}
+	part := float64(now-w.born) / float64(w.c.Time)
+	if w.c.Work > 0 {
+		part = min(part, float64(w.done)/float64(w.c.Work)) // never faster than evenly over the time
+	}
+	return w.c.Share + (1-w.c.Share)*min(max(part, 0), 1)
+}
+
+// topples counts work sent and tells whether it was too much: more within the window than Factor times what the host can
+// do in it at its present capacity.
+func (w *warmth) topples(now time.Duration, work time.Duration) bool {
+	capacity := w.share(now)
+	if capacity >= 1 || w.c.Window <= 0 || w.c.Factor <= 0 {
+		w.sent, w.sum = w.sent[:0], 0
+		return false
+	}
+	gone := 0
+	for gone < len(w.sent) && w.sent[gone].at <= now-w.c.Window {
+		w.sum -= w.sent[gone].work
+		gone++
+	}
+	w.sent = append(w.sent[:0], w.sent[gone:]...)
+	w.sent = append(w.sent, sending{now, work})
+	w.sum += work
+	// One request alone topples nobody, however long it is.
+	return len(w.sent) > 1 && float64(w.sum) > w.c.Factor*capacity*float64(w.c.Window)
+}
+
+// work is what a request counts for when it is sent.
+func (w *warmth) work(r *Request) time.Duration {
+	return time.Duration(r.Prompt)*w.c.PerToken + time.Duration(r.Out-r.Made)*w.c.PerMade
+}
--- /dev/null
+++ b/internal/fleet/host_test.go
@@ -0,0 +1,432 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// plain is a host whose figures are easy to work out by hand: 10 ms a step, 1 ms for each running request, 10,000 tokens
+// read in a second (0.1 ms each).
+func plain() Config {
+	return Config{Slots: 4, Queue: 2, Memory: 10000, Chunk: 100, Block: 10, Base: 10 * ms, PerSeq: ms, ReadPerS: 10000}
+}
+
+// play steps a host until a time, through all that it does, and returns what came of it.
+func play(h *Host, from, until time.Duration, events ...Event) (all []Result) {
+	for _, e := range events {
+		all = append(all, h.Step(from, e)...)
+	}
+	for {
+		at, ok := h.Next()
+		if !ok || at > until {
+			return all
+		}
+		all = append(all, h.Step(at, Passed{})...)
+	}
+}
+
+func ask(id string, prompt, out int) Arrive {
+	return Arrive{Request{ID: id, Prompt: prompt, Out: out, MaxOut: out}}
+}
+
+// times returns when each kind of result came to a request.
+func times(all []Result, kind ResultKind, id string) (at []time.Duration) {
+	for _, r := range all {
+		if r.Kind == kind && r.ID == id {
+			at = append(at, r.At)
+		}
+	}
+	return at
+}
+
+// A prompt of 250 tokens is read in three steps of up to 100; the third makes the first token. By hand: 10+1+10 ms,
+// again, then 10+1+5 ms; each later step takes 11 ms.
+func TestStepTimes(t *testing.T) {
+	all := play(New(plain(), 1), 0, time.Second, ask("a", 250, 3))
+	want := []time.Duration{58 * ms, 69 * ms, 80 * ms}
+	if diff := cmp.Diff(want, times(all, Token, "a")); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(want[2:], times(all, Whole, "a")); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Contexts and pairs have their price: with 10 ms for each 1,000 tokens of context and 100 ms for a million pairs, the
+// second step of a prompt of 200 begins with 100 tokens read (1 ms) and reads 100 after these (15,000 pairs: 1.5 ms).
+func TestLongContextsTakeLonger(t *testing.T) {
+	c := plain()
+	c.ContextPerK, c.PairsPerM = 10*ms, 100*ms
+	all := play(New(c, 1), 0, time.Second, ask("a", 200, 2))
+	first := 21*ms + 500*time.Microsecond + 21*ms + ms + 1500*time.Microsecond
+	if diff := cmp.Diff([]time.Duration{first, first + 11*ms + 2010*time.Microsecond}, times(all, Token, "a")); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Two prompts share a step's chunk, first come first: the second reads what the first leaves.
+func TestFirstComeFirstRead(t *testing.T) {
+	all := play(New(plain(), 1), 0, time.Second, ask("a", 150, 1), ask("b", 50, 1))
+	// The first step began with a alone: 21 ms. The second reads 50 of a and 50 of b: 10+2+10 ms.
+	for _, id := range []string{"a", "b"} {
+		if diff := cmp.Diff([]time.Duration{43 * ms}, times(all, Token, id)); diff != "" {
+			t.Errorf("%s: %s", id, diff)
+		}
+	}
+}
+
+// At saturation all slots make a token each step: 4 in 14 ms.
+func TestThroughputAtSaturation(t *testing.T) {
+	c := plain()
+	c.Queue = 100
+	h := New(c, 1)
+	for i := range 40 {
+		h.Step(0, ask(fmt.Sprint(i), 1, 1000))
+	}
+	play(h, 0, 10*time.Second)
+	got, want := float64(h.Stats(10*time.Second).Tokens)/10, 4/0.014
+	if got < want*0.99 || got > want*1.01 {
+		t.Errorf("%.1f tokens a second, want %.1f", got, want)
+	}
+}
+
+func TestTurnedAway(t *testing.T) {
+	h := New(plain(), 1)
+	for i := range 6 { // 4 slots and 2 in the queue
+		if got := h.Step(0, ask(fmt.Sprint(i), 10, 100)); len(got) > 0 {
+			t.Fatalf("%d: %+v", i, got)
+		}
+	}
+	for _, tt := range []struct {
+		e   Event
+		why Why
+	}{{ask("6", 10, 10), QueueFull}, {ask("7", 9991, 10), TooLong}} {
+		if got := h.Step(0, tt.e); len(got) != 1 || got[0].Kind != TurnedAway || got[0].Why != tt.why {
+			t.Errorf("%+v, want %v", got, tt.why)
+		}
+	}
+	h.Step(0, Drain{})
+	if got := h.Step(0, ask("8", 10, 10)); len(got) != 1 || got[0].Why != Draining {
+		t.Errorf("%+v", got)
+	}
+	if got := play(h, 0, time.Minute); len(times(got, Whole, "0")) != 1 || len(times(got, Whole, "5")) != 1 {
+		t.Error("a draining host did not finish what it had")
+	}
+	if got := h.Step(time.Minute, Die{}); len(got) != 0 {
+		t.Errorf("%+v", got)
+	}
+	if got := h.Step(time.Minute, ask("9", 10, 10)); len(got) != 1 || got[0].Why != Dead {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A beginning that was read is kept for others, and a session goes on from all that went before, in whole blocks.
+func TestWhatIsKept(t *testing.T) {
+	for _, made := range []bool{false, true} {
+		c := plain()
+		c.KeepsMade = made
+		h := New(c, 1)
+		turn := func(at time.Duration, id, session string, prompt, out int) int {
+			for _, r := range play(h, at, at+time.Second, Arrive{Request{ID: id, Session: session, Prefix: "p", Shared: 47, Prompt: prompt, Out: out, MaxOut: out}}) {
+				if r.Kind == Whole {
+					return r.Kept
+				}
+			}
+			t.Fatalf("%s was not answered", id)
+			return 0
+		}
+		third := 80 // of the first turn's 85, without its answer
+		if made {
+			third = 100 // of 105 with it
+		}
+		for i, tt := range []struct {
+			id, session string
+			prompt, out int
+			want        int
+		}{{"a", "s", 85, 20, 0}, {"b", "t", 60, 5, 40}, {"c", "s", 130, 5, third}, {"d", "s", 41, 5, 40}, {"e", "", 47, 1, 40}} {
+			if got := turn(time.Duration(i+1)*time.Second, tt.id, tt.session, tt.prompt, tt.out); got != tt.want {
+				t.Errorf("answers kept: %v; %s found %d tokens, want %d", made, tt.id, got, tt.want)
+			}
+		}
+		if s := h.Stats(time.Minute); s.Held > c.Memory || s.Pinned != 0 {
+			t.Errorf("%+v", s)
+		}
+	}
+}
+
+// What nobody used for longest goes first, and a beginning never before what goes on from it.
+func TestEviction(t *testing.T) {
+	c := plain()
+	c.Memory, c.Chunk = 400, 400
+	h := New(c, 1)
+	at := time.Second
+	turn := func(id, session, prefix string, prompt int) (kept int) {
+		at += time.Second
+		for _, r := range play(h, at, at+900*ms, Arrive{Request{ID: id, Session: session, Prefix: prefix, Shared: 50, Prompt: prompt, Out: 1, MaxOut: 1}}) {
+			if r.Kind == Whole {
+				kept = r.Kept
+			}
+		}
+		return kept
+	}
+	turn("1", "s", "p", 150) // 50 of the beginning and 100 of the session
+	turn("2", "t", "p", 150)
+	turn("3", "u", "", 120) // 370 held
+	if got := turn("4", "s", "p", 160); got != 150 {
+		t.Errorf("found %d of what still fits", got)
+	}
+	turn("5", "v", "", 100)                         // 100 of t go
+	if got := turn("6", "t", "p", 150); got != 50 { // and with it all but the beginning
+		t.Errorf("found %d after eviction, want the beginning", got)
+	}
+}
+
+// When memory runs out the newest goes back into the queue, reads its prompt and what it made again, and is answered
+// all the same: no token is lost, none comes twice. Memory may run out twice in a step.
+func TestPreemption(t *testing.T) {
+	c := plain()
+	c.Memory, c.Chunk = 300, 1000
+	h := New(c, 1)
+	all := play(h, 0, time.Minute, ask("a", 90, 120), ask("b", 90, 120), ask("c", 90, 120))
+	preempted := 0
+	for _, id := range []string{"a", "b", "c"} {
+		preempted += len(times(all, Preempted, id))
+		if n, whole := len(times(all, Token, id)), len(times(all, Whole, id)); n != 120 || whole != 1 {
+			t.Errorf("%s: %d tokens, %d ends", id, n, whole)
+		}
+	}
+	if len(times(all, Preempted, "a")) > 0 || preempted == 0 || h.Stats(0).Preempted != uint64(preempted) {
+		t.Errorf("%d preempted, of the oldest %d", preempted, len(times(all, Preempted, "a")))
+	}
+	if a, c := times(all, Whole, "a"), times(all, Whole, "c"); a[0] >= c[0] {
+		t.Errorf("the oldest ended at %v, the newest at %v", a, c)
+	}
+}
+
+// A cold host has its share of the capacity and gains evenly; sent more than its budget within the window it falls over
+// and breaks what it has.
+func TestColdStart(t *testing.T) {
+	c := plain()
+	c.Cold = Cold{Share: 0.25, Time: 10 * time.Second, Factor: 2, Window: time.Second, PerToken: ms}
+	h := New(c, 1)
+	h.Step(0, Die{})
+	h.Step(time.Second, Start{})
+	for at, want := range map[time.Duration]float64{time.Second: 0.25, 6 * time.Second: 0.625, 11 * time.Second: 1, time.Hour: 1} {
+		if got := h.Stats(at).Capacity; got != want {
+			t.Errorf("at %v a capacity of %v, want %v", at, got, want)
+		}
+	}
+	all := play(h, time.Second, 2*time.Second, ask("a", 90, 1))
+	if diff := cmp.Diff([]time.Duration{time.Second + 80*ms}, times(all, Token, "a")); diff != "" { // 20 ms at a quarter
+		t.Error(diff)
+	}
+	// At 2.5 s it has 0.3625: 725 ms of work may come within a second, of which the first took 90 before 1.5 s.
+	var fell []Result
+	for i := range 8 {
+		got := h.Step(2500*ms, ask(fmt.Sprint("b", i), 100, 500))
+		if fallen := slices.ContainsFunc(got, func(r Result) bool { return r.Kind == Fell }); fallen != (i == 7) {
+			t.Errorf("request %d: %+v", i, got)
+		} else if fallen {
+			fell = slices.Clone(got)
+		}
+	}
+	if len(fell) == 0 || h.Stats(0).Alive {
+		t.Fatal("it stands")
+	}
+	kinds := map[ResultKind]int{}
+	for _, r := range fell {
+		kinds[r.Kind]++
+	}
+	// Four ran and two waited; the last two were turned away, and count all the same.
+	if diff := cmp.Diff(map[ResultKind]int{TurnedAway: 1, Fell: 1, Broken: 6}, kinds); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Warmed by work, a host stays cold for as long as it has none.
+func TestWarmedByWork(t *testing.T) {
+	c := plain()
+	c.Cold = Cold{Share: 0.5, Time: time.Second, Work: 110 * ms}
+	h := New(c, 1)
+	h.Step(0, Die{})
+	h.Step(0, Start{})
+	if got := h.Stats(time.Hour).Capacity; got != 0.5 {
+		t.Errorf("idle for an hour, its capacity is %v", got)
+	}
+	play(h, time.Hour, 2*time.Hour, ask("a", 1, 10)) // 10 steps of 11 ms, and 0.1 to read
+	if got := h.Stats(2 * time.Hour).Capacity; got != 1 {
+		t.Errorf("after its work, its capacity is %v", got)
+	}
+}
+
+// A full table takes its part of the capacity, a handshake its work, and beyond the table nobody connects.
+func TestConnections(t *testing.T) {
+	c := plain()
+	c.Conns, c.TableCost, c.Handshake = 10, 0.5, 2*ms
+	h := New(c, 1)
+	for range 10 {
+		if got := h.Step(0, Connect{}); len(got) > 0 {
+			t.Fatalf("%+v", got)
+		}
+	}
+	if got := h.Step(0, Connect{}); len(got) != 1 || got[0].Kind != NoRoom {
+		t.Errorf("%+v", got)
+	}
+	all := play(h, 0, time.Second, ask("a", 10, 2))
+	// 10+1+1 ms and 20 ms of handshakes at half the capacity, then 11 ms at half.
+	if diff := cmp.Diff([]time.Duration{64 * ms, 86 * ms}, times(all, Token, "a")); diff != "" {
+		t.Error(diff)
+	}
+	for range 10 {
+		h.Step(time.Second, Disconnect{})
+	}
+	if s := h.Stats(time.Second); s.Conns != 0 || s.Capacity != 1 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Reports are as old as the last refresh; a shallow probe is answered beside the queue, a deep one waits in it.
+func TestReportsAndProbes(t *testing.T) {
+	c := plain()
+	c.ReportEvery, c.ProbesMax = 100*ms, 3
+	h := New(c, 1)
+	h.Step(0, Passed{})
+	for i := range 5 {
+		h.Step(10*ms, ask(fmt.Sprint(i), 100, 50))
+	}
+	if got := h.Load(20 * ms); got.Running != 0 || got.Util != 0 {
+		t.Errorf("refreshed too early: %+v", got)
+	}
+	if got := h.Step(110*ms, Probe{ID: "p"}); len(got) == 0 || got[len(got)-1].Kind != Answered || got[len(got)-1].Load.Running != 4 ||
+		got[len(got)-1].Load.Waiting != 1 {
+		t.Errorf("%+v", got)
+	}
+	deep := play(h, 110*ms, time.Minute, Probe{ID: "deep", Deep: true})
+	if at := times(deep, Answered, "deep"); len(at) != 1 || at[0] < 700*ms { // a slot is free when the first are whole
+		t.Errorf("%v", at)
+	}
+	h.Step(59*time.Second, Probe{ID: "q"})
+	for i, want := range []ResultKind{Answered, Answered, TurnedAway} {
+		if got := h.Step(59*time.Second, Probe{ID: "q"}); got[0].Kind != want {
+			t.Errorf("probe %d: %+v", i, got)
+		}
+	}
+}
+
+// Whatever comes, each request that is taken in ends once, tokens are neither lost nor made twice, memory holds, and the
+// same events give the same results.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := plain()
+		c.Memory = rapid.IntRange(50, 600).Draw(t, "memory")
+		c.Chunk = rapid.IntRange(1, 200).Draw(t, "chunk")
+		c.Block = rapid.IntRange(1, 32).Draw(t, "block")
+		c.KeepsMade = rapid.Bool().Draw(t, "keeps")
+		c.Cold = Cold{Share: 0.3, Time: time.Second, Factor: 2, Window: 300 * ms, PerToken: 200 * time.Microsecond}
+		c.ReportNoise = 0.1
+		h, twin := New(c, 7), New(c, 7)
+		now, n := time.Duration(0), 0
+		type state struct{ made, out int }
+		open := map[string]*state{}
+		took := func(e Event) {
+			got := append([]Result(nil), h.Step(now, e)...)
+			if diff := cmp.Diff(got, append([]Result(nil), twin.Step(now, e)...)); diff != "" {
+				t.Fatal(diff)
+			}
+			last := time.Duration(0)
+			for _, r := range got {
+				if r.At > now || r.At < last {
+					t.Fatalf("%+v after %v, at %v", r, last, now)
+				}
+				last = r.At
+				s := open[r.ID]
+				switch r.Kind {
+				case Token:
+					if s.made++; s.made > s.out {
+						t.Fatalf("%s has %d tokens of %d", r.ID, s.made, s.out)
+					}
+				case Whole:
+					if s.made != s.out {
+						t.Fatalf("%s ended with %d tokens of %d", r.ID, s.made, s.out)
+					}
+					delete(open, r.ID)
+				case TurnedAway, Broken:
+					if s == nil {
+						t.Fatalf("%+v of nobody", r)
+					}
+					delete(open, r.ID)
+				case Preempted:
+					if s == nil {
+						t.Fatalf("%+v of nobody", r)
+					}
+				}
+			}
+			s := h.Stats(now)
+			if s.Held > c.Memory || s.Pinned > s.Held || s.Running > c.Slots || s.Running+s.Waiting != len(open) || s.Pinned < 0 {
+				t.Fatalf("%+v with %d open, memory %d", s, len(open), c.Memory)
+			}
+			if _, busy := h.Next(); !busy && s.Running+s.Waiting > 0 {
+				t.Fatalf("it stands still: %+v", s)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				n++
+				q := Request{ID: fmt.Sprint(n), Session: rapid.SampledFrom([]string{"", "s", "t", "u"}).Draw(t, "session"),
+					Prefix: rapid.SampledFrom([]string{"", "p", "q"}).Draw(t, "prefix"), Prompt: rapid.IntRange(1, 300).Draw(t, "prompt")}
+				q.Shared = rapid.IntRange(0, q.Prompt).Draw(t, "shared")
+				q.Out = rapid.IntRange(1, 60).Draw(t, "out")
+				q.Made = rapid.IntRange(0, q.Out-1).Draw(t, "made")
+				q.MaxOut = q.Out
+				open[q.ID] = &state{q.Made, q.Out}
+				took(Arrive{q})
+			},
+			"pass": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * ms
+				took(Passed{})
+			},
+			"cancel": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(0, n).Draw(t, "id"))
+				delete(open, id)
+				took(Cancel{id})
+			},
+			"die": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "really") == 0 {
+					took(Die{})
+					took(Start{})
+				}
+			},
+			"slow": func(t *rapid.T) { took(Slow{rapid.Float64Range(0, 3).Draw(t, "factor")}) },
+		})
+		now += time.Hour
+		took(Passed{})
+		if len(open) > 0 {
+			t.Fatalf("%d are open after an hour", len(open))
+		}
+	})
+}
+
+// BenchmarkStep is a full host with sessions that come again.
+func BenchmarkStep(b *testing.B) {
+	c := Config{Slots: 64, Queue: 64, Memory: 200000, Chunk: 2048, Block: 16, Base: 10 * ms, PerSeq: 100 * time.Microsecond, ReadPerS: 20000}
+	h := New(c, 1)
+	now, n := time.Duration(0), 0
+	b.ReportAllocs()
+	for b.Loop() {
+		if at, ok := h.Next(); ok {
+			now = at
+		}
+		h.Step(now, Passed{})
+		for h.Stats(now).Waiting < 8 {
+			n++
+			h.Step(now, Arrive{Request{ID: fmt.Sprint(n), Session: fmt.Sprint(n % 300), Prefix: fmt.Sprint(n % 10), Shared: 500, Prompt: 1200, Out: 100, MaxOut: 200}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/client.go
@@ -0,0 +1,239 @@
+package lab
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"reachspread/balance"
+)
+
+// load is one class's clients.
+type load struct {
+	w        *World
+	n        int
+	c        *Class
+	rng      *rand.Rand
+	sessions uint64
+	zipf     []float64 // of the prefixes, summed up
+	lengths  []int     // of the prefixes
+}
+
+// tail is a time of long prompts.
+type tail struct {
+	trouble int
+	part    float64
+	size    float64
+}
+
+func newLoad(w *World, n int) *load {
+	l := &load{w: w, n: n, c: &w.s.Classes[n], rng: w.stream(forClass, uint64(n))}
+	sum := 0.0
+	for i := range l.c.Prefixes {
+		sum += 1 / math.Pow(float64(i+1), l.c.Zipf)
+		l.zipf = append(l.zipf, sum)
+		l.lengths = append(l.lengths, l.c.PrefixLen.draw(l.rng))
+	}
+	return l
+}
+
+func (l Length) draw(rng *rand.Rand) int {
+	return max(int(l.Median*math.Exp(l.Sigma*rng.NormFloat64())), 1)
+}
+
+// gap is the time until the next session begins.
+func (l *load) gap() time.Duration {
+	perSecond := l.c.Rate / l.c.Turns * l.w.burst
+	return l.w.now + time.Duration(l.rng.ExpFloat64()/perSecond*float64(time.Second))
+}
+
+// session is one client's conversation. Its turns are drawn ahead and don't wait for answers.
+type session struct {
+	load    *load
+	name    string
+	rng     *rand.Rand
+	prefix  string
+	shared  int
+	context int // of all turns so far, with their whole answers
+}
+
+func (l *load) begin() {
+	if w := l.w; w.now < w.s.Length {
+		w.at(l.gap(), event{do: sessionBegins, n: l.n})
+		w.turn(l.session())
+	}
+}
+
+func (l *load) session() *session {
+	w := l.w
+	l.sessions++
+	s := &session{load: l, name: "s" + strconv.Itoa(l.n) + "." + strconv.FormatUint(l.sessions, 10),
+		rng: w.stream(forSession, uint64(l.n)<<40|l.sessions)}
+	if n := len(l.zipf); n > 0 {
+		at := s.rng.Float64() * l.zipf[n-1]
+		i := 0
+		for l.zipf[i] < at {
+			i++
+		}
+		s.prefix, s.shared, s.context = "p"+strconv.Itoa(l.n)+"."+strconv.Itoa(i), l.lengths[i], l.lengths[i]
+	}
+	return s
+}
+
+// underway begins the sessions that are in the midst of it when the world begins, each at some turn after its first, as
+// many as there are on average: otherwise the load would take minutes to come up.
+func (l *load) underway() {
+	gap := float64(l.c.Think+l.c.Class.Aim)/float64(time.Second) + l.c.Out.mean()*l.c.Class.TokenAim.Seconds()
+	for n := l.c.Rate / l.c.Turns * (l.c.Turns - 1) * gap; n > 0 && (n >= 1 || l.rng.Float64() < n); n-- {
+		s := l.session()
+		for before := true; before; before = s.rng.Float64() >= 1/l.c.Turns && s.context < l.c.MaxContext/2 {
+			s.context += l.c.New.draw(s.rng) + min(l.c.Out.draw(s.rng), l.c.MaxOut)
+		}
+		l.w.at(time.Duration(s.rng.Float64()*gap*float64(time.Second)), event{do: turnComes, p: s})
+	}
+}
+
+func (l Length) mean() float64 { return l.Median * math.Exp(l.Sigma*l.Sigma/2) }
+
+// flow is a client's request over all its tries.
+type flow struct {
+	session *session
+	n       int
+	began   time.Duration
+	prompt  int
+	out     int
+	tries   int
+	rng     *rand.Rand
+}
+
+// turn begins a session's next request and draws when the one after it comes.
+func (w *World) turn(s *session) {
+	if w.now >= w.s.Length {
+		return
+	}
+	c := s.load.c
+	more := c.New.draw(s.rng)
+	for _, t := range w.tail {
+		if s.rng.Float64() < t.part {
+			more = int(float64(more) * t.size)
+		}
+	}
+	out := min(c.Out.draw(s.rng), c.MaxOut)
+	last := s.rng.Float64() < 1/c.Turns
+	think := time.Duration(s.rng.ExpFloat64()*float64(c.Think)) + c.Class.Aim + time.Duration(out)*c.Class.TokenAim
+	if s.context+more+out > c.MaxContext && s.context > s.shared {
+		return // the conversation is too long to go on
+	}
+	more = min(more, max(c.MaxContext-s.context-out, 1))
+	w.flows++
+	f := &flow{session: s, n: w.flows, began: w.now, prompt: s.context + more, out: out, rng: w.stream(forTry, uint64(w.flows))}
+	s.context = f.prompt + out
+	if !last {
+		w.at(w.now+think, event{do: turnComes, p: s})
+	}
+	w.open++
+	w.res.Classes[s.load.n].Asked++
+	w.second().Asked++
+	w.try(f)
+}
+
+// try is one of a flow's tries, at one router.
+type try struct {
+	f        *flow
+	id       string
+	router   *router
+	gen      int
+	sent     time.Duration
+	until    time.Duration // its client's patience
+	index    int           // among the router's open ones
+	attempts int
+	out      *attempt // that is out
+	answered bool
+}
+
+// patience is the whole time that a flow's client waits.
+func (f *flow) patience() time.Duration {
+	c := &f.session.load.c.Class
+	return c.Deadline + 2*time.Duration(float64(f.prompt)/1000*float64(c.AimPer1000))
+}
+
+// try sends a flow to a router, if the front knows of any.
+func (w *World) try(f *flow) {
+	f.tries++
+	left := f.began + f.patience() - w.now
+	if share := f.session.load.c.Patience; share > 0 {
+		left = min(left, time.Duration(share*float64(f.patience())))
+	}
+	if len(w.front) == 0 {
+		w.again(f, 0, noRouter)
+		return
+	}
+	r := w.routers[w.front[f.rng.IntN(len(w.front))]]
+	t := &try{f: f, id: strconv.Itoa(f.n) + "." + strconv.Itoa(f.tries), router: r, gen: r.gen, sent: w.now, until: w.now + left}
+	w.at(w.now, event{do: tryReaches, p: t})
+}
+
+func (w *World) reach(t *try) {
+	r := t.router
+	if !r.alive || r.gen != t.gen {
+		w.again(t.f, 0, routerGone)
+		return
+	}
+	f := t.f
+	c := f.session.load.c
+	t.index = len(r.open)
+	r.open = append(r.open, t)
+	r.tries[t.id] = t
+	r.take(balance.Arrival{ID: t.id, Class: c.Class.Name, Session: f.session.name, Prefix: f.session.prefix, Left: t.until - w.now,
+		Prompt: float64(f.prompt), Shared: float64(f.session.shared), Later: f.tries > 1 && w.s.Retries.Marks})
+	w.at(t.until, event{do: tryOverdue, p: t})
+	w.at(t.until+answerSlack+w.s.Tick, event{do: tryOverdue, p: t, n: 1})
+}
+
+// overdue ends a try whose client has waited for long enough.
+func (w *World) overdue(t *try, last bool) {
+	r := t.router
+	if t.answered || r.gen != t.gen {
+		return
+	}
+	if last {
+		w.violated(ruleInTime, t.id, r.n, "is not answered")
+		return
+	}
+	if a := t.out; a != nil {
+		t.out = nil
+		w.cancel(a)
+		r.take(balance.Outcome{ID: t.id, Attempt: a.n, Result: balance.TimedOut})
+	}
+}
+
+// answer takes a final answer. What a client is not served it may ask for again.
+func (w *World) answer(r *router, id string, away time.Duration, how ending) {
+	t := r.tries[id]
+	if t == nil || t.answered {
+		w.violated(ruleOneAnswer, id, r.n, string(how)+" a second time, or of nobody")
+		return
+	}
+	if t.out != nil {
+		w.violated(ruleOneAttempt, id, r.n, string(how)+" while an attempt is out")
+		return
+	}
+	w.note(string(how), id, r.n)
+	r.closeTry(t)
+	w.again(t.f, away, how)
+}
+
+// again has a flow's client come back, or give up.
+func (w *World) again(f *flow, away time.Duration, how ending) {
+	wait := w.s.Retries.After + time.Duration(f.rng.Float64()*float64(w.s.Retries.After))
+	if w.s.Retries.Heed {
+		wait = max(wait, away)
+	}
+	if f.tries > w.s.Retries.Max || w.now+wait >= f.began+f.patience() {
+		w.over(f, how, 0, 0, 0)
+		return
+	}
+	w.res.Retries++
+	w.at(w.now+wait, event{do: retryComes, p: f})
+}
--- /dev/null
+++ b/internal/lab/hosts.go
@@ -0,0 +1,343 @@
+package lab
+
+import (
+	"strconv"
+	"time"
+
+	"reachspread/balance"
+	"reachspread/internal/fleet"
+)
+
+// host is one machine, and the model of what runs on it.
+type host struct {
+	n     int
+	id    string
+	zone  string
+	kind  string
+	group int
+	born  time.Duration // on the routers' clock, 0 for long ago
+	model *fleet.Host
+	gen   int           // of its process
+	due   time.Duration // of its next step, -1 for none
+	alive bool
+	gone  bool // for good
+	cut   bool // from the network
+	state balance.State
+
+	atIt map[string]*attempt
+	asks map[string]*probe
+
+	unheard []*attempt // while it was cut off
+}
+
+// list is discovery: what it knows, and how it tells.
+type list struct {
+	version int64
+	down    int // troubles that hold it up
+	missed  bool
+}
+
+// news is a list on its way to a router.
+type news struct {
+	members balance.Members
+	hosts   []int
+}
+
+func (w *World) addHost(group int) *host {
+	g := &w.s.Groups[group]
+	n := len(w.hosts)
+	h := &host{n: n, id: "h" + strconv.Itoa(n), zone: g.Zone, kind: g.Kind, group: group, due: -1, alive: true,
+		model: fleet.New(g.Host, w.stream(forHost, uint64(n)).Uint64()), atIt: map[string]*attempt{}, asks: map[string]*probe{}}
+	w.hosts = append(w.hosts, h)
+	return h
+}
+
+// hostDoes has a host take in an event, or only the time, and carries on what comes of it.
+func (w *World) hostDoes(h *host, e fleet.Event) {
+	if e == nil {
+		e = fleet.Passed{}
+	}
+	for _, x := range h.model.Step(w.now, e) {
+		switch x.Kind {
+		case fleet.Token:
+			a := h.atIt[x.ID]
+			if a == nil {
+				continue
+			}
+			a.made++
+			a.last = w.now
+			w.res.Tokens++
+			if !a.first {
+				a.first = true
+				w.tell(h, a, &tell{a: a, first: true})
+			}
+		case fleet.Whole:
+			if a := h.atIt[x.ID]; a != nil {
+				delete(h.atIt, x.ID)
+				w.res.Kept += uint64(x.Kept)
+				w.tell(h, a, &tell{a: a, result: balance.OK, kept: x.Kept, made: a.made, load: w.load(h)})
+			}
+		case fleet.TurnedAway:
+			if p := h.asks[x.ID]; p != nil {
+				delete(h.asks, x.ID)
+				p.result = balance.Full
+				w.at(w.now+w.way(h.zone, w.routers[p.router].zone), event{do: probeTells, n: p.router, gen: p.rgen, p: p})
+				continue
+			}
+			if a := h.atIt[x.ID]; a != nil {
+				delete(h.atIt, x.ID)
+				w.res.TurnedAway++
+				w.tell(h, a, &tell{a: a, result: balance.Full, load: w.load(h)})
+			}
+		case fleet.Broken:
+			if a := h.atIt[x.ID]; a != nil {
+				delete(h.atIt, x.ID)
+				w.res.Wasted += uint64(a.made)
+				w.tell(h, a, &tell{a: a, result: balance.Reset, made: a.made})
+			}
+		case fleet.Answered:
+			if p := h.asks[x.ID]; p != nil {
+				delete(h.asks, x.ID)
+				p.result, p.load = balance.OK, loadOf(&x.Load)
+				w.at(w.now+w.way(h.zone, w.routers[p.router].zone), event{do: probeTells, n: p.router, gen: p.rgen, p: p})
+			}
+		case fleet.Preempted:
+			w.res.Preempted++
+		case fleet.Fell:
+			w.violated(ruleCold, h.id, h.n, "fell over")
+		}
+	}
+	at, ok := h.model.Next()
+	if ok && at != h.due {
+		h.due = at
+		w.at(at, event{do: hostSteps, n: h.n, gen: h.gen})
+	}
+}
+
+func loadOf(l *fleet.Load) *balance.Load {
+	return &balance.Load{Streams: float64(l.Running + l.Waiting), Busy: l.Util, Unread: 1000 * l.Unread}
+}
+
+func (w *World) load(h *host) *balance.Load {
+	l := h.model.Load(w.now)
+	return loadOf(&l)
+}
+
+// tell is a host's word on an attempt: its first token, or its outcome.
+type tell struct {
+	a      *attempt
+	first  bool
+	result balance.Result
+	noConn bool // the connection never came up
+	kept   int
+	made   int
+	load   *balance.Load
+}
+
+// tell sends a word to the attempt's router; the words of one attempt don't overtake one another.
+func (w *World) tell(h *host, a *attempt, word *tell) {
+	if h.cut { // it is not heard, until the network is back and resets what was under way
+		h.unheard = append(h.unheard, a)
+		return
+	}
+	r := a.t.router
+	a.told = max(w.now+w.way(h.zone, r.zone), a.told)
+	w.at(a.told, event{do: attemptTells, n: r.n, gen: a.t.gen, p: word})
+}
+
+// attemptReaches has an attempt arrive at its host.
+func (w *World) attemptReaches(a *attempt) {
+	h := w.hosts[a.host]
+	if a.over || a.t.out != a || h.cut {
+		return // given up on the way, or never heard of again
+	}
+	if !h.alive {
+		result := balance.Reset // its idle connection is dead
+		if a.fresh {
+			result = balance.NoConnection
+		}
+		w.tell(h, a, &tell{a: a, result: result, noConn: true})
+		return
+	}
+	if !a.fresh && a.conn.gen != h.gen {
+		w.tell(h, a, &tell{a: a, result: balance.Reset, noConn: true})
+		return
+	}
+	if a.fresh {
+		a.fresh, a.conn.gen = false, h.gen
+		if w.connect(h) {
+			w.tell(h, a, &tell{a: a, result: balance.NoConnection, noConn: true})
+			return
+		}
+	}
+	a.hgen = h.gen
+	f := a.t.f
+	h.atIt[a.t.id] = a
+	w.hostDoes(h, fleet.Arrive{Request: fleet.Request{ID: a.t.id, Session: f.session.name, Prefix: f.session.prefix, Prompt: f.prompt,
+		Shared: f.session.shared, Out: f.out, MaxOut: f.session.load.c.MaxOut}})
+}
+
+// connect opens a connection at a host, and tells if it has no room for one.
+func (w *World) connect(h *host) (full bool) {
+	for _, x := range h.model.Step(w.now, fleet.Connect{}) {
+		full = full || x.Kind == fleet.NoRoom
+	}
+	return full
+}
+
+func (w *World) disconnect(c *conn) {
+	if h := w.hosts[c.host]; h.alive && h.gen == c.gen {
+		w.hostDoes(h, fleet.Disconnect{})
+	}
+}
+
+// givenUp ends an attempt whose connection did not come up in time.
+func (w *World) givenUp(a *attempt) {
+	if a.fresh && !a.over && a.t.out == a {
+		w.at(w.now, event{do: attemptTells, n: a.t.router.n, gen: a.t.gen, p: &tell{a: a, result: balance.NoConnection, noConn: true}})
+	}
+}
+
+// cancel has a router give up an attempt: its connection closes, and the host hears of it.
+func (w *World) cancel(a *attempt) {
+	a.over = true
+	w.at(w.now+w.way(a.t.router.zone, w.hosts[a.host].zone), event{do: cancelReaches, p: a})
+}
+
+func (w *World) cancelled(a *attempt) {
+	h := w.hosts[a.host]
+	if !h.alive || h.cut {
+		return
+	}
+	if h.atIt[a.t.id] == a && a.hgen == h.gen {
+		delete(h.atIt, a.t.id)
+		w.res.Wasted += uint64(a.made)
+		w.hostDoes(h, fleet.Cancel{ID: a.t.id})
+	}
+	if a.conn != nil && a.conn.gen == h.gen {
+		w.hostDoes(h, fleet.Disconnect{})
+	}
+}
+
+// probe is a router's question for a host's load.
+type probe struct {
+	router, rgen int
+	host, n      int
+	result       balance.Result
+	load         *balance.Load
+}
+
+func (w *World) probeReaches(p *probe) {
+	h := w.hosts[p.host]
+	if !h.alive || h.cut {
+		p.result = balance.NoConnection
+		w.at(w.now+w.s.Net.Connect, event{do: probeTells, n: p.router, gen: p.rgen, p: p})
+		return
+	}
+	id := "probe" + strconv.Itoa(p.router) + "." + strconv.Itoa(p.rgen) + "." + strconv.Itoa(p.n)
+	h.asks[id] = p
+	w.hostDoes(h, fleet.Probe{ID: id})
+}
+
+// die ends a host's process.
+func (w *World) die(h *host) {
+	if !h.alive {
+		return
+	}
+	w.note("host dies", h.id, h.n)
+	w.hostDoes(h, fleet.Die{})
+	h.alive, h.due = false, -1
+	h.gen++
+	clear(h.asks)
+}
+
+// startHost starts a host's process again, cold.
+func (w *World) startHost(h *host, gen int) {
+	if h.alive || h.gone || h.gen != gen {
+		return
+	}
+	w.note("host starts", h.id, h.n)
+	h.alive, h.born, h.state = true, w.clock(), balance.Serving
+	h.gen++
+	w.hostDoes(h, fleet.Start{})
+	w.changed(h)
+}
+
+func (w *World) member(h *host, state balance.State) balance.Member {
+	return balance.Member{Replica: h.id, Zone: h.zone, Kind: h.kind, State: state, Born: h.born}
+}
+
+// whole is the list as discovery has it.
+func (w *World) whole() *news {
+	x := &news{members: balance.Members{Version: w.list.version, Whole: true}}
+	for _, h := range w.hosts {
+		if !h.gone {
+			x.members.Members = append(x.members.Members, w.member(h, h.state))
+			x.hosts = append(x.hosts, h.n)
+		}
+	}
+	return x
+}
+
+// changed tells all routers of a host that is not what it was.
+func (w *World) changed(h *host) {
+	w.list.version++
+	if w.list.down > 0 {
+		w.list.missed = true
+		return
+	}
+	x := &news{members: balance.Members{Version: w.list.version, Members: []balance.Member{w.member(h, h.state)}}, hosts: []int{h.n}}
+	for _, r := range w.routers {
+		w.send(r, x)
+	}
+}
+
+// tellWhole sends a router the whole list.
+func (w *World) tellWhole(r *router) {
+	if w.list.down == 0 {
+		w.send(r, w.whole())
+	}
+}
+
+func (w *World) send(r *router, x *news) {
+	if !r.alive {
+		return
+	}
+	r.heard = max(w.now+w.s.List.Delay+time.Duration(w.net.Float64()*float64(w.s.List.Spread)), r.heard)
+	w.at(r.heard, event{do: listReaches, n: r.n, gen: r.gen, p: x})
+}
+
+// told takes a list, for the checkers and the module.
+func (r *router) told(x *news) {
+	w := r.w
+	for len(r.known) < len(w.hosts) {
+		r.known = append(r.known, knowledge{})
+	}
+	if x.members.Whole { // who is not in it is gone
+		in := map[int]bool{}
+		for _, h := range x.hosts {
+			in[h] = true
+		}
+		for h := range r.known {
+			if !in[h] {
+				r.leaves(h)
+			}
+		}
+	}
+	for i, m := range x.members.Members {
+		h := x.hosts[i]
+		r.byID[m.Replica] = h
+		if m.State == balance.Serving {
+			r.known[h] = knowledge{}
+		} else {
+			r.leaves(h)
+		}
+	}
+	r.take(x.members)
+}
+
+func (r *router) leaves(h int) {
+	if !r.known[h].leaving {
+		r.known[h] = knowledge{leaving: true, since: r.w.now}
+	}
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,372 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"reachspread/balance"
+	"reachspread/internal/fleet"
+)
+
+const ms = time.Millisecond
+
+// small is a fleet of 6 hosts in two zones with 2 routers, at some two thirds of what it can do.
+func small(seed uint64) Spec {
+	host := fleet.Config{Slots: 32, Queue: 32, Memory: 120000, Chunk: 2048, Block: 16, Base: 12 * ms, PerSeq: 200 * time.Microsecond,
+		ContextPerK: 50 * time.Microsecond, PairsPerM: ms, ReadPerS: 20000, KeepsMade: true, Conns: 200, Handshake: ms, TableCost: 0.1,
+		ReportEvery: 100 * ms, ReportNoise: 0.05, Probe: 100 * time.Microsecond, ProbesMax: 20,
+		Cold: fleet.Cold{Share: 0.3, Time: 8 * time.Second, Factor: 2.5, Window: 3 * time.Second, PerToken: 50 * time.Microsecond, PerMade: 600 * time.Microsecond}}
+	chat := func(name string, rate, worth float64, aim, deadline time.Duration) Class {
+		return Class{Class: balance.Class{Name: name, Aim: aim, AimPer1000: 40 * ms, TokenAim: 60 * ms, Deadline: deadline, Worth: worth, Streamed: true},
+			Rate: rate, Turns: 3, Think: 3 * time.Second, New: Length{200, 0.8}, Out: Length{80, 0.6}, MaxOut: 400, MaxContext: 16000,
+			Prefixes: 20, Zipf: 1, PrefixLen: Length{800, 0.5}}
+	}
+	return Spec{Seed: seed, Length: 20 * time.Second, Tick: 5 * ms, Routers: 2,
+		Groups:  []Group{{Count: 3, Kind: "new", Zone: "a", Host: host}, {Count: 3, Kind: "new", Zone: "b", Host: host}},
+		Classes: []Class{chat("chat", 12, 1, 1200*ms, 6*time.Second), chat("fill", 12, 3, 500*ms, 2*time.Second)},
+		Balance: balance.Config{MayProbe: true, MaxAttempts: 4, StartCapacity: 0.3, ColdTime: 8 * time.Second, OverloadFactor: 2.5,
+			OverloadWindow: 3 * time.Second, CrossZonePrice: 0.02, MarksLater: true, MaxAway: time.Second},
+		Net:     Network{Same: 300 * time.Microsecond, Cross: 2 * ms, Jitter: 0.2, Connect: 50 * ms, Idle: 15 * time.Second},
+		List:    List{Delay: 50 * ms, Spread: 200 * ms},
+		Front:   Front{Notice: 2 * time.Second},
+		Retries: Retries{Max: 2, After: 200 * ms, Marks: true, Heed: true},
+	}
+}
+
+// run plays a world and returns its result as text, too.
+func run(t testing.TB, s Spec) (*Result, string) {
+	t.Helper()
+	w, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := w.Run(50e6)
+	if err != nil {
+		var v *Violation
+		if errors.As(err, &v) {
+			t.Fatal(v.Report())
+		}
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	if err := json.NewEncoder(&text).Encode(r); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range r.Classes {
+		fmt.Fprintln(&text, c.Name, c.First.ValueAtQuantile(50), c.First.ValueAtQuantile(99), c.First.Max())
+	}
+	return r, text.String()
+}
+
+// Every request comes out in one way, and the counts of all views agree.
+func TestAQuietDay(t *testing.T) {
+	r, _ := run(t, small(1))
+	var asked, seconds uint64
+	for _, c := range r.Classes {
+		if sum := c.Good + c.Late + c.Slow + c.Refused + c.Failed + c.BrokenOff + c.Lost; sum != c.Asked || c.Asked < 100 {
+			t.Errorf("%s: %d asked, %d over", c.Name, c.Asked, sum)
+		}
+		asked += c.Asked
+	}
+	for _, s := range r.Seconds {
+		seconds += s.Good + s.Other
+	}
+	if seconds != asked || r.G() < 0.9 || r.Kept == 0 || r.Attempts < asked || r.MostOpen == 0 {
+		t.Errorf("G %.3f, %d asked, %d in seconds, %+v", r.G(), asked, seconds, r)
+	}
+}
+
+// The same spec and seed give the same bytes, one after another and side by side, and another seed gives others.
+func TestDeterminism(t *testing.T) {
+	s := small(7)
+	s.Troubles = []Trouble{{Kind: SlowHosts, At: 3 * time.Second, Length: 5 * time.Second, Part: 0.3, Size: 4},
+		{Kind: RouterCrash, At: 6 * time.Second, Length: 3 * time.Second, Part: 0.5}, {Kind: HostsDie, At: 9 * time.Second, Length: time.Second, Part: 0.2}}
+	_, want := run(t, s)
+	var texts [4]string
+	var all sync.WaitGroup
+	for i := range texts {
+		all.Go(func() { _, texts[i] = run(t, s) })
+	}
+	all.Wait()
+	for _, got := range texts {
+		if got != want {
+			t.Fatalf("got\n%s\nwant\n%s", got, want)
+		}
+	}
+	s.Seed++
+	if _, other := run(t, s); other == want {
+		t.Error("another seed gives the same")
+	}
+}
+
+// What clients ask for does not depend on what routers do with it.
+func TestLoadIsDrawnAhead(t *testing.T) {
+	s := small(3)
+	want, _ := run(t, s)
+	s.New = func(balance.Config, uint64) (Decider, error) { return refuser{}, nil }
+	got, _ := run(t, s)
+	for i := range want.Classes {
+		if got.Classes[i].Asked != want.Classes[i].Asked || got.Classes[i].Refused != got.Classes[i].Asked {
+			t.Errorf("%s: %d asked, %d refused; %d with the module", got.Classes[i].Name, got.Classes[i].Asked, got.Classes[i].Refused, want.Classes[i].Asked)
+		}
+	}
+	if got.G() != 0 || got.Retries == 0 {
+		t.Errorf("G %v, %d retries", got.G(), got.Retries)
+	}
+}
+
+// refuser refuses everything.
+type refuser struct{}
+
+func (refuser) Step(_ time.Duration, events []balance.Event) (out []balance.Action) {
+	for _, e := range events {
+		if a, ok := e.(balance.Arrival); ok {
+			out = append(out, balance.Refuse{ID: a.ID})
+		}
+	}
+	return out
+}
+
+// Each trouble does what it says, and none makes the module break a rule.
+func TestTroubles(t *testing.T) {
+	quiet, _ := run(t, small(5))
+	for _, tt := range []struct {
+		t    Trouble
+		seen func(r *Result) bool
+	}{
+		{Trouble{Kind: SlowHosts, Part: 0.5, Size: 8}, func(r *Result) bool { return r.G() < quiet.G() }},
+		{Trouble{Kind: Burst, Size: 3}, func(r *Result) bool { return r.Asked > 1.3*quiet.Asked }},
+		{Trouble{Kind: HeavyTail, Part: 0.2, Size: 20}, func(r *Result) bool { return r.Classes[0].First.Max() > quiet.Classes[0].First.Max() }},
+		{Trouble{Kind: RouterCrash, Part: 0.5}, func(r *Result) bool { return r.Retries > quiet.Retries }},
+		{Trouble{Kind: HostsDie, Part: 0.5}, func(r *Result) bool { return r.Classes[0].BrokenOff+r.Classes[1].BrokenOff > 0 && leastAlive(r) == 3 }},
+		{Trouble{Kind: Replace, Part: 0.3}, func(r *Result) bool { return leastAlive(r) == 4 }},
+		{Trouble{Kind: Release, Part: 0.2}, func(r *Result) bool { return leastAlive(r) >= 4 }},
+		{Trouble{Kind: LostZone, Zone: "b"}, func(r *Result) bool { return r.G() < quiet.G() }},
+		{Trouble{Kind: ListLost}, func(r *Result) bool { return r.G() == quiet.G() }},
+	} {
+		s := small(5)
+		tt.t.At, tt.t.Length = 4*time.Second, 6*time.Second
+		s.Troubles = []Trouble{tt.t}
+		r, text := run(t, s)
+		if !tt.seen(r) {
+			t.Errorf("%s left no mark; G %.3f, %.3f without\n%s", tt.t.Kind, r.G(), quiet.G(), text)
+		}
+	}
+}
+
+func leastAlive(r *Result) int {
+	least := 1 << 30
+	for _, s := range r.Seconds[1 : len(r.Seconds)-1] {
+		least = min(least, s.Alive)
+	}
+	return least
+}
+
+// No host at all, and all hosts cold at once: clients are refused or wait, and no rule is broken.
+func TestHardBeginnings(t *testing.T) {
+	s := small(2)
+	s.Groups = nil
+	r, _ := run(t, s)
+	if r.G() != 0 || r.Attempts != 0 {
+		t.Errorf("no hosts: G %v with %d attempts", r.G(), r.Attempts)
+	}
+	s = small(2)
+	s.Troubles = []Trouble{{Kind: HostsDie, Part: 1, Length: time.Second}}
+	r, _ = run(t, s)
+	if r.G() == 0 || leastAlive(r) > 6 {
+		t.Errorf("all cold: G %v", r.G())
+	}
+}
+
+// Each rule has a checker that stops the world, with the seed, the time and what came before.
+func TestBrokenRules(t *testing.T) {
+	for _, tt := range []struct {
+		rule string
+		d    func(events []balance.Event) []balance.Action
+	}{
+		{ruleOneAnswer, func(events []balance.Event) (out []balance.Action) {
+			for _, a := range arrivals(events) {
+				out = append(out, balance.Refuse{ID: a}, balance.Refuse{ID: a})
+			}
+			return out
+		}},
+		{ruleInTime, func([]balance.Event) []balance.Action { return nil }},
+		{ruleOneAttempt, func(events []balance.Event) (out []balance.Action) {
+			for _, a := range arrivals(events) {
+				out = append(out, balance.Send{ID: a, Replica: "h0"}, balance.Send{ID: a, Replica: "h1"})
+			}
+			return out
+		}},
+		{ruleAnswered, func(events []balance.Event) (out []balance.Action) {
+			for _, a := range arrivals(events) {
+				out = append(out, balance.Refuse{ID: a}, balance.Send{ID: a, Replica: "h1"})
+			}
+			return out
+		}},
+		{ruleListed, func(events []balance.Event) (out []balance.Action) {
+			for _, a := range arrivals(events) {
+				out = append(out, balance.Send{ID: a, Replica: "h99"})
+			}
+			return out
+		}},
+		{ruleDrain, func(events []balance.Event) (out []balance.Action) {
+			for _, a := range arrivals(events) {
+				out = append(out, balance.Send{ID: a, Replica: "h0"})
+			}
+			return out
+		}},
+		{ruleCold, func(events []balance.Event) (out []balance.Action) {
+			for _, a := range arrivals(events) {
+				out = append(out, balance.Send{ID: a, Replica: "h5"})
+			}
+			return out
+		}},
+	} {
+		s := small(4)
+		s.New = func(balance.Config, uint64) (Decider, error) { return scripted(tt.d), nil }
+		s.Troubles = []Trouble{{Kind: Replace, Part: 0.9, At: 100 * ms, Length: 500 * ms}}
+		if tt.rule == ruleCold {
+			s.Troubles = []Trouble{{Kind: HostsDie, Part: 1, At: 100 * ms, Length: 500 * ms}}
+			s.Classes[0].Rate, s.Groups[1].Host.Queue = 300, 2000
+		}
+		w, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = w.Run(0)
+		var v *Violation
+		if !errors.As(err, &v) || v.Rule != tt.rule || v.Seed != 4 || len(v.Last) == 0 {
+			t.Errorf("%s: got %v", tt.rule, err)
+		} else if !strings.Contains(v.Report(), v.Last[0]) {
+			t.Errorf("%s: %s", tt.rule, v.Report())
+		}
+	}
+}
+
+func arrivals(events []balance.Event) (ids []string) {
+	for _, e := range events {
+		if a, ok := e.(balance.Arrival); ok {
+			ids = append(ids, a.ID)
+		}
+	}
+	return ids
+}
+
+type scripted func([]balance.Event) []balance.Action
+
+func (s scripted) Step(_ time.Duration, events []balance.Event) []balance.Action { return s(events) }
+
+// Events come in the order of their times, and those of one time as they were put in.
+func TestQueueOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q queue
+		var want []event
+		for i, at := range rapid.SliceOfN(rapid.IntRange(0, 20), 1, 200).Draw(t, "times") {
+			q.push(event{at: time.Duration(at), n: i})
+			want = append(want, event{at: time.Duration(at), n: i})
+		}
+		slices.SortStableFunc(want, func(a, b event) int { return int(a.at - b.at) })
+		for _, e := range want {
+			if got := q.pop(); got.at != e.at || got.n != e.n {
+				t.Fatalf("%v %d, want %v %d", got.at, got.n, e.at, e.n)
+			}
+		}
+	})
+}
+
+// Whatever happens to a fleet, the module breaks no rule, and each request comes out once.
+func TestRandomWorlds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := small(rapid.Uint64().Draw(t, "seed"))
+		s.Length = 6 * time.Second
+		s.Routers = rapid.IntRange(1, 3).Draw(t, "routers")
+		for i := range s.Groups {
+			s.Groups[i].Count = rapid.IntRange(0, 3).Draw(t, "hosts")
+			h := &s.Groups[i].Host
+			h.Slots = rapid.IntRange(8, 40).Draw(t, "slots")
+			h.Cold.PerMade = (h.Base + time.Duration(h.Slots)*h.PerSeq) / time.Duration(h.Slots)
+			s.Groups[i].Host.Memory = rapid.IntRange(18000, 120000).Draw(t, "memory")
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "troubles") {
+			x := Trouble{Kind: rapid.SampledFrom([]TroubleKind{SlowHosts, Burst, HeavyTail, RouterCrash, HostsDie, Replace, Release, LostZone, ListLost}).Draw(t, "kind"),
+				At:   time.Duration(rapid.IntRange(0, 5000).Draw(t, "at")) * ms,
+				Part: rapid.Float64Range(0.05, 1).Draw(t, "part"), Size: rapid.Float64Range(1, 8).Draw(t, "size"), Zone: "a",
+				Length: time.Duration(rapid.IntRange(100, 4000).Draw(t, "length")) * ms}
+			s.Troubles = append(s.Troubles, x)
+		}
+		w, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := w.Run(5e6)
+		var v *Violation
+		if errors.As(err, &v) {
+			t.Fatal(v.Report())
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range r.Classes {
+			if sum := c.Good + c.Late + c.Slow + c.Refused + c.Failed + c.BrokenOff + c.Lost; sum != c.Asked {
+				t.Fatalf("%s: %d asked, %d over", c.Name, c.Asked, sum)
+			}
+		}
+	})
+}
+
+// Bad specs are one line that names the field.
+func TestBadSpecs(t *testing.T) {
+	for want, change := range map[string]func(*Spec){
+		"Length is 0s":                          func(s *Spec) { s.Length = 0 },
+		"Tick is 0s":                            func(s *Spec) { s.Tick = 0 },
+		"Routers is 0":                          func(s *Spec) { s.Routers = 0 },
+		"Classes is empty":                      func(s *Spec) { s.Classes = nil },
+		"Classes[1] needs a Rate":               func(s *Spec) { s.Classes[1].Turns = 0 },
+		"Classes[0].Patience is 2":              func(s *Spec) { s.Classes[0].Patience = 2 },
+		"Classes[0].Class.Deadline is 0s":       func(s *Spec) { s.Classes[0].Class.Deadline = 0 },
+		"Groups[0].Count is -1":                 func(s *Spec) { s.Groups[0].Count = -1 },
+		"Groups[1].Host needs Slots":            func(s *Spec) { s.Groups[1].Host.Slots = 0 },
+		"Troubles[0] (slow).Part is 1.5":        func(s *Spec) { s.Troubles = []Trouble{{Kind: SlowHosts, Part: 1.5}} },
+		"Troubles[0] (slow).Size is 0":          func(s *Spec) { s.Troubles = []Trouble{{Kind: SlowHosts, Part: 0.5}} },
+		"Troubles[0] (slow).At and Length":      func(s *Spec) { s.Troubles = []Trouble{{Kind: SlowHosts, At: -1}} },
+		`Troubles[0] (lost_zone).Zone is "c"`:   func(s *Spec) { s.Troubles = []Trouble{{Kind: LostZone, Zone: "c"}} },
+		"Troubles[0] (release).Part and Length": func(s *Spec) { s.Troubles = []Trouble{{Kind: Release}} },
+		"Troubles[0] (flood).Kind is unknown":   func(s *Spec) { s.Troubles = []Trouble{{Kind: "flood"}} },
+	} {
+		s := small(1)
+		change(&s)
+		if _, err := New(s); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+// BenchmarkWorld is a minute's worth of 200 hosts and 20 routers, in events a second.
+func BenchmarkWorld(b *testing.B) {
+	for b.Loop() {
+		s := small(1)
+		s.Length = 5 * time.Second
+		s.Routers = 20
+		for i := range s.Groups {
+			s.Groups[i].Count = 100
+			s.Classes[i].Rate *= 30
+		}
+		w, err := New(s)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r, err := w.Run(0)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(r.Events), "events/world")
+	}
+}
--- /dev/null
+++ b/internal/lab/queue.go
@@ -0,0 +1,96 @@
+package lab
+
+import "time"
+
+// event is something due in a world. Two at one time come in the order in which they were put in.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  doing
+	n   int // a router's, a host's, a class's or a trouble's number, or another small figure
+	gen int // of what n names: an event for one that has been started anew since is void
+	p   any // what it is about
+}
+
+// doing is what is done with an event.
+type doing uint8
+
+const (
+	sessionBegins doing = iota
+	turnComes
+	tryReaches // its router
+	tryOverdue
+	retryComes
+	routerSteps
+	routerWakes
+	listReaches
+	routerStarts
+	attemptReaches // its host
+	attemptTells   // its router
+	cancelReaches  // its host
+	connGivenUp
+	connClosed
+	probeReaches
+	probeTells
+	hostSteps
+	hostStarts
+	troubleBegins
+	troubleEnds
+	releaseGoesOn
+	sampled
+)
+
+// queue is a heap of events with four children a node.
+type queue struct {
+	heap []event
+	seq  uint64
+}
+
+func (q *queue) less(a, b *event) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
+
+func (q *queue) push(e event) {
+	q.seq++
+	e.seq = q.seq
+	q.heap = append(q.heap, e)
+	i := len(q.heap) - 1
+	for i > 0 {
+		up := (i - 1) / 4
+		if !q.less(&e, &q.heap[up]) {
+			break
+		}
+		q.heap[i] = q.heap[up]
+		i = up
+	}
+	q.heap[i] = e
+}
+
+func (q *queue) pop() event {
+	top := q.heap[0]
+	last := len(q.heap) - 1
+	e := q.heap[last]
+	q.heap[last] = event{} // what it is about may go
+	q.heap = q.heap[:last]
+	if last == 0 {
+		return top
+	}
+	i := 0
+	for {
+		first := 4*i + 1
+		if first >= last {
+			break
+		}
+		least := first
+		for c := first + 1; c < min(first+4, last); c++ {
+			if q.less(&q.heap[c], &q.heap[least]) {
+				least = c
+			}
+		}
+		if !q.less(&q.heap[least], &e) {
+			break
+		}
+		q.heap[i] = q.heap[least]
+		i = least
+	}
+	q.heap[i] = e
+	return top
+}
--- /dev/null
+++ b/internal/lab/result.go
@@ -0,0 +1,146 @@
+package lab
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// ending is how a flow, or a try, came out.
+type ending string
+
+const (
+	served     ending = "served"
+	refused    ending = "refused"
+	failed     ending = "failed"
+	brokenOff  ending = "broken off"
+	routerGone ending = "router gone"
+	noRouter   ending = "no router"
+)
+
+// Result is what came of a world.
+type Result struct {
+	Classes  []ClassResult
+	Seconds  []Second
+	Troubles []TroubleResult
+
+	Events, Steps             uint64 // of the world, of routers' modules
+	Attempts, Retries, Probes uint64
+	Crossed, Handshakes       uint64
+	TurnedAway, Preempted     uint64
+	Tokens, Wasted, Kept      uint64 // made; of them, for nobody; prompt tokens found kept
+	MostOpen, MostQueued      int
+	Worth, Asked              float64
+}
+
+// ClassResult is one class's part. Counts are of flows, over all their tries.
+type ClassResult struct {
+	Name                             string
+	Asked, Good, Late, Slow          uint64 // Slow are served too late, or at too slow a pace, for any worth
+	Refused, Failed, BrokenOff, Lost uint64 // Lost to a router that died, or to none at all
+	Worth                            float64
+	First                            *hdrhistogram.Histogram `json:"-"` // microseconds from the first try to the first token
+}
+
+// Second is one second of a world.
+type Second struct {
+	Asked, Good, Other uint64
+	Running, Waiting   int
+	Alive              int
+	Capacity           float64 // of all hosts, in warm ones
+}
+
+// TroubleResult is a trouble that came, and how many it hit.
+type TroubleResult struct {
+	Kind TroubleKind
+	At   time.Duration
+	Hit  int
+}
+
+func newClassResult(name string) ClassResult {
+	return ClassResult{Name: name, First: hdrhistogram.New(1, 600e6, 3)}
+}
+
+// second returns the present one.
+func (w *World) second() *Second {
+	n := int(w.now / time.Second)
+	for len(w.res.Seconds) <= n {
+		w.res.Seconds = append(w.res.Seconds, Second{})
+	}
+	return &w.res.Seconds[n]
+}
+
+// sample takes the state of all hosts, once a second until all is over.
+func (w *World) sample() {
+	s := w.second()
+	for _, h := range w.hosts {
+		x := h.model.Stats(w.now)
+		s.Running += x.Running
+		s.Waiting += x.Waiting
+		if h.alive {
+			s.Alive++
+			s.Capacity += x.Capacity
+		}
+	}
+	w.res.MostOpen = max(w.res.MostOpen, w.open)
+	w.res.MostQueued = max(w.res.MostQueued, len(w.queue.heap))
+	if w.now < w.s.Length || w.open > 0 {
+		w.at(w.now+time.Second, event{do: sampled})
+	}
+}
+
+// over ends a flow. Began and ended are those of its stream.
+func (w *World) over(f *flow, how ending, began, ended time.Duration, made int) {
+	w.open--
+	c := &f.session.load.c.Class
+	r := &w.res.Classes[f.session.load.n]
+	s := w.second()
+	w.res.Asked += c.Worth
+	worth := 0.0
+	switch how {
+	case served:
+		first := began - f.began
+		r.First.RecordValue(max(first.Microseconds(), 1))
+		more := time.Duration(float64(f.prompt) / 1000 * float64(c.AimPer1000))
+		pace := time.Duration(0)
+		if made > 1 {
+			pace = (ended - began) / time.Duration(made-1)
+		}
+		switch {
+		case first <= c.Aim+more && (c.TokenAim == 0 || pace <= c.TokenAim):
+			r.Good++
+			worth = c.Worth
+		case first <= c.Deadline+2*more && (c.TokenAim == 0 || pace <= 2*c.TokenAim):
+			r.Late++
+			worth = c.Worth * c.LateWorth
+		default:
+			r.Slow++
+		}
+	case refused:
+		r.Refused++
+	case failed:
+		r.Failed++
+	case brokenOff:
+		r.BrokenOff++
+	default:
+		r.Lost++
+	}
+	r.Worth += worth
+	w.res.Worth += worth
+	if worth == c.Worth && how == served {
+		s.Good++
+	} else {
+		s.Other++
+	}
+}
+
+// G is the worth answered over the worth asked for.
+func (r *Result) G() float64 {
+	if r.Asked == 0 {
+		return 0
+	}
+	return r.Worth / r.Asked
+}
+
+// end does what is left to do when nothing more is played.
+func (w *World) end() { w.res.MostOpen = max(w.res.MostOpen, w.open) }
--- /dev/null
+++ b/internal/lab/router.go
@@ -0,0 +1,286 @@
+package lab
+
+import (
+	"time"
+
+	"reachspread/balance"
+)
+
+// router is one instance: a decision module, its open tries, its list and its connections.
+type router struct {
+	w     *World
+	n     int
+	zone  string
+	d     Decider
+	alive bool
+	gen   int // of its process
+	inbox []balance.Event
+	due   bool
+
+	tries map[string]*try
+	open  []*try
+
+	byID   map[string]int // hosts that its list has named
+	known  []knowledge    // of hosts, by number
+	heard  time.Duration  // when the last news comes
+	pools  []pool         // by host
+	probes int
+}
+
+// knowledge is what a router was told of a host.
+type knowledge struct {
+	leaving bool
+	since   time.Duration
+}
+
+// pool is a router's idle connections to one host, the last used at the end.
+type pool struct{ idle []*conn }
+
+type conn struct {
+	host  int
+	gen   int // of the host's process
+	used  int // how often
+	owner int // the router's process
+}
+
+// startRouter starts a router's process. One that comes back has the last list that it was told.
+func (w *World) startRouter(n int) error {
+	r := w.routers[n]
+	c := w.s.Balance
+	c.Zone = r.zone
+	d, err := w.s.New(c, w.stream(forRouter, uint64(n)<<16|uint64(r.gen)).Uint64())
+	if err != nil {
+		return err
+	}
+	again := r.gen > 0
+	r.gen++
+	r.d, r.alive, r.inbox, r.due = d, true, nil, false
+	r.tries, r.open, r.pools = map[string]*try{}, nil, nil
+	if !again {
+		r.byID = map[string]int{}
+		r.told(w.whole())
+		return nil
+	}
+	disk := balance.Members{Version: w.list.version, Whole: true}
+	for h, k := range r.known {
+		if _, listed := r.byID[w.hosts[h].id]; listed && !k.leaving {
+			disk.Members = append(disk.Members, w.member(w.hosts[h], balance.Serving))
+		}
+	}
+	r.take(disk)
+	w.tellWhole(r)
+	w.front = append(w.front, n)
+	return nil
+}
+
+// take gives the module an event; it sees it with the next tick.
+func (r *router) take(e balance.Event) {
+	r.inbox = append(r.inbox, e)
+	if !r.due {
+		r.due = true
+		tick := r.w.s.Tick
+		r.w.at((r.w.now+tick-1)/tick*tick, event{do: routerSteps, n: r.n, gen: r.gen})
+	}
+}
+
+func (r *router) step() {
+	w := r.w
+	batch := r.inbox
+	r.inbox, r.due = nil, false
+	w.res.Steps++
+	for _, action := range r.d.Step(w.clock(), batch) {
+		if w.broken != nil {
+			return
+		}
+		switch a := action.(type) {
+		case balance.Send:
+			r.send(a)
+		case balance.Refuse:
+			w.answer(r, a.ID, a.Away, refused)
+		case balance.Fail:
+			w.answer(r, a.ID, 0, failed)
+		case balance.Probe:
+			r.probe(a.Replica)
+		case balance.SetTimer:
+			w.at(w.now+a.After, event{do: routerWakes, n: r.n, gen: r.gen, p: a.Token})
+		}
+	}
+}
+
+// attempt is one scheduling of a try.
+type attempt struct {
+	t     *try
+	n     int
+	host  int
+	hgen  int // of the host's process that has it
+	conn  *conn
+	fresh bool // its connection is not up yet
+	at    time.Duration
+	first bool
+	made  int
+	begun time.Duration // its first token, at the host
+	last  time.Duration
+	told  time.Duration // when the last word of it reaches the router
+	over  bool
+}
+
+func (r *router) send(a balance.Send) {
+	w := r.w
+	t := r.tries[a.ID]
+	w.note("send to "+a.Replica, a.ID, r.n)
+	if !w.checkSend(r, t, a.ID, a.Replica) {
+		return
+	}
+	h := r.byID[a.Replica]
+	x := &attempt{t: t, n: t.attempts, host: h, at: w.now}
+	t.attempts++
+	t.out = x
+	w.res.Attempts++
+	way := w.way(r.zone, w.hosts[h].zone)
+	if r.zone != w.hosts[h].zone {
+		w.res.Crossed++
+	}
+	if x.conn = r.idle(h); x.conn == nil {
+		x.conn, x.fresh = &conn{host: h, owner: r.gen}, true
+		w.res.Handshakes++
+		way *= 3 // there, back and there again
+		w.at(w.now+w.s.Net.Connect, event{do: connGivenUp, p: x})
+	}
+	x.conn.used++
+	w.at(w.now+way, event{do: attemptReaches, p: x})
+}
+
+// idle takes the connection to a host that was used last, if there is one.
+func (r *router) idle(h int) *conn {
+	if h >= len(r.pools) {
+		return nil
+	}
+	p := &r.pools[h]
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if x := r.w.hosts[h]; c.gen == x.gen || x.cut {
+			return c
+		} // its host's process has ended, and with it the connection
+	}
+	return nil
+}
+
+// keep puts a connection back.
+func (r *router) keep(c *conn) {
+	for len(r.pools) <= c.host {
+		r.pools = append(r.pools, pool{})
+	}
+	r.pools[c.host].idle = append(r.pools[c.host].idle, c)
+	r.w.at(r.w.now+r.w.s.Net.Idle, event{do: connClosed, n: r.n, gen: c.used, p: c})
+}
+
+// idleOver closes a connection that was not used since it was put back.
+func (r *router) idleOver(c *conn, used int) {
+	if c.used != used || c.owner != r.gen || c.host >= len(r.pools) {
+		return
+	}
+	p := &r.pools[c.host]
+	for i, x := range p.idle {
+		if x == c {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			r.w.disconnect(c)
+			return
+		}
+	}
+}
+
+// hear takes a host's word on an attempt.
+func (r *router) hear(word *tell) {
+	w := r.w
+	a := word.a
+	t := a.t
+	if a.over {
+		return
+	}
+	if word.first {
+		if t.out != a {
+			return // given up before
+		}
+		if !t.answered {
+			w.note("first token", t.id, r.n)
+			t.answered = true
+			r.take(balance.FirstToken{ID: t.id, Attempt: a.n})
+		}
+		a.begun = w.now
+		return
+	}
+	if t.out != a {
+		return
+	}
+	a.over, t.out = true, nil
+	w.note("outcome", t.id, int(word.result))
+	o := balance.Outcome{ID: t.id, Attempt: a.n, Result: word.result, Final: word.result == balance.OK || t.answered, Kept: float64(word.kept), Load: word.load}
+	r.take(o)
+	if word.result == balance.OK && a.conn != nil {
+		r.keep(a.conn)
+	} else if word.result == balance.Full && a.conn != nil && !word.noConn {
+		r.keep(a.conn)
+	}
+	if !t.answered {
+		return
+	}
+	r.closeTry(t)
+	how := served
+	if word.result != balance.OK {
+		how = brokenOff
+	}
+	w.over(t.f, how, a.begun, w.now, word.made)
+}
+
+// closeTry forgets a try that has its final answer.
+func (r *router) closeTry(t *try) {
+	t.answered = true
+	delete(r.tries, t.id)
+	last := r.open[len(r.open)-1]
+	r.open[t.index], last.index = last, t.index
+	r.open[len(r.open)-1] = nil
+	r.open = r.open[:len(r.open)-1]
+}
+
+// crash ends a router's process: its connections are reset, and its clients come back.
+func (w *World) crash(n int) {
+	r := w.routers[n]
+	if !r.alive {
+		return
+	}
+	w.note("router dies", "", n)
+	r.alive = false
+	for h := range r.pools {
+		for _, c := range r.pools[h].idle {
+			w.disconnect(c)
+		}
+	}
+	for _, t := range r.open {
+		streaming := t.answered
+		t.answered = true
+		if a := t.out; a != nil {
+			t.out = nil
+			w.cancel(a)
+			if streaming {
+				w.over(t.f, brokenOff, 0, 0, 0)
+				continue
+			}
+		}
+		w.again(t.f, 0, routerGone)
+	}
+	r.open, r.tries, r.pools = nil, nil, nil
+}
+
+// probe asks a host for its load.
+func (r *router) probe(to string) {
+	h, listed := r.byID[to]
+	if !listed {
+		r.w.violated(ruleListed, to, r.n, "is probed")
+		return
+	}
+	r.probes++
+	r.w.res.Probes++
+	p := &probe{router: r.n, rgen: r.gen, host: h, n: r.probes}
+	r.w.at(r.w.now+r.w.way(r.zone, r.w.hosts[h].zone), event{do: probeReaches, p: p})
+}
--- /dev/null
+++ b/internal/lab/rules.go
@@ -0,0 +1,73 @@
+package lab
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+const (
+	// answerSlack is how long after a client's patience an answer may still come.
+	answerSlack = 20 * time.Millisecond
+	// drainSlack is how long after the news a host may still be sent something new.
+	drainSlack = 500 * time.Millisecond
+)
+
+// Violation is a rule that was broken.
+type Violation struct {
+	Seed uint64
+	At   time.Duration
+	Rule string
+	Text string
+	Last []string // what happened before, the last one at the end
+}
+
+// Error is one line; Last tells more.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("rule broken at %v with seed %d: %s: %s", v.At, v.Seed, v.Rule, v.Text)
+}
+
+// Report is the whole text.
+func (v *Violation) Report() string { return v.Error() + "\n" + strings.Join(v.Last, "\n") + "\n" }
+
+// violated stops the world. The first one counts.
+func (w *World) violated(rule, id string, n int, text string) {
+	if w.broken != nil {
+		return
+	}
+	v := &Violation{Seed: w.s.Seed, At: w.now, Rule: rule, Text: strings.TrimSpace(fmt.Sprintf("%s %d %s", id, n, text))}
+	for i := max(w.noted-lastNotes, 0); i < w.noted; i++ {
+		x := w.notes[i%lastNotes]
+		v.Last = append(v.Last, fmt.Sprintf("%12v %s %s %d", x.at, x.what, x.id, x.n))
+	}
+	w.broken = v
+}
+
+// The rules' names.
+const (
+	ruleOneAnswer  = "one final answer for each request"
+	ruleInTime     = "the final answer comes before its client gives up"
+	ruleOneAttempt = "never two attempts of one request out"
+	ruleAnswered   = "nothing is sent for a request that was answered"
+	ruleDrain      = "nothing new to a draining or gone host after 500 ms"
+	ruleListed     = "only hosts that the list has named"
+	ruleCold       = "no cold host is pushed over"
+)
+
+// checkSend checks what a router is about to send.
+func (w *World) checkSend(r *router, t *try, id, to string) bool {
+	h, listed := r.byID[to]
+	switch {
+	case t == nil || t.answered:
+		w.violated(ruleAnswered, id, r.n, "to "+to)
+	case t.out != nil:
+		w.violated(ruleOneAttempt, id, r.n, "to "+to)
+	case !listed:
+		w.violated(ruleListed, id, r.n, "to "+to)
+	case r.known[h].leaving && w.now > r.known[h].since+drainSlack:
+		w.violated(ruleDrain, id, r.n, fmt.Sprintf("to %s, %v after the news", to, w.now-r.known[h].since))
+	default:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/spec.go
@@ -0,0 +1,187 @@
+// Package lab plays a whole fleet in virtual time: clients with sessions and retries, a front that spreads them, routers
+// around the real decision module, the list of hosts, the network, model hosts (package fleet) and troubles. Checkers of
+// the platform's rules run on every world. The same Spec gives the same results, to the byte, wherever it is played.
+//
+// This file is what an experiment is made of; world.go has the clock, client.go the load, router.go the routers, hosts.go
+// hosts and their list, trouble.go what goes wrong, rules.go the checkers and result.go what comes of it. A World is
+// single-threaded, does no I/O and looks at no clock; different worlds share nothing and may be played side by side. Its
+// memory is bounded by what is open at once: finished requests are only counted.
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"reachspread/balance"
+	"reachspread/internal/fleet"
+)
+
+// Spec is one experiment's world.
+type Spec struct {
+	Seed   uint64
+	Length time.Duration // clients arrive until then; what is open is played to its end
+	Tick   time.Duration // a router handles what has come in once in this time
+
+	Groups  []Group
+	Routers int
+	Classes []Class
+	Balance balance.Config // but for Zone, Classes and Tick, which the world fills in
+
+	Net      Network
+	List     List
+	Front    Front
+	Retries  Retries
+	Troubles []Trouble
+
+	// New makes a router's decider; nil for that of package balance.
+	New func(balance.Config, uint64) (Decider, error)
+}
+
+// Decider is a router's decision module.
+type Decider interface {
+	Step(now time.Duration, events []balance.Event) []balance.Action
+}
+
+// Group is a number of hosts that are alike.
+type Group struct {
+	Count int
+	Kind  string
+	Zone  string
+	Host  fleet.Config
+}
+
+// Class is a class of requests with its load.
+type Class struct {
+	Class balance.Class
+
+	Rate       float64 // requests in a second, over all sessions
+	Turns      float64 // of a session, in the mean
+	Think      time.Duration
+	New        Length // tokens that a turn adds to what went before
+	Out        Length
+	MaxOut     int // that clients ask for; an answer is no longer
+	MaxContext int // a session ends before its prompt is longer
+	Prefixes   int // beginnings that sessions share; 0 for none
+	Zipf       float64
+	PrefixLen  Length
+	Patience   float64 // share of the deadline that a try waits; 0 counts as 1
+}
+
+// Length is a log-normal distribution of lengths in tokens.
+type Length struct {
+	Median float64
+	Sigma  float64 // of the logarithm
+}
+
+// Network is how long messages take, one way.
+type Network struct {
+	Same, Cross time.Duration // within a zone, and between two
+	Jitter      float64       // each takes up to this share longer
+	Connect     time.Duration // after which a connection that does not come up is given up
+	Idle        time.Duration // after which a host closes one
+}
+
+// List is how news of hosts travels to routers.
+type List struct {
+	Delay, Spread time.Duration // the least, and up to how much more
+}
+
+// Front spreads clients over routers.
+type Front struct {
+	Notice time.Duration // until it knows that a router has died
+}
+
+// Retries is what clients do after a refusal or a failure.
+type Retries struct {
+	Max   int
+	After time.Duration // up to twice that
+	Marks bool          // later tries are marked
+	Heed  bool          // Retry-After is kept
+}
+
+// TroubleKind names what goes wrong.
+type TroubleKind string
+
+// The kinds.
+const (
+	SlowHosts   TroubleKind = "slow"           // Part of the hosts work Size times slower
+	Burst       TroubleKind = "burst"          // Size times as many sessions begin
+	HeavyTail   TroubleKind = "heavy_tail"     // a Part of new prompts is Size times as long
+	RouterCrash TroubleKind = "balancer_crash" // Part of the routers die, and come back after Length
+	HostsDie    TroubleKind = "hosts_die"      // Part of the hosts die, and come back cold after Length
+	Replace     TroubleKind = "replace"        // Part of the hosts go for good, and cold ones of other names come
+	Release     TroubleKind = "release"        // all hosts are drained and started anew, a Part at a time, within Length
+	LostZone    TroubleKind = "lost_zone"      // the hosts of Zone are cut off
+	ListLost    TroubleKind = "list_lost"      // no news of hosts
+)
+
+// Trouble is something that goes wrong for a while.
+type Trouble struct {
+	Kind   TroubleKind
+	At     time.Duration
+	Length time.Duration
+	Part   float64
+	Size   float64
+	Zone   string
+}
+
+// Check returns what is wrong with a Spec, with the field's name.
+func (s *Spec) Check() error {
+	switch {
+	case s.Length <= 0:
+		return fmt.Errorf("Length is %v; it must be more than 0", s.Length)
+	case s.Tick <= 0:
+		return fmt.Errorf("Tick is %v; it must be more than 0", s.Tick)
+	case s.Routers < 1:
+		return fmt.Errorf("Routers is %d; it must be 1 or more", s.Routers)
+	case len(s.Classes) == 0:
+		return fmt.Errorf("Classes is empty; there must be one at least")
+	}
+	zones := map[string]bool{}
+	for i, g := range s.Groups {
+		zones[g.Zone] = true
+		switch {
+		case g.Count < 0:
+			return fmt.Errorf("Groups[%d].Count is %d; it must not be negative", i, g.Count)
+		case g.Host.Slots < 1 || g.Host.Memory < 1 || g.Host.Chunk < 1 || g.Host.Base <= 0:
+			return fmt.Errorf("Groups[%d].Host needs Slots, Memory, Chunk and Base of more than 0", i)
+		}
+	}
+	for i, c := range s.Classes {
+		switch {
+		case c.Rate < 0 || c.Turns < 1 || c.MaxOut < 1 || c.MaxContext < 1:
+			return fmt.Errorf("Classes[%d] needs a Rate of 0 or more, and Turns, MaxOut and MaxContext of 1 or more", i)
+		case c.Patience < 0 || c.Patience > 1:
+			return fmt.Errorf("Classes[%d].Patience is %v; it must be from 0 to 1", i, c.Patience)
+		case c.Class.Deadline <= 0:
+			return fmt.Errorf("Classes[%d].Class.Deadline is %v; it must be more than 0", i, c.Class.Deadline)
+		}
+	}
+	for i, t := range s.Troubles {
+		field := func(name string) string { return fmt.Sprintf("Troubles[%d] (%s).%s", i, t.Kind, name) }
+		switch {
+		case t.At < 0 || t.Length < 0:
+			return fmt.Errorf("%s and Length must not be negative", field("At"))
+		case t.Part < 0 || t.Part > 1:
+			return fmt.Errorf("%s is %v; it must be from 0 to 1", field("Part"), t.Part)
+		}
+		switch t.Kind {
+		case SlowHosts, Burst, HeavyTail:
+			if t.Size <= 0 {
+				return fmt.Errorf("%s is %v; it must be more than 0", field("Size"), t.Size)
+			}
+		case LostZone:
+			if !zones[t.Zone] {
+				return fmt.Errorf("%s is %q; no host stands there", field("Zone"), t.Zone)
+			}
+		case RouterCrash, HostsDie, Replace, ListLost:
+		case Release:
+			if t.Part <= 0 || t.Length <= 0 {
+				return fmt.Errorf("%s and Length must be more than 0", field("Part"))
+			}
+		default:
+			return fmt.Errorf("%s is unknown", field("Kind"))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/trouble.go
@@ -0,0 +1,201 @@
+package lab
+
+import (
+	"time"
+
+	"reachspread/balance"
+	"reachspread/internal/fleet"
+)
+
+// some draws a part of so many, at least one unless the part is 0, in the order of their numbers.
+func (w *World) some(n int, part float64, ok func(int) bool) (drawn []int) {
+	var may []int
+	for i := range n {
+		if ok(i) {
+			may = append(may, i)
+		}
+	}
+	if part <= 0 || len(may) == 0 {
+		return nil
+	}
+	want := min(max(int(part*float64(len(may))+0.5), 1), len(may))
+	for i, at := range may { // each one left has an even chance of the places left
+		if w.chance.IntN(len(may)-i) < want-len(drawn) {
+			drawn = append(drawn, at)
+		}
+	}
+	return drawn
+}
+
+// struck is what a trouble has hit.
+type struck struct {
+	trouble int
+	at      []int
+}
+
+func (w *World) begins(n int) {
+	t := &w.s.Troubles[n]
+	w.note("trouble begins: "+string(t.Kind), "", n)
+	hit := struck{trouble: n}
+	alive := func(i int) bool { return w.hosts[i].alive && !w.hosts[i].gone }
+	switch t.Kind {
+	case SlowHosts:
+		hit.at = w.some(len(w.hosts), t.Part, alive)
+		for _, i := range hit.at {
+			w.hostDoes(w.hosts[i], fleet.Slow{Factor: t.Size})
+		}
+	case Burst:
+		w.burst *= t.Size
+	case HeavyTail:
+		w.tail = append(w.tail, tail{n, t.Part, t.Size})
+	case RouterCrash:
+		hit.at = w.some(len(w.routers), t.Part, func(i int) bool { return w.routers[i].alive })
+		for _, i := range hit.at {
+			w.crash(i)
+			w.at(w.now+w.s.Front.Notice, event{do: troubleEnds, n: ^i}) // the front notices
+			w.at(w.now+t.Length, event{do: routerStarts, n: i})
+		}
+	case HostsDie:
+		hit.at = w.some(len(w.hosts), t.Part, alive)
+		for _, i := range hit.at {
+			w.stop(w.hosts[i], t.Length)
+		}
+	case Replace:
+		for _, i := range w.some(len(w.hosts), t.Part, alive) {
+			old := w.hosts[i]
+			old.state = balance.Gone
+			w.changed(old)
+			old.gone = true
+			w.die(old)
+			h := w.addHost(old.group)
+			h.model.Step(w.now, fleet.Die{})
+			h.alive = false
+			w.at(w.now+t.Length, event{do: hostStarts, n: h.n, gen: h.gen})
+		}
+	case Release:
+		var all []int
+		for i := range w.hosts {
+			if alive(i) {
+				all = append(all, i)
+			}
+		}
+		each := max(int(t.Part*float64(len(all))+0.5), 1)
+		rounds := (len(all) + each - 1) / each
+		w.release(&releasing{left: all, each: each, every: t.Length / time.Duration(max(rounds, 1))})
+	case LostZone:
+		for i, h := range w.hosts {
+			if h.zone == t.Zone && !h.gone {
+				h.cut = true
+				hit.at = append(hit.at, i)
+			}
+		}
+	case ListLost:
+		w.list.down++
+	}
+	w.res.Troubles = append(w.res.Troubles, TroubleResult{Kind: t.Kind, At: w.now, Hit: len(hit.at)})
+	if t.Kind != Release && t.Kind != Replace {
+		w.struck = append(w.struck, hit)
+		w.at(w.now+t.Length, event{do: troubleEnds, n: n})
+	}
+}
+
+// stop ends a host's process and has it start again after a while. The list hears of the start alone.
+func (w *World) stop(h *host, after time.Duration) {
+	w.die(h)
+	w.at(w.now+after, event{do: hostStarts, n: h.n, gen: h.gen})
+}
+
+func (w *World) ends(n int) {
+	if n < 0 { // the front has noticed that a router died
+		for i, r := range w.front {
+			if r == ^n && !w.routers[r].alive {
+				w.front = append(w.front[:i], w.front[i+1:]...)
+				break
+			}
+		}
+		return
+	}
+	t := &w.s.Troubles[n]
+	w.note("trouble ends: "+string(t.Kind), "", n)
+	var hit struck
+	for i, x := range w.struck {
+		if x.trouble == n {
+			hit = x
+			w.struck = append(w.struck[:i], w.struck[i+1:]...)
+			break
+		}
+	}
+	switch t.Kind {
+	case SlowHosts:
+		for _, i := range hit.at {
+			w.hostDoes(w.hosts[i], fleet.Slow{Factor: 1})
+		}
+	case Burst:
+		w.burst /= t.Size
+	case HeavyTail:
+		for i, x := range w.tail {
+			if x.trouble == n {
+				w.tail = append(w.tail[:i], w.tail[i+1:]...)
+				break
+			}
+		}
+	case LostZone: // what was under way is reset now
+		for _, i := range hit.at {
+			h := w.hosts[i]
+			h.cut = false
+			for _, a := range h.unheard {
+				w.tell(h, a, &tell{a: a, result: balance.Reset, made: a.made})
+			}
+			h.unheard = nil
+			if h.alive {
+				w.die(h)
+				h.alive = true
+				w.hostDoes(h, fleet.Start{})
+				h.born = w.clock()
+				w.changed(h)
+			}
+		}
+	case ListLost:
+		if w.list.down--; w.list.down == 0 && w.list.missed {
+			w.list.missed = false
+			for _, r := range w.routers {
+				w.tellWhole(r)
+			}
+		}
+	}
+}
+
+// releasing is a release of all hosts, some at a time: each is drained, has two thirds of its round to finish what it
+// has, and starts anew.
+type releasing struct {
+	left    []int
+	each    int
+	every   time.Duration
+	drained []int
+}
+
+func (w *World) release(x *releasing) {
+	if x.drained != nil {
+		for _, i := range x.drained {
+			if h := w.hosts[i]; h.alive && !h.gone {
+				w.stop(h, x.every/6)
+			}
+		}
+		x.drained = nil
+		w.at(w.now+x.every/3, event{do: releaseGoesOn, p: x})
+		return
+	}
+	n := min(x.each, len(x.left))
+	if n == 0 {
+		return
+	}
+	x.drained, x.left = x.left[:n:n], x.left[n:]
+	for _, i := range x.drained {
+		if h := w.hosts[i]; h.alive && !h.gone {
+			h.state = balance.Draining
+			w.hostDoes(h, fleet.Drain{})
+			w.changed(h)
+		}
+	}
+	w.at(w.now+2*x.every/3, event{do: releaseGoesOn, p: x})
+}
