--- a/balance/balance.go
+++ b/balance/balance.go
@@ -564,12 +564,15 @@
 
 // ranked returns the first n of pool in the rendezvous order of key.
 func ranked(key uint64, pool []*replica, n int) []*replica {
-	top := slices.Clone(pool)
-	for _, r := range top {
+	top := make([]*replica, 0, min(n, len(pool)))
+	for _, r := range pool {
 		r.score = mix(key ^ r.name)
+		at := sort.Search(len(top), func(i int) bool { return top[i].score < r.score })
+		if at < n {
+			top = slices.Insert(top[:min(len(top), n-1)], at, r)
+		}
 	}
-	slices.SortFunc(top, func(r, o *replica) int { return cmp.Compare(o.score, r.score) })
-	return top[:min(n, len(top))]
+	return top
 }
 
 // hash maps a name to a number.
