--- a/cmd/reachlab/main.go
+++ b/cmd/reachlab/main.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"syscall"
 	"time"
@@ -28,7 +30,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "reachlab", Short: "Plays experiments on a model of the fleet", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), checkCommand(), replayCommand())
+	root.AddCommand(runCommand(), checkCommand(), replayCommand(), compareCommand(), chartCommand())
 	return root
 }
 
@@ -83,6 +85,55 @@
 	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
 
+func compareCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "compare FOLDER FOLDER",
+		Short: "Compare two kept runs, variant by variant, in pairs by seed",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, from, err := experiment.Open(args[0])
+			if err != nil {
+				return err
+			}
+			_, to, err := experiment.Open(args[1])
+			if err != nil {
+				return err
+			}
+			all := experiment.CompareFolders(from, to)
+			if len(all) == 0 {
+				return fmt.Errorf("%s and %s have no variant of one name", args[0], args[1])
+			}
+			for _, d := range all {
+				fmt.Fprintln(cmd.OutOrStdout(), d.String())
+			}
+			return nil
+		},
+	}
+}
+
+func chartCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "chart FOLDER FILE",
+		Short: "Write a page with the charts of a kept run, which opens without a network",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) (err error) {
+			x, kept, err := experiment.Open(args[0])
+			if err != nil {
+				return err
+			}
+			f, err := os.CreateTemp(filepath.Dir(args[1]), ".reachlab-*")
+			if err != nil {
+				return err
+			}
+			defer os.Remove(f.Name())
+			if err := errors.Join(x.WritePage(f, kept), f.Close()); err != nil {
+				return err
+			}
+			return os.Rename(f.Name(), args[1])
+		},
+	}
+}
+
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
--- a/deploy/lab/example.hcl
+++ b/deploy/lab/example.hcl
@@ -87,6 +87,6 @@
 
 variant "as it is" {}
 
-variant "one attempt" {
-  max_attempts = 1
+variant "six routers" {
+  routers = 6
 }
--- /dev/null
+++ b/internal/experiment/charts.go
@@ -0,0 +1,160 @@
+package experiment
+
+import (
+	"bytes"
+	"fmt"
+	"html"
+	"image/color"
+	"io"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+)
+
+// palette is Okabe and Ito's, which people see apart who see colours differently (Color Universal Design, 2008).
+var palette = []color.Color{
+	color.RGBA{0x00, 0x72, 0xb2, 0xff}, color.RGBA{0xe6, 0x9f, 0x00, 0xff}, color.RGBA{0x00, 0x9e, 0x73, 0xff}, color.RGBA{0xcc, 0x79, 0xa7, 0xff},
+	color.RGBA{0x56, 0xb4, 0xe9, 0xff}, color.RGBA{0xd5, 0x5e, 0x00, 0xff}, color.RGBA{0x00, 0x00, 0x00, 0xff}, color.RGBA{0xf0, 0xe4, 0x42, 0xff},
+}
+
+const chartWidth, chartHeight = 24 * vg.Centimeter, 9 * vg.Centimeter
+
+// byVariant sorts kept runs, in the order in which variants come. A world in which a rule broke is in no chart.
+func byVariant(kept []Kept) (names []string, runs map[string][]*Kept) {
+	runs = map[string][]*Kept{}
+	for i := range kept {
+		k := &kept[i]
+		if k.Broken != "" {
+			continue
+		}
+		if runs[k.Variant] == nil {
+			names = append(names, k.Variant)
+		}
+		runs[k.Variant] = append(runs[k.Variant], k)
+	}
+	return names, runs
+}
+
+// overTime draws, for each variant and second, which share of the requests that came to an end then ended well, over all
+// seeds, smoothed over five seconds.
+func overTime(kept []Kept) (string, error) {
+	c := plot.New()
+	c.Title.Text, c.X.Label.Text, c.Y.Label.Text = "requests that ended well", "second", "share, mean of 5 s"
+	c.Y.Min, c.Y.Max = 0, 1
+	c.Add(plotter.NewGrid())
+	names, runs := byVariant(kept)
+	for i, name := range names {
+		var good, all []float64
+		for _, k := range runs[name] {
+			for s, x := range k.Result.Seconds {
+				for len(all) <= s {
+					good, all = append(good, 0), append(all, 0)
+				}
+				good[s] += x.Good
+				all[s] += x.Good + x.Other
+			}
+		}
+		var points plotter.XYs
+		for s := range all {
+			g, n := 0.0, 0.0
+			for at := max(s-2, 0); at <= min(s+2, len(all)-1); at++ {
+				g, n = g+good[at], n+all[at]
+			}
+			if n > 0 {
+				points = append(points, plotter.XY{X: float64(s), Y: g / n})
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", err
+		}
+		line.Color, line.Width = palette[i%len(palette)], vg.Points(2)
+		if i%2 == 1 { // where two lie on one another, both are seen
+			line.Dashes = []vg.Length{vg.Points(6), vg.Points(6)}
+		}
+		c.Add(line)
+		c.Legend.Add(name, line)
+	}
+	return svg(c)
+}
+
+// bySeed draws the G of each world, the seeds of a variant above its name.
+func bySeed(kept []Kept) (string, error) {
+	c := plot.New()
+	c.Title.Text, c.Y.Label.Text = "G of each world", "G"
+	names, runs := byVariant(kept)
+	least := 1.0
+	for i, name := range names {
+		var points plotter.XYs
+		for n, k := range runs[name] {
+			g := k.g()
+			least = min(least, g)
+			aside := 0.4 * (float64(n)/float64(max(len(runs[name])-1, 1)) - 0.5)
+			points = append(points, plotter.XY{X: float64(i) + aside, Y: g})
+		}
+		dots, err := plotter.NewScatter(points)
+		if err != nil {
+			return "", err
+		}
+		dots.Color, dots.Shape, dots.Radius = palette[i%len(palette)], draw.CircleGlyph{}, vg.Points(3)
+		c.Add(dots)
+	}
+	c.Add(plotter.NewGrid())
+	c.NominalX(names...)
+	c.X.Min, c.X.Max = -0.5, float64(len(names))-0.5
+	c.Y.Min, c.Y.Max = math.Floor(least*20)/20, 1
+	return svg(c)
+}
+
+// svg draws a chart without the first lines of a file, so that it can stand in a page.
+func svg(c *plot.Plot) (string, error) {
+	c.Legend.Left = true
+	w, err := c.WriterTo(chartWidth, chartHeight, "svg")
+	if err != nil {
+		return "", err
+	}
+	var out bytes.Buffer
+	if _, err := w.WriteTo(&out); err != nil {
+		return "", err
+	}
+	return string(out.Bytes()[max(bytes.Index(out.Bytes(), []byte("<svg")), 0):]), nil
+}
+
+// WritePage writes one page with charts and differences, which opens without a network.
+func (x *Experiment) WritePage(out io.Writer, kept []Kept) error {
+	time, err := overTime(kept)
+	if err != nil {
+		return err
+	}
+	seeds, err := bySeed(kept)
+	if err != nil {
+		return err
+	}
+	title := html.EscapeString(x.Name)
+	_, err = fmt.Fprintf(out, "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>%s</title>\n"+
+		"<style>body{font:16px sans-serif;margin:2em auto;max-width:62em}svg{max-width:100%%;height:auto}pre{background:#f4f4f4;padding:1em;overflow:auto}</style></head><body>\n"+
+		"<h1>%s</h1>\n<p>%d worlds: %d variants, %d seeds.</p>\n%s\n%s\n", title, title, len(kept), len(x.Variants), len(x.Seeds), time, seeds)
+	if err != nil {
+		return err
+	}
+	for _, d := range CompareKept(kept) {
+		if _, err := fmt.Fprintf(out, "<p>%s</p>\n", html.EscapeString(d.String())); err != nil {
+			return err
+		}
+	}
+	for _, k := range kept {
+		if k.Broken != "" {
+			if _, err := fmt.Fprintf(out, "<p>%s, seed %d: %s</p>\n", html.EscapeString(k.Variant), k.Seed, html.EscapeString(k.Broken)); err != nil {
+				return err
+			}
+		}
+	}
+	_, err = fmt.Fprintf(out, "<pre>%s</pre>\n</body></html>\n", html.EscapeString(string(x.Text)))
+	return err
+}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -154,6 +154,14 @@
 	if err != nil || len(kept) != 6 || again.Worlds() != 6 || kept[5].Variant != "single" || kept[5].Result.Asked == 0 {
 		t.Fatalf("%+v, %v", kept, err)
 	}
+	var page bytes.Buffer
+	if err := again.WritePage(&page, kept); err != nil || strings.Count(page.String(), "<svg") != 2 || !strings.HasSuffix(page.String(), "</html>\n") ||
+		!strings.Contains(page.String(), "single against base") && !strings.Contains(page.String(), "single differs in G from base") {
+		t.Errorf("a page of %d bytes, %v", page.Len(), err)
+	}
+	if got := CompareFolders(kept, kept[:5]); len(got) != 2 || got[0].Shown() || got[0].Pairs != 3 || got[1].Pairs != 2 || got[0].Mean != 0 {
+		t.Errorf("a run against itself: %+v", got)
+	}
 	if err := x.Keep(folder, nil); err == nil || !strings.Contains(err.Error(), "is not empty") {
 		t.Errorf("into a folder that holds a run: %v", err)
 	}
--- a/internal/experiment/keep.go
+++ b/internal/experiment/keep.go
@@ -98,11 +98,7 @@
 		if i == 0 {
 			fmt.Fprintln(w)
 		}
-		if d.Shown() {
-			fmt.Fprintf(w, "%s has a G %+.4f from that of %s (95 in 100: %+.4f to %+.4f, %d pairs).\n", d.To, d.Mean, d.From, d.Low, d.High, d.Pairs)
-		} else {
-			fmt.Fprintf(w, "%s against %s: no difference shown (%+.4f; 95 in 100: %+.4f to %+.4f, %d pairs).\n", d.To, d.From, d.Mean, d.Low, d.High, d.Pairs)
-		}
+		fmt.Fprintln(w, d.String())
 	}
 	for _, r := range runs {
 		if r.Broken != "" {
@@ -193,8 +189,18 @@
 
 // Kept is a run as a folder has it.
 type Kept struct {
-	Variant string                         `json:"variant"`
-	Seed    uint64                         `json:"seed"`
-	Broken  string                         `json:"broken"`
-	Result  struct{ Worth, Asked float64 } `json:"result"`
+	Variant string `json:"variant"`
+	Seed    uint64 `json:"seed"`
+	Broken  string `json:"broken"`
+	Result  struct {
+		Worth, Asked float64
+		Seconds      []struct{ Good, Other float64 }
+	} `json:"result"`
+}
+
+func (k *Kept) g() float64 {
+	if k.Result.Asked == 0 {
+		return 0
+	}
+	return k.Result.Worth / k.Result.Asked
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -96,18 +97,68 @@
 
 // Compare compares each further variant with the first. The interval is a percentile bootstrap over seeds (Efron and
 // Tibshirani, An Introduction to the Bootstrap, chapter 13), with a fixed seed of its own.
-func Compare(runs []*Run) (all []Difference) {
-	var names []string
-	g := map[string]map[uint64]float64{}
+func Compare(runs []*Run) []Difference {
+	p := pairs{g: map[string]map[uint64]float64{}}
 	for _, r := range runs {
-		if g[r.Variant] == nil {
-			g[r.Variant] = map[uint64]float64{}
-			names = append(names, r.Variant)
-		}
-		if r.Broken == "" {
-			g[r.Variant][r.Seed] = r.Result.G()
+		p.add(r.Variant, r.Seed, r.Broken == "", r.Result.G())
+	}
+	return p.compare()
+}
+
+// CompareKept is Compare for runs that were kept.
+func CompareKept(kept []Kept) []Difference {
+	p := pairs{g: map[string]map[uint64]float64{}}
+	for i := range kept {
+		k := &kept[i]
+		p.add(k.Variant, k.Seed, k.Broken == "", k.g())
+	}
+	return p.compare()
+}
+
+// CompareFolders compares each variant of one kept experiment with the one of the same name in another.
+func CompareFolders(from, to []Kept) (all []Difference) {
+	names, _ := byVariant(from)
+	for _, name := range names {
+		p := pairs{g: map[string]map[uint64]float64{}}
+		for i, side := range [][]Kept{from, to} {
+			for j := range side {
+				if k := &side[j]; k.Variant == name {
+					p.add([]string{"the first " + name, "the second " + name}[i], k.Seed, k.Broken == "", k.g())
+				}
+			}
 		}
+		all = append(all, p.compare()...)
 	}
+	return all
+}
+
+// String is one line.
+func (d *Difference) String() string {
+	how := fmt.Sprintf("%+.4f; 95 in 100: %+.4f to %+.4f, %d pairs", d.Mean, d.Low, d.High, d.Pairs)
+	if d.Shown() {
+		return fmt.Sprintf("%s differs in G from %s (%s).", d.To, d.From, how)
+	}
+	return fmt.Sprintf("%s against %s: no difference shown (%s).", d.To, d.From, how)
+}
+
+// pairs has the G of each world, by variant and seed.
+type pairs struct {
+	names []string
+	g     map[string]map[uint64]float64
+}
+
+func (p *pairs) add(variant string, seed uint64, whole bool, g float64) {
+	if p.g[variant] == nil {
+		p.g[variant] = map[uint64]float64{}
+		p.names = append(p.names, variant)
+	}
+	if whole {
+		p.g[variant][seed] = g
+	}
+}
+
+func (p *pairs) compare() (all []Difference) {
+	names, g := p.names, p.g
 	for _, name := range names[min(1, len(names)):] {
 		var diffs []float64
 		var seeds []uint64
