Lab: the same hosts on sockets, a plan's clients, and the newcomer's demo

The model could only be played in virtual time, and a newcomer had nothing to start without a configuration. Stand-in hosts put the model behind HTTP as the platform has it, with a list of them and clients that ask a world's own load in an open loop, timed from when a request was due. `reachlab demo` starts all of it with the real router on free ports, drains and kills hosts on the way, and ends with a table and charts.

--- a/cmd/reachlab/main.go
+++ b/cmd/reachlab/main.go
@@ -15,6 +15,7 @@
 	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
 
+	"reachspread/internal/demo"
 	"reachspread/internal/experiment"
 	"reachspread/internal/lab"
 )
@@ -30,7 +31,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "reachlab", Short: "Plays experiments on a model of the fleet", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), checkCommand(), replayCommand(), compareCommand(), chartCommand())
+	root.AddCommand(runCommand(), checkCommand(), replayCommand(), compareCommand(), chartCommand(), demoCommand())
 	return root
 }
 
@@ -204,3 +205,22 @@
 	}
 	return c
 }
+
+func demoCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Start three stand-in hosts, discovery and the router, send them a minute of requests, and show what comes of it",
+		Args:  cobra.NoArgs,
+	}
+	length := c.Flags().Duration("length", time.Minute, "of the load")
+	keep := c.Flags().Bool("keep", false, "leave all up until Ctrl-C, and print how to ask it with curl")
+	logs := c.Flags().Bool("logs", false, "print the router's log lines, too")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		o := demo.Options{Out: cmd.OutOrStdout(), Live: terminal(cmd.OutOrStdout()) && !*logs, Length: *length, Keep: *keep}
+		if *logs {
+			o.Log = cmd.ErrOrStderr()
+		}
+		return demo.Run(cmd.Context(), o)
+	}
+	return c
+}
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -132,12 +132,51 @@
 	if !last {
 		w.at(w.now+think, event{do: turnComes, p: s})
 	}
+	if w.planning {
+		w.plan = append(w.plan, Planned{At: w.now, ID: "f" + strconv.Itoa(f.n), Class: s.load.n, Session: s.name, Prefix: s.prefix, Shared: s.shared,
+			Prompt: f.prompt, Out: f.out, MaxOut: c.MaxOut})
+		return
+	}
 	w.open++
 	w.res.Classes[s.load.n].Asked++
 	w.second().Asked++
 	w.try(f)
 }
 
+// Planned is a request that a client will make, whatever comes of those before it.
+type Planned struct {
+	At              time.Duration
+	ID              string
+	Class           int
+	Session, Prefix string
+	Shared, Prompt  int
+	Out, MaxOut     int
+}
+
+// Plan returns all requests of a world, in the order of their times, for clients outside of it.
+func Plan(s Spec) ([]Planned, error) {
+	w, err := New(s)
+	if err != nil {
+		return nil, err
+	}
+	w.planning = true
+	for len(w.queue.heap) > 0 {
+		e := w.queue.pop()
+		if w.now = e.at; w.now >= s.Length {
+			break
+		}
+		switch e.do {
+		case sessionBegins, turnComes:
+			w.play(&e)
+		case troubleBegins, troubleEnds:
+			if k := w.s.Troubles[max(e.n, 0)].Kind; k == Burst || k == HeavyTail { // those that clients make
+				w.play(&e)
+			}
+		}
+	}
+	return w.plan, nil
+}
+
 // try is one of a flow's tries, at one router.
 type try struct {
 	f        *flow
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -124,6 +124,29 @@
 	}
 }
 
+// A plan is the load of a world, request by request.
+func TestPlan(t *testing.T) {
+	s := small(3)
+	s.Troubles = []Trouble{{Kind: Burst, At: 5 * time.Second, Length: 5 * time.Second, Size: 3}, {Kind: HostsDie, At: 5 * time.Second, Part: 1, Length: time.Second}}
+	plan, err := Plan(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, _ := run(t, s)
+	var asked [2]uint64
+	for i, p := range plan {
+		asked[p.Class]++
+		if i > 0 && p.At < plan[i-1].At || p.At >= s.Length || p.Prompt < p.Shared || p.Out < 1 || p.Out > p.MaxOut {
+			t.Fatalf("%+v", p)
+		}
+	}
+	for i, c := range r.Classes {
+		if asked[i] != c.Asked {
+			t.Errorf("%s: %d planned, %d asked", c.Name, asked[i], c.Asked)
+		}
+	}
+}
+
 // refuser refuses everything.
 type refuser struct{}
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -33,6 +33,9 @@
 	tail    []tail
 	struck  []struck
 
+	planning bool // requests are only written down
+	plan     []Planned
+
 	res    Result
 	notes  [lastNotes]note
 	noted  int
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -13,10 +13,10 @@
 	"testing"
 
 	"pgregory.net/rapid"
-	"reachspread/internal/peers"
-	"reachspread/internal/protocol"
 
 	"reachspread/internal/door"
+	"reachspread/internal/peers"
+	"reachspread/internal/protocol"
 )
 
 const platform = `{"az":"a","quantumNs":5000000,"services":[{"name":"chat","effect":"safe","streaming":true,` +
--- /dev/null
+++ b/internal/standin/host.go
@@ -0,0 +1,317 @@
+// Package standin puts the model of package fleet behind real sockets: hosts that speak the platform's protocol, the list
+// of them, and clients that ask as an experiment's plan says. All of it is on loopback addresses and for trying things
+// out; what a host does is the model's, here it is only carried to and fro.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"reachspread/internal/fleet"
+	"reachspread/internal/protocol"
+)
+
+const (
+	maxBody   = 256 << 10
+	eventOf   = 4                // tokens in an event
+	usualOut  = 100              // tokens of an answer, in the median, where the request does not tell
+	mostAhead = 1 << 12          // results that a slow reader may leave waiting
+	bodyFor   = 10 * time.Second // for a request's body to come
+)
+
+// Host is a model host on a socket.
+type Host struct {
+	ID, Addr string
+
+	mu     sync.Mutex
+	model  *fleet.Host
+	start  time.Time
+	timer  *time.Timer
+	gen    int // of its process
+	asking map[string]chan fleet.Result
+	server *http.Server
+	conns  map[net.Conn]bool // true for those that the model has
+	probes int
+}
+
+// NewHost starts a host at an address, which may end with port 0.
+func NewHost(id, addr string, c fleet.Config, seed uint64) (*Host, error) {
+	h := &Host{ID: id, Addr: addr, model: fleet.New(c, seed), start: time.Now(), asking: map[string]chan fleet.Result{}}
+	h.timer = time.AfterFunc(time.Hour, h.tick)
+	return h, h.listen()
+}
+
+func (h *Host) listen() error {
+	ln, err := net.Listen("tcp", h.Addr)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Addr, h.conns = ln.Addr().String(), map[net.Conn]bool{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+protocol.PathCompletions, h.complete)
+	mux.HandleFunc("GET "+protocol.PathLoad, h.load)
+	mux.HandleFunc("GET /-/healthy", h.load)
+	h.server = &http.Server{Handler: mux, ConnState: h.connState, ReadTimeout: bodyFor}
+	go h.server.Serve(ln)
+	return nil
+}
+
+// do gives the model an event and hands on what comes of it. The lock is held.
+func (h *Host) do(e fleet.Event) []fleet.Result {
+	now := time.Since(h.start)
+	results := h.model.Step(now, e)
+	for _, r := range results {
+		if to := h.asking[r.ID]; to != nil && r.Kind != fleet.Preempted {
+			select {
+			case to <- r:
+			default: // its reader is too far behind: it sees the channel closed
+				close(to)
+				delete(h.asking, r.ID)
+			}
+		}
+	}
+	if at, ok := h.model.Next(); ok {
+		h.timer.Reset(max(at-time.Since(h.start), 0))
+	}
+	return results
+}
+
+func (h *Host) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.do(fleet.Passed{})
+}
+
+// connState tells the model of connections. One that its table has no room for is closed.
+func (h *Host) connState(c net.Conn, s http.ConnState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		for _, r := range h.do(fleet.Connect{}) {
+			if r.Kind == fleet.NoRoom {
+				c.Close()
+				return
+			}
+		}
+		h.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		if h.conns[c] {
+			delete(h.conns, c)
+			h.do(fleet.Disconnect{})
+		}
+	}
+}
+
+// Event has something happen to the model: a drain, or that it is slow.
+func (h *Host) Event(e fleet.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.do(e)
+}
+
+// Stats returns the model's state.
+func (h *Host) Stats() fleet.Stats {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.model.Stats(time.Since(h.start))
+}
+
+// Kill ends the host's process: connections are reset, new ones refused.
+func (h *Host) Kill() {
+	h.mu.Lock()
+	h.do(fleet.Die{})
+	h.gen++
+	for c := range h.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+	}
+	clear(h.conns)
+	server := h.server
+	h.mu.Unlock()
+	server.Close()
+}
+
+// Start starts it again at its address, cold.
+func (h *Host) Start() error {
+	h.mu.Lock()
+	h.do(fleet.Start{})
+	h.mu.Unlock()
+	return h.listen()
+}
+
+// Close ends it for good.
+func (h *Host) Close() {
+	h.Kill()
+	h.timer.Stop()
+}
+
+// asked is what a request's body may tell the model. Real ones don't have "lab_out", the true length of the answer.
+type asked struct {
+	MaxTokens int `json:"max_tokens"`
+	LabOut    int `json:"lab_out"`
+}
+
+func (h *Host) complete(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, "the body can't be read", http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get(protocol.HeaderID)
+	if id == "" {
+		http.Error(w, protocol.HeaderID+" is missing", http.StatusNotFound)
+		return
+	}
+	q := request(r.Header, id, body)
+	results := make(chan fleet.Result, mostAhead)
+	h.mu.Lock()
+	if h.asking[id] != nil {
+		h.mu.Unlock()
+		http.Error(w, "an attempt of this request is here already", http.StatusBadRequest)
+		return
+	}
+	h.asking[id] = results
+	h.do(fleet.Arrive{Request: q})
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.asking[id] == results {
+			delete(h.asking, id)
+			h.do(fleet.Cancel{ID: id})
+		}
+	}()
+	h.answer(w, r.Context(), &q, results)
+}
+
+// request reads what the model needs.
+func request(header http.Header, id string, body []byte) fleet.Request {
+	q := fleet.Request{ID: id, Session: header.Get(protocol.HeaderSession), Prompt: max(len(body)/4, 1), MaxOut: 800}
+	for pair := range strings.SplitSeq(header.Get(protocol.HeaderFacts), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "prefix":
+			q.Prefix = value
+		case "prompt_len":
+			q.Prompt = n
+		case "prefix_len":
+			q.Shared = n
+		case "max_out":
+			q.MaxOut = n
+		}
+	}
+	var a asked
+	json.Unmarshal(body, &a) // a body that is none tells nothing
+	if a.MaxTokens > 0 {
+		q.MaxOut = min(q.MaxOut, a.MaxTokens)
+	}
+	if q.Out = a.LabOut; q.Out == 0 {
+		hash := fnv.New64a()
+		io.WriteString(hash, id)
+		rng := rand.New(rand.NewPCG(hash.Sum64(), 1))
+		q.Out = int(usualOut * (0.3 + 1.4*rng.Float64()))
+	}
+	q.Out = max(min(q.Out, q.MaxOut), 1)
+	return q
+}
+
+func (h *Host) answer(w http.ResponseWriter, ctx context.Context, q *fleet.Request, results <-chan fleet.Result) {
+	flush := http.NewResponseController(w)
+	made, kept := 0, 0
+	var words strings.Builder
+	event := func() {
+		if words.Len() > 0 {
+			fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", words.String())
+			flush.Flush()
+			words.Reset()
+		}
+	}
+	for {
+		var r fleet.Result
+		var ok bool
+		select {
+		case r, ok = <-results:
+		case <-ctx.Done():
+			return
+		}
+		if !ok || r.Kind == fleet.Broken {
+			panic(http.ErrAbortHandler) // resets the connection
+		}
+		switch r.Kind {
+		case fleet.TurnedAway:
+			h.forget(q.ID)
+			w.Header().Set(protocol.HeaderUnprocessed, "1")
+			w.Header().Set(protocol.HeaderLoad, h.report())
+			http.Error(w, "turned away", http.StatusServiceUnavailable)
+			return
+		case fleet.Token:
+			if made++; made == 1 {
+				kept = r.Kept
+				w.Header().Set("Content-Type", "text/event-stream")
+			}
+			fmt.Fprintf(&words, "t%d ", made)
+			if made == 1 || made%eventOf == 0 {
+				event()
+			}
+		case fleet.Whole:
+			h.forget(q.ID)
+			event()
+			fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"+
+				"data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":%d}}}\n\n"+
+				": %s: %s\n\ndata: [DONE]\n\n", q.Prompt, made, kept, protocol.HeaderLoad, h.report())
+			return
+		}
+	}
+}
+
+func (h *Host) forget(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.asking, id)
+}
+
+// report is the load report as it goes over the wire.
+func (h *Host) report() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.model.Load(time.Since(h.start))
+	return report(&l)
+}
+
+func report(l *fleet.Load) string {
+	return fmt.Sprintf(`{"inflight":%d,"queue":%d,"util":%.3f,"x0":%.3f,"x1":%.3f}`, l.Running, l.Waiting, l.Util, l.Memory, l.Unread)
+}
+
+// load answers a probe.
+func (h *Host) load(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	h.probes++
+	id := "probe" + strconv.Itoa(h.probes)
+	status, text := http.StatusServiceUnavailable, ""
+	for _, x := range h.do(fleet.Probe{ID: id}) {
+		if x.Kind == fleet.Answered && x.ID == id {
+			status, text = http.StatusOK, report(&x.Load)
+		}
+	}
+	h.mu.Unlock()
+	w.WriteHeader(status)
+	if r.URL.Path == protocol.PathLoad {
+		io.Copy(w, bytes.NewBufferString(text))
+	}
+}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,112 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Entry is a host as the list has it.
+type Entry struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"`
+	Weight    float64 `json:"weight"`
+	StartedMs int64   `json:"started_ms"`
+
+	since int64 // the version that changed it
+}
+
+// List is discovery.
+type List struct {
+	Addr   string
+	server *http.Server
+
+	mu      sync.Mutex
+	version int64
+	entries map[string]Entry
+	changed chan bool // closed at the next change
+}
+
+// mostWait is the longest that a watch may wait.
+const mostWait = time.Minute
+
+// NewList starts discovery without hosts.
+func NewList(addr string) (*List, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	l := &List{Addr: ln.Addr().String(), version: 1, entries: map[string]Entry{}, changed: make(chan bool)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", l.targets)
+	l.server = &http.Server{Handler: mux}
+	go l.server.Serve(ln)
+	return l, nil
+}
+
+// Close ends it.
+func (l *List) Close() { l.server.Close() }
+
+// Set has a host be as the entry says. The state Gone takes it out.
+func (l *List) Set(e Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version++
+	e.since = l.version
+	l.entries[e.ID] = e
+	close(l.changed)
+	l.changed = make(chan bool)
+}
+
+func (l *List) targets(w http.ResponseWriter, r *http.Request) {
+	index, err := strconv.ParseInt(cmp.Or(r.FormValue("index"), "0"), 10, 64)
+	wait, err2 := strconv.ParseInt(cmp.Or(r.FormValue("wait"), "0"), 10, 64)
+	if err != nil || err2 != nil || wait < 0 {
+		http.Error(w, "index and wait must be whole numbers", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, mostWait))
+	defer cancel()
+	l.mu.Lock()
+	for index > 0 && l.version <= index && ctx.Err() == nil {
+		changed := l.changed
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		l.mu.Lock()
+	}
+	text, _ := json.Marshal(l.since(index))
+	l.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(text)
+}
+
+type answer struct {
+	Version int64   `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// since returns what changed after a version, or all that there is after none. The lock is held.
+func (l *List) since(index int64) answer {
+	a := answer{Version: l.version, Full: index == 0, Servers: []Entry{}}
+	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
+		if e := l.entries[id]; a.Full && e.State != "Gone" || !a.Full && e.since > index {
+			a.Servers = append(a.Servers, e)
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"reachspread/internal/fleet"
+	"reachspread/internal/lab"
+	"reachspread/internal/peers"
+	"reachspread/internal/protocol"
+)
+
+const ms = time.Millisecond
+
+func config() fleet.Config {
+	return fleet.Config{Slots: 2, Queue: 1, Memory: 10000, Chunk: 1000, Block: 10, Base: 2 * ms, ReadPerS: 1e6, Conns: 20, KeepsMade: true}
+}
+
+func start(t *testing.T, c fleet.Config) *Host {
+	t.Helper()
+	h, err := NewHost("h1", "127.0.0.1:0", c, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Close)
+	return h
+}
+
+func ask(t *testing.T, h *Host, id string, out int) (*http.Response, error) {
+	t.Helper()
+	r := peers.Ask(t, h.Addr, id, map[string]string{"X-Session-Key": "s", "X-Facts": "prompt_len=100,max_out=500"})
+	body := fmt.Sprintf(`{"stream":true,"lab_out":%d}`, out)
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// An answer is a stream as the platform's are: the router's own parser reads its end, with the report and what was kept.
+func TestAnswer(t *testing.T) {
+	h := start(t, config())
+	for i, want := range []string{`"completion_tokens":9,"prompt_tokens_details":{"cached_tokens":0}`, `"cached_tokens":90}`} {
+		resp, err := ask(t, h, fmt.Sprint("q", i), 9)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != 200 || !strings.Contains(string(body), want) || !strings.HasSuffix(string(body), "data: [DONE]\n\n") ||
+			!strings.Contains(string(body), ": X-Backend-Load: {") || !strings.Contains(string(body), `"t5 t6 t7 t8 "`) {
+			t.Errorf("answer %d: %v, %s", i, err, body)
+		}
+	}
+	resp, err := http.Get("http://" + h.Addr + protocol.PathLoad)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var load map[string]float64
+	if err := json.NewDecoder(resp.Body).Decode(&load); err != nil || resp.StatusCode != 200 || load["inflight"] != 0 {
+		t.Errorf("the load: %v, %v", load, err)
+	}
+}
+
+// Beyond slots and queue it turns away with the word that nothing was done; a client that leaves frees its slot; a host
+// that is killed resets what it has and refuses; started again it serves.
+func TestTurnedAwayLeftAndKilled(t *testing.T) {
+	h := start(t, config())
+	failed := make(chan error, 3)
+	for i := range 3 {
+		go func() {
+			resp, err := ask(t, h, fmt.Sprint("q", i), 500)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+			failed <- err
+		}()
+	}
+	until(t, "three requests", func() bool { s := h.Stats(); return s.Running == 2 && s.Waiting == 1 })
+	resp, err := ask(t, h, "over", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 503 || resp.Header.Get(protocol.HeaderUnprocessed) != "1" || !strings.Contains(resp.Header.Get(protocol.HeaderLoad), `"queue":1`) {
+		t.Errorf("%d, %v", resp.StatusCode, resp.Header)
+	}
+	h.Kill()
+	for range 3 {
+		if err := peers.Next(t, failed, "the end of an attempt"); err == nil {
+			t.Error("a killed host ended a stream well")
+		}
+	}
+	if _, err := ask(t, h, "dead", 1); err == nil {
+		t.Error("a killed host answers")
+	}
+	if err := h.Start(); err != nil {
+		t.Fatal(err)
+	}
+	resp, err = ask(t, h, "again", 500)
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, "a request after the start", func() bool { return h.Stats().Running == 1 })
+	resp.Body.Close() // the client leaves
+	until(t, "a free slot", func() bool { return h.Stats().Running == 0 })
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(peers.Patience); !ok(); time.Sleep(ms) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s", what)
+		}
+	}
+}
+
+// The list is told whole to who has none, what changed to who watches, and nothing is lost between two calls.
+func TestList(t *testing.T) {
+	l, err := NewList("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	get := func(query string) (a answer, ids []string) {
+		t.Helper()
+		resp, err := http.Get("http://" + l.Addr + "/api/targets" + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range a.Servers {
+			ids = append(ids, e.ID+" "+e.State)
+		}
+		return a, ids
+	}
+	l.Set(Entry{ID: "b", State: "Ready"})
+	l.Set(Entry{ID: "a", State: "Ready"})
+	whole, ids := get("")
+	if diff := cmp.Diff([]string{"a Ready", "b Ready"}, ids); diff != "" || !whole.Full || whole.Version != 3 {
+		t.Errorf("%+v %s", whole, diff)
+	}
+	if none, ids := get("?index=3&wait=1"); len(ids) > 0 || none.Full || none.Version != 3 {
+		t.Errorf("%+v", none)
+	}
+	go l.Set(Entry{ID: "b", State: "Terminating"})
+	if more, ids := get("?index=3&wait=20000"); len(ids) != 1 || ids[0] != "b Terminating" || more.Full {
+		t.Errorf("%+v", more)
+	}
+	l.Set(Entry{ID: "b", State: "Gone"})
+	if _, ids := get(""); len(ids) != 1 {
+		t.Errorf("a host that is gone is listed: %v", ids)
+	}
+	if _, ids := get("?index=3"); len(ids) != 1 || ids[0] != "b Gone" {
+		t.Errorf("a host that is gone is not told: %v", ids)
+	}
+	resp, err := http.Get("http://" + l.Addr + "/api/targets?index=x")
+	if err != nil || resp.StatusCode != 400 {
+		t.Errorf("a bad index: %v, %v", resp, err)
+	}
+}
+
+// Clients count every request of the plan in one way, with its time from when it was due.
+func TestClients(t *testing.T) {
+	h := start(t, config())
+	spec := &lab.Spec{Classes: []lab.Class{{}}}
+	spec.Classes[0].Class.Name, spec.Classes[0].Class.Aim, spec.Classes[0].Class.Deadline = "chat", time.Minute, time.Minute
+	c := NewClients(h.Addr, spec)
+	plan := []lab.Planned{{ID: "a", Prompt: 10, Out: 3, MaxOut: 5}, {ID: "b", At: 5 * ms, Prompt: 10, Out: 3, MaxOut: 5},
+		{ID: "c", At: 10 * ms, Prompt: 20000, Out: 3, MaxOut: 5}} // the last one is too long for the host
+	c.Run(t.Context(), plan)
+	got := c.Tallies()[0]
+	if got.Asked != 3 || got.Good != 2 || got.Refused != 1 || got.Tokens != 6 || got.First.TotalCount() != 2 {
+		t.Errorf("%+v", got)
+	}
+	h.Kill()
+	c.Run(t.Context(), plan[:1])
+	if got := c.Tallies()[0]; got.Failed != 1 {
+		t.Errorf("of a dead host: %+v", got)
+	}
+}
