--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -37,9 +37,10 @@
 // Worlds returns how many worlds the experiment has.
 func (x *Experiment) Worlds() int { return len(x.Seeds) * len(x.Variants) }
 
-// World returns the spec of one world.
+// World returns the spec of one world. It is the caller's own.
 func (x *Experiment) World(variant int, seed uint64) lab.Spec {
 	s := x.Spec
+	s.Groups, s.Classes, s.Troubles = slices.Clone(s.Groups), slices.Clone(s.Classes), slices.Clone(s.Troubles)
 	s.Seed = seed
 	x.Variants[variant].apply(&s)
 	return s
