--- a/internal/experiment/charts.go
+++ b/internal/experiment/charts.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"bytes"
 	"fmt"
 	"html"
 	"image/color"
@@ -12,6 +11,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
+
+	"reachspread/internal/report"
 )
 
 // palette is Okabe and Ito's, which people see apart who see colours differently (Color Universal Design, 2008).
@@ -112,18 +113,9 @@
 	return svg(c)
 }
 
-// svg draws a chart without the first lines of a file, so that it can stand in a page.
 func svg(c *plot.Plot) (string, error) {
 	c.Legend.Left = true
-	w, err := c.WriterTo(chartWidth, chartHeight, "svg")
-	if err != nil {
-		return "", err
-	}
-	var out bytes.Buffer
-	if _, err := w.WriteTo(&out); err != nil {
-		return "", err
-	}
-	return string(out.Bytes()[max(bytes.Index(out.Bytes(), []byte("<svg")), 0):]), nil
+	return report.SVG(c, chartWidth, chartHeight)
 }
 
 // WritePage writes one page with charts and differences, which opens without a network.
--- a/internal/report/charts.go
+++ b/internal/report/charts.go
@@ -95,8 +95,11 @@
 }
 
 // svg draws a chart without the file's own first lines, so that it can stand in a page.
-func svg(c *plot.Plot) (string, error) {
-	w, err := c.WriterTo(chartWidth, chartHeight, "svg")
+func svg(c *plot.Plot) (string, error) { return SVG(c, chartWidth, chartHeight) }
+
+// SVG draws a chart of a size as text that can stand in a page.
+func SVG(c *plot.Plot, width, height vg.Length) (string, error) {
+	w, err := c.WriterTo(width, height, "svg")
 	if err != nil {
 		return "", err
 	}
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -109,7 +109,8 @@
 	gaveUp := time.AfterFunc(time.Until(due.Add(deadline)), cancel)
 	defer gaveUp.Stop()
 	prompt := strings.Repeat("word", min(p.Prompt, 60000))
-	body := fmt.Sprintf(`{"stream":true,"max_tokens":%d,"lab_out":%d,"messages":[{"role":"user","content":"%s"}]}`, p.MaxOut, p.Out, prompt)
+	body := fmt.Sprintf(`{"stream":true,"max_tokens":%d,"lab_out":%d,"lab_prompt":%d,"lab_session":%q,"lab_prefix":%q,"lab_shared":%d,`+
+		`"messages":[{"role":"user","content":"%s"}]}`, p.MaxOut, p.Out, p.Prompt, p.Session, p.Prefix, p.Shared, prompt)
 	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+c.addr+protocol.PathCompletions, strings.NewReader(body))
 	if err != nil {
 		return 0, 0, 0, -1
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -25,7 +25,8 @@
 const (
 	maxBody   = 256 << 10
 	eventOf   = 4                // tokens in an event
-	usualOut  = 100              // tokens of an answer, in the median, where the request does not tell
+	usualOut  = 100              // tokens of an answer, on average, where the request does not tell
+	usualMost = 800              // the most, where it does not tell
 	mostAhead = 1 << 12          // results that a slow reader may leave waiting
 	bodyFor   = 10 * time.Second // for a request's body to come
 )
@@ -160,10 +161,15 @@
 	h.timer.Stop()
 }
 
-// asked is what a request's body may tell the model. Real ones don't have "lab_out", the true length of the answer.
+// asked is what a request's body may tell the model. A router passes the body on and few headers, so what a real host
+// sees in the text stands in fields here, which real requests don't have.
 type asked struct {
-	MaxTokens int `json:"max_tokens"`
-	LabOut    int `json:"lab_out"`
+	MaxTokens int    `json:"max_tokens"`
+	Out       int    `json:"lab_out"` // true length of the answer
+	Prompt    int    `json:"lab_prompt"`
+	Session   string `json:"lab_session"`
+	Prefix    string `json:"lab_prefix"`
+	Shared    int    `json:"lab_shared"`
 }
 
 func (h *Host) complete(w http.ResponseWriter, r *http.Request) {
@@ -177,7 +183,7 @@
 		http.Error(w, protocol.HeaderID+" is missing", http.StatusNotFound)
 		return
 	}
-	q := request(r.Header, id, body)
+	q := request(id, body)
 	results := make(chan fleet.Result, mostAhead)
 	h.mu.Lock()
 	if h.asking[id] != nil {
@@ -199,29 +205,18 @@
 	h.answer(w, r.Context(), &q, results)
 }
 
-// request reads what the model needs.
-func request(header http.Header, id string, body []byte) fleet.Request {
-	q := fleet.Request{ID: id, Session: header.Get(protocol.HeaderSession), Prompt: max(len(body)/4, 1), MaxOut: 800}
-	for pair := range strings.SplitSeq(header.Get(protocol.HeaderFacts), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		n, _ := strconv.Atoi(value)
-		switch name {
-		case "prefix":
-			q.Prefix = value
-		case "prompt_len":
-			q.Prompt = n
-		case "prefix_len":
-			q.Shared = n
-		case "max_out":
-			q.MaxOut = n
-		}
-	}
+// request reads what the model needs of a body, and takes a usual request for what it does not tell.
+func request(id string, body []byte) fleet.Request {
 	var a asked
 	json.Unmarshal(body, &a) // a body that is none tells nothing
+	q := fleet.Request{ID: id, Session: a.Session, Prefix: a.Prefix, Shared: a.Shared, Prompt: a.Prompt, Out: a.Out, MaxOut: usualMost}
+	if a.Prompt <= 0 {
+		q.Prompt = max(len(body)/4, 1)
+	}
 	if a.MaxTokens > 0 {
 		q.MaxOut = min(q.MaxOut, a.MaxTokens)
 	}
-	if q.Out = a.LabOut; q.Out == 0 {
+	if q.Out <= 0 {
 		hash := fnv.New64a()
 		io.WriteString(hash, id)
 		rng := rand.New(rand.NewPCG(hash.Sum64(), 1))
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -35,8 +35,8 @@
 
 func ask(t *testing.T, h *Host, id string, out int) (*http.Response, error) {
 	t.Helper()
-	r := peers.Ask(t, h.Addr, id, map[string]string{"X-Session-Key": "s", "X-Facts": "prompt_len=100,max_out=500"})
-	body := fmt.Sprintf(`{"stream":true,"lab_out":%d}`, out)
+	r := peers.Ask(t, h.Addr, id, nil)
+	body := fmt.Sprintf(`{"stream":true,"lab_out":%d,"lab_prompt":100,"lab_session":"s"}`, out)
 	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	return http.DefaultTransport.RoundTrip(r)
 }
