Lab: a connection that comes up as a step ends loses no token; pages are written in one way

A host's results were read in two places, and the one for connections dropped all but its own: where a step ended at the same moment, its tokens and ends were lost. Results of probes are told in one place. The three tools leave a page through one function, whole or not at all. A comment of the listener said that nothing was read where a part of a head may have been.

--- a/cmd/reachlab/main.go
+++ b/cmd/reachlab/main.go
@@ -3,11 +3,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"runtime"
 	"syscall"
 	"time"
@@ -18,6 +17,7 @@
 	"reachspread/internal/demo"
 	"reachspread/internal/experiment"
 	"reachspread/internal/lab"
+	"reachspread/internal/report"
 )
 
 func main() {
@@ -117,20 +117,12 @@
 		Use:   "chart FOLDER FILE",
 		Short: "Write a page with the charts of a kept run, which opens without a network",
 		Args:  cobra.ExactArgs(2),
-		RunE: func(cmd *cobra.Command, args []string) (err error) {
+		RunE: func(_ *cobra.Command, args []string) error {
 			x, kept, err := experiment.Open(args[0])
 			if err != nil {
 				return err
 			}
-			f, err := os.CreateTemp(filepath.Dir(args[1]), ".reachlab-*")
-			if err != nil {
-				return err
-			}
-			defer os.Remove(f.Name())
-			if err := errors.Join(x.WritePage(f, kept), f.Close()); err != nil {
-				return err
-			}
-			return os.Rename(f.Name(), args[1])
+			return report.WriteFile(args[1], func(w io.Writer) error { return x.WritePage(w, kept) })
 		},
 	}
 }
--- a/cmd/reachreport/main.go
+++ b/cmd/reachreport/main.go
@@ -2,10 +2,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -35,7 +33,7 @@
 			return err
 		}
 		if *page != "" {
-			if err := writePage(r, *page); err != nil {
+			if err := report.WriteFile(*page, r.WriteHTML); err != nil {
 				return err
 			}
 		}
@@ -44,23 +42,3 @@
 	root.AddCommand(c)
 	return root
 }
-
-// writePage leaves the whole page or none: it takes its name last.
-func writePage(r *report.Report, path string) error {
-	f, err := os.CreateTemp(filepath.Dir(path), ".reachreport-*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(f.Name())
-	out := bufio.NewWriter(f)
-	if err := r.WriteHTML(out); err != nil {
-		return err
-	}
-	if err := out.Flush(); err != nil {
-		return err
-	}
-	if err := f.Close(); err != nil {
-		return err
-	}
-	return os.Rename(f.Name(), path)
-}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -3,7 +3,6 @@
 package demo
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	_ "embed"
@@ -23,6 +22,7 @@
 	"reachspread/internal/lab"
 	"reachspread/internal/logging"
 	"reachspread/internal/program"
+	"reachspread/internal/report"
 	"reachspread/internal/standin"
 )
 
@@ -356,9 +356,5 @@
 		k.Result.Worth += s.Good
 		k.Result.Asked += s.Good + s.Other
 	}
-	var page bytes.Buffer
-	if err := x.WritePage(&page, []experiment.Kept{k}); err != nil {
-		return "", err
-	}
-	return path, os.WriteFile(path, page.Bytes(), 0o644)
+	return path, report.WriteFile(path, func(to io.Writer) error { return x.WritePage(to, []experiment.Kept{k}) })
 }
--- a/internal/lab/hosts.go
+++ b/internal/lab/hosts.go
@@ -52,8 +52,9 @@
 	return h
 }
 
-// hostDoes has a host take in an event, or only the time, and carries on what comes of it.
-func (w *World) hostDoes(h *host, e fleet.Event) {
+// hostDoes has a host take in an event, or only the time, and carries on what comes of it. Full tells that a connection
+// found no room.
+func (w *World) hostDoes(h *host, e fleet.Event) (full bool) {
 	if e == nil {
 		e = fleet.Passed{}
 	}
@@ -80,8 +81,7 @@
 		case fleet.TurnedAway:
 			if p := h.asks[x.ID]; p != nil {
 				delete(h.asks, x.ID)
-				p.result = balance.Full
-				w.at(w.now+w.way(h.zone, w.routers[p.router].zone), event{do: probeTells, n: p.router, gen: p.rgen, p: p})
+				w.tellProbe(h, p, balance.Full, nil)
 				continue
 			}
 			if a := h.atIt[x.ID]; a != nil {
@@ -98,9 +98,10 @@
 		case fleet.Answered:
 			if p := h.asks[x.ID]; p != nil {
 				delete(h.asks, x.ID)
-				p.result, p.load = balance.OK, loadOf(&x.Load)
-				w.at(w.now+w.way(h.zone, w.routers[p.router].zone), event{do: probeTells, n: p.router, gen: p.rgen, p: p})
+				w.tellProbe(h, p, balance.OK, loadOf(&x.Load))
 			}
+		case fleet.NoRoom:
+			full = true
 		case fleet.Preempted:
 			w.res.Preempted++
 		case fleet.Fell:
@@ -112,6 +113,13 @@
 		h.due = at
 		w.at(at, event{do: hostSteps, n: h.n, gen: h.gen})
 	}
+	return full
+}
+
+// tellProbe sends the result of a probe to its router.
+func (w *World) tellProbe(h *host, p *probe, how balance.Result, load *balance.Load) {
+	p.result, p.load = how, load
+	w.at(w.now+w.way(h.zone, w.routers[p.router].zone), event{do: probeTells, n: p.router, gen: p.rgen, p: p})
 }
 
 func loadOf(l *fleet.Load) *balance.Load {
@@ -165,7 +173,7 @@
 	}
 	if a.fresh {
 		a.fresh, a.conn.gen = false, h.gen
-		if w.connect(h) {
+		if w.hostDoes(h, fleet.Connect{}) {
 			w.tell(h, a, &tell{a: a, result: balance.NoConnection, noConn: true})
 			return
 		}
@@ -177,14 +185,6 @@
 		Shared: f.session.shared, Out: f.out, MaxOut: f.session.load.c.MaxOut}})
 }
 
-// connect opens a connection at a host, and tells if it has no room for one.
-func (w *World) connect(h *host) (full bool) {
-	for _, x := range h.model.Step(w.now, fleet.Connect{}) {
-		full = full || x.Kind == fleet.NoRoom
-	}
-	return full
-}
-
 func (w *World) disconnect(c *conn) {
 	if h := w.hosts[c.host]; h.alive && h.gen == c.gen {
 		w.hostDoes(h, fleet.Disconnect{})
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -147,6 +147,27 @@
 	}
 }
 
+// A connection that comes up just as a step ends takes nothing of what the step has made.
+func TestTiesLoseNothing(t *testing.T) {
+	w, err := New(small(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, r := w.hosts[0], w.routers[0]
+	f := &flow{session: &session{load: w.classes[0], name: "s"}, prompt: 10, out: 5}
+	send := func(id string) *attempt {
+		a := &attempt{t: &try{f: f, id: id, router: r, gen: r.gen}, fresh: true, conn: &conn{}}
+		a.t.out = a
+		w.attemptReaches(a)
+		return a
+	}
+	first := send("a")
+	w.now = h.due
+	if send("b"); !first.first || first.made != 1 {
+		t.Errorf("the first attempt has %d tokens", first.made)
+	}
+}
+
 // refuser refuses everything.
 type refuser struct{}
 
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -231,7 +231,7 @@
 			l.alive++
 		case door.Turn:
 			l.idle++
-			if !e.Left { // nothing was read, so nothing is owed
+			if !e.Left { // no request was read whole, so nothing is owed
 				syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
 			}
 			syscall.Close(fd)
