--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,7 +41,7 @@
 	spread      = 1.5   // times the homes that a prefix would need if all were alike and evenly used
 	unseen      = 10.0  // prompts of other prefixes are taken as seen at the start
 	mostCounted = 1000  // prompts, before their numbers are halved
-	prudent     = 0.6   // of the time left may be expected to pass before a first token: pace must hold after it
+	prudent     = 0.6   // of the time left may be expected to pass before a first token: pace must hold after
 	yielding    = 0.4   // of a better class's aim: a wait from which on room is left to that class
 	impatience  = 0.25  // more of it once a prompt was held as long as its own aim
 	crossScale  = 4.0   // a crossing counts as this many times its price in missed aims
@@ -63,6 +63,13 @@
 	askWait     = 25 * time.Millisecond  // for probes, before a prompt leaves on what is known
 	askAgain    = time.Second            // between calls to a discovery that failed
 	lookAgain   = 100 * time.Millisecond // at what is held: a cold or ejected replica may have room by then
+	surprise    = 2.0                    // times more or less than believed, and
+	offBy       = 0.2                    // seconds off: worth telling
+	believe     = 0.3                    // weight of an opinion that others tell
+	trustOwn    = 2 * time.Second        // half of what others say counts once the own view is as old
+	streamLife  = 3.0                    // seconds that a stream told of lasts
+	mostTold    = 1e6                    // tokens that others may be taken to have waiting
+	unknown     = -1                     // zone
 	fewHeld     = 5                      // prompts are weighed at each step
 	weighAgain  = 3 * time.Millisecond   // for each one beyond, until a prompt weighed in vain is weighed again
 )
@@ -91,6 +98,9 @@
 	prompts     map[string]float64 // seen of late, by prefix; "" for all
 	sighted     bool               // reports tell unread tokens
 	most, least float64            // worth of any class
+	zones       []int              // of the other gateways, by their marks; unknown for not heard of yet
+	tags        map[uint32]*replica
+	greeted     bool // all others, so that they know the own zone
 }
 
 type class struct {
@@ -149,12 +159,17 @@
 	cap   float64
 	cutAt time.Duration // attempts sent earlier cut no more
 
-	slow    float64 // observed over expected time to the first token
-	slowAt  time.Duration
-	fails   int // in a row
-	died    bool
-	ejected time.Duration // until then, 0 for not
-	penalty time.Duration
+	slow     float64 // observed over expected time to the first token
+	slowAt   time.Duration
+	seen     time.Duration // when it was observed last
+	rumour   float64       // likewise, as others tell it
+	rumourAt time.Duration
+	told     float64 // tokens of others' prompts that they told of, not yet read
+	toldAt   time.Duration
+	fails    int // in a row
+	died     bool
+	ejected  time.Duration // until then, 0 for not
+	penalty  time.Duration
 
 	cold     bool
 	born     time.Duration // start as this gateway knows or presumes it
@@ -171,8 +186,9 @@
 func New(cfg Config, seed uint64) (*Balancer, error) {
 	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
 		kinds: map[string]*fit{}, replicas: map[string]*replica{}, requests: map[string]*request{},
-		prompts: map[string]float64{},
-		most:    math.Inf(-1), least: math.Inf(1)}
+		prompts: map[string]float64{}, tags: map[uint32]*replica{},
+		zones: slices.Repeat([]int{unknown}, cfg.Gateways),
+		most:  math.Inf(-1), least: math.Inf(1)}
 	if len(cfg.Classes) == 0 {
 		return nil, fmt.Errorf("Classes is empty; list at least one class")
 	}
@@ -230,6 +246,8 @@
 		if q := b.requests[ev.ID]; q != nil {
 			b.close(q)
 		}
+	case Heard:
+		b.takeHeard(ev)
 	case Probed:
 		if r := b.replicas[ev.Replica]; r != nil {
 			b.takeProbed(r, ev)
@@ -242,6 +260,10 @@
 }
 
 func (b *Balancer) takeMembers(ev Members) {
+	if !b.greeted {
+		b.greeted = true
+		b.tell("")
+	}
 	if ev.Failed {
 		b.askAt = b.now + askAgain/2 + time.Duration(b.rng.Float64()*float64(askAgain))
 		return
@@ -260,12 +282,13 @@
 	}
 	maps.DeleteFunc(b.replicas, func(_ string, r *replica) bool { return r.State == Gone && r.streams == 0 })
 	b.order = slices.DeleteFunc(b.order, func(r *replica) bool { return b.replicas[r.Replica] == nil })
+	maps.DeleteFunc(b.tags, func(_ uint32, r *replica) bool { return b.replicas[r.Replica] == nil })
 }
 func (b *Balancer) takeMember(m Member) {
 	r := b.replicas[m.Replica]
 	if r == nil {
 		r = &replica{name: hash(m.Replica), cap: firstCap, slow: 1, kept: map[string]memory{}}
-		b.replicas[m.Replica] = r
+		b.replicas[m.Replica], b.tags[tag(r)] = r, r
 		i := sort.Search(len(b.order), func(i int) bool { return b.order[i].Replica > m.Replica })
 		b.order = slices.Insert(b.order, i, r)
 	}
@@ -283,7 +306,7 @@
 // makeCold treats r as started at born: it keeps no prefix yet and is trusted with few streams.
 func (b *Balancer) makeCold(r *replica, born time.Duration) {
 	r.cold, r.born, r.lost, r.credit, r.creditAt = true, born, b.now, 0, b.now
-	r.cap, r.slow = coldCap, 1
+	r.cap, r.slow, r.rumour, r.told = coldCap, 1, 0, 0
 }
 
 func (b *Balancer) takeArrival(ev Arrival) {
@@ -530,7 +553,7 @@
 // seldom to compare two. The prompt waits for the answers, but not for long.
 func (b *Balancer) ask(q *request, sample []*replica) []*replica {
 	for _, r := range sample {
-		if b.cfg.MayProbe && !r.probing && b.now >= r.heard+stale {
+		if b.cfg.MayProbe && b.cfg.Gateways < 2 && !r.probing && b.now >= r.heard+stale {
 			r.probing = true
 			b.do(Probe{r.Replica})
 		}
@@ -591,7 +614,7 @@
 func (b *Balancer) send(q *request, r *replica) {
 	a := &attempt{req: q, rep: r, sent: b.now, ran: true}
 	a.unread = b.unreadOn(q, r)
-	a.ahead = r.backlog() + a.unread
+	a.ahead = b.backlog(r) + a.unread
 	a.expected = b.firstToken(q, r)
 	q.attempts = append(q.attempts, a)
 	q.out++
@@ -600,6 +623,46 @@
 	r.credit -= b.workOn(q, r)
 	b.remember(q, r)
 	b.do(Send{ID: q.ID, Replica: r.Replica})
+	b.tell(r.Zone, News{Tag: tag(r), Tokens: a.unread})
+}
+
+// tag is the short name by which gateways tell each other of a replica.
+func tag(r *replica) uint32 { return uint32(r.name >> 40) }
+
+// mark is the short name of a zone.
+func mark(zone string) uint8 { return uint8(hash(zone)) }
+
+// tell gives news to the gateways of a zone, as these send most to its replicas, or to all for no zone.
+func (b *Balancer) tell(zone string, news ...News) {
+	var to []int
+	for i, z := range b.zones {
+		if i != b.cfg.Me && (zone == "" || z == int(mark(zone))) {
+			to = append(to, i)
+		}
+	}
+	if len(to) > 0 {
+		b.do(Tell{To: to, Zone: mark(b.cfg.Zone), News: news})
+	}
+}
+
+// takeHeard takes in what another gateway tells: a prompt in front of the own ones, or an opinion.
+func (b *Balancer) takeHeard(ev Heard) {
+	if ev.From < 0 || ev.From >= len(b.zones) {
+		return
+	}
+	b.zones[ev.From] = int(ev.Zone)
+	for _, n := range ev.News {
+		r := b.tags[n.Tag]
+		switch {
+		case r == nil:
+		case n.Tokens > 0:
+			b.backlog(r) // of before
+			r.told, r.others = min(r.told+n.Tokens, mostTold), r.others+1
+		case n.Slow > 0:
+			was := b.slowness(r)
+			r.rumour, r.rumourAt = was+(min(max(n.Slow, 0.2), 20)-was)*believe, b.now
+		}
+	}
 }
 
 // average moves a mean, whose first sample counts whole.
@@ -630,21 +693,41 @@
 // load is the streams on r, of all gateways as far as known.
 func (r *replica) load() float64 { return float64(r.streams) + r.others }
 
-// backlog is the unread tokens in front of a new prompt.
-func (r *replica) backlog() float64 {
-	sum := r.unread
+// backlog is the unread tokens in front of a new prompt. What others told of is taken to be read steadily.
+func (b *Balancer) backlog(r *replica) float64 {
+	if passed := (b.now - r.toldAt).Seconds(); passed > 0 && len(b.zones) > 0 {
+		r.told = max(r.told-passed/(r.read.slope()*b.slowness(r)), 0)
+		r.others *= math.Exp(-passed / streamLife)
+		r.toldAt = b.now
+	}
+	sum := r.unread + r.told
 	for _, a := range r.waiting {
 		sum += a.unread
 	}
 	return sum
 }
 
-// slowness is what r took over what was expected, fading to 1.
+// slowness is what r took over what was expected, fading to 1. Hearsay fades, too, and counts more the older
+// the own view is.
 func (b *Balancer) slowness(r *replica) float64 {
 	if r.slowAt != b.now {
 		r.slow, r.slowAt = 1+(r.slow-1)*math.Exp2(-(b.now-r.slowAt).Seconds()/forget.Seconds()), b.now
 	}
-	return r.slow
+	if r.rumour == 0 {
+		return r.slow
+	}
+	mine := math.Exp2(-(b.now - r.seen).Seconds() / trustOwn.Seconds())
+	return r.slow + (r.rumour-r.slow)*(1-mine)*math.Exp2(-(b.now-r.rumourAt).Seconds()/forget.Seconds())
+}
+
+// observe takes in that a first token took so long, of what was expected. What surprises is told.
+func (b *Balancer) observe(r *replica, took, expected float64) {
+	usual, ratio := b.slowness(r)*expected, took/expected
+	if math.Abs(took-usual) > offBy && (took > surprise*usual || took*surprise < usual) {
+		b.tell(r.Zone, News{Tag: tag(r), Slow: ratio})
+	}
+	r.slow += (min(max(ratio, 0.2), 20) - r.slow) * 2 * learn
+	r.seen = b.now
 }
 
 // unreadOn returns the tokens of q that r would have to read.
@@ -676,7 +759,7 @@
 
 // firstToken estimates the seconds to the first token of q on r, or of a prompt with nothing to read for nil.
 func (b *Balancer) firstToken(q *request, r *replica) float64 {
-	t := r.read.at(r.backlog()+b.unreadOn(q, r)) * b.slowness(r)
+	t := r.read.at(b.backlog(r)+b.unreadOn(q, r)) * b.slowness(r)
 	// A replica that accepts and never answers looks idle: what is overdue there counts in full.
 	if len(r.waiting) > 0 {
 		a := r.waiting[0]
@@ -787,8 +870,7 @@
 	b.close(q)
 	b.well(r)
 	took := (b.now - a.sent).Seconds()
-	slow := b.slowness(r)
-	r.slow, r.slowAt = slow+(min(max(took/r.read.at(a.ahead), 0.2), 20)-slow)*2*learn, b.now
+	b.observe(r, took, r.read.at(a.ahead))
 	r.read.add(a.ahead, took)
 	if q.class.Streamed {
 		b.judge(a)
@@ -815,6 +897,9 @@
 		b.cutCap(a, 1)
 	case NoConnection, Reset, TimedOut, Error:
 		b.cutCap(a, 1)
+		if took := (b.now - a.sent).Seconds(); ev.Result == TimedOut && a.began == 0 && took > r.read.at(a.ahead) {
+			b.observe(r, took, r.read.at(a.ahead))
+		}
 		b.fail(r, ev.Result)
 	}
 	if !a.ran {
@@ -864,7 +949,7 @@
 	}
 	if l.Unread >= 0 {
 		b.sighted = true
-		r.unread = max(l.Unread-(r.backlog()-r.unread), 0)
+		r.unread = max(l.Unread-(b.backlog(r)-r.unread), 0)
 	}
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -60,6 +60,8 @@
 	CrossZonePrice float64       // points lost when every request crosses zones once
 	MarksLater     bool          // clients mark their later tries
 	MaxAway        time.Duration // the longest that a refusal may tell a client to stay away, 0 for not at all
+	Gateways       int           // how many there are, this one included, where they may Tell; 0 where not
+	Me             int           // the own number among them, from 0
 }
 
 // State is what discovery says of a replica.
@@ -157,6 +159,20 @@
 	Load    *Load
 }
 
+// News is a word on a replica, from one gateway to others. One of its figures is set.
+type News struct {
+	Tag    uint32  // the replica's, of 24 bits
+	Tokens float64 // to be read of a prompt just sent to it
+	Slow   float64 // times the expected that a first token took
+}
+
+// Heard is what another gateway told.
+type Heard struct {
+	From int   // its number
+	Zone uint8 // a mark of its zone
+	News []News
+}
+
 func (Members) isEvent()    {}
 func (Arrival) isEvent()    {}
 func (FirstToken) isEvent() {}
@@ -164,6 +180,7 @@
 func (Aborted) isEvent()    {}
 func (Wake) isEvent()       {}
 func (Probed) isEvent()     {}
+func (Heard) isEvent()      {}
 
 // Action is something for the host to do: one of the types below.
 type Action interface{ isAction() }
@@ -186,6 +203,13 @@
 // Probe asks a replica for its load.
 type Probe struct{ Replica string }
 
+// Tell has other gateways hear News. It may come late, out of order, twice or not at all.
+type Tell struct {
+	To   []int // their numbers
+	Zone uint8 // a mark of the own zone
+	News []News
+}
+
 // SetTimer asks for a Wake.
 type SetTimer struct {
 	Token int64
@@ -202,6 +226,7 @@
 func (Refuse) isAction()    {}
 func (Fail) isAction()      {}
 func (Probe) isAction()     {}
+func (Tell) isAction()      {}
 func (SetTimer) isAction()  {}
 func (Subscribe) isAction() {}
 func (Log) isAction()       {}
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -122,7 +122,7 @@
 		}
 	}()
 	for _, a := range b.Step(now, events) {
-		out = append(out, wire.Action(i, a))
+		out = append(out, wire.Actions(i, a)...)
 	}
 	return out
 }
--- a/internal/mirror/pool.go
+++ b/internal/mirror/pool.go
@@ -103,7 +103,7 @@
 	p.stop = stop
 	go p.router.Run(ctx)
 	if set.Discovery != "" {
-		go transport.NewDiscovery(set.Discovery, p.log, p.tell).Run(ctx)
+		go transport.NewDiscovery(set.Discovery, transport.Pushed, transport.WholeList, p.log, p.tell).Run(ctx)
 	}
 	go p.run()
 	return p, nil
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"time"
@@ -24,7 +25,11 @@
 	Seed      string        `json:"seed"`
 	Limits    Limits        `json:"limits"`
 	Known     protocol.List `json:"known"`
-	Settings  wire.Options  `json:"settings"`
+
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"` // every router's address, its own included, by their numbers
+
+	Settings wire.Options `json:"settings"`
 
 	seed      uint64
 	balance   balance.Config
@@ -110,12 +115,34 @@
 	if c.balance, err = c.Settings.Config(); err != nil {
 		return fmt.Errorf("settings.%w", err)
 	}
+	if err := c.checkPeers(); err != nil {
+		return err
+	}
 	if _, err := balance.New(c.balance, c.seed); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	return nil
 }
 
+// checkPeers looks at the addresses of the other routers, where the settings allow datagrams at all.
+func (c *Config) checkPeers() error {
+	if c.balance.Gateways == 0 {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(c.PeerListen); err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	if len(c.Peers) != c.balance.Gateways {
+		return fmt.Errorf("peers has %d addresses; it must have %d, as settings.nInstances says", len(c.Peers), c.balance.Gateways)
+	}
+	for i, p := range c.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			return fmt.Errorf("peers[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
 // clients returns how many client connections fit: each may need a second one to a real server. What the operators'
 // settings need is set aside first.
 func (c *Config) clients() int { return (c.Limits.Sockets - otherSockets - c.aside()) / 2 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -102,6 +102,14 @@
 	// The core and discovery work on until the last flow is answered.
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	if p.cfg.balance.Gateways > 1 {
+		gossip, err := transport.NewGossip(p.cfg.PeerListen, p.cfg.Peers)
+		if err != nil {
+			return fmt.Errorf("peer_listen: %w", err)
+		}
+		p.router.Tells(gossip.Tell)
+		go gossip.Run(work, p.router.Heard)
+	}
 	go p.router.Run(work)
 	if p.mirror != nil {
 		go p.tendDoor(work)
@@ -138,16 +146,21 @@
 // watch follows discovery until ctx ends. A reload moves it to the address that the file names by then; all else
 // goes on as it was. The old watch has ended before the new one begins, so no older list can come last.
 func (p *Program) watch(ctx context.Context, reload <-chan os.Signal) {
+	pace, since := transport.Pushed, int64(transport.WholeList)
+	if p.cfg.balance.AskForList {
+		pace, since = transport.Asked, p.cfg.Known.Version
+	}
 	for addr, moved := p.cfg.Discovery, true; moved; {
 		watching, move := context.WithCancel(ctx)
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			transport.NewDiscovery(addr, p.log, p.tell).Run(watching)
+			transport.NewDiscovery(addr, pace, since, p.log, p.tell).Run(watching)
 		}()
 		addr, moved = p.newAddress(ctx, reload)
 		move()
 		<-ended
+		since = transport.WholeList // another discovery counts versions of its own
 	}
 }
 
--- /dev/null
+++ b/internal/protocol/news.go
@@ -0,0 +1,74 @@
+package protocol
+
+import (
+	"fmt"
+	"math"
+
+	"reachspread/balance"
+)
+
+// A datagram between routers, of newsHead + n*newsItem bytes:
+//
+//	byte 0       version in the high half, n in the low one
+//	byte 1       mark of the sender's zone
+//	per item:    tag of the real server, 3 bytes, high one first
+//	             what is said: top bit 0 for tokens, 1 for slowness; the rest is a logarithm
+//
+// The price is by bytes delivered, so a figure has 7 bits: tokens within 5%, slowness within 3%.
+const (
+	newsVersion = 1
+	newsHead    = 2
+	newsItem    = 4
+
+	// MostNews is how many words fit a datagram.
+	MostNews = 15
+
+	tokenSteps = 8.0  // to a doubling, from 1 on
+	slowSteps  = 16.0 // to a doubling, from slowLeast on
+	slowLeast  = 1.0 / 8
+	saysSlow   = 0x80
+	mostStep   = 0x7f
+)
+
+// AppendNews writes a datagram to the end of b. Words beyond MostNews are left out: they are but hints.
+func AppendNews(b []byte, zone uint8, news []balance.News) []byte {
+	news = news[:min(len(news), MostNews)]
+	b = append(b, byte(newsVersion<<4|len(news)), zone)
+	for _, n := range news {
+		says := step(n.Tokens, tokenSteps)
+		if n.Slow > 0 {
+			says = saysSlow | step(n.Slow/slowLeast, slowSteps)
+		}
+		b = append(b, byte(n.Tag>>16), byte(n.Tag>>8), byte(n.Tag), says)
+	}
+	return b
+}
+
+// ParseNews reads a datagram whole or not at all.
+func ParseNews(b []byte) (zone uint8, news []balance.News, err error) {
+	if len(b) < newsHead {
+		return 0, nil, fmt.Errorf("news: %d bytes, fewer than a head has", len(b))
+	}
+	if v := b[0] >> 4; v != newsVersion {
+		return 0, nil, fmt.Errorf("news: version %d, not %d", v, newsVersion)
+	}
+	n := int(b[0] & 0x0f)
+	if want := newsHead + n*newsItem; len(b) != want {
+		return 0, nil, fmt.Errorf("news: %d bytes for %d words, not %d", len(b), n, want)
+	}
+	for i := newsHead; i < len(b); i += newsItem {
+		word := balance.News{Tag: uint32(b[i])<<16 | uint32(b[i+1])<<8 | uint32(b[i+2])}
+		if says := b[i+3]; says&saysSlow != 0 {
+			word.Slow = slowLeast * math.Exp2(float64(says&mostStep)/slowSteps)
+		} else {
+			word.Tokens = math.Exp2(float64(says) / tokenSteps)
+		}
+		news = append(news, word)
+	}
+	return b[1], news, nil
+}
+
+// step is the number of the nearest step to a figure.
+func step(figure, toDouble float64) byte {
+	return byte(min(max(math.Round(math.Log2(max(figure, 1))*toDouble), 0), mostStep))
+}
--- /dev/null
+++ b/internal/protocol/news_test.go
@@ -0,0 +1,53 @@
+package protocol
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"reachspread/balance"
+)
+
+// What is told comes back within half a step of the scale, and any other length than the right one is refused whole.
+func TestNewsThereAndBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zone := rapid.Byte().Draw(t, "zone")
+		var told []balance.News
+		for range rapid.IntRange(0, MostNews).Draw(t, "words") {
+			n := balance.News{Tag: rapid.Uint32Max(1<<24-1).Draw(t, "tag")}
+			if rapid.Bool().Draw(t, "slow") {
+				n.Slow = rapid.Float64Range(0.2, 20).Draw(t, "slowness")
+			} else {
+				n.Tokens = rapid.Float64Range(1, 32000).Draw(t, "tokens")
+			}
+			told = append(told, n)
+		}
+		text := AppendNews(nil, zone, told)
+		if len(text) > 256 {
+			t.Fatalf("%d bytes", len(text))
+		}
+		got, heard, err := ParseNews(text)
+		if err != nil || got != zone || len(heard) != len(told) {
+			t.Fatalf("got zone %d, %d words, %v", got, len(heard), err)
+		}
+		for i, n := range told {
+			near := func(a, b, ratio float64) bool { return a == b || math.Abs(math.Log(a/b)) < math.Log(ratio) }
+			if heard[i].Tag != n.Tag || !near(heard[i].Tokens, n.Tokens, 1.05) || !near(heard[i].Slow, n.Slow, 1.03) {
+				t.Fatalf("told %v, heard %v", n, heard[i])
+			}
+		}
+		for n := range text {
+			if _, _, err := ParseNews(text[:n]); err == nil {
+				t.Fatalf("%d of %d bytes were taken for a whole message", n, len(text))
+			}
+		}
+		if _, _, err := ParseNews(append(text, 0)); err == nil {
+			t.Fatal("a byte too many was taken")
+		}
+		text[0] ^= 0x30
+		if _, _, err := ParseNews(text); err == nil {
+			t.Fatal("another version was taken")
+		}
+	})
+}
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -18,6 +18,8 @@
 		r.flow(a.ID).answer(Answer{Verdict: Failed})
 	case balance.Probe:
 		r.probe(a.Replica)
+	case balance.Tell:
+		r.tell(a)
 	case balance.Log:
 		r.tellDecision(a.Text)
 	case balance.Subscribe:
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -70,12 +70,14 @@
 	log      Logger
 	clock    clock
 	probeFor time.Duration
-	refused  atomic.Uint64 // flows turned down so far
+	tell     func(balance.Tell) // to other routers; must not block
+	refused  atomic.Uint64      // flows turned down so far
 
 	mu      sync.Mutex
 	pending []balance.Event
-	since   time.Time     // the first of them came
-	late    time.Duration // the longest wait for the deciding goroutine since the last Load
+	heard   []balance.Event // from other routers, to be decided on with the next event
+	since   time.Time       // the first of them came
+	late    time.Duration   // the longest wait for the deciding goroutine since the last Load
 	entries map[string]entry
 	told    int64 // news from discovery so far
 	flows   map[string]*Flow
@@ -86,7 +88,25 @@
 // New returns a Router that stands still until Run. A probe is given up after probeFor.
 func New(b *balance.Balancer, n Network, log Logger, probeFor time.Duration) *Router {
 	return &Router{balancer: b, network: n, log: log, clock: startClock(), probeFor: probeFor,
-		entries: map[string]entry{}, flows: map[string]*Flow{}, wake: make(chan struct{}, 1)}
+		tell: func(balance.Tell) {}, entries: map[string]entry{}, flows: map[string]*Flow{}, wake: make(chan struct{}, 1)}
+}
+
+// Tells has the words of the module to other routers carried by tell. It is called before Run.
+func (r *Router) Tells(tell func(balance.Tell)) { r.tell = tell }
+
+// mostUnheard bounds what others told and no decision has been taken on since.
+const mostUnheard = 64
+
+// Heard leaves what another router told for the next decision. By itself it calls for none, and in a large fleet each
+// router hears far more than it decides.
+func (r *Router) Heard(ev balance.Heard) {
+	r.mu.Lock()
+	r.heard = append(r.heard, ev)
+	full := len(r.heard) >= mostUnheard
+	r.mu.Unlock()
+	if full {
+		r.rouse()
+	}
 }
 
 // Run decides until ctx ends.
@@ -168,11 +188,11 @@
 func (r *Router) drain() ([]balance.Event, []*Flow) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	events, ended := r.pending, r.ended
-	if len(events) > 0 {
+	events, ended := append(r.heard, r.pending...), r.ended
+	if len(r.pending) > 0 {
 		r.late = max(r.late, time.Since(r.since))
 	}
-	r.pending, r.ended = nil, nil
+	r.heard, r.pending, r.ended = nil, nil, nil
 	return events, ended
 }
 
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -14,29 +15,55 @@
 )
 
 const (
-	watchFor     = 5 * time.Second // one call that waits
-	answerIn     = time.Second     // beyond that wait; longer means that discovery is down
-	mostList     = 4 << 20
-	firstBackoff = 20 * time.Millisecond
-	longBackoff  = time.Second
+	watchFor = 5 * time.Second // one call that waits
+	answerIn = time.Second     // beyond that wait; longer means that discovery is down
+	mostList = 4 << 20
+)
+
+// Pace is how a watch that failed is begun anew: after a time that doubles from First to Longest, and varies by half
+// of it either way, lest routers that failed together come back together.
+type Pace struct {
+	First, Longest time.Duration
+}
+
+// The paces. A discovery that pushes costs nothing to ask. One that must be asked is one service for all routers: each
+// call takes some of its time, and where calls come faster than it answers, none of them gets an answer.
+var (
+	Pushed = Pace{20 * time.Millisecond, time.Second}
+	Asked  = Pace{250 * time.Millisecond, 6 * time.Second}
 )
 
 // Discovery watches the list of service entries.
 type Discovery struct {
-	addr string
-	log  routing.Logger
-	tell func(*protocol.List)
-	down bool // the loss was logged
+	addr  string
+	pace  Pace
+	log   routing.Logger
+	tell  func(*protocol.List)
+	down  bool  // the loss was logged
+	since int64 // version of the list held, below 0 where only a whole list will do
+}
+
+// Wait returns how long to wait after a failure that so many came before, one after the other.
+func (p Pace) Wait(before int) time.Duration {
+	usual := p.Longest
+	if doubled := p.First << min(before, 20); doubled < usual {
+		usual = doubled
+	}
+	return usual/2 + rand.N(usual)
 }
 
-// NewDiscovery returns a watch that gives each list to tell. The next call goes out when tell returns.
-func NewDiscovery(addr string, log routing.Logger, tell func(*protocol.List)) *Discovery {
-	return &Discovery{addr: addr, log: log, tell: tell}
+// WholeList is the version to start from where no list of this discovery is held.
+const WholeList = -1
+
+// NewDiscovery returns a watch that gives each list to tell. The next call goes out when tell returns. Where it is asked
+// at a price, it begins with what is newer than the version since: whole lists for all routers at once overbook it.
+func NewDiscovery(addr string, pace Pace, since int64, log routing.Logger, tell func(*protocol.List)) *Discovery {
+	return &Discovery{addr: addr, pace: pace, since: since, log: log, tell: tell}
 }
 
 // Run watches until ctx ends. Whatever fails, the last good list stays in force and a new watch is begun.
 func (d *Discovery) Run(ctx context.Context) {
-	backoff := firstBackoff
+	failed := 0
 	for ctx.Err() == nil {
 		good, err := d.watch(ctx)
 		if ctx.Err() != nil {
@@ -47,13 +74,13 @@
 			d.log.Warn("discovery lost", "cause", err)
 		}
 		if good {
-			backoff = firstBackoff
+			failed = 0
 		}
 		select {
-		case <-time.After(backoff):
+		case <-time.After(d.pace.Wait(failed)):
 		case <-ctx.Done():
 		}
-		backoff = min(2*backoff, longBackoff)
+		failed++
 	}
 }
 
@@ -68,13 +95,20 @@
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	in := bufio.NewReader(c)
-	for path, wait := protocol.ListPath, time.Duration(0); ; wait = watchFor {
+	path, wait := protocol.ListPath, time.Duration(0)
+	if d.since >= 0 {
+		path, wait = protocol.WatchPath(d.since, watchFor), watchFor
+	}
+	for ; ; wait = watchFor {
 		list, err := d.call(c, in, path, wait+answerIn)
 		if err != nil {
 			return good, err
 		}
 		d.tell(list)
 		good = true
+		if d.since >= 0 {
+			d.since = list.Version
+		}
 		if d.down {
 			d.down = false
 			d.log.Info("discovery back", "version", list.Version)
--- /dev/null
+++ b/internal/transport/gossip.go
@@ -0,0 +1,84 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"reachspread/balance"
+	"reachspread/internal/protocol"
+)
+
+// mostDatagram is the platform's bound. One byte more is read, so that a longer datagram is not taken for a whole one.
+const mostDatagram = 256
+
+// Gossip exchanges datagrams with the other routers. What to tell and to believe is not decided here.
+type Gossip struct {
+	conn   *net.UDPConn
+	peers  []netip.AddrPort
+	number map[netip.AddrPort]int
+
+	unread atomic.Uint64 // datagrams dropped: cut, of another version, from a stranger
+	unsent atomic.Uint64
+}
+
+// NewGossip listens at an address for what the peers, in the order of their numbers, send.
+func NewGossip(listen string, peers []string) (*Gossip, error) {
+	g := &Gossip{number: map[netip.AddrPort]int{}}
+	for i, p := range peers {
+		addr, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return nil, err
+		}
+		g.peers = append(g.peers, addr)
+		g.number[addr] = i
+	}
+	at, err := net.ResolveUDPAddr("udp4", listen)
+	if err != nil {
+		return nil, err
+	}
+	g.conn, err = net.ListenUDP("udp4", at)
+	return g, err
+}
+
+// Run gives all that can be read to hear, until ctx ends.
+func (g *Gossip) Run(ctx context.Context, hear func(balance.Heard)) {
+	defer context.AfterFunc(ctx, func() { g.conn.Close() })()
+	var buf [mostDatagram + 1]byte
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buf[:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		i, known := g.number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if err != nil || !known {
+			g.unread.Add(1)
+			continue
+		}
+		zone, news, err := protocol.ParseNews(buf[:n])
+		if err != nil {
+			g.unread.Add(1)
+			continue
+		}
+		hear(balance.Heard{From: i, Zone: zone, News: news})
+	}
+}
+
+// Tell sends news to the routers of the numbers given. It waits for nobody: what can't be sent now is lost.
+func (g *Gossip) Tell(t balance.Tell) {
+	var room [mostDatagram]byte
+	text := protocol.AppendNews(room[:0], t.Zone, t.News)
+	for _, i := range t.To {
+		if i < 0 || i >= len(g.peers) {
+			continue
+		}
+		if _, err := g.conn.WriteToUDPAddrPort(text, g.peers[i]); err != nil {
+			g.unsent.Add(1)
+		}
+	}
+}
+
+// Dropped returns how many datagrams could not be read, and how many could not be sent.
+func (g *Gossip) Dropped() (unread, unsent uint64) { return g.unread.Load(), g.unsent.Load() }
--- /dev/null
+++ b/internal/transport/gossip_test.go
@@ -0,0 +1,77 @@
+package transport_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"reachspread/balance"
+	"reachspread/internal/peers"
+	"reachspread/internal/protocol"
+	"reachspread/internal/transport"
+)
+
+// Datagrams of strangers, cut ones and such of another version are dropped and counted; what comes after them is heard.
+func TestGossip(t *testing.T) {
+	socket := func() *net.UDPConn {
+		t.Helper()
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	peer, stranger, spare := socket(), socket(), socket()
+	own := spare.LocalAddr().String()
+	spare.Close()
+	g, err := transport.NewGossip(own, []string{own, peer.LocalAddr().String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	heard := make(chan balance.Heard, 10)
+	go g.Run(ctx, func(h balance.Heard) { heard <- h })
+
+	news := []balance.News{{Tag: 7, Tokens: 1024}}
+	good := protocol.AppendNews(nil, 3, news)
+	to := net.UDPAddrFromAddrPort(mustAddr(t, own))
+	send := func(c *net.UDPConn, text []byte) {
+		t.Helper()
+		if _, err := c.WriteToUDP(text, to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send(stranger, good)
+	send(peer, good[:4])
+	send(peer, append([]byte{0x70}, good[1:]...))
+	send(peer, make([]byte, 300))
+	send(peer, nil)
+	send(peer, good)
+	if diff := cmp.Diff(balance.Heard{From: 1, Zone: 3, News: news}, peers.Next(t, heard, "news")); diff != "" {
+		t.Error(diff)
+	}
+	if unread, _ := g.Dropped(); unread != 5 {
+		t.Errorf("%d dropped and counted, want 5", unread)
+	}
+
+	g.Tell(balance.Tell{To: []int{1, 9, -1}, Zone: 3, News: news})
+	buf := make([]byte, 300)
+	n, _, err := peer.ReadFromUDP(buf)
+	if err != nil || !cmp.Equal(buf[:n], good) {
+		t.Errorf("got % x, %v, want % x", buf[:n], err, good)
+	}
+}
+
+func mustAddr(t *testing.T, text string) netip.AddrPort {
+	t.Helper()
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,11 +3,13 @@
 package wire
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/protocol"
 )
 
 // Batch is one line of input.
@@ -27,7 +29,7 @@
 	Aborted    *Aborted    `json:"aborted"`
 	Timer      *Timer      `json:"timer"`
 	Health     *Health     `json:"health"`
-	Datagram   *Bare       `json:"datagram"`
+	Datagram   *Datagram   `json:"datagram"`
 }
 
 // Bare names an instance and nothing else that matters here.
@@ -54,13 +56,16 @@
 	Deductions struct {
 		CrossZone float64 `json:"crossZone"`
 	} `json:"deductions"`
-	Extra struct {
+	Me         int `json:"me"`
+	NInstances int `json:"nInstances"`
+	Extra      struct {
 		AimUsPer1000 []float64 `json:"aimUsPer1000PromptTokens"`
 		TokenAimNs   []int64   `json:"tokenAimNs"`
 	} `json:"extra"`
 	Limits struct {
 		MaxAttempts      int   `json:"maxAttempts"`
 		MayProbe         bool  `json:"mayProbe"`
+		Peers            bool  `json:"peers"`
 		ConnectTimeoutNs int64 `json:"connectTimeoutNs"`
 		KeepaliveNs      int64 `json:"keepaliveNs"`
 		MaxRetryAfterNs  int64 `json:"maxRetryAfterNs"`
@@ -158,6 +163,13 @@
 	Pressure map[string]float64 `json:"pressure"`
 }
 
+// Datagram is what another instance told.
+type Datagram struct {
+	I    int    `json:"i"`
+	From int    `json:"from"`
+	Body string `json:"body"`
+}
+
 // Config turns start-up options into settings.
 func (o *Options) Config() (balance.Config, error) {
 	c := balance.Config{
@@ -176,6 +188,15 @@
 	if o.Limits.RetryAfter {
 		c.MaxAway = time.Duration(o.Limits.MaxRetryAfterNs)
 	}
+	if o.Limits.Peers {
+		if o.NInstances < 1 {
+			return c, fmt.Errorf("nInstances is %d; it must be 1 or more where limits.peers is set", o.NInstances)
+		}
+		if o.Me < 0 || o.Me >= o.NInstances {
+			return c, fmt.Errorf("me is %d; it must be from 0 to %d, below nInstances", o.Me, o.NInstances-1)
+		}
+		c.Gateways, c.Me = o.NInstances, o.Me
+	}
 	for i, s := range o.Services {
 		effect, ok := effects[s.Effect]
 		if !ok {
@@ -248,11 +269,24 @@
 		return m.Health.I, balance.Probed{Replica: m.Health.Replica, Result: how,
 			Load: load(m.Health.Pressure)}, nil
 	case m.Datagram != nil:
-		return m.Datagram.I, nil, nil
+		return m.Datagram.I, m.Datagram.event(), nil
 	}
 	return 0, nil, fmt.Errorf("unknown event; see the wire's list of received messages")
 }
 
+// event is nil for what can not be read: a datagram is but a hint.
+func (d *Datagram) event() balance.Event {
+	text, err := base64.RawStdEncoding.DecodeString(d.Body)
+	if err != nil {
+		return nil
+	}
+	zone, news, err := protocol.ParseNews(text)
+	if err != nil {
+		return nil
+	}
+	return balance.Heard{From: d.From, Zone: zone, News: news}
+}
+
 func (p *PeersKnown) event() (balance.Event, error) {
 	ev := balance.Members{Version: p.Epoch}
 	switch p.Mode {
@@ -318,6 +352,12 @@
 	Replica string `json:"replica"`
 }
 
+type post struct {
+	I    int    `json:"i"`
+	Dest int    `json:"dest"`
+	Body string `json:"body"`
+}
+
 type deferred struct {
 	I       int   `json:"i"`
 	Ctx     int64 `json:"ctx"`
@@ -336,8 +376,21 @@
 
 type named map[string]any
 
-// Action turns an action of instance i into a message.
-func Action(i int, a balance.Action) any {
+// Actions turns an action of instance i into messages: one, or one for each instance told.
+func Actions(i int, a balance.Action) []any {
+	t, ok := a.(balance.Tell)
+	if !ok {
+		return []any{action(i, a)}
+	}
+	body := base64.RawStdEncoding.EncodeToString(protocol.AppendNews(nil, t.Zone, t.News))
+	var all []any
+	for _, dest := range t.To {
+		all = append(all, named{"post": post{i, dest, body}})
+	}
+	return all
+}
+
+func action(i int, a balance.Action) any {
 	switch a := a.(type) {
 	case balance.Send:
 		return named{"handOff": handOff{i, a.ID, a.Replica}}
@@ -354,7 +407,7 @@
 	case balance.Log:
 		return named{"trace": text{i, a.Text}}
 	}
-	return Die(i, fmt.Sprintf("action %T has no message; add it to wire.Action", a))
+	return Die(i, fmt.Sprintf("action %T has no message; add it to wire.action", a))
 }
 
 // Die reports a crash of instance i.
