--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -148,7 +148,11 @@
 func (p *Program) watch(ctx context.Context, reload <-chan os.Signal) {
 	pace, since := transport.Pushed, int64(transport.WholeList)
 	if p.cfg.balance.AskForList {
-		pace, since = transport.Asked, p.cfg.Known.Version
+		o := p.cfg.Settings
+		pace = transport.Asked(o.NInstances, time.Duration(o.Rules.MustAskInNs))
+		if len(p.cfg.Known.Servers) > 0 {
+			since = p.cfg.Known.Version
+		}
 	}
 	for addr, moved := p.cfg.Discovery, true; moved; {
 		watching, move := context.WithCancel(ctx)
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -20,18 +20,30 @@
 	mostList = 4 << 20
 )
 
-// Pace is how a watch that failed is begun anew: after a time that doubles from First to Longest, and varies by half
-// of it either way, lest routers that failed together come back together.
+// Pace is when a watch is begun, and begun anew once it failed: after a time that doubles from First to Longest, and
+// varies by half of it either way, lest routers that failed together come back together.
 type Pace struct {
+	Start          time.Duration // the first call goes out within this, where a list is held
 	First, Longest time.Duration
 }
 
-// The paces. A discovery that pushes costs nothing to ask. One that must be asked is one service for all routers: each
-// call takes some of its time, and where calls come faster than it answers, none of them gets an answer.
-var (
-	Pushed = Pace{20 * time.Millisecond, time.Second}
-	Asked  = Pace{250 * time.Millisecond, 6 * time.Second}
-)
+// Pushed is the pace for a discovery that pushes: it costs nothing to ask.
+var Pushed = Pace{First: 20 * time.Millisecond, Longest: time.Second}
+
+// perRouter is what of a discovery's time one call is reckoned to take.
+const perRouter = 100 * time.Millisecond
+
+// Asked is the pace for a discovery that must be asked: one service for so many routers. Each call takes some of its
+// time, also one that waits in turn for too long and fails; where calls come as fast as it can answer, a queue that
+// once was too long stays so, and nobody gets an answer. So all the routers' calls are spread over the time that they
+// take together, or most of that within which each must have asked.
+func Asked(routers int, within time.Duration) Pace {
+	spread := time.Duration(max(routers, 1)) * perRouter
+	if within > 0 {
+		spread = min(spread, within*4/5)
+	}
+	return Pace{Start: spread, First: spread, Longest: 3 * spread}
+}
 
 // Discovery watches the list of service entries.
 type Discovery struct {
@@ -63,6 +75,12 @@
 
 // Run watches until ctx ends. Whatever fails, the last good list stays in force and a new watch is begun.
 func (d *Discovery) Run(ctx context.Context) {
+	if d.since >= 0 && d.pace.Start > 0 {
+		select {
+		case <-time.After(rand.N(d.pace.Start)):
+		case <-ctx.Done():
+		}
+	}
 	failed := 0
 	for ctx.Err() == nil {
 		good, err := d.watch(ctx)
--- a/internal/transport/pace_test.go
+++ b/internal/transport/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,39 +12,38 @@
 	"reachspread/internal/transport"
 )
 
-// Eighty routers start at once against a discovery that can answer six calls in a second and turns the others away.
-// Each has its list before the 40 s after which it counts as told; asked as one that pushes is, nobody's call
-// would be worth more than chance.
+// Eighty routers start at once against a discovery that answers eleven calls in a second, in turn, and spends as much
+// on one that has waited 2 s and fails. Asked at the pace all have their list within the 10 s in which each must have
+// asked; where each asks again within a second, the queue never gets short and nobody has one.
 func TestRoutersThatStartTogetherAllGetTheList(t *testing.T) {
-	const routers, perSecond, within = 80, 6, 38 * time.Second
-	ask := func(pace transport.Pace) (served int, last time.Duration, calls int) {
+	const routers, service, patience, within = 80, time.Second / 11, 2 * time.Second, 10 * time.Second
+	ask := func(pace transport.Pace) (served int) {
 		var due queue
 		for range routers {
-			heap.Push(&due, call{})
+			c := call{}
+			if pace.Start > 0 {
+				c.at = rand.N(pace.Start)
+			}
+			heap.Push(&due, c)
 		}
-		room, at := float64(perSecond), time.Duration(0)
+		free := time.Duration(0) // when it has done all that it took
 		for due.Len() > 0 && due[0].at < within {
 			c := heap.Pop(&due).(call)
-			calls++
-			room = min(room+(c.at-at).Seconds()*perSecond, perSecond)
-			at = c.at
-			if room >= 1 {
-				room--
-				served, last = served+1, c.at
+			begin := max(free, c.at)
+			free = begin + service
+			if begin-c.at < patience {
+				served++
 				continue
 			}
-			room = max(room-0.1, 0) // to turn a call away costs something, too
-			heap.Push(&due, call{c.at + pace.Wait(c.failed), c.failed + 1})
+			heap.Push(&due, call{c.at + patience + pace.Wait(c.failed), c.failed + 1})
 		}
-		return served, last, calls
+		return served
 	}
-	served, last, calls := ask(transport.Asked)
-	if served != routers {
-		t.Errorf("%d of %d have their list after %v", served, routers, within)
+	if n := ask(transport.Asked(routers, within)); n != routers {
+		t.Errorf("%d of %d have their list after %v", n, routers, within)
 	}
-	_, _, rude := ask(transport.Pushed)
-	if calls > rude*2/3 {
-		t.Errorf("%d calls until %v; %d where each asks again within a second", calls, last, rude)
+	if n := ask(transport.Pushed); n > routers/2 {
+		t.Errorf("%d have it where all ask at once and again within a second: this discovery is too good", n)
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -74,6 +74,7 @@
 		OverloadFactor float64 `json:"overloadFactor"`
 		StartCapacity  float64 `json:"startCapacity"`
 		TipAfterNs     int64   `json:"tipAfterNs"`
+		MustAskInNs    int64   `json:"mustAskInNs"`
 	} `json:"rules"`
 }
 
