--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,7 +10,7 @@
 // Exceptions, each at the function named:
 //   - homes: the two samples are of the first few in the rendezvous order of the prompt's prefix;
 //   - choose: homes in the own zone take part where crossing costs more than reading a prefix again, and
-//     where no report tells the unread tokens of other gateways, which are fewest there;
+//     where no report tells others' unread tokens; replicas beyond the own share only where that has no room;
 //   - ask: a prompt is held for some ms while samples are probed whose last reports are old;
 //   - weigh: where the sample would miss an aim, all replicas with room are compared;
 //   - hopeless, spent: a prompt that would miss its aim is refused, or held if others yield to it;
@@ -512,12 +512,16 @@
 			}
 		}
 	}
-	pool = append(pool, ranked(q.keys[1], strange, 2)...)
 	sharing := cmp.Or(len(near), len(pool))
 	shut := func(r *replica) bool { return !b.coldRoom(q, r, sharing) }
 	pool, near = slices.DeleteFunc(pool, shut), slices.DeleteFunc(near, shut)
-	b.pool, b.near = pool, near
-	return b.better(q, b.ask(q, append(b.homes(q, near), b.homes(q, pool)...)))
+	sample := append(b.homes(q, near), b.homes(q, pool)...)
+	strange = ranked(q.keys[1], slices.DeleteFunc(strange, shut), 2)
+	b.pool, b.near = append(pool, strange...), near
+	if len(sample) > 0 {
+		strange = sample
+	}
+	return b.better(q, b.ask(q, strange))
 }
 
 // better returns the one of a sample with the lowest estimate, or nil.
@@ -606,8 +610,7 @@
 
 // tell gives news to other gateways.
 func (b *Balancer) tell(to []int, news ...News) {
-	to = slices.DeleteFunc(slices.Clone(to), func(i int) bool { return i == b.cfg.Me })
-	if len(to) > 0 {
+	if to = slices.DeleteFunc(slices.Clone(to), func(i int) bool { return i == b.cfg.Me }); len(to) > 0 {
 		b.do(Tell{To: to, Zone: mark(b.cfg.Zone), News: news})
 	}
 }
@@ -762,9 +765,6 @@
 	if r.Zone != b.cfg.Zone {
 		t += b.crossTime(q)
 	}
-	if !r.mine {
-		t += b.cfg.HandshakePrice * crossScale * q.aim.Seconds()
-	}
 	return t
 }
 
--- a/balance/news_test.go
+++ b/balance/news_test.go
@@ -187,3 +187,25 @@
 		t.Errorf("room for %d prompts on the cold replica alone, %d where others fill it; want some, and far fewer", alone, shared)
 	}
 }
+
+// A replica beyond the own share is a connection more, and others' prompts there are not told of: none is used while the
+// share will do, and one is where the share has no room.
+func TestBeyondTheShareOnlyForNeed(t *testing.T) {
+	cfg := testConfig()
+	cfg.Gateways = manyGateways
+	g := newGateway(t, cfg, members(numbered("r", 3*shareOf)...)...)
+	mine := func() bool { return g.b.replicas[sentTo(t, g.step(g.request("safe")))].mine }
+	for range 2 * shareOf {
+		if !mine() {
+			t.Fatal("sent beyond the share, which has room")
+		}
+	}
+	for _, r := range g.b.order {
+		if r.mine {
+			r.cap = 0
+		}
+	}
+	if mine() {
+		t.Error("sent to a full replica of the share")
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -58,7 +58,6 @@
 	OverloadWindow time.Duration // for this long falls over
 	Tick           time.Duration // the host calls Step at most this often
 	CrossZonePrice float64       // points lost when every request crosses zones once
-	HandshakePrice float64       // likewise when every request opens a connection
 	MaxAway        time.Duration // the longest that a refusal may tell a client to stay away, 0 for not at all
 	Gateways       int           // how many there are, this one included, where they may Tell; 0 where not
 	Me             int           // the own number among them, from 0
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -52,7 +52,6 @@
 	Services   []Class `json:"services"`
 	Deductions struct {
 		CrossZone float64 `json:"crossZone"`
-		Handshake float64 `json:"handshake"`
 	} `json:"deductions"`
 	Me         int `json:"me"`
 	NInstances int `json:"nInstances"`
@@ -181,7 +180,6 @@
 		OverloadWindow: time.Duration(o.Rules.TipAfterNs),
 		Tick:           time.Duration(o.QuantumNs),
 		CrossZonePrice: o.Deductions.CrossZone,
-		HandshakePrice: o.Deductions.Handshake,
 	}
 	if o.Limits.RetryAfter {
 		c.MaxAway = time.Duration(o.Limits.MaxRetryAfterNs)
