--- a/internal/lab/queue.go
+++ b/internal/lab/queue.go
@@ -23,6 +23,7 @@
 	retryComes
 	routerSteps
 	routerWakes
+	routerHears
 	listReaches
 	routerStarts
 	attemptReaches // its host
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -48,6 +48,9 @@
 	r := w.routers[n]
 	c := w.s.Balance
 	c.Zone = r.zone
+	if w.s.Peers.On {
+		c.Gateways, c.Me = w.s.Routers, r.n
+	}
 	d, err := w.s.New(c, w.stream(forRouter, uint64(n)<<16|uint64(r.gen)).Uint64())
 	if err != nil {
 		return err
@@ -99,6 +102,8 @@
 			w.answer(r, a.ID, a.Away, refused)
 		case balance.Fail:
 			w.answer(r, a.ID, 0, failed)
+		case balance.Tell:
+			r.tell(a)
 		case balance.Probe:
 			r.probe(a.Replica)
 		case balance.SetTimer:
@@ -272,6 +277,18 @@
 	r.open, r.tries, r.pools = nil, nil, nil
 }
 
+// tell sends news to other routers, each copy on its own: late, or not at all.
+func (r *router) tell(a balance.Tell) {
+	w := r.w
+	heard := balance.Heard{From: r.n, Zone: a.Zone, News: a.News}
+	for _, to := range a.To {
+		if w.net.Float64() >= w.s.Peers.Lost {
+			late := w.s.Peers.Least + time.Duration(w.net.Float64()*float64(w.s.Peers.Most-w.s.Peers.Least))
+			w.at(w.now+late, event{do: routerHears, n: to, p: heard})
+		}
+	}
+}
+
 // probe asks a host for its load.
 func (r *router) probe(to string) {
 	h, listed := r.byID[to]
--- a/internal/lab/spec.go
+++ b/internal/lab/spec.go
@@ -31,6 +31,7 @@
 	List     List
 	Front    Front
 	Retries  Retries
+	Peers    Peers
 	Troubles []Trouble
 
 	// New makes a router's decider; nil for that of package balance.
@@ -98,6 +99,13 @@
 	Heed  bool          // Retry-After is kept
 }
 
+// Peers is how routers' words reach each other.
+type Peers struct {
+	On          bool
+	Least, Most time.Duration // on their way
+	Lost        float64       // share that never comes
+}
+
 // TroubleKind names what goes wrong.
 type TroubleKind string
 
@@ -136,6 +144,9 @@
 	case len(s.Classes) == 0:
 		return fmt.Errorf("Classes is empty; there must be one at least")
 	}
+	if p := s.Peers; p.Lost < 0 || p.Lost > 1 || p.Least < 0 || p.Most < p.Least {
+		return fmt.Errorf("Peers has Lost %v, Least %v and Most %v; Lost must be from 0 to 1, and Most not below Least", p.Lost, p.Least, p.Most)
+	}
 	zones := map[string]bool{}
 	for i, g := range s.Groups {
 		zones[g.Zone] = true
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -185,6 +185,11 @@
 		if r := w.routers[e.n]; r.alive && r.gen == e.gen {
 			r.step()
 		}
+	case routerHears:
+		if r := w.routers[e.n]; r.alive {
+			w.res.Heard++
+			r.take(e.p.(balance.Heard))
+		}
 	case routerWakes:
 		if r := w.routers[e.n]; r.alive && r.gen == e.gen {
 			r.take(balance.Wake{Token: e.p.(int64)})
