--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// BenchmarkRequestAtSixtyHosts is the module's cost of one request with its events, at 60 hosts of three zones, all idle.
+// BenchmarkRequestAtSixtyHosts is the module's cost of one request with its events, at 60 hosts of three zones.
 func BenchmarkRequestAtSixtyHosts(b *testing.B) {
 	var list []Member
 	for i, name := range numbered("r", 60) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -103,7 +103,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	if p.cfg.balance.Gateways > 1 {
-		gossip, err := transport.NewGossip(p.cfg.PeerListen, p.cfg.Peers)
+		gossip, err := transport.NewGossip(p.cfg.PeerListen, p.cfg.Peers, p.log)
 		if err != nil {
 			return fmt.Errorf("peer_listen: %w", err)
 		}
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -75,6 +75,9 @@
 		{`"effect":"safe"`, `"effect":"odd"`, "settings.services[0].effect"},
 		{`"keepaliveNs":15000000000`, `"keepaliveNs":0`, "settings.limits.keepaliveNs is 0"},
 		{`"connectTimeoutNs":50000000`, `"connectTimeoutNs":-1`, "settings.limits.connectTimeoutNs is -1"},
+		{`"maxAttempts":3`, `"peers":true,"maxAttempts":3`, "settings.nInstances is 0"},
+		{`"limits":{"maxAttempts":3`, `"me":9,"nInstances":9,"limits":{"peers":true,"maxAttempts":3`, "settings.me is 9"},
+		{`"limits":{"maxAttempts":3`, `"me":1,"nInstances":9,"limits":{"peers":true,"maxAttempts":3`, "peer_listen:"},
 	} {
 		_, err := Load(configFile(t, tt.old, tt.new))
 		if err == nil || !strings.Contains(err.Error(), tt.want) || strings.Contains(err.Error(), "\n") {
--- a/internal/transport/gossip.go
+++ b/internal/transport/gossip.go
@@ -9,6 +9,7 @@
 
 	"reachspread/balance"
 	"reachspread/internal/protocol"
+	"reachspread/internal/routing"
 )
 
 // mostDatagram is the platform's bound. One byte more is read, so that a longer datagram is not taken for a whole one.
@@ -19,14 +20,15 @@
 	conn   *net.UDPConn
 	peers  []netip.AddrPort
 	number map[netip.AddrPort]int
+	log    routing.Logger
 
 	unread atomic.Uint64 // datagrams dropped: cut, of another version, from a stranger
 	unsent atomic.Uint64
 }
 
 // NewGossip listens at an address for what the peers, in the order of their numbers, send.
-func NewGossip(listen string, peers []string) (*Gossip, error) {
-	g := &Gossip{number: map[netip.AddrPort]int{}}
+func NewGossip(listen string, peers []string, log routing.Logger) (*Gossip, error) {
+	g := &Gossip{number: map[netip.AddrPort]int{}, log: log}
 	for i, p := range peers {
 		addr, err := netip.ParseAddrPort(p)
 		if err != nil {
@@ -54,18 +56,27 @@
 		}
 		i, known := g.number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if err != nil || !known {
-			g.unread.Add(1)
+			g.drop(from, errStranger)
 			continue
 		}
 		zone, news, err := protocol.ParseNews(buf[:n])
 		if err != nil {
-			g.unread.Add(1)
+			g.drop(from, err)
 			continue
 		}
 		hear(balance.Heard{From: i, Zone: zone, News: news})
 	}
 }
 
+var errStranger = errors.New("not the address of a peer")
+
+// drop counts a datagram that tells nothing, and logs the first: routers of different versions would send many.
+func (g *Gossip) drop(from netip.AddrPort, why error) {
+	if g.unread.Add(1) == 1 {
+		g.log.Warn("datagram dropped", "from", from, "cause", why)
+	}
+}
+
 // Tell sends news to the routers of the numbers given. It waits for nobody: what can't be sent now is lost.
 func (g *Gossip) Tell(t balance.Tell) {
 	var room [mostDatagram]byte
--- a/internal/transport/gossip_test.go
+++ b/internal/transport/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -28,7 +29,8 @@
 	peer, stranger, spare := socket(), socket(), socket()
 	own := spare.LocalAddr().String()
 	spare.Close()
-	g, err := transport.NewGossip(own, []string{own, peer.LocalAddr().String()})
+	lines := make(chan string, 10)
+	g, err := transport.NewGossip(own, []string{own, peer.LocalAddr().String()}, peers.Lines(lines))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,6 +57,9 @@
 	if diff := cmp.Diff(balance.Heard{From: 1, Zone: 3, News: news}, peers.Next(t, heard, "news")); diff != "" {
 		t.Error(diff)
 	}
+	if line := peers.Next(t, lines, "a line"); !strings.HasPrefix(line, "datagram dropped") || len(lines) > 0 {
+		t.Errorf("got the line %q and %d more, want one for the first dropped", line, len(lines))
+	}
 	if unread, _ := g.Dropped(); unread != 5 {
 		t.Errorf("%d dropped and counted, want 5", unread)
 	}
