--- a/internal/lab/vast_test.go
+++ b/internal/lab/vast_test.go
@@ -45,3 +45,37 @@
 		})
 	}
 }
+
+// At half the load, what the large fleet meets costs little: a zone that falls silent and comes back, hosts of which each
+// takes no more connections than a third of the routers want, slow hosts that each router has met once or never, and most
+// routers restarted at once with the list that they held.
+func TestEightyRoutersGetOver(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		conns   int
+		trouble Trouble
+		least   float64 // G
+	}{
+		{"a silent zone", 200, Trouble{Kind: LostZone, At: 4 * time.Second, Length: 4 * time.Second, Zone: "a"}, 0.8},
+		{"few connections", 9, Trouble{Kind: SlowHosts, At: 4 * time.Second, Length: time.Second, Part: 0.01, Size: 1.1}, 0.8},
+		{"slow hosts", 200, Trouble{Kind: SlowHosts, At: 4 * time.Second, Length: 8 * time.Second, Part: 0.1, Size: 6}, 0.8},
+		{"a release of routers", 200, Trouble{Kind: RouterCrash, At: 4 * time.Second, Length: 2 * time.Second, Part: 0.7}, 0.8},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := vast(1)
+			for i := range s.Classes {
+				s.Classes[i].New = Length{200, 0.8}
+			}
+			for i := range s.Groups {
+				s.Groups[i].Host.Conns = tt.conns
+			}
+			s.Troubles = []Trouble{tt.trouble}
+			r, _ := run(t, s)
+			t.Logf("G %.3f, handshakes %d for %d attempts", r.G(), r.Handshakes, r.Attempts)
+			if g := r.G(); g < tt.least {
+				t.Errorf("G %.3f, want %.2f", g, tt.least)
+			}
+		})
+	}
+}
