--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,7 +12,7 @@
 //   - choose: homes in the own zone take part where crossing costs more than reading a prefix again, and
 //     where no report tells others' unread tokens; replicas beyond the own share only where that has no room;
 //   - ask: a prompt is held for some ms while samples are probed whose last reports are old;
-//   - weigh: where the sample would miss an aim, all replicas with room are compared;
+//   - weigh: where the sample would miss an aim, all of the share with room and two others are compared;
 //   - hopeless, spent: a prompt that would miss its aim is refused, or held if others yield to it;
 //   - yields: a prompt is held where it would take much of the time that a class of more worth has;
 //   - coldRoom: a replica that has just started gets a budget, and no heavy prompt;
--- a/internal/mirror/pool.go
+++ b/internal/mirror/pool.go
@@ -117,7 +117,7 @@
 		class := &c.Classes[i]
 		class.Aim, class.Deadline, class.AimPer1000, class.AimStretch, class.TokenAim = patience, patience, 0, 0, 0
 	}
-	c.MayProbe, c.MaxAway = false, 0
+	c.MayProbe, c.MaxAway, c.Gateways = false, 0, 0
 	return c
 }
 
--- a/internal/transport/gossip.go
+++ b/internal/transport/gossip.go
@@ -54,8 +54,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			g.drop(from, err)
+			continue
+		}
 		i, known := g.number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if err != nil || !known {
+		if !known {
 			g.drop(from, errStranger)
 			continue
 		}
