Service: an operators' door, true figures and a phase draining

Change: internal/management holds calls, figures and answers, pure; transport.Management is its driver with 16 places of its own. Ends are counted in Flow.answer and as a stream closes, refusals before a flow at the front, attempts when their last byte is written. Phases are a table of duties and one of transitions; draining and withheld are new. Silent connections are closed only after a last look for a request that came unread, where the HTTP server closed them without one.

Ruled out: figures counted at a stream's beginning; 30 streams under way would be 10 times the allowance.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -37,6 +37,7 @@
 	ready     bool // its request is there and was not asked yet: nobody shuts it
 	refused   bool // its request was: it only waits to be closed
 	shut      bool // Shut or Hurry was given
+	sentAway  bool // Hurry was given as the router sends clients away
 	since     time.Duration
 	addr, net *holder
 	owner     *holder // the address, or the identity of a known client
@@ -100,7 +101,7 @@
 	case Began:
 		if c := d.conn(e.Conn); c != nil && !c.busy && !c.refused && !c.shut && !c.ready {
 			d.loud(c)
-			c.since, c.sending = d.now, true
+			c.since, c.sending, c.sentAway = d.now, true, false
 			d.quiet(c)
 		}
 	case Asked:
@@ -125,6 +126,8 @@
 	case Retune:
 		d.tune(*e.Config)
 		d.shrink()
+	case Empty:
+		d.empty(e.Silent)
 	}
 	d.judge()
 	d.hurry()
@@ -386,6 +389,19 @@
 	}
 }
 
+// empty hurries all who have been silent for so long, known or not. One whose request has begun has its own time.
+func (d *Door) empty(silent time.Duration) {
+	for _, c := range d.conns {
+		if c.place != free && !c.busy && !c.sending && !c.ready && !c.refused && !c.shut && d.now-c.since >= silent {
+			if !c.sentAway {
+				c.sentAway = true
+				d.count.Shut[SentAway]++
+			}
+			d.do(Action{Kind: Hurry, Conn: c.id, Cause: SentAway})
+		}
+	}
+}
+
 // judge finds the level. Each ends lower than it begins, so that it does not flap.
 func (d *Door) judge() {
 	use := float64(d.total()+d.step) / float64(max(d.c.Places, 1))
--- a/internal/door/ledger.go
+++ b/internal/door/ledger.go
@@ -15,7 +15,8 @@
 	Discovery   Owner = "discovery"
 	StatusOnes  Owner = "status"
 	Files       Owner = "files"
-	Float       Owner = "run-time" // standard streams, the poller, probes, connections that end just now
+	Operators   Owner = "operators" // their door
+	Float       Owner = "run-time"  // standard streams, the poller, probes, connections that end just now
 )
 
 // Line is one owner's part of the ledger.
--- a/internal/door/types.go
+++ b/internal/door/types.go
@@ -83,12 +83,13 @@
 	TooSlow         // longer silent than the level's patience
 	Exhausted       // the process had no descriptor left
 	Left            // ended by the client before it was accepted
+	SentAway        // the router sends clients away
 	causes
 )
 
 // String returns the cause in words.
 func (c Cause) String() string {
-	return [...]string{"none", "rate", "connections", "open requests", "full house", "made room", "too slow", "no descriptor", "left at once"}[c]
+	return [...]string{"none", "rate", "connections", "open requests", "full house", "made room", "too slow", "no descriptor", "left at once", "sent away"}[c]
 }
 
 // EventKind tells what an Event is.
@@ -105,6 +106,7 @@
 	Short                   // the process had no descriptor left
 	Passed                  // time did
 	Retune                  // Config: new settings; who is over a lower bound stays, unless silent
+	Empty                   // Silent: whoever has been silent for so long is to go, as the router sends clients away
 )
 
 // Event is something that happened.
@@ -118,6 +120,7 @@
 	Whole    bool // and the rest of the request, too: one Asked or Closed is due without anybody's doing
 	Left     bool // its client has ended it without a word
 	Config   *Config
+	Silent   time.Duration
 }
 
 // Nobody is the name of a connection that was not admitted.
--- /dev/null
+++ b/internal/management/management_test.go
@@ -0,0 +1,94 @@
+package management
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// scripted is a router that says what it is told to.
+type scripted struct {
+	phase  string
+	values Values
+	err    error
+}
+
+func (s *scripted) Takes() (bool, string) { return s.phase == "serving", s.phase }
+func (s *scripted) Values() Values        { return s.values }
+func (s *scripted) Drain(on bool) (string, error) {
+	if on {
+		return "draining", s.err
+	}
+	return "serving", s.err
+}
+
+func TestAnswers(t *testing.T) {
+	for _, tt := range []struct {
+		line, phase, want string
+		err               error
+	}{
+		{"check", "serving", "+OK\n", nil},
+		{"check\r", "serving", "+OK\n", nil},
+		{"check", "listing", "-ERR listing\n", nil},
+		{"check", "draining", "-ERR draining\n", nil},
+		{"drain-on", "serving", "+OK draining\n", nil},
+		{"drain-off", "draining", "+OK serving\n", nil},
+		{"drain-off", "leaving", "-ERR no\n", errors.New("no")},
+		{"", "serving", "-ERR the line is empty; say check, vars, drain-on or drain-off\n", nil},
+		{"Check", "serving", "-ERR \"Check\" is no call; say check, vars, drain-on or drain-off\n", nil},
+	} {
+		if got := Answer(tt.line, &scripted{phase: tt.phase, err: tt.err}); got != tt.want {
+			t.Errorf("%q while %s: got %q, want %q", tt.line, tt.phase, got, tt.want)
+		}
+	}
+}
+
+// Each figure is there under its name from the first call on, by class in the classes' order, and a line ends it.
+func TestVars(t *testing.T) {
+	s := &scripted{values: Values{Relayed: 9, Open: 4, Entries: 10, Avoided: 2, Accepted: 1, Invalid: 3,
+		Classes: []Class{{Name: `o"dd\`, Throttled: 8}, {Name: "C", Fulfilled: 812, Throttled: 5, Faulted: 6}}}}
+	want := `+OK
+edge_router_fulfilled_total{priority="C"} 812
+edge_router_fulfilled_total{priority="o\"dd\\"} 0
+edge_router_throttled_total{priority="C"} 5
+edge_router_throttled_total{priority="o\"dd\\"} 8
+edge_router_faulted_total{priority="C"} 6
+edge_router_faulted_total{priority="o\"dd\\"} 0
+edge_router_relayed_total 9
+edge_router_open_requests 4
+edge_router_registry_entries 10
+edge_router_out_of_rotation 2
+edge_router_cfg_accepted_total 1
+edge_router_cfg_invalid_total 3
+.
+`
+	if diff := cmp.Diff(want, Answer("vars", s)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Whatever the line, there is one answer, it begins with one of the two words, and a refusal is one line.
+func TestAnyLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		got := Answer(rapid.String().Draw(t, "line"), &scripted{phase: "serving"})
+		ok, refused := strings.HasPrefix(got, "+OK"), strings.HasPrefix(got, "-ERR ")
+		if ok == refused || refused && strings.Count(got, "\n") != 1 {
+			t.Errorf("got %q", got)
+		}
+	})
+}
+
+// The operators' page has the tables as they are made here.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/service.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Page()) {
+		t.Errorf("docs/operators/service.md lacks:\n%s", Page())
+	}
+}
--- a/internal/mirror/pool.go
+++ b/internal/mirror/pool.go
@@ -388,7 +388,7 @@
 }
 
 // Schedule implements routing.Network.
-func (s seated) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message) routing.Head {
+func (s seated) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message, written func()) routing.Head {
 	cm := m.(copyMessage)
 	granted := make(chan bool, 1)
 	s.pool.post(posted{granted: granted, event: shadow.Seat{Copy: cm.copied.id, Host: to.ID}})
@@ -400,7 +400,7 @@
 		left()
 		return routing.Head{Result: balance.NotSent}
 	}
-	head := s.RealServers.Schedule(ctx, deadline, to, cm.Message)
+	head := s.RealServers.Schedule(ctx, deadline, to, cm.Message, written)
 	if head.Body == nil {
 		left()
 	} else {
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -19,12 +19,14 @@
 
 // Config is what the platform tells a router.
 type Config struct {
-	Name      string        `json:"name"`
-	Listen    string        `json:"listen"`
-	Discovery string        `json:"discovery"`
-	Seed      string        `json:"seed"`
-	Limits    Limits        `json:"limits"`
-	Known     protocol.List `json:"known"`
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	// Management is the address of the operators' door, empty for none.
+	Management string        `json:"management"`
+	Seed       string        `json:"seed"`
+	Limits     Limits        `json:"limits"`
+	Known      protocol.List `json:"known"`
 
 	PeerListen string   `json:"peer_listen"`
 	Peers      []string `json:"peers"` // every router's address, its own included, by their numbers
@@ -66,7 +68,7 @@
 	}
 	c.discovery = c.Discovery
 	for name, field := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen,
-		"ROUTER_DISCOVERY": &c.Discovery} {
+		"ROUTER_DISCOVERY": &c.Discovery, "ROUTER_MANAGEMENT": &c.Management} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
@@ -91,6 +93,9 @@
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
+	if _, _, err := net.SplitHostPort(c.Management); c.Management != "" && err != nil {
+		return fmt.Errorf("management: %w", err)
+	}
 	var err error
 	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", c.Seed)
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -101,7 +101,8 @@
 		{Owner: door.Discovery, Share: 1},
 		{Owner: door.Copies, Share: c.copies()},
 		{Owner: door.StatusOnes, Share: c.aside() - c.copies()}, // with the files of the records
-		{Owner: door.Float, Share: otherSockets - listenerSockets - 1 - step},
+		{Owner: door.Operators, Share: transport.ManagementSockets},
+		{Owner: door.Float, Share: otherSockets - listenerSockets - transport.ManagementSockets - 1 - step},
 	}}
 }
 
--- /dev/null
+++ b/internal/program/phases_test.go
@@ -0,0 +1,60 @@
+package program
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// What the operators rely on, read off the tables: who is ready, who accepts, and that SIGTERM leads out of every phase
+// in which there is anything to leave.
+func TestPhaseTables(t *testing.T) {
+	got := map[string][]Phase{}
+	for _, p := range []Phase{Starting, Listing, Withheld, Serving, Draining, Leaving, Finishing, Stopped} {
+		d := phases[p]
+		for word, is := range map[string]bool{"ready": d.ready, "accepts an own": d.accepts >= fromOwn,
+			"accepts an inherited": d.accepts == fromEvery, "keeps": d.keeps, "sends off": d.sendOff > 0,
+			"SIGTERM": transitions[p][sigterm] == Leaving, "drains twice": transitions[transitions[p][drainOn]][drainOn] == transitions[p][drainOn] && transitions[p][drainOn] != ""} {
+			if is {
+				got[word] = append(got[word], p)
+			}
+		}
+	}
+	want := map[string][]Phase{
+		"ready":                {Serving},
+		"accepts an own":       {Listing, Withheld, Serving, Draining, Leaving},
+		"accepts an inherited": {Serving, Draining},
+		"keeps":                {Starting, Listing, Serving},
+		"sends off":            {Draining, Leaving, Finishing},
+		"SIGTERM":              {Listing, Withheld, Serving, Draining},
+		"drains twice":         {Listing, Withheld, Serving, Draining},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Whatever happens in whatever order: the router is ready just when an entry is known, the last word was not to drain, and no SIGTERM came.
+func TestTransitions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		phase, drained, known, ended := Listing, false, false, false
+		for _, what := range rapid.SliceOf(rapid.SampledFrom([]happening{listed, drainOn, drainOff, sigterm, passed, emptied})).Draw(t, "happenings") {
+			if what == listed && known {
+				continue // is told once
+			}
+			next, ok := transitions[phase][what]
+			if ok {
+				phase = next
+			}
+			known = known || what == listed
+			if !ended && (what == drainOn || what == drainOff) {
+				drained = what == drainOn
+			}
+			ended = ended || what == sigterm
+			if ready := phases[phase].ready; ready != (known && !drained && !ended) {
+				t.Fatalf("%s: ready is %t with an entry %t, drained %t, ended %t", phase, ready, known, drained, ended)
+			}
+		}
+	})
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"reachspread/balance"
@@ -18,22 +19,8 @@
 	"reachspread/internal/transport"
 )
 
-// Phase is a named state of the program.
-type Phase string
-
-// The phases, in their order.
 const (
-	Starting  Phase = "starting"  // resources are set up, nothing is answered
-	Listing   Phase = "listing"   // listening, not ready: no service entry is known
-	Serving   Phase = "serving"   // ready
-	Leaving   Phase = "leaving"   // SIGTERM came: still accepting, each answer ends its connection
-	Finishing Phase = "finishing" // accepting no more, answering what was taken
-	Stopped   Phase = "stopped"
-)
-
-const (
-	leaveFor    = 700 * time.Millisecond // clients may come for that long after SIGTERM
-	probeAnswer = 60 * time.Millisecond  // beyond the time to connect
+	probeAnswer = 60 * time.Millisecond // beyond the time to connect
 	// silentFor is how long a stream may be silent. From 5 s on its client is taken to be kept waiting for nothing.
 	silentFor   = 4500 * time.Millisecond
 	memoryShare = 0.6 // of the limit is for the heap; stacks and socket buffers need some, too
@@ -52,16 +39,25 @@
 	front   *transport.Front
 	ln      net.Listener
 
-	mu    sync.Mutex
-	phase Phase
-	known chan struct{} // closed once any service entry is known
-	once  sync.Once
+	management *transport.Management // the operators' door, nil without an address
+	inherited  bool                  // ln is also others'
+	served     chan error            // how accepting ended
+	said       chan Phase            // phases whose lines are due
+	accepted   atomic.Uint64         // files taken at SIGHUP
+	invalid    atomic.Uint64         // files turned down
+
+	mu        sync.Mutex
+	phase     Phase
+	accepting bool   // has begun
+	left      func() // ends what the phase does as time passes
+	once      sync.Once
 }
 
 // New returns a program that has done nothing yet with its configuration, which Load and ReadSettings gave; file
 // names the operators' settings, and is empty where there are none.
 func New(cfg *Config, getenv func(string) string, file string, log routing.Logger) *Program {
-	return &Program{cfg: cfg, getenv: getenv, file: file, log: log, phase: Starting, known: make(chan struct{})}
+	return &Program{cfg: cfg, getenv: getenv, file: file, log: log, phase: Starting,
+		served: make(chan error, 1), said: make(chan Phase, mostSaid), left: func() {}}
 }
 
 // Run serves until ctx ends, then leaves in order. Whenever something comes from reload, it takes up the
@@ -114,32 +110,36 @@
 	if p.mirror != nil {
 		go p.tendDoor(work)
 	}
+	written := make(chan struct{})
+	go p.say(written)
+	defer func() {
+		p.mu.Lock()
+		p.phase = Stopped // nothing more happens, whatever ended it
+		p.mu.Unlock()
+		close(p.said)
+		<-written
+	}()
+	if err := p.startManagement(); err != nil {
+		return err
+	}
+	defer p.stopManagement()
+	p.happen(opened)
 	p.tell(&p.cfg.Known)
 	go p.watch(work, reload)
-	p.enter(Listing)
-	served := make(chan error, 1)
-	go func() { served <- p.front.Serve(p.ln) }()
 
-	select {
-	case <-p.known:
-		p.enter(Serving)
-	case <-ctx.Done():
-	case err := <-served:
-		return fmt.Errorf("listen: %w", err)
-	}
 	select {
 	case <-ctx.Done():
-	case err := <-served:
+	case err := <-p.served:
 		return fmt.Errorf("listen: %w", err)
 	}
-	p.enter(Leaving)
+	p.happen(sigterm)
 	time.Sleep(leaveFor)
-	p.enter(Finishing)
+	p.happen(passed)
 	if err := p.front.Shutdown(); err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
 	p.stopMirror()
-	p.enter(Stopped)
+	p.happen(emptied)
 	return nil
 }
 
@@ -179,13 +179,14 @@
 		}
 		cfg, err := Reload(p.getenv)
 		if err != nil {
-			p.log.Warn("reload refused", "cause", err)
+			p.refuse(err)
 			continue
 		}
 		if err := p.reloadSettings(cfg); err != nil {
-			p.log.Warn("reload refused", "cause", err)
+			p.refuse(err)
 			continue
 		}
+		p.accepted.Add(1)
 		p.log.Info("reloaded", "discovery", cfg.discovery)
 		if cfg.discovery != p.cfg.discovery {
 			p.cfg.discovery = cfg.discovery
@@ -194,32 +195,16 @@
 	}
 }
 
+// refuse counts and tells that a file was turned down.
+func (p *Program) refuse(cause error) {
+	p.invalid.Add(1)
+	p.log.Warn("reload refused", "cause", cause)
+}
+
 // tell hands a list of service entries to the core.
 func (p *Program) tell(l *protocol.List) {
 	p.router.Told(l.Members(), l.Addrs())
 	if len(l.Servers) > 0 {
-		p.once.Do(func() { close(p.known) })
-	}
-}
-
-// enter changes the phase, and with it what the front answers.
-func (p *Program) enter(phase Phase) {
-	p.mu.Lock()
-	p.phase = phase
-	p.mu.Unlock()
-	p.front.SetReady(phase == Serving)
-	if phase == Leaving {
-		p.front.Leave()
-		if p.mirror != nil {
-			p.mirror.Leave()
-		}
+		p.once.Do(func() { p.happen(listed) })
 	}
-	p.log.Info("phase", "name", phase)
-}
-
-// Phase returns the state that the program is in.
-func (p *Program) Phase() Phase {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.phase
 }
--- /dev/null
+++ b/internal/program/service.go
@@ -0,0 +1,55 @@
+package program
+
+import (
+	"fmt"
+
+	"reachspread/internal/management"
+	"reachspread/internal/transport"
+)
+
+// startManagement opens the operators' door, if there is to be one.
+func (p *Program) startManagement() (err error) {
+	if p.cfg.Management == "" {
+		return nil
+	}
+	answer := func(line string) string { return management.Answer(line, p) }
+	if p.management, err = transport.NewManagement(p.cfg.Management, answer); err != nil {
+		return fmt.Errorf("management: %w", err)
+	}
+	go p.management.Serve()
+	return nil
+}
+
+// stopManagement closes the operators' door.
+func (p *Program) stopManagement() {
+	if p.management != nil {
+		p.management.Close()
+	}
+}
+
+// Takes implements management.Router.
+func (p *Program) Takes() (bool, string) {
+	phase := p.Phase()
+	return phases[phase].ready, string(phase)
+}
+
+// Drain implements management.Router.
+func (p *Program) Drain(on bool) (string, error) {
+	what := drainOff
+	if on {
+		what = drainOn
+	}
+	phase, err := p.happen(what)
+	return string(phase), err
+}
+
+// Values implements management.Router.
+func (p *Program) Values() management.Values {
+	f := p.router.Figures()
+	v := management.Values{Relayed: f.Relayed, Open: f.Open, Entries: f.Entries, Avoided: f.Avoided,
+		Accepted: p.accepted.Load(), Invalid: p.invalid.Load()}
+	for name, c := range f.Classes {
+		v.Classes = append(v.Classes, management.Class{Name: name, Fulfilled: c.Served, Throttled: c.TurnedDown, Faulted: c.Failed})
+	}
+	return v
+}
--- a/internal/routing/entries.go
+++ b/internal/routing/entries.go
@@ -35,6 +35,7 @@
 			delete(r.entries, id)
 		}
 	}
+	r.figures.entries.Store(int64(len(r.entries)))
 	r.mu.Unlock()
 	for _, id := range moved {
 		r.network.Forget(id)
--- /dev/null
+++ b/internal/routing/figures.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"maps"
+	"sync/atomic"
+
+	"reachspread/balance"
+)
+
+// mostClasses bounds the classes that are counted, those that a reload took away among them.
+const mostClasses = 256
+
+// figures counts what the core does. Whoever sees a thing happen counts it; reading waits for nobody.
+type figures struct {
+	classes atomic.Pointer[map[string]*class] // replaced, never changed
+	relayed atomic.Uint64                     // attempts written whole
+	open    atomic.Int64                      // flows taken in and not done
+	entries atomic.Int64                      // real servers listed
+	avoided atomic.Int64                      // of these, out of rotation
+}
+
+// class counts the ends of one class of flows. A nil class is one that nobody listed: it counts nothing.
+type class struct{ ended [Unfit + 1]atomic.Uint64 }
+
+// end counts a flow that ended so.
+func (c *class) end(v Verdict) {
+	if c != nil {
+		c.ended[v].Add(1)
+	}
+}
+
+// list has these classes be counted, too. The ones before stay: what was counted is true for good.
+func (f *figures) list(classes []balance.Class) {
+	next := map[string]*class{}
+	maps.Copy(next, f.all())
+	for _, c := range classes {
+		if next[c.Name] == nil && len(next) < mostClasses {
+			next[c.Name] = new(class)
+		}
+	}
+	f.classes.Store(&next)
+}
+
+// all returns the counts by class, to be read only.
+func (f *figures) all() map[string]*class {
+	if all := f.classes.Load(); all != nil {
+		return *all
+	}
+	return nil
+}
+
+// of returns the counts of a class, nil if it is not listed.
+func (f *figures) of(name string) *class { return f.all()[name] }
+
+// Counts is how the flows of a class ended so far.
+type Counts struct{ Served, TurnedDown, Failed uint64 }
+
+// Figures is what the core did so far, and how it stands.
+type Figures struct {
+	Classes map[string]Counts
+	Relayed uint64
+	Open    int64
+	Entries int64
+	Avoided int64
+}
+
+// Figures returns the figures. It waits for nothing.
+func (r *Router) Figures() Figures {
+	f := &r.figures
+	out := Figures{Classes: map[string]Counts{}, Relayed: f.relayed.Load(), Open: f.open.Load(),
+		Entries: f.entries.Load(), Avoided: f.avoided.Load()}
+	for name, c := range f.all() {
+		out.Classes[name] = Counts{Served: c.ended[Served].Load(), TurnedDown: c.ended[TurnedDown].Load(),
+			Failed: c.ended[Failed].Load() + c.ended[Unfit].Load()}
+	}
+	return out
+}
+
+// Refused counts a request of a class that a front ended before it was a flow.
+func (r *Router) Refused(class string, v Verdict) { r.figures.of(class).end(v) }
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -30,6 +30,7 @@
 type Flow struct {
 	id       string // the module's name for it
 	arrival  balance.Arrival
+	class    *class // counts its end
 	message  Message
 	deadline time.Time
 
@@ -41,11 +42,15 @@
 	holds    atomic.Int32 // of the client and of each scheduling that is out
 }
 
-// answer gives the flow its final answer and reports whether it was the first. This is the only place that does.
+// answer gives the flow its final answer and reports whether it was the first. This is the only place that does, and
+// the one that counts it, but for a stream, whose end tells whether the flow was served.
 func (f *Flow) answer(a Answer) bool {
 	if !f.answered.CompareAndSwap(false, true) {
 		return false
 	}
+	if a.Stream == nil {
+		f.class.end(a.Verdict)
+	}
 	f.final <- a
 	return true
 }
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -52,6 +52,13 @@
 		case errors.Is(st.err, os.ErrDeadlineExceeded):
 			head.Result = balance.TimedOut // silent: the process need not be dead
 		}
+		switch head.Result {
+		case balance.OK:
+			st.s.flow.class.end(Served)
+		case balance.Cancelled: // nobody was left to be answered
+		default:
+			st.s.flow.class.end(Failed)
+		}
 		var kept float64
 		kept, head.Load = st.body.End()
 		st.router.bookStream(st.s, head, kept)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -30,8 +30,8 @@
 type Network interface {
 	// Schedule sends m to a real server once and waits until the deadline for the first event of its answer. The end
 	// of ctx ends all of it, the body too. Whatever does not return a body has been given up by then, so that
-	// no two schedulings of a flow overlap.
-	Schedule(ctx context.Context, deadline time.Time, to Entry, m Message) Head
+	// no two schedulings of a flow overlap. It calls written once the last byte of m is.
+	Schedule(ctx context.Context, deadline time.Time, to Entry, m Message, written func()) Head
 	// Probe asks a real server for its load, until ctx ends.
 	Probe(ctx context.Context, to Entry) (balance.Result, *balance.Load)
 	// Forget closes the idle connections to a real server.
@@ -72,6 +72,7 @@
 	probeFor time.Duration
 	tell     func(balance.Tell) // to other routers; must not block
 	refused  atomic.Uint64      // flows turned down so far
+	figures  figures
 
 	mu      sync.Mutex
 	pending []balance.Event
@@ -87,8 +88,10 @@
 
 // New returns a Router that stands still until Run. A probe is given up after probeFor.
 func New(b *balance.Balancer, n Network, log Logger, probeFor time.Duration) *Router {
-	return &Router{balancer: b, network: n, log: log, clock: startClock(), probeFor: probeFor,
+	r := &Router{balancer: b, network: n, log: log, clock: startClock(), probeFor: probeFor,
 		tell: func(balance.Tell) {}, entries: map[string]entry{}, flows: map[string]*Flow{}, wake: make(chan struct{}, 1)}
+	r.figures.list(b.Classes())
+	return r
 }
 
 // Tells has the words of the module to other routers carried by tell. It is called before Run.
@@ -135,6 +138,7 @@
 			}
 			r.route(action)
 		}
+		r.figures.avoided.Store(int64(r.balancer.Avoided()))
 		r.forget(ended)
 		if wakeAt > 0 {
 			timer.Reset(wakeAt - r.clock.now())
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -19,7 +19,7 @@
 		return
 	}
 	go func() {
-		head := r.network.Schedule(f.ctx, f.deadline, to, f.message)
+		head := r.network.Schedule(f.ctx, f.deadline, to, f.message, func() { r.figures.relayed.Add(1) })
 		if head.Body != nil {
 			r.relay(s, head.Body)
 			return
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -11,12 +11,13 @@
 // unless there is an error.
 func (r *Router) TakeIn(a balance.Arrival, came time.Time, m Message) (*Flow, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Flow{id: a.ID, arrival: a, message: m, deadline: came.Add(a.Left), ctx: ctx, cancel: cancel, final: make(chan Answer, 1)}
+	f := &Flow{id: a.ID, arrival: a, class: r.figures.of(a.Class), message: m, deadline: came.Add(a.Left), ctx: ctx, cancel: cancel, final: make(chan Answer, 1)}
 	f.holds.Store(1)
 	if err := r.admit(f); err != nil {
 		cancel()
 		return nil, err
 	}
+	r.figures.open.Add(1)
 	return f, nil
 }
 
@@ -29,6 +30,7 @@
 // Done ends a flow whose client has its answer, or has gone.
 func (r *Router) Done(f *Flow) {
 	f.cancel()
+	r.figures.open.Add(-1)
 	r.release(f)
 }
 
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -61,7 +61,7 @@
 	}
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
-		ErrorHandler:                 refuse,
+		ErrorHandler:                 f.refuse,
 		Concurrency:                  f.listener.most + 1, // never reached: the listener waits before
 		StreamRequestBody:            true,                // a body is read here, so that what it takes up is bounded
 		MaxRequestBodySize:           MaxBody,
@@ -80,7 +80,7 @@
 
 // Serve answers the clients that connect to ln until Shutdown.
 func (f *Front) Serve(ln net.Listener) error {
-	if err := f.listener.listen(ln); err != nil {
+	if err := f.listener.listen(ln); err != nil || f.listener.socket == nil {
 		return err
 	}
 	return f.server.Serve(f.listener)
@@ -89,11 +89,24 @@
 // SetReady says what /-/ready is to answer.
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
-// Leave has each further answer end its connection.
-func (f *Front) Leave() { f.leaving.Store(true) }
+// SetKeeps says whether a connection outlives its answer.
+func (f *Front) SetKeeps(keeps bool) { f.leaving.Store(!keeps) }
 
-// Shutdown accepts no more and waits for what was taken to be answered.
-func (f *Front) Shutdown() error { return f.server.Shutdown() }
+// Empty closes the connections that have been silent for so long. One whose next request has come by then is served.
+func (f *Front) Empty(silent time.Duration) {
+	f.listener.tell(door.Event{Kind: door.Empty, Silent: silent})
+}
+
+// StopAccepting ends Serve. Connections stay, and so does an inherited listener for whoever else has it.
+func (f *Front) StopAccepting() { f.listener.Close() }
+
+// Shutdown waits for what was taken to be answered. No silent connection is closed here without a last look at it: that
+// the HTTP server does not take.
+func (f *Front) Shutdown() error {
+	f.StopAccepting()
+	f.listener.emptied(func() { f.Empty(0) })
+	return f.server.Shutdown()
+}
 
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
 	if f.leaving.Load() {
@@ -120,13 +133,13 @@
 func (f *Front) complete(ctx *fasthttp.RequestCtx) {
 	header := &ctx.Request.Header
 	if err := protocol.CheckFraming(header.RawHeaders()); err != nil {
-		reject(ctx, fasthttp.StatusBadRequest, err.Error())
+		f.lose(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
 	body, err := f.readBody(ctx)
 	defer f.bodies.Add(-int64(cap(body))) // once the answer has begun, nobody needs it any more
 	if err != nil {
-		refuse(ctx, err)
+		f.refuse(ctx, err)
 		return
 	}
 	came := time.Now()
@@ -137,7 +150,7 @@
 	}
 	arrival, err := protocol.ParseArrival(func(name string) string { return string(header.Peek(name)) }, len(body))
 	if err != nil {
-		reject(ctx, fasthttp.StatusBadRequest, err.Error())
+		f.lose(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
 	m := &Message{
@@ -150,7 +163,7 @@
 	conn.open = true
 	flow, err := f.router.TakeIn(arrival, came, m)
 	if err != nil {
-		reject(ctx, fasthttp.StatusConflict, err.Error())
+		f.lose(ctx, fasthttp.StatusConflict, err.Error())
 		return
 	}
 	var watcher Watcher
@@ -212,7 +225,7 @@
 	if code == 0 { // its connection was shut while the request came: nobody reads this
 		code = fasthttp.StatusServiceUnavailable
 	}
-	reject(ctx, code, line)
+	f.lose(ctx, code, line)
 	return false
 }
 
@@ -282,7 +295,7 @@
 }
 
 // refuse answers a request that could not be read.
-func refuse(ctx *fasthttp.RequestCtx, err error) {
+func (f *Front) refuse(ctx *fasthttp.RequestCtx, err error) {
 	c, ok := ctx.Conn().(*clientConn)
 	if ok && !c.used {
 		// Nothing was asked. An answer that crosses the first request would be taken for that request's.
@@ -302,5 +315,15 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		code, line = fasthttp.StatusRequestTimeout, "the request took too long to arrive"
 	}
+	f.lose(ctx, code, line)
+}
+
+// lose rejects a request that is no flow, and counts it in place of one.
+func (f *Front) lose(ctx *fasthttp.RequestCtx, code int, line string) {
+	v := routing.Failed
+	if code == fasthttp.StatusTooManyRequests || code == fasthttp.StatusServiceUnavailable {
+		v = routing.TurnedDown
+	}
+	f.router.Refused(string(ctx.Request.Header.Peek(protocol.HeaderClass)), v)
 	reject(ctx, code, line)
 }
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -12,12 +12,13 @@
 
 	"reachspread/internal/door"
 	"reachspread/internal/peers"
+	"reachspread/internal/routing"
 )
 
 // serve starts a front with short times, without a core behind it, and returns its address.
 func serve(t *testing.T, limits FrontLimits) string {
 	t.Helper()
-	front := NewFront(nil, limits, nil)
+	front := NewFront(new(routing.Router), limits, nil)
 	front.server.ReadTimeout = 200 * time.Millisecond
 	front.SetReady(true)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -56,6 +56,7 @@
 	mu    sync.Mutex
 	door  *door.Door
 	conns []*clientConn // by their names at the door
+	ended bool          // nothing is accepted any more
 	alive int           // given to the HTTP server and not closed by it
 	most  int           // of alive
 	room  *sync.Cond    // alive went down
@@ -81,6 +82,11 @@
 
 // listen has l listen on ln, which must be a socket of the system's.
 func (l *listener) listen(ln net.Listener) (err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return ln.Close()
+	}
 	l.Listener = ln
 	socket, ok := ln.(interface{ File() (*os.File, error) })
 	if !ok {
@@ -100,8 +106,34 @@
 	return errors.Join(failed, err)
 }
 
-// Close ends the listener; connections stay.
-func (l *listener) Close() error { return errors.Join(l.Listener.Close(), l.socket.Close()) }
+// Close ends the listener, also one that is about to listen; connections stay.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended || l.socket == nil {
+		l.ended = true
+		return nil
+	}
+	l.ended = true
+	return errors.Join(l.Listener.Close(), l.socket.Close())
+}
+
+// emptyEvery is how often the last connections are looked at.
+const emptyEvery = 20 * time.Millisecond
+
+// emptied calls empty until no connection is left.
+func (l *listener) emptied(empty func()) {
+	for {
+		empty()
+		l.mu.Lock()
+		left := l.alive
+		l.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		time.Sleep(emptyEvery)
+	}
+}
 
 // accept returns the descriptor of the next connection. Those that are turned away never come any further: making a
 // net.Conn of one costs as much as all else that is done for it.
@@ -295,6 +327,7 @@
 	case door.Shut:
 		l.conns[a.Conn].Conn.Close()
 	case door.Hurry:
+		l.conns[a.Conn].hurried = true
 		l.conns[a.Conn].Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -372,6 +405,7 @@
 	unread   bool   // more of a refused request may come
 	open     bool   // a request was read whole and is not answered
 	closed   bool
+	hurried  bool // its time is over; the listener's lock guards it
 }
 
 // Read is called by fasthttp between requests and for what is left of one, never while one is open.
@@ -387,15 +421,45 @@
 		c.ahead = c.ahead[n:]
 	} else {
 		n, err = c.Conn.Read(p)
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() && !c.begun {
+			n, err = c.lastLook(p, err)
+		}
 	}
 	if n > 0 && !c.begun {
 		c.used, c.begun = true, true
 		// It is not idle any more; later bytes gain a slow sender no time.
 		c.listener.tell(door.Event{Kind: door.Began, Conn: c.name})
+		c.unhurry()
 	}
 	return n, err
 }
 
+// lastLook is for a silent connection whose time is over. A request that has come but was not read, as the router had
+// no time of the core, is read now; where there is none, the close follows at once, so that hardly any can cross it.
+func (c *clientConn) lastLook(p []byte, over error) (n int, err error) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, over
+	}
+	raw.Control(func(fd uintptr) { n, err = syscall.Read(int(fd), p) })
+	if n > 0 {
+		c.Conn.SetReadDeadline(time.Now().Add(slowClient))
+		return n, nil
+	}
+	c.Conn.Close()
+	return 0, over
+}
+
+// unhurry gives a request that came as its connection was hurried the time that any has.
+func (c *clientConn) unhurry() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.hurried {
+		c.hurried = false
+		c.Conn.SetReadDeadline(time.Now().Add(slowClient))
+	}
+}
+
 // Write gives up on a client that reads no more: its stream would hold a real server's connection for ever.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.Conn.SetWriteDeadline(time.Now().Add(c.listener.reading()))
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -89,7 +89,7 @@
 }
 
 // Schedule implements routing.Network. Nothing is ever sent a second time here: that is the module's decision.
-func (s *RealServers) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message) routing.Head {
+func (s *RealServers) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message, written func()) routing.Head {
 	msg := m.(*Message)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -104,7 +104,7 @@
 
 	headCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	x, result := s.exchange(headCtx, deadline, to, req)
+	x, result := s.exchange(headCtx, deadline, to, req, written)
 	if x == nil {
 		return routing.Head{Result: result}
 	}
@@ -132,7 +132,7 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetRequestURI(protocol.PathLoad)
-	x, result := s.exchange(ctx, time.Time{}, to, req)
+	x, result := s.exchange(ctx, time.Time{}, to, req, func() {})
 	if x == nil {
 		return result, nil
 	}
@@ -162,7 +162,7 @@
 
 // exchange writes a request and reads the head of its answer. Without one it tells the result, which depends on
 // whether the last byte had been written.
-func (s *RealServers) exchange(ctx context.Context, deadline time.Time, to routing.Entry, req *fasthttp.Request) (*exchange, balance.Result) {
+func (s *RealServers) exchange(ctx context.Context, deadline time.Time, to routing.Entry, req *fasthttp.Request, written func()) (*exchange, balance.Result) {
 	c, err := s.pool.take(ctx, to)
 	if err != nil {
 		if errors.Is(err, errNoSocket) {
@@ -186,6 +186,7 @@
 		x.close()
 		return nil, ended(ctx, balance.NotSent, balance.NoConnection)
 	}
+	written()
 	if err := x.readHead(ctx); err != nil {
 		result := x.failed(ctx, balance.TimedOut)
 		x.close()
