Replacing the process: the listener is inherited, and two processes keep one router's limits

Change: ROUTER_ACCEPT_FD names the inherited listener; accepting begins with phase serving and ends at SIGTERM. Each process locks a byte of a file in TMPDIR, finds the others and takes what their descriptors leave (internal/beside, program/room.go). The peers' address is taken over once it is free. At SIGTERM silent connections go at once, after the last look; connections whose answer had begun before go with it once clients have had 0.7 s.

Seen on the way: a request of 16.15 s lost on a process told to end at 12.82 s; its stream had begun before SIGTERM and could not say Connection: close, so the client asked again (a trace of request in, sent, head and end by id). Another: starting a process through a platform that hands out descriptors made the shared socket block, and accept4 with it, so SIGTERM hung (goroutine dump); the flag is set anew before each accept. Ruled out: the door (0 requests ended there in 4 replacements), limits, and slow starts (yes after 0.0 s).

--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -35,6 +35,7 @@
 
 	seed      uint64
 	balance   balance.Config
+	acceptFD  int                // the clients' listener as inherited, 0 for an own one
 	discovery string             // as the file says it, whatever the environment does
 	set       *settings.Settings // the operators' file, nil for none
 }
@@ -73,6 +74,11 @@
 			*field = v
 		}
 	}
+	if fd := getenv("ROUTER_ACCEPT_FD"); fd != "" {
+		if c.acceptFD, err = strconv.Atoi(fd); err != nil || c.acceptFD < 3 {
+			return nil, fmt.Errorf("ROUTER_ACCEPT_FD is %q; it must be the number of a descriptor, 3 or more", fd)
+		}
+	}
 	return c, c.check()
 }
 
@@ -105,8 +111,8 @@
 		return fmt.Errorf("limits.cores is %v; it must be more than 0", l.Cores)
 	case l.MemoryMB < 32:
 		return fmt.Errorf("limits.memory_mb is %d; it must be 32 or more", l.MemoryMB)
-	case l.Sockets < otherSockets+2*fewestClient:
-		return fmt.Errorf("limits.sockets is %d; it must be %d or more", l.Sockets, otherSockets+2*fewestClient)
+	case c.clients() < fewestClient:
+		return fmt.Errorf("limits.sockets is %d; it must be %d or more", l.Sockets, l.Sockets+2*(fewestClient-c.clients()))
 	}
 	if err := c.Known.Check(); err != nil {
 		return fmt.Errorf("known.%w", err)
@@ -148,10 +154,6 @@
 	return nil
 }
 
-// clients returns how many client connections fit: each may need a second one to a real server. What the operators'
-// settings need is set aside first.
-func (c *Config) clients() int { return (c.Limits.Sockets - otherSockets - c.aside()) / 2 }
-
 // aside returns how many descriptors are set aside for what the operators' settings turn on.
 func (c *Config) aside() int {
 	if c.set == nil {
@@ -179,9 +181,6 @@
 	return nil
 }
 
-// bodies returns how many bytes the bodies of requests may take up together.
-func (c *Config) bodies() int { return c.Limits.MemoryMB << 20 / 4 }
-
 // connectFor is the time for a connection to a real server to come up.
 func (c *Config) connectFor() time.Duration { return time.Duration(c.Settings.Limits.ConnectTimeoutNs) }
 
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -25,8 +25,8 @@
 )
 
 // frontLimits is what clients may take up.
-func (p *Program) frontLimits(clients int) transport.FrontLimits {
-	l := transport.FrontLimits{Bodies: p.cfg.bodies(), Seed: p.cfg.seed, Door: p.cfg.door(clients), Short: p.short()}
+func (p *Program) frontLimits(r room) transport.FrontLimits {
+	l := transport.FrontLimits{Bodies: r.bodies, Seed: p.cfg.seed, Door: p.cfg.door(r.clients), Short: p.short()}
 	if p.cfg.set != nil && p.cfg.set.Door != nil {
 		l.Identity = p.cfg.set.Door.Identity
 	}
@@ -90,14 +90,14 @@
 }
 
 // shares is the ledger as the configuration divides it, before anybody has a descriptor.
-func (c *Config) shares() door.Ledger {
-	clients, reserve, step := c.clients(), c.door(c.clients()).Reserve, c.door(c.clients()).Step
+func (c *Config) shares(r room) door.Ledger {
+	clients, reserve, step := r.clients, c.door(r.clients).Reserve, c.door(r.clients).Step
 	return door.Ledger{Limit: c.Limits.Sockets, Lines: []door.Line{
 		{Owner: door.Listeners, Share: listenerSockets},
 		{Owner: door.KnownOnes, Share: reserve},
 		{Owner: door.Unknown, Share: clients - reserve},
 		{Owner: door.StepOnes, Share: step},
-		{Owner: door.RealServers, Share: c.Limits.Sockets - otherSockets - c.aside() - clients},
+		{Owner: door.RealServers, Share: r.servers},
 		{Owner: door.Discovery, Share: 1},
 		{Owner: door.Copies, Share: c.copies()},
 		{Owner: door.StatusOnes, Share: c.aside() - c.copies()}, // with the files of the records
@@ -118,7 +118,7 @@
 	if p.status != nil {
 		used[door.StatusOnes] = 1
 	}
-	l := p.cfg.shares()
+	l := p.cfg.shares(*p.room.Load())
 	for i := range l.Lines {
 		l.Lines[i].Used = used[l.Lines[i].Owner]
 	}
--- /dev/null
+++ b/internal/program/exchange_test.go
@@ -0,0 +1,215 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"reachspread/internal/peers"
+)
+
+// platformOf is what starts and ends processes of one router: it holds the clients' listener, and the folder and the
+// configuration that they share.
+type platformOf struct {
+	t      *testing.T
+	binary string
+	ln     *os.File
+	addr   string
+	folder string
+	config string
+}
+
+// one is a process of the router.
+type one struct {
+	t     *testing.T
+	cmd   *exec.Cmd
+	door  string
+	log   chan string
+	ended chan bool
+}
+
+func newPlatform(t *testing.T, hosts ...*peers.Model) *platformOf {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &platformOf{t: t, binary: buildRouter(t), ln: f, addr: ln.Addr().String(), folder: t.TempDir()}
+	ln.Close()
+	t.Cleanup(func() { f.Close() })
+	var entries []string
+	for i, h := range hosts {
+		entries = append(entries, peers.Entry(fmt.Sprint("s", i), h.Addr, "Ready"))
+	}
+	d := peers.NewDiscovery(t, peers.List(1, true, entries...))
+	p.config = configFile(t, "127.0.0.1:1", d.Addr)("ROUTER_CONFIG")
+	return p
+}
+
+// start starts a process with the listener as descriptor 5, and does not wait for it.
+func (p *platformOf) start(env ...string) *one {
+	p.t.Helper()
+	door, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	o := &one{t: p.t, door: door.Addr().String(), log: make(chan string, 1000), ended: make(chan bool)}
+	door.Close()
+	o.cmd = exec.Command(p.binary, "serve")
+	o.cmd.Env = append(append(os.Environ(), "ROUTER_CONFIG="+p.config, "ROUTER_LISTEN="+p.addr, "ROUTER_ACCEPT_FD=5",
+		"ROUTER_MANAGEMENT="+o.door, "TMPDIR="+p.folder), env...)
+	null, err := os.Open(os.DevNull)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer null.Close()
+	o.cmd.ExtraFiles = []*os.File{null, null, p.ln}
+	errs, err := o.cmd.StderrPipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := o.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	go func() {
+		for lines := bufio.NewScanner(errs); lines.Scan(); {
+			o.log <- lines.Text()
+		}
+		close(o.log)
+		o.cmd.Wait()
+		close(o.ended)
+	}()
+	p.t.Cleanup(func() { o.cmd.Process.Kill(); <-o.ended })
+	return o
+}
+
+// yes waits until the process takes clients.
+func (o *one) yes() *one {
+	o.t.Helper()
+	for end := time.Now().Add(peers.Patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		c, err := net.Dial("tcp", o.door)
+		if err != nil {
+			continue
+		}
+		io.WriteString(c, "check\n")
+		text, _ := io.ReadAll(c)
+		c.Close()
+		if strings.HasPrefix(string(text), "+OK") {
+			return o
+		}
+	}
+	o.t.Fatal("no yes")
+	return nil
+}
+
+// leaves sends SIGTERM and waits for the exit with status 0.
+func (o *one) leaves() {
+	o.t.Helper()
+	o.cmd.Process.Signal(syscall.SIGTERM)
+	o.exit(true)
+}
+
+func (o *one) exit(well bool) {
+	o.t.Helper()
+	peers.Next(o.t, o.ended, "the exit")
+	if o.cmd.ProcessState.Success() != well {
+		o.t.Errorf("the process ended with %v", o.cmd.ProcessState)
+	}
+}
+
+// crowd are clients that ask all the time on connections that they keep, until stopped; what went wrong is returned.
+func crowd(addr string, clients int) (stop func() (asked int, wrong []string)) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	asked, wrong, end := 0, []string(nil), make(chan bool)
+	for i := range clients {
+		all.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}, Timeout: peers.Patience}
+			for n := 0; ; n++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				r, _ := http.NewRequest("POST", "http://"+addr+"/v1/chat/completions", strings.NewReader("{}"))
+				for name, value := range map[string]string{"X-Correlation-Id": fmt.Sprintf("c%d-%d", i, n), "X-Service-Class": "chat", "X-Time-Left": "8000m"} {
+					r.Header.Set(name, value)
+				}
+				resp, err := client.Do(r)
+				text := []byte(nil)
+				if err == nil {
+					text, err = io.ReadAll(resp.Body)
+					resp.Body.Close()
+				}
+				mu.Lock()
+				asked++
+				if err != nil || resp.StatusCode != 200 || !strings.Contains(string(text), "[DONE]") {
+					wrong = append(wrong, fmt.Sprintf("c%d-%d: %v %s", i, n, err, text))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	return func() (int, []string) {
+		close(end)
+		all.Wait()
+		return asked, wrong
+	}
+}
+
+// Processes take over from each other under load, two in a row, past one that dies before its yes and leftovers in
+// the folder that they share. No request is refused, closed on or answered twice, and each process ends well.
+func TestProcessIsReplaced(t *testing.T) {
+	hosts := []*peers.Model{peers.NewModel(t, peers.Manner{Events: 3, Gap: 5 * time.Millisecond}), peers.NewModel(t, peers.Manner{Events: 3, Gap: 5 * time.Millisecond})}
+	p := newPlatform(t, hosts...)
+	write(t, filepath.Join(p.folder, "reachspread.beside"), "cut off leftov")
+	first := p.start().yes()
+	stop := crowd(p.addr, 8)
+	p.start("ROUTER_DISCOVERY=nowhere").exit(false)
+	dying := p.start()
+	dying.cmd.Process.Kill()
+	dying.exit(false)
+	second := p.start().yes()
+	first.leaves()
+	third := p.start().yes()
+	fourth := p.start().yes()
+	second.leaves()
+	third.leaves()
+	time.Sleep(50 * time.Millisecond) // of load on the last one
+	asked, wrong := stop()
+	if len(wrong) > 0 || asked < 50 {
+		t.Errorf("of %d requests these went wrong: %s", asked, strings.Join(wrong, "\n"))
+	}
+	for _, h := range hosts {
+		if _, _, _, twice := h.Counts(); twice != nil {
+			t.Errorf("%v had two attempts out", twice)
+		}
+	}
+	fourth.leaves()
+}
+
+// A descriptor that is no listener is one line and no start.
+func TestNoListenerInherited(t *testing.T) {
+	p := newPlatform(t)
+	for fd, want := range map[string]string{"3": "ROUTER_ACCEPT_FD: descriptor 3 is no listening socket", "77": "ROUTER_ACCEPT_FD: descriptor 77 is no listening socket", "five": `ROUTER_ACCEPT_FD is "five"`} {
+		o := p.start("ROUTER_ACCEPT_FD=" + fd)
+		if line := peers.Next(t, o.log, "a line"); !strings.Contains(line, want) {
+			t.Errorf("%s: got %q, want %q", fd, line, want)
+		}
+		o.exit(false)
+	}
+}
--- a/internal/program/phases.go
+++ b/internal/program/phases.go
@@ -35,6 +35,8 @@
 	accepts accepting     // new connections
 	keeps   bool          // a connection outlives its answer
 	sendOff time.Duration // into the phase, silent connections are closed from here on; 0 for never
+	handOff time.Duration // the same where another process takes clients meanwhile
+	parts   bool          // from then on no connection outlives its answer, also one that could not tell its client
 }
 
 // soon is for phases that close silent connections from their beginning on.
@@ -45,9 +47,9 @@
 	Listing:   {keeps: true, accepts: fromOwn},
 	Withheld:  {accepts: fromOwn},
 	Serving:   {keeps: true, accepts: fromEvery, ready: true},
-	Draining:  {accepts: fromEvery, sendOff: sendOff},
-	Leaving:   {accepts: fromOwn, sendOff: sendOff},
-	Finishing: {sendOff: soon},
+	Draining:  {accepts: fromEvery, sendOff: sendOff, handOff: sendOff, parts: true},
+	Leaving:   {accepts: fromOwn, sendOff: sendOff, handOff: soon},
+	Finishing: {sendOff: soon, handOff: soon, parts: true},
 	Stopped:   {},
 }
 
@@ -109,7 +111,7 @@
 	if d.accepts == fromEvery || d.accepts == fromOwn && !p.inherited {
 		if !p.accepting {
 			p.accepting = true
-			go func() { p.served <- p.front.Serve(p.ln) }()
+			go func() { p.served <- p.front.Serve(p.ln, p.inherited) }()
 		}
 	} else if p.accepting {
 		p.front.StopAccepting()
@@ -119,16 +121,20 @@
 	}
 	p.left()
 	p.left = func() {}
-	if d.sendOff > 0 {
+	after := d.sendOff
+	if p.inherited {
+		after = d.handOff
+	}
+	if after > 0 {
 		gone := make(chan struct{})
 		p.left = func() { close(gone) }
-		go p.empty(d.sendOff, gone)
+		go p.empty(after, d.parts, gone)
 	}
 	p.said <- next
 }
 
 // empty closes silent connections, after a while, until the phase is left.
-func (p *Program) empty(after time.Duration, left <-chan struct{}) {
+func (p *Program) empty(after time.Duration, parts bool, left <-chan struct{}) {
 	timer := time.NewTimer(after)
 	defer timer.Stop()
 	for {
@@ -137,7 +143,16 @@
 			return
 		case <-timer.C:
 		}
-		p.front.Empty(quietFor)
+		p.mu.Lock()
+		select {
+		case <-left: // and another phase says otherwise
+		default:
+			if parts {
+				p.front.Part()
+			}
+			p.front.Empty(quietFor)
+		}
+		p.mu.Unlock()
 		timer.Reset(lookEvery)
 	}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -7,12 +7,12 @@
 	"net"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/beside"
 	"reachspread/internal/mirror"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
@@ -22,8 +22,7 @@
 const (
 	probeAnswer = 60 * time.Millisecond // beyond the time to connect
 	// silentFor is how long a stream may be silent. From 5 s on its client is taken to be kept waiting for nothing.
-	silentFor   = 4500 * time.Millisecond
-	memoryShare = 0.6 // of the limit is for the heap; stacks and socket buffers need some, too
+	silentFor = 4500 * time.Millisecond
 )
 
 // Program is one router from start to exit.
@@ -41,6 +40,8 @@
 
 	management *transport.Management // the operators' door, nil without an address
 	inherited  bool                  // ln is also others'
+	place      *beside.Place         // among the processes of this router, nil where there is but one
+	room       atomic.Pointer[room]  // that this process takes up
 	served     chan error            // how accepting ended
 	said       chan Phase            // phases whose lines are due
 	accepted   atomic.Uint64         // files taken at SIGHUP
@@ -64,16 +65,19 @@
 // configuration anew, in any phase.
 func (p *Program) Run(ctx context.Context, reload <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(p.cfg.Limits.Cores)), 1))
-	debug.SetMemoryLimit(int64(memoryShare * float64(p.cfg.Limits.MemoryMB) * (1 << 20)))
+	others := p.join()
+	if p.place != nil {
+		defer p.place.Leave()
+	}
 	b, err := balance.New(p.cfg.balance, p.cfg.seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	clients := p.cfg.clients()
+	alone := p.cfg.room(beside.Others{})
 	servers := transport.NewRealServers(transport.ServerLimits{Connect: p.cfg.connectFor(),
 		Keepalive:   time.Duration(p.cfg.Settings.Limits.KeepaliveNs),
 		Silent:      silentFor,
-		Connections: p.cfg.Limits.Sockets - otherSockets - p.cfg.aside() - clients}, p.log)
+		Connections: alone.servers}, p.log)
 	p.servers = servers
 	p.router = routing.New(b, servers, p.log, p.cfg.connectFor()+probeAnswer)
 	var tap transport.Tap
@@ -83,28 +87,31 @@
 		}
 		tap = p.mirror
 	}
-	p.front = transport.NewFront(p.router, p.frontLimits(clients), tap)
+	p.front = transport.NewFront(p.router, p.frontLimits(alone), tap)
 	if p.mirror != nil {
 		if err := p.mirror.Apply(p.cfg.set.Shadow); err != nil {
 			return err
 		}
 	}
-	// Keep-alive of TCP finds no client that the front's own bounds don't.
-	listen := net.ListenConfig{KeepAlive: -1}
-	if p.ln, err = listen.Listen(ctx, "tcp", p.cfg.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
+	p.take(p.cfg.room(others))
+	if err := p.listen(ctx); err != nil {
+		return err
 	}
 
 	// The core and discovery work on until the last flow is answered.
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	if p.cfg.balance.Gateways > 1 {
-		gossip, err := transport.NewGossip(p.cfg.PeerListen, p.cfg.Peers, p.log)
+		gossip, err := transport.NewGossip(p.cfg.PeerListen, p.cfg.Peers, p.inherited, p.log)
 		if err != nil {
 			return fmt.Errorf("peer_listen: %w", err)
 		}
+		hearing := work
+		if p.inherited { // the process that takes over waits for the address
+			hearing = ctx
+		}
 		p.router.Tells(gossip.Tell)
-		go gossip.Run(work, p.router.Heard)
+		go gossip.Run(hearing, p.router.Heard)
 	}
 	go p.router.Run(work)
 	if p.mirror != nil {
@@ -123,6 +130,9 @@
 		return err
 	}
 	defer p.stopManagement()
+	if others.Processes > 0 {
+		go p.fit(work, others)
+	}
 	p.happen(opened)
 	p.tell(&p.cfg.Known)
 	go p.watch(work, reload)
@@ -133,6 +143,9 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	p.happen(sigterm)
+	if p.inherited {
+		p.yield()
+	}
 	time.Sleep(leaveFor)
 	p.happen(passed)
 	if err := p.front.Shutdown(); err != nil {
@@ -143,6 +156,22 @@
 	return nil
 }
 
+// listen opens the clients' listener, or takes the inherited one.
+func (p *Program) listen(ctx context.Context) (err error) {
+	if p.inherited = p.cfg.acceptFD > 0; p.inherited {
+		if p.ln, err = transport.Inherit(p.cfg.acceptFD); err != nil {
+			return fmt.Errorf("ROUTER_ACCEPT_FD: %w", err)
+		}
+		return nil
+	}
+	// Keep-alive of TCP finds no client that the front's own bounds don't.
+	listen := net.ListenConfig{KeepAlive: -1}
+	if p.ln, err = listen.Listen(ctx, "tcp", p.cfg.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return nil
+}
+
 // watch follows discovery until ctx ends. A reload moves it to the address that the file names by then; all else
 // goes on as it was. The old watch has ended before the new one begins, so no older list can come last.
 func (p *Program) watch(ctx context.Context, reload <-chan os.Signal) {
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -14,6 +14,7 @@
 
 	"pgregory.net/rapid"
 
+	"reachspread/internal/beside"
 	"reachspread/internal/door"
 	"reachspread/internal/peers"
 	"reachspread/internal/protocol"
@@ -95,8 +96,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := c.clients(); 2*n+otherSockets > c.Limits.Sockets || 4*c.bodies() > c.Limits.MemoryMB<<20 {
-		t.Errorf("%d clients with %d bytes do not fit %+v", n, c.bodies(), c.Limits)
+	if n := c.clients(); 2*n+otherSockets > c.Limits.Sockets || 4*c.room(beside.Others{}).bodies > c.Limits.MemoryMB<<20 {
+		t.Errorf("%d clients with %d bytes do not fit %+v", n, c.room(beside.Others{}).bodies, c.Limits)
 	}
 }
 
@@ -131,7 +132,7 @@
 			}
 			return // they do not fit, and it is said
 		}
-		ledger := c.shares()
+		ledger := c.shares(c.room(beside.Others{}))
 		if ledger.Shares() > ledger.Limit || ledger.Limit != c.Limits.Sockets {
 			t.Errorf("shares of %d under a limit of %d: %+v", ledger.Shares(), ledger.Limit, ledger)
 		}
--- /dev/null
+++ b/internal/program/room.go
@@ -0,0 +1,104 @@
+package program
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"reachspread/internal/beside"
+)
+
+// room is what this process may take up by now, of what its router may.
+type room struct {
+	clients, servers int   // connections
+	bodies           int   // bytes
+	heap             int64 // bytes
+}
+
+const (
+	// memoryShare of the limit is for the heap; stacks and socket buffers need some, too.
+	memoryShare = 0.6
+	// besideShare is the same for each of two processes.
+	besideShare = 0.35
+	// besideSockets are the descriptors of a process beside another that are neither clients' nor real servers'.
+	besideSockets = 24
+	// newcomer are those that a process which may be replaced leaves for the one to come.
+	newcomer = besideSockets + 2*fewestClient
+	// besideEvery is how often a process looks how much another one still has.
+	besideEvery = 50 * time.Millisecond
+)
+
+// room divides the limits, with what the operators' settings need set aside first. Each client may need a second
+// connection to a real server.
+func (c *Config) room(o beside.Others) room {
+	memory := int64(c.Limits.MemoryMB) << 20
+	r := room{bodies: int(memory / 4), heap: int64(memoryShare * float64(memory))}
+	free := c.Limits.Sockets - c.aside() - otherSockets
+	switch {
+	case o.Processes > 0:
+		r.bodies, r.heap = r.bodies/2, int64(besideShare*float64(memory))
+		taken := o.Descriptors
+		if o.Unseen {
+			taken = max(taken, c.Limits.Sockets/2)
+		}
+		free = max(c.Limits.Sockets-c.aside()-besideSockets-taken, 2)
+	case c.acceptFD > 0:
+		free -= newcomer
+	}
+	r.clients = free / 2
+	r.servers = free - r.clients
+	return r
+}
+
+// clients returns how many client connections fit a process that is alone.
+func (c *Config) clients() int { return c.room(beside.Others{}).clients }
+
+// join finds out whether another process of this router runs, as one does while it is being replaced.
+func (p *Program) join() (o beside.Others) {
+	folder := p.getenv("TMPDIR")
+	if p.cfg.acceptFD == 0 || folder == "" {
+		return o
+	}
+	var err error
+	if p.place, err = beside.Join(folder); err != nil {
+		p.log.Warn("limits not shared", "cause", err)
+		return o
+	}
+	return p.place.Others()
+}
+
+// fit keeps to what other processes leave until this one is alone, or ctx ends.
+func (p *Program) fit(ctx context.Context, o beside.Others) {
+	ticker := time.NewTicker(besideEvery)
+	defer ticker.Stop()
+	for {
+		p.take(p.cfg.room(o))
+		if o.Processes == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o = p.place.Others()
+		}
+	}
+}
+
+// take has every part keep to the room.
+func (p *Program) take(r room) {
+	if old := p.room.Swap(&r); old != nil && *old == r {
+		return
+	}
+	debug.SetMemoryLimit(r.heap)
+	p.front.SetBodies(r.bodies)
+	p.servers.Limit(r.servers)
+	p.front.Retune(p.cfg.door(r.clients))
+}
+
+// yield leaves room to the process that takes over.
+func (p *Program) yield() {
+	half := p.cfg.room(beside.Others{Processes: 1, Unseen: true})
+	debug.SetMemoryLimit(half.heap)
+	p.servers.Limit(half.servers)
+}
--- a/internal/program/shadow.go
+++ b/internal/program/shadow.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	if cfg.set.Door != nil {
-		p.front.Retune(cfg.door(p.cfg.clients()))
+		p.front.Retune(cfg.door(p.room.Load().clients))
 	}
 	return nil
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -28,14 +28,14 @@
 
 // Front listens for clients and hands their requests to the core.
 type Front struct {
-	router   *routing.Router
-	server   *fasthttp.Server
-	limits   FrontLimits
-	listener *listener
-	tap      Tap          // nil for none
-	bodies   atomic.Int64 // bytes of all bodies that are held
-	ready    atomic.Bool
-	leaving  atomic.Bool
+	router     *routing.Router
+	server     *fasthttp.Server
+	limits     FrontLimits
+	listener   *listener
+	tap        Tap          // nil for none
+	bodies     atomic.Int64 // bytes of all bodies that are held
+	mostBodies atomic.Int64
+	ready      atomic.Bool
 }
 
 // FrontLimits bounds what clients may take up.
@@ -51,6 +51,7 @@
 // A tap may be nil.
 func NewFront(r *routing.Router, limits FrontLimits, tap Tap) *Front {
 	f := &Front{router: r, limits: limits, tap: tap}
+	f.SetBodies(limits.Bodies)
 	if limits.Short == nil {
 		limits.Short = func() {}
 	}
@@ -78,9 +79,9 @@
 	return f
 }
 
-// Serve answers the clients that connect to ln until Shutdown.
-func (f *Front) Serve(ln net.Listener) error {
-	if err := f.listener.listen(ln); err != nil || f.listener.socket == nil {
+// Serve answers the clients that connect to ln until Shutdown. A shared one is also others'.
+func (f *Front) Serve(ln net.Listener, shared bool) error {
+	if err := f.listener.listen(ln, shared); err != nil || f.listener.socket == nil {
 		return err
 	}
 	return f.server.Serve(f.listener)
@@ -89,8 +90,18 @@
 // SetReady says what /-/ready is to answer.
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
-// SetKeeps says whether a connection outlives its answer.
-func (f *Front) SetKeeps(keeps bool) { f.leaving.Store(!keeps) }
+// SetBodies bounds the bytes of the bodies of all requests together.
+func (f *Front) SetBodies(most int) { f.mostBodies.Store(int64(most)) }
+
+// SetKeeps says whether a connection outlives its answer. An answer that begins from then on tells so to its client.
+func (f *Front) SetKeeps(keeps bool) {
+	f.listener.leaving.Store(!keeps)
+	f.listener.parting.Store(false)
+}
+
+// Part ends connections with their answers, also where the answer had begun before it could tell so. That may cross the
+// client's next request.
+func (f *Front) Part() { f.listener.parting.Store(true) }
 
 // Empty closes the connections that have been silent for so long. One whose next request has come by then is served.
 func (f *Front) Empty(silent time.Duration) {
@@ -109,7 +120,7 @@
 }
 
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
-	if f.leaving.Load() {
+	if f.listener.leaving.Load() {
 		ctx.SetConnectionClose()
 	}
 	switch path := string(ctx.URI().PathOriginal()); { // as it came, as it is passed on
@@ -243,7 +254,7 @@
 	for stream := ctx.RequestBodyStream(); stream != nil; {
 		if len(body) == cap(body) {
 			more := max(cap(body), firstGrow)
-			if f.bodies.Add(int64(more)) > int64(f.limits.Bodies) {
+			if f.bodies.Add(int64(more)) > f.mostBodies.Load() {
 				f.bodies.Add(-int64(more))
 				return body, errCrowded
 			}
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	go front.Serve(ln)
+	go front.Serve(ln, false)
 	return ln.Addr().String()
 }
 
@@ -98,7 +98,7 @@
 	}
 	l := newListener(&FrontLimits{Door: door.Config{Places: 20, Step: 4, Fair: true, Away: time.Second, Addresses: 10,
 		Address: door.Cap{Conns: 3}, Net: door.Cap{Conns: 5}, Patience: [3]time.Duration{time.Second, time.Second, time.Second}}})
-	if err := l.listen(ln); err != nil {
+	if err := l.listen(ln, false); err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
@@ -138,7 +138,7 @@
 	}
 	l := newListener(&FrontLimits{Door: door.Config{Places: 20, Step: 4, Fair: true, Away: time.Second, Address: door.Cap{PerSecond: 1},
 		Patience: [3]time.Duration{time.Second, time.Second, time.Second}}})
-	if err := l.listen(ln); err != nil {
+	if err := l.listen(ln, false); err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
--- a/internal/transport/gossip.go
+++ b/internal/transport/gossip.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"reachspread/balance"
 	"reachspread/internal/protocol"
@@ -17,7 +19,8 @@
 
 // Gossip exchanges datagrams with the other routers. What to tell and to believe is not decided here.
 type Gossip struct {
-	conn   *net.UDPConn
+	listen *net.UDPAddr
+	conn   atomic.Pointer[net.UDPConn] // nil while the address is another's
 	peers  []netip.AddrPort
 	number map[netip.AddrPort]int
 	log    routing.Logger
@@ -26,8 +29,9 @@
 	unsent atomic.Uint64
 }
 
-// NewGossip listens at an address for what the peers, in the order of their numbers, send.
-func NewGossip(listen string, peers []string, log routing.Logger) (*Gossip, error) {
+// NewGossip listens at an address for what the peers, in the order of their numbers, send. Where the address may still be
+// that of a process about to be replaced, one that is in use is no error: Run takes it over.
+func NewGossip(listen string, peers []string, takesOver bool, log routing.Logger) (*Gossip, error) {
 	g := &Gossip{number: map[netip.AddrPort]int{}, log: log}
 	for i, p := range peers {
 		addr, err := netip.ParseAddrPort(p)
@@ -37,20 +41,58 @@
 		g.peers = append(g.peers, addr)
 		g.number[addr] = i
 	}
-	at, err := net.ResolveUDPAddr("udp4", listen)
-	if err != nil {
+	var err error
+	if g.listen, err = net.ResolveUDPAddr("udp4", listen); err != nil {
 		return nil, err
 	}
-	g.conn, err = net.ListenUDP("udp4", at)
+	if err = g.open(); takesOver && errors.Is(err, syscall.EADDRINUSE) {
+		err = nil
+	}
 	return g, err
 }
 
+func (g *Gossip) open() error {
+	conn, err := net.ListenUDP("udp4", g.listen)
+	if err == nil {
+		g.conn.Store(conn)
+	}
+	return err
+}
+
+const (
+	takeOverEvery = 50 * time.Millisecond
+	takeOverIn    = 10 * time.Second // a process that is replaced has left by then
+)
+
+// takeOver waits for the address, and tells if it takes too long.
+func (g *Gossip) takeOver(ctx context.Context) {
+	ticker := time.NewTicker(takeOverEvery)
+	defer ticker.Stop()
+	late := time.Now().Add(takeOverIn)
+	for g.conn.Load() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := g.open(); err != nil && !late.IsZero() && time.Now().After(late) {
+			late = time.Time{}
+			g.log.Warn("peers unheard", "cause", err)
+		}
+	}
+}
+
 // Run gives all that can be read to hear, until ctx ends.
 func (g *Gossip) Run(ctx context.Context, hear func(balance.Heard)) {
-	defer context.AfterFunc(ctx, func() { g.conn.Close() })()
+	g.takeOver(ctx)
+	conn := g.conn.Load()
+	if conn == nil {
+		return
+	}
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	var buf [mostDatagram + 1]byte
 	for {
-		n, from, err := g.conn.ReadFromUDPAddrPort(buf[:])
+		n, from, err := conn.ReadFromUDPAddrPort(buf[:])
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -83,13 +125,18 @@
 
 // Tell sends news to the routers of the numbers given. It waits for nobody: what can't be sent now is lost.
 func (g *Gossip) Tell(t balance.Tell) {
+	conn := g.conn.Load()
+	if conn == nil {
+		g.unsent.Add(1)
+		return
+	}
 	var room [mostDatagram]byte
 	text := protocol.AppendNews(room[:0], t.Zone, t.News)
 	for _, i := range t.To {
 		if i < 0 || i >= len(g.peers) {
 			continue
 		}
-		if _, err := g.conn.WriteToUDPAddrPort(text, g.peers[i]); err != nil {
+		if _, err := conn.WriteToUDPAddrPort(text, g.peers[i]); err != nil {
 			g.unsent.Add(1)
 		}
 	}
--- a/internal/transport/gossip_test.go
+++ b/internal/transport/gossip_test.go
@@ -30,7 +30,7 @@
 	own := spare.LocalAddr().String()
 	spare.Close()
 	lines := make(chan string, 10)
-	g, err := transport.NewGossip(own, []string{own, peer.LocalAddr().String()}, peers.Lines(lines))
+	g, err := transport.NewGossip(own, []string{own, peer.LocalAddr().String()}, false, peers.Lines(lines))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/transport/inherit.go
@@ -0,0 +1,32 @@
+package transport
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+)
+
+// Inherit returns the listener that this process has as a descriptor from whoever started it. Closing it leaves the
+// socket to all others who have it, with those who stand in line.
+func Inherit(fd int) (net.Listener, error) {
+	// Asked before the descriptor is taken: a wrong one may be anything's, the run-time's own poller among them.
+	listens, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+	if err == nil && listens == 0 {
+		err = fmt.Errorf("it does not listen")
+	}
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d is no listening socket: %w", fd, err)
+	}
+	f := os.NewFile(uintptr(fd), "clients")
+	defer f.Close() // the listener has a copy of its own
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	if _, ok := ln.(*net.TCPListener); !ok {
+		ln.Close()
+		return nil, fmt.Errorf("descriptor %d listens on %s, not on TCP", fd, ln.Addr().Network())
+	}
+	return ln, nil
+}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,9 +51,13 @@
 	raw    syscall.RawConn
 	start  time.Time
 	strict bool   // levels bound slow clients, and what a client has said is looked at before it is let in
+	shared bool   // others have the socket; whoever starts one may make it block, for all
 	header string // that names a client, empty for none
 	log    func() // the process had no descriptor left
 
+	leaving atomic.Bool // answers tell that their connections end
+	parting atomic.Bool // connections end with their answers, also those whose answers could not tell
+
 	mu    sync.Mutex
 	door  *door.Door
 	conns []*clientConn // by their names at the door
@@ -81,13 +86,13 @@
 func (l *listener) now() time.Duration { return time.Second + time.Since(l.start) }
 
 // listen has l listen on ln, which must be a socket of the system's.
-func (l *listener) listen(ln net.Listener) (err error) {
+func (l *listener) listen(ln net.Listener, shared bool) (err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended {
 		return ln.Close()
 	}
-	l.Listener = ln
+	l.Listener, l.shared = ln, shared
 	socket, ok := ln.(interface{ File() (*os.File, error) })
 	if !ok {
 		return fmt.Errorf("%s is no socket", ln.Addr())
@@ -115,7 +120,12 @@
 		return nil
 	}
 	l.ended = true
-	return errors.Join(l.Listener.Close(), l.socket.Close())
+	err := l.Listener.Close()
+	if l.shared { // made to block in the wrong moment, it would block the close, too, until one more client comes
+		go l.socket.Close()
+		return err
+	}
+	return errors.Join(err, l.socket.Close())
 }
 
 // emptyEvery is how often the last connections are looked at.
@@ -142,6 +152,9 @@
 	err = l.raw.Read(func(socket uintptr) bool {
 		var sa syscall.Sockaddr
 		for {
+			if l.shared {
+				syscall.SetNonblock(int(socket), true)
+			}
 			if fd, sa, failed = syscall.Accept4(int(socket), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); failed != syscall.EINTR {
 				break
 			}
@@ -416,10 +429,13 @@
 	}
 	var n int
 	var err error
-	if len(c.ahead) > 0 {
+	switch {
+	case len(c.ahead) > 0:
 		n = copy(p, c.ahead)
 		c.ahead = c.ahead[n:]
-	} else {
+	case c.used && !c.begun && c.listener.parting.Load():
+		n, err = c.lastLook(p, io.EOF)
+	default:
 		n, err = c.Conn.Read(p)
 		if timeout, ok := err.(net.Error); ok && timeout.Timeout() && !c.begun {
 			n, err = c.lastLook(p, err)
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -104,6 +104,15 @@
 	return true
 }
 
+// bound sets how many connections there may be. Idle ones beyond it are closed; those in use end with their users.
+func (p *pool) bound(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for p.open > p.limit && p.evict() {
+	}
+}
+
 // keep has a real server's idle connections be these. On a long day each id is one of thousands: none leaves a trace.
 func (p *pool) keep(to routing.Entry, l []*conn) {
 	if p.idle[to] = l; len(l) == 0 {
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -78,6 +78,9 @@
 // Close closes the idle connections. Those in use close with their users.
 func (s *RealServers) Close() { s.pool.keepIdle(false) }
 
+// Limit bounds the connections from now on.
+func (s *RealServers) Limit(connections int) { s.pool.bound(connections) }
+
 // KeepIdle says whether connections may stay open without a use; if not, the idle ones give their descriptors back at
 // once.
 func (s *RealServers) KeepIdle(may bool) { s.pool.keepIdle(may) }
--- a/internal/transport/stories_test.go
+++ b/internal/transport/stories_test.go
@@ -51,7 +51,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(func() { stop(); ln.Close() })
 	go r.core.Run(ctx)
-	go front.Serve(ln)
+	go front.Serve(ln, false)
 	var entries []string
 	for i, s := range servers {
 		entries = append(entries, peers.Entry(fmt.Sprint("s", i), s.Addr, "Ready"))
