Settings change at SIGHUP: one check of the whole file, one event to the module

Need: the file at SIGHUP may bring other classes, effects and attempts, and may be broken in any way. Ruled out: the door and limits.

Change: Reload checks that each key of the file in force is there with a value of its kind, deadlines and attempts above 0, then Retune goes to the core in line with arrivals; requests under way keep their class by reference.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -183,36 +183,45 @@
 	if cfg.Gateways < manyGateways {
 		cfg.Gateways = 0 // few hear enough of each replica by themselves
 	}
-	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
-		kinds: map[string]*fit{}, replicas: map[string]*replica{}, requests: map[string]*request{},
-		prompts: map[string]float64{}, zones: slices.Repeat([]int{unknown}, cfg.Gateways),
-		most: math.Inf(-1), least: math.Inf(1)}
-	if len(cfg.Classes) == 0 {
-		return nil, fmt.Errorf("Classes is empty; list at least one class")
-	}
+	b := &Balancer{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), kinds: map[string]*fit{},
+		replicas: map[string]*replica{}, requests: map[string]*request{}, prompts: map[string]float64{},
+		zones: slices.Repeat([]int{unknown}, cfg.Gateways)}
 	if cfg.Me < len(b.zones) {
 		b.zones[cfg.Me] = int(mark(cfg.Zone))
 	}
+	if cfg.AskForList {
+		b.askAt = 1 // with the first Step
+	}
+	return b, b.tune(cfg)
+}
+
+// tune takes up settings, but for what a gateway is to others. Requests under way keep their classes.
+func (b *Balancer) tune(cfg Config) error {
+	if len(cfg.Classes) == 0 {
+		return fmt.Errorf("Classes is empty; list at least one class")
+	}
+	if min(cfg.ColdTime, cfg.OverloadWindow, cfg.Tick, cfg.MaxAway) < 0 {
+		return fmt.Errorf("ColdTime, OverloadWindow, Tick or MaxAway is negative; they must be 0 or more")
+	}
+	classes := map[string]*class{}
+	b.most, b.least = math.Inf(-1), math.Inf(1)
 	for i, c := range cfg.Classes {
 		switch {
-		case b.classes[c.Name] != nil:
-			return nil, fmt.Errorf("Classes[%d].Name is %q a second time; names must differ", i, c.Name)
+		case classes[c.Name] != nil:
+			return fmt.Errorf("Classes[%d].Name is %q a second time; names must differ", i, c.Name)
 		case c.Effect < Safe || c.Effect > Unsafe:
-			return nil, fmt.Errorf("Classes[%d].Effect is %d; it must be Safe, Keyed or Unsafe", i, c.Effect)
+			return fmt.Errorf("Classes[%d].Effect is %d; it must be Safe, Keyed or Unsafe", i, c.Effect)
 		case min(c.Aim, c.AimPer1000, c.TokenAim, c.Deadline, c.Window) < 0:
-			return nil, fmt.Errorf("Classes[%d] has a negative time; its times must be 0 or more", i)
+			return fmt.Errorf("Classes[%d] has a negative time; its times must be 0 or more", i)
 		}
-		b.classes[c.Name] = &class{Class: c, decode: 1}
+		old := cmp.Or(b.classes[c.Name], &class{decode: 1})
+		classes[c.Name] = &class{Class: c, decode: old.decode, seen: old.seen}
 		b.most, b.least = max(b.most, c.Worth), min(b.least, c.Worth)
 	}
-	if min(cfg.ColdTime, cfg.OverloadWindow, cfg.Tick, cfg.MaxAway) < 0 {
-		return nil, fmt.Errorf("ColdTime, OverloadWindow, Tick or MaxAway is negative; they must be 0 or more")
-	}
-	b.cfg.MaxAttempts = max(cfg.MaxAttempts, 1)
-	if cfg.AskForList {
-		b.askAt = 1 // with the first Step
-	}
-	return b, nil
+	cfg.Zone, cfg.Gateways, cfg.Me, cfg.AskForList = b.cfg.Zone, b.cfg.Gateways, b.cfg.Me, b.cfg.AskForList
+	cfg.MaxAttempts = max(cfg.MaxAttempts, 1)
+	b.cfg, b.classes = cfg, classes
+	return nil
 }
 
 // Step takes in what has happened, then dispatches once.
@@ -234,6 +243,8 @@
 	switch ev := ev.(type) {
 	case Members:
 		b.takeMembers(ev)
+	case Retune:
+		b.tune(ev.Config)
 	case Arrival:
 		b.takeArrival(ev)
 	case FirstToken:
@@ -263,11 +274,7 @@
 
 func (b *Balancer) takeMembers(ev Members) {
 	if len(b.order) == 0 {
-		var all []int
-		for i := range b.zones {
-			all = append(all, i)
-		}
-		b.tell(all) // so that they know the own zone
+		b.tell(slices.Sorted(maps.Keys(maps.Collect(slices.All(b.zones))))) // all, so that they know the own zone
 	}
 	if ev.Failed {
 		b.askAt = b.now + askAgain/2 + time.Duration(b.rng.Float64()*float64(askAgain))
@@ -288,6 +295,7 @@
 	maps.DeleteFunc(b.replicas, func(_ string, r *replica) bool { return r.State == Gone && r.streams == 0 })
 	b.order = slices.DeleteFunc(b.order, func(r *replica) bool { return b.replicas[r.Replica] == nil })
 }
+
 func (b *Balancer) takeMember(m Member) {
 	r := b.replicas[m.Replica]
 	if r == nil {
@@ -296,9 +304,7 @@
 		i := sort.Search(len(b.order), func(i int) bool { return b.order[i].Replica > m.Replica })
 		b.order = slices.Insert(b.order, i, r)
 	}
-	if b.kinds[m.Kind] == nil {
-		b.kinds[m.Kind] = &fit{}
-	}
+	b.kinds[m.Kind] = cmp.Or(b.kinds[m.Kind], &fit{})
 	started := m.Born > r.Born && b.now-m.Born < b.cfg.ColdTime
 	r.Member, r.read = m, b.kinds[m.Kind]
 	if started {
@@ -775,13 +781,8 @@
 
 // room tells whether this gateway lets r have one more stream.
 func (b *Balancer) room(r *replica) bool {
-	if r.State != Serving {
-		return false
-	}
-	if r.ejected > 0 {
-		return b.now >= r.ejected && r.streams == 0
-	}
-	return float64(r.streams) < math.Floor(r.cap)
+	trial := r.ejected > 0 && b.now >= r.ejected && r.streams == 0
+	return r.State == Serving && (trial || r.ejected == 0 && float64(r.streams) < math.Floor(r.cap))
 }
 
 // judge raises the cap on a clean answer and cuts it on one that took longer than its aim.
--- /dev/null
+++ b/balance/tune_test.go
@@ -0,0 +1,68 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// A request under way keeps the effect of its class, whatever the class becomes; fewer attempts count for it, too, and
+// end in an answer, never in another attempt.
+func TestRetune(t *testing.T) {
+	cfg := Config{MaxAttempts: 3, Classes: []Class{{Name: "c", Aim: time.Minute, Deadline: time.Minute, Streamed: true}}}
+	strict := Config{MaxAttempts: 3, Classes: []Class{{Name: "c", Effect: Unsafe, Aim: time.Minute, Deadline: time.Minute, Streamed: true}}}
+	fewer := cfg
+	fewer.MaxAttempts = 1
+	for _, tt := range []struct {
+		name         string
+		next         Config
+		first, again Action // on an error of a request of before, and of one of after
+	}{
+		{"the same", cfg, Send{}, Send{}},
+		{"a stricter effect", strict, Send{}, Fail{}},
+		{"fewer attempts", fewer, Refuse{}, Refuse{}},
+	} {
+		b, err := New(cfg, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Second
+		step := func(events ...Event) (last Action) {
+			now += time.Millisecond
+			for _, a := range b.Step(now, events) {
+				switch a.(type) {
+				case Send, Fail, Refuse:
+					last = a
+				}
+			}
+			return last
+		}
+		step(Members{Version: 1, Whole: true, Members: []Member{{Replica: "a"}, {Replica: "b"}, {Replica: "c"}, {Replica: "d"}}})
+		ask := func(id string) Action {
+			return step(Arrival{ID: id, Class: "c", Session: id, Left: time.Minute, Prompt: 10})
+		}
+		fail := func(id string) Action { return step(Outcome{ID: id, Attempt: 0, Result: Error}) }
+		if _, ok := ask("before").(Send); !ok {
+			t.Fatalf("%s: nothing was sent", tt.name)
+		}
+		step(Retune{tt.next})
+		if got := fail("before"); kindOf(got) != kindOf(tt.first) {
+			t.Errorf("%s: a request of before got %#v, want %T", tt.name, got, tt.first)
+		}
+		ask("after")
+		if got := fail("after"); kindOf(got) != kindOf(tt.again) {
+			t.Errorf("%s: a request of after got %#v, want %T", tt.name, got, tt.again)
+		}
+	}
+}
+
+func kindOf(a Action) string {
+	switch a.(type) {
+	case Send:
+		return "send"
+	case Fail:
+		return "fail"
+	case Refuse:
+		return "refuse"
+	}
+	return "nothing"
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -101,6 +101,10 @@
 	Members []Member
 }
 
+// Retune is settings that replace those of New, or of the last Retune. New must take them for good. Zone, Gateways, Me
+// and AskForList stay as they were; requests that arrived before keep their classes, whose values they have by then.
+type Retune struct{ Config Config }
+
 // Arrival is a request taken by this gateway.
 type Arrival struct {
 	ID      string
@@ -172,6 +176,7 @@
 }
 
 func (Members) isEvent()    {}
+func (Retune) isEvent()     {}
 func (Arrival) isEvent()    {}
 func (FirstToken) isEvent() {}
 func (Outcome) isEvent()    {}
--- a/cmd/reachspread/main.go
+++ b/cmd/reachspread/main.go
@@ -58,7 +58,7 @@
 	}
 	file := settingsFlag(c)
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
-		reload := make(chan os.Signal, 1)
+		reload := make(chan os.Signal, 16) // each signal counts, also while a file is being taken
 		signal.Notify(reload, syscall.SIGHUP)
 		defer signal.Stop(reload)
 		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -131,6 +131,16 @@
 	return nil
 }
 
+// Retune has the pools take up other settings of the live router. A pool that has what it was made of stays as it is.
+func (m *Mirror) Retune(c balance.Config) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.o.Balance = c
+	for _, p := range m.pools {
+		p.router.Retune(copyConfig(c, p.set.Patience))
+	}
+}
+
 // TenantHeader implements transport.Tap.
 func (m *Mirror) TenantHeader() string { return m.force.Load().tenant }
 
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -33,6 +33,7 @@
 
 	Settings wire.Options `json:"settings"`
 
+	keys      any // of the file, with what they hold
 	seed      uint64
 	balance   balance.Config
 	acceptFD  int                // the clients' listener as inherited, 0 for an own one
@@ -67,6 +68,9 @@
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := json.Unmarshal(text, &c.keys); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	c.discovery = c.Discovery
 	for name, field := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen,
 		"ROUTER_DISCOVERY": &c.Discovery, "ROUTER_MANAGEMENT": &c.Management} {
@@ -82,16 +86,6 @@
 	return c, c.check()
 }
 
-// Reload reads the file anew. It may name another discovery than the environment, which is as it was at the start.
-func Reload(getenv func(string) string) (*Config, error) {
-	return Load(func(name string) string {
-		if name == "ROUTER_DISCOVERY" {
-			return ""
-		}
-		return getenv(name)
-	})
-}
-
 func (c *Config) check() error {
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -44,6 +44,9 @@
 	return d
 }
 
+// door returns the door's settings by what is in force.
+func (p *Program) door(clients int) door.Config { return p.force.Load().door(clients) }
+
 // short returns what the listener calls when the process has no descriptor left.
 func (p *Program) short() func() {
 	var mu sync.Mutex
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -38,14 +38,15 @@
 	front   *transport.Front
 	ln      net.Listener
 
-	management *transport.Management // the operators' door, nil without an address
-	inherited  bool                  // ln is also others'
-	place      *beside.Place         // among the processes of this router, nil where there is but one
-	room       atomic.Pointer[room]  // that this process takes up
-	served     chan error            // how accepting ended
-	said       chan Phase            // phases whose lines are due
-	accepted   atomic.Uint64         // files taken at SIGHUP
-	invalid    atomic.Uint64         // files turned down
+	management *transport.Management  // the operators' door, nil without an address
+	inherited  bool                   // ln is also others'
+	place      *beside.Place          // among the processes of this router, nil where there is but one
+	room       atomic.Pointer[room]   // that this process takes up
+	force      atomic.Pointer[Config] // the last good file
+	served     chan error             // how accepting ended
+	said       chan Phase             // phases whose lines are due
+	accepted   atomic.Uint64          // files taken at SIGHUP
+	invalid    atomic.Uint64          // files turned down
 
 	mu        sync.Mutex
 	phase     Phase
@@ -57,8 +58,10 @@
 // New returns a program that has done nothing yet with its configuration, which Load and ReadSettings gave; file
 // names the operators' settings, and is empty where there are none.
 func New(cfg *Config, getenv func(string) string, file string, log routing.Logger) *Program {
-	return &Program{cfg: cfg, getenv: getenv, file: file, log: log, phase: Starting,
+	p := &Program{cfg: cfg, getenv: getenv, file: file, log: log, phase: Starting,
 		served: make(chan error, 1), said: make(chan Phase, mostSaid), left: func() {}}
+	p.force.Store(cfg)
+	return p
 }
 
 // Run serves until ctx ends, then leaves in order. Whenever something comes from reload, it takes up the
@@ -206,7 +209,7 @@
 			return "", false
 		case <-reload:
 		}
-		cfg, err := Reload(p.getenv)
+		cfg, err := Reload(p.getenv, p.force.Load())
 		if err != nil {
 			p.refuse(err)
 			continue
@@ -215,6 +218,7 @@
 			p.refuse(err)
 			continue
 		}
+		p.retune(cfg)
 		p.accepted.Add(1)
 		p.log.Info("reloaded", "discovery", cfg.discovery)
 		if cfg.discovery != p.cfg.discovery {
--- /dev/null
+++ b/internal/program/reload.go
@@ -0,0 +1,112 @@
+package program
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Reload reads the file anew. It may name another discovery than the environment, which is as it was at the start. The
+// file must be whole by the measure of the one in force: nothing is taken of one that lacks a key.
+func Reload(getenv func(string) string, force *Config) (*Config, error) {
+	c, err := Load(func(name string) string {
+		if name == "ROUTER_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := whole("", force.keys, c.keys); err != nil {
+		return nil, err
+	}
+	limits := c.Settings.Limits
+	if limits.MaxAttempts <= 0 {
+		return nil, fmt.Errorf("settings.limits.maxAttempts is %d; it must be more than 0", limits.MaxAttempts)
+	}
+	for i, s := range c.Settings.Services {
+		if s.HardLimitNs <= 0 {
+			return nil, fmt.Errorf("settings.services[%d].hardLimitNs is %d; it must be more than 0", i, s.HardLimitNs)
+		}
+	}
+	return c, nil
+}
+
+// whole tells the first key that was in force and that is not in a file, or holds something else there. Of a list, what
+// all its parts had, each must have.
+func whole(path string, was, is any) error {
+	if fmt.Sprintf("%T", was) != fmt.Sprintf("%T", is) && was != nil {
+		return fmt.Errorf("%s is %s; it was %s", path, kind(is), kind(was))
+	}
+	switch was := was.(type) {
+	case map[string]any:
+		is := is.(map[string]any)
+		for _, key := range slices.Sorted(maps.Keys(was)) {
+			at := key
+			if path != "" {
+				at = path + "." + key
+			}
+			value, ok := is[key]
+			if !ok {
+				return fmt.Errorf("%s is missing", at)
+			}
+			if err := whole(at, was[key], value); err != nil {
+				return err
+			}
+		}
+	case []any:
+		if len(was) == 0 {
+			return nil
+		}
+		for i, part := range is.([]any) {
+			if err := whole(fmt.Sprintf("%s[%d]", path, i), common(was), part); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// common is what all parts of a list have: the keys of objects, with what the first one has there, or else the first.
+func common(parts []any) any {
+	first, ok := parts[0].(map[string]any)
+	if !ok {
+		return parts[0]
+	}
+	keys := maps.Clone(first)
+	for _, part := range parts[1:] {
+		other, _ := part.(map[string]any)
+		maps.DeleteFunc(keys, func(key string, _ any) bool { _, has := other[key]; return !has })
+	}
+	return keys
+}
+
+// kind names what a value is.
+func kind(v any) string {
+	switch v.(type) {
+	case nil:
+		return "null"
+	case map[string]any:
+		return "an object"
+	case []any:
+		return "a list"
+	case string:
+		return "a string"
+	case bool:
+		return "true or false"
+	}
+	return "a number"
+}
+
+// retune puts the settings of a good file in force, in one event to the core.
+func (p *Program) retune(c *Config) {
+	p.force.Store(c)
+	p.router.Retune(c.balance)
+	p.servers.Retime(c.connectFor(), time.Duration(c.Settings.Limits.KeepaliveNs))
+	p.front.Retune(p.door(p.room.Load().clients))
+	if p.mirror != nil {
+		p.mirror.Retune(c.balance)
+	}
+}
--- /dev/null
+++ b/internal/program/reload_test.go
@@ -0,0 +1,172 @@
+package program
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"reachspread/internal/peers"
+)
+
+// second is a class more for the configuration.
+const second = `{"name":"chat-v2","effect":"unsafe","streaming":true,"aimNs":8000000000,"hardLimitNs":8000000000}`
+
+// A file that is broken in any of these ways is refused in one line that names the field and the cause.
+func TestBrokenReloads(t *testing.T) {
+	env := configFile(t, `"effect":"safe"`, `"effect":"safe"`)
+	path := env("ROUTER_CONFIG")
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	force := load(t, env)
+	for _, tt := range []struct{ old, new, want string }{
+		{string(good), "", "unexpected end of JSON input"},
+		{string(good), "{}", "listen: "},
+		{string(good), string(good[:len(good)-5]), "unexpected end of JSON input"},
+		{`"name":"n1",`, ``, "name is missing"},
+		{`"cores":1.0,`, ``, "limits.cores is 0"},
+		{`"aimNs":8000000000,`, ``, "settings.services[0].aimNs is missing"},
+		{`,"hardLimitNs":8000000000`, ``, "settings.services[0].hardLimitNs is missing"},
+		{`"hardLimitNs":8000000000`, `"hardLimitNs":0`, "settings.services[0].hardLimitNs is 0"},
+		{`"hardLimitNs":8000000000`, `"hardLimitNs":-1`, "settings: Classes[0] has a negative time"},
+		{`"hardLimitNs":8000000000`, `"hardLimitNs":null`, "settings.services[0].hardLimitNs is null; it was a number"},
+		{`"hardLimitNs":8000000000`, `"hardLimitNs":"8s"`, "hardLimitNs"},
+		{`"hardLimitNs":8000000000`, `"hardLimitNs":1.5`, "hardLimitNs"},
+		{`"maxAttempts":3,`, ``, "settings.limits.maxAttempts is missing"},
+		{`"maxAttempts":3`, `"maxAttempts":0`, "settings.limits.maxAttempts is 0"},
+		{`"maxAttempts":3`, `"maxAttempts":-2`, "settings.limits.maxAttempts is -2"},
+		{`"effect":"safe"`, `"effect":"odd"`, "settings.services[0].effect"},
+		{`"services":[`, `"services":[{"name":"chat-v2","hardLimitNs":1},`, "settings.services[0].aimNs is missing"},
+		{`"services":[`, `"services":[` + second + "," + second + ",", `Classes[1].Name is "chat-v2" a second time`},
+		{`"streaming":true`, `"streaming":1`, "streaming"},
+	} {
+		write(t, path, strings.Replace(string(good), tt.old, tt.new, 1))
+		_, err := Reload(env, force)
+		if err == nil || !strings.Contains(err.Error(), tt.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.60s: got %v, want one line with %q", tt.new, err, tt.want)
+		}
+	}
+	write(t, path, strings.Replace(string(good), `"services":[`, `"more":{},"services":[`+second+",", 1))
+	if _, err := Reload(env, force); err != nil {
+		t.Errorf("a class and a key more: %v", err)
+	}
+}
+
+// A good file cut at any byte, or without any one of its keys, is refused.
+func TestCutReloads(t *testing.T) {
+	env := configFile(t, `"services":[`, `"services":[`+second+",")
+	path := env("ROUTER_CONFIG")
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	force := load(t, env)
+	rapid.Check(t, func(t *rapid.T) {
+		text := good[:rapid.IntRange(0, len(good)-1).Draw(t, "cut")]
+		without := ""
+		if rapid.Bool().Draw(t, "or a key") {
+			var tree any
+			if err := json.Unmarshal(good, &tree); err != nil {
+				t.Fatal(err)
+			}
+			without = drop(t, tree)
+			if text, err = json.Marshal(tree); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Reload(env, force); err == nil {
+			t.Errorf("without %q: %s was taken", without, text)
+		}
+	})
+}
+
+// drop takes one key, of any depth, out of a tree.
+func drop(t *rapid.T, tree any) string {
+	object, ok := tree.(map[string]any)
+	if !ok {
+		if list, ok := tree.([]any); ok && len(list) > 0 {
+			return drop(t, list[rapid.IntRange(0, len(list)-1).Draw(t, "part")])
+		}
+		return ""
+	}
+	var keys []string
+	for key := range object {
+		keys = append(keys, key)
+	}
+	key := rapid.SampledFrom(keys).Draw(t, "key")
+	if _, deep := object[key].(string); !deep && rapid.Bool().Draw(t, "deeper") {
+		if below := drop(t, object[key]); below != "" {
+			return key + "." + below
+		}
+	}
+	delete(object, key)
+	return key
+}
+
+// Under way, a request keeps its class with all that it allows, also while the class changes or vanishes; the next one
+// has the new settings, and a broken file changes nothing. Each signal is one count.
+func TestSettingsChangeUnderWay(t *testing.T) {
+	hold := make(chan bool)
+	host := peers.NewModel(t, peers.Manner{Events: 2, Hold: hold})
+	s := startServed(t, []string{peers.Entry("s0", host.Addr, "Ready")})
+	s.until("phase name=serving")
+	ends := make(chan string, 1)
+	go func() {
+		status, body, err := peers.Do(t, peers.Ask(t, s.addr(), "before", nil))
+		ends <- fmt.Sprintln(status, strings.Contains(body, "[DONE]"), err)
+	}()
+	peers.Next(t, host.Started, "a scheduling")
+	ask := func(id, class string) int {
+		status, _, _ := peers.Do(t, peers.Ask(t, s.addr(), id, map[string]string{"X-Service-Class": class}))
+		return status
+	}
+	reload := func(want string, changes ...string) {
+		s.write(changes...)
+		s.reload <- syscall.SIGHUP
+		s.until(want)
+	}
+	for i, broken := range [][]string{{`"maxAttempts":3`, `"maxAttempts":0`}, {`"effect":"safe"`, `"effect":""`, `"aimNs":8000000000,`, ``}} {
+		reload("reload refused cause=", broken...)
+		s.figures(map[string]string{"cfg_invalid_total": fmt.Sprint(i + 1), "cfg_accepted_total": "0"})
+	}
+	if got := ask("early", "chat-v2"); got != 503 {
+		t.Errorf("a class that is not there yet: got %d", got)
+	}
+	reload("reloaded", `"services":[`, `"services":[`+second+`,`)
+	host.Set(peers.Manner{Events: 2})
+	if got := ask("new", "chat-v2"); got != 200 {
+		t.Errorf("a class that appeared: got %d", got)
+	}
+	host.Set(peers.Manner{Status: 500})
+	if got := ask("unsafe", "chat-v2"); got != 502 {
+		t.Errorf("an unsafe class: got %d, want a failure, as it may have run", got)
+	}
+	host.Set(peers.Manner{Events: 2})
+	reload("reloaded", `"name":"chat"`, `"name":"chat-v3"`)
+	if got := ask("old", "chat"); got != 503 {
+		t.Errorf("a class that vanished: got %d", got)
+	}
+	hold <- true
+	if got := peers.Next(t, ends, "the answer under way"); got != fmt.Sprintln(200, true, nil) {
+		t.Errorf("under way: %s", got)
+	}
+	reload("reloaded")
+	if got := ask("again", "chat"); got != 200 {
+		t.Errorf("a class that reappeared: got %d", got)
+	}
+	s.figures(map[string]string{`fulfilled_total{priority="chat"}`: "2", `fulfilled_total{priority="chat-v2"}`: "1", `faulted_total{priority="chat-v2"}`: "1",
+		`throttled_total{priority="chat"}`: "1", `fulfilled_total{priority="chat-v3"}`: "0", "cfg_invalid_total": "2", "cfg_accepted_total": "3"})
+	if diff := cmp.Diff(0, len(s.reload)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/program/room.go
+++ b/internal/program/room.go
@@ -93,7 +93,7 @@
 	debug.SetMemoryLimit(r.heap)
 	p.front.SetBodies(r.bodies)
 	p.servers.Limit(r.servers)
-	p.front.Retune(p.cfg.door(r.clients))
+	p.front.Retune(p.door(r.clients))
 }
 
 // yield leaves room to the process that takes over.
--- a/internal/program/shadow.go
+++ b/internal/program/shadow.go
@@ -71,11 +71,5 @@
 	if err := p.reloadDoor(cfg); err != nil {
 		return err
 	}
-	if err := p.mirror.Apply(cfg.set.Shadow); err != nil {
-		return err
-	}
-	if cfg.set.Door != nil {
-		p.front.Retune(cfg.door(p.room.Load().clients))
-	}
-	return nil
+	return p.mirror.Apply(cfg.set.Shadow)
 }
--- a/internal/routing/entries.go
+++ b/internal/routing/entries.go
@@ -43,6 +43,12 @@
 	r.post(ev)
 }
 
+// Retune puts other settings in force, for flows taken in from now on.
+func (r *Router) Retune(c balance.Config) {
+	r.figures.list(c.Classes)
+	r.post(balance.Retune{Config: c})
+}
+
 // ready returns a real server that may be sent to. It is asked again right before a send: the module decides
 // on events that are drained before, and what drains or is gone must get nothing new.
 func (r *Router) ready(id string) (Entry, bool) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -59,7 +59,9 @@
 		}
 		p.discard(c) // closed by the other side while idle: nothing was sent on it
 	}
+	p.mu.Lock()
 	dialer := net.Dialer{Timeout: p.connectFor, KeepAlive: -1}
+	p.mu.Unlock()
 	nc, err := dialer.DialContext(ctx, "tcp", to.Addr)
 	if err != nil {
 		p.count(-1)
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -66,7 +66,7 @@
 // NewRealServers returns a RealServers without connections.
 func NewRealServers(l ServerLimits, log routing.Logger) *RealServers {
 	return &RealServers{log: log, unclear: map[string]bool{}, silent: l.Silent,
-		pool: &pool{connectFor: l.Connect, idleFor: l.Keepalive * 3 / 4, limit: l.Connections, idle: map[routing.Entry][]*conn{}}}
+		pool: &pool{connectFor: l.Connect, idleFor: idlePart(l.Keepalive), limit: l.Connections, idle: map[routing.Entry][]*conn{}}}
 }
 
 // Load returns the share of the connections that are in use.
@@ -78,6 +78,16 @@
 // Close closes the idle connections. Those in use close with their users.
 func (s *RealServers) Close() { s.pool.keepIdle(false) }
 
+// Retime sets the time for a connection to come up, and that after which a real server closes an idle one.
+func (s *RealServers) Retime(connect, keepalive time.Duration) {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.pool.connectFor, s.pool.idleFor = connect, idlePart(keepalive)
+}
+
+// idlePart is how long a connection is kept that a real server closes after a time.
+func idlePart(keepalive time.Duration) time.Duration { return keepalive * 3 / 4 }
+
 // Limit bounds the connections from now on.
 func (s *RealServers) Limit(connections int) { s.pool.bound(connections) }
 
