Streams and silent connections move to the process that takes over

Cause, by a trace of each request's id: streams of 4 to 6 s were cut by SIGKILL 3.7 s after SIGTERM (81 of 533 requests out when their process was killed). Ruled out: requests ended at the door (0), a slow start (yes after 0.0 s), the fleet's failures (the same hosts served the rest).

Change: the process that leaves sends the sockets of client and real server with what is half read over a Unix socket in TMPDIR; the new one goes on, and serves the client's next request. Each message is answered; without an answer from a living process the stream stays. Off without an inherited listener.

--- a/internal/peers/model.go
+++ b/internal/peers/model.go
@@ -41,6 +41,7 @@
 	total  int
 	twice  []string // ids with two out at once
 	most   int      // out at once
+	taken  int      // connections
 }
 
 // NewModel starts a model host.
@@ -88,6 +89,7 @@
 			}
 			h.mu.Lock()
 			h.conns[c] = true
+			h.taken++
 			h.mu.Unlock()
 			go h.serve(c)
 		}
@@ -105,6 +107,13 @@
 	return h.total, h.most, out, h.twice
 }
 
+// Accepted returns how many connections there were so far.
+func (h *Model) Accepted() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.taken
+}
+
 // Attempts returns how often an id was asked for.
 func (h *Model) Attempts(id string) int {
 	h.mu.Lock()
--- a/internal/program/exchange_test.go
+++ b/internal/program/exchange_test.go
@@ -213,3 +213,82 @@
 		o.exit(false)
 	}
 }
+
+// Streams under way, of any class and half read, move to the process that takes over, past a second replacement, and
+// the process that left has ended long before they have. The client's next request goes to the new one without a new
+// connection; whatever has no one to go to ends where it is.
+func TestStreamsMove(t *testing.T) {
+	hold := make(chan bool)
+	host := peers.NewModel(t, peers.Manner{Events: 5, Hold: hold})
+	p := newPlatform(t, host)
+	first := p.start().yes()
+	client := &http.Client{Transport: &http.Transport{}, Timeout: peers.Patience}
+	open := func(id string) *http.Response {
+		t.Helper()
+		resp, err := client.Do(peers.Ask(t, p.addr, id, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	var streams []*http.Response
+	for i := range 5 {
+		streams = append(streams, open(fmt.Sprint("q", i)))
+	}
+	second := p.start().yes()
+	first.leaves()
+	third := p.start().yes()
+	second.leaves()
+	want := peers.NewModel(t, peers.Manner{Events: 5})
+	whole := answerOf(t, p, want)
+	for i, resp := range streams {
+		hold <- true
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || string(text) != whole {
+			t.Errorf("q%d: %q, %v; want it whole", i, text, err)
+		}
+	}
+	conns := host.Accepted()
+	host.Set(peers.Manner{Events: 5})
+	for i := range streams {
+		if resp := open(fmt.Sprint("next", i)); resp.StatusCode != 200 {
+			t.Errorf("the next request: %d", resp.StatusCode)
+		} else {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}
+	if got := host.Accepted() - conns; got > 1 {
+		t.Errorf("%d new connections to the real server for requests one after another", got)
+	}
+	if _, _, _, twice := host.Counts(); twice != nil {
+		t.Errorf("%v had two attempts out", twice)
+	}
+	host.Set(peers.Manner{Events: 5, Hold: hold})
+	last := open("last")
+	third.cmd.Process.Signal(syscall.SIGTERM)
+	third.until("phase name=finishing")
+	hold <- true
+	if text, err := io.ReadAll(last.Body); err != nil || string(text) != whole {
+		t.Errorf("with nobody to go to: %q, %v", text, err)
+	}
+	third.exit(true)
+}
+
+// answerOf returns what a real server's answer to the clients' usual prompt is.
+func answerOf(t *testing.T, p *platformOf, host *peers.Model) string {
+	t.Helper()
+	r := peers.Ask(t, host.Addr, "as it is", nil)
+	_, text, err := peers.Do(t, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func (o *one) until(words string) {
+	o.t.Helper()
+	for !strings.Contains(peers.Next(o.t, o.log, words), words) {
+	}
+}
--- /dev/null
+++ b/internal/program/moves.go
@@ -0,0 +1,62 @@
+package program
+
+import (
+	"path/filepath"
+
+	"reachspread/internal/transport"
+)
+
+// movesName is the socket, in the folder that the processes of a router share, on which the one that takes over is given
+// the connections of the one that leaves.
+const movesName = "reachspread.moves"
+
+func (p *Program) movesPath() string { return filepath.Join(p.getenv("TMPDIR"), movesName) }
+
+// startMoves opens the way for connections of a process that will leave. Without one they end where they are.
+func (p *Program) startMoves() {
+	if p.place == nil {
+		return
+	}
+	var err error
+	if p.receiver, err = transport.NewReceiver(p.movesPath(), p.front, silentFor, p.log); err != nil {
+		p.log.Warn("connections stay", "cause", err)
+		return
+	}
+	p.servers.Follow()
+}
+
+// giveAway has all connections move to the process that takes over, if there is one.
+func (p *Program) giveAway() {
+	if p.receiver == nil {
+		return
+	}
+	p.receiver.Stop() // or else this process might find itself there
+	mover, err := transport.DialMover(p.movesPath())
+	if err != nil {
+		return // nobody takes over: this is an end, not a replacement
+	}
+	p.mu.Lock()
+	p.mover = mover
+	p.mu.Unlock()
+	p.front.MoveTo(mover)
+	p.servers.Move()
+	p.receiver.Leave()
+}
+
+// endMoves waits for what was taken from another process.
+func (p *Program) endMoves() {
+	if p.receiver != nil {
+		p.receiver.Wait()
+	}
+	if p.mover != nil {
+		p.mover.Close()
+	}
+}
+
+// carried returns how many streams of another process this one carries.
+func (p *Program) carried() int {
+	if p.receiver == nil {
+		return 0
+	}
+	return p.receiver.Carried()
+}
--- a/internal/program/phases.go
+++ b/internal/program/phases.go
@@ -128,13 +128,17 @@
 	if after > 0 {
 		gone := make(chan struct{})
 		p.left = func() { close(gone) }
-		go p.empty(after, d.parts, gone)
+		quiet := quietFor
+		if p.mover != nil { // nothing is closed that could cross a request
+			quiet = 0
+		}
+		go p.empty(after, quiet, d.parts, gone)
 	}
 	p.said <- next
 }
 
 // empty closes silent connections, after a while, until the phase is left.
-func (p *Program) empty(after time.Duration, parts bool, left <-chan struct{}) {
+func (p *Program) empty(after, quiet time.Duration, parts bool, left <-chan struct{}) {
 	timer := time.NewTimer(after)
 	defer timer.Stop()
 	for {
@@ -150,7 +154,7 @@
 			if parts {
 				p.front.Part()
 			}
-			p.front.Empty(quietFor)
+			p.front.Empty(quiet)
 		}
 		p.mu.Unlock()
 		timer.Reset(lookEvery)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -41,6 +41,8 @@
 	management *transport.Management  // the operators' door, nil without an address
 	inherited  bool                   // ln is also others'
 	place      *beside.Place          // among the processes of this router, nil where there is but one
+	receiver   *transport.Receiver    // of another process's connections, nil without a folder to share
+	mover      *transport.Mover       // of this one's, nil while it stays
 	room       atomic.Pointer[room]   // that this process takes up
 	force      atomic.Pointer[Config] // the last good file
 	served     chan error             // how accepting ended
@@ -133,6 +135,7 @@
 		return err
 	}
 	defer p.stopManagement()
+	p.startMoves()
 	if others.Processes > 0 {
 		go p.fit(work, others)
 	}
@@ -145,6 +148,7 @@
 	case err := <-p.served:
 		return fmt.Errorf("listen: %w", err)
 	}
+	p.giveAway()
 	p.happen(sigterm)
 	if p.inherited {
 		p.yield()
@@ -154,6 +158,7 @@
 	if err := p.front.Shutdown(); err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
+	p.endMoves()
 	p.stopMirror()
 	p.happen(emptied)
 	return nil
--- a/internal/program/room.go
+++ b/internal/program/room.go
@@ -43,7 +43,7 @@
 		}
 		free = max(c.Limits.Sockets-c.aside()-besideSockets-taken, 2)
 	case c.acceptFD > 0:
-		free -= newcomer
+		free -= newcomer + o.Descriptors
 	}
 	r.clients = free / 2
 	r.servers = free - r.clients
@@ -72,8 +72,10 @@
 	ticker := time.NewTicker(besideEvery)
 	defer ticker.Stop()
 	for {
+		moved := p.carried()
+		o.Descriptors += 2 * moved
 		p.take(p.cfg.room(o))
-		if o.Processes == 0 {
+		if o.Processes == 0 && moved == 0 {
 			return
 		}
 		select {
--- /dev/null
+++ b/internal/protocol/chunks_test.go
@@ -0,0 +1,53 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// However a chunked body is cut, and wherever another process goes on with it, its data come out as they went in, and its
+// end is found to the byte.
+func TestChunksCutAnywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var body, want []byte
+		for _, piece := range rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 1, 300), 0, 5).Draw(t, "pieces") {
+			body = fmt.Appendf(body, rapid.SampledFrom([]string{"%x\r\n", "%X;a=b\r\n", "00%x\n"}).Draw(t, "size"), len(piece))
+			body = append(append(body, piece...), "\r\n"...)
+			want = append(want, piece...)
+		}
+		body = append(body, rapid.SampledFrom([]string{"0\r\n\r\n", "0\r\nA: b\r\n\r\n", "000;x\r\n\r\n"}).Draw(t, "end")...)
+		rest := append(bytes.Clone(body), "HTTP/1.1 200"...)
+		var c Chunks
+		var got []byte
+		read := 0
+		for read < len(rest) && c.At != AtWhole {
+			n := rapid.IntRange(1, 40).Draw(t, "cut")
+			used, err := c.Feed(rest[read:min(read+n, len(rest))], func(p []byte) { got = append(got, p...) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			read += used
+			text, _ := json.Marshal(c)
+			c = Chunks{}
+			if err := json.Unmarshal(text, &c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !bytes.Equal(got, want) || read != len(body) {
+			t.Errorf("%q: got %q, want %q; %d bytes of %d", body, got, want, read, len(body))
+		}
+	})
+}
+
+func TestChunksMalformed(t *testing.T) {
+	for _, text := range []string{"\r\n", "g\r\n", ";\r\n", "-1\r\n", "1\r\nab\r\n", "fffffffffff\r\n", string(bytes.Repeat([]byte("0"), mostLine+1))} {
+		var c Chunks
+		if _, err := c.Feed([]byte(text), func([]byte) {}); err == nil {
+			t.Errorf("%.20q was taken", text)
+		}
+	}
+}
--- a/internal/protocol/events.go
+++ b/internal/protocol/events.go
@@ -21,6 +21,12 @@
 	long bool // the line being read is too long to be a note
 }
 
+// NotesFrom goes on in the line that Rest gave.
+func NotesFrom(line []byte, long bool) Notes { return Notes{line: line, long: long} }
+
+// Rest returns what has come of the line at hand, and whether it is too long to be a note.
+func (n *Notes) Rest() (line []byte, long bool) { return n.line, n.long }
+
 // HasEvent tells whether a stream's beginning holds a whole event: a line of data, and the empty line that ends it.
 func HasEvent(p []byte) bool {
 	data := false
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -20,7 +20,7 @@
 }
 
 // class counts the ends of one class of flows. A nil class is one that nobody listed: it counts nothing.
-type class struct{ ended [Unfit + 1]atomic.Uint64 }
+type class struct{ ended [Nobody + 1]atomic.Uint64 }
 
 // end counts a flow that ended so.
 func (c *class) end(v Verdict) {
@@ -76,5 +76,14 @@
 	return out
 }
 
+// Carry counts a stream that another process began, until ended is told how it ends here.
+func (r *Router) Carry(class string) (ended func(Verdict)) {
+	r.figures.open.Add(1)
+	return func(v Verdict) {
+		r.figures.of(class).end(v)
+		r.figures.open.Add(-1)
+	}
+}
+
 // Refused counts a request of a class that a front ended before it was a flow.
 func (r *Router) Refused(class string, v Verdict) { r.figures.of(class).end(v) }
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -16,7 +16,8 @@
 	Served Verdict = iota
 	TurnedDown
 	Failed
-	Unfit // the request itself is at fault, by a real server's word
+	Unfit  // the request itself is at fault, by a real server's word
+	Nobody // was left to be answered, here
 )
 
 // Answer is the final answer to a flow.
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -45,8 +45,8 @@
 		switch {
 		case st.err == io.EOF:
 			head.Result = balance.OK
-		case st.s.flow.ctx.Err() != nil || st.err == nil:
-			head.Result = balance.Cancelled // by the client
+		case st.s.flow.ctx.Err() != nil || st.err == nil || st.err == ErrMoved:
+			head.Result = balance.Cancelled // by the client, or no longer ours
 		case errors.Is(st.err, ErrSpoilt):
 			head.Result = balance.Error // the process that made it goes on
 		case errors.Is(st.err, os.ErrDeadlineExceeded):
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -49,6 +49,9 @@
 // ErrSpoilt says that what came is no answer, although the real server and its connection stand.
 var ErrSpoilt = errors.New("spoilt")
 
+// ErrMoved says that another process goes on with a stream. It is that one's to count and to end.
+var ErrMoved = errors.New("moved to another process")
+
 // Body is an answer from its first whole event on. Read returns io.EOF only once the last of it has come.
 type Body interface {
 	io.Reader
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -170,6 +170,8 @@
 		contentType: append([]byte(nil), header.ContentType()...),
 		id:          []byte(arrival.ID),
 		body:        body,
+		class:       arrival.Class,
+		client:      conn,
 	}
 	conn.open = true
 	flow, err := f.router.TakeIn(arrival, came, m)
@@ -181,9 +183,9 @@
 	if f.tap != nil {
 		watcher = f.offer(header, &arrival, came, m)
 	}
-	stop := conn.watch(func() { f.router.Leave(flow) })
+	conn.watch(func() { f.router.Leave(flow) })
 	end := func() {
-		stop()
+		conn.unwatch()
 		f.router.Done(flow)
 	}
 	answer, ok := flow.Wait()
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -55,8 +55,9 @@
 	header string // that names a client, empty for none
 	log    func() // the process had no descriptor left
 
-	leaving atomic.Bool // answers tell that their connections end
-	parting atomic.Bool // connections end with their answers, also those whose answers could not tell
+	leaving atomic.Bool           // answers tell that their connections end
+	mover   atomic.Pointer[Mover] // to a process that takes over, nil without one
+	parting atomic.Bool           // connections end with their answers, also those whose answers could not tell
 
 	mu    sync.Mutex
 	door  *door.Door
@@ -268,12 +269,7 @@
 				}
 				return nil
 			}
-			c = &clientConn{Conn: nc, listener: l, name: a.Conn, ahead: bytes.Clone(l.ahead[:got])}
-			for int(a.Conn) >= len(l.conns) {
-				l.conns = append(l.conns, nil)
-			}
-			l.conns[a.Conn] = c
-			l.alive++
+			c = l.admit(a.Conn, nc, bytes.Clone(l.ahead[:got]))
 		case door.Turn:
 			l.idle++
 			if !e.Left { // no request was read whole, so nothing is owed
@@ -298,6 +294,17 @@
 	return c
 }
 
+// admit gives a connection its name. The lock is held.
+func (l *listener) admit(name int32, nc net.Conn, ahead []byte) *clientConn {
+	c := &clientConn{Conn: nc, listener: l, name: name, ahead: ahead}
+	for int(name) >= len(l.conns) {
+		l.conns = append(l.conns, nil)
+	}
+	l.conns[name] = c
+	l.alive++
+	return c
+}
+
 // refuse answers a request that was read as its connection was accepted, whole or not. The lock is held.
 func (l *listener) refuse(fd int, whole bool, a door.Action) {
 	l.text = protocol.AppendRefusal(l.text[:0], a.Code, a.Away, refusalLine(a))
@@ -419,6 +426,11 @@
 	open     bool   // a request was read whole and is not answered
 	closed   bool
 	hurried  bool // its time is over; the listener's lock guards it
+
+	// Of the watch, its user's alone:
+	gone    func()
+	watched chan struct{} // closed when it ends, nil without one
+	left    atomic.Bool   // the client ended the connection
 }
 
 // Read is called by fasthttp between requests and for what is left of one, never while one is open.
@@ -450,9 +462,14 @@
 	return n, err
 }
 
-// lastLook is for a silent connection whose time is over. A request that has come but was not read, as the router had
+// lastLook is for a silent connection whose time is over. If another process takes over, it goes there, with whatever
+// is on its way. Otherwise a request that has come but was not read, as the router had
 // no time of the core, is read now; where there is none, the close follows at once, so that hardly any can cross it.
 func (c *clientConn) lastLook(p []byte, over error) (n int, err error) {
+	if m := c.listener.mover.Load(); m != nil && m.move(moved{}, c.Conn) == nil {
+		c.Conn.Close()
+		return 0, over
+	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return 0, over
@@ -482,10 +499,11 @@
 	return c.Conn.Write(p)
 }
 
-// watch calls gone if the client ends the connection before stop is called. Nothing else may read meanwhile.
-func (c *clientConn) watch(gone func()) (stop func()) {
+// watch calls gone if the client ends the connection before unwatch is called. Nothing else may read meanwhile.
+func (c *clientConn) watch(gone func()) {
 	c.Conn.SetReadDeadline(time.Time{})
 	done := make(chan struct{})
+	c.gone, c.watched = gone, done
 	go func() {
 		defer close(done)
 		var b [1]byte
@@ -495,14 +513,21 @@
 			return
 		}
 		if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+			c.left.Store(true)
 			gone()
 		}
 	}()
-	return func() {
-		c.Conn.SetReadDeadline(time.Unix(1, 0))
-		<-done
-		c.Conn.SetReadDeadline(time.Time{})
+}
+
+// unwatch ends the watch, if there is one.
+func (c *clientConn) unwatch() {
+	if c.watched == nil {
+		return
 	}
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+	<-c.watched
+	c.watched = nil
+	c.Conn.SetReadDeadline(time.Time{})
 }
 
 // Close reads on for a moment where a request was refused before its end: closed with bytes unread, the
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -42,6 +42,7 @@
 	to    routing.Entry
 	in    *bufio.Reader
 	since time.Time // in the pool
+	track *track    // of the stream that it carries, nil where that can't move
 }
 
 // take returns an idle connection to a real server, or a new one.
@@ -217,6 +218,9 @@
 }
 
 func (c *conn) Read(p []byte) (int, error) {
+	if c.track != nil {
+		return c.track.read(c, p)
+	}
 	n, err := c.Conn.Read(p)
 	if err != nil {
 		c.err = err
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,12 +33,15 @@
 // Message is a client's request as it came. It implements routing.Message.
 type Message struct {
 	method, uri, contentType, id, body []byte
+
+	class  string
+	client *clientConn // whose answer may move to another process; nil where it may not
 }
 
 // WithID returns a copy that shares all bytes with m but goes by another id.
 func (m *Message) WithID(id string) *Message {
 	c := *m
-	c.id = []byte(id)
+	c.id, c.client = []byte(id), nil
 	return &c
 }
 
@@ -53,6 +57,10 @@
 
 	mu      sync.Mutex
 	unclear map[string]bool // real servers whose last load report could not be read
+
+	follows bool // streams may move to another process
+	moving  atomic.Bool
+	live    map[*conn]bool // whose streams may; mu guards it
 }
 
 // ServerLimits bounds the connections to real servers.
@@ -65,7 +73,7 @@
 
 // NewRealServers returns a RealServers without connections.
 func NewRealServers(l ServerLimits, log routing.Logger) *RealServers {
-	return &RealServers{log: log, unclear: map[string]bool{}, silent: l.Silent,
+	return &RealServers{log: log, unclear: map[string]bool{}, live: map[*conn]bool{}, silent: l.Silent,
 		pool: &pool{connectFor: l.Connect, idleFor: idlePart(l.Keepalive), limit: l.Connections, idle: map[routing.Entry][]*conn{}}}
 }
 
@@ -123,10 +131,12 @@
 	}
 	unfit := false
 	if x.resp.StatusCode() == fasthttp.StatusOK {
-		b := &body{exchange: x, ctx: headCtx, text: x.resp.BodyStream()}
+		b := &body{exchange: x, ctx: headCtx, text: x.resp.BodyStream(), message: msg}
+		b.follow()
 		err := b.open()
 		if err == nil && x.commit(ctx) {
 			b.ctx = ctx
+			b.mayMove()
 			return routing.Head{Result: balance.OK, Body: b}
 		}
 		result = x.failed(headCtx, balance.TimedOut)
@@ -278,6 +288,7 @@
 // close gives the connection back if the answer was read to its end, and closes it otherwise.
 func (x *exchange) close() {
 	reuse := x.stop() && x.whole && !x.resp.ConnectionClose()
+	x.servers.unfollow(x.conn)
 	fasthttp.ReleaseResponse(x.resp)
 	if reuse {
 		x.servers.pool.put(x.conn)
@@ -344,6 +355,8 @@
 	end   error  // that open came to
 	size  int    // read so far
 	notes protocol.Notes
+
+	message *Message
 }
 
 // open waits for the first whole event. Up to there, another real server may still serve the flow.
@@ -379,11 +392,19 @@
 // next reads from the connection. What is no stream of events is not passed on: a chunk of the wrong size has the
 // next one's framing among its text.
 func (b *body) next(p []byte) (int, error) {
+	if b.interrupted() {
+		if b.move() {
+			return 0, routing.ErrMoved
+		}
+	}
 	b.conn.SetReadDeadline(time.Now().Add(b.servers.silent))
 	if err := b.ctx.Err(); err != nil { // after the line above, lest it undo the end of ctx
 		return 0, err
 	}
 	n, err := b.text.Read(p)
+	if b.interrupted() {
+		err = nil // the next call sees to it
+	}
 	if err == io.EOF && b.resp.Header.ContentLength() < -1 {
 		// Neither length nor chunks: an end of the connection does not tell that the stream was whole.
 		err = io.ErrUnexpectedEOF
