Peers in pieces: a head's silence is bounded, not its length; crowds at small limits as tests

Need: a good real server that writes its head slowly, in pieces, was cut off 1 s after the head's first byte. Cause: readHead set one deadline for the whole head (servers.go). Now each read of it has a second.

--- a/internal/program/exchange_test.go
+++ b/internal/program/exchange_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"reachspread/internal/peers"
+	"reachspread/internal/transport"
 )
 
 // platformOf is what starts and ends processes of one router: it holds the clients' listener, and the folder and the
@@ -292,3 +293,151 @@
 	for !strings.Contains(peers.Next(o.t, o.log, words), words) {
 	}
 }
+
+// limit has the next processes keep to small limits, and the system hold them to the descriptors.
+func (p *platformOf) limit(memory, sockets int) {
+	p.t.Helper()
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	write(p.t, p.config, strings.Replace(string(text), `"memory_mb":192,"sockets":1024`, fmt.Sprintf(`"memory_mb":%d,"sockets":%d`, memory, sockets), 1))
+	script := filepath.Join(p.folder, "limited")
+	if err := os.WriteFile(script, fmt.Appendf(nil, "#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", sockets, p.binary), 0o700); err != nil {
+		p.t.Fatal(err)
+	}
+	p.binary = script
+}
+
+// uses returns the descriptors and the kilobytes of memory that processes have together; pages that they share count
+// once.
+func uses(all ...*one) (descriptors, kilobytes int) {
+	for _, o := range all {
+		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", o.cmd.Process.Pid))
+		descriptors += len(open)
+		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/smaps_rollup", o.cmd.Process.Pid))
+		if _, pss, ok := strings.Cut(string(status), "\nPss:"); ok {
+			var n int
+			fmt.Sscan(pss, &n)
+			kilobytes += n
+		}
+	}
+	return descriptors, kilobytes
+}
+
+// With 256 descriptors and 32 MB, in a crowd of silent and asking connections and of callers that say nothing or read
+// nothing, the operators' door answers each call in time, and a replacement keeps both limits for the two together.
+func TestCrowdsAtSmallLimits(t *testing.T) {
+	host := peers.NewModel(t, peers.Manner{Events: 3})
+	p := newPlatform(t, host)
+	p.limit(32, 256)
+	first := p.start().yes()
+	from := func(int) string { return "127.0.0.1" }
+	mute := peers.NewFlood(p.addr, 200, peers.Mute, from, time.Minute)
+	defer mute.Stop()
+	asking := peers.NewFlood(p.addr, 20, peers.Asking, from, time.Minute)
+	defer asking.Stop()
+	for i := range 2 * transport.MostCallers {
+		c, err := net.Dial("tcp", first.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, []string{"", "var", "vars\nvars\n"}[i%3])
+	}
+	scrape := func(o *one) {
+		t.Helper()
+		begun := time.Now()
+		c, err := net.Dial("tcp", o.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(begun.Add(peers.Patience))
+		io.WriteString(c, "vars\n")
+		text, err := io.ReadAll(c)
+		if took := time.Since(begun); err != nil || !strings.HasPrefix(string(text), "+OK\n") || !strings.HasSuffix(string(text), "\n.\n") || took > time.Second {
+			t.Errorf("after %v: %q, %v", took, text, err)
+		}
+	}
+	most, memory := 0, 0
+	look := func(all ...*one) {
+		descriptors, kilobytes := uses(all...)
+		most, memory = max(most, descriptors), max(memory, kilobytes)
+	}
+	for range 50 {
+		scrape(first)
+		look(first)
+	}
+	second := p.start()
+	looked := make(chan bool)
+	go func() {
+		defer close(looked)
+		for {
+			select {
+			case <-first.ended:
+				return
+			default:
+				look(first, second)
+			}
+		}
+	}()
+	second.yes()
+	scrape(second)
+	first.leaves()
+	<-looked
+	scrape(second)
+	if most > 256 || memory > 32<<10 {
+		t.Errorf("the two together had %d descriptors of 256, and %d kB of 32 MB", most, memory)
+	}
+	t.Logf("%d descriptors, %d kB at the most", most, memory)
+	second.leaves()
+}
+
+// A replacement during a drain serves though the old process sends clients away. One that is killed after its yes takes
+// nothing with it that it was not given: streams end where they are, and a third process serves.
+func TestReplacementThatDies(t *testing.T) {
+	hold := make(chan bool)
+	host := peers.NewModel(t, peers.Manner{Events: 5, Hold: hold})
+	p := newPlatform(t, host)
+	first := p.start().yes()
+	resp, err := http.DefaultClient.Do(peers.Ask(t, p.addr, "q", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := first.call("drain-on"); got != "+OK draining\n" {
+		t.Errorf("drain-on: %q", got)
+	}
+	second := p.start().yes()
+	if got := second.call("check"); got != "+OK\n" {
+		t.Errorf("the new process while the old one drains: %q", got)
+	}
+	second.cmd.Process.Kill()
+	second.exit(false)
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	first.until("phase name=finishing")
+	third := p.start().yes()
+	host.Set(peers.Manner{Events: 5})
+	if status, _, err := peers.Do(t, peers.Ask(t, p.addr, "next", nil)); status != 200 || err != nil {
+		t.Errorf("the third process: %d, %v", status, err)
+	}
+	hold <- true
+	if text, err := io.ReadAll(resp.Body); err != nil || !strings.Contains(string(text), "[DONE]") {
+		t.Errorf("the stream that was out: %q, %v", text, err)
+	}
+	first.exit(true)
+	third.leaves()
+}
+
+// call makes one call at the process's door.
+func (o *one) call(line string) string {
+	o.t.Helper()
+	c, err := net.Dial("tcp", o.door)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, line+"\n")
+	text, _ := io.ReadAll(c)
+	return string(text)
+}
--- /dev/null
+++ b/internal/transport/pieces_test.go
@@ -0,0 +1,105 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"reachspread/internal/peers"
+	"reachspread/internal/protocol"
+	"reachspread/internal/transport"
+)
+
+// write writes a text in pieces that end at the cuts, each a packet of its own.
+func write(c net.Conn, text string, cuts []int) {
+	c.(*net.TCPConn).SetNoDelay(true)
+	for _, n := range cuts {
+		n = min(n, len(text))
+		io.WriteString(c, text[:n])
+		text = text[n:]
+		time.Sleep(50 * time.Microsecond) // so that it is read by itself as a rule; the verdict does not hang on it
+	}
+	io.WriteString(c, text)
+}
+
+// Whatever pieces a good exchange comes in, from the client, the real server and discovery, the same bytes come out.
+func TestAnyPieces(t *testing.T) {
+	lists, answers, told := make(chan []int, 1), make(chan []int, 1), make(chan *protocol.List, 1)
+	defer close(lists)
+	s := peers.NewServer(t, func(c net.Conn) bool {
+		write(c, peers.Whole(), <-answers)
+		return true
+	})
+	lines := make(peers.Lines, 1000)
+	r := newLoggingRouter(t, lines)
+	d := peers.NewServer(t, func(c net.Conn) bool {
+		cuts, more := <-lists
+		text := peers.List(1, true, peers.Entry("s0", s.Addr, "Ready"))
+		write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text), cuts)
+		return more
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go transport.NewDiscovery(d.Addr, transport.Pushed, transport.WholeList, lines, func(l *protocol.List) {
+		r.core.Told(l.Members(), l.Addrs())
+		told <- l
+	}).Run(ctx)
+	asked := 0
+	pieces := rapid.SliceOfN(rapid.SampledFrom([]int{1, 1, 1, 2, 5, 17, 80}), 0, 60)
+	rapid.Check(t, func(rt *rapid.T) {
+		lists <- pieces.Draw(rt, "list")
+		if got := peers.Next(t, told, "a list"); len(got.Servers) != 1 || got.Servers[0].Addr != s.Addr {
+			rt.Fatalf("got the list %+v", got)
+		}
+		peers.Next(t, d.Requests, "a call")
+		answers <- pieces.Draw(rt, "answer")
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(peers.Patience))
+		asked++
+		id := fmt.Sprint("q", asked)
+		write(c, peers.AskText(id, ""), pieces.Draw(rt, "request"))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || string(body) != peers.Event+peers.Done {
+			rt.Fatalf("got %d %q, %v", resp.StatusCode, body, err)
+		}
+		if got := peers.Next(t, s.Requests, "a scheduling"); got.Header.Get("X-Correlation-Id") != id || !strings.HasSuffix(peers.AskText(id, ""), got.Body) {
+			rt.Fatalf("the real server got %+v", got)
+		}
+	})
+	if len(lines) > 0 {
+		t.Errorf("a line: %s", <-lines)
+	}
+}
+
+// A good real server that writes its head slowly, a byte at a time, is not taken for one that has fallen silent.
+func TestSlowHeadIsNotSilence(t *testing.T) {
+	s := peers.NewServer(t, func(c net.Conn) bool {
+		for _, b := range []byte(peers.Head) {
+			if _, err := c.Write([]byte{b}); err != nil {
+				return false
+			}
+			time.Sleep(1300 * time.Millisecond / time.Duration(len(peers.Head)))
+		}
+		io.WriteString(c, peers.Chunk(peers.Event)+peers.Chunk(peers.Done)+peers.End)
+		return true
+	})
+	r := newRouter(t, s)
+	if status, body, err := peers.Do(t, peers.Ask(t, r.addr, "q", nil)); status != 200 || err != nil || body != peers.Event+peers.Done {
+		t.Errorf("got %d %q, %v", status, body, err)
+	}
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -41,8 +42,9 @@
 	err   error // the last one of the socket: without one, an answer that fails was spoilt
 	to    routing.Entry
 	in    *bufio.Reader
-	since time.Time // in the pool
-	track *track    // of the stream that it carries, nil where that can't move
+	since time.Time       // in the pool
+	track *track          // of the stream that it carries, nil where that can't move
+	head  context.Context // of the head that is being read, nil for none
 }
 
 // take returns an idle connection to a real server, or a new one.
@@ -218,6 +220,12 @@
 }
 
 func (c *conn) Read(p []byte) (int, error) {
+	if c.head != nil {
+		c.SetReadDeadline(time.Now().Add(headIn))
+		if c.head.Err() != nil { // after the line above, lest it undo the end of the context
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
 	if c.track != nil {
 		return c.track.read(c, p)
 	}
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -24,7 +24,7 @@
 	mostRefusal = 64 << 10
 	mostOpening = 64 << 10
 	mostStream  = MaxBody
-	// headIn is how long the head of an answer may take from its first byte on. A real server writes it at once.
+	// headIn is how long a head that has begun may be silent. A real server writes it at once, in whatever pieces.
 	headIn = time.Second
 	// mostInterim bounds the 1xx answers before the answer itself.
 	mostInterim = 100
@@ -225,11 +225,10 @@
 		if _, err := x.conn.in.Peek(1); err != nil {
 			return err
 		}
-		x.conn.SetReadDeadline(time.Now().Add(headIn))
-		if err := ctx.Err(); err != nil { // after the line above, lest it undo the end of ctx
-			return err
-		}
-		if err := x.resp.Header.Read(x.conn.in); err != nil {
+		x.conn.head = ctx
+		err := x.resp.Header.Read(x.conn.in)
+		x.conn.head = nil
+		if err != nil {
 			return err
 		}
 		x.conn.SetReadDeadline(time.Time{})
