--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -6,15 +6,19 @@
 	"time"
 )
 
-// BenchmarkRequestAtSixtyHosts is the module's cost of one request with its events, at 60 hosts of three zones.
-func BenchmarkRequestAtSixtyHosts(b *testing.B) {
+// BenchmarkRequestAtSixtyHosts is the module's cost of one request with its events, at 60 hosts of three zones and 80
+// routers; the other is at the size of the standing fleet test.
+func BenchmarkRequestAtSixtyHosts(b *testing.B)    { benchmarkRequest(b, 60, 80) }
+func BenchmarkRequestAtAHundredHosts(b *testing.B) { benchmarkRequest(b, 100, 300) }
+
+func benchmarkRequest(b *testing.B, hosts, routers int) {
 	var list []Member
-	for i, name := range numbered("r", 60) {
+	for i, name := range numbered("r", hosts) {
 		list = append(list, Member{Replica: name, Zone: fmt.Sprint("z", i%3), Kind: "k"})
 	}
 	cfg := testConfig()
 	cfg.Zone = "z0"
-	cfg.Gateways = 80
+	cfg.Gateways = routers
 	heard := Heard{From: 1, Zone: mark("z0"), News: []News{{Tag: 1, Tokens: 100}}}
 	m, err := New(cfg, 1)
 	if err != nil {
--- a/internal/lab/vast_test.go
+++ b/internal/lab/vast_test.go
@@ -7,18 +7,23 @@
 
 // vast is 80 routers before 60 hosts of three zones, each router under one request a second, with words between routers of
 // which a fifth is lost.
-func vast(seed uint64) Spec {
+func vast(seed uint64) Spec { return fleetOf(seed, 80, 20, 38) }
+
+// mass is the size of the standing fleet test: 300 routers before 100 hosts, with traffic as thin.
+func mass(seed uint64) Spec { return fleetOf(seed, 300, 33, 63) }
+
+func fleetOf(seed uint64, routers, hostsOfZone int, rate float64) Spec {
 	s := small(seed)
-	s.Length, s.Routers = 14*time.Second, 80
+	s.Length, s.Routers = 14*time.Second, routers
 	group := s.Groups[0]
 	s.Groups = nil
 	for _, zone := range []string{"a", "b", "c"} {
 		g := group
-		g.Count, g.Zone = 20, zone
+		g.Count, g.Zone = hostsOfZone, zone
 		s.Groups = append(s.Groups, g)
 	}
 	for i := range s.Classes {
-		s.Classes[i].Rate = 38
+		s.Classes[i].Rate = rate
 		s.Classes[i].New = Length{2500, 0.8} // more than the fleet can do while hosts are cold
 	}
 	s.Peers = Peers{On: true, Least: 3 * ms, Most: 22 * ms, Lost: 0.2}
