--- a/internal/lab/hosts.go
+++ b/internal/lab/hosts.go
@@ -310,6 +310,7 @@
 // told takes a list, for the checkers and the module.
 func (r *router) told(x *news) {
 	w := r.w
+	w.res.Lines += uint64(len(x.members.Members))
 	for len(r.known) < len(w.hosts) {
 		r.known = append(r.known, knowledge{})
 	}
--- a/internal/lab/mass_test.go
+++ b/internal/lab/mass_test.go
@@ -26,8 +26,9 @@
 				s := mass(seed)
 				s.Troubles = []Trouble{trouble}
 				r, _ := run(t, s)
-				t.Logf("seed %d: G %.3f, %d attempts, %.2f handshakes and %.1f words heard for each, %d probes", seed, r.G(),
-					r.Attempts, float64(r.Handshakes)/float64(r.Attempts), float64(r.Heard)/float64(r.Attempts), r.Probes)
+				t.Logf("seed %d: G %.3f, %d attempts, %.2f handshakes and %.1f words heard for each, %d probes, %.0f list lines for each first try", seed, r.G(),
+					r.Attempts, float64(r.Handshakes)/float64(r.Attempts), float64(r.Heard)/float64(r.Attempts), r.Probes,
+					float64(r.Lines)/float64(firstTries(r)))
 				if r.Heard > 40*r.Attempts+300*300*2 || r.Handshakes > 2*r.Attempts || r.Probes != 0 {
 					t.Errorf("seed %d: %d words heard, %d handshakes, %d probes for %d attempts", seed, r.Heard, r.Handshakes, r.Probes, r.Attempts)
 				}
@@ -35,3 +36,10 @@
 		})
 	}
 }
+
+func firstTries(r *Result) (n uint64) {
+	for _, c := range r.Classes {
+		n += c.Asked
+	}
+	return n
+}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -27,6 +27,7 @@
 	Events, Steps             uint64 // of the world, of routers' modules
 	Attempts, Retries, Probes uint64
 	Heard                     uint64 // words of other routers that came
+	Lines                     uint64 // of lists that came to routers
 	Crossed, Handshakes       uint64
 	TurnedAway, Preempted     uint64
 	Tokens, Wasted, Kept      uint64 // made; of them, for nobody; prompt tokens found kept
--- a/internal/lab/vast_test.go
+++ b/internal/lab/vast_test.go
@@ -77,7 +77,7 @@
 			}
 			s.Troubles = []Trouble{tt.trouble}
 			r, _ := run(t, s)
-			t.Logf("G %.3f, handshakes %d for %d attempts", r.G(), r.Handshakes, r.Attempts)
+			t.Logf("G %.3f, handshakes %d for %d attempts, %.1f list lines for each first try", r.G(), r.Handshakes, r.Attempts, float64(r.Lines)/float64(firstTries(r)))
 			if g := r.G(); g < tt.least {
 				t.Errorf("G %.3f, want %.2f", g, tt.least)
 			}
