Lab: serve-fleet and load with faults by schedule; captures of what a router takes in

Change: standin.Fleet (the demo stands on it, too) with stall, cut, garbage, drain, kill, refuse and slow by a schedule of the experiment's file; load asks by the plan or a capture, times from when due; a router with a block capture writes time, class, lengths and keyed hashes by a goroutine that nobody waits for, bounded, without text; an experiment plays a capture in place of drawn load.

--- a/cmd/reachlab/main.go
+++ b/cmd/reachlab/main.go
@@ -31,7 +31,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "reachlab", Short: "Plays experiments on a model of the fleet", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), checkCommand(), replayCommand(), compareCommand(), chartCommand(), demoCommand())
+	root.AddCommand(runCommand(), checkCommand(), replayCommand(), compareCommand(), chartCommand(), demoCommand(), serveFleetCommand(), loadCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/capture/capture_test.go
@@ -0,0 +1,140 @@
+package capture
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"reachspread/balance"
+)
+
+// lines collects log lines.
+type lines []string
+
+func (l *lines) Info(event string, fields ...any) { *l = append(*l, event+fmt.Sprint(fields...)) }
+func (l *lines) Warn(event string, fields ...any) { l.Info("WRN "+event, fields...) }
+
+func arrival(i int) balance.Arrival {
+	return balance.Arrival{ID: fmt.Sprint("id", i), Class: "desk-chat", Session: fmt.Sprint("session-", i%3), Prefix: "the prefix", Prompt: float64(100 + i),
+		Shared: 50, Left: time.Second}
+}
+
+// What was taken can be read again, in its order and with names that tell nothing but who is the same; a file that is cut
+// anywhere within a line is refused by its line.
+func TestWrittenIsRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.ndjson")
+	var log lines
+	w, err := NewWriter(path, 1<<20, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 20 {
+		w.Take(arrival(i), w.start.Add(time.Duration(i)*time.Millisecond))
+	}
+	w.Close()
+	w.Take(arrival(99), time.Now())
+	h, all, err := Read(path)
+	if err != nil || h.Capture != Version || len(all) != 20 {
+		t.Fatalf("%+v, %d requests, %v", h, len(all), err)
+	}
+	for i, q := range all {
+		want := Request{At: time.Duration(i) * time.Millisecond, Class: "desk-chat", Session: all[i%3].Session, Prefix: all[0].Prefix, Prompt: 100 + i, Shared: 50, Left: time.Second}
+		if q != want || q.Session == all[(i+1)%3].Session {
+			t.Errorf("%d: got %+v, want %+v", i, q, want)
+		}
+	}
+	if len(log) != 1 || !strings.HasPrefix(log[0], "capture ended") || !strings.Contains(log[0], "requests20") {
+		t.Errorf("lines %q", log)
+	}
+	text, _ := os.ReadFile(path)
+	for _, secret := range []string{"id1", "session-", "the prefix"} {
+		if bytes.Contains(text, []byte(secret)) {
+			t.Errorf("the file tells %q", secret)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		cut := rapid.IntRange(1, len(text)-1).Draw(t, "cut")
+		_, all, err := Parse(bytes.NewReader(text[:cut]), "c")
+		n := bytes.Count(text[:cut], []byte("\n"))
+		if text[cut-1] == '\n' {
+			if err != nil || len(all) != n-1 {
+				t.Fatalf("cut between lines: %d requests, %v", len(all), err)
+			}
+		} else if err == nil || err.Error() != fmt.Sprintf("c:%d: the line is cut off", n+1) {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+	})
+	if _, err := NewWriter(path, 1<<20, &log); err == nil {
+		t.Error("a file that is there was written over")
+	}
+}
+
+// The bound holds to the byte, and ends the capture with one line; closing it then waits for nothing.
+func TestBound(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.ndjson")
+	var log lines
+	w, err := NewWriter(path, 1000, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 50 {
+		w.Take(arrival(i), time.Now())
+	}
+	<-w.done
+	w.Close()
+	info, err := os.Stat(path)
+	if err != nil || info.Size() > 1000 {
+		t.Fatalf("%v, %v", info.Size(), err)
+	}
+	if _, all, err := Read(path); err != nil || len(all) < 3 {
+		t.Errorf("%d requests, %v", len(all), err)
+	}
+	if len(log) != 1 || !strings.HasPrefix(log[0], "capture full") {
+		t.Errorf("lines %q", log)
+	}
+}
+
+// A fault is one line with file, line and field.
+func TestSpoilt(t *testing.T) {
+	head := `{"capture":1,"from":"2026-01-02T03:04:05Z"}` + "\n"
+	good := `{"at_ns":5,"class":"c","session":"s","prompt":9,"left_ns":1}` + "\n"
+	for _, tt := range []struct{ text, want string }{
+		{"", "c:1: the line is cut off"},
+		{"hello\n", "c:1: capture is not 1"},
+		{`{"capture":2}` + "\n", "c:1: capture is not 1"},
+		{head + strings.Replace(good, `"class":"c",`, "", 1), "c:2: class is missing"},
+		{head + good + strings.Replace(good, `"session":"s",`, "", 1), "c:3: session is missing"},
+		{head + good + strings.Replace(good, `5`, "4", 1), "c:3: at_ns is 4, before"},
+		{head + strings.Replace(good, `9`, "0", 1), "c:2: prompt is 0"},
+		{head + strings.Replace(good, `9`, `9,"shared":10`, 1), "c:2: shared is 10"},
+		{head + strings.Replace(good, `:1}`, `:-1}`, 1), "c:2: left_ns is -1"},
+		{head + strings.Replace(good, `9`, `"nine"`, 1), "c:2: json: cannot unmarshal string into Go struct field Request.prompt"},
+		{head + strings.Replace(good, `9`, `9,"text":"a prompt"`, 1), `c:2: json: unknown field "text"`},
+		{head + strings.Repeat("x", mostLine+1), "c:2: the line is longer than"},
+	} {
+		if _, _, err := Parse(strings.NewReader(tt.text), "c"); err == nil || !strings.HasPrefix(err.Error(), tt.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.80q: got %v, want %q", tt.text, err, tt.want)
+		}
+	}
+}
+
+// What a request costs the live path while a capture is on.
+func BenchmarkTake(b *testing.B) {
+	var log lines
+	w, err := NewWriter(filepath.Join(b.TempDir(), "c"), 1<<40, &log)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer w.Close()
+	a := arrival(1)
+	b.ReportAllocs()
+	for range b.N {
+		w.Take(a, w.start)
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"context"
 	_ "embed"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -67,8 +66,8 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, s.stop()) }()
-	fmt.Fprintf(o.Out, "router %s, discovery %s", s.addr, s.list.Addr)
-	for _, h := range s.hosts {
+	fmt.Fprintf(o.Out, "router %s, discovery %s", s.addr, s.List.Addr)
+	for _, h := range s.Hosts {
 		fmt.Fprintf(o.Out, ", %s %s", h.ID, h.Addr)
 	}
 	fmt.Fprintf(o.Out, "\n%d requests in %v\n", len(plan), spec.Length)
@@ -97,9 +96,8 @@
 
 // stage is what a demo has started.
 type stage struct {
+	*standin.Fleet
 	addr   string
-	hosts  []*standin.Host
-	list   *standin.List
 	end    context.CancelFunc // of the router
 	ended  chan error
 	folder string
@@ -116,19 +114,9 @@
 	if s.folder, err = os.MkdirTemp("", "reachlab-demo-"); err != nil {
 		return s, err
 	}
-	if s.list, err = standin.NewList("127.0.0.1:0"); err != nil {
+	if s.Fleet, err = standin.NewFleet(spec); err != nil {
 		return s, err
 	}
-	for g := range spec.Groups {
-		for i := range spec.Groups[g].Count {
-			h, err := standin.NewHost(fmt.Sprintf("host-%d", i+1), "127.0.0.1:0", spec.Groups[g].Host, uint64(i))
-			if err != nil {
-				return s, err
-			}
-			s.hosts = append(s.hosts, h)
-			s.told(h, "Ready", 0)
-		}
-	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return s, err
@@ -136,7 +124,7 @@
 	s.addr = ln.Addr().String()
 	ln.Close() // the router listens there next
 	path := filepath.Join(s.folder, "config.json")
-	if err = os.WriteFile(path, config(spec, s), 0o600); err != nil {
+	if err = os.WriteFile(path, s.RouterConfig("demo", s.addr), 0o600); err != nil {
 		return s, err
 	}
 	env := func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] }
@@ -184,53 +172,17 @@
 			err = errors.New("the router did not end in time")
 		}
 	}
-	for _, h := range s.hosts {
-		h.Close()
-	}
-	if s.list != nil {
-		s.list.Close()
+	if s.Fleet != nil {
+		s.Fleet.Close()
 	}
 	return errors.Join(err, os.RemoveAll(s.folder))
 }
 
-// told has discovery tell of a host. Started is when, 0 for long ago.
-func (s *stage) told(h *standin.Host, state string, started int64) {
-	s.list.Set(standin.Entry{ID: h.ID, Addr: h.Addr, Zone: "a", Kind: "gpu", State: state, Weight: 1, StartedMs: started})
-}
-
 func (s *stage) curl() string {
 	return fmt.Sprintf(`curl -N http://%s/v1/chat/completions -H 'X-Correlation-Id: '$RANDOM$RANDOM -H 'X-Service-Class: desk-chat' `+
 		`-H 'X-Session-Key: me' -H 'X-Time-Left: 6000m' -H 'X-Facts: prompt_len=100,max_out=50' -d '{"stream":true,"max_tokens":50}'`, s.addr)
 }
 
-// config is the router's, with the classes of the plan in the platform's names.
-func config(spec *lab.Spec, s *stage) []byte {
-	var services []map[string]any
-	var aims []float64
-	var paces []int64
-	for _, c := range spec.Classes {
-		services = append(services, map[string]any{"name": c.Class.Name, "effect": "safe", "group": "all", "streaming": true, "gain": c.Class.Worth,
-			"lateWorth": c.Class.LateWorth, "aimNs": c.Class.Aim.Nanoseconds(), "hardLimitNs": c.Class.Deadline.Nanoseconds()})
-		aims = append(aims, float64(c.Class.AimPer1000.Microseconds()))
-		paces = append(paces, c.Class.TokenAim.Nanoseconds())
-	}
-	b := &spec.Balance
-	text, _ := json.Marshal(map[string]any{
-		"name": "demo", "listen": s.addr, "discovery": s.list.Addr, "seed": "1",
-		"limits": map[string]any{"cores": 2.0, "memory_mb": 256, "sockets": 1024},
-		"known":  map[string]any{"version": 0, "full": true, "servers": []any{}},
-		"settings": map[string]any{"az": "a", "quantumNs": spec.Tick.Nanoseconds(), "services": services, "discovery": "push",
-			"clients": map[string]any{"marksRetry": true},
-			"extra":   map[string]any{"aimUsPer1000PromptTokens": aims, "tokenAimNs": paces, "reportX1": "thousands of prompt tokens waiting to be read"},
-			"limits": map[string]any{"maxAttempts": b.MaxAttempts, "connectTimeoutNs": spec.Net.Connect.Nanoseconds(),
-				"keepaliveNs": spec.Net.Idle.Nanoseconds(), "maxRetryAfterNs": b.MaxAway.Nanoseconds(), "mayProbe": b.MayProbe, "retryAfter": true},
-			"reporting": map[string]any{"columns": []string{"inflight", "util", "x1"}, "how": "answers"},
-			"rules": map[string]any{"coldNs": b.ColdTime.Nanoseconds(), "startCapacity": b.StartCapacity, "overloadFactor": b.OverloadFactor,
-				"tipAfterNs": b.OverloadWindow.Nanoseconds(), "stopSendingWithinNs": int64(500 * time.Millisecond)}},
-	})
-	return text
-}
-
 // show tells of a demo as it goes.
 type show struct {
 	o       *Options
@@ -297,26 +249,26 @@
 }
 
 func (w *show) drain() {
-	h := w.s.hosts[0]
+	h := w.s.Hosts[0]
 	w.tell(h.ID + " drains")
-	w.s.told(h, "Terminating", 0)
+	w.s.Tell(h, "Terminating", 0)
 	h.Event(fleet.Drain{})
 }
 
 func (w *show) kill() {
-	h := w.s.hosts[1]
+	h := w.s.Hosts[1]
 	w.tell(h.ID + " is killed")
 	h.Kill()
 }
 
 func (w *show) back() {
-	h := w.s.hosts[1]
+	h := w.s.Hosts[1]
 	if err := h.Start(); err != nil {
 		w.tell(fmt.Sprintf("%s does not come back: %v", h.ID, err))
 		return
 	}
 	w.tell(h.ID + " is back, cold")
-	w.s.told(h, "Ready", time.Now().UnixMilli())
+	w.s.Tell(h, "Ready", time.Now().UnixMilli())
 }
 
 // draw writes the table, over the last one on a terminal.
@@ -332,7 +284,7 @@
 			fmt.Fprintf(table, "%-14s %6d %6d %6d %8d %7d %7d %8.0f %8.0f\n", t.Class, t.Asked, t.Good, t.Late, t.Refused, t.Failed, t.BrokenOff,
 				float64(t.First.ValueAtQuantile(50))/1000, float64(t.First.ValueAtQuantile(99))/1000)
 		}
-		for _, h := range w.s.hosts {
+		for _, h := range w.s.Hosts {
 			x := h.Stats()
 			fmt.Fprintf(table, "%s: %d running, %d waiting, %d connections, capacity %.2f, up: %v\n", h.ID, x.Running, x.Waiting, x.Conns, x.Capacity, x.Alive)
 		}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -15,8 +15,10 @@
 	"github.com/zclconf/go-cty/cty"
 
 	"reachspread/balance"
+	"reachspread/internal/capture"
 	"reachspread/internal/fleet"
 	"reachspread/internal/lab"
+	"reachspread/internal/standin"
 )
 
 // Experiment is worlds that differ by seed and by variant.
@@ -25,7 +27,10 @@
 	Seeds    []uint64
 	Spec     lab.Spec // of the first variant, but for the seed
 	Variants []Variant
-	Text     []byte // as it was read
+	Faults   []standin.Fault // of the fleet on sockets
+	Text     []byte          // as it was read
+
+	captured string // a capture's file, beside the experiment's; empty for none
 }
 
 // Variant is a change to the module's settings or to the routers.
@@ -57,7 +62,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return Parse(text, filepath.Base(path))
+	x, err := Parse(text, filepath.Base(path))
+	if err != nil || x.captured == "" {
+		return x, err
+	}
+	if !filepath.IsAbs(x.captured) {
+		x.captured = filepath.Join(filepath.Dir(path), x.captured)
+	}
+	x.Spec.Captured, err = Captured(x.captured, &x.Spec)
+	return x, err
 }
 
 // Parse is Read for a text; name is that of its file.
@@ -222,11 +235,13 @@
 		Retries: lab.Retries{Max: 2, After: 200 * time.Millisecond, Heed: true}}
 	names := map[string]bool{}
 	d.body(b, "an experiment", fields{
-		"seeds":   d.seeds(x),
-		"length":  span(&s.Length, time.Millisecond),
-		"tick":    span(&s.Tick, time.Microsecond),
-		"routers": whole(&s.Routers, 1, 10000),
+		"seeds":    d.seeds(x),
+		"length":   span(&s.Length, time.Millisecond),
+		"tick":     span(&s.Tick, time.Microsecond),
+		"routers":  whole(&s.Routers, 1, 10000),
+		"captured": word(&x.captured),
 	}, blocks{
+		"fault":  func(b *hclsyntax.Block) { x.Faults = append(x.Faults, d.faultOf(b)) },
 		"module": func(b *hclsyntax.Block) { d.body(b.Body, "module", d.module(&s.Balance), nil) },
 		"group":  func(b *hclsyntax.Block) { s.Groups = append(s.Groups, d.group(b)) },
 		"class":  func(b *hclsyntax.Block) { s.Classes = append(s.Classes, d.class(b)) },
@@ -372,3 +387,53 @@
 		"size": num(&t.Size, 0.01, 1000), "zone": word(&t.Zone)}, nil, needed...)
 	return t
 }
+
+// faultOf reads what goes wrong with hosts on sockets. Virtual time knows troubles only.
+func (d *decoder) faultOf(b *hclsyntax.Block) standin.Fault {
+	f := standin.Fault{Kind: standin.FaultKind(d.label(b))}
+	if !slices.Contains(standin.FaultKinds, f.Kind) {
+		d.fault(b.TypeRange, "fault", "%q is unknown", f.Kind)
+	}
+	needed := []string{"at", "length"}
+	if f.Kind == standin.Slow {
+		needed = append(needed, "size")
+	}
+	d.body(b.Body, "fault", fields{"at": span(&f.At, 0), "length": span(&f.Length, 1), "size": num(&f.Size, 0.01, 1000),
+		"hosts": func(v cty.Value) string {
+			const wrong = "must be a list of hosts by number, from 0"
+			if v.IsNull() || !v.IsKnown() || !v.CanIterateElements() {
+				return wrong
+			}
+			for _, e := range v.AsValueSlice() {
+				n, ok := number(e)
+				if !ok || n != float64(int(n)) || n < 0 || n > 100000 {
+					return wrong
+				}
+				f.Hosts = append(f.Hosts, int(n))
+			}
+			return ""
+		}}, nil, needed...)
+	return f
+}
+
+// Captured reads a capture as the plan of an experiment's clients. A class that the experiment does not have is a fault.
+func Captured(path string, spec *lab.Spec) ([]lab.Planned, error) {
+	_, all, err := capture.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	if len(all) == 0 {
+		return nil, fmt.Errorf("%s:1: holds no request", filepath.Base(path))
+	}
+	plan := make([]lab.Planned, 0, len(all))
+	for i, q := range all {
+		n := slices.IndexFunc(spec.Classes, func(c lab.Class) bool { return c.Class.Name == q.Class })
+		if n < 0 {
+			return nil, fmt.Errorf("%s:%d: class %q is none of the experiment's", filepath.Base(path), i+2, q.Class)
+		}
+		c := &spec.Classes[n]
+		plan = append(plan, lab.Planned{At: q.At, ID: fmt.Sprint("c", i+1), Class: n, Session: q.Session, Prefix: q.Prefix, Shared: q.Shared,
+			Prompt: q.Prompt, Out: c.AnswerOf(i), MaxOut: c.MaxOut})
+	}
+	return plan, nil
+}
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -42,6 +42,11 @@
 	return max(int(l.Median*math.Exp(l.Sigma*rng.NormFloat64())), 1)
 }
 
+// AnswerOf draws the length of an answer by the request's number, for requests whose answers are not known.
+func (c *Class) AnswerOf(n int) int {
+	return min(c.Out.draw(rand.New(rand.NewPCG(uint64(n), forSession))), c.MaxOut)
+}
+
 // gap is the time until the next session begins.
 func (l *load) gap() time.Duration {
 	perSecond := l.c.Rate / l.c.Turns * l.w.burst
@@ -132,9 +137,15 @@
 	if !last {
 		w.at(w.now+think, event{do: turnComes, p: s})
 	}
+	w.asks(f)
+}
+
+// asks has a client ask for the first time.
+func (w *World) asks(f *flow) {
+	s := f.session
 	if w.planning {
 		w.plan = append(w.plan, Planned{At: w.now, ID: "f" + strconv.Itoa(f.n), Class: s.load.n, Session: s.name, Prefix: s.prefix, Shared: s.shared,
-			Prompt: f.prompt, Out: f.out, MaxOut: c.MaxOut})
+			Prompt: f.prompt, Out: f.out, MaxOut: s.load.c.MaxOut})
 		return
 	}
 	w.open++
@@ -143,6 +154,20 @@
 	w.try(f)
 }
 
+// captured has a request that once was taken in come again, and the one after it in its time.
+func (w *World) captured(n int) {
+	p := &w.s.Captured[n]
+	if w.now >= w.s.Length {
+		return
+	}
+	if n+1 < len(w.s.Captured) {
+		w.at(w.s.Captured[n+1].At, event{do: capturedComes, n: n + 1})
+	}
+	w.flows++
+	w.asks(&flow{session: &session{load: w.classes[p.Class], name: p.Session, prefix: p.Prefix, shared: p.Shared}, n: w.flows, began: w.now,
+		prompt: p.Prompt, out: p.Out, rng: w.stream(forTry, uint64(w.flows))})
+}
+
 // Planned is a request that a client will make, whatever comes of those before it.
 type Planned struct {
 	At              time.Duration
@@ -166,7 +191,7 @@
 			break
 		}
 		switch e.do {
-		case sessionBegins, turnComes:
+		case sessionBegins, turnComes, capturedComes:
 			w.play(&e)
 		case troubleBegins, troubleEnds:
 			if k := w.s.Troubles[max(e.n, 0)].Kind; k == Burst || k == HeavyTail { // those that clients make
--- a/internal/lab/queue.go
+++ b/internal/lab/queue.go
@@ -21,6 +21,7 @@
 	tryReaches // its router
 	tryOverdue
 	retryComes
+	capturedComes
 	routerSteps
 	routerWakes
 	routerHears
--- a/internal/lab/spec.go
+++ b/internal/lab/spec.go
@@ -33,6 +33,7 @@
 	Retries  Retries
 	Peers    Peers
 	Troubles []Trouble
+	Captured []Planned // in the order of their times; in place of drawn load, if there is any
 
 	// New makes a router's decider; nil for that of package balance.
 	New func(balance.Config, uint64) (Decider, error)
@@ -167,6 +168,14 @@
 			return fmt.Errorf("Classes[%d].Class.Deadline is %v; it must be more than 0", i, c.Class.Deadline)
 		}
 	}
+	for i, p := range s.Captured {
+		switch {
+		case p.Class < 0 || p.Class >= len(s.Classes):
+			return fmt.Errorf("Captured[%d].Class is %d; there are %d", i, p.Class, len(s.Classes))
+		case p.Prompt < 1 || p.Out < 1 || i > 0 && p.At < s.Captured[i-1].At:
+			return fmt.Errorf("Captured[%d] needs a Prompt and an Out of 1 or more, and must not come before the last", i)
+		}
+	}
 	for i, t := range s.Troubles {
 		field := func(name string) string { return fmt.Sprintf("Troubles[%d] (%s).%s", i, t.Kind, name) }
 		switch {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -108,11 +108,14 @@
 		w.front = append(w.front, i)
 	}
 	for i, c := range s.Classes {
-		if c.Rate > 0 {
+		if c.Rate > 0 && len(s.Captured) == 0 {
 			w.classes[i].underway()
 			w.at(w.classes[i].gap(), event{do: sessionBegins, n: i})
 		}
 	}
+	if len(s.Captured) > 0 {
+		w.at(s.Captured[0].At, event{do: capturedComes})
+	}
 	for i, t := range s.Troubles {
 		w.at(t.At, event{do: troubleBegins, n: i})
 	}
@@ -175,6 +178,8 @@
 		w.classes[e.n].begin()
 	case turnComes:
 		w.turn(e.p.(*session))
+	case capturedComes:
+		w.captured(e.n)
 	case retryComes:
 		w.try(e.p.(*flow))
 	case tryReaches:
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -244,3 +244,33 @@
 	}
 	l <- event
 }
+
+// Text collects what is written, from any goroutine.
+type Text struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (x *Text) Write(p []byte) (int, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.b.Write(p)
+}
+
+// String returns all of it.
+func (x *Text) String() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.b.String()
+}
+
+// Wait waits until some words were written.
+func (x *Text) Wait(t testing.TB, words string) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !strings.Contains(x.String(), words); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %q in:\n%s", words, x.String())
+		}
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -13,6 +13,7 @@
 
 	"reachspread/balance"
 	"reachspread/internal/beside"
+	"reachspread/internal/capture"
 	"reachspread/internal/mirror"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
@@ -34,6 +35,7 @@
 	servers *transport.RealServers
 	mirror  *mirror.Mirror    // nil without a file
 	status  *transport.Status // nil where the settings name no folder
+	capture *capture.Writer   // nil where they name no file
 	router  *routing.Router
 	front   *transport.Front
 	ln      net.Listener
@@ -98,6 +100,8 @@
 			return err
 		}
 	}
+	p.startCapture()
+	defer p.stopCapture()
 	p.take(p.cfg.room(others))
 	if err := p.listen(ctx); err != nil {
 		return err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,13 @@
 	StatusDir string // folder of the status socket, empty for none
 	Shadow    Shadow
 	Door      *Door // nil for none
+	Capture   Capture
+}
+
+// Capture says where what is taken in is kept, without text.
+type Capture struct {
+	File  string // empty: nothing is kept
+	Bytes int64
 }
 
 // Door is the block of that name. Places and the step's own room come from the limits.
@@ -82,6 +89,9 @@
 	if s.StatusDir != "" {
 		n += 1 + StatusClients
 	}
+	if s.Capture.File != "" {
+		n++
+	}
 	return n
 }
 
@@ -99,11 +109,18 @@
 
 // The file as HCL has it. Durations and sizes are words such as "250ms" and "1MiB".
 type file struct {
-	Body   hcl.Body     `hcl:",body"`
-	Log    *logBlock    `hcl:"log,block"`
-	Status *statusBlock `hcl:"status,block"`
-	Shadow *shadowBlock `hcl:"shadow,block"`
-	Door   *doorBlock   `hcl:"door,block"`
+	Body    hcl.Body      `hcl:",body"`
+	Log     *logBlock     `hcl:"log,block"`
+	Status  *statusBlock  `hcl:"status,block"`
+	Shadow  *shadowBlock  `hcl:"shadow,block"`
+	Door    *doorBlock    `hcl:"door,block"`
+	Capture *captureBlock `hcl:"capture,block"`
+}
+
+type captureBlock struct {
+	Body  hcl.Body `hcl:",body"`
+	File  string   `hcl:"file"`
+	Bytes string   `hcl:"bytes,optional"`
 }
 
 type doorBlock struct {
@@ -349,6 +366,11 @@
 	if f.Door != nil {
 		s.Door = c.door(f.Door)
 	}
+	if b := f.Capture; b != nil {
+		if s.Capture = (Capture{File: b.File, Bytes: c.size(b.Body, "bytes", b.Bytes, 8<<20, 4<<10)}); b.File == "" {
+			c.fault(b.Body, "file", "is empty; it must name a file that is not there yet")
+		}
+	}
 	return s
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -116,6 +116,8 @@
 		{`classes = ["chat"]`, `classes = [""]`, "f.hcl:19: classes"},
 		{`    host "c0"`, "host \"c0\" {\n addr = \"h:1\"\n }\n host \"c0\"", `host "c0" is empty or there twice`},
 		{`log {`, `log {{`, "f.hcl:1: "},
+		{`log {`, "capture {\n file = \"\"\n}\nlog {", "f.hcl:2: file is empty"},
+		{`log {`, "capture {\n file = \"c\"\n bytes = \"1B\"\n}\nlog {", `f.hcl:3: bytes is "1B"`},
 	})
 	if _, err := Read("nowhere.hcl"); err == nil || !strings.Contains(err.Error(), "nowhere.hcl") {
 		t.Errorf("a file that is not there: %v", err)
--- /dev/null
+++ b/internal/standin/faults_test.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"reachspread/internal/lab"
+	"reachspread/internal/peers"
+	"reachspread/internal/protocol"
+)
+
+// Each fault does what its name says, to the hosts named alone, and ends with its time.
+func TestFaults(t *testing.T) {
+	spec := &lab.Spec{Seed: 1, Groups: []lab.Group{{Count: 2, Kind: "k", Zone: "z", Host: config()}}}
+	for _, tt := range []struct {
+		kind   FaultKind
+		during string // what a client gets from host 0
+	}{{Stall, "late"}, {Cut, "broken"}, {Garbage, "garbage"}, {Draining, "503"}, {Killed, "refused"}, {Refuse, "refused"}, {Slow, "late"}} {
+		t.Run(string(tt.kind), func(t *testing.T) {
+			f, err := NewFleet(spec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer f.Close()
+			begun, ended := make(chan bool), make(chan bool)
+			over := make(chan error, 1)
+			go func() {
+				over <- f.Play(context.Background(), []Fault{{Kind: tt.kind, Length: 600 * ms, Hosts: []int{0}, Size: 400}}, func(line string) {
+					if strings.HasSuffix(line, "begins") {
+						close(begun)
+					} else {
+						close(ended)
+					}
+				})
+			}()
+			<-begun
+			if got := outcome(t, f.Hosts[0], string(tt.kind)); got != tt.during {
+				t.Errorf("during it: %s, want %s", got, tt.during)
+			}
+			if got := outcome(t, f.Hosts[1], "other"); got != "well" {
+				t.Errorf("the other host: %s", got)
+			}
+			<-ended
+			if err := <-over; err != nil {
+				t.Error(err)
+			}
+			if got := outcome(t, f.Hosts[0], "after"); got != "well" {
+				t.Errorf("after it: %s", got)
+			}
+		})
+	}
+}
+
+// outcome asks a host once, on a connection of its own.
+func outcome(t *testing.T, h *Host, id string) string {
+	t.Helper()
+	r := peers.Ask(t, h.Addr, id, nil)
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(`{"lab_out":6,"lab_prompt":10}`)), 29
+	begun := time.Now()
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		if strings.Contains(err.Error(), "refused") {
+			return "refused"
+		}
+		return "broken"
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	lines := strings.Split(string(text), "\n")
+	switch {
+	case err != nil:
+		return "broken"
+	case resp.StatusCode == 503 && resp.Header.Get(protocol.HeaderUnprocessed) == "1":
+		return "503"
+	case slices.ContainsFunc(lines, func(l string) bool { return strings.Contains(l, "no event") }):
+		return "garbage"
+	case time.Since(begun) > 300*ms:
+		return "late"
+	}
+	return "well"
+}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -44,6 +44,9 @@
 	server *http.Server
 	conns  map[net.Conn]bool // true for those that the model has
 	probes int
+	ln     net.Listener
+	wrong  FaultKind     // what its sockets do beside the model
+	right  chan struct{} // closed when that ends
 }
 
 // NewHost starts a host at an address, which may end with port 0.
@@ -60,7 +63,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Addr, h.conns = ln.Addr().String(), map[net.Conn]bool{}
+	h.Addr, h.ln, h.conns = ln.Addr().String(), ln, map[net.Conn]bool{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+protocol.PathCompletions, h.complete)
 	mux.HandleFunc("GET "+protocol.PathLoad, h.load)
@@ -232,6 +235,15 @@
 	var words strings.Builder
 	event := func() {
 		if words.Len() > 0 {
+			switch how, until := h.amiss(); how {
+			case Stall:
+				select {
+				case <-until:
+				case <-ctx.Done():
+				}
+			case Garbage:
+				io.WriteString(w, "\x00\x01 no event at all\n")
+			}
 			fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", words.String())
 			flush.Flush()
 			words.Reset()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"reachspread/balance"
 	"reachspread/internal/door"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
@@ -33,6 +34,7 @@
 	limits     FrontLimits
 	listener   *listener
 	tap        Tap          // nil for none
+	capture    Capture      // nil for none
 	bodies     atomic.Int64 // bytes of all bodies that are held
 	mostBodies atomic.Int64
 	ready      atomic.Bool
@@ -87,6 +89,14 @@
 	return f.server.Serve(f.listener)
 }
 
+// Capture is told of each request that is taken in, and never waits.
+type Capture interface {
+	Take(a balance.Arrival, came time.Time)
+}
+
+// SetCapture has requests be captured from now on. It is called before Serve.
+func (f *Front) SetCapture(c Capture) { f.capture = c }
+
 // SetReady says what /-/ready is to answer.
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
@@ -179,6 +189,9 @@
 		f.lose(ctx, fasthttp.StatusConflict, err.Error())
 		return
 	}
+	if f.capture != nil {
+		f.capture.Take(arrival, came)
+	}
 	var watcher Watcher
 	if f.tap != nil {
 		watcher = f.offer(header, &arrival, came, m)
