Lab: routers end streams of hosts that have fallen silent

Change: network.silent (4500ms in experiments); seen in a world of a zone silent for 9 s: the streams under way end while it is silent. Ruled out: the host's own list of attempts alone; hosts that are cut off go on, so half of the streams stand among the words that nobody heard.

--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -230,7 +230,7 @@
 	*s = lab.Spec{Length: time.Minute, Tick: 5 * time.Millisecond, Routers: 1,
 		Balance: balance.Config{MaxAttempts: 4, StartCapacity: 1},
 		Net: lab.Network{Same: 300 * time.Microsecond, Cross: 2 * time.Millisecond, Jitter: 0.2, Connect: 50 * time.Millisecond,
-			Idle: 15 * time.Second},
+			Idle: 15 * time.Second, Silent: 4500 * time.Millisecond},
 		List: lab.List{Delay: 50 * time.Millisecond, Spread: 200 * time.Millisecond}, Front: lab.Front{Notice: 2 * time.Second},
 		Retries: lab.Retries{Max: 2, After: 200 * time.Millisecond, Heed: true}}
 	names := map[string]bool{}
@@ -247,7 +247,7 @@
 		"class":  func(b *hclsyntax.Block) { s.Classes = append(s.Classes, d.class(b)) },
 		"network": func(b *hclsyntax.Block) {
 			d.body(b.Body, "network", fields{"same": span(&s.Net.Same, 0), "cross": span(&s.Net.Cross, 0), "jitter": num(&s.Net.Jitter, 0, 10),
-				"connect": span(&s.Net.Connect, 1), "idle": span(&s.Net.Idle, 1)}, nil)
+				"connect": span(&s.Net.Connect, 1), "idle": span(&s.Net.Idle, 1), "silent": span(&s.Net.Silent, 0)}, nil)
 		},
 		"list": func(b *hclsyntax.Block) {
 			d.body(b.Body, "list", fields{"delay": span(&s.List.Delay, 0), "spread": span(&s.List.Spread, 0)}, nil)
--- a/internal/lab/hosts.go
+++ b/internal/lab/hosts.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,6 +24,7 @@
 	alive bool
 	gone  bool // for good
 	cut   bool // from the network
+	cuts  int  // times that it was
 	state balance.State
 
 	atIt map[string]*attempt
@@ -198,6 +201,23 @@
 	}
 }
 
+// endSilent has routers end the streams of a host that was cut off and is not heard of since. What the host made meanwhile
+// nobody gets.
+func (w *World) endSilent(h *host, cut int) {
+	if !h.cut || h.cuts != cut {
+		return
+	}
+	all := slices.Clone(h.unheard) // the host may be done with these
+	for _, id := range slices.Sorted(maps.Keys(h.atIt)) {
+		all = append(all, h.atIt[id])
+	}
+	for _, a := range all {
+		if r := a.t.router; a.begun > 0 && !a.over && a.t.out == a && r.alive && r.gen == a.t.gen {
+			r.hear(&tell{a: a, result: balance.TimedOut, made: a.made})
+		}
+	}
+}
+
 // cancel has a router give up an attempt: its connection closes, and the host hears of it.
 func (w *World) cancel(a *attempt) {
 	a.over = true
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -414,3 +414,26 @@
 		b.ReportMetric(float64(r.Events), "events/world")
 	}
 }
+
+// A zone that falls silent for longer than a router waits: its streams end while it is silent, not with its return.
+func TestSilentStreamsEnd(t *testing.T) {
+	ended := func(silent time.Duration) (during, broken uint64) {
+		s := small(2)
+		s.Net.Silent = silent
+		s.Retries.Max = 0
+		s.Troubles = []Trouble{{Kind: LostZone, At: 5 * time.Second, Length: 9 * time.Second, Zone: "a"}}
+		r, _ := run(t, s)
+		for _, second := range r.Seconds[9:11] {
+			during += second.Other
+		}
+		for _, c := range r.Classes {
+			broken += c.BrokenOff
+		}
+		return during, broken
+	}
+	during, broken := ended(4500 * ms)
+	never, later := ended(0)
+	if broken == 0 || during < never+broken/2 || later < broken {
+		t.Errorf("with a bound %d end otherwise around it and %d break off; without, %d and %d", during, broken, never, later)
+	}
+}
--- a/internal/lab/queue.go
+++ b/internal/lab/queue.go
@@ -22,6 +22,7 @@
 	tryOverdue
 	retryComes
 	capturedComes
+	streamsSilent
 	routerSteps
 	routerWakes
 	routerHears
--- a/internal/lab/spec.go
+++ b/internal/lab/spec.go
@@ -81,6 +81,7 @@
 	Jitter      float64       // each takes up to this share longer
 	Connect     time.Duration // after which a connection that does not come up is given up
 	Idle        time.Duration // after which a host closes one
+	Silent      time.Duration // after which a router ends a stream that says nothing; 0 for never
 }
 
 // List is how news of hosts travels to routers.
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -86,6 +86,9 @@
 		for i, h := range w.hosts {
 			if h.zone == t.Zone && !h.gone {
 				h.cut = true
+				if h.cuts++; w.s.Net.Silent > 0 {
+					w.at(w.now+w.s.Net.Silent, event{do: streamsSilent, n: i, gen: h.cuts})
+				}
 				hit.at = append(hit.at, i)
 			}
 		}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -178,6 +178,8 @@
 		w.classes[e.n].begin()
 	case turnComes:
 		w.turn(e.p.(*session))
+	case streamsSilent:
+		w.endSilent(w.hosts[e.n], e.gen)
 	case capturedComes:
 		w.captured(e.n)
 	case retryComes:
