--- a/internal/program/door_test.go
+++ b/internal/program/door_test.go
@@ -314,6 +314,13 @@
 		held = append(held, c)
 	}
 	p.until("descriptors exhausted")
+	// The operators' door has one held back, too: a call is answered in time all the same.
+	for range 3 {
+		begun := time.Now()
+		if got := callDoor(t, p.door, "check"); got != "+OK\n" || time.Since(begun) > time.Second {
+			t.Errorf("check without a descriptor: %q after %v", got, time.Since(begun))
+		}
+	}
 	c := held[len(held)-1] // stands in line: it is told, not left alone
 	c.SetDeadline(time.Now().Add(peers.Patience))
 	io.WriteString(c, peers.AskText("late", ""))
--- a/internal/program/exchange_test.go
+++ b/internal/program/exchange_test.go
@@ -432,12 +432,22 @@
 // call makes one call at the process's door.
 func (o *one) call(line string) string {
 	o.t.Helper()
-	c, err := net.Dial("tcp", o.door)
+	return callDoor(o.t, o.door, line)
+}
+
+// callDoor makes one call at an operators' door and returns the whole answer.
+func callDoor(t *testing.T, addr, line string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
-		o.t.Fatal(err)
+		t.Fatal(err)
 	}
 	defer c.Close()
+	c.SetDeadline(time.Now().Add(peers.Patience))
 	io.WriteString(c, line+"\n")
-	text, _ := io.ReadAll(c)
+	text, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatalf("%q: %v", line, err)
+	}
 	return string(text)
 }
--- a/internal/program/measure_test.go
+++ b/internal/program/measure_test.go
@@ -42,6 +42,7 @@
 	t    *testing.T
 	cmd  *exec.Cmd
 	addr string
+	door string // the operators'
 	log  chan string
 }
 
@@ -75,9 +76,14 @@
 	}
 	d := peers.NewDiscovery(t, peers.List(1, true, entries...))
 	env := configFile(t, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets))
-	p := &process{t: t, addr: addr, log: make(chan string, 1000)}
+	door, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, addr: addr, door: door.Addr().String(), log: make(chan string, 1000)}
+	door.Close()
 	p.cmd = exec.Command(binary, append([]string{"serve"}, args...)...)
-	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+env("ROUTER_CONFIG"), "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+d.Addr)
+	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+env("ROUTER_CONFIG"), "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+d.Addr, "ROUTER_MANAGEMENT="+p.door)
 	errs, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/program/service_test.go
+++ b/internal/program/service_test.go
@@ -100,13 +100,7 @@
 // call makes one call and returns the whole answer.
 func (s *served) call(line string) string {
 	s.t.Helper()
-	c := s.dial(line + "\n")
-	defer c.Close()
-	text, err := io.ReadAll(c)
-	if err != nil {
-		s.t.Fatalf("%q: %v", line, err)
-	}
-	return string(text)
+	return callDoor(s.t, s.management.Addr().String(), line)
 }
 
 // figures waits until the figures named are as wanted.
@@ -142,7 +136,18 @@
 	if got := s.call("check"); got != "-ERR listing\n" {
 		t.Errorf("without an entry: %q", got)
 	}
+	for line, want := range map[string]string{"drain-on": "+OK withheld\n", "drain-off": "+OK listing\n"} {
+		s.call("drain-on")
+		if got := s.call(line); got != want {
+			t.Errorf("%s while listing: %q", line, got)
+		}
+	}
+	s.call("drain-on")
 	s.d.Tell(t, peers.List(2, true, peers.Entry("s0", "127.0.0.1:1", "Ready")))
+	s.until("phase name=draining")
+	if got := s.call("drain-off"); got != "+OK serving\n" {
+		t.Errorf("drain-off: %q", got)
+	}
 	s.until("phase name=serving")
 	for i := range 3 * transport.MostCallers {
 		s.dial([]string{"", "che", "vars\nvars\n"}[i%3])
--- a/internal/transport/gossip_test.go
+++ b/internal/transport/gossip_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -80,3 +81,49 @@
 	}
 	return a
 }
+
+// A process that takes over starts while the address is still another's, tells nothing until then, and hears once it is
+// free; without the right to take over an address in use is an error.
+func TestGossipTakesOver(t *testing.T) {
+	peer, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	lines := make(peers.Lines, 10)
+	free, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := free.LocalAddr().String()
+	all := []string{own, peer.LocalAddr().String()}
+	if _, err := transport.NewGossip(own, all, false, lines); err == nil {
+		t.Error("an address in use was taken")
+	}
+	g, err := transport.NewGossip(own, all, true, lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	heard := make(chan balance.Heard, 10)
+	go g.Run(ctx, func(h balance.Heard) { heard <- h })
+	g.Tell(balance.Tell{To: []int{1}})
+	if _, unsent := g.Dropped(); unsent != 1 {
+		t.Errorf("%d words unsent while the address is another's, want 1", unsent)
+	}
+	free.Close()
+	to, _ := net.ResolveUDPAddr("udp4", own)
+	for end := time.Now().Add(peers.Patience); ; time.Sleep(5 * time.Millisecond) {
+		peer.WriteToUDP(protocol.AppendNews(nil, 7, nil), to)
+		if len(heard) > 0 {
+			if got := <-heard; got.From != 1 || got.Zone != 7 {
+				t.Errorf("heard %+v", got)
+			}
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("nothing is heard at the free address")
+		}
+	}
+}
