Tests hand over events with a bound, so that none hangs for ten minutes

Seen: the race tests of internal/program hung once, for 600 s, beside a bench; a bare send on a channel that nobody receives from waits for ever and hides which story failed. Change: peers.Give, bounded like peers.Next.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -229,6 +229,16 @@
 	}
 }
 
+// Give hands an event to whoever must be waiting for it.
+func Give[T any](t testing.TB, to chan<- T, v T) {
+	t.Helper()
+	select {
+	case to <- v:
+	case <-time.After(Patience):
+		t.Fatalf("for %v nobody waited to be given %v", Patience, v)
+	}
+}
+
 // Lines collects what is logged, as the event and its fields. It implements routing.Logger.
 type Lines chan string
 
--- a/internal/program/exchange_test.go
+++ b/internal/program/exchange_test.go
@@ -243,7 +243,7 @@
 	want := peers.NewModel(t, peers.Manner{Events: 5})
 	whole := answerOf(t, p, want)
 	for i, resp := range streams {
-		hold <- true
+		peers.Give(t, hold, true)
 		text, err := io.ReadAll(resp.Body)
 		resp.Body.Close()
 		if err != nil || string(text) != whole {
@@ -270,7 +270,7 @@
 	last := open("last")
 	third.cmd.Process.Signal(syscall.SIGTERM)
 	third.until("phase name=finishing")
-	hold <- true
+	peers.Give(t, hold, true)
 	if text, err := io.ReadAll(last.Body); err != nil || string(text) != whole {
 		t.Errorf("with nobody to go to: %q, %v", text, err)
 	}
@@ -421,7 +421,7 @@
 	if status, _, err := peers.Do(t, peers.Ask(t, p.addr, "next", nil)); status != 200 || err != nil {
 		t.Errorf("the third process: %d, %v", status, err)
 	}
-	hold <- true
+	peers.Give(t, hold, true)
 	if text, err := io.ReadAll(resp.Body); err != nil || !strings.Contains(string(text), "[DONE]") {
 		t.Errorf("the stream that was out: %q, %v", text, err)
 	}
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -204,8 +204,8 @@
 	go ask("after")
 	peers.Next(t, s.Requests, "a scheduling while leaving")
 	enter(Finishing)
-	more <- true
-	more <- true
+	peers.Give(t, more, true)
+	peers.Give(t, more, true)
 	closes := 0
 	for range 2 {
 		e := peers.Next(t, ends, "an answer")
@@ -282,7 +282,7 @@
 	if status, body, err := peers.Do(t, peers.Ask(t, p.ln.Addr().String(), "q", nil)); status != 200 || err != nil {
 		t.Errorf("after the reload: got %d %q, %v; want it served by the new list", status, body, err)
 	}
-	more <- true
+	peers.Give(t, more, true)
 	if got := peers.Next(t, ends, "the held answer"); got != peers.Event+peers.Done+"<nil>" {
 		t.Errorf("the stream that was out ended with %q", got)
 	}
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -156,7 +156,7 @@
 	if got := ask("old", "chat"); got != 503 {
 		t.Errorf("a class that vanished: got %d", got)
 	}
-	hold <- true
+	peers.Give(t, hold, true)
 	if got := peers.Next(t, ends, "the answer under way"); got != fmt.Sprintln(200, true, nil) {
 		t.Errorf("under way: %s", got)
 	}
--- a/internal/program/service_test.go
+++ b/internal/program/service_test.go
@@ -294,7 +294,7 @@
 	if got := s.Phase(); got != Draining {
 		t.Errorf("after a reload: %s", got)
 	}
-	hold <- true
+	peers.Give(t, hold, true)
 	if got := peers.Next(t, streams, "the stream's end"); got != "true <nil>" {
 		t.Errorf("the long stream ended %s", got)
 	}
--- a/internal/program/shadow_test.go
+++ b/internal/program/shadow_test.go
@@ -389,7 +389,7 @@
 		s.served(fmt.Sprint("q", i))
 		s.until("it has its record", func(st mirror.Status) bool { return st.Recorded == uint64(i) })
 	}
-	hold <- true
+	peers.Give(t, hold, true)
 	st := s.until("the copy that was out is compared", func(st mirror.Status) bool { return st.Out == 0 && st.Pairing == 0 })
 	if st.Compared != st.Started {
 		t.Errorf("%+v", st)
@@ -479,7 +479,7 @@
 	if st.Offered != 1 || st.Out != 1 {
 		t.Errorf("%+v", st)
 	}
-	hold <- true
+	peers.Give(t, hold, true)
 	s.until("the copy went on", func(st mirror.Status) bool { return st.Compared == 1 })
 	s.settings(host(candidate.Addr))
 	s.reload <- syscall.SIGHUP
@@ -525,7 +525,7 @@
 	if s.p.Phase() != Leaving {
 		t.Errorf("the copy was out until %s", s.p.Phase())
 	}
-	hold <- true
+	peers.Give(t, hold, true)
 	if err := peers.Next(t, answered, "the live answer"); err != nil {
 		t.Error(err)
 	}
