--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -33,7 +33,7 @@
 
 	Settings wire.Options `json:"settings"`
 
-	keys      any // of the file, with what they hold
+	text      []byte // of the file
 	seed      uint64
 	balance   balance.Config
 	acceptFD  int                // the clients' listener as inherited, 0 for an own one
@@ -64,13 +64,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	c := new(Config)
+	c := &Config{text: text}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	if err := json.Unmarshal(text, &c.keys); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
 	c.discovery = c.Discovery
 	for name, field := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen,
 		"ROUTER_DISCOVERY": &c.Discovery, "ROUTER_MANAGEMENT": &c.Management} {
--- a/internal/program/moves.go
+++ b/internal/program/moves.go
@@ -20,7 +20,6 @@
 	var err error
 	if p.receiver, err = transport.NewReceiver(p.movesPath(), p.front, p.servers, p.log); err != nil {
 		p.log.Warn("connections stay", "cause", err)
-		return
 	}
 }
 
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -1,6 +1,8 @@
 package program
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -19,7 +21,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := whole("", force.keys, c.keys); err != nil {
+	var was, is any
+	if err := errors.Join(json.Unmarshal(force.text, &was), json.Unmarshal(c.text, &is)); err != nil {
+		return nil, err // Load has read both before
+	}
+	if err := whole("", was, is); err != nil {
 		return nil, err
 	}
 	limits := c.Settings.Limits
--- a/internal/transport/move.go
+++ b/internal/transport/move.go
@@ -117,7 +117,6 @@
 	front   *Front
 	servers *RealServers
 	ln      *net.UnixListener
-	silent  time.Duration // for a stream, before it is taken for dead
 	log     routing.Logger
 
 	carried atomic.Int64 // streams that are carried on here
@@ -140,7 +139,7 @@
 		return nil, err
 	}
 	servers.follows = true
-	r := &Receiver{front: front, servers: servers, ln: ln, silent: servers.silent, log: log, hosts: map[net.Conn]bool{}}
+	r := &Receiver{front: front, servers: servers, ln: ln, log: log, hosts: map[net.Conn]bool{}}
 	go r.serve()
 	return r, nil
 }
@@ -310,7 +309,7 @@
 			stays = true
 			client.watch(client.gone)
 		}
-		host.SetReadDeadline(last.Add(r.silent))
+		host.SetReadDeadline(last.Add(r.servers.silent))
 		n, err := host.Read(raw)
 		if n > 0 {
 			last = time.Now()
