The vocabulary of faults, histories with a written schema, and checkers over them

One table of kinds says what a fault strikes, which fields it needs and in which worlds it exists; a Link says what becomes of a datagram.

--- /dev/null
+++ b/internal/faults/kinds.go
@@ -0,0 +1,118 @@
+package faults
+
+// The kinds. Those of links strike what passes between routers, hosts and the list; those of processes strike routers,
+// hosts or both.
+const (
+	Loss      Kind = "loss"
+	Delay     Kind = "delay"
+	Duplicate Kind = "duplicate"
+	Reorder   Kind = "reorder"
+	Clip      Kind = "clip"
+	Flip      Kind = "flip"
+	Cut       Kind = "cut"
+	Partition Kind = "partition"
+
+	Kill     Kind = "kill"
+	Power    Kind = "power"
+	Pause    Kind = "pause"
+	Crawl    Kind = "crawl"
+	Restart  Kind = "restart"
+	Replace  Kind = "replace"
+	Twin     Kind = "twin"
+	FullDisk Kind = "full_disk"
+	NoWrite  Kind = "no_write"
+	Reload   Kind = "reload"
+	Withhold Kind = "withhold"
+
+	Stall   Kind = "stall"
+	Reset   Kind = "reset"
+	Garbage Kind = "garbage"
+	Drain   Kind = "drain"
+	Refuse  Kind = "refuse"
+	Slow    Kind = "slow"
+)
+
+// strikes is what a kind is about.
+type strikes uint8
+
+const (
+	links strikes = 1 << iota
+	routers
+	hosts
+)
+
+// Meaning is a row of the table of kinds.
+type Meaning struct {
+	Kind    Kind
+	Means   string // while it lasts, and as it ends
+	strikes strikes
+	needs   []string // fields
+	takes   []string // further ones
+	worlds  World
+}
+
+// Kinds has every kind. What a schedule may say, what a world refuses and the operators' table come from here.
+var Kinds = []Meaning{
+	{Loss, "a share of datagrams never comes; a piece of a connection's comes later by a retransmission's time", links, []string{"share"}, nil, Rig | Lab | Explore},
+	{Delay, "everything comes later by delay, and by up to jitter more", links, []string{"delay"}, []string{"jitter"}, Rig | Lab | Explore},
+	{Duplicate, "a share of datagrams comes twice, the second up to delay later", links, []string{"share"}, []string{"delay"}, Rig | Lab | Explore},
+	{Reorder, "a share of datagrams comes later by up to delay, past those behind them", links, []string{"share", "delay"}, nil, Rig | Lab | Explore},
+	{Clip, "a share of datagrams is cut short", links, []string{"share"}, nil, Rig},
+	{Flip, "a share of datagrams has one bit flipped", links, []string{"share"}, nil, Rig},
+	{Cut, "nothing passes; connections that were open are reset as it ends, new ones never come up", links, nil, nil, Rig | Lab | Explore},
+	{Partition, "routers of different groups do not reach each other; bridges reach all", links, nil, []string{"groups", "bridge"}, Rig | Lab | Explore},
+
+	{Kill, "the process dies at once, and starts again as it ends", routers | hosts, nil, []string{"disk", "file", "keep"}, Rig | Hosts | Lab | Explore},
+	{Power, "routers, hosts and list of a zone, or of all, die at once and start again as it ends", 0, nil, []string{"zone", "disk", "file", "keep"}, Rig},
+	{Pause, "the process stands still", routers, nil, nil, Rig | Explore},
+	{Crawl, "the process stands still for a share of the time, in bursts", routers, []string{"share"}, nil, Rig},
+	{Restart, "SIGTERM; the process starts again as it ends, once the old one is gone", routers, nil, nil, Rig},
+	{Replace, "a second process starts beside; once it takes clients the first gets SIGTERM", routers, nil, nil, Rig},
+	{Twin, "a second process starts under the same name and addresses, by mistake, and gets SIGTERM as it ends", routers, nil, nil, Rig},
+	{FullDisk, "no file of the process can grow", routers, nil, nil, Rig},
+	{NoWrite, "the durable folder is no folder, and is again as it ends", routers, nil, nil, Rig},
+	{Reload, "SIGHUP with the same file", routers, nil, nil, Rig},
+	{Withhold, "the operators' door sends clients away, and takes them again as it ends", routers, nil, nil, Rig},
+
+	{Stall, "streams say nothing, and go on as it ends", hosts, nil, nil, Rig | Hosts},
+	{Reset, "connections are reset, over and over; the process stands", hosts, nil, nil, Rig | Hosts},
+	{Garbage, "what is no event stands in the streams", hosts, nil, nil, Rig | Hosts},
+	{Drain, "the list says so, the host finishes, and starts cold as it ends", hosts, nil, nil, Rig | Hosts},
+	{Refuse, "no new connection comes up; those that are there go on", hosts, nil, nil, Rig | Hosts},
+	{Slow, "the model works size times slower", hosts, []string{"size"}, nil, Rig | Hosts | Lab},
+}
+
+// Of returns a kind's row, nil for one that there is not.
+func Of(k Kind) *Meaning {
+	for i := range Kinds {
+		if Kinds[i].Kind == k {
+			return &Kinds[i]
+		}
+	}
+	return nil
+}
+
+// In tells whether a world has the kind.
+func (m *Meaning) In(w World) bool { return m.worlds&w != 0 }
+
+// OfLinks tells whether the kind strikes links.
+func (m *Meaning) OfLinks() bool { return m.strikes&links != 0 }
+
+// Needed returns the fields that a block of the kind must have.
+func (m *Meaning) Needed() []string { return m.needs }
+
+// Fields returns all fields that a block of the kind may have.
+func (m *Meaning) Fields() []string {
+	all := append([]string{"at", "length"}, m.needs...)
+	all = append(all, m.takes...)
+	if m.strikes&links != 0 {
+		all = append(all, "routers", "links", "peers", "hosts", "direction")
+	}
+	if m.strikes&routers != 0 {
+		all = append(all, "routers")
+	}
+	if m.strikes&hosts != 0 {
+		all = append(all, "hosts")
+	}
+	return all
+}
--- /dev/null
+++ b/internal/faults/link.go
@@ -0,0 +1,112 @@
+package faults
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Condition is what a link is like while the faults of the moment last. Its zero value is a link that is well.
+type Condition struct {
+	Loss, Duplicate, Reorder, Clip, Flip float64
+	Delay, Jitter                        time.Duration
+	DuplicateBy, ReorderBy               time.Duration
+	Cut                                  bool
+}
+
+// usualBy is how much later a second copy comes at most where the schedule does not say.
+const usualBy = 10 * time.Millisecond
+
+// ConditionOf joins the faults that are on by now, as they strike what goes from one end to another.
+func ConditionOf(on []*Strike, from, to End) (c Condition) {
+	join := func(a *float64, b float64) { *a = 1 - (1-*a)*(1-b) }
+	for _, s := range on {
+		if !s.Hits(from, to) {
+			continue
+		}
+		switch s.Kind {
+		case Loss:
+			join(&c.Loss, s.Share)
+		case Delay:
+			c.Delay += s.Fault.Delay
+			c.Jitter += s.Jitter
+		case Duplicate:
+			join(&c.Duplicate, s.Share)
+			c.DuplicateBy = max(c.DuplicateBy, s.Fault.Delay, usualBy)
+		case Reorder:
+			join(&c.Reorder, s.Share)
+			c.ReorderBy = max(c.ReorderBy, s.Fault.Delay)
+		case Clip:
+			join(&c.Clip, s.Share)
+		case Flip:
+			join(&c.Flip, s.Share)
+		case Cut, Partition:
+			c.Cut = true
+		}
+	}
+	return c
+}
+
+// Link decides what becomes of the datagrams of one direction of one link.
+type Link struct {
+	Condition
+	rng *rand.Rand
+}
+
+// NewLink returns a link that is well. Each direction has a number of its own.
+func NewLink(seed, number uint64) *Link {
+	return &Link{rng: rand.New(rand.NewPCG(seed, 0x117c<<32|number))}
+}
+
+// Copy is one way in which a datagram arrives.
+type Copy struct {
+	After time.Duration
+	Bytes int // of the datagram that arrive
+	Flip  int // the bit that is flipped, -1 for none
+}
+
+// Pass returns what arrives of a datagram of some bytes: nothing, one copy or two.
+func (l *Link) Pass(bytes int, to []Copy) []Copy {
+	if l.Cut || l.Loss > 0 && l.rng.Float64() < l.Loss {
+		return to
+	}
+	to = append(to, l.copy(bytes))
+	if l.Duplicate > 0 && l.rng.Float64() < l.Duplicate {
+		again := l.copy(bytes)
+		again.After += l.upTo(l.DuplicateBy)
+		to = append(to, again)
+	}
+	return to
+}
+
+func (l *Link) copy(bytes int) Copy {
+	c := Copy{After: l.Delay + l.upTo(l.Jitter), Bytes: bytes, Flip: -1}
+	if l.Reorder > 0 && l.rng.Float64() < l.Reorder {
+		c.After += l.upTo(l.ReorderBy)
+	}
+	if bytes > 0 && l.Clip > 0 && l.rng.Float64() < l.Clip {
+		c.Bytes = l.rng.IntN(bytes)
+	}
+	if c.Bytes > 0 && l.Flip > 0 && l.rng.Float64() < l.Flip {
+		c.Flip = l.rng.IntN(8 * c.Bytes)
+	}
+	return c
+}
+
+// retransmission is what TCP takes at least to send a lost piece again (RFC 6298 says 1 s; Linux has 200 ms).
+const retransmission = 200 * time.Millisecond
+
+// Piece returns how much later a piece of a connection comes. A cut is not its matter: the piece waits for the cut's end.
+func (l *Link) Piece() time.Duration {
+	d := l.Delay + l.upTo(l.Jitter)
+	for n := 0; n < 5 && l.Loss > 0 && l.rng.Float64() < l.Loss; n++ {
+		d += retransmission << n
+	}
+	return d
+}
+
+func (l *Link) upTo(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(l.rng.Int64N(int64(d) + 1))
+}
--- /dev/null
+++ b/internal/faults/types.go
@@ -0,0 +1,119 @@
+// Package faults is the one vocabulary of what goes wrong with a fleet: the kinds in a table, schedules of them, what a
+// schedule makes of each link at each moment, drawing and shrinking. The rig plays schedules on processes, serve-fleet on
+// stand-in hosts, the lab in virtual time and the explorer in all orders; a fault has the same name in all of them.
+//
+// This file is the interface's types; kinds.go has the table, check.go what is wrong with a schedule, strike.go whom a
+// fault strikes, link.go what becomes of a datagram, draw.go and shrink.go what their names say. Everything here is pure:
+// no I/O, no clock, no goroutine, and all chance from seeds. It imports nothing of ours.
+package faults
+
+import "time"
+
+// Kind names what goes wrong.
+type Kind string
+
+// World is where a fault may be played.
+type World uint8
+
+// The worlds.
+const (
+	Rig     World = 1 << iota // processes on loopback
+	Hosts                     // stand-in hosts alone, as serve-fleet starts them
+	Lab                       // virtual time
+	Explore                   // all orders
+)
+
+// Most bounds the faults of one schedule.
+const Most = 256
+
+// Fault is one block of a schedule.
+type Fault struct {
+	Kind   Kind
+	At     time.Duration // of the play; with When, after the event
+	When   *When         // nil for a time of the play
+	Length time.Duration
+
+	Routers Select // whom it strikes, or one end of the links
+	Hosts   Select
+	Zone    string // of Power, empty for all
+
+	Links     []string  // of Routers: to LinkPeers, LinkHosts, LinkList; none counts as LinkPeers
+	Peers     Select    // the other ends among routers; nobody counts as all
+	Direction Direction // of Cut and the other link kinds, seen from Routers
+	Groups    [][]int   // of Partition, routers by number
+	Zones     bool      // Groups are the zones, hosts included where Links has LinkHosts
+	Bridge    []int     // of Partition: routers that all groups reach
+	Share     float64   // of the datagrams, or of the time (Crawl)
+	Size      float64   // of Slow: times
+	Delay     time.Duration
+	Jitter    time.Duration
+	Disk      Disk    // that a router comes back with; empty counts as DiskOwn
+	File      string  // of DiskCut, a pattern below the folder; empty for every file
+	Keep      float64 // of DiskCut: the share of the file's bytes that stays
+
+	Source string // file and line, for whoever is told of it
+}
+
+// When is the event that a fault waits for, as the history has it. Empty fields fit everything.
+type When struct {
+	What, Who, Text string // Text is any part of the event's
+	Nth             int    // 0 counts as 1
+}
+
+// Select is a number of routers or of hosts. Its zero value is nobody.
+type Select struct {
+	All     bool
+	Numbers []int   // from 0
+	Zone    string  // all of a zone
+	Part    float64 // of all, drawn by the schedule's seed
+}
+
+// Nobody tells whether it names no one.
+func (s *Select) Nobody() bool { return !s.All && len(s.Numbers) == 0 && s.Zone == "" && s.Part == 0 }
+
+// The kinds of links that a router has.
+const (
+	LinkPeers = "peers"
+	LinkHosts = "hosts"
+	LinkList  = "list"
+)
+
+// Direction is which way of a link is struck, as the routers of the fault see it.
+type Direction string
+
+// The directions. Empty counts as Both.
+const (
+	Both Direction = "both"
+	Out  Direction = "out"
+	In   Direction = "in"
+)
+
+// Disk is what a router that was killed finds in its durable folder.
+type Disk string
+
+// The disks.
+const (
+	DiskOwn   Disk = "own"
+	DiskEmpty Disk = "empty"
+	DiskOther Disk = "other" // that of the router with the next number
+	DiskCut   Disk = "cut"   // its own, with File cut short
+)
+
+// Shape is a fleet, as far as a schedule needs to know it: the zone of each router and of each host.
+type Shape struct{ Routers, Hosts []string }
+
+// EndKind is what stands at one end of a link.
+type EndKind uint8
+
+// The kinds of ends.
+const (
+	AtRouter EndKind = iota
+	AtHost
+	AtList
+)
+
+// End is one end of a link.
+type End struct {
+	Kind EndKind
+	N    int
+}
--- /dev/null
+++ b/internal/history/history.go
@@ -0,0 +1,230 @@
+// Package history is what happened in a play, an event a line: of the rig's processes on sockets or of the lab's virtual
+// time. history.schema.json beside this file says the same of each line for programs that are not ours. The package is
+// pure: it writes to what it is given, and its owner stamps the times. It imports nothing of ours.
+//
+// Times are nanoseconds since the play began, by one monotonic clock for the whole machine. A client's request, a call of
+// a process and an operation each have a start and an end; what has no end is unknown, neither done nor not done.
+package history
+
+import (
+	"bufio"
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+)
+
+// Version is that of the form; a reader refuses others.
+const Version = 1
+
+// MostLine bounds a line in bytes, MostText the text of an event, and MostEvents the events of one history.
+const (
+	MostLine   = 64 << 10
+	MostText   = 512
+	MostEvents = 2_000_000
+)
+
+// Schema is the JSON schema of a line.
+//
+//go:embed history.schema.json
+var Schema []byte
+
+// What names an event.
+type What string
+
+// The events.
+const (
+	Begin What = "begin" // the first one: Play
+	Bound What = "bound" // the last one where the history is full
+	End   What = "end"   // of the play
+
+	Start   What = "start"   // a process: Who, PID; Text is why where that is not the play's beginning
+	Phase   What = "phase"   // its log names a phase: Text
+	Ready   What = "ready"   // its clients' address says yes
+	Unready What = "unready" // and no more
+	Log     What = "log"     // any other line that it wrote: Text
+	Term    What = "term"    // it was told to end
+	Exit    What = "exit"    // it has ended: Status, or Text for a signal
+	Usage   What = "usage"   // what it holds: Memory, Descriptors, CPU
+	Caught  What = "caught"  // it answers nobody, and nothing that was done to it explains that: Text is where the evidence is
+	Call    What = "call"    // a call at its operators' door: ID, Text
+	Return  What = "return"  // the answer: ID, Text; empty for none in time
+
+	Fault What = "fault" // begins: N in the schedule, Text its kind, Routers, Hosts, Links
+	Heal  What = "heal"  // ends
+
+	Ask     What = "ask"     // a client's request goes to a router: ID, Who, Class, Until
+	First   What = "first"   // its first event came
+	Answer  What = "answer"  // its final answer: Status, How
+	Attempt What = "attempt" // its last byte is at a host: ID, Who the host, From the router, Conn
+	Done    What = "done"    // the host has done with it, in whatever way
+	Closed  What = "closed"  // the router closed the connection Conn
+	Told    What = "told"    // the list told router Who of host From: Text is the state
+	Fell    What = "fell"    // host Who was pushed over while cold
+	Wide    What = "wide"    // router Who sent a datagram of Bytes, more than the platform allows
+
+	Invoke What = "invoke" // an operation of client Who begins: ID, Op
+	OK     What = "ok"     // it has ended: ID, Op
+	Note   What = "note"   // of the rig itself: Text
+)
+
+// How is what a client got.
+type How string
+
+// The ways.
+const (
+	Whole     How = "whole"
+	Broken    How = "broken"    // it began, and is not whole
+	Refused   How = "refused"   // 429 or 503
+	Failed    How = "failed"    // any other status
+	Unreached How = "unreached" // no connection came up: nobody has taken the request
+	CutOff    How = "cut off"   // the connection ended with no answer
+	None      How = "none"      // nothing came, for as long as the client listened
+	Left      How = "left"      // the client went away by itself
+)
+
+// Event is a line.
+type Event struct {
+	T    int64  `json:"t"` // nanoseconds since the play began
+	What What   `json:"what"`
+	Who  string `json:"who,omitempty"` // r0 is a router, r0/2 its second process, h0 a host
+	ID   string `json:"id,omitempty"`
+	Text string `json:"text,omitempty"`
+
+	PID    int   `json:"pid,omitempty"`
+	N      int   `json:"n,omitempty"`
+	Status int   `json:"status,omitempty"`
+	How    How   `json:"how,omitempty"`
+	Until  int64 `json:"until,omitempty"` // when its client gives up
+
+	Class string `json:"class,omitempty"`
+	From  string `json:"from,omitempty"`
+	Conn  string `json:"conn,omitempty"`
+	Bytes int    `json:"bytes,omitempty"`
+
+	Memory      int64 `json:"memory,omitempty"` // bytes, most so far
+	Descriptors int   `json:"descriptors,omitempty"`
+	CPU         int64 `json:"cpu,omitempty"` // nanoseconds so far
+
+	Routers []int    `json:"routers,omitempty"`
+	Hosts   []int    `json:"hosts,omitempty"`
+	Links   []string `json:"links,omitempty"`
+	All     bool     `json:"all,omitempty"` // every router's links are struck
+
+	Op   *Op   `json:"op,omitempty"`
+	Play *Play `json:"play,omitempty"`
+}
+
+// Op is what an operation does, for histories that must be linearizable.
+type Op struct {
+	Kind  string `json:"kind"` // read, write or cas
+	Key   string `json:"key"`
+	Value string `json:"value,omitempty"`
+	Old   string `json:"old,omitempty"` // of cas
+	Did   bool   `json:"did,omitempty"` // of the end of a cas
+}
+
+// Play is what was played.
+type Play struct {
+	Version  int    `json:"version"`
+	World    string `json:"world"` // rig or lab
+	Name     string `json:"name,omitempty"`
+	Seed     uint64 `json:"seed"`
+	Routers  int    `json:"routers"`
+	Hosts    int    `json:"hosts"`
+	Schedule string `json:"schedule,omitempty"` // as its file has it
+	Slack    int64  `json:"slack"`              // nanoseconds that an answer may be late
+	Memory   int64  `json:"memory,omitempty"`   // bytes that a router may hold, 0 for no bound
+	Sockets  int    `json:"sockets,omitempty"`
+	Leave    int64  `json:"leave,omitempty"`  // nanoseconds that a router has after SIGTERM
+	Settle   int64  `json:"settle,omitempty"` // nanoseconds after the last fault until the fleet serves as before; 0 for no bound
+}
+
+// At is the time as a span.
+func (e *Event) At() time.Duration { return time.Duration(e.T) }
+
+// String is a line for people.
+func (e *Event) String() string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%12v %-8s %s", e.At().Round(time.Microsecond), e.What, e.Who)
+	for _, word := range []string{e.ID, e.Class, e.From, e.Conn, string(e.How), e.Text} {
+		if word != "" {
+			fmt.Fprintf(&b, " %s", word)
+		}
+	}
+	if e.Status != 0 {
+		fmt.Fprintf(&b, " %d", e.Status)
+	}
+	return b.String()
+}
+
+// Writer writes events, each with one call of Write, so that what a killed process has written can be read.
+type Writer struct {
+	to     io.Writer
+	events int
+	lost   int
+}
+
+// NewWriter returns a Writer to an io.Writer that it does not buffer.
+func NewWriter(to io.Writer) *Writer { return &Writer{to: to} }
+
+// Write writes an event. Beyond MostEvents it writes Bound once, and counts.
+func (w *Writer) Write(e *Event) error {
+	switch {
+	case w.events == MostEvents-1:
+		e = &Event{T: e.T, What: Bound, Text: fmt.Sprintf("full after %d events", w.events)}
+	case w.events >= MostEvents:
+		w.lost++
+		return nil
+	}
+	if len(e.Text) > MostText {
+		cut := *e
+		cut.Text = e.Text[:MostText]
+		e = &cut
+	}
+	line, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	w.events++
+	_, err = w.to.Write(append(line, '\n'))
+	return err
+}
+
+// Lost returns how many events came after the bound.
+func (w *Writer) Lost() int { return w.lost }
+
+// Read reads a history. A last line that was cut is left out; any other fault names its line.
+func Read(from io.Reader) ([]Event, error) {
+	var all []Event
+	lines := bufio.NewReaderSize(from, MostLine)
+	for n := 1; ; n++ {
+		line, err := lines.ReadSlice('\n')
+		if err == io.EOF {
+			break // with a line that was cut, or with none
+		}
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", n, err)
+		}
+		var e Event
+		if err := json.Unmarshal(line, &e); err != nil {
+			return nil, fmt.Errorf("line %d: %w", n, err)
+		}
+		if n == 1 && (e.What != Begin || e.Play == nil) {
+			return nil, fmt.Errorf("line 1: is no beginning of a history")
+		}
+		if n == 1 && e.Play.Version != Version {
+			return nil, fmt.Errorf("line 1: is of version %d; this program reads %d", e.Play.Version, Version)
+		}
+		if len(all) == MostEvents {
+			return nil, fmt.Errorf("line %d: is more than the %d events that a history may have", n, MostEvents)
+		}
+		all = append(all, e)
+	}
+	if len(all) == 0 {
+		return nil, fmt.Errorf("line 1: the history is empty")
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/history/history_test.go
@@ -0,0 +1,94 @@
+package history
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// schema is the written one, compiled.
+func schema(t *testing.T) *jsonschema.Schema {
+	t.Helper()
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(Schema))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("history", doc); err != nil {
+		t.Fatal(err)
+	}
+	s, err := c.Compile("history")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+var begin = Event{What: Begin, Play: &Play{Version: Version, World: "rig", Seed: 1<<63 - 1, Routers: 3, Hosts: 2, Slack: 5}}
+
+// Every event that the package names fits the written schema, and is read as it was written.
+func TestSchemaAndBack(t *testing.T) {
+	all := []Event{begin}
+	for _, w := range []What{Start, Phase, Ready, Unready, Log, Term, Exit, Usage, Caught, Call, Return, Fault, Heal, Ask, First, Answer, Attempt,
+		Done, Closed, Told, Fell, Wide, Invoke, OK, Note, Bound, End} {
+		all = append(all, Event{T: 7, What: w, Who: "r0/2", ID: "x", Text: "words \x00 \xff", How: Whole, Until: 9, Status: 503, Routers: []int{1},
+			Links: []string{"hosts"}, Op: &Op{Kind: "cas", Key: "k", Old: "1", Value: "2", Did: true}})
+	}
+	var file bytes.Buffer
+	w, s := NewWriter(&file), schema(t)
+	for i := range all {
+		if err := w.Write(&all[i]); err != nil {
+			t.Fatal(err)
+		}
+		all[i].Text = strings.ToValidUTF8(all[i].Text, "\ufffd") // as JSON has it
+	}
+	for line := range strings.Lines(file.String()) {
+		v, err := jsonschema.UnmarshalJSON(strings.NewReader(line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Validate(v); err != nil {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+	got, err := Read(strings.NewReader(file.String() + `{"t":8,"what":"as`)) // its writer was killed
+	if diff := cmp.Diff(all, got); err != nil || diff != "" {
+		t.Errorf("%v\n%s", err, diff)
+	}
+}
+
+// What is no history is refused, with the line.
+func TestReadRefuses(t *testing.T) {
+	first, _ := json.Marshal(begin)
+	for text, want := range map[string]string{
+		"":                               "line 1: the history is empty",
+		"{\"t\":1,\"what\":\"start\"}\n": "line 1: is no beginning of a history",
+		strings.Replace(string(first), `"version":1`, `"version":9`, 1) + "\n": "line 1: is of version 9; this program reads 1",
+		string(first) + "\nxx\n": "line 2: invalid character 'x' looking for beginning of value",
+	} {
+		if _, err := Read(strings.NewReader(text)); err == nil || err.Error() != want {
+			t.Errorf("%q: got %v, want %s", text, err, want)
+		}
+	}
+}
+
+// A text beyond its bound is cut, and a history that is full says so in its last line.
+func TestWriterBounds(t *testing.T) {
+	var file bytes.Buffer
+	w := NewWriter(&file)
+	w.Write(&begin)
+	w.events = MostEvents - 2
+	for range 3 {
+		if err := w.Write(&Event{What: Note, Text: strings.Repeat("x", 600)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	all, err := Read(&file)
+	if err != nil || len(all) != 3 || len(all[1].Text) != MostText || all[2].What != Bound || w.Lost() != 1 {
+		t.Errorf("got %v, %v, %d lost", all, err, w.Lost())
+	}
+}
--- /dev/null
+++ b/internal/judge/answer.go
@@ -0,0 +1,102 @@
+package judge
+
+import (
+	"fmt"
+	"time"
+
+	"reachspread/internal/history"
+)
+
+// answer finds requests with no final answer, with two, with a late one, or with a stream that broke while nothing that was
+// done explains it.
+func answer(c *Case) (found []Verdict) {
+	for _, id := range c.ids {
+		r := c.requests[id]
+		wrong := func(t int64, format string, v ...any) {
+			who := ""
+			if r.Ask != nil {
+				who = r.Ask.Who
+			}
+			found = append(found, Verdict{"answer", t, who, id, fmt.Sprintf(format, v...)})
+		}
+		switch {
+		case r.Ask == nil && len(r.Answers) > 0:
+			wrong(r.Answers[0].T, "answered, and nobody asked")
+		case r.Ask == nil:
+			wrong(c.End, "sent to a host, and nobody asked")
+		case len(r.Answers) > 1:
+			wrong(r.Answers[1].T, "%d final answers", len(r.Answers))
+		case len(r.Answers) == 1:
+			c.oneAnswer(r, wrong)
+		case r.Ask.Until+c.Play.Slack < c.End && !c.excused(r, c.End):
+			wrong(r.Ask.Until, "no final answer by the end of the play")
+		}
+	}
+	return found
+}
+
+func (c *Case) oneAnswer(r *Request, wrong func(int64, string, ...any)) {
+	a := r.Answers[0]
+	if c.excused(r, a.T) {
+		return
+	}
+	late := a.T - r.Ask.Until - c.Play.Slack
+	if r.First >= 0 { // the deadline stops running with the first event
+		late = r.First - r.Ask.Until - c.Play.Slack
+	}
+	switch a.How {
+	case history.None:
+		wrong(r.Ask.Until, "no final answer in time")
+	case history.CutOff:
+		wrong(a.T, "the connection ended without an answer")
+	case history.Broken:
+		if !c.brokenBy(r, a.T) {
+			wrong(a.T, "the stream broke, and nothing was done to its host or the way to it")
+		}
+	case history.Whole, history.Refused, history.Failed:
+		if late > 0 {
+			wrong(a.T, "answered %v after its client gave up", time.Duration(late+c.Play.Slack).Round(time.Millisecond))
+		}
+	}
+}
+
+// excused tells whether what was done to the router that has a request explains anything that became of it.
+func (c *Case) excused(r *Request, to int64) bool {
+	return c.During(append(ends, slows...), r.Ask.T, to, router(r.Ask.Who))
+}
+
+// brokenBy tells whether something was done to a host that had the request, or to the way there.
+func (c *Case) brokenBy(r *Request, to int64) bool {
+	for _, a := range r.Attempts {
+		if c.During(hostBreak, r.Ask.T, to, host(a.Host)) || c.During(network, r.Ask.T, to, linkOf(a.Router, "hosts")) {
+			return true
+		}
+	}
+	return false
+}
+
+// attempt finds requests with two attempts out at the same time. An attempt ends when its host is done with it or when the
+// router closes its connection, whichever the history has first.
+func attempt(c *Case) (found []Verdict) {
+	for _, id := range c.ids {
+		all := c.requests[id].Attempts
+		for i := 1; i < len(all); i++ {
+			for _, before := range all[:i] {
+				if over := before.To - all[i].From; over > attemptSlack.Nanoseconds() && !c.unseen(before) {
+					found = append(found, Verdict{"attempt", all[i].From, all[i].Router, id,
+						fmt.Sprintf("at %s while the one at %s is out for %v more", all[i].Host, before.Host, time.Duration(over).Round(time.Millisecond))})
+				}
+			}
+		}
+	}
+	return found
+}
+
+// attemptSlack is the platform's, for all limits of time on sockets.
+const attemptSlack = 50 * time.Millisecond
+
+// unseen tells whether the end of an attempt could not be seen: its router died or stood still, and with it whoever would
+// close the connection.
+func (c *Case) unseen(a *Attempt) bool {
+	return c.During(append(ends, slows...), a.From, a.To, router(a.Router))
+}
--- /dev/null
+++ b/internal/judge/drain.go
@@ -0,0 +1,48 @@
+package judge
+
+import (
+	"fmt"
+	"time"
+
+	"reachspread/internal/history"
+)
+
+// drainSlack is how long after the news a host may still be sent something new, with the platform's slack on sockets.
+const drainSlack = 550 * time.Millisecond
+
+// drain finds attempts that reach a host after its router was told that it drains or is gone. One whose router or whose
+// list stood still meanwhile was told only when they went on.
+func drain(c *Case) (found []Verdict) {
+	since := map[string]int64{} // by router and host
+	for i := range c.Events {
+		e := &c.Events[i]
+		switch e.What {
+		case history.Told:
+			if key := e.Who + " " + e.From; e.Text == "Ready" {
+				delete(since, key)
+			} else if _, told := since[key]; !told {
+				since[key] = e.T
+			}
+		case history.Attempt:
+			told, leaving := since[e.From+" "+e.Who]
+			late := e.T - told - drainSlack.Nanoseconds()
+			if !leaving || late <= 0 || c.During(append(ends, slows...), told, e.T, router(e.From)) ||
+				c.During(network, told, e.T, linkOf(e.From, "list")) || c.During(network, told, e.T, linkOf(e.From, "hosts")) {
+				continue
+			}
+			found = append(found, Verdict{"drain", e.T, e.From, e.ID,
+				fmt.Sprintf("sent to %s %v after the list had said that it leaves", e.Who, time.Duration(e.T-told).Round(time.Millisecond))})
+		}
+	}
+	return found
+}
+
+// cold finds hosts that were pushed over before they were warm.
+func cold(c *Case) (found []Verdict) {
+	for i := range c.Events {
+		if e := &c.Events[i]; e.What == history.Fell {
+			found = append(found, Verdict{"cold", e.T, e.Who, "", "fell over while cold"})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/judge/returned.go
@@ -0,0 +1,72 @@
+package judge
+
+import (
+	"fmt"
+	"time"
+
+	"reachspread/internal/history"
+)
+
+const (
+	// servedAgain is the share of requests that must be served whole once the fleet has settled, of those that were before
+	// the first fault.
+	servedAgain = 0.9
+	// fewest is the least number of requests that a share is taken of.
+	fewest = 20
+)
+
+// returned finds fleets that do not come back: routers that are not ready, or requests that are refused or fail, once so
+// much time has passed since the last fault.
+func returned(c *Case) (found []Verdict) {
+	if c.Play.Settle == 0 || len(c.Faults) == 0 {
+		return nil
+	}
+	from := c.LastHeal() + c.Play.Settle
+	if from >= c.End {
+		return nil // it had no time for it
+	}
+	first := c.Faults[0].From
+	ready := map[int]bool{}
+	for i := range c.Events {
+		e := &c.Events[i]
+		if e.T > from {
+			break
+		}
+		switch e.What {
+		case history.Ready:
+			ready[Number(e.Who)] = true
+		case history.Unready:
+			ready[Number(e.Who)] = false
+		}
+	}
+	for n := range c.Play.Routers {
+		if !ready[n] && c.Play.World == "rig" {
+			found = append(found, Verdict{"return", from, fmt.Sprint("r", n), "", fmt.Sprintf("not ready %v after the last fault", time.Duration(c.Play.Settle))})
+		}
+	}
+	var before, beforeWhole, then, thenWhole int
+	for _, id := range c.ids {
+		r := c.requests[id]
+		if r.Ask == nil || len(r.Answers) != 1 || r.Answers[0].How == history.Left {
+			continue
+		}
+		whole := 0
+		if r.Answers[0].How == history.Whole {
+			whole = 1
+		}
+		switch {
+		case r.Ask.T < first && r.Answers[0].T < first:
+			before, beforeWhole = before+1, beforeWhole+whole
+		case r.Ask.T >= from:
+			then, thenWhole = then+1, thenWhole+whole
+		}
+	}
+	if before >= fewest && then >= fewest {
+		b, t := float64(beforeWhole)/float64(before), float64(thenWhole)/float64(then)
+		if t < servedAgain*b {
+			found = append(found, Verdict{"return", from, "", "", fmt.Sprintf("%.0f%% of %d requests are served whole from %v after the last fault on; before the first one it were %.0f%% of %d",
+				100*t, then, time.Duration(c.Play.Settle), 100*b, before)})
+		}
+	}
+	return found
+}
