One form for faults on sockets and in virtual time; the lab tells histories to the checkers

A block fault is read by the table of kinds. Before, virtual time skipped such blocks in silence; now it plays kill, slow, cut, partition and what becomes of routers' words (by the same Link as the rig), and refuses the rest with file, line and field. The host fault that resets connections is named reset, as a cut is a link that carries nothing. The stand-in hosts have lists for routers with addresses of their own, and say what comes and ends.

--- a/cmd/reachlab/main.go
+++ b/cmd/reachlab/main.go
@@ -16,6 +16,7 @@
 
 	"reachspread/internal/demo"
 	"reachspread/internal/experiment"
+	"reachspread/internal/faults"
 	"reachspread/internal/lab"
 	"reachspread/internal/report"
 )
@@ -177,7 +178,10 @@
 		if *name != "" && x.Variants[variant].Name != *name {
 			return fmt.Errorf("%s has no variant %q", args[0], *name)
 		}
-		w, err := lab.New(x.World(variant, *seed))
+		if err := x.CheckFor(faults.Lab); err != nil {
+			return err
+		}
+		w, err := lab.New(x.Virtual(variant, *seed))
 		if err != nil {
 			return err
 		}
--- a/cmd/reachlab/sockets.go
+++ b/cmd/reachlab/sockets.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"reachspread/internal/experiment"
+	"reachspread/internal/faults"
 	"reachspread/internal/lab"
 	"reachspread/internal/standin"
 )
@@ -28,8 +29,11 @@
 		if err != nil {
 			return err
 		}
+		if err := x.CheckFor(faults.Hosts); err != nil {
+			return err
+		}
 		spec := x.World(0, x.Seeds[0])
-		f, err := standin.NewFleet(&spec)
+		f, err := standin.NewFleet(&spec, standin.Anywhere)
 		if err != nil {
 			return err
 		}
@@ -40,7 +44,7 @@
 			fmt.Fprintf(out, "%d %s %s\n", i, h.ID, h.Addr)
 		}
 		if *config != "" {
-			if err := writeNew(*config, f.RouterConfig("lab", *listen)); err != nil {
+			if err := writeNew(*config, f.RouterConfig(standin.Place{Name: "lab", Listen: *listen})); err != nil {
 				return err
 			}
 			path, err := filepath.Abs(*config)
--- a/cmd/reachlab/sockets_test.go
+++ b/cmd/reachlab/sockets_test.go
@@ -150,7 +150,7 @@
 		{[]string{"load", x, "--capture", write("c", head+`{"at_ns":1,`)}, "c:2: the line is cut off"},
 		{[]string{"run", write("d.hcl", strings.Replace(small, "seeds = 1", "seeds = 1\ncaptured = \"gone\"", 1))}, "gone: no such file"},
 		{[]string{"check", write("e.hcl", strings.Replace(small, `fault "kill"`, `fault "odd"`, 1))}, `e.hcl:14: fault "odd" is unknown`},
-		{[]string{"check", write("f.hcl", strings.Replace(small, `[1]`, `["a"]`, 1))}, "f.hcl:17: hosts must be a list of hosts by number"},
+		{[]string{"check", write("f.hcl", strings.Replace(small, `[1]`, `["a"]`, 1))}, "f.hcl:17: hosts must be a list of whole numbers, from 0"},
 		{[]string{"serve-fleet", x, "--config", x}, "file exists"},
 	} {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -114,7 +114,7 @@
 	if s.folder, err = os.MkdirTemp("", "reachlab-demo-"); err != nil {
 		return s, err
 	}
-	if s.Fleet, err = standin.NewFleet(spec); err != nil {
+	if s.Fleet, err = standin.NewFleet(spec, standin.Anywhere); err != nil {
 		return s, err
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -124,7 +124,7 @@
 	s.addr = ln.Addr().String()
 	ln.Close() // the router listens there next
 	path := filepath.Join(s.folder, "config.json")
-	if err = os.WriteFile(path, s.RouterConfig("demo", s.addr), 0o600); err != nil {
+	if err = os.WriteFile(path, s.RouterConfig(standin.Place{Name: "demo", Listen: s.addr}), 0o600); err != nil {
 		return s, err
 	}
 	env := func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] }
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -16,9 +16,9 @@
 
 	"reachspread/balance"
 	"reachspread/internal/capture"
+	"reachspread/internal/faults"
 	"reachspread/internal/fleet"
 	"reachspread/internal/lab"
-	"reachspread/internal/standin"
 )
 
 // Experiment is worlds that differ by seed and by variant.
@@ -27,10 +27,13 @@
 	Seeds    []uint64
 	Spec     lab.Spec // of the first variant, but for the seed
 	Variants []Variant
-	Faults   []standin.Fault // of the fleet on sockets
-	Text     []byte          // as it was read
+	Faults   []faults.Fault // by their blocks
+	Text     []byte         // as it was read
 
-	captured string // a capture's file, beside the experiment's; empty for none
+	Rig Rig // of its processes, if the file has such a block
+
+	troubles []string // where they stand
+	captured string   // a capture's file, beside the experiment's; empty for none
 }
 
 // Variant is a change to the module's settings or to the routers.
@@ -51,6 +54,13 @@
 	return s
 }
 
+// Virtual is World with the schedule of faults, for virtual time.
+func (x *Experiment) Virtual(variant int, seed uint64) lab.Spec {
+	s := x.World(variant, seed)
+	s.Faults = x.Faults
+	return s
+}
+
 const (
 	mostSeeds = 10000
 	aDay      = 24 * time.Hour
@@ -80,7 +90,7 @@
 		d := diags[0]
 		return nil, fmt.Errorf("%s:%d: %s: %s", name, d.Subject.Start.Line, d.Summary, strings.ReplaceAll(d.Detail, "\n", " "))
 	}
-	x := &Experiment{Name: strings.TrimSuffix(name, filepath.Ext(name)), Text: text}
+	x := &Experiment{Rig: usualRig, Name: strings.TrimSuffix(name, filepath.Ext(name)), Text: text}
 	d := &decoder{}
 	d.file(x, f.Body.(*hclsyntax.Body))
 	if d.err != nil {
@@ -242,6 +252,7 @@
 		"captured": word(&x.captured),
 	}, blocks{
 		"fault":  func(b *hclsyntax.Block) { x.Faults = append(x.Faults, d.faultOf(b)) },
+		"rig":    func(b *hclsyntax.Block) { d.rig(&x.Rig, b) },
 		"module": func(b *hclsyntax.Block) { d.body(b.Body, "module", d.module(&s.Balance), nil) },
 		"group":  func(b *hclsyntax.Block) { s.Groups = append(s.Groups, d.group(b)) },
 		"class":  func(b *hclsyntax.Block) { s.Classes = append(s.Classes, d.class(b)) },
@@ -259,7 +270,10 @@
 			d.body(b.Body, "retries", fields{"most": whole(&s.Retries.Max, 0, 100), "after": span(&s.Retries.After, 0),
 				"heed": flag(&s.Retries.Heed)}, nil)
 		},
-		"trouble": func(b *hclsyntax.Block) { s.Troubles = append(s.Troubles, d.trouble(b)) },
+		"trouble": func(b *hclsyntax.Block) {
+			s.Troubles = append(s.Troubles, d.trouble(b))
+			x.troubles = append(x.troubles, fmt.Sprintf("%s:%d", b.TypeRange.Filename, b.TypeRange.Start.Line))
+		},
 		"variant": func(b *hclsyntax.Block) {
 			name := d.label(b)
 			if names[name] {
@@ -388,34 +402,6 @@
 	return t
 }
 
-// faultOf reads what goes wrong with hosts on sockets. Virtual time knows troubles only.
-func (d *decoder) faultOf(b *hclsyntax.Block) standin.Fault {
-	f := standin.Fault{Kind: standin.FaultKind(d.label(b))}
-	if !slices.Contains(standin.FaultKinds, f.Kind) {
-		d.fault(b.TypeRange, "fault", "%q is unknown", f.Kind)
-	}
-	needed := []string{"at", "length"}
-	if f.Kind == standin.Slow {
-		needed = append(needed, "size")
-	}
-	d.body(b.Body, "fault", fields{"at": span(&f.At, 0), "length": span(&f.Length, 1), "size": num(&f.Size, 0.01, 1000),
-		"hosts": func(v cty.Value) string {
-			const wrong = "must be a list of hosts by number, from 0"
-			if v.IsNull() || !v.IsKnown() || !v.CanIterateElements() {
-				return wrong
-			}
-			for _, e := range v.AsValueSlice() {
-				n, ok := number(e)
-				if !ok || n != float64(int(n)) || n < 0 || n > 100000 {
-					return wrong
-				}
-				f.Hosts = append(f.Hosts, int(n))
-			}
-			return ""
-		}}, nil, needed...)
-	return f
-}
-
 // Captured reads a capture as the plan of an experiment's clients. A class that the experiment does not have is a fault.
 func Captured(path string, spec *lab.Spec) ([]lab.Planned, error) {
 	_, all, err := capture.Read(path)
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 
+	"reachspread/internal/faults"
 	"reachspread/internal/lab"
 )
 
@@ -25,6 +26,9 @@
 // Play plays all worlds of an experiment, so many at a time. Done is told of each that is over, by one caller at a time;
 // it may be nil. The runs come by variant, then by seed, however they were played.
 func (x *Experiment) Play(ctx context.Context, atOnce int, done func(*Run)) ([]*Run, error) {
+	if err := x.CheckFor(faults.Lab); err != nil {
+		return nil, err
+	}
 	runs := make([]*Run, x.Worlds())
 	next := make(chan int)
 	var mu sync.Mutex
@@ -33,7 +37,7 @@
 		all.Go(func() {
 			for i := range next {
 				v, seed := i/len(x.Seeds), x.Seeds[i%len(x.Seeds)]
-				r := play(x.World(v, seed))
+				r := play(x.Virtual(v, seed))
 				r.Variant, r.Seed = x.Variants[v].Name, seed
 				mu.Lock()
 				runs[i] = r
--- /dev/null
+++ b/internal/experiment/schedule.go
@@ -0,0 +1,168 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/zclconf/go-cty/cty"
+
+	"reachspread/internal/faults"
+	"reachspread/internal/lab"
+)
+
+// Rig is how an experiment is played on processes.
+type Rig struct {
+	MemoryMB, Sockets int // limits of a router
+	Cores             float64
+	Held              bool   // the clients' listeners are the platform's, and every process of a router inherits them
+	Settings          string // the operators' file of every router, empty for none
+	Slack             time.Duration
+	Settle            time.Duration // after the last fault until the fleet must serve as before; 0 for no bound
+	Tail              time.Duration // the play goes on so long after its length
+	Retries           bool          // a client that is refused comes again, as the block retries says
+
+	// Manners of clients, as shares of the requests.
+	Pieces, Silent, Leave float64
+	Scrape                time.Duration // between two calls of vars at each door; 0 for none
+}
+
+// usualRig is what a file without the block has.
+var usualRig = Rig{MemoryMB: 192, Sockets: 512, Cores: 1, Slack: 500 * time.Millisecond, Settle: 4 * time.Second, Tail: 6 * time.Second}
+
+func (d *decoder) rig(r *Rig, b *hclsyntax.Block) {
+	d.body(b.Body, "rig", fields{"memory_mb": whole(&r.MemoryMB, 32, 1<<20), "sockets": whole(&r.Sockets, 96, 1<<20), "cores": num(&r.Cores, 0.01, 64),
+		"held": flag(&r.Held), "settings": word(&r.Settings), "slack": span(&r.Slack, 0), "settle": span(&r.Settle, 0), "tail": span(&r.Tail, 0),
+		"pieces": num(&r.Pieces, 0, 1), "silent": num(&r.Silent, 0, 1), "leave": num(&r.Leave, 0, 1), "scrape": span(&r.Scrape, 10*time.Millisecond)}, nil)
+}
+
+// faultOf reads a fault. Which fields a kind has is in the table of kinds.
+func (d *decoder) faultOf(b *hclsyntax.Block) faults.Fault {
+	f := faults.Fault{Kind: faults.Kind(d.label(b)), Source: fmt.Sprintf("%s:%d", b.TypeRange.Filename, b.TypeRange.Start.Line)}
+	m := faults.Of(f.Kind)
+	if m == nil {
+		d.fault(b.TypeRange, "fault", "%q is unknown", f.Kind)
+		return f
+	}
+	every := fields{
+		"at": span(&f.At, 0), "length": span(&f.Length, 0), "share": num(&f.Share, 0, 1), "size": num(&f.Size, 0.01, 1000),
+		"delay": span(&f.Delay, 0), "jitter": span(&f.Jitter, 0), "zone": word(&f.Zone), "file": word(&f.File), "keep": num(&f.Keep, 0, 1),
+		"routers": selected(&f.Routers), "hosts": selected(&f.Hosts), "peers": selected(&f.Peers), "links": words(&f.Links),
+		"direction": word((*string)(&f.Direction)), "disk": word((*string)(&f.Disk)), "bridge": numbers(&f.Bridge),
+		"groups": func(v cty.Value) string {
+			if f.Zones = v.Type() == cty.String && !v.IsNull() && v.AsString() == "zones"; f.Zones {
+				return ""
+			}
+			return groups(&f.Groups)(v)
+		},
+	}
+	has := fields{}
+	for _, name := range m.Fields() {
+		has[name] = every[name]
+	}
+	needed := append([]string{"length"}, m.Needed()...)
+	if !slices.ContainsFunc(b.Body.Blocks, func(in *hclsyntax.Block) bool { return in.Type == "when" }) {
+		needed = append(needed, "at")
+	} else {
+		delete(has, "at")
+	}
+	d.body(b.Body, "fault "+string(f.Kind), has, blocks{"when": func(in *hclsyntax.Block) {
+		f.When = &faults.When{}
+		d.body(in.Body, "when", fields{"what": word(&f.When.What), "who": word(&f.When.Who), "text": word(&f.When.Text),
+			"nth": whole(&f.When.Nth, 1, 1<<20), "after": span(&f.At, 0)}, nil, "what")
+	}}, needed...)
+	return f
+}
+
+// selected takes a list of numbers, a share, "all" or a zone.
+func selected(s *faults.Select) func(cty.Value) string {
+	return func(v cty.Value) string {
+		if part, ok := number(v); ok {
+			if !(part > 0 && part <= 1) {
+				return "must be a share above 0 and up to 1, a list of numbers from 0, \"all\" or a zone"
+			}
+			s.Part = part
+			return ""
+		}
+		if word, ok := text(v); ok && word != "" {
+			if s.All = word == "all"; !s.All {
+				s.Zone = word
+			}
+			return ""
+		}
+		return numbers(&s.Numbers)(v)
+	}
+}
+
+func numbers(to *[]int) func(cty.Value) string {
+	return func(v cty.Value) string {
+		const wrong = "must be a list of whole numbers, from 0"
+		if v.IsNull() || !v.IsKnown() || !v.CanIterateElements() || v.LengthInt() == 0 {
+			return wrong
+		}
+		for _, e := range v.AsValueSlice() {
+			n, ok := number(e)
+			if !ok || n != float64(int(n)) || n < 0 || n > 100000 {
+				return wrong
+			}
+			*to = append(*to, int(n))
+		}
+		return ""
+	}
+}
+
+func groups(to *[][]int) func(cty.Value) string {
+	return func(v cty.Value) string {
+		const wrong = "must be \"zones\" or lists of routers by number"
+		if v.IsNull() || !v.IsKnown() || !v.CanIterateElements() {
+			return wrong
+		}
+		for _, e := range v.AsValueSlice() {
+			var group []int
+			if numbers(&group)(e) != "" {
+				return wrong
+			}
+			*to = append(*to, group)
+		}
+		return ""
+	}
+}
+
+func words(to *[]string) func(cty.Value) string {
+	return func(v cty.Value) string {
+		const wrong = "must be a list of words"
+		if v.IsNull() || !v.IsKnown() || !v.CanIterateElements() {
+			return wrong
+		}
+		for _, e := range v.AsValueSlice() {
+			x, ok := text(e)
+			if !ok {
+				return wrong
+			}
+			*to = append(*to, x)
+		}
+		return ""
+	}
+}
+
+// Shape is the fleet as schedules see it.
+func (x *Experiment) Shape() *faults.Shape { return x.Spec.Shape() }
+
+// onSockets has for each trouble of virtual time the fault that means the same. Those that clients make are played
+// everywhere.
+var onSockets = map[lab.TroubleKind]string{lab.SlowHosts: "slow", lab.RouterCrash: "kill", lab.HostsDie: "kill", lab.Replace: "drain",
+	lab.Release: "drain", lab.LostZone: "power", lab.ListLost: "cut"}
+
+// CheckFor returns what of the schedule does not exist in a world, or is wrong with it, as one line with file, line and
+// field.
+func (x *Experiment) CheckFor(world faults.World) error {
+	if world != faults.Lab {
+		for i, t := range x.Spec.Troubles {
+			if same, ok := onSockets[t.Kind]; ok {
+				return fmt.Errorf("%s: trouble %q is of virtual time alone; fault %q is for sockets", x.troubles[i], t.Kind, same)
+			}
+		}
+	}
+	return faults.Check(x.Faults, x.Shape(), world, x.Spec.Length)
+}
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/history"
 )
 
 // load is one class's clients.
@@ -249,6 +250,7 @@
 	t.index = len(r.open)
 	r.open = append(r.open, t)
 	r.tries[t.id] = t
+	w.emit(history.Event{What: history.Ask, ID: t.id, Who: routerName(r.n), Class: c.Class.Name, Until: t.until.Nanoseconds()})
 	r.take(balance.Arrival{ID: t.id, Class: c.Class.Name, Session: f.session.name, Prefix: f.session.prefix, Left: t.until - w.now,
 		Prompt: float64(f.prompt), Shared: float64(f.session.shared)})
 	w.at(t.until, event{do: tryOverdue, p: t})
@@ -284,10 +286,18 @@
 		return
 	}
 	w.note(string(how), id, r.n)
+	w.answered(t, how)
 	r.closeTry(t)
 	w.again(t.f, away, how)
 }
 
+// answered tells the history how a try came out.
+func (w *World) answered(t *try, how ending) {
+	w.emit(history.Event{What: history.Answer, ID: t.id, How: hows[how]})
+}
+
+var hows = map[ending]history.How{served: history.Whole, refused: history.Refused, failed: history.Failed, brokenOff: history.Broken}
+
 // again has a flow's client come back, or give up.
 func (w *World) again(f *flow, away time.Duration, how ending) {
 	wait := w.s.Retries.After + time.Duration(f.rng.Float64()*float64(w.s.Retries.After))
--- a/internal/lab/hosts.go
+++ b/internal/lab/hosts.go
@@ -8,6 +8,7 @@
 
 	"reachspread/balance"
 	"reachspread/internal/fleet"
+	"reachspread/internal/history"
 )
 
 // host is one machine, and the model of what runs on it.
@@ -25,6 +26,7 @@
 	gone  bool // for good
 	cut   bool // from the network
 	cuts  int  // times that it was
+	down  int  // faults that have killed it
 	state balance.State
 
 	atIt map[string]*attempt
@@ -79,6 +81,7 @@
 			if a := h.atIt[x.ID]; a != nil {
 				delete(h.atIt, x.ID)
 				w.res.Kept += uint64(x.Kept)
+				w.hostDone(h, a)
 				w.tell(h, a, &tell{a: a, result: balance.OK, kept: x.Kept, made: a.made, load: w.load(h)})
 			}
 		case fleet.TurnedAway:
@@ -90,12 +93,14 @@
 			if a := h.atIt[x.ID]; a != nil {
 				delete(h.atIt, x.ID)
 				w.res.TurnedAway++
+				w.hostDone(h, a)
 				w.tell(h, a, &tell{a: a, result: balance.Full, load: w.load(h)})
 			}
 		case fleet.Broken:
 			if a := h.atIt[x.ID]; a != nil {
 				delete(h.atIt, x.ID)
 				w.res.Wasted += uint64(a.made)
+				w.hostDone(h, a)
 				w.tell(h, a, &tell{a: a, result: balance.Reset, made: a.made})
 			}
 		case fleet.Answered:
@@ -108,6 +113,7 @@
 		case fleet.Preempted:
 			w.res.Preempted++
 		case fleet.Fell:
+			w.emit(history.Event{What: history.Fell, Who: h.id})
 			w.violated(ruleCold, h.id, h.n, "fell over")
 		}
 	}
@@ -184,6 +190,9 @@
 	a.hgen = h.gen
 	f := a.t.f
 	h.atIt[a.t.id] = a
+	if w.observed() {
+		w.emit(history.Event{What: history.Attempt, ID: a.t.id, Who: h.id, From: routerName(a.t.router.n), Conn: a.name()})
+	}
 	w.hostDoes(h, fleet.Arrive{Request: fleet.Request{ID: a.t.id, Session: f.session.name, Prefix: f.session.prefix, Prompt: f.prompt,
 		Shared: f.session.shared, Out: f.out, MaxOut: f.session.load.c.MaxOut}})
 }
@@ -221,6 +230,9 @@
 // cancel has a router give up an attempt: its connection closes, and the host hears of it.
 func (w *World) cancel(a *attempt) {
 	a.over = true
+	if w.observed() {
+		w.emit(history.Event{What: history.Closed, Who: routerName(a.t.router.n), Conn: a.name()})
+	}
 	w.at(w.now+w.way(a.t.router.zone, w.hosts[a.host].zone), event{do: cancelReaches, p: a})
 }
 
@@ -231,6 +243,7 @@
 	}
 	if h.atIt[a.t.id] == a && a.hgen == h.gen {
 		delete(h.atIt, a.t.id)
+		w.hostDone(h, a)
 		w.res.Wasted += uint64(a.made)
 		w.hostDoes(h, fleet.Cancel{ID: a.t.id})
 	}
@@ -239,6 +252,14 @@
 	}
 }
 
+// name tells an attempt from others, for the history.
+func (a *attempt) name() string { return a.t.id + "/" + strconv.Itoa(a.n) }
+
+// hostDone tells the history that a host has done with an attempt.
+func (w *World) hostDone(h *host, a *attempt) {
+	w.emit(history.Event{What: history.Done, ID: a.t.id, Who: h.id})
+}
+
 // probe is a router's question for a host's load.
 type probe struct {
 	router, rgen int
@@ -350,6 +371,7 @@
 		r.byID[m.Replica] = h
 		if m.State == balance.Serving {
 			r.known[h] = knowledge{}
+			w.emit(history.Event{What: history.Told, Who: routerName(r.n), From: m.Replica, Text: "Ready"})
 		} else {
 			r.leaves(h)
 		}
@@ -360,5 +382,6 @@
 func (r *router) leaves(h int) {
 	if !r.known[h].leaving {
 		r.known[h] = knowledge{leaving: true, since: r.w.now}
+		r.w.emit(history.Event{What: history.Told, Who: routerName(r.n), From: r.w.hosts[h].id, Text: "Terminating"})
 	}
 }
--- a/internal/lab/queue.go
+++ b/internal/lab/queue.go
@@ -40,6 +40,8 @@
 	troubleBegins
 	troubleEnds
 	releaseGoesOn
+	faultBegins
+	faultEnds
 	sampled
 )
 
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/history"
 )
 
 // router is one instance: a decision module, its open tries, its list and its connections.
@@ -25,6 +26,7 @@
 	heard  time.Duration  // when the last news comes
 	pools  []pool         // by host
 	probes int
+	down   int // faults that have killed it
 }
 
 // knowledge is what a router was told of a host.
@@ -56,6 +58,8 @@
 		return err
 	}
 	again := r.gen > 0
+	w.emit(history.Event{What: history.Start, Who: routerName(n)})
+	w.emit(history.Event{What: history.Ready, Who: routerName(n)})
 	r.gen++
 	r.d, r.alive, r.inbox, r.due = d, true, nil, false
 	r.tries, r.open, r.pools = map[string]*try{}, nil, nil
@@ -209,6 +213,7 @@
 		}
 		if !t.answered {
 			w.note("first token", t.id, r.n)
+			w.emit(history.Event{What: history.First, ID: t.id})
 			t.answered = true
 			r.take(balance.FirstToken{ID: t.id, Attempt: a.n})
 		}
@@ -219,6 +224,9 @@
 		return
 	}
 	a.over, t.out = true, nil
+	if w.observed() {
+		w.emit(history.Event{What: history.Closed, Who: routerName(r.n), Conn: a.name()})
+	}
 	w.note("outcome", t.id, int(word.result))
 	o := balance.Outcome{ID: t.id, Attempt: a.n, Result: word.result, Final: word.result == balance.OK || t.answered, Kept: float64(word.kept), Load: word.load}
 	r.take(o)
@@ -235,6 +243,7 @@
 	if word.result != balance.OK {
 		how = brokenOff
 	}
+	w.answered(t, how)
 	w.over(t.f, how, a.begun, w.now, word.made)
 }
 
@@ -255,6 +264,7 @@
 		return
 	}
 	w.note("router dies", "", n)
+	w.emit(history.Event{What: history.Exit, Who: routerName(n), Status: -1, Text: "killed"})
 	r.alive = false
 	for h := range r.pools {
 		for _, c := range r.pools[h].idle {
@@ -263,6 +273,7 @@
 	}
 	for _, t := range r.open {
 		streaming := t.answered
+		w.emit(history.Event{What: history.Answer, ID: t.id, How: history.CutOff})
 		t.answered = true
 		if a := t.out; a != nil {
 			t.out = nil
@@ -284,7 +295,7 @@
 	for _, to := range a.To {
 		if w.net.Float64() >= w.s.Peers.Lost {
 			late := w.s.Peers.Least + time.Duration(w.net.Float64()*float64(w.s.Peers.Most-w.s.Peers.Least))
-			w.at(w.now+late, event{do: routerHears, n: to, p: heard})
+			w.carry(r.n, to, event{at: w.now + late, do: routerHears, n: to, p: heard})
 		}
 	}
 }
--- a/internal/lab/spec.go
+++ b/internal/lab/spec.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/faults"
 	"reachspread/internal/fleet"
+	"reachspread/internal/history"
 )
 
 // Spec is one experiment's world.
@@ -33,7 +35,11 @@
 	Retries  Retries
 	Peers    Peers
 	Troubles []Trouble
-	Captured []Planned // in the order of their times; in place of drawn load, if there is any
+	Faults   []faults.Fault // as far as virtual time has them
+	Captured []Planned      // in the order of their times; in place of drawn load, if there is any
+
+	// History is told of what happens, as package judge reads it; nil for nobody. The event is not kept.
+	History func(*history.Event)
 
 	// New makes a router's decider; nil for that of package balance.
 	New func(balance.Config, uint64) (Decider, error)
@@ -203,5 +209,5 @@
 			return fmt.Errorf("%s is unknown", field("Kind"))
 		}
 	}
-	return nil
+	return s.checkFaults()
 }
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/faults"
 	"reachspread/internal/fleet"
+	"reachspread/internal/history"
 )
 
 // some draws a part of so many, at least one unless the part is 0, in the order of their numbers.
@@ -61,7 +63,8 @@
 			w.stop(w.hosts[i], t.Length)
 		}
 	case Replace:
-		for _, i := range w.some(len(w.hosts), t.Part, alive) {
+		hit.at = w.some(len(w.hosts), t.Part, alive)
+		for _, i := range hit.at {
 			old := w.hosts[i]
 			old.state = balance.Gone
 			w.changed(old)
@@ -85,16 +88,14 @@
 	case LostZone:
 		for i, h := range w.hosts {
 			if h.zone == t.Zone && !h.gone {
-				h.cut = true
-				if h.cuts++; w.s.Net.Silent > 0 {
-					w.at(w.now+w.s.Net.Silent, event{do: streamsSilent, n: i, gen: h.cuts})
-				}
+				w.hostCut(h)
 				hit.at = append(hit.at, i)
 			}
 		}
 	case ListLost:
 		w.list.down++
 	}
+	w.tellTrouble(n, t, hit.at)
 	w.res.Troubles = append(w.res.Troubles, TroubleResult{Kind: t.Kind, At: w.now, Hit: len(hit.at)})
 	if t.Kind != Release && t.Kind != Replace {
 		w.struck = append(w.struck, hit)
@@ -145,11 +146,7 @@
 	case LostZone: // what was under way is reset now
 		for _, i := range hit.at {
 			h := w.hosts[i]
-			h.cut = false
-			for _, a := range h.unheard {
-				w.tell(h, a, &tell{a: a, result: balance.Reset, made: a.made})
-			}
-			h.unheard = nil
+			w.hostBack(h)
 			if h.alive {
 				w.die(h)
 				h.alive = true
@@ -159,13 +156,59 @@
 			}
 		}
 	case ListLost:
-		if w.list.down--; w.list.down == 0 && w.list.missed {
-			w.list.missed = false
-			for _, r := range w.routers {
-				w.tellWhole(r)
-			}
+		w.listBack()
+	}
+	w.emit(history.Event{What: history.Heal, N: troubleNumber + n, Text: troubleFault[t.Kind]})
+}
+
+// hostCut cuts a host off from the network.
+func (w *World) hostCut(h *host) {
+	h.cut = true
+	if h.cuts++; w.s.Net.Silent > 0 {
+		w.at(w.now+w.s.Net.Silent, event{do: streamsSilent, n: h.n, gen: h.cuts})
+	}
+}
+
+// hostBack has it back: what was under way is reset.
+func (w *World) hostBack(h *host) {
+	h.cut = false
+	for _, a := range h.unheard {
+		w.tell(h, a, &tell{a: a, result: balance.Reset, made: a.made})
+	}
+	h.unheard = nil
+}
+
+// listBack ends one of the faults that hold the list up.
+func (w *World) listBack() {
+	if w.list.down--; w.list.down == 0 && w.list.missed {
+		w.list.missed = false
+		for _, r := range w.routers {
+			w.tellWhole(r)
+		}
+	}
+}
+
+// troubleNumber is where the numbers of troubles begin among those of a history's faults.
+const troubleNumber = faults.Most
+
+// troubleFault is the fault that excuses what a trouble does.
+var troubleFault = map[TroubleKind]string{SlowHosts: "slow", RouterCrash: "kill", HostsDie: "kill", Replace: "kill", Release: "drain", LostZone: "power", ListLost: "cut",
+	Burst: "burst", HeavyTail: "heavy_tail"}
+
+// tellTrouble tells the history of a trouble that begins, as the fault that it is like.
+func (w *World) tellTrouble(n int, t *Trouble, hit []int) {
+	e := history.Event{What: history.Fault, N: troubleNumber + n, Text: troubleFault[t.Kind], Hosts: hit}
+	switch t.Kind {
+	case RouterCrash:
+		e.Routers, e.Hosts = hit, nil
+	case Release:
+		for i := range w.hosts {
+			e.Hosts = append(e.Hosts, i)
 		}
+	case ListLost:
+		e.Links, e.All = []string{faults.LinkList}, true
 	}
+	w.emit(e)
 }
 
 // releasing is a release of all hosts, some at a time: each is drained, has two thirds of its round to finish what it
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -32,6 +32,7 @@
 	burst   float64
 	tail    []tail
 	struck  []struck
+	faults  schedule
 
 	planning bool // requests are only written down
 	plan     []Planned
@@ -119,6 +120,7 @@
 	for i, t := range s.Troubles {
 		w.at(t.At, event{do: troubleBegins, n: i})
 	}
+	w.schedules()
 	w.at(time.Second, event{do: sampled})
 	return w, nil
 }
@@ -240,6 +242,10 @@
 		w.begins(e.n)
 	case troubleEnds:
 		w.ends(e.n)
+	case faultBegins:
+		w.faultBegins(e.n)
+	case faultEnds:
+		w.faultEnds(e.n)
 	case releaseGoesOn:
 		w.release(e.p.(*releasing))
 	case sampled:
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -7,48 +7,23 @@
 	"slices"
 	"time"
 
+	"reachspread/internal/faults"
 	"reachspread/internal/fleet"
 )
 
-// FaultKind names what goes wrong with a host on sockets.
-type FaultKind string
-
-// The kinds.
-const (
-	Stall    FaultKind = "stall"   // streams say nothing, and go on after
-	Cut      FaultKind = "cut"     // connections are reset, over and over; the process stands
-	Garbage  FaultKind = "garbage" // what is no event stands in the streams
-	Draining FaultKind = "drain"   // the list says so, the host finishes, and is started anew after
-	Killed   FaultKind = "kill"    // the process dies, and starts cold after
-	Refuse   FaultKind = "refuse"  // no new connection comes up; those that are there go on
-	Slow     FaultKind = "slow"    // the model works Size times slower
-)
-
-// FaultKinds has all of them.
-var FaultKinds = []FaultKind{Stall, Cut, Garbage, Draining, Killed, Refuse, Slow}
-
-// Fault is one of them for a while.
-type Fault struct {
-	Kind   FaultKind
-	At     time.Duration
-	Length time.Duration
-	Hosts  []int   // by number from 0; none for all
-	Size   float64 // of Slow
-}
-
 // cutEvery is how often connections are reset while they are to be.
 const cutEvery = 5 * time.Millisecond
 
-// Play has faults come and go in their time, until all are over or ctx ends. Tell is called with each.
-func (f *Fleet) Play(ctx context.Context, faults []Fault, tell func(string)) error {
+// Play has faults of hosts come and go in their time, until all are over or ctx ends. Tell is called with each.
+func (f *Fleet) Play(ctx context.Context, all []faults.Fault, tell func(string)) error {
 	type turn struct {
-		at    time.Duration
-		fault *Fault
-		ends  bool
+		at     time.Duration
+		strike *faults.Strike
+		ends   bool
 	}
 	var turns []turn
-	for i := range faults {
-		turns = append(turns, turn{faults[i].At, &faults[i], false}, turn{faults[i].At + faults[i].Length, &faults[i], true})
+	for _, s := range faults.Resolve(all, f.spec.Shape(), f.spec.Seed) {
+		turns = append(turns, turn{s.At, s, false}, turn{s.At + s.Length, s, true})
 	}
 	slices.SortStableFunc(turns, func(a, b turn) int { return int(a.at - b.at) })
 	begun := time.Now()
@@ -62,46 +37,52 @@
 		if t.ends {
 			word = "ends"
 		}
-		for i, h := range f.Hosts {
-			if len(t.fault.Hosts) > 0 && !slices.Contains(t.fault.Hosts, i) {
-				continue
-			}
-			if err := f.fault(h, t.fault, t.ends); err != nil {
-				return fmt.Errorf("%s: %s: %w", h.ID, t.fault.Kind, err)
+		for _, n := range t.strike.Hosts {
+			if err := f.Strike(n, t.strike.Fault, t.ends); err != nil {
+				return fmt.Errorf("%s: %s: %w", f.Hosts[n].ID, t.strike.Kind, err)
 			}
-			tell(fmt.Sprintf("%v %s: %s %s", t.at, h.ID, t.fault.Kind, word))
+			tell(fmt.Sprintf("%v %s: %s %s", t.at, f.Hosts[n].ID, t.strike.Kind, word))
 		}
 	}
 	return nil
 }
 
-// fault begins or ends one at a host.
-func (f *Fleet) fault(h *Host, x *Fault, ends bool) error {
+// Strike begins or ends a fault at a host. Faults may lie over one another: a host that two have killed starts as the last
+// of them ends.
+func (f *Fleet) Strike(n int, x *faults.Fault, ends bool) error {
+	h := f.Hosts[n]
 	switch x.Kind {
-	case Stall, Garbage, Cut:
+	case faults.Stall, faults.Garbage, faults.Reset:
 		h.misbehave(x.Kind, !ends)
-	case Slow:
+	case faults.Slow:
 		factor := x.Size
 		if ends {
 			factor = 1
 		}
 		h.Event(fleet.Slow{Factor: factor})
-	case Refuse:
+	case faults.Refuse:
 		return h.refuse(!ends)
-	case Draining:
+	case faults.Drain:
 		if !ends {
 			f.Tell(h, "Terminating", 0)
 			h.Event(fleet.Drain{})
 			return nil
 		}
+		if h.down > 0 {
+			return nil
+		}
 		h.Kill()
 		return f.restart(h)
-	case Killed:
+	case faults.Kill, faults.Power:
 		if !ends {
-			h.Kill()
+			if h.down++; h.down == 1 {
+				h.Kill()
+			}
 			return nil
 		}
-		return f.restart(h)
+		if h.down--; h.down == 0 {
+			return f.restart(h)
+		}
 	}
 	return nil
 }
@@ -116,7 +97,7 @@
 }
 
 // misbehave has the host's sockets do what its model knows nothing of, or no more.
-func (h *Host) misbehave(how FaultKind, on bool) {
+func (h *Host) misbehave(how faults.Kind, on bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !on {
@@ -129,7 +110,7 @@
 	if h.wrong == "" {
 		h.right = make(chan struct{})
 	}
-	if h.wrong = how; how == Cut {
+	if h.wrong = how; how == faults.Reset {
 		go h.cut(h.right)
 	}
 }
@@ -154,7 +135,7 @@
 }
 
 // amiss returns what the host's sockets do wrong by now, and what ends with it.
-func (h *Host) amiss() (how FaultKind, until <-chan struct{}) {
+func (h *Host) amiss() (how faults.Kind, until <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.wrong, h.right
@@ -164,6 +145,10 @@
 func (h *Host) refuse(on bool) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if on == h.deaf || h.down > 0 {
+		return nil // it is so already; a host that is dead refuses anyway, and listens as it starts
+	}
+	h.deaf = on
 	if on {
 		return h.ln.Close()
 	}
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"reachspread/internal/faults"
 	"reachspread/internal/lab"
 	"reachspread/internal/peers"
 	"reachspread/internal/protocol"
@@ -18,11 +19,12 @@
 func TestFaults(t *testing.T) {
 	spec := &lab.Spec{Seed: 1, Groups: []lab.Group{{Count: 2, Kind: "k", Zone: "z", Host: config()}}}
 	for _, tt := range []struct {
-		kind   FaultKind
+		kind   faults.Kind
 		during string // what a client gets from host 0
-	}{{Stall, "late"}, {Cut, "broken"}, {Garbage, "garbage"}, {Draining, "503"}, {Killed, "refused"}, {Refuse, "refused"}, {Slow, "late"}} {
+	}{{faults.Stall, "late"}, {faults.Reset, "broken"}, {faults.Garbage, "garbage"}, {faults.Drain, "503"}, {faults.Kill, "refused"},
+		{faults.Refuse, "refused"}, {faults.Slow, "late"}} {
 		t.Run(string(tt.kind), func(t *testing.T) {
-			f, err := NewFleet(spec)
+			f, err := NewFleet(spec, Anywhere)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -30,7 +32,7 @@
 			begun, ended := make(chan bool), make(chan bool)
 			over := make(chan error, 1)
 			go func() {
-				over <- f.Play(context.Background(), []Fault{{Kind: tt.kind, Length: 600 * ms, Hosts: []int{0}, Size: 400}}, func(line string) {
+				over <- f.Play(context.Background(), []faults.Fault{{Kind: tt.kind, Length: 600 * ms, Hosts: faults.Select{Numbers: []int{0}}, Size: 400}}, func(line string) {
 					if strings.HasSuffix(line, "begins") {
 						close(begun)
 					} else {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -1,66 +1,125 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strconv"
+	"sync"
 	"time"
 
 	"reachspread/internal/lab"
 )
 
-// Fleet is the hosts of an experiment and their list, on loopback.
+// Fleet is the hosts of an experiment and their lists, on loopback.
 type Fleet struct {
 	Hosts []*Host
 	List  *List
 	spec  *lab.Spec
 	zones map[*Host][2]string // with the kind
+
+	mu    sync.Mutex
+	views []view
+	told  map[string]Entry // by host, as last told
+}
+
+// view is a list that names the hosts at addresses of its own.
+type view struct {
+	list *List
+	addr func(host int) string
 }
 
-// NewFleet starts them at free ports.
-func NewFleet(spec *lab.Spec) (f *Fleet, err error) {
-	f = &Fleet{spec: spec, zones: map[*Host][2]string{}}
+// Anywhere is a free port on loopback.
+func Anywhere(int) string { return "127.0.0.1:0" }
+
+// NewFleet starts the hosts at the addresses given for their numbers, and a list of them.
+func NewFleet(spec *lab.Spec, addr func(host int) string) (f *Fleet, err error) {
+	f = &Fleet{spec: spec, zones: map[*Host][2]string{}, told: map[string]Entry{}}
 	defer func() {
 		if err != nil {
 			f.Close()
 		}
 	}()
-	if f.List, err = NewList("127.0.0.1:0"); err != nil {
-		return nil, err
-	}
 	for _, g := range spec.Groups {
 		for range g.Count {
 			n := len(f.Hosts)
-			h, err := NewHost(fmt.Sprintf("host-%d", n+1), "127.0.0.1:0", g.Host, spec.Seed<<16|uint64(n))
+			h, err := NewHost(fmt.Sprintf("host-%d", n+1), addr(n), g.Host, spec.Seed<<16|uint64(n))
 			if err != nil {
 				return nil, err
 			}
 			f.Hosts = append(f.Hosts, h)
 			f.zones[h] = [2]string{g.Zone, g.Kind}
-			f.Tell(h, "Ready", 0)
 		}
 	}
+	if f.List, err = f.AddList("127.0.0.1:0", func(n int) string { return f.Hosts[n].Addr }); err != nil {
+		return nil, err
+	}
+	for _, h := range f.Hosts {
+		f.Tell(h, "Ready", 0)
+	}
 	return f, nil
 }
 
+// AddList starts a further list at an address, with what the others tell by now. It names each host by the address given
+// for its number: a router on a machine of its own may reach hosts in a way of its own.
+func (f *Fleet) AddList(addr string, hosts func(host int) string) (*List, error) {
+	l, err := NewList(addr)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.views = append(f.views, view{l, hosts})
+	for i, h := range f.Hosts {
+		if e, ok := f.told[h.ID]; ok {
+			e.Addr = hosts(i)
+			l.Set(e)
+		}
+	}
+	return l, nil
+}
+
 // Close ends all of it.
 func (f *Fleet) Close() {
 	for _, h := range f.Hosts {
 		h.Close()
 	}
-	if f.List != nil {
-		f.List.Close()
+	for _, v := range f.views {
+		v.list.Close()
 	}
 }
 
-// Tell has the list tell of a host. Started is when, in milliseconds of Unix time, 0 for long ago.
+// Tell has the lists tell of a host. Started is when, in milliseconds of Unix time, 0 for long ago.
 func (f *Fleet) Tell(h *Host, state string, started int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	at := f.zones[h]
-	f.List.Set(Entry{ID: h.ID, Addr: h.Addr, Zone: at[0], Kind: at[1], State: state, Weight: 1, StartedMs: started})
+	e := Entry{ID: h.ID, Zone: at[0], Kind: at[1], State: state, Weight: 1, StartedMs: started}
+	f.told[h.ID] = e
+	n := slices.Index(f.Hosts, h)
+	for _, v := range f.views {
+		e.Addr = v.addr(n)
+		v.list.Set(e)
+	}
+}
+
+// Place is a router's place before a fleet.
+type Place struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Zone                    string // empty for that of the first hosts
+	Memory, Sockets         int    // limits, in MB and descriptors; 0 for 256 and 1,024
+	Cores                   float64
+
+	Me         int // number among Peers
+	PeerListen string
+	Peers      []string // all routers, itself included; fewer than two exchange nothing
 }
 
 // RouterConfig is the configuration of a router before this fleet, with the classes of the experiment in the platform's
 // names.
-func (f *Fleet) RouterConfig(name, listen string) []byte {
+func (f *Fleet) RouterConfig(at Place) []byte {
 	var services []map[string]any
 	var aims []float64
 	var paces []int64
@@ -70,23 +129,26 @@
 		aims = append(aims, float64(c.Class.AimPer1000.Microseconds()))
 		paces = append(paces, c.Class.TokenAim.Nanoseconds())
 	}
-	zone := ""
-	if len(f.spec.Groups) > 0 {
-		zone = f.spec.Groups[0].Zone
+	if at.Zone == "" && len(f.spec.Groups) > 0 {
+		at.Zone = f.spec.Groups[0].Zone
 	}
 	b := &f.spec.Balance
-	text, _ := json.Marshal(map[string]any{
-		"name": name, "listen": listen, "discovery": f.List.Addr, "seed": "1",
-		"limits": map[string]any{"cores": 2.0, "memory_mb": 256, "sockets": 1024},
-		"known":  map[string]any{"version": 0, "full": true, "servers": []any{}},
-		"settings": map[string]any{"az": zone, "quantumNs": f.spec.Tick.Nanoseconds(), "services": services, "discovery": "push",
-			"clients": map[string]any{"marksRetry": true},
-			"extra":   map[string]any{"aimUsPer1000PromptTokens": aims, "tokenAimNs": paces, "reportX1": "thousands of prompt tokens waiting to be read"},
-			"limits": map[string]any{"maxAttempts": b.MaxAttempts, "connectTimeoutNs": f.spec.Net.Connect.Nanoseconds(),
-				"keepaliveNs": f.spec.Net.Idle.Nanoseconds(), "maxRetryAfterNs": b.MaxAway.Nanoseconds(), "mayProbe": b.MayProbe, "retryAfter": true},
-			"reporting": map[string]any{"columns": []string{"inflight", "util", "x1"}, "how": "answers"},
-			"rules": map[string]any{"coldNs": b.ColdTime.Nanoseconds(), "startCapacity": b.StartCapacity, "overloadFactor": b.OverloadFactor,
-				"tipAfterNs": b.OverloadWindow.Nanoseconds(), "stopSendingWithinNs": int64(500 * time.Millisecond)}},
-	})
+	settings := map[string]any{"az": at.Zone, "quantumNs": f.spec.Tick.Nanoseconds(), "services": services, "discovery": "push",
+		"clients": map[string]any{"marksRetry": true}, "me": at.Me, "nInstances": max(len(at.Peers), 1),
+		"extra": map[string]any{"aimUsPer1000PromptTokens": aims, "tokenAimNs": paces, "reportX1": "thousands of prompt tokens waiting to be read"},
+		"limits": map[string]any{"maxAttempts": b.MaxAttempts, "connectTimeoutNs": f.spec.Net.Connect.Nanoseconds(), "peers": len(at.Peers) > 1,
+			"keepaliveNs": f.spec.Net.Idle.Nanoseconds(), "maxRetryAfterNs": b.MaxAway.Nanoseconds(), "mayProbe": b.MayProbe, "retryAfter": true},
+		"reporting": map[string]any{"columns": []string{"inflight", "util", "x1"}, "how": "answers"},
+		"rules": map[string]any{"coldNs": b.ColdTime.Nanoseconds(), "startCapacity": b.StartCapacity, "overloadFactor": b.OverloadFactor,
+			"tipAfterNs": b.OverloadWindow.Nanoseconds(), "stopSendingWithinNs": int64(500 * time.Millisecond)}}
+	config := map[string]any{
+		"name": at.Name, "listen": at.Listen, "discovery": cmp.Or(at.Discovery, f.List.Addr), "seed": strconv.FormatUint(max(at.Seed, 1), 16),
+		"limits": map[string]any{"cores": cmp.Or(at.Cores, 2), "memory_mb": cmp.Or(at.Memory, 256), "sockets": cmp.Or(at.Sockets, 1024)},
+		"known":  map[string]any{"version": 0, "full": true, "servers": []any{}}, "settings": settings,
+	}
+	if len(at.Peers) > 1 {
+		config["peer_listen"], config["peers"] = at.PeerListen, at.Peers
+	}
+	text, _ := json.Marshal(config)
 	return text
 }
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"reachspread/internal/faults"
 	"reachspread/internal/fleet"
 	"reachspread/internal/protocol"
 )
@@ -45,8 +46,41 @@
 	conns  map[net.Conn]bool // true for those that the model has
 	probes int
 	ln     net.Listener
-	wrong  FaultKind     // what its sockets do beside the model
+	wrong  faults.Kind   // what its sockets do beside the model
 	right  chan struct{} // closed when that ends
+	deaf   bool          // no new connection comes up
+	down   int           // faults that have killed it; only their player looks at it
+	seen   func(Seen)    // nil where nobody watches
+}
+
+// SeenKind is what a watcher of a host is told of.
+type SeenKind int
+
+// The kinds.
+const (
+	Came SeenKind = iota // a request's last byte has come
+	Over                 // the host has done with it, in whatever way
+	Fell                 // the host was pushed over while cold
+)
+
+// Seen is one thing that happened at a host. Conn is the other end of the request's connection.
+type Seen struct {
+	Kind     SeenKind
+	ID, Conn string
+}
+
+// Watch has a function told of what happens from now on. It must not wait, nor call the host.
+func (h *Host) Watch(seen func(Seen)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen = seen
+}
+
+// tell tells the watcher. The lock is held.
+func (h *Host) tell(kind SeenKind, id, conn string) {
+	if h.seen != nil {
+		h.seen(Seen{kind, id, conn})
+	}
 }
 
 // NewHost starts a host at an address, which may end with port 0.
@@ -63,7 +97,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Addr, h.ln, h.conns = ln.Addr().String(), ln, map[net.Conn]bool{}
+	h.Addr, h.ln, h.conns, h.deaf = ln.Addr().String(), ln, map[net.Conn]bool{}, false
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+protocol.PathCompletions, h.complete)
 	mux.HandleFunc("GET "+protocol.PathLoad, h.load)
@@ -78,6 +112,9 @@
 	now := time.Since(h.start)
 	results := h.model.Step(now, e)
 	for _, r := range results {
+		if r.Kind == fleet.Fell {
+			h.tell(Fell, "", "")
+		}
 		if to := h.asking[r.ID]; to != nil && r.Kind != fleet.Preempted {
 			select {
 			case to <- r:
@@ -145,9 +182,10 @@
 		}
 	}
 	clear(h.conns)
-	server := h.server
+	server, ln := h.server, h.ln
 	h.mu.Unlock()
 	server.Close()
+	ln.Close() // which the server does not know yet if it has only just begun
 }
 
 // Start starts it again at its address, cold.
@@ -195,11 +233,13 @@
 		return
 	}
 	h.asking[id] = results
+	h.tell(Came, id, r.RemoteAddr)
 	h.do(fleet.Arrive{Request: q})
 	h.mu.Unlock()
 	defer func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
+		h.tell(Over, id, r.RemoteAddr)
 		if h.asking[id] == results {
 			delete(h.asking, id)
 			h.do(fleet.Cancel{ID: id})
@@ -236,12 +276,12 @@
 	event := func() {
 		if words.Len() > 0 {
 			switch how, until := h.amiss(); how {
-			case Stall:
+			case faults.Stall:
 				select {
 				case <-until:
 				case <-ctx.Done():
 				}
-			case Garbage:
+			case faults.Garbage:
 				io.WriteString(w, "\x00\x01 no event at all\n")
 			}
 			fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", words.String())
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -36,6 +36,14 @@
 	version int64
 	entries map[string]Entry
 	changed chan bool // closed at the next change
+	told    func([]Entry)
+}
+
+// Watch has a function told of the entries that an answer held, once it is written. It must not wait.
+func (l *List) Watch(told func([]Entry)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = told
 }
 
 // mostWait is the longest that a watch may wait.
@@ -88,10 +96,14 @@
 		}
 		l.mu.Lock()
 	}
-	text, _ := json.Marshal(l.since(index))
+	answer := l.since(index)
+	told := l.told
 	l.mu.Unlock()
+	text, _ := json.Marshal(answer)
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(text)
+	if _, err := w.Write(text); err == nil && told != nil && ctx.Err() == nil {
+		told(answer.Servers)
+	}
 }
 
 type answer struct {
