--- /dev/null
+++ b/cmd/reachlab/rig.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/experiment"
+	"reachspread/internal/faults"
+	"reachspread/internal/history"
+	"reachspread/internal/judge"
+	"reachspread/internal/report"
+	"reachspread/internal/rig"
+)
+
+func rigCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "rig FILE",
+		Short: "Play an experiment on processes of the router with its faults, and judge what happened",
+		Args:  cobra.ExactArgs(1),
+	}
+	var s rig.Series
+	program := c.Flags().String("program", "", "the router's `binary`; by itself the reachspread beside this program")
+	c.Flags().Uint64Var(&s.Seed, "seed", 0, "draw a schedule from this seed, in place of the file's")
+	c.Flags().DurationVar(&s.Until, "until", 0, "play one after another, from the seed on, for so long")
+	c.Flags().IntVar(&s.Plays, "plays", 0, "play so many, one after another")
+	c.Flags().IntVar(&s.Shrink, "shrink", 0, "make a schedule that fails smaller, with so many plays at most")
+	c.Flags().IntVar(&s.Faults, "faults", 0, "of a drawn schedule, at most")
+	folder := c.Flags().String("keep", "", "leave histories, logs and pages in this new `folder`")
+	profile := c.Flags().Bool("profile", false, "have a process that hangs write a CPU profile, too")
+	asJSON := c.Flags().Bool("json", false, "print a line of JSON for each play")
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		x, err := experiment.Read(args[0])
+		if err != nil {
+			return err
+		}
+		s.Drawn = cmd.Flags().Changed("seed") || s.Until > 0 || s.Plays > 1
+		if s.Drawn && len(x.Faults) > 0 && (s.Until > 0 || s.Plays > 1) && !cmd.Flags().Changed("seed") {
+			s.Drawn = false // the file's own, over and over
+		}
+		s.Experiment, s.Profile = x, *profile
+		if s.Program, err = routerBinary(*program); err != nil {
+			return err
+		}
+		if x.Rig.Settings != "" && !filepath.IsAbs(x.Rig.Settings) {
+			x.Rig.Settings = filepath.Join(filepath.Dir(args[0]), x.Rig.Settings)
+		}
+		if *folder != "" {
+			if err := os.Mkdir(*folder, 0o755); err != nil {
+				return err
+			}
+			s.Folder = *folder
+		}
+		failed := 0
+		out := cmd.OutOrStdout()
+		err = s.Run(cmd.Context(), func(p *rig.Played) {
+			if p.Err != nil || len(p.Result.Verdicts) > 0 {
+				failed++
+			}
+			if *asJSON {
+				line, _ := json.Marshal(p.Summary())
+				fmt.Fprintln(out, string(line))
+				return
+			}
+			p.Write(out)
+		})
+		if err != nil {
+			return err
+		}
+		if failed > 0 {
+			return fmt.Errorf("%d plays failed", failed)
+		}
+		return nil
+	}
+	return c
+}
+
+// routerBinary finds the router's program.
+func routerBinary(path string) (string, error) {
+	if path == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		path = filepath.Join(filepath.Dir(own), "reachspread")
+	}
+	if _, err := os.Stat(path); err != nil {
+		return "", fmt.Errorf("no router to start: %w (go build -o bin/ ./cmd/..., or --program)", err)
+	}
+	return filepath.Abs(path)
+}
+
+func judgeCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "judge HISTORY",
+		Short: "Judge a history again, and draw its page",
+		Args:  cobra.ExactArgs(1),
+	}
+	page := c.Flags().String("page", "", "write lanes of processes, faults and answers to this `file`")
+	around := c.Flags().Duration("around", 0, "print the events of the second around this time, too")
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		f, err := os.Open(args[0])
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		events, err := history.Read(f)
+		if err != nil {
+			return fmt.Errorf("%s: %w", args[0], err)
+		}
+		verdicts := judge.Judge(events)
+		out := cmd.OutOrStdout()
+		for i := range verdicts {
+			fmt.Fprintln(out, verdicts[i].String())
+		}
+		if *around > 0 {
+			for i := range events {
+				if e := &events[i]; e.At() > *around-time.Second/2 && e.At() < *around+time.Second/2 && e.What != history.Usage {
+					fmt.Fprintln(out, e.String())
+				}
+			}
+		}
+		if *page != "" {
+			if err := report.WriteFile(*page, func(w io.Writer) error { return rig.WritePage(w, events, verdicts) }); err != nil {
+				return err
+			}
+		}
+		if len(verdicts) > 0 {
+			return errors.New("the history breaks rules")
+		}
+		fmt.Fprintf(out, "%d events, nothing found by %d checkers\n", len(events), len(judge.Checkers))
+		return nil
+	}
+	return c
+}
+
+func faultsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "faults",
+		Short: "Print the table of faults, and where each exists",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { io.WriteString(cmd.OutOrStdout(), faults.Table()) },
+	}
+}
--- a/cmd/reachspread/main.go
+++ b/cmd/reachspread/main.go
@@ -57,7 +57,11 @@
 		Args:  cobra.NoArgs,
 	}
 	file := settingsFlag(c)
+	folder := c.Flags().String("profile", "", "write goroutines and a CPU profile into this `folder` at SIGUSR1")
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		if *folder != "" {
+			defer profiles(*folder)()
+		}
 		reload := make(chan os.Signal, 16) // each signal counts, also while a file is being taken
 		signal.Notify(reload, syscall.SIGHUP)
 		defer signal.Stop(reload)
--- /dev/null
+++ b/cmd/reachspread/profile.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/pprof"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// profileFor is how long a CPU profile takes.
+const profileFor = time.Second
+
+// profiles writes, at each SIGUSR1, all goroutines and a CPU profile of the next second into a folder, under names with the
+// process's id. It is for whoever looks for a fault, and off without the folder.
+func profiles(folder string) (stop func()) {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR1)
+	go func() {
+		for range asked {
+			writeProfiles(folder)
+		}
+	}()
+	return func() {
+		signal.Stop(asked)
+		close(asked)
+	}
+}
+
+func writeProfiles(folder string) {
+	id := strconv.Itoa(os.Getpid())
+	if f, err := os.Create(filepath.Join(folder, "goroutines."+id)); err == nil {
+		pprof.Lookup("goroutine").WriteTo(f, 2)
+		f.Close()
+	}
+	f, err := os.Create(filepath.Join(folder, "cpu."+id))
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	if pprof.StartCPUProfile(f) == nil {
+		time.Sleep(profileFor)
+		pprof.StopCPUProfile()
+	}
+}
--- a/internal/faults/kinds.go
+++ b/internal/faults/kinds.go
@@ -1,5 +1,10 @@
 package faults
 
+import (
+	"fmt"
+	"strings"
+)
+
 // The kinds. Those of links strike what passes between routers, hosts and the list; those of processes strike routers,
 // hosts or both.
 const (
@@ -116,3 +121,29 @@
 	}
 	return all
 }
+
+// Table is the kinds as a table of Markdown, for people and for the operators' page.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| fault | while it lasts, and as it ends | needs | may have | where |\n| --- | --- | --- | --- | --- |\n")
+	for _, m := range Kinds {
+		var where []string
+		for _, w := range []struct {
+			world World
+			name  string
+		}{{Rig, "rig"}, {Hosts, "serve-fleet"}, {Lab, "lab"}, {Explore, "explorer"}} {
+			if m.In(w.world) {
+				where = append(where, w.name)
+			}
+		}
+		code := func(all []string) string {
+			if len(all) == 0 {
+				return ""
+			}
+			return "`" + strings.Join(all, "`, `") + "`"
+		}
+		may := m.Fields()[2+len(m.needs):]
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", m.Kind, m.Means, code(m.needs), code(may), strings.Join(where, ", "))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,324 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"reachspread/internal/faults"
+)
+
+const (
+	ms       = time.Millisecond
+	patience = 10 * time.Second // only a failure waits for it
+)
+
+// routers are sockets in place of routers, and a mesh between them.
+type routers struct {
+	t     *testing.T
+	conns []*net.UDPConn
+	mesh  *Mesh
+	wide  chan int
+}
+
+func newRouters(t *testing.T, n int) *routers {
+	r := &routers{t: t, wide: make(chan int, 10)}
+	var listen []netip.AddrPort
+	for range n {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		r.conns = append(r.conns, c)
+		listen = append(listen, c.LocalAddr().(*net.UDPAddr).AddrPort())
+	}
+	var err error
+	r.mesh, err = NewMesh(listen, func(i, j int) netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }, 1, 256, func(_, n int) { r.wide <- n })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.mesh.Close)
+	return r
+}
+
+func (r *routers) addr(i, j int) netip.AddrPort {
+	return r.mesh.at[i][j].LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func (r *routers) send(i, j int, text string) {
+	r.t.Helper()
+	if _, err := r.conns[i].WriteToUDPAddrPort([]byte(text), r.addr(i, j)); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// hear returns the next datagram of a router, and that it came from where the router reaches its sender.
+func (r *routers) hear(j, from int) string {
+	r.t.Helper()
+	r.conns[j].SetReadDeadline(time.Now().Add(patience))
+	var buf [4096]byte
+	n, sender, err := r.conns[j].ReadFromUDPAddrPort(buf[:])
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if sender != r.addr(j, from) {
+		r.t.Errorf("from %v, want %v", sender, r.addr(j, from))
+	}
+	return string(buf[:n])
+}
+
+// Datagrams come from where the receiver knows the sender; a cut of one direction leaves the other, a partition has a
+// bridge; what is flipped differs in one bit; a long one is told of.
+func TestMesh(t *testing.T) {
+	r := newRouters(t, 3)
+	shape := &faults.Shape{Routers: []string{"", "", ""}}
+	set := func(all ...faults.Fault) { r.mesh.Set(faults.Resolve(all, shape, 1)) }
+	r.send(0, 1, "one")
+	r.send(1, 0, "two")
+	if a, b := r.hear(1, 0), r.hear(0, 1); a != "one" || b != "two" {
+		t.Errorf("got %q and %q", a, b)
+	}
+	set(faults.Fault{Kind: faults.Cut, Routers: faults.Select{Numbers: []int{0}}, Direction: faults.Out})
+	r.send(0, 1, "lost")
+	r.send(1, 0, "comes")
+	if got := r.hear(0, 1); got != "comes" {
+		t.Errorf("against the cut: %q", got)
+	}
+	set(faults.Fault{Kind: faults.Partition, Groups: [][]int{{0}, {1}}, Bridge: []int{2}})
+	r.send(0, 1, "lost too")
+	r.send(0, 2, "over the bridge")
+	r.send(2, 1, "and on")
+	if a, b := r.hear(2, 0), r.hear(1, 2); a != "over the bridge" || b != "and on" { // the first that came to 1 at all
+		t.Errorf("got %q and %q", a, b)
+	}
+	set(faults.Fault{Kind: faults.Flip, Share: 1, Routers: faults.Select{All: true}}, faults.Fault{Kind: faults.Duplicate, Share: 1, Routers: faults.Select{All: true}})
+	r.send(0, 1, "abcd")
+	for range 2 {
+		got, bits := r.hear(1, 0), 0
+		for i := range got {
+			for x := got[i] ^ "abcd"[i]; x != 0; x &= x - 1 {
+				bits++
+			}
+		}
+		if len(got) != 4 || bits != 1 {
+			t.Errorf("got %q", got)
+		}
+	}
+	set(faults.Fault{Kind: faults.Delay, Delay: 80 * ms, Routers: faults.Select{All: true}})
+	begun := time.Now()
+	r.send(0, 1, "late")
+	if got := r.hear(1, 0); got != "late" || time.Since(begun) < 80*ms {
+		t.Errorf("%q after %v", got, time.Since(begun))
+	}
+	set()
+	r.send(0, 1, string(make([]byte, 257)))
+	if got := len(r.hear(1, 0)); got != 257 || <-r.wide != 257 {
+		t.Errorf("%d bytes", got)
+	}
+}
+
+// closings is a Watcher.
+type closings chan string
+
+func (c closings) Closed(conn string) { c <- conn }
+
+// pair is a relay before an echo.
+type pair struct {
+	t      *testing.T
+	relay  *Conns
+	closed closings
+	mu     sync.Mutex
+	from   []string // who connected
+}
+
+func newPair(t *testing.T) *pair {
+	p := &pair{t: t, closed: make(closings, 100)}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.from = append(p.from, c.RemoteAddr().String())
+			p.mu.Unlock()
+			go func() {
+				io.Copy(c, c)
+				c.Close()
+			}()
+		}
+	}()
+	if p.relay, err = NewConns("127.0.0.1:0", ln.Addr().String(), 1, 1, p.closed); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.relay.Close)
+	return p
+}
+
+func (p *pair) set(c faults.Condition) {
+	p.t.Helper()
+	if err := p.relay.Set(c, c); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *pair) dial() net.Conn {
+	p.t.Helper()
+	c, err := net.DialTimeout("tcp4", p.relay.Addr(), patience)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// echo sends a text and reads it back.
+func (p *pair) echo(c net.Conn, text string, within time.Duration) error {
+	c.SetDeadline(time.Now().Add(within))
+	if _, err := io.WriteString(c, text); err != nil {
+		return err
+	}
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(c, got); err != nil {
+		return err
+	}
+	if string(got) != text {
+		p.t.Errorf("%.20q came back as %.20q", text, got)
+	}
+	return nil
+}
+
+// All bytes come, in their order, whatever is late; the close of the near side is told with the address that the far side
+// knows.
+func TestConns(t *testing.T) {
+	p := newPair(t)
+	c := p.dial()
+	big := string(bytes.Repeat([]byte("0123456789"), 50000))
+	go io.WriteString(c, big)
+	got := make([]byte, len(big))
+	c.SetDeadline(time.Now().Add(patience))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != big {
+		t.Fatalf("half a megabyte: %v", err)
+	}
+	p.set(faults.Condition{Delay: 30 * ms, Jitter: 20 * ms})
+	begun := time.Now()
+	if err := p.echo(c, "late", patience); err != nil || time.Since(begun) < 60*ms {
+		t.Errorf("%v after %v", err, time.Since(begun))
+	}
+	p.set(faults.Condition{})
+	if err := p.echo(c, "in time", patience); err != nil {
+		t.Error(err)
+	}
+	c.Close()
+	select {
+	case conn := <-p.closed:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !slices.Contains(p.from, conn) {
+			t.Errorf("%s was closed; the far side knows %v", conn, p.from)
+		}
+	case <-time.After(patience):
+		t.Error("no word of the close")
+	}
+}
+
+// A cut is silent: what is open stays open, what is new neither comes up nor is refused. As it ends what was open across it
+// is reset, and new connections come up.
+func TestCut(t *testing.T) {
+	p := newPair(t)
+	for round := range 3 {
+		c := p.dial()
+		if err := p.echo(c, "before", patience); err != nil {
+			t.Fatal(err)
+		}
+		p.set(faults.Condition{Cut: true})
+		if err := p.echo(c, "x", 50*ms); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("round %d: what is open: %v", round, err)
+		}
+		for range 3 {
+			if x, err := net.DialTimeout("tcp4", p.relay.Addr(), 60*ms); !timedOut(err) {
+				t.Errorf("round %d: a new connection: %v", round, err)
+				if x != nil {
+					x.Close()
+				}
+			}
+		}
+		p.set(faults.Condition{})
+		if err := p.echo(c, "y", patience); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("round %d: open across the cut: %v", round, err)
+		}
+		if err := p.echo(p.dial(), "after", patience); err != nil {
+			t.Errorf("round %d: after the cut: %v", round, err)
+		}
+	}
+}
+
+func timedOut(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// One that refuses does so at once, also where a cut begins or ends meanwhile, and serves again after.
+func TestRefuse(t *testing.T) {
+	p := newPair(t)
+	refused := func(when string) {
+		t.Helper()
+		if _, err := net.DialTimeout("tcp4", p.relay.Addr(), patience); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("%s: %v", when, err)
+		}
+	}
+	refuse := func(on bool) {
+		t.Helper()
+		if err := p.relay.Refuse(on); err != nil {
+			t.Fatal(err)
+		}
+	}
+	refuse(true)
+	refused("first")
+	p.set(faults.Condition{Cut: true})
+	refused("in a cut")
+	refuse(false)
+	if _, err := net.DialTimeout("tcp4", p.relay.Addr(), 60*ms); !timedOut(err) {
+		t.Errorf("cut alone: %v", err)
+	}
+	refuse(true)
+	refused("again in a cut")
+	p.set(faults.Condition{})
+	refused("after the cut")
+	refuse(false)
+	if err := p.echo(p.dial(), "after", patience); err != nil {
+		t.Error(err)
+	}
+}
+
+// A far side that is not there looks as it does without a relay, but for the accepted connection: it ends at once.
+func TestNobodyThere(t *testing.T) {
+	r, err := NewConns("127.0.0.1:0", "127.0.0.1:1", 1, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	c, err := net.Dial("tcp4", r.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) && err != io.EOF {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/rig/player.go
@@ -0,0 +1,448 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"reachspread/internal/faults"
+	"reachspread/internal/history"
+	"reachspread/internal/lab"
+)
+
+// player carries a schedule out.
+type player struct {
+	p       *play
+	strikes []*faults.Strike
+
+	mu   sync.Mutex
+	on   []*faults.Strike // of links, by now
+	list int              // faults that have the list down
+	errs error
+}
+
+func newPlayer(p *play) *player {
+	return &player{p: p, strikes: faults.Resolve(p.o.Faults, p.spec.Shape(), p.o.Seed)}
+}
+
+// run plays all faults, each in its own time, and returns once all are over. The play's clock begins now.
+func (y *player) run(ctx context.Context) error {
+	begun := time.Now()
+	from := y.p.rec.count()
+	over, cancel := context.WithDeadline(ctx, begun.Add(y.p.spec.Length)) // what a fault waits for may never happen
+	defer cancel()
+	var all sync.WaitGroup
+	for n, s := range y.strikes {
+		all.Go(func() {
+			if !y.due(over, s, begun, from) {
+				if ctx.Err() == nil {
+					y.p.rec.add(history.Event{What: history.Note, N: n, Text: "fault " + string(s.Kind) + " was never due"})
+				}
+				return
+			}
+			y.p.rec.add(lab.FaultEvent(history.Fault, n, s))
+			err := y.play(ctx, s)
+			y.p.rec.add(lab.FaultEvent(history.Heal, n, s))
+			if err != nil {
+				y.mu.Lock()
+				y.errs = errors.Join(y.errs, fmt.Errorf("fault %s (%s): %w", s.Kind, s.Whom(), err))
+				y.mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	wait(ctx, time.Until(begun.Add(y.p.spec.Length)))
+	return y.errs
+}
+
+// due waits for a fault's time or event, and tells whether it came.
+func (y *player) due(ctx context.Context, s *faults.Strike, begun time.Time, from int) bool {
+	at := begun.Add(s.At)
+	if w := s.When; w != nil {
+		left := max(w.Nth, 1)
+		if _, err := y.p.rec.awaitFrom(ctx, from, func(e *history.Event) bool {
+			if lab.Fits(w, e) {
+				left--
+			}
+			return left == 0
+		}); err != nil {
+			return false
+		}
+		at = time.Now().Add(s.At)
+	}
+	return wait(ctx, time.Until(at))
+}
+
+// wait waits for a time, and tells whether it passed.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// play has a fault begin, last and end. One that ctx ends ends as well: what it had stand still goes on.
+func (y *player) play(ctx context.Context, s *faults.Strike) error {
+	if faults.Of(s.Kind).OfLinks() {
+		err := y.links(s, true, 0)
+		wait(ctx, s.Length)
+		return errors.Join(err, y.links(s, false, 0))
+	}
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var errs error
+	each := func(do func() error) {
+		all.Go(func() {
+			if err := do(); err != nil && !errors.Is(err, errEnded) {
+				mu.Lock()
+				errs = errors.Join(errs, err)
+				mu.Unlock()
+			}
+		})
+	}
+	if s.StrikesList() {
+		if err := y.links(s, true, 1); err != nil {
+			return err
+		}
+	}
+	for _, n := range s.Routers {
+		each(func() error { return y.router(ctx, s, y.p.routers[n]) })
+	}
+	for _, n := range s.Hosts {
+		each(func() error { return y.host(ctx, s, n) })
+	}
+	all.Wait()
+	if s.StrikesList() {
+		errs = errors.Join(errs, y.links(s, false, 1))
+	}
+	return errs
+}
+
+// links has a fault of links begin or end; list counts it among those that have the list down.
+func (y *player) links(s *faults.Strike, on bool, list int) error {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if on {
+		y.on = append(y.on, s)
+		y.list += list
+	} else {
+		y.on = slices.DeleteFunc(y.on, func(x *faults.Strike) bool { return x == s })
+		y.list -= list
+	}
+	return y.p.network(y.on, y.list > 0)
+}
+
+// host plays a fault of a host. One whose process is gone refuses connections, behind its relays, too.
+func (y *player) host(ctx context.Context, s *faults.Strike, n int) error {
+	refuse := func(on bool) (errs error) {
+		for _, row := range y.p.hosts {
+			errs = errors.Join(errs, row[n].Refuse(on))
+		}
+		return errs
+	}
+	gone := s.Kind == faults.Kill || s.Kind == faults.Power || s.Kind == faults.Refuse
+	strike := func(ends bool) error {
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		if gone && !ends {
+			if err := refuse(true); err != nil {
+				return err
+			}
+		}
+		if err := y.p.fleet.Strike(n, s.Fault, ends); err != nil {
+			return err
+		}
+		if gone && ends && y.p.fleet.Hosts[n].Listens() {
+			return refuse(false)
+		}
+		return nil
+	}
+	if err := strike(false); err != nil {
+		return err
+	}
+	wait(ctx, s.Length)
+	return strike(true)
+}
+
+// router plays a fault of a router.
+func (y *player) router(ctx context.Context, s *faults.Strike, r *router) error {
+	switch s.Kind {
+	case faults.Kill, faults.Power:
+		r.kill()
+		wait(ctx, s.Length)
+		return r.revive(func() error { return y.disk(s, r) })
+	case faults.Pause:
+		r.still(true)
+		wait(ctx, s.Length)
+		r.still(false)
+	case faults.Crawl:
+		y.crawl(ctx, s, r)
+	case faults.Restart:
+		return y.restart(ctx, s, r)
+	case faults.Replace:
+		return y.replace(ctx, s, r)
+	case faults.Twin:
+		r.mu.Lock()
+		if len(r.procs) == 0 {
+			r.mu.Unlock()
+			wait(ctx, s.Length)
+			return nil
+		}
+		x, err := r.beginLocked(twinStart)
+		r.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		wait(ctx, s.Length)
+		select {
+		case <-x.done:
+		default:
+			x.term()
+		}
+	case faults.FullDisk:
+		if err := r.fileLimit(true); err != nil {
+			return err
+		}
+		wait(ctx, s.Length)
+		return r.fileLimit(false)
+	case faults.NoWrite:
+		return y.noWrite(ctx, s, r)
+	case faults.Reload:
+		if x := r.newest(); x != nil {
+			x.cmd.Process.Signal(syscall.SIGHUP)
+		}
+		wait(ctx, s.Length)
+	case faults.Withhold:
+		y.call(ctx, r, "drain-on")
+		wait(ctx, s.Length)
+		y.call(ctx, r, "drain-off")
+	default:
+		return fmt.Errorf("the rig does not know it")
+	}
+	return nil
+}
+
+// call makes a call that the operators would make, into the history.
+func (y *player) call(ctx context.Context, r *router, what string) {
+	x := r.newest()
+	if x == nil {
+		return
+	}
+	y.p.rec.add(history.Event{What: history.Call, Who: x.name, ID: what})
+	text, err := x.call(ctx, what, time.Second)
+	if err != nil {
+		text = ""
+	}
+	y.p.rec.add(history.Event{What: history.Return, Who: x.name, ID: what, Text: strings.TrimSpace(text)})
+}
+
+// burst is the length of one standstill with the time until the next one.
+const burst = 200 * time.Millisecond
+
+func (y *player) crawl(ctx context.Context, s *faults.Strike, r *router) {
+	for end := time.Now().Add(s.Length); time.Now().Before(end) && ctx.Err() == nil; {
+		r.still(true)
+		wait(ctx, time.Duration(s.Share*float64(burst)))
+		r.still(false)
+		wait(ctx, time.Duration((1-s.Share)*float64(burst)))
+	}
+}
+
+// restart is a planned one: SIGTERM, and a start once the old process is gone.
+func (y *player) restart(ctx context.Context, s *faults.Strike, r *router) error {
+	x := r.newest()
+	if x == nil {
+		wait(ctx, s.Length)
+		return nil // it is down already
+	}
+	x.term()
+	length := time.NewTimer(s.Length)
+	defer length.Stop()
+	late := time.NewTimer(leaveWithin)
+	defer late.Stop()
+	select {
+	case <-x.done:
+	case <-late.C:
+		x.cmd.Process.Kill() // as the platform does; the checker of leaving tells
+		<-x.done
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case <-length.C:
+	case <-ctx.Done():
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down > 0 || len(r.procs) > 0 {
+		return nil
+	}
+	if err := clearFolder(r.tmp()); err != nil {
+		return err
+	}
+	_, err := r.beginLocked(againStart)
+	return err
+}
+
+// takesWithin is the platform's, for a process that takes over.
+const takesWithin = 6 * time.Second
+
+// replace starts a second process and ends the first once the second takes clients.
+func (y *player) replace(ctx context.Context, s *faults.Strike, r *router) error {
+	old := r.newest()
+	if old == nil {
+		wait(ctx, s.Length)
+		return nil
+	}
+	r.mu.Lock()
+	x, err := r.beginLocked(replaceStart)
+	r.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	length := time.NewTimer(s.Length)
+	defer length.Stop()
+	began, asked := time.Now(), time.NewTicker(20*time.Millisecond)
+	defer asked.Stop()
+	for {
+		select {
+		case <-x.done: // the checker of crashes tells, unless it was killed; the old one serves on
+			return nil
+		case <-ctx.Done():
+			return nil
+		case <-asked.C:
+		}
+		if text, err := x.call(ctx, "check", time.Second); err == nil && strings.HasPrefix(text, "+OK") {
+			break
+		}
+		if time.Since(began) > takesWithin+y.p.o.Experiment.Rig.Slack && r.runs() {
+			y.p.rec.add(history.Event{What: history.Caught, Who: x.name, Text: fmt.Sprintf("takes no clients %v after its start beside another", takesWithin)})
+			break
+		}
+	}
+	old.term()
+	late := time.NewTimer(leaveWithin)
+	defer late.Stop()
+	select {
+	case <-old.done:
+	case <-late.C:
+		old.cmd.Process.Kill()
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case <-length.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// runs tells that nothing keeps a router from running.
+func (r *router) runs() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down == 0 && r.paused == 0 && time.Since(r.freed) > 2*time.Second
+}
+
+// noWrite has the durable folder be a file.
+func (y *player) noWrite(ctx context.Context, s *faults.Strike, r *router) error {
+	away := r.disk() + ".away"
+	r.mu.Lock()
+	err := os.Rename(r.disk(), away)
+	if err == nil {
+		err = os.WriteFile(r.disk(), nil, 0o644)
+	}
+	r.mu.Unlock()
+	if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ENOTEMPTY) {
+		wait(ctx, s.Length) // another fault has done it
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	wait(ctx, s.Length)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := os.Remove(r.disk()); err != nil {
+		return err
+	}
+	return os.Rename(away, r.disk())
+}
+
+// disk does to a router's durable folder what a fault says, while none of its processes lives.
+func (y *player) disk(s *faults.Strike, r *router) error {
+	switch info, err := os.Stat(r.disk()); {
+	case err != nil:
+		return err
+	case !info.IsDir():
+		return nil // it can't be written at the moment, nor read
+	}
+	switch s.Disk {
+	case faults.DiskEmpty:
+		return clearFolder(r.disk())
+	case faults.DiskOther:
+		other := y.p.routers[(r.n+1)%len(y.p.routers)]
+		if other == r {
+			return nil
+		}
+		if err := clearFolder(r.disk()); err != nil {
+			return err
+		}
+		return copyFolder(other.disk(), r.disk())
+	case faults.DiskCut:
+		return filepath.WalkDir(r.disk(), func(path string, e fs.DirEntry, err error) error {
+			if err != nil || e.IsDir() {
+				return err
+			}
+			if fits, err := filepath.Match(s.File, filepath.Base(path)); s.File != "" && (err != nil || !fits) {
+				return err
+			}
+			info, err := e.Info()
+			if err != nil {
+				return err
+			}
+			return os.Truncate(path, int64(s.Keep*float64(info.Size())))
+		})
+	}
+	return nil
+}
+
+// copyFolder copies what another router has by now; it may be writing meanwhile.
+func copyFolder(from, to string) error {
+	return filepath.WalkDir(from, func(path string, e fs.DirEntry, err error) error {
+		if err != nil {
+			if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ENOTDIR) {
+				return nil
+			}
+			return err
+		}
+		rel, err := filepath.Rel(from, path)
+		if err != nil {
+			return err
+		}
+		if e.IsDir() {
+			return os.MkdirAll(filepath.Join(to, rel), 0o755)
+		}
+		text, err := os.ReadFile(path)
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(filepath.Join(to, rel), text, 0o644)
+	})
+}
--- /dev/null
+++ b/internal/rig/record.go
@@ -0,0 +1,111 @@
+package rig
+
+import (
+	"context"
+	"os"
+	"sync"
+	"time"
+
+	"reachspread/internal/history"
+)
+
+// recorder stamps events, writes them, and has others wait for them.
+type recorder struct {
+	begun time.Time // with the monotonic clock
+	tell  func(*history.Event)
+
+	mu     sync.Mutex
+	file   *os.File
+	writer *history.Writer
+	all    []history.Event
+	more   chan bool // closed at the next event
+	err    error
+	closed bool
+}
+
+func newRecorder(path string, tell func(*history.Event)) (*recorder, error) {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	return &recorder{begun: time.Now(), tell: tell, file: f, writer: history.NewWriter(f), more: make(chan bool)}, nil
+}
+
+// at is a time as events have it.
+func (r *recorder) at(t time.Time) int64 { return max(t.Sub(r.begun).Nanoseconds(), 0) }
+
+// add stamps an event and writes it.
+func (r *recorder) add(e history.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	e.T = r.at(time.Now())
+	if err := r.writer.Write(&e); err != nil && r.err == nil {
+		r.err = err
+	}
+	if len(r.all) < history.MostEvents {
+		r.all = append(r.all, e)
+	}
+	if r.tell != nil {
+		r.tell(&e)
+	}
+	close(r.more)
+	r.more = make(chan bool)
+}
+
+// await returns the first event that fits, whether it has been or is to come.
+func (r *recorder) await(ctx context.Context, fits func(*history.Event) bool) (history.Event, error) {
+	return r.awaitFrom(ctx, 0, fits)
+}
+
+// awaitFrom is await for events from a number on.
+func (r *recorder) awaitFrom(ctx context.Context, from int, fits func(*history.Event) bool) (history.Event, error) {
+	for {
+		r.mu.Lock()
+		for ; from < len(r.all); from++ {
+			if fits(&r.all[from]) {
+				e := r.all[from]
+				r.mu.Unlock()
+				return e, nil
+			}
+		}
+		more := r.more
+		r.mu.Unlock()
+		select {
+		case <-more:
+		case <-ctx.Done():
+			return history.Event{}, ctx.Err()
+		}
+	}
+}
+
+// count is how many events there are by now.
+func (r *recorder) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.all)
+}
+
+func (r *recorder) events() []history.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all
+}
+
+func (r *recorder) lost() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.writer.Lost()
+}
+
+func (r *recorder) close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	if err := r.file.Close(); r.err == nil {
+		r.err = err
+	}
+	return r.err
+}
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,414 @@
+// Package rig plays a fleet of the program's own processes on one machine: routers as in service, stand-in hosts, lists and
+// clients, all on loopback, with relays in between that carry out a schedule of faults. What happened is a history, which
+// package judge judges. Nothing here decides anything that a checker would have to know.
+//
+// layout.go has the addresses, record.go the history, process.go a router's processes, player.go the faults, watch.go who
+// looks for processes that hang, page.go the picture, and series.go the plays one after another.
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"reachspread/internal/experiment"
+	"reachspread/internal/faults"
+	"reachspread/internal/history"
+	"reachspread/internal/judge"
+	"reachspread/internal/lab"
+	"reachspread/internal/relay"
+	"reachspread/internal/standin"
+)
+
+// Options is what a play may be told.
+type Options struct {
+	Experiment *experiment.Experiment
+	Seed       uint64
+	Program    string         // the router's binary
+	Folder     string         // a new one; empty for one of the system's, which is gone after a play without a verdict
+	Faults     []faults.Fault // in place of the experiment's, if Drawn
+	Drawn      bool
+	Routers    int                  // in place of the experiment's; 0 for those
+	Profile    bool                 // routers write profiles when they are caught
+	Say        func(string)         // lines as it goes; nil for nobody
+	Event      func(*history.Event) // told of each event; nil for nobody
+}
+
+// Result is what came of a play.
+type Result struct {
+	Folder   string // with the history, the logs and whatever was caught
+	Verdicts []judge.Verdict
+	Events   []history.Event
+	Tallies  []standin.Tally
+	Lost     int // events beyond the bound
+	Took     time.Duration
+	Stalls   int // times that the machine let the rig itself stand still
+}
+
+// mostRouters bounds a play; addresses are laid out for so many.
+const mostRouters = 100
+
+const (
+	readyWithin = 30 * time.Second // the platform's: then clients arrive in any case
+	leaveWithin = 3700 * time.Millisecond
+	endWithin   = 15 * time.Second
+)
+
+// play is a play under way.
+type play struct {
+	o       *Options
+	spec    lab.Spec
+	layout  *layout
+	rec     *recorder
+	folder  string
+	fleet   *standin.Fleet
+	mesh    *relay.Mesh
+	hosts   [][]*relay.Conns // by router and host
+	lists   []*relay.Conns   // by router
+	routers []*router
+	start   starter
+	player  *player
+	front   *front
+	stalls  *stalls
+}
+
+// Run plays an experiment once. All that it started is ended when it returns, also where ctx ends.
+func Run(ctx context.Context, o Options) (_ *Result, err error) {
+	begun := time.Now()
+	p := &play{o: &o, spec: o.Experiment.World(0, o.Seed)}
+	if o.Routers > 0 {
+		p.spec.Routers = o.Routers
+	}
+	if !o.Drawn {
+		o.Faults = o.Experiment.Faults
+	}
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	if err := p.open(); err != nil {
+		return nil, err
+	}
+	keep := o.Folder != ""
+	defer func() {
+		if !keep {
+			os.RemoveAll(p.folder)
+		}
+	}()
+	plan, err := lab.Plan(p.spec)
+	if err != nil {
+		p.rec.close()
+		return nil, err
+	}
+	tallies, err := p.run(ctx, plan)
+	if cerr := p.rec.close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		keep = keep || p.caught()
+		return nil, err
+	}
+	r := &Result{Folder: p.folder, Events: p.rec.events(), Tallies: tallies, Lost: p.rec.lost(), Took: time.Since(begun), Stalls: p.stalls.count()}
+	r.Verdicts = judge.Judge(r.Events)
+	if len(r.Verdicts) > 0 {
+		keep = true
+		if err := p.writeFailure(r); err != nil {
+			return nil, err
+		}
+	}
+	if !keep {
+		r.Folder = ""
+	}
+	return r, nil
+}
+
+// check refuses what can't be played, before anything is started.
+func (p *play) check() error {
+	x := p.o.Experiment
+	if p.spec.Routers > mostRouters {
+		return fmt.Errorf("routers is %d; the rig has addresses for %d", p.spec.Routers, mostRouters)
+	}
+	shape := p.spec.Shape()
+	if err := x.CheckFor(faults.Rig); err != nil && !p.o.Drawn {
+		return err
+	}
+	if err := faults.Check(p.o.Faults, shape, faults.Rig, p.spec.Length); err != nil {
+		return err
+	}
+	for _, f := range p.o.Faults {
+		if f.Kind == faults.Replace && !x.Rig.Held {
+			return fmt.Errorf("%s: replace needs held = true in the block rig: the processes of a router share their clients' listener", f.Source)
+		}
+	}
+	if _, err := os.Stat(p.o.Program); err != nil {
+		return fmt.Errorf("the router's program: %w", err)
+	}
+	return enoughDescriptors(p.spec.Routers, len(shape.Hosts))
+}
+
+// open makes the folder and begins the history.
+func (p *play) open() (err error) {
+	if p.folder = p.o.Folder; p.folder == "" {
+		if p.folder, err = os.MkdirTemp("", "reachlab-rig-"); err != nil {
+			return err
+		}
+	} else if err = os.Mkdir(p.folder, 0o755); err != nil {
+		return err
+	}
+	if p.rec, err = newRecorder(filepath.Join(p.folder, historyFile), p.o.Event); err != nil {
+		return err
+	}
+	x := &p.o.Experiment.Rig
+	p.rec.add(history.Event{What: history.Begin, Play: &history.Play{Version: history.Version, World: "rig", Name: p.o.Experiment.Name, Seed: p.o.Seed,
+		Routers: p.spec.Routers, Hosts: len(p.spec.Shape().Hosts), Schedule: faults.Text(p.o.Faults), Slack: x.Slack.Nanoseconds(),
+		Memory: int64(x.MemoryMB) << 20, Sockets: x.Sockets, Leave: leaveWithin.Nanoseconds(), Settle: x.Settle.Nanoseconds()}})
+	return nil
+}
+
+// historyFile is a history's name in its folder.
+const historyFile = "history.jsonl"
+
+func (p *play) run(ctx context.Context, plan []lab.Planned) (_ []standin.Tally, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if p.layout, err = newLayout(); err != nil {
+		return nil, err
+	}
+	defer p.layout.close()
+	p.start = newStarter()
+	defer p.start.close()
+	var beside sync.WaitGroup
+	aside, endAside := context.WithCancel(context.Background())
+	defer beside.Wait()
+	defer endAside()
+	p.stalls = &stalls{rec: p.rec}
+	beside.Go(func() { p.stalls.watch(aside) })
+
+	if err := p.openNetwork(); err != nil {
+		return nil, err
+	}
+	defer p.closeNetwork()
+	if err := p.openRouters(); err != nil {
+		return nil, err
+	}
+	defer p.endRouters()
+	p.front = newFront(p)
+	beside.Go(func() { p.front.watch(aside) })
+	for _, r := range p.routers {
+		if err := r.begin(""); err != nil {
+			return nil, err
+		}
+	}
+	ready, noMore := context.WithTimeout(ctx, readyWithin)
+	for _, r := range p.routers {
+		if _, err := p.rec.await(ready, func(e *history.Event) bool { return e.What == history.Ready && e.Who == r.name() }); err != nil {
+			noMore()
+			return nil, fmt.Errorf("router %s is not ready: %w; its log is in %s", r.name(), err, p.folder)
+		}
+	}
+	noMore()
+	w := newWatch(p)
+	beside.Go(func() { w.run(aside) })
+	if every := p.o.Experiment.Rig.Scrape; every > 0 {
+		beside.Go(func() { p.scrape(aside, every) })
+	}
+
+	clients := standin.NewClients("", &p.spec)
+	clients.Front, clients.Watch, clients.Grace, clients.Retries = p.front.pick, p.saw, p.o.Experiment.Rig.Slack+time.Second, p.o.Experiment.Rig.Retries
+	x := &p.o.Experiment.Rig
+	clients.Manner = standin.Manner{Pieces: x.Pieces, Silent: x.Silent, Leave: x.Leave}
+	p.player = newPlayer(p)
+	over := make(chan error, 1)
+	go func() { over <- p.player.run(ctx) }()
+	clients.Run(ctx, plan)
+	err = <-over
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	endAside() // what ends now ends as it should: nobody is to be found silent
+	beside.Wait()
+	p.endRouters()
+	p.rec.add(history.Event{What: history.End})
+	return clients.Tallies(), err
+}
+
+// saw puts what clients tell into the history. They know routers by their addresses.
+func (p *play) saw(s standin.Saw) {
+	e := s.Event
+	if e.What == history.Ask {
+		e.Who, e.Until = p.layout.routerAt(e.Who), p.rec.at(s.Until)
+	}
+	p.rec.add(e)
+}
+
+func (p *play) openNetwork() (err error) {
+	p.fleet, err = standin.NewFleet(&p.spec, p.layout.host)
+	if err != nil {
+		return err
+	}
+	for n, h := range p.fleet.Hosts {
+		name := fmt.Sprint("h", n)
+		h.Watch(func(s standin.Seen) { p.hostSaw(name, s) })
+	}
+	if p.spec.Routers > 1 {
+		p.mesh, err = relay.NewMesh(p.layout.peers(p.spec.Routers), p.layout.seen, p.o.Seed, mostDatagram, func(from, bytes int) {
+			p.rec.add(history.Event{What: history.Wide, Who: fmt.Sprint("r", from), Bytes: bytes})
+		})
+		if err != nil {
+			return err
+		}
+	}
+	for i := range p.spec.Routers {
+		row := make([]*relay.Conns, len(p.fleet.Hosts))
+		p.hosts = append(p.hosts, row)
+		for n, h := range p.fleet.Hosts {
+			if row[n], err = relay.NewConns(p.layout.hostOf(i, n), h.Addr, p.o.Seed, uint64(i)<<20|uint64(n), closings{p.rec, i}); err != nil {
+				return err
+			}
+		}
+		list, err := p.fleet.AddList("127.0.0.1:0", func(n int) string { return p.layout.hostOf(i, n) })
+		if err != nil {
+			return err
+		}
+		who := fmt.Sprint("r", i)
+		list.Watch(func(told []standin.Entry) {
+			for _, e := range told {
+				p.rec.add(history.Event{What: history.Told, Who: who, From: p.hostName(e.ID), Text: e.State})
+			}
+		})
+		conns, err := relay.NewConns(p.layout.list(i), list.Addr, p.o.Seed, uint64(i)<<20|0xfffff, nil)
+		if err != nil {
+			return err
+		}
+		p.lists = append(p.lists, conns)
+	}
+	return nil
+}
+
+// mostDatagram is the platform's bound between routers.
+const mostDatagram = 256
+
+// hostName is a host's name in the history, by that of the list.
+func (p *play) hostName(id string) string {
+	for n, h := range p.fleet.Hosts {
+		if h.ID == id {
+			return fmt.Sprint("h", n)
+		}
+	}
+	return id
+}
+
+func (p *play) hostSaw(name string, s standin.Seen) {
+	switch s.Kind {
+	case standin.Came:
+		p.rec.add(history.Event{What: history.Attempt, ID: s.ID, Who: name, From: p.layout.routerAt(s.Conn), Conn: s.Conn})
+	case standin.Over:
+		p.rec.add(history.Event{What: history.Done, ID: s.ID, Who: name})
+	case standin.Fell:
+		p.rec.add(history.Event{What: history.Fell, Who: name})
+	}
+}
+
+// closings puts into the history that a router closed a connection.
+type closings struct {
+	rec    *recorder
+	router int
+}
+
+// Closed implements relay.Watcher.
+func (c closings) Closed(conn string) {
+	c.rec.add(history.Event{What: history.Closed, Who: fmt.Sprint("r", c.router), Conn: conn})
+}
+
+func (p *play) closeNetwork() {
+	var all sync.WaitGroup
+	for _, row := range append(p.hosts, p.lists) {
+		for _, c := range row {
+			if c != nil {
+				all.Go(c.Close)
+			}
+		}
+	}
+	all.Wait()
+	if p.mesh != nil {
+		p.mesh.Close()
+	}
+	if p.fleet != nil {
+		p.fleet.Close()
+	}
+}
+
+// network has all links be as the faults of the moment have them.
+func (p *play) network(on []*faults.Strike, listDown bool) error {
+	if p.mesh != nil {
+		p.mesh.Set(on)
+	}
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	set := func(c *relay.Conns, i int, far faults.End, cut bool) {
+		all.Go(func() {
+			near := faults.End{Kind: faults.AtRouter, N: i}
+			out, in := faults.ConditionOf(on, near, far), faults.ConditionOf(on, far, near)
+			out.Cut = out.Cut || cut
+			if err := c.Set(out, in); err != nil {
+				mu.Lock()
+				failed = errors.Join(failed, err)
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range p.hosts {
+		for n, c := range p.hosts[i] {
+			set(c, i, faults.End{Kind: faults.AtHost, N: n}, false)
+		}
+		set(p.lists[i], i, faults.End{Kind: faults.AtList}, listDown)
+	}
+	all.Wait()
+	return failed
+}
+
+// writeFailure leaves what a person needs: the verdicts, the schedule and the last events before the first of them.
+func (p *play) writeFailure(r *Result) error {
+	f, err := os.Create(filepath.Join(p.folder, "verdicts.txt"))
+	if err != nil {
+		return err
+	}
+	WriteFailure(f, r, p.o.Seed)
+	return f.Close()
+}
+
+// lastEvents is how many events before a verdict are shown.
+const lastEvents = 30
+
+// WriteFailure writes the verdicts with seed, schedule and the events that led to the first of them.
+func WriteFailure(w io.Writer, r *Result, seed uint64) {
+	for i := range r.Verdicts {
+		fmt.Fprintln(w, r.Verdicts[i].String())
+	}
+	fmt.Fprintf(w, "seed %d, history %s\n", seed, filepath.Join(r.Folder, historyFile))
+	if len(r.Events) > 0 && r.Events[0].Play != nil {
+		fmt.Fprintln(w, r.Events[0].Play.Schedule)
+	}
+	if len(r.Verdicts) == 0 {
+		return
+	}
+	v := &r.Verdicts[0]
+	var last []string
+	for i := range r.Events {
+		e := &r.Events[i]
+		if e.T > v.T {
+			break
+		}
+		near := v.Who == "" || strings.HasPrefix(e.Who, v.Who) || e.From == v.Who || v.ID != "" && e.ID == v.ID
+		if e.What != history.Usage && (near || e.What == history.Fault || e.What == history.Heal) {
+			last = append(last, e.String())
+		}
+	}
+	fmt.Fprintf(w, "before the first of them:\n%s\n", strings.Join(last[max(0, len(last)-lastEvents):], "\n"))
+}
--- /dev/null
+++ b/internal/rig/series.go
@@ -0,0 +1,240 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"reachspread/internal/experiment"
+	"reachspread/internal/faults"
+	"reachspread/internal/history"
+	"reachspread/internal/judge"
+	"reachspread/internal/report"
+)
+
+// Series is plays one after another.
+type Series struct {
+	Experiment *experiment.Experiment
+	Program    string
+	Folder     string // for plays that are kept, empty for none
+	Drawn      bool   // schedules are drawn, one seed after another
+	Seed       uint64
+	Faults     int           // of a drawn schedule, at most; 0 for the usual
+	Until      time.Duration // no play begins after so long; 0 for no bound
+	Plays      int           // so many at most; 0 for one, or with Until for as many as fit
+	Shrink     int           // plays that a failing schedule may be shrunk by
+	Profile    bool
+}
+
+// Played is one of them.
+type Played struct {
+	Seed   uint64
+	Faults []faults.Fault
+	Result *Result
+	Err    error // it could not be played
+	Small  *faults.Trial
+	Again  int // of the plays of Small that failed, in Tries
+	Tries  int
+	Shown  string // where its page is
+}
+
+// Run plays them until all are over, and tells of each.
+func (s *Series) Run(ctx context.Context, tell func(*Played)) error {
+	plays := s.Plays
+	if plays == 0 && s.Until == 0 {
+		plays = 1
+	}
+	begun := time.Now()
+	for n := uint64(0); (plays == 0 || n < uint64(plays)) && (n == 0 || s.Until == 0 || time.Since(begun) < s.Until); n++ {
+		p := s.play(ctx, s.Seed+n, n)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		tell(p)
+	}
+	return nil
+}
+
+func (s *Series) options(seed uint64) Options {
+	o := Options{Experiment: s.Experiment, Seed: seed, Program: s.Program, Profile: s.Profile, Drawn: s.Drawn}
+	if !s.Drawn {
+		o.Seed += s.Experiment.Seeds[0] // the file's first, and those after it
+	}
+	return o
+}
+
+func (s *Series) play(ctx context.Context, seed, n uint64) *Played {
+	o := s.options(seed)
+	if s.Drawn {
+		o.Faults = s.draw(seed)
+	}
+	if s.Folder != "" {
+		o.Folder = filepath.Join(s.Folder, fmt.Sprintf("play-%d", o.Seed))
+		if !s.Drawn {
+			o.Folder = filepath.Join(s.Folder, fmt.Sprintf("play-%d", n+1))
+		}
+	}
+	p := &Played{Seed: o.Seed, Faults: o.Faults}
+	if p.Result, p.Err = Run(ctx, o); p.Err != nil {
+		return p
+	}
+	if p.Result.Folder != "" {
+		p.Shown = filepath.Join(p.Result.Folder, "page.html")
+		p.Err = report.WriteFile(p.Shown, func(w io.Writer) error { return WritePage(w, p.Result.Events, p.Result.Verdicts) })
+	}
+	if len(p.Result.Verdicts) > 0 && s.Shrink > 0 {
+		s.shrink(ctx, o, p)
+	}
+	return p
+}
+
+// draw draws a schedule that the experiment can play.
+func (s *Series) draw(seed uint64) []faults.Fault {
+	var kinds []faults.Kind
+	for _, m := range faults.Kinds {
+		if m.In(faults.Rig) && (m.Kind != faults.Replace || s.Experiment.Rig.Held) {
+			kinds = append(kinds, m.Kind)
+		}
+	}
+	return faults.Draw(faults.Bounds{Length: s.Experiment.Spec.Length, Faults: s.Faults, Kinds: kinds, World: faults.Rig}, s.Experiment.Shape(), seed)
+}
+
+// tries is how often a smaller schedule is played until it counts as one that does not fail.
+const tries = 2
+
+// shrink makes a schedule that failed smaller, as long as the checker that failed first still fails.
+func (s *Series) shrink(ctx context.Context, o Options, p *Played) {
+	checker := p.Result.Verdicts[0].Checker
+	all := o.Faults
+	if !s.Drawn {
+		all = s.Experiment.Faults
+	}
+	failsOnce := func(t faults.Trial) bool {
+		x := o
+		x.Folder, x.Drawn, x.Faults, x.Routers = "", true, t.Faults, t.Routers
+		r, err := Run(ctx, x)
+		if err != nil {
+			return false
+		}
+		if r.Folder != "" {
+			os.RemoveAll(r.Folder)
+		}
+		return hasVerdict(r.Verdicts, checker)
+	}
+	small := faults.Shrink(faults.Trial{Routers: s.Experiment.Spec.Routers, Faults: all}, s.Shrink, func(t faults.Trial) bool {
+		for range tries {
+			if ctx.Err() != nil {
+				return false
+			}
+			if failsOnce(t) {
+				return true
+			}
+		}
+		return false
+	})
+	p.Small = &small
+	for p.Tries = 0; p.Tries < 3 && ctx.Err() == nil; p.Tries++ {
+		if failsOnce(small) {
+			p.Again++
+		}
+	}
+}
+
+func hasVerdict(all []judge.Verdict, checker string) bool {
+	for i := range all {
+		if all[i].Checker == checker {
+			return true
+		}
+	}
+	return false
+}
+
+// Summary is a play in few figures.
+type Summary struct {
+	Seed     uint64   `json:"seed"`
+	Error    string   `json:"error,omitempty"`
+	Verdicts []string `json:"verdicts"`
+	Asked    int      `json:"asked"`
+	Whole    int      `json:"whole"`
+	Refused  int      `json:"refused"`
+	Failed   int      `json:"failed"`
+	Broken   int      `json:"broken"`
+	Events   int      `json:"events"`
+	Stalls   int      `json:"stalls"`
+	Seconds  float64  `json:"seconds"`
+	Folder   string   `json:"folder,omitempty"`
+	Shrunk   string   `json:"shrunk,omitempty"`
+}
+
+// Summary is the play in few figures.
+func (p *Played) Summary() Summary {
+	s := Summary{Seed: p.Seed, Verdicts: []string{}}
+	if p.Small != nil {
+		s.Shrunk = faults.Text(p.Small.Faults)
+	}
+	if p.Err != nil {
+		s.Error = p.Err.Error()
+	}
+	r := p.Result
+	if r == nil {
+		return s
+	}
+	for i := range r.Verdicts {
+		s.Verdicts = append(s.Verdicts, r.Verdicts[i].String())
+	}
+	for i := range r.Events {
+		e := &r.Events[i]
+		switch {
+		case e.What == history.Ask:
+			s.Asked++
+		case e.What != history.Answer:
+		case e.How == history.Whole:
+			s.Whole++
+		case e.How == history.Refused:
+			s.Refused++
+		case e.How == history.Broken:
+			s.Broken++
+		case e.How != history.Left:
+			s.Failed++
+		}
+	}
+	s.Events, s.Stalls, s.Seconds, s.Folder = len(r.Events), r.Stalls, r.Took.Seconds(), r.Folder
+	return s
+}
+
+// Write prints a play: one line where nothing was found, and all that a person needs where something was.
+func (p *Played) Write(w io.Writer) {
+	s := p.Summary()
+	if p.Err != nil {
+		fmt.Fprintf(w, "seed %d: %v\n", p.Seed, p.Err)
+		return
+	}
+	word := "nothing found"
+	if len(s.Verdicts) > 0 {
+		word = fmt.Sprintf("%d verdicts", len(s.Verdicts))
+	}
+	fmt.Fprintf(w, "seed %d: %s; %d asked, %d whole, %d refused, %d failed, %d broken; %d faults, %d events, the machine stood still %d times, %.0f s\n",
+		p.Seed, word, s.Asked, s.Whole, s.Refused, s.Failed, s.Broken, len(p.Result.faults()), s.Events, s.Stalls, s.Seconds)
+	if p.Shown != "" {
+		fmt.Fprintf(w, "page: %s\n", p.Shown)
+	}
+	if len(s.Verdicts) > 0 {
+		WriteFailure(w, p.Result, p.Seed)
+	}
+	if p.Small != nil {
+		fmt.Fprintf(w, "shrunk, fails in %d of %d plays of %d routers:\n%s", p.Again, p.Tries, p.Small.Routers, faults.Text(p.Small.Faults))
+	}
+}
+
+// faults are those that began.
+func (r *Result) faults() (all []history.Event) {
+	for _, e := range r.Events {
+		if e.What == history.Fault && e.N < stallNumber {
+			all = append(all, e)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/rig/watch.go
@@ -0,0 +1,332 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"reachspread/internal/history"
+	"reachspread/internal/lab"
+)
+
+// front is who spreads clients over routers: it asks each whether it is ready, and notices late that one has died.
+type front struct {
+	p      *play
+	client *http.Client
+
+	mu    sync.Mutex
+	ready []bool
+}
+
+const (
+	askEvery = 100 * time.Millisecond
+	// noticeAfter is how long a router may be silent until the front takes it for dead.
+	noticeAfter = 2 * time.Second
+)
+
+func newFront(p *play) *front {
+	return &front{p: p, ready: make([]bool, p.spec.Routers),
+		client: &http.Client{Timeout: noticeAfter, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// watch asks all routers until ctx ends.
+func (f *front) watch(ctx context.Context) {
+	var all sync.WaitGroup
+	for i, r := range f.p.routers {
+		all.Go(func() {
+			for ticker := time.NewTicker(askEvery); ; {
+				ready := f.ask(ctx, i)
+				if ctx.Err() != nil {
+					ticker.Stop()
+					return
+				}
+				f.mu.Lock()
+				changed := f.ready[i] != ready
+				f.ready[i] = ready
+				f.mu.Unlock()
+				if changed {
+					what := history.Unready
+					if ready {
+						what = history.Ready
+					}
+					f.p.rec.add(history.Event{What: what, Who: r.name()})
+				}
+				select {
+				case <-ticker.C:
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (f *front) ask(ctx context.Context, i int) bool {
+	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+f.p.layout.client(i)+"/-/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := f.client.Do(r)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// pick spreads requests over the routers that are ready, by their sessions' and own names.
+func (f *front) pick(p *lab.Planned) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var up []int
+	for i, ok := range f.ready {
+		if ok {
+			up = append(up, i)
+		}
+	}
+	if len(up) == 0 {
+		return ""
+	}
+	n := uint64(1469598103934665603)
+	for _, b := range []byte(p.ID) {
+		n = (n ^ uint64(b)) * 1099511628211
+	}
+	return f.p.layout.client(up[n%uint64(len(up))])
+}
+
+// stalls notices that the machine let the rig itself stand still: then nothing that others did late counts against them.
+type stalls struct {
+	rec *recorder
+	mu  sync.Mutex
+	n   int
+}
+
+const (
+	stallLook = 10 * time.Millisecond
+	// stallOf is what counts: less than half of the least slack of a rule.
+	stallOf = 200 * time.Millisecond
+	// stallNumber is that of the fault that the history has for it, beyond those of a schedule.
+	stallNumber = 1 << 16
+)
+
+func (s *stalls) watch(ctx context.Context) {
+	ticker := time.NewTicker(stallLook)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		if d := now.Sub(last); d > stallOf {
+			s.mu.Lock()
+			s.n++
+			n := stallNumber + s.n
+			s.mu.Unlock()
+			s.rec.add(history.Event{What: history.Fault, N: n, Text: "machine", ID: d.String()})
+			s.rec.add(history.Event{What: history.Heal, N: n, Text: "machine"})
+		}
+		last = now
+	}
+}
+
+func (s *stalls) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n
+}
+
+// watch looks at processes: what they hold, and whether they answer.
+type watch struct {
+	p *play
+}
+
+func newWatch(p *play) *watch { return &watch{p} }
+
+const (
+	lookEvery = 500 * time.Millisecond
+	// answerIn is how long an operators' caller waits, and silentFor how many such times in a row are a process that hangs.
+	answerIn  = time.Second
+	silentFor = 2
+)
+
+func (w *watch) run(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, r := range w.p.routers {
+		all.Go(func() { w.router(ctx, r) })
+	}
+	all.Wait()
+}
+
+func (w *watch) router(ctx context.Context, r *router) {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	silent := map[*process]int{}
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		r.mu.Lock()
+		procs := slices.Clone(r.procs)
+		r.mu.Unlock()
+		for _, x := range procs {
+			w.usage(x)
+			if x.twin {
+				continue
+			}
+			stalls := w.p.stalls.count()
+			_, err := x.call(ctx, "check", answerIn)
+			select {
+			case <-x.done:
+				continue
+			default:
+			}
+			if err == nil || ctx.Err() != nil || !r.runs() || w.p.stalls.count() != stalls || !x.hasSpoken() {
+				silent[x] = 0
+				continue
+			}
+			if silent[x]++; silent[x] == silentFor {
+				w.p.catch(x, err)
+			}
+		}
+	}
+}
+
+func (x *process) hasSpoken() bool {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	return x.spoke
+}
+
+// usage puts into the history what a process holds.
+func (w *watch) usage(x *process) {
+	u, err := usageOf(x.pid())
+	if err != nil {
+		return // it has ended
+	}
+	u.What, u.Who = history.Usage, x.name
+	w.p.rec.add(u)
+}
+
+// usageOf reads a process's most memory so far, its descriptors and its CPU time.
+func usageOf(pid int) (e history.Event, err error) {
+	dir := "/proc/" + strconv.Itoa(pid)
+	status, err := os.ReadFile(dir + "/status")
+	if err != nil {
+		return e, err
+	}
+	if _, peak, ok := strings.Cut(string(status), "VmHWM:"); ok {
+		var kb int64
+		fmt.Sscan(peak, &kb)
+		e.Memory = kb << 10
+	}
+	fds, err := os.ReadDir(dir + "/fd")
+	if err != nil {
+		return e, err
+	}
+	e.Descriptors = len(fds)
+	stat, err := os.ReadFile(dir + "/stat")
+	if err != nil {
+		return e, err
+	}
+	e.CPU = cpuOf(string(stat)).Nanoseconds()
+	return e, nil
+}
+
+// cpuOf reads user and system time, in hundredths of a second, from a line of /proc/PID/stat.
+func cpuOf(stat string) (cpu time.Duration) {
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	for _, i := range []int{11, 12} {
+		if i < len(fields) {
+			n, _ := strconv.Atoi(fields[i])
+			cpu += time.Duration(n) * 10 * time.Millisecond
+		}
+	}
+	return cpu
+}
+
+// caught tells whether a process was.
+func (p *play) caught() bool {
+	return slices.ContainsFunc(p.rec.events(), func(e history.Event) bool { return e.What == history.Caught })
+}
+
+// catch leaves all evidence of a process that answers nobody, before anybody can restart it: its threads, twice, a CPU
+// profile if it can still write one, and all its goroutines, which end it.
+func (p *play) catch(x *process, why error) {
+	path := filepath.Join(x.r.folder, "caught")
+	f, err := os.Create(path)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	w := bufio.NewWriter(f)
+	defer w.Flush()
+	p.rec.add(history.Event{What: history.Caught, Who: x.name, Text: fmt.Sprintf("answers nobody: %v; see %s", why, path)})
+	fmt.Fprintf(w, "%s: %v\n", x.name, why)
+	for range 2 {
+		threads(w, x.pid())
+		time.Sleep(200 * time.Millisecond) // the time between two looks at its CPU
+	}
+	x.r.mu.Lock()
+	x.quiet = true // its goroutines go to its log alone
+	x.r.mu.Unlock()
+	if p.o.Profile {
+		x.cmd.Process.Signal(syscall.SIGUSR1)
+		select {
+		case <-x.done:
+		case <-time.After(2 * time.Second): // a profile takes one
+		}
+	}
+	x.cmd.Process.Signal(syscall.SIGQUIT)
+}
+
+// threads writes the state and CPU time of each thread of a process.
+func threads(w *bufio.Writer, pid int) {
+	dir := fmt.Sprintf("/proc/%d/task", pid)
+	tasks, err := os.ReadDir(dir)
+	if err != nil {
+		fmt.Fprintln(w, err)
+		return
+	}
+	for _, t := range tasks {
+		fmt.Fprintf(w, "thread %s:", t.Name())
+		for _, name := range []string{"stat", "wchan", "syscall"} {
+			text, _ := os.ReadFile(filepath.Join(dir, t.Name(), name))
+			if name == "stat" {
+				fmt.Fprintf(w, " cpu %v,", cpuOf(string(text)))
+			}
+			fmt.Fprintf(w, " %s %s", name, strings.TrimSpace(string(text)))
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// scrape reads the figures of every process, over and over, as the platform does.
+func (p *play) scrape(ctx context.Context, every time.Duration) {
+	for ticker := time.NewTicker(every); ; {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			ticker.Stop()
+			return
+		}
+		for _, r := range p.routers {
+			if x := r.newest(); x != nil {
+				x.call(ctx, "vars", answerIn)
+			}
+		}
+	}
+}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -160,3 +160,10 @@
 	go h.server.Serve(ln)
 	return nil
 }
+
+// Listens tells whether new connections to the host come up.
+func (h *Host) Listens() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down == 0 && !h.deaf
+}
