Tests of the rig: six processes through eight faults, planted programs, nothing left running

A program that ends by itself, panics, hangs, never starts, answers nobody or late, sends wide datagrams, or leaves wrongly is found by the checker meant for it. A router that ends before it is ready fails a play at once, with its last words.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -57,7 +57,7 @@
 const (
 	readyWithin = 30 * time.Second // the platform's: then clients arrive in any case
 	leaveWithin = 3700 * time.Millisecond
-	endWithin   = 15 * time.Second
+	endWithin   = leaveWithin + 2*time.Second
 )
 
 // play is a play under way.
@@ -206,9 +206,17 @@
 	}
 	ready, noMore := context.WithTimeout(ctx, readyWithin)
 	for _, r := range p.routers {
-		if _, err := p.rec.await(ready, func(e *history.Event) bool { return e.What == history.Ready && e.Who == r.name() }); err != nil {
+		e, err := p.rec.await(ready, func(e *history.Event) bool {
+			return e.Who == r.name() && (e.What == history.Ready || e.What == history.Exit)
+		})
+		if err != nil || e.What == history.Exit {
 			noMore()
-			return nil, fmt.Errorf("router %s is not ready: %w; its log is in %s", r.name(), err, p.folder)
+			why := fmt.Sprint("is not ready: ", err)
+			if e.What == history.Exit {
+				why = fmt.Sprintf("ended before it was ready, status %d", e.Status)
+			}
+			log, _ := os.ReadFile(filepath.Join(r.folder, "log"))
+			return nil, fmt.Errorf("router %s %s; its last words: %q", r.name(), why, lastLine(log))
 		}
 	}
 	noMore()
@@ -373,6 +381,12 @@
 	return failed
 }
 
+// lastLine is the last line of a log that says something.
+func lastLine(log []byte) string {
+	lines := strings.Split(strings.TrimSpace(string(log)), "\n")
+	return lines[len(lines)-1]
+}
+
 // writeFailure leaves what a person needs: the verdicts, the schedule and the last events before the first of them.
 func (p *play) writeFailure(r *Result) error {
 	f, err := os.Create(filepath.Join(p.folder, "verdicts.txt"))
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,486 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"reachspread/internal/experiment"
+	"reachspread/internal/faults"
+	"reachspread/internal/history"
+)
+
+var (
+	measure = flag.Bool("measure", false, "run the measurements")
+	rounds  = flag.Int("rounds", 1, "of a test whose verdict must be the same each time")
+)
+
+// The test binary is a router that misbehaves where its environment says how.
+const badRouter = "RIG_TEST_BAD_ROUTER"
+
+func TestMain(m *testing.M) {
+	// A bad router is started by the rig as a program of its own, so its manner stands in a file beside that program.
+	if how, err := os.ReadFile(os.Args[0] + ".how"); err == nil {
+		misbehave(string(how))
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var (
+	buildOnce sync.Once
+	built     string
+	buildErr  error
+)
+
+// program builds the real router, once for all tests.
+func program(t testing.TB) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		var dir string
+		if dir, buildErr = os.MkdirTemp("", "rig-test-"); buildErr != nil {
+			return
+		}
+		built = filepath.Join(dir, "reachspread")
+		out, err := exec.Command("go", "build", "-o", built, "reachspread/cmd/reachspread").CombinedOutput()
+		if err != nil {
+			buildErr = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if buildErr != nil {
+		t.Fatal(buildErr)
+	}
+	return built
+}
+
+const fleetOf = `seeds = 1
+length = "%s"
+routers = %d
+group "a" {
+  hosts = 2
+  zone  = "east"
+}
+group "b" {
+  hosts = 2
+  zone  = "west"
+}
+class "chat" {
+  aim        = "1s"
+  deadline   = "4s"
+  rate       = 30
+  turns      = 3
+  think      = "500ms"
+  out_median = 10
+}
+rig {
+  settle = "2s"
+%s
+}
+`
+
+func parse(t testing.TB, length string, routers int, rig, faults string) *experiment.Experiment {
+	t.Helper()
+	x, err := experiment.Parse(fmt.Appendf(nil, fleetOf+faults, length, routers, rig), "x.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// playOnce plays once, and fails the test for what can't be played.
+func playOnce(t *testing.T, o Options) *Result {
+	t.Helper()
+	o.Folder = filepath.Join(t.TempDir(), "play")
+	r, err := Run(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	noProcesses(t, r.Events)
+	return r
+}
+
+// noProcesses checks that every process of a history is gone.
+func noProcesses(t *testing.T, events []history.Event) {
+	t.Helper()
+	for _, e := range events {
+		if e.What == history.Start && alive(e.PID) {
+			t.Errorf("process %d of %s lives on", e.PID, e.Who)
+		}
+	}
+}
+
+// alive tells whether a process is there and no zombie.
+func alive(pid int) bool {
+	stat, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return false
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	return !strings.HasPrefix(rest, "Z")
+}
+
+// Six routers through a kill, a standstill, cuts of either direction, a planned restart, a replacement and a lost zone, one over
+// the other: no rule is broken, the fleet serves again, every process is ended.
+func TestFleetThroughFaults(t *testing.T) {
+	x := parse(t, "9s", 6, "held = true\nscrape = \"500ms\"", `
+fault "kill" {
+  at = "1s"
+  length = "1s"
+  routers = [1]
+  disk = "empty"
+}
+fault "pause" {
+  at = "1500ms"
+  length = "1200ms"
+  routers = [2]
+}
+fault "cut" {
+  at = "1s"
+  length = "1500ms"
+  routers = [3]
+  links = ["peers", "hosts"]
+  direction = "out"
+}
+fault "partition" {
+  at = "2s"
+  length = "1s"
+  groups = "zones"
+  links = ["peers", "hosts"]
+  bridge = [0]
+}
+fault "replace" {
+  at = "2500ms"
+  length = "500ms"
+  routers = [0, 4]
+}
+fault "restart" {
+  length = "300ms"
+  routers = [5]
+  when {
+    what = "phase"
+    who = "r1/2"
+    text = "serving"
+    after = "100ms"
+  }
+}
+fault "loss" {
+  at = "500ms"
+  length = "4s"
+  share = 0.3
+  routers = "all"
+}
+fault "power" {
+  at = "3500ms"
+  length = "1s"
+  zone = "east"
+}
+`)
+	for round := range *rounds {
+		r := playOnce(t, Options{Experiment: x, Seed: uint64(round + 1), Program: program(t)})
+		for _, v := range r.Verdicts {
+			t.Errorf("round %d: %s", round, v.String())
+		}
+		var kinds []string
+		for _, e := range r.faults() {
+			kinds = append(kinds, e.Text)
+		}
+		slices.Sort(kinds)
+		if got := strings.Join(kinds, " "); got != "cut kill loss partition pause power replace restart" {
+			t.Errorf("these were played: %s", got)
+		}
+		serving := map[string]int{}
+		for _, e := range r.Events {
+			if e.What == history.Phase && e.Text == "serving" {
+				serving[strings.SplitN(e.Who, "/", 2)[0]]++
+			}
+		}
+		// A zone of three was lost, one router killed, two replaced, one restarted.
+		for who, want := range map[string]int{"r0": 3, "r1": 2, "r2": 2, "r3": 1, "r4": 3, "r5": 2} {
+			if serving[who] != want {
+				t.Errorf("%s served %d times, want %d", who, serving[who], want)
+			}
+		}
+		var page bytes.Buffer
+		if err := WritePage(&page, r.Events, r.Verdicts); err != nil || strings.Count(page.String(), "<rect") < 50 {
+			t.Errorf("the page: %v, %d bytes", err, page.Len())
+		}
+	}
+}
+
+// What a router's folder goes through is there for the process that comes back: its own, another's, one cut short.
+func TestDisks(t *testing.T) {
+	x := parse(t, "2500ms", 3, "", "")
+	seen := map[string]string{}
+	var mu sync.Mutex
+	var folder string
+	o := Options{Experiment: x, Seed: 1, Program: program(t), Drawn: true, Faults: []faults.Fault{
+		{Kind: faults.Kill, At: time.Second, Length: 200 * time.Millisecond, Routers: faults.Select{Numbers: []int{0}}, Disk: faults.DiskOther},
+		{Kind: faults.Kill, At: time.Second, Length: 400 * time.Millisecond, Routers: faults.Select{Numbers: []int{1}}, Disk: faults.DiskCut, Keep: 0.5, File: "*.x"},
+		{Kind: faults.Kill, At: time.Second, Length: 600 * time.Millisecond, Routers: faults.Select{Numbers: []int{2}}, Disk: faults.DiskEmpty},
+		{Kind: faults.NoWrite, At: 500 * time.Millisecond, Length: 300 * time.Millisecond, Routers: faults.Select{Numbers: []int{2}}},
+		{Kind: faults.FullDisk, At: 500 * time.Millisecond, Length: 300 * time.Millisecond, Routers: faults.Select{Numbers: []int{1}}}}}
+	folder = filepath.Join(t.TempDir(), "play")
+	o.Folder = folder
+	o.Event = func(e *history.Event) {
+		mu.Lock()
+		defer mu.Unlock()
+		n := strings.TrimPrefix(strings.SplitN(e.Who, "/", 2)[0], "r")
+		disk := filepath.Join(folder, "r"+n, "disk")
+		switch {
+		case e.What == history.Start && !strings.Contains(e.Who, "/"):
+			os.WriteFile(filepath.Join(disk, "a.x"), []byte("of router "+n), 0o644)
+			os.WriteFile(filepath.Join(disk, "b"), []byte("whole"), 0o644)
+		case e.What == history.Start:
+			a, _ := os.ReadFile(filepath.Join(disk, "a.x"))
+			b, _ := os.ReadFile(filepath.Join(disk, "b"))
+			seen["r"+n] = string(a) + "|" + string(b)
+		case e.What == history.Fault && e.Text == "no_write":
+			seen["at the fault"] = e.ID
+		case e.What == history.Heal && e.Text == "no_write":
+			b, err := os.ReadFile(filepath.Join(folder, "r2", "disk", "b"))
+			seen["after no_write"] = fmt.Sprint(string(b), err)
+		}
+	}
+	r, err := Run(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Verdicts {
+		t.Error(v.String())
+	}
+	for who, want := range map[string]string{"r0": "of router 1|whole", "r1": "of ro|whole", "r2": "|", "at the fault": "r2", "after no_write": "whole<nil>"} {
+		if seen[who] != want {
+			t.Errorf("%s: %q, want %q", who, seen[who], want)
+		}
+	}
+}
+
+// misbehave is a router that does what no router should.
+func misbehave(how string) {
+	config, _ := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
+	field := func(name string) string {
+		_, rest, _ := strings.Cut(string(config), `"`+name+`":"`)
+		value, _, _ := strings.Cut(rest, `"`)
+		return value
+	}
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM)
+	if how == "never starts" {
+		fmt.Fprintln(os.Stderr, "no")
+		os.Exit(1)
+	}
+	ln, err := net.Listen("tcp", field("listen"))
+	if err != nil {
+		os.Exit(1)
+	}
+	door, err := net.Listen("tcp", os.Getenv("ROUTER_MANAGEMENT"))
+	if err != nil {
+		os.Exit(1)
+	}
+	answers := make(chan bool)
+	go func() {
+		for {
+			c, err := door.Accept()
+			if err != nil {
+				return
+			}
+			if how == "hangs" {
+				continue
+			}
+			io.WriteString(c, "+OK\n")
+			c.Close()
+		}
+	}()
+	fmt.Fprintln(os.Stderr, "INF phase name=serving")
+	var asked sync.Once
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/ready" {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		asked.Do(func() { close(answers) })
+		switch how {
+		case "answers nobody":
+			time.Sleep(time.Hour)
+		case "answers late":
+			time.Sleep(5500 * time.Millisecond)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	if how == "ends by itself" || how == "panics" {
+		<-answers
+		if how == "panics" {
+			panic("planted")
+		}
+		os.Exit(3)
+	}
+	if how == "wide datagrams" {
+		to, _ := net.ResolveUDPAddr("udp4", strings.Split(strings.SplitN(string(config), `"peers":["`, 2)[1], `"`)[2])
+		from, _ := net.ResolveUDPAddr("udp4", field("peer_listen"))
+		if c, err := net.ListenUDP("udp4", from); err == nil {
+			c.WriteToUDP(make([]byte, 300), to)
+		}
+	}
+	<-term
+	switch how {
+	case "ends with a fault":
+		os.Exit(7)
+	case "ignores SIGTERM":
+		time.Sleep(time.Hour)
+	}
+	os.Exit(0)
+}
+
+// A program with a planted fault is found out, by the checker that is meant for it.
+func TestPlantedPrograms(t *testing.T) {
+	own, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	for how, want := range map[string]string{
+		"well": "", "ends by itself": "crash: r0", "panics": "crash: r0", "never starts": "router r0 ended before it was ready", "hangs": "hang: r0",
+		"answers nobody": "answer: r0", "answers late": "answer: r0", "wide datagrams": "limits: r0",
+		"ends with a fault": "leave: r0", "ignores SIGTERM": "leave: r0",
+	} {
+		all.Go(func() {
+			bad := filepath.Join(t.TempDir(), "bad")
+			if err := os.Link(own, bad); err != nil {
+				text, err := os.ReadFile(own)
+				if err == nil {
+					err = os.WriteFile(bad, text, 0o755)
+				}
+				if err != nil {
+					t.Error(err)
+					return
+				}
+			}
+			if err := os.WriteFile(bad+".how", []byte(how), 0o644); err != nil {
+				t.Error(err)
+				return
+			}
+			length := "1s"
+			if how == "hangs" {
+				length = "5s"
+			}
+			x := parse(t, length, 2, "slack = \"500ms\"", "")
+			ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
+			defer cancel()
+			r, err := Run(ctx, Options{Experiment: x, Seed: 1, Program: bad, Folder: filepath.Join(filepath.Dir(bad), "play")})
+			if err != nil {
+				if want == "" || !strings.Contains(err.Error(), want) {
+					t.Errorf("%s: %v", how, err)
+				}
+				return
+			}
+			noProcesses(t, r.Events)
+			found := false
+			for _, v := range r.Verdicts {
+				found = found || strings.HasPrefix(v.String(), want) && want != ""
+			}
+			if want == "" && len(r.Verdicts) > 0 || want != "" && !found {
+				t.Errorf("%s: found %v, want %q", how, r.Verdicts, want)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// Bad input is one line that names what is wrong, before anything is started.
+func TestRefused(t *testing.T) {
+	for want, o := range map[string]Options{
+		"x.hcl:24: replace needs held = true":           {Experiment: parse(t, "1s", 2, "", "fault \"replace\" {\n at=\"0s\"\n length=\"1s\"\n routers=[0]\n}")},
+		"x.hcl:24: routers has 2; there are 2":          {Experiment: parse(t, "1s", 2, "", "fault \"kill\" {\n at=\"0s\"\n length=\"1s\"\n routers=[2]\n}")},
+		"routers is 101; the rig has addresses for 100": {Experiment: parse(t, "1s", 101, "", "")},
+		"the router's program: stat /nowhere":           {Experiment: parse(t, "1s", 2, "", ""), Program: "/nowhere"},
+	} {
+		if o.Program == "" {
+			o.Program = os.Args[0]
+		}
+		dir := filepath.Join(t.TempDir(), "play")
+		o.Folder = dir
+		if _, err := Run(t.Context(), o); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("got %v, want %s", err, want)
+		}
+		if _, err := os.Stat(dir); err == nil {
+			t.Errorf("%s: something was begun", want)
+		}
+	}
+	if err := enoughDescriptors(100, 1000); err == nil || !strings.Contains(err.Error(), "100 routers and 1000 hosts may need") {
+		t.Errorf("descriptors: %v", err)
+	}
+}
+
+// An interrupted play ends its processes; a rig that is killed leaves none either.
+func TestNothingLeft(t *testing.T) {
+	x := parse(t, "30s", 3, "", "")
+	ctx, interrupt := context.WithCancel(t.Context())
+	pids := make(chan int, 100)
+	served := make(chan bool, 100)
+	over := make(chan error, 1)
+	go func() {
+		_, err := Run(ctx, Options{Experiment: x, Seed: 1, Program: program(t), Folder: filepath.Join(t.TempDir(), "play"), Event: func(e *history.Event) {
+			switch e.What {
+			case history.Start:
+				pids <- e.PID
+			case history.Answer:
+				select {
+				case served <- true:
+				default:
+				}
+			}
+		}})
+		over <- err
+	}()
+	<-served
+	interrupt()
+	if err := <-over; !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	close(pids)
+	n := 0
+	for pid := range pids {
+		n++
+		if alive(pid) {
+			t.Errorf("process %d lives on", pid)
+		}
+	}
+	if n != 3 {
+		t.Errorf("%d processes were started", n)
+	}
+
+	// The kernel ends what a thread has started once the thread is gone, as it is when its process was killed.
+	s := newStarter()
+	cmd := exec.Command(program(t), "serve")
+	cmd.Env = []string{"ROUTER_CONFIG=/dev/stdin"} // it waits for that
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	if err := s.start(cmd); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	err = cmd.Wait()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
+		t.Errorf("it ended with %v", err)
+	}
+}
