--- a/internal/experiment/schedule.go
+++ b/internal/experiment/schedule.go
@@ -33,7 +33,7 @@
 func (d *decoder) rig(r *Rig, b *hclsyntax.Block) {
 	d.body(b.Body, "rig", fields{"memory_mb": whole(&r.MemoryMB, 32, 1<<20), "sockets": whole(&r.Sockets, 96, 1<<20), "cores": num(&r.Cores, 0.01, 64),
 		"held": flag(&r.Held), "settings": word(&r.Settings), "slack": span(&r.Slack, 0), "settle": span(&r.Settle, 0),
-		"pieces": num(&r.Pieces, 0, 1), "silent": num(&r.Silent, 0, 1), "leave": num(&r.Leave, 0, 1), "scrape": span(&r.Scrape, 10*time.Millisecond)}, nil)
+		"pieces": num(&r.Pieces, 0, 1), "silent": num(&r.Silent, 0, 1), "leave": num(&r.Leave, 0, 1), "retries": flag(&r.Retries), "scrape": span(&r.Scrape, 10*time.Millisecond)}, nil)
 }
 
 // faultOf reads a fault. Which fields a kind has is in the table of kinds.
--- /dev/null
+++ b/internal/judge/docs_test.go
@@ -0,0 +1,26 @@
+package judge
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"reachspread/internal/faults"
+)
+
+// The operators' page has the tables of checkers and of faults as the program has them.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/rig.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), faults.Table()) {
+		t.Error("the table of faults differs; reachlab faults prints it")
+	}
+	for _, c := range Checkers {
+		if row := fmt.Sprintf("| `%s` | %s |\n", c.Name, c.Rule); !strings.Contains(string(page), row) {
+			t.Errorf("the page lacks %s", row)
+		}
+	}
+}
