--- a/internal/relay/udp.go
+++ b/internal/relay/udp.go
@@ -17,13 +17,17 @@
 	mostDatagram = 2048
 	// mostUnderWay bounds the datagrams of one direction of a link that are late; further ones are dropped and counted.
 	mostUnderWay = 1024
+	// readBuffer is room for what comes while the relay waits for a core.
+	readBuffer = 1 << 20
 )
 
-// Mesh is the datagrams between routers. Router i reaches router j at an address of its own, and what it sends there comes
-// to j from the address at which j reaches i: each sees the other as its own list of peers names it.
+// Mesh is the datagrams between routers. Each router has an address here at which all others reach it, and what it sends
+// comes to them from there: each sees the others as every list of peers names them. Whose a datagram is tells the address that
+// it came from.
 type Mesh struct {
-	at    [][]*net.UDPConn // at[i][j] is where i reaches j; nil where i is j
+	at    []*net.UDPConn // where router i is reached
 	peer  []netip.AddrPort
+	who   map[netip.AddrPort]int
 	links [][]*link
 	all   sync.WaitGroup
 	wide  func(from, bytes int) // told of each datagram over bound
@@ -43,32 +47,27 @@
 	copies   []faults.Copy
 }
 
-// NewMesh returns a mesh between routers that listen at the addresses given. At names where i reaches j. Wide is told of
+// NewMesh returns a mesh between routers that listen at the addresses given, and are reached at the others. Wide is told of
 // datagrams of more than bound bytes.
-func NewMesh(listen []netip.AddrPort, at func(i, j int) netip.AddrPort, seed uint64, bound int, wide func(from, bytes int)) (*Mesh, error) {
-	m := &Mesh{peer: listen, wide: wide, bound: bound}
+func NewMesh(listen, at []netip.AddrPort, seed uint64, bound int, wide func(from, bytes int)) (*Mesh, error) {
+	m := &Mesh{peer: listen, who: map[netip.AddrPort]int{}, wide: wide, bound: bound}
 	for i := range listen {
-		row, links := make([]*net.UDPConn, len(listen)), make([]*link, len(listen))
-		m.at, m.links = append(m.at, row), append(m.links, links)
-		for j := range listen {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at[i]))
+		if err != nil {
+			m.Close()
+			return nil, err
+		}
+		conn.SetReadBuffer(readBuffer)
+		m.at = append(m.at, conn)
+		m.who[listen[i]] = i
+		links := make([]*link, len(listen))
+		for j := range links {
 			links[j] = &link{decides: faults.NewLink(seed, uint64(i)<<16|uint64(j)), well: true}
-			if i == j {
-				continue
-			}
-			conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at(i, j)))
-			if err != nil {
-				m.Close()
-				return nil, err
-			}
-			row[j] = conn
 		}
+		m.links = append(m.links, links)
 	}
 	for i := range listen {
-		for j := range listen {
-			if i != j {
-				m.all.Go(func() { m.carry(i, j) })
-			}
-		}
+		m.all.Go(func() { m.carry(i) })
 	}
 	return m, nil
 }
@@ -85,21 +84,22 @@
 	}
 }
 
-// carry takes what i sends to j.
-func (m *Mesh) carry(i, j int) {
-	from, to, l := m.at[i][j], m.at[j][i], m.links[i][j]
+// carry takes what is sent to a router.
+func (m *Mesh) carry(j int) {
 	buf := make([]byte, mostDatagram)
 	for !m.closed.Load() {
-		n, sender, err := from.ReadFromUDPAddrPort(buf)
+		n, sender, err := m.at[j].ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if m.closed.Load() {
 				return
 			}
 			continue // word of an earlier one that nobody took
 		}
-		if netip.AddrPortFrom(sender.Addr().Unmap(), sender.Port()) != m.peer[i] {
+		i, known := m.who[netip.AddrPortFrom(sender.Addr().Unmap(), sender.Port())]
+		if !known {
 			continue
 		}
+		to, l := m.at[i], m.links[i][j] // it comes from where its sender is reached
 		if n > m.bound {
 			m.wide(i, n)
 		}
@@ -147,12 +147,8 @@
 // Close ends it. What is under way is lost.
 func (m *Mesh) Close() {
 	m.closed.Store(true)
-	for _, row := range m.at {
-		for _, c := range row {
-			if c != nil {
-				c.Close()
-			}
-		}
+	for _, c := range m.at {
+		c.Close()
 	}
 	m.all.Wait()
 }
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -129,7 +129,7 @@
 	p, x := r.p, &r.p.o.Experiment.Rig
 	text := p.fleet.RouterConfig(standin.Place{Name: r.name(), Listen: p.layout.client(r.n), Discovery: p.layout.list(r.n), Seed: p.o.Seed<<16 | uint64(r.n+1),
 		Zone: p.spec.Shape().Routers[r.n], Memory: x.MemoryMB, Sockets: x.Sockets, Cores: x.Cores,
-		Me: r.n, PeerListen: p.layout.peer(r.n).String(), Peers: p.layout.seenBy(r.n, p.spec.Routers)})
+		Me: r.n, PeerListen: p.layout.peer(r.n).String(), Peers: p.layout.known(p.spec.Routers)})
 	return os.WriteFile(filepath.Join(r.folder, "config.json"), text, 0o644)
 }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -264,7 +264,7 @@
 		h.Watch(func(s standin.Seen) { p.hostSaw(name, s) })
 	}
 	if p.spec.Routers > 1 {
-		p.mesh, err = relay.NewMesh(p.layout.peers(p.spec.Routers), p.layout.seen, p.o.Seed, mostDatagram, func(from, bytes int) {
+		p.mesh, err = relay.NewMesh(addresses(p.spec.Routers, p.layout.peer), addresses(p.spec.Routers, p.layout.seen), p.o.Seed, mostDatagram, func(from, bytes int) {
 			p.rec.add(history.Event{What: history.Wide, Who: fmt.Sprint("r", from), Bytes: bytes})
 		})
 		if err != nil {
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -10,9 +10,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,6 +56,7 @@
 
 	spec    *lab.Spec
 	client  *http.Client
+	fresh   *http.Client // a new connection for each request
 	mu      sync.Mutex
 	tallies []Tally
 }
@@ -61,7 +64,8 @@
 // NewClients returns clients of the router at an address.
 func NewClients(addr string, spec *lab.Spec) *Clients {
 	c := &Clients{Front: func(*lab.Planned) string { return addr }, spec: spec,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}}
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}},
+		fresh:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
 	for _, class := range spec.Classes {
 		c.tallies = append(c.tallies, Tally{Class: class.Class.Name, First: hdrhistogram.New(1, 600e6, 3)})
 	}
@@ -240,6 +244,15 @@
 	if again {
 		r.Header.Set("X-Repeat", "1")
 	}
+	var kept atomic.Bool
+	var wrote atomic.Pointer[time.Time]
+	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { kept.Store(i.Reused) },
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			now := time.Now()
+			wrote.Store(&now)
+		},
+	}))
 	c.tell(history.Event{What: history.Ask, ID: id, Who: addr, Class: class}, until)
 	defer func() {
 		silent, _ := content.(*pieces)
@@ -249,6 +262,12 @@
 		c.tell(history.Event{What: history.Answer, ID: id, How: a.how, Status: a.status}, until)
 	}()
 	resp, err := c.client.Do(r)
+	if at := wrote.Load(); err != nil && ctx.Err() == nil && kept.Load() && at != nil && time.Since(*at) < crossing {
+		c.tell(history.Event{What: history.Note, ID: id, Who: addr, Text: CloseCrossed}, until)
+		r = r.Clone(ctx)
+		r.Body = io.NopCloser(strings.NewReader(body))
+		resp, err = c.fresh.Do(r)
+	}
 	switch {
 	case err == nil:
 	case context.Cause(ctx) == errGaveUp:
@@ -300,6 +319,13 @@
 	}
 }
 
+// crossing is how soon after a request was written the end of its connection may be a close that the router began between two
+// requests. The platform's clients then send once more, on a new connection.
+const crossing = 100 * time.Millisecond
+
+// CloseCrossed is what a history says of that.
+const CloseCrossed = "a close crossed the request"
+
 var (
 	errGaveUp = errors.New("the client gave up")
 	errLeft   = errors.New("the client left")
