--- a/internal/faults/check.go
+++ b/internal/faults/check.go
@@ -152,5 +152,8 @@
 	case Lab:
 		return "in virtual time, only on sockets"
 	}
+	if w == View {
+		return "in the virtual time of views"
+	}
 	return "in the explorer"
 }
--- a/internal/faults/kinds.go
+++ b/internal/faults/kinds.go
@@ -58,21 +58,21 @@
 
 // Kinds has every kind. What a schedule may say, what a world refuses and the operators' table come from here.
 var Kinds = []Meaning{
-	{Loss, "a share of datagrams never comes; a piece of a connection's comes later by a retransmission's time", links, []string{"share"}, nil, Rig | Lab | Explore},
-	{Delay, "everything comes later by delay, and by up to jitter more", links, []string{"delay"}, []string{"jitter"}, Rig | Lab | Explore},
-	{Duplicate, "a share of datagrams comes twice, the second up to delay later", links, []string{"share"}, []string{"delay"}, Rig | Lab | Explore},
-	{Reorder, "a share of datagrams comes later by up to delay, past those behind them", links, []string{"share", "delay"}, nil, Rig | Lab | Explore},
-	{Clip, "a share of datagrams is cut short", links, []string{"share"}, nil, Rig},
-	{Flip, "a share of datagrams has one bit flipped", links, []string{"share"}, nil, Rig},
-	{Cut, "nothing passes; connections that were open are reset as it ends, new ones never come up", links, nil, nil, Rig | Lab | Explore},
-	{Partition, "routers of different groups do not reach each other; bridges reach all", links, nil, []string{"groups", "bridge"}, Rig | Lab | Explore},
-
-	{Kill, "the process dies at once, and starts again as it ends", routers | hosts, nil, []string{"disk", "file", "keep"}, Rig | Hosts | Lab | Explore},
-	{Power, "routers, hosts and list of a zone, or of all, die at once and start again as it ends", 0, nil, []string{"zone", "disk", "file", "keep"}, Rig},
-	{Pause, "the process stands still", routers, nil, nil, Rig | Explore},
-	{Crawl, "the process stands still for a share of the time, in bursts", routers, []string{"share"}, nil, Rig},
-	{Restart, "SIGTERM; the process starts again as it ends, once the old one is gone", routers, nil, nil, Rig},
-	{Replace, "a second process starts beside; once it takes clients the first gets SIGTERM", routers, nil, nil, Rig},
+	{Loss, "a share of datagrams never comes; a piece of a connection's comes later by a retransmission's time", links, []string{"share"}, nil, Rig | Lab | View | Explore},
+	{Delay, "everything comes later by delay, and by up to jitter more", links, []string{"delay"}, []string{"jitter"}, Rig | Lab | View | Explore},
+	{Duplicate, "a share of datagrams comes twice, the second up to delay later", links, []string{"share"}, []string{"delay"}, Rig | Lab | View | Explore},
+	{Reorder, "a share of datagrams comes later by up to delay, past those behind them", links, []string{"share", "delay"}, nil, Rig | Lab | View | Explore},
+	{Clip, "a share of datagrams is cut short", links, []string{"share"}, nil, Rig | View},
+	{Flip, "a share of datagrams has one bit flipped", links, []string{"share"}, nil, Rig | View},
+	{Cut, "nothing passes; connections that were open are reset as it ends, new ones never come up", links, nil, nil, Rig | Lab | View | Explore},
+	{Partition, "routers of different groups do not reach each other; bridges reach all", links, nil, []string{"groups", "bridge"}, Rig | Lab | View | Explore},
+
+	{Kill, "the process dies at once, and starts again as it ends", routers | hosts, nil, []string{"disk", "file", "keep"}, Rig | Hosts | Lab | View | Explore},
+	{Power, "routers, hosts and list of a zone, or of all, die at once and start again as it ends", 0, nil, []string{"zone", "disk", "file", "keep"}, Rig | View},
+	{Pause, "the process stands still", routers, nil, nil, Rig | View | Explore},
+	{Crawl, "the process stands still for a share of the time, in bursts", routers, []string{"share"}, nil, Rig | View},
+	{Restart, "SIGTERM; the process starts again as it ends, once the old one is gone", routers, nil, nil, Rig | View},
+	{Replace, "a second process starts beside; once it takes clients the first gets SIGTERM", routers, nil, nil, Rig | View},
 	{Twin, "a second process starts under the same name and addresses, by mistake, and gets SIGTERM as it ends", routers, nil, nil, Rig},
 	{FullDisk, "no file of the process can grow", routers, nil, nil, Rig},
 	{NoWrite, "the durable folder is no folder, and is again as it ends", routers, nil, nil, Rig},
@@ -131,7 +131,7 @@
 		for _, w := range []struct {
 			world World
 			name  string
-		}{{Rig, "rig"}, {Hosts, "serve-fleet"}, {Lab, "lab"}, {Explore, "explorer"}} {
+		}{{Rig, "rig"}, {Hosts, "serve-fleet"}, {Lab, "lab"}, {View, "view"}, {Explore, "explorer"}} {
 			if m.In(w.world) {
 				where = append(where, w.name)
 			}
--- a/internal/faults/types.go
+++ b/internal/faults/types.go
@@ -20,6 +20,7 @@
 	Rig     World = 1 << iota // processes on loopback
 	Hosts                     // stand-in hosts alone, as serve-fleet starts them
 	Lab                       // virtual time
+	View                      // virtual time of the fleet view
 	Explore                   // all orders
 )
 
--- /dev/null
+++ b/internal/viewlab/viewlab.go
@@ -0,0 +1,489 @@
+// Package viewlab plays the deciders of package members in virtual time: many routers, the network between them with the
+// faults of package faults, and invariants that are looked at after each step. The same Spec gives the same play. It is
+// pure, single-threaded, and bounded by its routers and what is under way.
+package viewlab
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"reachspread/internal/faults"
+	"reachspread/internal/history"
+	"reachspread/internal/lab"
+	"reachspread/internal/members"
+)
+
+// Spec is a play.
+type Spec struct {
+	Seed    uint64
+	Routers int
+	Zones   int // routers stand in them by turns; 0 counts as 1
+	Seeds   int // addresses that each router knows, drawn; 0 for all, and only they may join
+	Length  time.Duration
+	Same    time.Duration // a datagram's way within a zone
+	Cross   time.Duration // and between two
+	Jitter  float64       // up to this share longer
+	Spread  time.Duration // routers start within this time
+	Faults  []faults.Fault
+	Settled bool // routers begin with views of all: what is measured is not the joining
+	History func(*history.Event)
+	Changed func(router int, now time.Duration, c *members.Changed) // nil for nobody
+}
+
+// Shape is the fleet as schedules see it.
+func (s *Spec) Shape() *faults.Shape {
+	shape := &faults.Shape{}
+	for i := range s.Routers {
+		shape.Routers = append(shape.Routers, string(rune('a'+i%max(s.Zones, 1))))
+	}
+	return shape
+}
+
+// router is one place, with a decider while its process lives.
+type router struct {
+	n      int
+	addr   netip.AddrPort
+	zone   string
+	d      *members.Decider
+	gen    uint32
+	most   uint32 // the highest incarnation that any of its lives had
+	inc    uint32 // of this life
+	due    time.Duration
+	down   int
+	still  int
+	inbox  []members.Received
+	leaves bool
+	born   time.Duration
+}
+
+// World is a play at one moment.
+type World struct {
+	s       Spec
+	now     time.Duration
+	rng     *rand.Rand
+	queue   queue
+	seq     uint64
+	routers []*router
+	at      map[netip.AddrPort]*router
+	strikes []*faults.Strike
+	on      []*faults.Strike
+	link    *faults.Link
+	copies  []faults.Copy
+	broken  error
+
+	Datagrams, Bytes uint64 // sent
+	Deaths           int    // told by any router of any other
+	False            int    // of them, of routers that lived and were not still
+	Changes          int
+}
+
+type doing uint8
+
+const (
+	arrives doing = iota
+	wakes
+	starts
+	begins
+	ends
+	freezes
+	thaws
+)
+
+type event struct {
+	at   time.Duration
+	seq  uint64
+	do   doing
+	n    int // a router's or a strike's number
+	gen  uint32
+	from netip.AddrPort
+	data []byte
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return e
+}
+
+// New makes a world. Its faults must exist in virtual time of views.
+func New(s Spec) (*World, error) {
+	if s.Routers < 1 || s.Routers > 60000 {
+		return nil, fmt.Errorf("Routers is %d; it must be from 1 to 60000", s.Routers)
+	}
+	if err := faults.Check(s.Faults, s.Shape(), faults.View, s.Length); err != nil {
+		return nil, err
+	}
+	if s.Same == 0 {
+		s.Same, s.Cross, s.Jitter = 300*time.Microsecond, 2*time.Millisecond, 0.2
+	}
+	w := &World{s: s, rng: rand.New(rand.NewPCG(s.Seed, 0x71e3)), at: map[netip.AddrPort]*router{}, link: faults.NewLink(s.Seed, 0)}
+	shape := s.Shape()
+	for i := range s.Routers {
+		r := &router{n: i, zone: shape.Routers[i], addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 8), byte(i), 1}), 7946)}
+		w.routers = append(w.routers, r)
+		w.at[r.addr] = r
+	}
+	for i := range w.routers {
+		at := time.Duration(0)
+		if s.Spread > 0 {
+			at = time.Duration(w.rng.Int64N(int64(s.Spread)))
+		}
+		w.put(event{at: at, do: starts, n: i})
+	}
+	w.strikes = faults.Resolve(s.Faults, shape, s.Seed)
+	for i, x := range w.strikes {
+		w.put(event{at: x.At, do: begins, n: i})
+	}
+	return w, nil
+}
+
+func (w *World) put(e event) {
+	w.seq++
+	e.seq, e.at = w.seq, max(e.at, w.now)
+	heap.Push(&w.queue, e)
+}
+
+// Run plays until a time. An invariant that breaks ends it.
+func (w *World) Run(until time.Duration) error {
+	for len(w.queue) > 0 && w.queue[0].at <= until && w.broken == nil {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		w.play(&e)
+	}
+	if w.broken == nil {
+		w.now = max(w.now, until)
+	}
+	return w.broken
+}
+
+// Now is the time of the play.
+func (w *World) Now() time.Duration { return w.now }
+
+func (w *World) emit(e history.Event) {
+	if w.s.History != nil {
+		e.T = w.now.Nanoseconds()
+		w.s.History(&e)
+	}
+}
+
+func name(n int) string { return fmt.Sprint("r", n) }
+
+func (w *World) play(e *event) {
+	switch e.do {
+	case arrives:
+		r := w.routers[e.n]
+		switch {
+		case r.d == nil:
+		case r.still > 0:
+			if len(r.inbox) < mostInbox {
+				r.inbox = append(r.inbox, members.Received{From: e.from, Data: e.data})
+			}
+		default:
+			w.step(r, members.Received{From: e.from, Data: e.data})
+		}
+	case wakes:
+		if r := w.routers[e.n]; r.d != nil && r.gen == e.gen && r.due == e.at && r.still == 0 {
+			w.step(r, members.Passed{})
+		}
+	case starts:
+		w.start(w.routers[e.n])
+	case begins:
+		s := w.strikes[e.n]
+		w.emit(lab.FaultEvent(history.Fault, e.n, s))
+		w.put(event{at: w.now + s.Length, do: ends, n: e.n})
+		w.strike(s, true)
+	case ends:
+		s := w.strikes[e.n]
+		w.strike(s, false)
+		w.emit(lab.FaultEvent(history.Heal, e.n, s))
+	case freezes, thaws:
+		w.crawl(e)
+	}
+}
+
+// mostInbox is what a process's socket holds while it stands still.
+const mostInbox = 1000
+
+func (w *World) start(r *router) {
+	if r.d != nil || r.down > 0 {
+		return
+	}
+	var seeds []netip.AddrPort
+	if w.s.Seeds > 0 {
+		for _, i := range w.rng.Perm(w.s.Routers)[:min(w.s.Seeds, w.s.Routers)] {
+			seeds = append(seeds, w.routers[i].addr)
+		}
+	} else {
+		for _, x := range w.routers {
+			seeds = append(seeds, x.addr)
+		}
+	}
+	r.gen++
+	d, err := members.New(members.Config{Name: name(r.n), Zone: r.zone, Version: "1", Addr: r.addr, Boot: r.gen<<16 | uint32(r.n+1), Seeds: seeds,
+		Closed: w.s.Seeds == 0, Seed: w.s.Seed<<20 | uint64(r.n)}, w.now)
+	if err != nil {
+		w.broken = err
+		return
+	}
+	r.d, r.inc, r.leaves, r.born = d, 0, false, w.now
+	if w.s.Settled && r.gen == 1 {
+		for _, x := range w.routers {
+			d.Know(members.Member{Name: name(x.n), Zone: x.zone, Version: "1", Addr: x.addr, Boot: 1<<16 | uint32(x.n+1), Incarnation: 1})
+		}
+	}
+	w.emit(history.Event{What: history.Start, Who: name(r.n)})
+	w.step(r, members.Passed{})
+}
+
+// stop ends a router's process.
+func (w *World) stop(r *router) {
+	if r.d != nil {
+		r.d, r.inbox = nil, nil
+		w.emit(history.Event{What: history.Exit, Who: name(r.n), Status: -1, Text: "killed"})
+	}
+}
+
+// step has a decider take an event, and carries out what it wants.
+func (w *World) step(r *router, e members.Event) {
+	gen := r.gen
+	for _, a := range r.d.Step(w.now, e) {
+		switch a := a.(type) {
+		case members.Send:
+			w.send(r, a)
+		case members.Changed:
+			w.changed(r, &a)
+		}
+	}
+	if r.d == nil || r.gen != gen {
+		return
+	}
+	w.invariants(r)
+	if due := r.d.Next(); due != r.due || due <= w.now {
+		r.due = max(due, w.now+time.Microsecond) // a decider that wants to be called at once over and over does not stop the clock
+		w.put(event{at: r.due, do: wakes, n: r.n, gen: r.gen})
+	}
+}
+
+func (w *World) changed(r *router, c *members.Changed) {
+	w.Changes++
+	for _, x := range c.Changes {
+		if x.Why != members.Crashed && x.Why != members.ZoneLost {
+			continue
+		}
+		w.Deaths++
+		if of := w.at[x.Member.Addr]; of.d != nil && of.still == 0 && w.reaches(of) {
+			w.False++
+			w.emit(history.Event{What: history.Note, Who: name(r.n), Text: "false death of " + x.Member.Name})
+		}
+	}
+	if w.s.Changed != nil {
+		w.s.Changed(r.n, w.now, c)
+	}
+}
+
+// reaches tells that no cut or partition strikes a router at the moment.
+func (w *World) reaches(r *router) bool {
+	for _, s := range w.on {
+		if s.Kind == faults.Partition || s.Kind == faults.Cut && s.Touches(r.n) {
+			return false
+		}
+	}
+	return true
+}
+
+// invariants are looked at after each step of a router.
+func (w *World) invariants(r *router) {
+	inc := r.d.Incarnation()
+	switch {
+	case inc < r.inc:
+		w.broken = fmt.Errorf("at %v the incarnation of %s went from %d to %d", w.now, name(r.n), r.inc, inc)
+	case !r.leaves && r.d.State() != members.Joining && r.d.State() != members.Alive:
+		w.broken = fmt.Errorf("at %v %s is %v in its own view", w.now, name(r.n), r.d.State())
+	}
+	r.inc = inc
+}
+
+func (w *World) send(r *router, a members.Send) {
+	w.Datagrams++
+	w.Bytes += uint64(len(a.Data))
+	if len(a.Data) > members.MostDatagram {
+		w.broken = fmt.Errorf("at %v %s sends %d bytes", w.now, name(r.n), len(a.Data))
+		return
+	}
+	to := w.at[a.To]
+	if to == nil {
+		return
+	}
+	way := w.s.Same
+	if to.zone != r.zone {
+		way = w.s.Cross
+	}
+	way += time.Duration(w.s.Jitter * w.rng.Float64() * float64(way))
+	if len(w.on) == 0 {
+		w.put(event{at: w.now + way, do: arrives, n: to.n, from: r.addr, data: a.Data})
+		return
+	}
+	w.link.Condition = faults.ConditionOf(w.on, faults.End{N: r.n}, faults.End{N: to.n})
+	w.copies = w.link.Pass(len(a.Data), w.copies[:0])
+	for _, c := range w.copies {
+		data := a.Data
+		if c.Bytes < len(data) || c.Flip >= 0 {
+			data = append([]byte(nil), data[:c.Bytes]...)
+			if c.Flip >= 0 {
+				data[c.Flip/8] ^= 1 << (c.Flip % 8)
+			}
+		}
+		w.put(event{at: w.now + way + c.After, do: arrives, n: to.n, from: r.addr, data: data})
+	}
+}
+
+// strike has a fault begin or end.
+func (w *World) strike(s *faults.Strike, on bool) {
+	if faults.Of(s.Kind).OfLinks() {
+		if on {
+			w.on = append(w.on, s)
+		} else {
+			w.on = slices.DeleteFunc(w.on, func(x *faults.Strike) bool { return x == s })
+		}
+		return
+	}
+	for _, n := range s.Routers {
+		r := w.routers[n]
+		switch s.Kind {
+		case faults.Kill, faults.Power, faults.Restart:
+			if on {
+				if s.Kind == faults.Restart && r.d != nil && r.still == 0 {
+					r.leaves = true
+					w.step(r, members.Leave{})
+				}
+				r.down++
+				w.stop(r)
+			} else if r.down--; r.down == 0 {
+				w.start(r)
+			}
+		case faults.Replace:
+			if on && r.d != nil && r.still == 0 && r.down == 0 {
+				r.leaves = true
+				w.step(r, members.Leave{Replaced: true})
+				w.stop(r)
+				w.start(r)
+			}
+		case faults.Pause:
+			w.freeze(r, on)
+		case faults.Crawl:
+			if on {
+				w.put(event{at: w.now, do: freezes, n: n, gen: uint32(slices.Index(w.strikes, s))})
+			}
+		}
+	}
+}
+
+func (w *World) freeze(r *router, on bool) {
+	if on {
+		r.still++
+		return
+	}
+	if r.still--; r.still > 0 || r.d == nil {
+		return
+	}
+	inbox := r.inbox
+	r.inbox = nil
+	for _, e := range inbox {
+		if r.d != nil {
+			w.step(r, e)
+		}
+	}
+	if r.d != nil {
+		w.step(r, members.Passed{})
+	}
+}
+
+// burst is the length of one standstill of a router that crawls with the time until the next one.
+const burst = 200 * time.Millisecond
+
+func (w *World) crawl(e *event) {
+	s, r := w.strikes[e.gen], w.routers[e.n]
+	if e.do == freezes {
+		if w.now >= s.At+s.Length {
+			return
+		}
+		w.freeze(r, true)
+		w.put(event{at: w.now + time.Duration(s.Share*float64(burst)), do: thaws, n: e.n, gen: e.gen})
+		return
+	}
+	w.freeze(r, false)
+	w.put(event{at: w.now + time.Duration((1-s.Share)*float64(burst)), do: freezes, n: e.n, gen: e.gen})
+}
+
+// Settled tells whether all routers that live have the same view, in which are they and nobody else; if not, why.
+func (w *World) Settled() (bool, string) {
+	var digest uint64
+	var first *router
+	live := 0
+	for _, r := range w.routers {
+		if r.d == nil {
+			continue
+		}
+		live++
+		if first == nil {
+			first, digest = r, r.d.Digest()
+		}
+		if r.d.Digest() != digest {
+			return false, fmt.Sprintf("%s and %s see different fleets, of %d and %d", name(first.n), name(r.n), first.d.Figures().Alive, r.d.Figures().Alive)
+		}
+	}
+	if first == nil {
+		return true, ""
+	}
+	v := first.d.View()
+	if len(v.Members) != live {
+		return false, fmt.Sprintf("%s sees %d; %d live", name(first.n), len(v.Members), live)
+	}
+	for _, m := range v.Members {
+		if r := w.at[m.Addr]; r.d == nil || name(r.n) != m.Name {
+			return false, m.Name + " is seen, and does not live"
+		}
+	}
+	return true, ""
+}
+
+// Settle plays on until the fleet has settled, and returns when; ok is false where it has not by a time.
+func (w *World) Settle(until time.Duration) (at time.Duration, ok bool, why string) {
+	const look = 50 * time.Millisecond
+	for {
+		if ok, why = w.Settled(); ok {
+			return w.now, true, ""
+		}
+		if w.now >= until || w.broken != nil {
+			return w.now, false, why
+		}
+		w.Run(min(w.now+look, until))
+	}
+}
+
+// Decider returns a router's, nil while it is dead.
+func (w *World) Decider(n int) *members.Decider { return w.routers[n].d }
+
+// Live is how many routers live.
+func (w *World) Live() (n int) {
+	for _, r := range w.routers {
+		if r.d != nil {
+			n++
+		}
+	}
+	return n
+}
