--- a/internal/members/gossip.go
+++ b/internal/members/gossip.go
@@ -145,6 +145,8 @@
 	switch w.state {
 	case Alive:
 		switch {
+		case w.inc > e.Incarnation && w.boot != uint16(e.Boot):
+			d.wantCard(w.ref, from) // another process: who it is comes with its card
 		case w.inc > e.Incarnation:
 			d.lives(e, w.inc)
 			d.tellAll(w)
@@ -159,8 +161,9 @@
 			}
 			return
 		}
-		if !e.lives() {
-			d.lives(e, w.inc) // it has lived since
+		if w.inc > e.Incarnation {
+			d.wantCard(w.ref, from) // it has lived since, perhaps as another process
+			return
 		}
 		d.suspectOf(e, w)
 	case Dead:
@@ -208,7 +211,7 @@
 	}
 	d.past = d.now
 	d.set(d.self, d.self.State, inc+1)
-	d.tellLater(freshWord{word: word{ref: d.self.ref, state: Alive, inc: inc + 1}})
+	d.tellLater(freshWord{word: aliveWord(d.self)})
 }
 
 // wanted is a card that was asked for.
--- a/internal/members/join.go
+++ b/internal/members/join.go
@@ -30,7 +30,7 @@
 func (d *Decider) alive() {
 	d.set(d.self, Alive, d.self.Incarnation)
 	d.touched[d.self.ref] = d.self
-	d.tellLater(freshWord{word: word{ref: d.self.ref, state: Alive, inc: d.self.Incarnation}, card: true})
+	d.tellLater(freshWord{word: aliveWord(d.self), card: true})
 	for _, a := range d.met { // they did not know this one either, and are alive by now
 		d.introduce(a)
 	}
@@ -159,7 +159,7 @@
 		d.byAddr[c.Addr] = e
 		d.set(e, Alive, c.Incarnation)
 		d.figures.Joins++
-		d.tellLater(freshWord{word: word{ref: r, state: Alive, inc: c.Incarnation}, card: true})
+		d.tellLater(freshWord{word: aliveWord(e), card: true})
 		return
 	}
 	switch {
@@ -170,17 +170,12 @@
 		}
 		d.takeCard(e, &c)
 		d.lives(e, c.Incarnation)
-		d.tellLater(freshWord{word: word{ref: r, state: Alive, inc: c.Incarnation}, card: true})
+		d.tellLater(freshWord{word: aliveWord(e), card: true})
 	case c.Incarnation == e.Incarnation && c.Boot != e.Boot && c.Addr == from && from == e.Addr:
 		// Its new process has not learnt who it was.
 		d.send(from, appendCard(begin(cards), &e.Member))
 	case c.Incarnation == e.Incarnation && e.State == Dead:
-		d.hear(word{ref: r, state: Alive, inc: c.Incarnation}, from)
-	case c.Incarnation == e.Incarnation && c.Boot != e.Boot && e.lives():
-		// The word of the new incarnation came before its card did.
-		if !d.claims(e, &c) {
-			d.takeCard(e, &c)
-		}
+		d.hear(aliveWord(e), from)
 	}
 }
 
@@ -192,7 +187,13 @@
 		}
 		d.byAddr[c.Addr] = e
 	}
+	if e.lives() {
+		d.who ^= markWho(e)
+	}
 	e.Addr, e.Zone, e.Version, e.Boot = c.Addr, c.Zone, c.Version, c.Boot
+	if e.lives() {
+		d.who ^= markWho(e)
+	}
 	d.touched[e.ref] = e
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -42,6 +42,9 @@
 	forget     = 10 * time.Minute
 	calmFirst  = 5 * time.Second // not suspected on one word after a return
 	calmMost   = time.Minute
+	spareFirst = 2 * time.Second // not accused again by who was wrong, doubled each time
+	doubtAgain = 5 * time.Second // a zone is looked through so often at most
+	lookers    = 3               // members that look at each one of a zone in doubt
 	mostHealth = 8
 	missesKept = 8
 	mostFollow = 1024 // suspicions at once
@@ -56,10 +59,13 @@
 // entry is a member as this decider has it.
 type entry struct {
 	Member
-	ref   ref
-	calm  time.Duration // until then it is not suspected: it returned from a death
-	calms uint8         // such returns so far
-	told  told          // what users of the view know of it
+	ref     ref
+	calm    time.Duration // until then it is not suspected: it returned from a death
+	calms   uint8         // such returns so far
+	spare   time.Duration // until then this decider does not accuse it: others reach it
+	spares  uint8
+	through ref  // who reached it last where this decider did not
+	told    told // what users of the view know of it
 }
 
 // told is what users of the view know of a member.
@@ -82,7 +88,8 @@
 	byAddr map[netip.AddrPort]*entry
 	living int
 	dead   int
-	digest uint64
+	digest uint64 // of the living and their incarnations: what is to be the same everywhere
+	who    uint64 // of the living and their processes: what users see
 
 	joinAt, joinUntil, greetAt time.Duration
 	leaving                    bool
@@ -105,14 +112,15 @@
 	relay       uint16
 	syncAt      time.Duration
 
-	touched map[ref]*entry // what users may have to be told
-	heldAt  time.Duration  // until then a death waits for others in doubt, 0 for none that waits
-	views   uint64
-	refusal map[string]bool
-	taken   bool
-	figures Figures
-	expect  time.Duration // when the owner is due to call
-	mute    time.Duration // until then nobody is accused: this decider stood still
+	doubtful map[string]time.Duration // zones, when they were last looked through
+	touched  map[ref]*entry           // what users may have to be told
+	heldAt   time.Duration            // until then a death waits for others in doubt, 0 for none that waits
+	views    uint64
+	refusal  map[string]bool
+	taken    bool
+	figures  Figures
+	expect   time.Duration // when the owner is due to call
+	mute     time.Duration // until then nobody is accused: this decider stood still
 }
 
 // New returns the Decider of a router that starts now.
@@ -139,7 +147,7 @@
 	}
 	c.Seeds = slices.DeleteFunc(slices.Clone(c.Seeds), func(a netip.AddrPort) bool { return a == c.Addr })
 	d := &Decider{c: c, rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Boot))), now: now, byAddr: map[netip.AddrPort]*entry{},
-		suspects: map[ref]*suspect{}, wants: map[ref]wanted{}, touched: map[ref]*entry{}, refusal: map[string]bool{}}
+		suspects: map[ref]*suspect{}, wants: map[ref]wanted{}, touched: map[ref]*entry{}, doubtful: map[string]time.Duration{}, refusal: map[string]bool{}}
 	d.self = &entry{ref: refOf(c.Name), Member: Member{Name: c.Name, Zone: c.Zone, Version: c.Version, Addr: c.Addr, Boot: c.Boot,
 		Incarnation: max(c.Incarnation, 1), State: Joining, Since: now}}
 	d.list = []*entry{d.self}
@@ -249,9 +257,12 @@
 	return i, nil
 }
 
-// mark is a living member's part of the digest.
-func mark(e *entry) uint64 {
-	x := uint64(e.ref)*0x9e3779b97f4a7c15 ^ uint64(e.Incarnation)*0xd6e8feb86659fd93
+// mark is a living member's part of the digest, and markWho its part of that of the view.
+func mark(e *entry) uint64    { return mix(e.ref, e.Incarnation) }
+func markWho(e *entry) uint64 { return mix(e.ref, e.Boot) }
+
+func mix(r ref, n uint32) uint64 {
+	x := uint64(r)*0x9e3779b97f4a7c15 ^ uint64(n)*0xd6e8feb86659fd93
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
 	return x ^ x>>32
@@ -261,6 +272,7 @@
 func (d *Decider) set(e *entry, s State, inc uint32) {
 	if e.lives() {
 		d.digest ^= mark(e)
+		d.who ^= markWho(e)
 		d.living--
 	} else if e.State == Dead {
 		d.dead--
@@ -275,6 +287,7 @@
 	}
 	if e.lives() {
 		d.digest ^= mark(e)
+		d.who ^= markWho(e)
 		d.living++
 	} else if s == Dead {
 		d.dead++
--- a/internal/members/probe.go
+++ b/internal/members/probe.go
@@ -176,6 +176,9 @@
 func (d *Decider) askOthers(e *entry, x *run) {
 	fits := func(x *entry) bool { return x != e && x.State == Alive }
 	others := d.some(asked, func(x *entry) bool { return fits(x) && x.Zone != d.self.Zone })
+	if _, x := d.find(e.through); x != nil && x != d.self && fits(x) && !slices.Contains(others, x) { // it knows a way
+		others = append([]*entry{x}, others[:min(len(others), asked-1)]...)
+	}
 	for _, x := range d.some(asked, fits) {
 		if len(others) < asked && !slices.Contains(others, x) {
 			others = append(others, x)
@@ -216,7 +219,7 @@
 	if half*2 >= missesKept {
 		d.worse()
 	}
-	if d.now >= d.mute {
+	if d.now >= d.mute && d.now >= e.spare {
 		d.suspectOf(e, word{ref: e.ref, state: Suspected, inc: e.Incarnation, by: d.self.ref})
 	}
 }
@@ -261,7 +264,7 @@
 	b := binary.BigEndian.AppendUint16(begin(ack), seq)
 	b = binary.BigEndian.AppendUint32(b, uint32(d.digest))
 	if against { // it refutes that, each time anew: the last answer may be lost
-		b = appendWord(b, word{ref: d.self.ref, state: Alive, inc: d.self.Incarnation})
+		b = appendWord(b, aliveWord(d.self))
 	}
 	if sender != nil && !sender.lives() { // who is held to be dead learns so
 		b = appendWord(b, word{ref: sender.ref, state: Dead, inc: sender.Incarnation})
@@ -314,6 +317,9 @@
 		p.runs = slices.Delete(p.runs, i, i+1)
 		p.misses <<= 1
 		d.rtt -= d.rtt / 32
+		if via := d.byAddr[from]; !direct && via != nil {
+			e.through = via.ref
+		}
 		if direct {
 			d.figures.Health = max(d.figures.Health-1, 0)
 		}
--- a/internal/members/suspect.go
+++ b/internal/members/suspect.go
@@ -11,6 +11,7 @@
 	e      *entry
 	inc    uint32
 	began  time.Duration // at this decider
+	mine   bool          // this decider accused
 	follow bool          // this decider is a witness, or the one who accused
 	own    time.Duration // since when it pings
 	pinged time.Duration // last
@@ -51,8 +52,10 @@
 		if !s.follow {
 			d.rank(s)
 		}
+		s.mine = s.follow
 		w.witness = w.witness && w.by != d.self.ref
 		d.tellAll(w)
+		d.doubtZone(e.Zone)
 	}
 	if w.witness && len(s.by) < witnesses+1 && !slices.Contains(s.by, w.by) {
 		s.by = append(s.by, w.by)
@@ -61,6 +64,32 @@
 	}
 }
 
+// doubtZone has others of a zone be looked at once two of it are in doubt: if the zone is lost, all of it is to be known at
+// once. Each is looked at by a few members, drawn by a hash of the two.
+func (d *Decider) doubtZone(zone string) {
+	if at, ok := d.doubtful[zone]; ok && d.now < at+doubtAgain {
+		return
+	}
+	n := 0
+	for _, s := range d.suspects {
+		if s.e.Zone == zone {
+			n++
+		}
+	}
+	if n < 2 || zone == d.self.Zone {
+		return
+	}
+	if len(d.doubtful) > 64 {
+		clear(d.doubtful)
+	}
+	d.doubtful[zone] = d.now
+	for _, e := range d.list {
+		if e.State == Alive && e.Zone == zone && weight(d.self.ref, e.ref)%uint64(max(d.living, 1)) < lookers {
+			d.soon(e)
+		}
+	}
+}
+
 // rank works out whether this decider is a witness: among the first of all that live and are not in doubt themselves, by
 // rendezvous of them and the suspect.
 func (d *Decider) rank(s *suspect) {
@@ -160,6 +189,10 @@
 // lives takes word that a member lives, at an incarnation beyond the one that it is suspected or dead at.
 func (d *Decider) lives(e *entry, inc uint32) {
 	was := e.State
+	if s := d.suspects[e.ref]; s != nil && s.mine {
+		e.spare = d.now + min(spareFirst<<min(e.spares, 8), calmMost)
+		e.spares = min(e.spares+1, 8)
+	}
 	delete(d.suspects, e.ref)
 	if was == Suspected {
 		d.figures.Refuted++
--- a/internal/members/sync.go
+++ b/internal/members/sync.go
@@ -126,7 +126,7 @@
 	n := 0
 	for _, e := range d.beneath(path) {
 		if e.lives() && !but[e.ref] && n < partWords && len(b) <= roomFor-mostWord {
-			b = appendWord(b, word{ref: e.ref, state: Alive, inc: e.Incarnation})
+			b = appendWord(b, aliveWord(e))
 			n++
 		}
 	}
--- a/internal/members/types.go
+++ b/internal/members/types.go
@@ -74,7 +74,7 @@
 // View is a snapshot: members that are alive or suspected, by name.
 type View struct {
 	Version uint64 // grows with each change, of this decider alone
-	Digest  uint64 // two views with the same members at the same incarnations have the same
+	Digest  uint64 // two views with the same members and the same processes of them have the same
 	Members []Member
 }
 
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -7,7 +7,7 @@
 
 // View returns a snapshot. It costs as much as the fleet has members, so it is made for whoever asks, not for each change.
 func (d *Decider) View() *View {
-	v := &View{Version: d.views, Digest: d.digest, Members: make([]Member, 0, d.living)}
+	v := &View{Version: d.views, Digest: d.who, Members: make([]Member, 0, d.living)}
 	for _, e := range d.list {
 		if e.lives() {
 			v.Members = append(v.Members, e.Member)
@@ -18,7 +18,7 @@
 }
 
 // Digest tells two views apart.
-func (d *Decider) Digest() uint64 { return d.digest }
+func (d *Decider) Digest() uint64 { return d.who }
 
 // tell tells users what became of members since they were last told. A death waits as long as others of its zone are in doubt.
 func (d *Decider) tell() {
@@ -50,7 +50,7 @@
 	d.zones(changes, lost)
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Member.Name, b.Member.Name) })
 	d.views++
-	d.out = append(d.out, Changed{Version: d.views, Digest: d.digest, Changes: changes})
+	d.out = append(d.out, Changed{Version: d.views, Digest: d.who, Changes: changes})
 }
 
 // change is what became of a member since users were last told.
--- a/internal/members/wire.go
+++ b/internal/members/wire.go
@@ -41,8 +41,9 @@
 	ref     ref
 	state   State // Alive, Suspected, Dead or Left
 	inc     uint32
-	witness bool // of a suspicion: its time has passed, and the witness heard nothing
-	by      ref  // of a suspicion: who says so
+	witness bool   // of a suspicion: its time has passed, and the witness heard nothing
+	by      ref    // of a suspicion: who says so
+	boot    uint16 // of who is alive: the low half, to see that the card at hand is of that process
 }
 
 const (
@@ -101,7 +102,10 @@
 	b = append(b, flags)
 	b = appendRef(b, w.ref)
 	b = binary.AppendUvarint(b, uint64(w.inc))
-	if w.state == Suspected {
+	switch w.state {
+	case Alive:
+		b = binary.BigEndian.AppendUint16(b, w.boot)
+	case Suspected:
 		b = appendRef(b, w.by)
 	}
 	return b
@@ -198,7 +202,10 @@
 		return w
 	}
 	w.ref, w.inc = r.ref(), r.uvarint()
-	if w.state == Suspected {
+	switch w.state {
+	case Alive:
+		w.boot = r.u16()
+	case Suspected:
 		w.by = r.ref()
 	}
 	return w
@@ -211,6 +218,11 @@
 
 func appendText(b []byte, s string) []byte { return append(append(b, byte(len(s))), s...) }
 
+// aliveWord says of a member that it lives.
+func aliveWord(e *entry) word {
+	return word{ref: e.ref, state: Alive, inc: e.Incarnation, boot: uint16(e.Boot)}
+}
+
 // appendCard writes who a member is.
 func appendCard(b []byte, m *Member) []byte {
 	b = binary.AppendUvarint(b, uint64(m.Incarnation))
--- /dev/null
+++ b/internal/viewlab/drawn_test.go
@@ -0,0 +1,67 @@
+package viewlab
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"reachspread/internal/faults"
+)
+
+// playDrawn plays a schedule that a seed draws, on a fleet that it draws too, and returns what is wrong.
+func playDrawn(t testing.TB, seed uint64) string {
+	s := Spec{Seed: seed, Routers: 2 + int(seed*7%23), Zones: 1 + int(seed%4), Length: 2 * time.Minute}
+	if seed%3 == 0 {
+		s.Seeds = 3 + s.Routers/4
+	}
+	b := faults.Bounds{Length: 30 * sec, Faults: 5, World: faults.View}
+	for _, f := range faults.Draw(b, s.Shape(), seed) {
+		f.Links, f.At = nil, f.At+5*sec
+		s.Faults = append(s.Faults, f)
+	}
+	w := world(t, s)
+	last := time.Duration(0)
+	for _, f := range s.Faults {
+		last = max(last, f.At+f.Length)
+	}
+	err := w.Run(last + 1)
+	var why string
+	ok := true
+	if err == nil {
+		if _, ok, why = w.Settle(last + settles(s.Routers)); ok {
+			err = w.Run(w.now + 5*sec)
+			ok, why = w.Settled()
+		}
+	}
+	switch {
+	case err != nil:
+		return err.Error() + faults.Text(s.Faults)
+	case !ok:
+		return "not settled: " + why + faults.Text(s.Faults)
+	case w.False > 0 && !strings.Contains(faults.Text(s.Faults), "\"crawl\""):
+		return "a living member was taken for dead" + faults.Text(s.Faults)
+	}
+	return ""
+}
+
+// Drawn schedules on drawn fleets, of few routers that know each other or not, settle and break nothing.
+func TestDrawn(t *testing.T) {
+	for seed := range uint64(150) {
+		if why := playDrawn(t, seed); why != "" {
+			t.Errorf("seed %d: %s", seed, why)
+		}
+	}
+}
+
+// The same by thousands.
+func TestMeasureDrawn(t *testing.T) {
+	asked(t)
+	failed := 0
+	for seed := *firstOf; seed < *firstOf+uint64(*drawn); seed++ {
+		if why := playDrawn(t, seed); why != "" {
+			failed++
+			t.Errorf("seed %d: %s", seed, why)
+		}
+	}
+	t.Logf("%d schedules from seed %d on: %d failed", *drawn, *firstOf, failed)
+}
