Fleet view on sockets: driver, block fleet, call view, figures, command; parts of the program as a list

What goes between routers has a room of its own, internal/peering. The program's parts (door, capture, mirror, peers, moves) are one list that is started in its order and left and stopped the other way round. With the block fleet off nothing of it runs.

--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -20,6 +20,8 @@
 	// Takes tells whether this process takes clients, and names the phase that it is in.
 	Takes() (takes bool, phase string)
 	Values() Values
+	// View is the fleet's routers as this one sees them, a line each; on is false where it keeps no view.
+	View() (lines []string, on bool)
 	// Drain sends clients away, or takes them again. It names the phase that this led to.
 	Drain(on bool) (phase string, err error)
 }
@@ -32,6 +34,15 @@
 	Entries           int64
 	Avoided           int64
 	Accepted, Invalid uint64
+	Fleet             *Fleet // nil where the router keeps no view of the fleet
+}
+
+// Fleet is the figures of the view of the fleet.
+type Fleet struct {
+	Members, Suspected, Dead           int
+	View                               uint64 // the number of the view that the core has by now
+	Deaths, Suspicions, Refuted, Stood uint64
+	Sent, SentBytes, Dropped           uint64
 }
 
 // Class is how the requests of one class ended.
@@ -52,6 +63,7 @@
 	{"vars", "the figures, a line each, and a line `.` at the end", vars},
 	{"drain-on", "sends clients away: not ready, answers end their connections, silent ones are closed", drain(true)},
 	{"drain-off", "takes clients again", drain(false)},
+	{"view", "the fleet's routers as this one sees them, a line each, and a line `.` at the end; `-ERR` where no block `fleet` is set", view},
 }
 
 // Figure is one thing that is told under a name; one that counts by class has a line for each class.
@@ -59,6 +71,7 @@
 	Name, Meaning string
 	class         func(*Class) uint64
 	whole         func(*Values) int64
+	fleet         func(*Fleet) uint64 // told only while the router keeps a view of the fleet
 }
 
 const (
@@ -77,6 +90,17 @@
 	{Name: "out_of_rotation", Meaning: "of these, the ones that get nothing new: they drain, or failed of late", whole: func(v *Values) int64 { return v.Avoided }},
 	{Name: "cfg_accepted_total", Meaning: "configuration files taken at SIGHUP", whole: func(v *Values) int64 { return int64(v.Accepted) }},
 	{Name: "cfg_invalid_total", Meaning: "configuration files turned down at SIGHUP", whole: func(v *Values) int64 { return int64(v.Invalid) }},
+	{Name: "fleet_members", Meaning: "routers alive in this one's view, itself among them", fleet: func(f *Fleet) uint64 { return uint64(f.Members) }},
+	{Name: "fleet_suspected", Meaning: "of these, the ones that missed a probe and may still answer", fleet: func(f *Fleet) uint64 { return uint64(f.Suspected) }},
+	{Name: "fleet_dead", Meaning: "routers that are held to be dead, and greeted from time to time", fleet: func(f *Fleet) uint64 { return uint64(f.Dead) }},
+	{Name: "fleet_view", Meaning: "the number of the view that the core has taken up", fleet: func(f *Fleet) uint64 { return f.View }},
+	{Name: "fleet_deaths_total", Meaning: "deaths in this one's view", fleet: func(f *Fleet) uint64 { return f.Deaths }},
+	{Name: "fleet_suspicions_total", Meaning: "suspicions", fleet: func(f *Fleet) uint64 { return f.Suspicions }},
+	{Name: "fleet_refuted_total", Meaning: "of these, the ones that the suspect refuted", fleet: func(f *Fleet) uint64 { return f.Refuted }},
+	{Name: "fleet_stood_total", Meaning: "times that this router found that it had stood still", fleet: func(f *Fleet) uint64 { return f.Stood }},
+	{Name: "fleet_sent_total", Meaning: "datagrams sent for the view", fleet: func(f *Fleet) uint64 { return f.Sent }},
+	{Name: "fleet_sent_bytes_total", Meaning: "bytes in them", fleet: func(f *Fleet) uint64 { return f.SentBytes }},
+	{Name: "fleet_dropped_total", Meaning: "datagrams for the view that were broken or from a stranger", fleet: func(f *Fleet) uint64 { return f.Dropped }},
 }
 
 // Answer returns the answer to a line, which comes without its end.
@@ -127,6 +151,12 @@
 	slices.SortFunc(v.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
 	text := []byte("+OK\n")
 	for _, f := range Figures {
+		if f.fleet != nil {
+			if v.Fleet != nil {
+				text = fmt.Appendf(text, "%s%s %d\n", prefix, f.Name, f.fleet(v.Fleet))
+			}
+			continue
+		}
 		if f.whole != nil {
 			text = fmt.Appendf(text, "%s%s %d\n", prefix, f.Name, f.whole(&v))
 			continue
@@ -139,6 +169,14 @@
 	return string(append(text, ".\n"...))
 }
 
+func view(r Router) string {
+	lines, on := r.View()
+	if !on {
+		return Refusal("this router keeps no view of the fleet; the settings have no block fleet")
+	}
+	return "+OK\n" + strings.Join(append(lines, ".\n"), "\n")
+}
+
 // quote writes the value of a label.
 func quote(s string) string {
 	return `"` + strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`).Replace(s) + `"`
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -19,6 +19,9 @@
 
 func (s *scripted) Takes() (bool, string) { return s.phase == "serving", s.phase }
 func (s *scripted) Values() Values        { return s.values }
+func (s *scripted) View() ([]string, bool) {
+	return []string{"view version=1"}, s.values.Fleet != nil
+}
 func (s *scripted) Drain(on bool) (string, error) {
 	if on {
 		return "draining", s.err
@@ -38,8 +41,9 @@
 		{"drain-on", "serving", "+OK draining\n", nil},
 		{"drain-off", "draining", "+OK serving\n", nil},
 		{"drain-off", "leaving", "-ERR no\n", errors.New("no")},
-		{"", "serving", "-ERR the line is empty; say check, vars, drain-on or drain-off\n", nil},
-		{"Check", "serving", "-ERR \"Check\" is no call; say check, vars, drain-on or drain-off\n", nil},
+		{"view", "serving", "-ERR this router keeps no view of the fleet; the settings have no block fleet\n", nil},
+		{"", "serving", "-ERR the line is empty; say check, vars, drain-on, drain-off or view\n", nil},
+		{"Check", "serving", "-ERR \"Check\" is no call; say check, vars, drain-on, drain-off or view\n", nil},
 	} {
 		if got := Answer(tt.line, &scripted{phase: tt.phase, err: tt.err}); got != tt.want {
 			t.Errorf("%q while %s: got %q, want %q", tt.line, tt.phase, got, tt.want)
--- a/internal/transport/gossip.go
+++ b/internal/peering/gossip.go
@@ -1,4 +1,6 @@
-package transport
+// Package peering drives what goes between routers: the socket for datagrams, the news of the module, and the fleet view of
+// package members. It decides nothing.
+package peering
 
 import (
 	"context"
@@ -10,6 +12,7 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/internal/members"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
 )
@@ -25,6 +28,8 @@
 	number map[netip.AddrPort]int
 	log    routing.Logger
 
+	members func(from netip.AddrPort, data []byte) // takes those of the fleet view; nil where it is off
+
 	unread atomic.Uint64 // datagrams dropped: cut, of another version, from a stranger
 	unsent atomic.Uint64
 }
@@ -100,6 +105,10 @@
 			g.drop(from, err)
 			continue
 		}
+		if g.members != nil && members.IsOurs(buf[:n]) {
+			g.members(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n])
+			continue
+		}
 		i, known := g.number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if !known {
 			g.drop(from, errStranger)
@@ -142,5 +151,20 @@
 	}
 }
 
+// Members has datagrams of the fleet view be given to take, which must not keep them. It is called before Run.
+func (g *Gossip) Members(take func(from netip.AddrPort, data []byte)) { g.members = take }
+
+// Send sends a datagram to an address. What can't be sent now is lost.
+func (g *Gossip) Send(to netip.AddrPort, data []byte) {
+	conn := g.conn.Load()
+	if conn == nil {
+		g.unsent.Add(1)
+		return
+	}
+	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
+		g.unsent.Add(1)
+	}
+}
+
 // Dropped returns how many datagrams could not be read, and how many could not be sent.
 func (g *Gossip) Dropped() (unread, unsent uint64) { return g.unread.Load(), g.unsent.Load() }
--- a/internal/transport/gossip_test.go
+++ b/internal/peering/gossip_test.go
@@ -1,4 +1,4 @@
-package transport_test
+package peering_test
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"reachspread/balance"
+	"reachspread/internal/peering"
 	"reachspread/internal/peers"
 	"reachspread/internal/protocol"
-	"reachspread/internal/transport"
 )
 
 // Datagrams of strangers, cut ones and such of another version are dropped and counted; what comes after them is heard.
@@ -31,7 +31,7 @@
 	own := spare.LocalAddr().String()
 	spare.Close()
 	lines := make(chan string, 10)
-	g, err := transport.NewGossip(own, []string{own, peer.LocalAddr().String()}, false, peers.Lines(lines))
+	g, err := peering.NewGossip(own, []string{own, peer.LocalAddr().String()}, false, peers.Lines(lines))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -97,10 +97,10 @@
 	}
 	own := free.LocalAddr().String()
 	all := []string{own, peer.LocalAddr().String()}
-	if _, err := transport.NewGossip(own, all, false, lines); err == nil {
+	if _, err := peering.NewGossip(own, all, false, lines); err == nil {
 		t.Error("an address in use was taken")
 	}
-	g, err := transport.NewGossip(own, all, true, lines)
+	g, err := peering.NewGossip(own, all, true, lines)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/peering/view.go
@@ -0,0 +1,162 @@
+package peering
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"reachspread/internal/members"
+	"reachspread/internal/routing"
+)
+
+const (
+	// mostWaiting bounds the datagrams that wait for the decider; further ones are lost, as on any network.
+	mostWaiting = 512
+	// mostNames bounds the members that a log line names.
+	mostNames = 8
+)
+
+// View drives the fleet view: one goroutine owns the decider.
+type View struct {
+	d       *members.Decider
+	send    func(to netip.AddrPort, data []byte)
+	changed func(*members.View, *members.Changed) // must not wait
+	log     routing.Logger
+	start   time.Time // with the monotonic clock, the only one that is asked
+	in      chan datagram
+	leave   chan leaving
+	room    sync.Pool
+
+	view    atomic.Pointer[members.View]
+	figures atomic.Pointer[members.Figures]
+	lost    atomic.Uint64 // datagrams that found no room
+}
+
+type datagram struct {
+	from netip.AddrPort
+	n    int
+	data *[members.MostDatagram]byte
+}
+
+type leaving struct {
+	replaced bool
+	done     chan bool
+}
+
+// NewView returns the view of a router that starts now. Changed is told of each change, in order.
+func NewView(c members.Config, send func(netip.AddrPort, []byte), changed func(*members.View, *members.Changed), log routing.Logger) (*View, error) {
+	d, err := members.New(c, 0)
+	if err != nil {
+		return nil, err
+	}
+	v := &View{d: d, send: send, changed: changed, log: log, start: time.Now(), in: make(chan datagram, mostWaiting), leave: make(chan leaving),
+		room: sync.Pool{New: func() any { return new([members.MostDatagram]byte) }}}
+	v.publish()
+	return v, nil
+}
+
+// Take takes a datagram and keeps a copy. It waits for nobody.
+func (v *View) Take(from netip.AddrPort, data []byte) {
+	if len(data) > members.MostDatagram {
+		v.lost.Add(1)
+		return
+	}
+	room := v.room.Get().(*[members.MostDatagram]byte)
+	select {
+	case v.in <- datagram{from, copy(room[:], data), room}:
+	default:
+		v.lost.Add(1)
+		v.room.Put(room)
+	}
+}
+
+// Run works until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case x := <-v.in:
+			v.step(members.Received{From: x.from, Data: x.data[:x.n]})
+			v.room.Put(x.data)
+		case l := <-v.leave:
+			v.step(members.Leave{Replaced: l.replaced})
+			close(l.done)
+		case <-timer.C:
+			v.step(members.Passed{})
+		}
+		timer.Reset(max(v.d.Next()-time.Since(v.start), 0))
+	}
+}
+
+// Leave tells the others that this router ends, unless another process of it takes over. It waits until they are told, or
+// ctx has ended.
+func (v *View) Leave(ctx context.Context, replaced bool) {
+	l := leaving{replaced, make(chan bool)}
+	select {
+	case v.leave <- l:
+		<-l.done
+	case <-ctx.Done():
+	}
+}
+
+// Now returns the present view. It waits for nothing, and is not to be changed.
+func (v *View) Now() *members.View { return v.view.Load() }
+
+// Figures returns the counters as of the last step. It waits for nothing.
+func (v *View) Figures() members.Figures { return *v.figures.Load() }
+
+func (v *View) publish() {
+	v.view.Store(v.d.View())
+	f := v.d.Figures()
+	v.figures.Store(&f)
+}
+
+func (v *View) step(e members.Event) {
+	for _, a := range v.d.Step(time.Since(v.start), e) {
+		switch a := a.(type) {
+		case members.Send:
+			v.send(a.To, a.Data)
+		case members.Changed:
+			now := v.d.View()
+			v.view.Store(now)
+			v.changed(now, &a)
+			v.tell(&a)
+		case members.Refused:
+			v.log.Warn("name refused", "name", a.Name, "claimed_by", a.Addr)
+		case members.Taken:
+			v.log.Warn("name taken", "told_by", a.By)
+		}
+	}
+	f := v.d.Figures()
+	v.figures.Store(&f)
+}
+
+// tell writes the lines of a change: members lost, by reason, and members that are back. Who joins, restarts or leaves as it
+// should needs nobody.
+func (v *View) tell(c *members.Changed) {
+	lost := map[members.Why][]string{}
+	for _, x := range c.Changes {
+		lost[x.Why] = append(lost[x.Why], x.Member.Name)
+	}
+	for _, why := range []members.Why{members.Crashed, members.ZoneLost} {
+		if names := lost[why]; len(names) > 0 {
+			v.log.Warn("routers lost", "why", why, "count", len(names), "names", some(names), "view", c.Version)
+		}
+	}
+	if names := lost[members.Returned]; len(names) > 0 {
+		v.log.Info("routers back", "count", len(names), "names", some(names), "view", c.Version)
+	}
+}
+
+func some(names []string) string {
+	if len(names) > mostNames {
+		return strings.Join(names[:mostNames], ",") + ",..."
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/internal/peering/view_test.go
@@ -0,0 +1,77 @@
+package peering_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"reachspread/internal/members"
+	"reachspread/internal/peering"
+	"reachspread/internal/peers"
+)
+
+// Three drivers on sockets find each other; one that leaves is gone, one that ends without a word is lost, with a line.
+func TestViewOnSockets(t *testing.T) {
+	var addrs []string
+	for range 3 {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, c.LocalAddr().String())
+		c.Close()
+	}
+	type driver struct {
+		*peering.View
+		end     context.CancelFunc
+		lines   peers.Lines
+		changes chan *members.Changed
+	}
+	var all []*driver
+	for i, a := range addrs {
+		x := &driver{lines: make(peers.Lines, 100), changes: make(chan *members.Changed, 100)}
+		g, err := peering.NewGossip(a, addrs, false, x.lines)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := members.Config{Name: fmt.Sprint("r", i), Zone: "z", Version: "1", Addr: netip.MustParseAddrPort(a), Boot: uint32(i + 1), Seed: uint64(i)}
+		for _, s := range addrs {
+			c.Seeds = append(c.Seeds, netip.MustParseAddrPort(s))
+		}
+		if x.View, err = peering.NewView(c, g.Send, func(v *members.View, ch *members.Changed) { x.changes <- ch }, x.lines); err != nil {
+			t.Fatal(err)
+		}
+		g.Members(x.Take)
+		ctx, end := context.WithCancel(context.Background())
+		x.end = end
+		defer end()
+		go g.Run(ctx, nil)
+		go x.Run(ctx)
+		all = append(all, x)
+	}
+	sees := func(x *driver, n int) {
+		t.Helper()
+		for len(x.Now().Members) != n {
+			peers.Next(t, x.changes, fmt.Sprintf("a view of %d", n))
+		}
+	}
+	for _, x := range all {
+		sees(x, 3)
+	}
+	all[2].Leave(t.Context(), false)
+	all[2].end()
+	for _, x := range all[:2] {
+		sees(x, 2)
+	}
+	if f := all[0].Figures(); f.Deaths != 0 || f.Alive != 2 {
+		t.Errorf("after a leaving: %+v", f)
+	}
+	all[1].end()
+	sees(all[0], 1)
+	if line := peers.Next(t, all[0].lines, "a line"); !strings.HasPrefix(line, "routers lost why=crashed count=1 names=r1") {
+		t.Errorf("got %q", line)
+	}
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -169,7 +169,7 @@
 		return fmt.Errorf("%s: shadow may hold %d bytes of bodies and answers; an eighth of limits.memory_mb is %d", path, set.Memory(), most)
 	}
 	c.set = set
-	return nil
+	return c.checkFleet(path)
 }
 
 // connectFor is the time for a connection to a real server to come up.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -15,6 +15,7 @@
 	"reachspread/internal/beside"
 	"reachspread/internal/capture"
 	"reachspread/internal/mirror"
+	"reachspread/internal/peering"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
 	"reachspread/internal/transport"
@@ -36,6 +37,8 @@
 	mirror  *mirror.Mirror    // nil without a file
 	status  *transport.Status // nil where the settings name no folder
 	capture *capture.Writer   // nil where they name no file
+	view    *peering.View     // of the fleet, nil where they have no such block
+	parts   []part            // that were started
 	router  *routing.Router
 	front   *transport.Front
 	ln      net.Listener
@@ -56,6 +59,7 @@
 	phase     Phase
 	accepting bool   // has begun
 	left      func() // ends what the phase does as time passes
+	release   func() // gives the routers' address up, nil where there is none
 	once      sync.Once
 }
 
@@ -100,8 +104,6 @@
 			return err
 		}
 	}
-	p.startCapture()
-	defer p.stopCapture()
 	p.take(p.cfg.room(others))
 	if err := p.listen(ctx); err != nil {
 		return err
@@ -110,22 +112,6 @@
 	// The core and discovery work on until the last flow is answered.
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	if p.cfg.balance.Gateways > 1 {
-		gossip, err := transport.NewGossip(p.cfg.PeerListen, p.cfg.Peers, p.inherited, p.log)
-		if err != nil {
-			return fmt.Errorf("peer_listen: %w", err)
-		}
-		hearing := work
-		if p.inherited { // the process that takes over waits for the address
-			hearing = ctx
-		}
-		p.router.Tells(gossip.Tell)
-		go gossip.Run(hearing, p.router.Heard)
-	}
-	go p.router.Run(work)
-	if p.mirror != nil {
-		go p.tendDoor(work)
-	}
 	written := make(chan struct{})
 	go p.say(written)
 	defer func() {
@@ -135,11 +121,14 @@
 		close(p.said)
 		<-written
 	}()
-	if err := p.startManagement(); err != nil {
+	defer p.stop(false)
+	if err := p.start(work); err != nil {
 		return err
 	}
-	defer p.stopManagement()
-	p.startMoves()
+	go p.router.Run(work)
+	if p.mirror != nil {
+		go p.tendDoor(work)
+	}
 	if others.Processes > 0 {
 		go p.fit(work, others)
 	}
@@ -152,7 +141,7 @@
 	case err := <-p.served:
 		return fmt.Errorf("listen: %w", err)
 	}
-	p.giveAway()
+	p.leave()
 	p.happen(sigterm)
 	if p.inherited {
 		p.yield()
@@ -162,8 +151,7 @@
 	if err := p.front.Shutdown(); err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
-	p.endMoves()
-	p.stopMirror()
+	p.stop(true)
 	p.happen(emptied)
 	return nil
 }
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -47,7 +47,7 @@
 func (p *Program) Values() management.Values {
 	f := p.router.Figures()
 	v := management.Values{Relayed: f.Relayed, Open: f.Open, Entries: f.Entries, Avoided: f.Avoided,
-		Accepted: p.accepted.Load(), Invalid: p.invalid.Load()}
+		Accepted: p.accepted.Load(), Invalid: p.invalid.Load(), Fleet: p.fleetValues()}
 	for name, c := range f.Classes {
 		v.Classes = append(v.Classes, management.Class{Name: name, Fulfilled: c.Served, Throttled: c.TurnedDown, Faulted: c.Failed})
 	}
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -17,6 +17,7 @@
 	open    atomic.Int64                      // flows taken in and not done
 	entries atomic.Int64                      // real servers listed
 	avoided atomic.Int64                      // of these, out of rotation
+	fleet   atomic.Pointer[Fleet]             // nil before any view
 }
 
 // class counts the ends of one class of flows. A nil class is one that nobody listed: it counts nothing.
@@ -62,6 +63,7 @@
 	Open    int64
 	Entries int64
 	Avoided int64
+	Fleet   Fleet // as the decisions have it
 }
 
 // Figures returns the figures. It waits for nothing.
@@ -69,6 +71,9 @@
 	f := &r.figures
 	out := Figures{Classes: map[string]Counts{}, Relayed: f.relayed.Load(), Open: f.open.Load(),
 		Entries: f.entries.Load(), Avoided: f.avoided.Load()}
+	if fleet := f.fleet.Load(); fleet != nil {
+		out.Fleet = *fleet
+	}
 	for name, c := range f.all() {
 		out.Classes[name] = Counts{Served: c.ended[Served].Load(), TurnedDown: c.ended[TurnedDown].Load(),
 			Failed: c.ended[Failed].Load() + c.ended[Unfit].Load()}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -79,6 +79,7 @@
 
 	mu      sync.Mutex
 	pending []balance.Event
+	viewed  *Fleet          // that came since the last decision, nil for none
 	heard   []balance.Event // from other routers, to be decided on with the next event
 	since   time.Time       // the first of them came
 	late    time.Duration   // the longest wait for the deciding goroutine since the last Load
@@ -129,7 +130,10 @@
 		case <-timer.C:
 		}
 		now := r.clock.now()
-		events, ended := r.drain()
+		events, ended, fleet := r.drain()
+		if fleet != nil {
+			r.figures.fleet.Store(fleet)
+		}
 		if wakeAt > 0 && now >= wakeAt {
 			events, wakeAt = append(events, balance.Wake{Token: token}), 0
 		}
@@ -191,16 +195,16 @@
 	}
 }
 
-// drain takes all events that are pending, and the flows that ended with them.
-func (r *Router) drain() ([]balance.Event, []*Flow) {
+// drain takes all events that are pending, the flows that ended with them, and a view of the fleet that came meanwhile.
+func (r *Router) drain() ([]balance.Event, []*Flow, *Fleet) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	events, ended := append(r.heard, r.pending...), r.ended
+	events, ended, fleet := append(r.heard, r.pending...), r.ended, r.viewed
 	if len(r.pending) > 0 {
 		r.late = max(r.late, time.Since(r.since))
 	}
-	r.heard, r.pending, r.ended = nil, nil, nil
-	return events, ended
+	r.heard, r.pending, r.ended, r.viewed = nil, nil, nil, nil
+	return events, ended, fleet
 }
 
 // clock counts from the start of Unix time, as discovery does, yet never goes back.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 
 	"reachspread/internal/door"
 	"reachspread/internal/logging"
+	"reachspread/internal/members"
 	"reachspread/internal/shadow"
 )
 
@@ -30,6 +31,15 @@
 	Shadow    Shadow
 	Door      *Door // nil for none
 	Capture   Capture
+	Fleet     *Fleet // nil for none
+}
+
+// Fleet is the block of that name: routers keep a view of who of them lives.
+type Fleet struct {
+	Name    string           // empty: the configuration's
+	Listen  string           // empty: the configuration's peer_listen
+	Address netip.AddrPort   // at which the others reach this router; not valid: the configuration's own entry of peers
+	Seeds   []netip.AddrPort // none: the configuration's peers, and nobody else may join
 }
 
 // Capture says where what is taken in is kept, without text.
@@ -92,6 +102,9 @@
 	if s.Capture.File != "" {
 		n++
 	}
+	if s.Fleet != nil {
+		n++ // the socket for datagrams, where the configuration has none
+	}
 	return n
 }
 
@@ -115,6 +128,15 @@
 	Shadow  *shadowBlock  `hcl:"shadow,block"`
 	Door    *doorBlock    `hcl:"door,block"`
 	Capture *captureBlock `hcl:"capture,block"`
+	Fleet   *fleetBlock   `hcl:"fleet,block"`
+}
+
+type fleetBlock struct {
+	Body    hcl.Body `hcl:",body"`
+	Name    string   `hcl:"name,optional"`
+	Listen  string   `hcl:"listen,optional"`
+	Address string   `hcl:"address,optional"`
+	Seeds   []string `hcl:"seeds,optional"`
 }
 
 type captureBlock struct {
@@ -371,9 +393,47 @@
 			c.fault(b.Body, "file", "is empty; it must name a file that is not there yet")
 		}
 	}
+	if f.Fleet != nil {
+		s.Fleet = c.fleet(f.Fleet)
+	}
+	return s
+}
+
+// fleet reads the block. Whether the configuration has what it leaves out, the program checks.
+func (c *checker) fleet(b *fleetBlock) *Fleet {
+	s := &Fleet{Name: b.Name, Listen: b.Listen}
+	addr := func(field, word string) netip.AddrPort {
+		a, err := netip.ParseAddrPort(word)
+		if err != nil || !a.Addr().Is4() || a.Port() == 0 {
+			c.fault(b.Body, field, "has %q; it must be an IPv4 address with a port", word)
+		}
+		return a
+	}
+	if b.Address != "" {
+		s.Address = addr("address", b.Address)
+	}
+	if b.Listen != "" {
+		addr("listen", b.Listen)
+	}
+	for _, word := range b.Seeds {
+		s.Seeds = append(s.Seeds, addr("seeds", word))
+	}
+	switch {
+	case len(b.Seeds) > mostSeeds:
+		c.fault(b.Body, "seeds", "has %d addresses; there may be %d", len(b.Seeds), mostSeeds)
+	case len(b.Seeds) > 0 && b.Address == "":
+		c.fault(b.Body, "address", "is missing; with seeds it says where the others reach this router")
+	case !memberName.MatchString(b.Name) && b.Name != "":
+		c.fault(b.Body, "name", "is %q; it must have 1 to %d printable characters without spaces", b.Name, members.MostName)
+	}
 	return s
 }
 
+// mostSeeds bounds the addresses that are asked for the fleet.
+const mostSeeds = 1024
+
+var memberName = regexp.MustCompile(fmt.Sprintf(`^[!-~]{1,%d}$`, members.MostName))
+
 var headerName = regexp.MustCompile(`^[A-Za-z0-9-]+$`)
 
 func (c *checker) shadow(b *shadowBlock) Shadow {
