Fleet view: a new process with the incarnation of the last one is told; digests see the process, too

Five of 10,000 drawn schedules failed. In four a process that began anew had been told of an older incarnation than its last one had reached, took the same number, and routers went on with two processes under one: digests were the same, a probe found it only in its turn.

--- a/internal/members/gossip.go
+++ b/internal/members/gossip.go
@@ -150,6 +150,9 @@
 		case w.inc > e.Incarnation:
 			d.lives(e, w.inc)
 			d.tellAll(w)
+		case w.inc == e.Incarnation && e.lives() && w.boot != uint16(e.Boot):
+			// Its new process has the number that the last one had: it goes past that once it knows.
+			d.send(e.Addr, appendCard(begin(cards), &e.Member))
 		case w.inc == e.Incarnation && e.State == Dead:
 			d.send(from, appendWord(begin(wordOnly), word{ref: e.ref, state: Dead, inc: e.Incarnation}))
 			d.challenge(e)
--- a/internal/members/join.go
+++ b/internal/members/join.go
@@ -189,10 +189,12 @@
 	}
 	if e.lives() {
 		d.who ^= markWho(e)
+		d.digest ^= mark(e)
 	}
 	e.Addr, e.Zone, e.Version, e.Boot = c.Addr, c.Zone, c.Version, c.Boot
 	if e.lives() {
 		d.who ^= markWho(e)
+		d.digest ^= mark(e)
 	}
 	d.touched[e.ref] = e
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -258,7 +258,7 @@
 }
 
 // mark is a living member's part of the digest, and markWho its part of that of the view.
-func mark(e *entry) uint64    { return mix(e.ref, e.Incarnation) }
+func mark(e *entry) uint64    { return mix(e.ref, e.Incarnation) ^ markWho(e)>>1 }
 func markWho(e *entry) uint64 { return mix(e.ref, e.Boot) }
 
 func mix(r ref, n uint32) uint64 {
