Rig: routers' views in the history, and the checker of views; who has not joined tells of none

The checker found, in its first play, a router that told a view without itself: one that still joined had heard of others. Now nothing is told before it has joined.

--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -65,6 +65,7 @@
 	Fell    What = "fell"    // host Who was pushed over while cold
 	Wide    What = "wide"    // router Who sent a datagram of Bytes, more than the platform allows
 
+	View   What = "view"   // a router's view of the fleet: Who, Text its digest, N its number, Routers who is in it, Inc its own incarnation
 	Invoke What = "invoke" // an operation of client Who begins: ID, Op
 	OK     What = "ok"     // it has ended: ID, Op
 	Note   What = "note"   // of the rig itself: Text
@@ -113,6 +114,8 @@
 	Links   []string `json:"links,omitempty"`
 	All     bool     `json:"all,omitempty"` // every router's links are struck
 
+	Inc uint32 `json:"inc,omitempty"`
+
 	Op   *Op   `json:"op,omitempty"`
 	Play *Play `json:"play,omitempty"`
 }
@@ -139,6 +142,7 @@
 	Memory   int64  `json:"memory,omitempty"`   // bytes that a router may hold, 0 for no bound
 	Sockets  int    `json:"sockets,omitempty"`
 	Leave    int64  `json:"leave,omitempty"`  // nanoseconds that a router has after SIGTERM
+	Views    int64  `json:"views,omitempty"`  // nanoseconds after the last fault until all views are the same; 0 where there are none
 	Settle   int64  `json:"settle,omitempty"` // nanoseconds after the last fault until the fleet serves as before; 0 for no bound
 }
 
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -46,6 +46,7 @@
 	{"limits", "a process stays within its memory and descriptors, a datagram within 256 bytes", limits},
 	{"leave", "after SIGTERM a process ends with status 0 and in time", leave},
 	{"return", "once the last fault is over all routers are ready, and requests are served as before", returned},
+	{"view", "views only grow wiser: no incarnation falls, nobody is missing from their own view, nobody well from another's, all are the same in the end", views},
 	{"linear", "operations take effect at one moment between their start and their end", linear},
 }
 
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -15,7 +15,7 @@
 func well() []history.Event {
 	all := []history.Event{
 		{What: history.Begin, Play: &history.Play{Version: 1, World: "rig", Routers: 2, Hosts: 2, Slack: 50 * ms, Memory: 32 << 20, Sockets: 256,
-			Leave: 3000 * ms, Settle: 1000 * ms}},
+			Leave: 3000 * ms, Settle: 1000 * ms, Views: 3000 * ms}},
 		{T: 1, What: history.Start, Who: "r0", PID: 7}, {T: 1, What: history.Start, Who: "r1", PID: 8},
 		{T: 2, What: history.Ready, Who: "r0"}, {T: 2, What: history.Ready, Who: "r1"},
 		{T: 3, What: history.Usage, Who: "r0", Memory: 20 << 20, Descriptors: 100},
@@ -65,6 +65,11 @@
 	op(9040, history.OK, "3", "read", "y")
 	op(9050, history.Invoke, "4", "read", "")
 	op(9060, history.OK, "4", "read", "x")
+	for i, n := range []int{0, 1} { // views, before the kill and long after it
+		who := fmt.Sprint("r", n)
+		all = append(all, history.Event{T: int64(2950+i) * ms, What: history.View, Who: who, Text: "d1", N: 1, Inc: 1, Routers: []int{0, 1}},
+			history.Event{T: int64(9400+i) * ms, What: history.View, Who: who, Text: "d2", N: 3, Inc: 2, Routers: []int{0, 1}})
+	}
 	return append(all, history.Event{T: 10000 * ms, What: history.End})
 }
 
@@ -102,8 +107,8 @@
 		plant   func([]history.Event) []history.Event
 		text    string
 	}{
-		"ended by itself":      {"crash", add(history.Event{T: 9000 * ms, What: history.Exit, Who: "r0", Status: 2}), "ended by itself, status 2"},
-		"killed by nobody":     {"crash", add(history.Event{T: 9000 * ms, What: history.Exit, Who: "r0", Status: -1, Text: "killed"}), "ended by itself"},
+		"ended by itself":      {"crash", add(history.Event{T: 9000 * ms, What: history.Exit, Who: "r7", Status: 2}), "ended by itself, status 2"},
+		"killed by nobody":     {"crash", add(history.Event{T: 9000 * ms, What: history.Exit, Who: "r7", Status: -1, Text: "killed"}), "ended by itself"},
 		"a panic":              {"crash", add(history.Event{T: 9000 * ms, What: history.Log, Who: "r0", Text: "panic: runtime error"}), "panic: runtime"},
 		"caught":               {"hang", add(history.Event{T: 9000 * ms, What: history.Caught, Who: "r0", Text: "dump"}), "dump"},
 		"no answer":            {"answer", add(ask), "no final answer by the end"},
@@ -124,6 +129,12 @@
 		"status after SIGTERM": {"leave", change(func(e *history.Event) bool { return e.What == history.Exit && e.T == 2000*ms }, func(e *history.Event) { e.Status = 2 }), "status 2 after"},
 		"not ready again":      {"return", change(func(e *history.Event) bool { return e.What == history.Ready && e.T == 6000*ms }, func(e *history.Event) { e.What = history.Unready }), "r1 at 7s: not ready"},
 		"not served again":     {"return", change(func(e *history.Event) bool { return e.What == history.Answer && e.T > 7000*ms }, func(e *history.Event) { e.How = history.Refused }), "0% of 20"},
+		"an incarnation falls": {"view", change(is(history.View, "r0", ""), func(e *history.Event) { e.Inc = 3 - e.Inc }), "went from 2 to 1"},
+		"not in its own view":  {"view", change(func(e *history.Event) bool { return e.What == history.View && e.Who == "r1" && e.Inc == 1 }, func(e *history.Event) { e.Routers = []int{0} }), "own view"},
+		"views differ":         {"view", change(func(e *history.Event) bool { return e.What == history.View && e.Who == "r1" && e.Inc == 2 }, func(e *history.Event) { e.Text = "d3" }), "its view is d3, that of r0 is d2"},
+		"somebody is missing":  {"view", change(func(e *history.Event) bool { return e.What == history.View && e.Who == "r0" && e.Inc == 2 }, func(e *history.Event) { e.Routers = []int{0} }), "r1 is in its view: false; it lives: true"},
+		"no view":              {"view", change(is(history.View, "r1", ""), drop), "tells no view"},
+		"well, and missing":    {"view", add(history.Event{T: 30000 * ms, What: history.View, Who: "r0", Text: "d", Inc: 2, Routers: []int{0}}, history.Event{T: 40000 * ms, What: history.End}), "r1 is missing; it has been well"},
 		"an old value again":   {"linear", add(history.Event{T: 9070 * ms, What: history.Invoke, Who: "c5", ID: "5", Op: &history.Op{Kind: "read", Key: "k"}}, history.Event{T: 9080 * ms, What: history.OK, Who: "c5", ID: "5", Op: &history.Op{Kind: "read", Key: "k", Value: "y"}}), "fit no order"},
 		"a cas that could not": {"linear", add(history.Event{T: 9070 * ms, What: history.Invoke, Who: "c5", ID: "5", Op: &history.Op{Kind: "cas", Key: "k", Old: "y", Value: "w"}}, history.Event{T: 9080 * ms, What: history.OK, Who: "c5", ID: "5", Op: &history.Op{Kind: "cas", Key: "k", Old: "y", Value: "w", Did: true}}), "fit no order"},
 	} {
--- /dev/null
+++ b/internal/judge/views.go
@@ -0,0 +1,133 @@
+package judge
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"reachspread/internal/history"
+)
+
+const (
+	// wellFor is how long a router must have lived, with no fault on, until it may be missing from nobody's view: as long as a
+	// view may take to settle a fault from before.
+	wellFor = 10 * time.Second
+	// viewEvery is how far apart two looks at a view may be.
+	viewEvery = time.Second
+)
+
+// life is a router's life as the history has it.
+type life struct {
+	from, to int64
+}
+
+// views finds views of the fleet that are wrong: an incarnation that falls, a router that is missing from its own view, or from that
+// of another though it has been well for long, and views that differ, or do not show who lives, so long after the last fault.
+func views(c *Case) (found []Verdict) {
+	inc := map[int]uint32{}
+	lives := c.lives()
+	last := map[int]*history.Event{}
+	settled := c.LastHeal() + c.Play.Views
+	over := c.End
+	for i := range c.Events {
+		e := &c.Events[i]
+		if e.What == history.Term && over == c.End && e.T >= c.LastHeal() && c.Play.Views > 0 {
+			over = e.T // the play ends: who leaves is gone from views
+		}
+		if e.What != history.View {
+			continue
+		}
+		n := Number(e.Who)
+		if e.Inc < inc[n] {
+			found = append(found, Verdict{"view", e.T, e.Who, "", fmt.Sprintf("its incarnation went from %d to %d", inc[n], e.Inc)})
+		}
+		inc[n] = max(inc[n], e.Inc)
+		if !slices.Contains(e.Routers, n) {
+			found = append(found, Verdict{"view", e.T, e.Who, "", "is missing from its own view"})
+		}
+		if e.T <= over {
+			last[n] = e
+			found = append(found, c.missing(e, lives)...)
+		}
+	}
+	if c.Play.Views == 0 || settled >= over {
+		return found
+	}
+	var first *history.Event
+	for n := range c.Play.Routers {
+		e, alive := last[n], c.livesAt(lives[n], settled, over)
+		switch {
+		case !alive:
+			continue
+		case e == nil:
+			found = append(found, Verdict{"view", settled, fmt.Sprint("r", n), "", "tells no view"})
+			continue
+		}
+		for m := range c.Play.Routers {
+			if in := slices.Contains(e.Routers, m); in != c.livesAt(lives[m], settled, over) {
+				found = append(found, Verdict{"view", over, e.Who, "", fmt.Sprintf("r%d is in its view: %v; it lives: %v", m, in, !in)})
+			}
+		}
+		if first == nil {
+			first = e
+		} else if e.Text != first.Text {
+			found = append(found, Verdict{"view", over, e.Who, "", fmt.Sprintf("its view is %s, that of %s is %s", e.Text, first.Who, first.Text)})
+		}
+	}
+	return found
+}
+
+// lives returns when each router had a process, over all its processes.
+func (c *Case) lives() map[int][]life {
+	all := map[int][]life{}
+	running := map[string]bool{}
+	count := map[int]int{}
+	for i := range c.Events {
+		e := &c.Events[i]
+		n := Number(e.Who)
+		switch e.What {
+		case history.Start:
+			if e.Text == "twin" {
+				continue
+			}
+			running[e.Who] = true
+			if count[n]++; count[n] == 1 {
+				all[n] = append(all[n], life{e.T, c.End})
+			}
+		case history.Exit:
+			if !running[e.Who] {
+				continue
+			}
+			delete(running, e.Who)
+			if count[n]--; count[n] == 0 {
+				all[n][len(all[n])-1].to = e.T
+			}
+		}
+	}
+	return all
+}
+
+// livesAt tells whether a router lived from one time to another.
+func (c *Case) livesAt(all []life, from, to int64) bool {
+	return slices.ContainsFunc(all, func(l life) bool { return l.from <= from && l.to >= to })
+}
+
+// missing finds those that have been well for long and are not in a view.
+func (c *Case) missing(e *history.Event, lives map[int][]life) (found []Verdict) {
+	since := e.T - wellFor.Nanoseconds()
+	for i := range c.Faults {
+		if s := &c.Faults[i]; s.From <= e.T && s.To >= since {
+			return nil
+		}
+	}
+	viewer := Number(e.Who)
+	if !c.livesAt(lives[viewer], since, e.T) {
+		return nil
+	}
+	for n := range c.Play.Routers {
+		if c.livesAt(lives[n], since, e.T+viewEvery.Nanoseconds()) && !slices.Contains(e.Routers, n) && n != viewer {
+			found = append(found, Verdict{"view", e.T, e.Who, "", fmt.Sprintf("r%d is missing; it has been well for %v", n, wellFor)})
+		}
+	}
+	return found
+}
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -112,6 +112,11 @@
 	c := f.start(twin)
 	f.run(5 * time.Second)
 	f.sees(b, "r1@1", "r2@2")
+	for _, x := range f.done[addr(3)] {
+		if ch, ok := x.(Changed); ok {
+			t.Errorf("who has not joined tells of a view: %+v", ch)
+		}
+	}
 	if c.State() != Joining {
 		t.Errorf("the twin is %v", c.State())
 	}
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -26,6 +26,9 @@
 		d.heldAt = 0
 		return
 	}
+	if d.self.State == Joining {
+		return // a view has its own router in it
+	}
 	if d.heldAt > 0 && d.now < d.heldAt && d.doubts() {
 		return
 	}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -84,14 +84,7 @@
 
 // openRouters makes what routers need before they start.
 func (p *play) openRouters() error {
-	var settings string
-	if file := p.o.Experiment.Rig.Settings; file != "" {
-		text, err := os.ReadFile(file)
-		if err != nil {
-			return err
-		}
-		settings = string(text)
-	}
+	settings := p.settings
 	for i := range p.spec.Routers {
 		r := &router{p: p, n: i, folder: filepath.Join(p.folder, "r"+strconv.Itoa(i))}
 		for _, dir := range []string{r.disk(), r.tmp()} {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -76,6 +76,9 @@
 	player  *player
 	front   *front
 	stalls  *stalls
+
+	settings string // the operators' file of the routers, as it is before each gets its own
+	views    bool   // routers keep a view of the fleet
 }
 
 // Run plays an experiment once. All that it started is ended when it returns, also where ctx ends.
@@ -88,6 +91,17 @@
 	if !o.Drawn {
 		o.Faults = o.Experiment.Faults
 	}
+	if file := o.Experiment.Rig.Settings; file != "" {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		p.settings = string(text)
+	}
+	if o.Experiment.Rig.View {
+		p.settings += "\nfleet {}\n"
+	}
+	p.views = o.Experiment.Rig.View
 	if err := p.check(); err != nil {
 		return nil, err
 	}
@@ -166,7 +180,7 @@
 	x := &p.o.Experiment.Rig
 	p.rec.add(history.Event{What: history.Begin, Play: &history.Play{Version: history.Version, World: "rig", Name: p.o.Experiment.Name, Seed: p.o.Seed,
 		Routers: p.spec.Routers, Hosts: len(p.spec.Shape().Hosts), Schedule: faults.Text(p.o.Faults), Slack: x.Slack.Nanoseconds(),
-		Memory: int64(x.MemoryMB) << 20, Sockets: x.Sockets, Leave: leaveWithin.Nanoseconds(), Settle: x.Settle.Nanoseconds()}})
+		Memory: int64(x.MemoryMB) << 20, Sockets: x.Sockets, Leave: leaveWithin.Nanoseconds(), Settle: x.Settle.Nanoseconds(), Views: p.viewsWithin().Nanoseconds()}})
 	return nil
 }
 
@@ -222,6 +236,9 @@
 	noMore()
 	w := newWatch(p)
 	beside.Go(func() { w.run(aside) })
+	if p.viewsWithin() > 0 {
+		beside.Go(func() { p.watchViews(aside) })
+	}
 	if every := p.o.Experiment.Rig.Scrape; every > 0 {
 		beside.Go(func() { p.scrape(aside, every) })
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -49,8 +49,8 @@
 	buildErr  error
 )
 
-// program builds the real router, once for all tests.
-func program(t testing.TB) string {
+// routerBinary builds the real router, once for all tests.
+func routerBinary(t testing.TB) string {
 	t.Helper()
 	buildOnce.Do(func() {
 		var dir string
@@ -192,7 +192,7 @@
 }
 `)
 	for round := range *rounds {
-		r := playOnce(t, Options{Experiment: x, Seed: uint64(round + 1), Program: program(t)})
+		r := playOnce(t, Options{Experiment: x, Seed: uint64(round + 1), Program: routerBinary(t)})
 		for _, v := range r.Verdicts {
 			t.Errorf("round %d: %s", round, v.String())
 		}
@@ -229,7 +229,7 @@
 	seen := map[string]string{}
 	var mu sync.Mutex
 	var folder string
-	o := Options{Experiment: x, Seed: 1, Program: program(t), Drawn: true, Faults: []faults.Fault{
+	o := Options{Experiment: x, Seed: 1, Program: routerBinary(t), Drawn: true, Faults: []faults.Fault{
 		{Kind: faults.Kill, At: time.Second, Length: 200 * time.Millisecond, Routers: faults.Select{Numbers: []int{0}}, Disk: faults.DiskOther},
 		{Kind: faults.Kill, At: time.Second, Length: 400 * time.Millisecond, Routers: faults.Select{Numbers: []int{1}}, Disk: faults.DiskCut, Keep: 0.5, File: "*.x"},
 		{Kind: faults.Kill, At: time.Second, Length: 600 * time.Millisecond, Routers: faults.Select{Numbers: []int{2}}, Disk: faults.DiskEmpty},
@@ -435,7 +435,7 @@
 	served := make(chan bool, 100)
 	over := make(chan error, 1)
 	go func() {
-		_, err := Run(ctx, Options{Experiment: x, Seed: 1, Program: program(t), Folder: filepath.Join(t.TempDir(), "play"), Event: func(e *history.Event) {
+		_, err := Run(ctx, Options{Experiment: x, Seed: 1, Program: routerBinary(t), Folder: filepath.Join(t.TempDir(), "play"), Event: func(e *history.Event) {
 			switch e.What {
 			case history.Start:
 				pids <- e.PID
@@ -467,7 +467,7 @@
 
 	// The kernel ends what a thread has started once the thread is gone, as it is when its process was killed.
 	s := newStarter()
-	cmd := exec.Command(program(t), "serve")
+	cmd := exec.Command(routerBinary(t), "serve")
 	cmd.Env = []string{"ROUTER_CONFIG=/dev/stdin"} // it waits for that
 	in, err := cmd.StdinPipe()
 	if err != nil {
--- a/internal/rig/watch.go
+++ b/internal/rig/watch.go
@@ -15,7 +15,9 @@
 	"time"
 
 	"reachspread/internal/history"
+	"reachspread/internal/judge"
 	"reachspread/internal/lab"
+	"reachspread/internal/program"
 )
 
 // front is who spreads clients over routers: it asks each whether it is ready, and notices late that one has died.
@@ -314,6 +316,79 @@
 	}
 }
 
+// viewLook is how often the rig asks each router for its view of the fleet.
+const viewLook = 250 * time.Millisecond
+
+// viewsWithin is when all views must be the same after the last fault, as the view's design note derives it, 0 where routers
+// keep none.
+func (p *play) viewsWithin() time.Duration {
+	if !p.views {
+		return 0
+	}
+	return 8*time.Second + time.Duration(p.spec.Routers)*30*time.Millisecond
+}
+
+// watchViews puts the routers' views into the history as they change.
+func (p *play) watchViews(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, r := range p.routers {
+		all.Go(func() {
+			ticker := time.NewTicker(viewLook)
+			defer ticker.Stop()
+			last := ""
+			for {
+				select {
+				case <-ticker.C:
+				case <-ctx.Done():
+					return
+				}
+				x := r.newest()
+				if x == nil {
+					continue
+				}
+				answer, err := x.call(ctx, "view", answerIn)
+				if err != nil || ctx.Err() != nil {
+					continue
+				}
+				e, ok := viewOf(r.name(), answer)
+				if !ok || x != r.newest() {
+					continue
+				}
+				if key := fmt.Sprint(x.name, e.Text, e.N, e.Inc); key != last {
+					last = key
+					p.rec.add(e)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// viewOf reads the answer to the call view. A view without its own router is one of a process that has not joined yet.
+func viewOf(who, answer string) (e history.Event, ok bool) {
+	lines, err := program.ParseView(answer)
+	if err != nil {
+		return e, false
+	}
+	e = history.Event{What: history.View, Who: who}
+	for _, l := range lines {
+		if l.What == "view" {
+			e.Text = l.Fields["digest"]
+			e.N, _ = strconv.Atoi(l.Fields["version"])
+			continue
+		}
+		name := l.Fields["name"]
+		if name == who {
+			inc, _ := strconv.ParseUint(l.Fields["incarnation"], 10, 32)
+			e.Inc = uint32(inc)
+		}
+		if n := judge.Number(name); n >= 0 {
+			e.Routers = append(e.Routers, n)
+		}
+	}
+	return e, e.N > 0
+}
+
 // scrape reads the figures of every process, over and over, as the platform does.
 func (p *play) scrape(ctx context.Context, every time.Duration) {
 	for ticker := time.NewTicker(every); ; {
