--- a/internal/peers/model.go
+++ b/internal/peers/model.go
@@ -24,6 +24,7 @@
 	Silent bool          // says nothing until the other side closes
 	Status int           // other than 0: this status and nothing else
 	Hold   <-chan bool   // waits for a word before the last event
+	Stages []<-chan bool // each of the last events waits until one of these is closed, in their order
 }
 
 // Model is a stand-in for a model host. It answers each prompt with a text made from it, keeps count of the attempts
@@ -216,6 +217,13 @@
 			c.(*net.TCPConn).SetLinger(0)
 			return false
 		}
+		if stage := i - (len(words) - len(m.Stages)); stage >= 0 {
+			select {
+			case <-m.Stages[stage]:
+			case <-gone:
+				return false
+			}
+		}
 		if i == len(words)-1 && m.Hold != nil {
 			select {
 			case <-m.Hold:
--- a/internal/program/exchange_test.go
+++ b/internal/program/exchange_test.go
@@ -220,7 +220,19 @@
 // connection; whatever has no one to go to ends where it is.
 func TestStreamsMove(t *testing.T) {
 	hold := make(chan bool)
-	host := peers.NewModel(t, peers.Manner{Events: 5, Hold: hold})
+	// A real server says something at each stage: one that is silent for longer than 4.5 s is given up, and on a busy machine all of
+	// this takes longer.
+	var stages []chan bool
+	var waits []<-chan bool
+	for range 4 {
+		c := make(chan bool)
+		stages, waits = append(stages, c), append(waits, c)
+	}
+	on := func() {
+		close(stages[0])
+		stages = stages[1:]
+	}
+	host := peers.NewModel(t, peers.Manner{Events: 5, Stages: waits})
 	p := newPlatform(t, host)
 	first := p.start().yes()
 	client := &http.Client{Transport: &http.Transport{}, Timeout: peers.Patience}
@@ -237,13 +249,16 @@
 		streams = append(streams, open(fmt.Sprint("q", i)))
 	}
 	second := p.start().yes()
+	on()
 	first.leaves()
+	on()
 	third := p.start().yes()
+	on()
 	second.leaves()
+	on()
 	want := peers.NewModel(t, peers.Manner{Events: 5})
 	whole := answerOf(t, p, want)
 	for i, resp := range streams {
-		peers.Give(t, hold, true)
 		text, err := io.ReadAll(resp.Body)
 		resp.Body.Close()
 		if err != nil || string(text) != whole {
