--- a/internal/relay/udp.go
+++ b/internal/relay/udp.go
@@ -35,7 +35,8 @@
 
 	closed  atomic.Bool
 	carried atomic.Uint64
-	dropped atomic.Uint64 // as too many were under way
+	kinds   [16]atomic.Uint64 // datagrams that came, by the high half of their first byte
+	dropped atomic.Uint64     // as too many were under way
 }
 
 // link is one direction between two routers.
@@ -103,6 +104,9 @@
 		if n > m.bound {
 			m.wide(i, n)
 		}
+		if n > 0 {
+			m.kinds[buf[0]>>4].Add(1)
+		}
 		l.mu.Lock()
 		if l.well {
 			l.mu.Unlock()
@@ -144,6 +148,14 @@
 // Carried returns how many datagrams went on, and how many were dropped as too many of their link were under way.
 func (m *Mesh) Carried() (carried, dropped uint64) { return m.carried.Load(), m.dropped.Load() }
 
+// Kinds returns how many datagrams came, by the high half of their first byte: what they are of.
+func (m *Mesh) Kinds() (all [16]uint64) {
+	for i := range m.kinds {
+		all[i] = m.kinds[i].Load()
+	}
+	return all
+}
+
 // Close ends it. What is under way is lost.
 func (m *Mesh) Close() {
 	m.closed.Store(true)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -42,13 +42,14 @@
 
 // Result is what came of a play.
 type Result struct {
-	Folder   string // with the history, the logs and whatever was caught
-	Verdicts []judge.Verdict
-	Events   []history.Event
-	Tallies  []standin.Tally
-	Lost     int // events beyond the bound
-	Took     time.Duration
-	Stalls   int // times that the machine let the rig itself stand still
+	Folder    string // with the history, the logs and whatever was caught
+	Verdicts  []judge.Verdict
+	Events    []history.Event
+	Tallies   []standin.Tally
+	Lost      int // events beyond the bound
+	Took      time.Duration
+	Datagrams [16]uint64 // between routers, by the high half of their first byte
+	Stalls    int        // times that the machine let the rig itself stand still
 }
 
 // mostRouters bounds a play; addresses are laid out for so many.
@@ -120,6 +121,10 @@
 		return nil, err
 	}
 	tallies, err := p.run(ctx, plan)
+	datagrams := [16]uint64{}
+	if p.mesh != nil {
+		datagrams = p.mesh.Kinds()
+	}
 	if cerr := p.rec.close(); err == nil {
 		err = cerr
 	}
@@ -127,7 +132,7 @@
 		keep = keep || p.caught()
 		return nil, err
 	}
-	r := &Result{Folder: p.folder, Events: p.rec.events(), Tallies: tallies, Lost: p.rec.lost(), Took: time.Since(begun), Stalls: p.stalls.count()}
+	r := &Result{Folder: p.folder, Events: p.rec.events(), Tallies: tallies, Lost: p.rec.lost(), Took: time.Since(begun), Datagrams: datagrams, Stalls: p.stalls.count()}
 	r.Verdicts = judge.Judge(r.Events)
 	if len(r.Verdicts) > 0 {
 		keep = true
--- a/internal/rig/view_test.go
+++ b/internal/rig/view_test.go
@@ -171,3 +171,20 @@
 		})
 	}
 }
+
+// Without the block nothing of the view is on the wire: nine routers send each other news and nothing else. With it, as
+// many news beside.
+func TestViewOff(t *testing.T) {
+	binary := routerBinary(t)
+	for _, on := range []bool{false, true} {
+		t.Run(fmt.Sprint(on), func(t *testing.T) {
+			t.Parallel()
+			r := playOnce(t, Options{Experiment: parse(t, "3s", 9, fmt.Sprintf("view = %v", on), ""), Seed: 1, Program: binary})
+			for kind, n := range r.Datagrams {
+				if want := kind == 1 || kind == 2 && on; (n > 0) != want {
+					t.Errorf("view %v: %d datagrams of kind %d", on, n, kind)
+				}
+			}
+		})
+	}
+}
