--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -227,3 +227,35 @@
 		}
 	})
 }
+
+const goodFleet = `fleet {
+  name = "router-7"
+  listen = "10.0.0.4:7946"
+  address = "10.0.0.4:7946"
+  seeds = ["10.0.0.1:7946", "10.0.0.2:7946"]
+}
+`
+
+// The block fleet, whole and empty, and its faults.
+func TestFleet(t *testing.T) {
+	s, err := Parse([]byte(goodFleet), "f.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := s.Fleet
+	if f == nil || f.Name != "router-7" || f.Address.Port() != 7946 || len(f.Seeds) != 2 || s.Descriptors() != 1 {
+		t.Errorf("%+v, %d descriptors", f, s.Descriptors())
+	}
+	if s, err := Parse([]byte("fleet {}\n"), "f.hcl"); err != nil || s.Fleet == nil || s.Fleet.Address.IsValid() {
+		t.Errorf("an empty block: %+v, %v", s, err)
+	}
+	badFiles(t, goodFleet, []bad{
+		{`"router-7"`, `"router 7"`, `f.hcl:2: name is "router 7"`},
+		{`"router-7"`, `"a-name-that-is-longer-than-thirty-two"`, "f.hcl:2: name is"},
+		{`listen = "10.0.0.4:7946"`, `listen = "10.0.0.4"`, `f.hcl:3: listen has "10.0.0.4"; it must be an IPv4 address with a port`},
+		{`address = "10.0.0.4:7946"`, `address = "[::1]:7946"`, `f.hcl:4: address has "[::1]:7946"`},
+		{`address = "10.0.0.4:7946"`, ``, "f.hcl:1: address is missing; with seeds"},
+		{`"10.0.0.2:7946"`, `"10.0.0.2:0"`, `f.hcl:5: seeds has "10.0.0.2:0"`},
+		{`seeds =`, `seedlings =`, `An argument named "seedlings"`},
+	})
+}
