--- a/internal/members/explore_test.go
+++ b/internal/members/explore_test.go
@@ -43,9 +43,11 @@
 		return explore.Out[datagram]{}
 	}
 	if x.settled {
+		var all []members.Member
 		for i := range 3 {
-			x.d.Know(members.Member{Name: fmt.Sprint("r", i), Zone: "z", Version: "1", Addr: addrOf(i), Boot: uint32(1 + i), Incarnation: 1})
+			all = append(all, members.Member{Name: fmt.Sprint("r", i), Zone: "z", Version: "1", Addr: addrOf(i), Boot: uint32(1 + i), Incarnation: 1})
 		}
+		x.d.Know(members.Keep(all))
 	}
 	return x.step(now, members.Passed{})
 }
--- a/internal/members/gossip.go
+++ b/internal/members/gossip.go
@@ -84,7 +84,7 @@
 		}
 		if f.card {
 			if _, e := d.find(f.ref); e != nil {
-				if whole = appendCard(whole, &e.Member); len(whole) > roomFor-mostCard {
+				if whole = appendCard(whole, e.member()); len(whole) > roomFor-mostCard {
 					d.send(to, whole)
 					whole = begin(cards)
 					sent++
@@ -152,7 +152,7 @@
 			d.tellAll(w)
 		case w.inc == e.Incarnation && e.lives() && w.boot != uint16(e.Boot):
 			// Its new process has the number that the last one had: it goes past that once it knows.
-			d.send(e.Addr, appendCard(begin(cards), &e.Member))
+			d.send(e.Addr, appendCard(begin(cards), e.member()))
 		case w.inc == e.Incarnation && e.State == Dead:
 			d.send(from, appendWord(begin(wordOnly), word{ref: e.ref, state: Dead, inc: e.Incarnation}))
 			d.challenge(e)
@@ -281,7 +281,7 @@
 		if r.err != nil || e == nil || !e.lives() {
 			continue
 		}
-		if b = appendCard(b, &e.Member); len(b) > roomFor-mostCard {
+		if b = appendCard(b, e.member()); len(b) > roomFor-mostCard {
 			d.send(from, b)
 			b = begin(cards)
 			sent++
--- a/internal/members/join.go
+++ b/internal/members/join.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 )
@@ -19,12 +20,14 @@
 		d.joinAt = d.now + greetEvery
 	}
 	for range min(asked, len(d.c.Seeds)) {
-		d.introduce(d.c.Seeds[d.rng.IntN(len(d.c.Seeds))])
+		if a := d.c.Seeds[d.rng.IntN(len(d.c.Seeds))]; a != d.self.Addr {
+			d.introduce(a)
+		}
 	}
 }
 
 // introduce sends the own card.
-func (d *Decider) introduce(to netip.AddrPort) { d.send(to, appendCard(begin(join), &d.self.Member)) }
+func (d *Decider) introduce(to netip.AddrPort) { d.send(to, appendCard(begin(join), d.self.member())) }
 
 // alive ends the joining.
 func (d *Decider) alive() {
@@ -60,17 +63,17 @@
 		d.refuse(&c)
 		return
 	}
-	own := d.self.Member
+	own := *d.self.member()
 	if own.State == Alive && d.now < own.Since+joinFor {
 		own.State = Joining // who has only just joined may not know who the other one was
 	}
 	b := appendCard(begin(cards), &own)
 	if e != nil && e != d.self {
-		b = appendCard(b, &e.Member)
+		b = appendCard(b, e.member())
 	}
 	for _, x := range d.some(someCards, living) {
 		if x != e && len(b) <= roomFor-mostCard {
-			b = appendCard(b, &x.Member)
+			b = appendCard(b, x.member())
 		}
 	}
 	d.send(from, b)
@@ -147,7 +150,7 @@
 		}
 		return
 	}
-	if at := d.byAddr[c.Addr]; at != nil && at != e && at.State == Alive {
+	if at := d.byAddr[key(c.Addr)]; at != nil && at != e && at.State == Alive {
 		if at != d.self {
 			d.soon(at) // one of the two is wrong
 		}
@@ -157,11 +160,7 @@
 		if len(d.list) >= d.c.Members {
 			return
 		}
-		e = &entry{Member: c, ref: r}
-		e.State, e.Since = Left, d.now
-		d.list = slices.Insert(d.list, i, e)
-		d.byAddr[c.Addr] = e
-		d.set(e, Alive, c.Incarnation)
+		e = d.insert(i, r, &c)
 		d.figures.Joins++
 		d.tellLater(freshWord{word: aliveWord(e), card: true})
 		return
@@ -177,7 +176,7 @@
 		d.tellLater(freshWord{word: aliveWord(e), card: true})
 	case c.Incarnation == e.Incarnation && c.Boot != e.Boot && c.Addr == from && from == e.Addr:
 		// Its new process has not learnt who it was.
-		d.send(from, appendCard(begin(cards), &e.Member))
+		d.send(from, appendCard(begin(cards), e.member()))
 	case c.Incarnation == e.Incarnation && e.State == Dead:
 		d.hear(aliveWord(e), from)
 	}
@@ -186,16 +185,16 @@
 // takeCard takes up who a member is by now.
 func (d *Decider) takeCard(e *entry, c *Member) {
 	if e.Addr != c.Addr {
-		if d.byAddr[e.Addr] == e {
-			delete(d.byAddr, e.Addr)
+		if d.byAddr[key(e.Addr)] == e {
+			delete(d.byAddr, key(e.Addr))
 		}
-		d.byAddr[c.Addr] = e
+		d.byAddr[key(c.Addr)] = e
 	}
 	if e.lives() {
 		d.who ^= markWho(e)
 		d.digest ^= mark(e)
 	}
-	e.Addr, e.Zone, e.Version, e.Boot = c.Addr, c.Zone, c.Version, c.Boot
+	e.card = &card{c.Name, c.Zone, c.Version, c.Addr, c.Boot}
 	if e.lives() {
 		d.who ^= markWho(e)
 		d.digest ^= mark(e)
@@ -221,7 +220,7 @@
 			return
 		}
 		a := d.c.Seeds[d.rng.IntN(len(d.c.Seeds))]
-		if e := d.byAddr[a]; e == nil || !e.lives() {
+		if e := d.byAddr[key(a)]; a != d.self.Addr && (e == nil || !e.lives()) {
 			d.introduce(a)
 			return
 		}
@@ -284,17 +283,46 @@
 	d.tellLater(w)
 }
 
-// Know takes up a member before the first step: one that was kept on disk, or that a test begins with. It is probed like any
-// other.
-func (d *Decider) Know(c Member) {
-	r := refOf(c.Name)
-	i, e := d.find(r)
-	if e != nil || len(d.list) >= d.c.Members {
-		return
-	}
-	e = &entry{Member: c, ref: r}
-	e.State, e.Since = Left, d.now
-	d.list = slices.Insert(d.list, i, e)
-	d.byAddr[c.Addr] = e
+// insert puts a new member in, alive.
+func (d *Decider) insert(at int, r ref, c *Member) *entry {
+	e := &entry{card: &card{c.Name, c.Zone, c.Version, c.Addr, c.Boot}, ref: r, State: Left, Since: d.now}
+	d.list = slices.Insert(d.list, at, e)
+	d.byAddr[key(c.Addr)] = e
 	d.set(e, Alive, c.Incarnation)
+	return e
+}
+
+// Kept are members to begin with: what was kept on disk, or what a test begins with. One may be handed to many deciders, which
+// then share the memory of who the members are.
+type Kept struct {
+	cards []*card
+	incs  []uint32
+}
+
+// Keep makes a Kept of members.
+func Keep(all []Member) *Kept {
+	all = slices.Clone(all)
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(refOf(a.Name), refOf(b.Name)) })
+	k := &Kept{}
+	for i := range all {
+		c := &all[i]
+		k.cards, k.incs = append(k.cards, &card{c.Name, c.Zone, c.Version, c.Addr, c.Boot}), append(k.incs, c.Incarnation)
+	}
+	return k
+}
+
+// Know takes up members before the first step. They are probed like any others.
+func (d *Decider) Know(k *Kept) {
+	d.list = slices.Grow(d.list, len(k.cards))
+	for i, c := range k.cards {
+		r := refOf(c.Name)
+		at, e := d.find(r)
+		if e != nil || len(d.list) >= d.c.Members {
+			continue
+		}
+		e = &entry{card: c, ref: r, State: Left, Since: d.now}
+		d.list = slices.Insert(d.list, at, e)
+		d.byAddr[key(c.Addr)] = e
+		d.set(e, Alive, k.incs[i])
+	}
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -58,7 +58,11 @@
 
 // entry is a member as this decider has it.
 type entry struct {
-	Member
+	*card
+	Incarnation uint32
+	State       State
+	Since       time.Duration
+
 	ref     ref
 	calm    time.Duration // until then it is not suspected: it returned from a death
 	calms   uint8         // such returns so far
@@ -68,6 +72,27 @@
 	told    told // what users of the view know of it
 }
 
+// card is who a member is, apart from how it fares. It is never changed, only replaced.
+type card struct {
+	Name, Zone, Version string
+	Addr                netip.AddrPort
+	Boot                uint32
+}
+
+// member is the entry as users and others are told of it.
+func (e *entry) member() *Member {
+	return &Member{Name: e.Name, Zone: e.Zone, Version: e.Version, Addr: e.Addr, Incarnation: e.Incarnation, Boot: e.Boot, State: e.State, Since: e.Since}
+}
+
+// key is an IPv4 address with its port as a number.
+func key(a netip.AddrPort) uint64 {
+	if !a.Addr().Is4() {
+		return 0
+	}
+	ip := a.Addr().As4()
+	return uint64(ip[0])<<40 | uint64(ip[1])<<32 | uint64(ip[2])<<24 | uint64(ip[3])<<16 | uint64(a.Port())
+}
+
 // told is what users of the view know of a member.
 type told struct {
 	lives, ever bool
@@ -85,8 +110,8 @@
 	out  []Action
 	self *entry
 
-	list   []*entry // by ref
-	byAddr map[netip.AddrPort]*entry
+	list   []*entry          // by ref
+	byAddr map[uint64]*entry // by key
 	living int
 	dead   int
 	digest uint64 // of the living and their incarnations: what is to be the same everywhere
@@ -146,14 +171,12 @@
 	if c.Members == 0 {
 		c.Members = MostMembers
 	}
-	c.Seeds = slices.DeleteFunc(slices.Clone(c.Seeds), func(a netip.AddrPort) bool { return a == c.Addr })
 	src := rand.NewPCG(c.Seed, uint64(c.Boot))
-	d := &Decider{c: c, src: src, rng: rand.New(src), now: now, byAddr: map[netip.AddrPort]*entry{},
+	d := &Decider{c: c, src: src, rng: rand.New(src), now: now, byAddr: map[uint64]*entry{},
 		suspects: map[ref]*suspect{}, wants: map[ref]wanted{}, touched: map[ref]*entry{}, doubtful: map[string]time.Duration{}, refusal: map[string]bool{}}
-	d.self = &entry{ref: refOf(c.Name), Member: Member{Name: c.Name, Zone: c.Zone, Version: c.Version, Addr: c.Addr, Boot: c.Boot,
-		Incarnation: max(c.Incarnation, 1), State: Joining, Since: now}}
+	d.self = &entry{ref: refOf(c.Name), card: &card{c.Name, c.Zone, c.Version, c.Addr, c.Boot}, Incarnation: max(c.Incarnation, 1), State: Joining, Since: now}
 	d.list = []*entry{d.self}
-	d.byAddr[c.Addr] = d.self
+	d.byAddr[key(c.Addr)] = d.self
 	d.heard, d.joinAt, d.joinUntil = now, now, now+joinFor
 	d.probe.at, d.greetAt = now+d.jitter(period), now+d.jitter(greetEvery)
 	d.expect = now
@@ -302,15 +325,15 @@
 	if i, at := d.find(e.ref); at == e {
 		d.list = slices.Delete(d.list, i, i+1)
 	}
-	if d.byAddr[e.Addr] == e {
-		delete(d.byAddr, e.Addr)
+	if d.byAddr[key(e.Addr)] == e {
+		delete(d.byAddr, key(e.Addr))
 	}
 	delete(d.suspects, e.ref)
 }
 
 func (d *Decider) receive(from netip.AddrPort, data []byte) {
 	k, body, err := open(data)
-	sender := d.byAddr[from]
+	sender := d.byAddr[key(from)]
 	if err == nil && sender == d.self {
 		err = errField // an echo
 	}
--- a/internal/members/probe.go
+++ b/internal/members/probe.go
@@ -195,7 +195,7 @@
 // onAsk pings a member for somebody else.
 func (d *Decider) onAsk(from netip.AddrPort, r *reader) {
 	seq, target, boot := r.u16(), r.addr(), r.u32()
-	if r.err != nil || d.byAddr[target] == nil || d.byAddr[from] == nil || d.leaving {
+	if r.err != nil || d.byAddr[key(target)] == nil || d.byAddr[key(from)] == nil || d.leaving {
 		return
 	}
 	d.relay++
@@ -253,7 +253,7 @@
 		return
 	}
 	if boot != d.c.Boot {
-		d.send(from, appendCard(begin(other), &d.self.Member))
+		d.send(from, appendCard(begin(other), d.self.member()))
 		return
 	}
 	against := false
@@ -317,7 +317,7 @@
 		p.runs = slices.Delete(p.runs, i, i+1)
 		p.misses <<= 1
 		d.rtt -= d.rtt / 32
-		if via := d.byAddr[from]; !direct && via != nil {
+		if via := d.byAddr[key(from)]; !direct && via != nil {
 			e.through = via.ref
 		}
 		if direct {
@@ -335,7 +335,7 @@
 	if r.err != nil || c.Addr != from {
 		return
 	}
-	if old := d.byAddr[from]; old != nil && old != d.self && old.Name != c.Name && old.State == Alive {
+	if old := d.byAddr[key(from)]; old != nil && old != d.self && old.Name != c.Name && old.State == Alive {
 		// Nobody else can answer at its address while it lives.
 		d.suspectOf(old, word{ref: old.ref, state: Suspected, inc: old.Incarnation, by: d.self.ref})
 	}
--- a/internal/members/sync.go
+++ b/internal/members/sync.go
@@ -94,7 +94,7 @@
 	for i := range theirs {
 		theirs[i] = r.u32()
 	}
-	if r.err != nil || d.self.State != Alive || d.byAddr[from] == nil {
+	if r.err != nil || d.self.State != Alive || d.byAddr[key(from)] == nil {
 		return
 	}
 	sums, counts := d.digests(path)
@@ -139,7 +139,7 @@
 	path := append([]byte(nil), r.path()...)
 	answer := r.u8() == 1
 	words := r.words()
-	if r.err != nil || d.self.State != Alive || d.byAddr[from] == nil {
+	if r.err != nil || d.self.State != Alive || d.byAddr[key(from)] == nil {
 		return
 	}
 	told := map[ref]bool{}
--- a/internal/members/types.go
+++ b/internal/members/types.go
@@ -55,7 +55,7 @@
 	Addr                netip.AddrPort   // at which all others reach it; IPv4
 	Boot                uint32           // drawn anew at each start, not 0
 	Incarnation         uint32           // the least to begin with: what was kept, plus 1; 0 counts as 1
-	Seeds               []netip.AddrPort // who is asked for the fleet; the own address is passed over
+	Seeds               []netip.AddrPort // who is asked for the fleet; the own address is passed over. Not to be changed
 	Closed              bool             // only the addresses of Seeds may join
 	Seed                uint64           // of all chance
 	Members             int              // bound, with the dead; 0 for MostMembers
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -10,7 +10,7 @@
 	v := &View{Version: d.views, Digest: d.who, Members: make([]Member, 0, d.living)}
 	for _, e := range d.list {
 		if e.lives() {
-			v.Members = append(v.Members, e.Member)
+			v.Members = append(v.Members, *e.member())
 		}
 	}
 	slices.SortFunc(v.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
@@ -45,7 +45,7 @@
 			lost[e.Zone]++
 		}
 		e.told = told{lives: e.lives(), ever: true, boot: e.Boot}
-		changes = append(changes, Change{e.Member, why})
+		changes = append(changes, Change{*e.member(), why})
 	}
 	if len(changes) == 0 {
 		return
--- a/internal/viewlab/viewlab.go
+++ b/internal/viewlab/viewlab.go
@@ -77,6 +77,8 @@
 	link    *faults.Link
 	copies  []faults.Copy
 	broken  error
+	kept    *members.Kept // what all begin with, where they do
+	seeds   []netip.AddrPort
 
 	Datagrams, Bytes uint64 // sent
 	Deaths           int    // told by any router of any other
@@ -147,6 +149,14 @@
 		w.routers = append(w.routers, r)
 		w.at[r.addr] = r
 	}
+	var all []members.Member
+	for _, x := range w.routers {
+		all = append(all, members.Member{Name: name(x.n), Zone: x.zone, Version: "1", Addr: x.addr, Boot: bootOf(x.n, 1), Incarnation: 1})
+		w.seeds = append(w.seeds, x.addr)
+	}
+	if s.Settled {
+		w.kept = members.Keep(all)
+	}
 	for i := range w.routers {
 		at := time.Duration(0)
 		if s.Spread > 0 {
@@ -254,9 +264,7 @@
 			seeds = append(seeds, w.routers[i].addr)
 		}
 	} else {
-		for _, x := range w.routers {
-			seeds = append(seeds, x.addr)
-		}
+		seeds = w.seeds
 	}
 	r.gen++
 	d, err := members.New(members.Config{Name: name(r.n), Zone: r.zone, Version: "1", Addr: r.addr, Boot: bootOf(r.n, r.gen), Seeds: seeds,
@@ -267,9 +275,7 @@
 	}
 	r.d, r.inc, r.leaves, r.born = d, 0, false, w.now
 	if w.s.Settled && r.gen == 1 {
-		for _, x := range w.routers {
-			d.Know(members.Member{Name: name(x.n), Zone: x.zone, Version: "1", Addr: x.addr, Boot: bootOf(x.n, 1), Incarnation: 1})
-		}
+		d.Know(w.kept)
 	}
 	w.emit(history.Event{What: history.Start, Who: name(r.n)})
 	w.step(r, members.Passed{})
