--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -59,17 +59,37 @@
 // entry is a member as this decider has it.
 type entry struct {
 	*card
+	*past       // nil for most
+	Since       time.Duration
+	ref         ref
 	Incarnation uint32
 	State       State
-	Since       time.Duration
+	told        told // what users of the view know of it
+}
 
-	ref     ref
+// past is what few members have: returns from a death, a way that is cut.
+type past struct {
 	calm    time.Duration // until then it is not suspected: it returned from a death
 	calms   uint8         // such returns so far
 	spare   time.Duration // until then this decider does not accuse it: others reach it
 	spares  uint8
-	through ref  // who reached it last where this decider did not
-	told    told // what users of the view know of it
+	through ref // who reached it last where this decider did not
+}
+
+// had returns the past of a member, made if there was none.
+func (e *entry) had() *past {
+	if e.past == nil {
+		e.past = &past{}
+	}
+	return e.past
+}
+
+// has is had for reading.
+func (e *entry) has() past {
+	if e.past == nil {
+		return past{}
+	}
+	return *e.past
 }
 
 // card is who a member is, apart from how it fares. It is never changed, only replaced.
@@ -95,8 +115,8 @@
 
 // told is what users of the view know of a member.
 type told struct {
-	lives, ever bool
 	boot        uint32
+	lives, ever bool
 }
 
 func (e *entry) lives() bool { return e.State == Alive || e.State == Suspected }
@@ -189,6 +209,7 @@
 
 // Step takes one event and returns what is to be done. The slice is used again by the next call.
 func (d *Decider) Step(now time.Duration, e Event) []Action {
+	clear(d.out) // what it holds may be large, as the first view of a fleet is
 	d.out = d.out[:0]
 	if now > d.now {
 		late := now-d.expect >= stoodAfter
--- a/internal/members/probe.go
+++ b/internal/members/probe.go
@@ -176,7 +176,7 @@
 func (d *Decider) askOthers(e *entry, x *run) {
 	fits := func(x *entry) bool { return x != e && x.State == Alive }
 	others := d.some(asked, func(x *entry) bool { return fits(x) && x.Zone != d.self.Zone })
-	if _, x := d.find(e.through); x != nil && x != d.self && fits(x) && !slices.Contains(others, x) { // it knows a way
+	if _, x := d.find(e.has().through); x != nil && x != d.self && fits(x) && !slices.Contains(others, x) { // it knows a way
 		others = append([]*entry{x}, others[:min(len(others), asked-1)]...)
 	}
 	for _, x := range d.some(asked, fits) {
@@ -219,7 +219,7 @@
 	if half*2 >= missesKept {
 		d.worse()
 	}
-	if d.now >= d.mute && d.now >= e.spare {
+	if d.now >= d.mute && d.now >= e.has().spare {
 		d.suspectOf(e, word{ref: e.ref, state: Suspected, inc: e.Incarnation, by: d.self.ref})
 	}
 }
@@ -229,7 +229,9 @@
 	d.heard = d.now
 	for _, e := range slices.Clone(d.list) {
 		if e != d.self && e.State == Alive {
-			e.calm = 0
+			if e.past != nil {
+				e.calm = 0
+			}
 			d.suspectOf(e, word{ref: e.ref, state: Suspected, inc: e.Incarnation, by: d.self.ref})
 		}
 	}
@@ -318,7 +320,7 @@
 		p.misses <<= 1
 		d.rtt -= d.rtt / 32
 		if via := d.byAddr[key(from)]; !direct && via != nil {
-			e.through = via.ref
+			e.had().through = via.ref
 		}
 		if direct {
 			d.figures.Health = max(d.figures.Health-1, 0)
--- a/internal/members/state.go
+++ b/internal/members/state.go
@@ -14,7 +14,7 @@
 	chance, _ := d.src.MarshalBinary()
 	fmt.Fprintf(w, "%x|%v %v %v %v %v %v %v %v|", chance, d.joinAt, d.joinUntil, d.greetAt, d.leaving, d.heard, d.changed, d.swept, d.met)
 	for _, e := range d.list {
-		fmt.Fprintf(w, "%v %v %v %v %v %x %v;", *e.member(), e.calm, e.calms, e.spare, e.spares, uint64(e.through), e.told)
+		fmt.Fprintf(w, "%v %v %v %v %v %x %v;", *e.member(), e.has().calm, e.has().calms, e.has().spare, e.has().spares, uint64(e.has().through), e.told)
 	}
 	p := &d.probe
 	fmt.Fprintf(w, "|%v %x %v %d %v %v %x|", p.at, p.round, p.runs, p.seq, p.boost, p.misses, p.whom[p.seq%lastPings])
--- a/internal/members/suspect.go
+++ b/internal/members/suspect.go
@@ -41,7 +41,7 @@
 	}
 	s := d.suspects[e.ref]
 	if s == nil || w.inc > s.inc {
-		if d.now < e.calm || len(d.suspects) >= mostFollow {
+		if d.now < e.has().calm || len(d.suspects) >= mostFollow {
 			return
 		}
 		s = &suspect{e: e, inc: w.inc, began: d.now, own: d.now}
@@ -190,19 +190,21 @@
 func (d *Decider) lives(e *entry, inc uint32) {
 	was := e.State
 	if s := d.suspects[e.ref]; s != nil && s.mine {
-		e.spare = d.now + min(spareFirst<<min(e.spares, 8), calmMost)
-		e.spares = min(e.spares+1, 8)
+		p := e.had()
+		p.spare = d.now + min(spareFirst<<min(p.spares, 8), calmMost)
+		p.spares = min(p.spares+1, 8)
 	}
 	delete(d.suspects, e.ref)
 	if was == Suspected {
 		d.figures.Refuted++
 	}
 	if was == Dead {
+		p := e.had()
 		if d.now-e.Since > 2*calmMost {
-			e.calms = 0
+			p.calms = 0
 		}
-		e.calm = d.now + min(calmFirst<<min(e.calms, 8), calmMost)
-		e.calms = min(e.calms+1, 8)
+		p.calm = d.now + min(calmFirst<<min(p.calms, 8), calmMost)
+		p.calms = min(p.calms+1, 8)
 	}
 	d.set(e, Alive, inc)
 }
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -33,6 +33,9 @@
 		return
 	}
 	d.heldAt = 0
+	if len(d.touched) > 64 { // a map keeps its room; this was a rare day
+		defer func() { d.touched = map[ref]*entry{} }()
+	}
 	var changes []Change
 	lost := map[string]int{}
 	for r, e := range d.touched {
