--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -26,8 +26,8 @@
 		d.heldAt = 0
 		return
 	}
-	if d.self.State == Joining {
-		return // a view has its own router in it
+	if d.self.State != Alive {
+		return // a view has its own router in it: there is none before it has joined, nor once it has left
 	}
 	if d.heldAt > 0 && d.now < d.heldAt && d.doubts() {
 		return
