--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"io"
 	"net"
 	"net/netip"
@@ -13,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"reachspread/internal/faults"
 )
 
@@ -326,3 +329,63 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+var measure = flag.Bool("measure", false, "run the measurements")
+
+// What a relay adds to an echo, over a connection and over datagrams, both ways together.
+func TestMeasureDelay(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run with -measure")
+	}
+	const echoes = 20_000
+	show := func(what string, h *hdrhistogram.Histogram) {
+		t.Logf("%-28s median %d us, p99 %d us", what, h.ValueAtQuantile(50), h.ValueAtQuantile(99))
+	}
+	echo := func(c net.Conn) *hdrhistogram.Histogram {
+		h, buf := hdrhistogram.New(1, 1e7, 3), make([]byte, 64)
+		for range echoes {
+			begun := time.Now()
+			c.Write(buf)
+			if _, err := io.ReadFull(c, buf); err != nil {
+				t.Fatal(err)
+			}
+			h.RecordValue(time.Since(begun).Microseconds())
+		}
+		return h
+	}
+	p := newPair(t)
+	plain, err := net.Dial("tcp4", p.relay.to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer plain.Close()
+	show("connection", echo(plain))
+	show("connection through a relay", echo(p.dial()))
+
+	r := newRouters(t, 2)
+	go func() {
+		var buf [64]byte
+		for {
+			n, from, err := r.conns[1].ReadFromUDPAddrPort(buf[:])
+			if err != nil {
+				return
+			}
+			r.conns[1].WriteToUDPAddrPort(buf[:n], from)
+		}
+	}()
+	round := func(to netip.AddrPort) *hdrhistogram.Histogram {
+		h, buf := hdrhistogram.New(1, 1e7, 3), make([]byte, 64)
+		for range echoes {
+			begun := time.Now()
+			r.conns[0].WriteToUDPAddrPort(buf, to)
+			r.conns[0].SetReadDeadline(time.Now().Add(patience))
+			if _, _, err := r.conns[0].ReadFromUDPAddrPort(buf); err != nil {
+				t.Fatal(err)
+			}
+			h.RecordValue(time.Since(begun).Microseconds())
+		}
+		return h
+	}
+	show("datagram", round(r.conns[1].LocalAddr().(*net.UDPAddr).AddrPort()))
+	show("datagram through the mesh", round(r.addr(1)))
+}
