--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -31,9 +31,6 @@
 	rounds  = flag.Int("rounds", 1, "of a test whose verdict must be the same each time")
 )
 
-// The test binary is a router that misbehaves where its environment says how.
-const badRouter = "RIG_TEST_BAD_ROUTER"
-
 func TestMain(m *testing.M) {
 	// A bad router is started by the rig as a program of its own, so its manner stands in a file beside that program.
 	if how, err := os.ReadFile(os.Args[0] + ".how"); err == nil {
@@ -337,6 +334,14 @@
 			c.WriteToUDP(make([]byte, 300), to)
 		}
 	}
+	if how == "ends at SIGHUP" {
+		hup := make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP)
+		go func() {
+			<-hup
+			os.Exit(4)
+		}()
+	}
 	<-term
 	switch how {
 	case "ends with a fault":
@@ -349,32 +354,14 @@
 
 // A program with a planted fault is found out, by the checker that is meant for it.
 func TestPlantedPrograms(t *testing.T) {
-	own, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
 	var all sync.WaitGroup
 	for how, want := range map[string]string{
 		"well": "", "ends by itself": "crash: r0", "panics": "crash: r0", "never starts": "router r0 ended before it was ready", "hangs": "hang: r0",
 		"answers nobody": "answer: r0", "answers late": "answer: r0", "wide datagrams": "limits: r0",
 		"ends with a fault": "leave: r0", "ignores SIGTERM": "leave: r0",
 	} {
+		bad := badProgram(t, how)
 		all.Go(func() {
-			bad := filepath.Join(t.TempDir(), "bad")
-			if err := os.Link(own, bad); err != nil {
-				text, err := os.ReadFile(own)
-				if err == nil {
-					err = os.WriteFile(bad, text, 0o755)
-				}
-				if err != nil {
-					t.Error(err)
-					return
-				}
-			}
-			if err := os.WriteFile(bad+".how", []byte(how), 0o644); err != nil {
-				t.Error(err)
-				return
-			}
 			length := "1s"
 			if how == "hangs" {
 				length = "5s"
@@ -402,6 +389,76 @@
 	all.Wait()
 }
 
+// A schedule under which a planted program fails is shrunk to the one fault that matters, at the fewest routers; what is left is
+// kept, read again, and fails again.
+func TestShrunkOnProcesses(t *testing.T) {
+	bad := badProgram(t, "ends at SIGHUP")
+	kept := filepath.Join("testdata", "ends-at-sighup.hcl")
+	x, err := experiment.Read(kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := faults.Text(x.Faults)
+	x = parse(t, "1s", 3, "", `
+fault "loss" {
+  at = "100ms"
+  length = "300ms"
+  share = 0.3
+  routers = "all"
+}
+fault "reload" {
+  at = "300ms"
+  length = "100ms"
+  routers = [0]
+}
+fault "flip" {
+  at = "200ms"
+  length = "300ms"
+  share = 0.1
+  routers = "all"
+}
+fault "refuse" {
+  at = "500ms"
+  length = "200ms"
+  hosts = [1]
+}
+`)
+	s := Series{Experiment: x, Program: bad, Shrink: 30}
+	var got *Played
+	if err := s.Run(t.Context(), func(p *Played) { got = p }); err != nil || got.Err != nil {
+		t.Fatal(err, got.Err)
+	}
+	if got.Small == nil || got.Small.Routers != 1 || faults.Text(got.Small.Faults) != want || got.Again != got.Tries {
+		t.Errorf("shrunk to %+v, fails in %d of %d; want %s", got.Small, got.Again, got.Tries, want)
+	}
+	if got.Result.Folder != "" {
+		os.RemoveAll(got.Result.Folder)
+	}
+}
+
+// badProgram is this test's binary as a router that misbehaves.
+func badProgram(t *testing.T, how string) string {
+	t.Helper()
+	own, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := filepath.Join(t.TempDir(), "bad")
+	if err := os.Link(own, bad); err != nil {
+		text, err := os.ReadFile(own)
+		if err == nil {
+			err = os.WriteFile(bad, text, 0o755)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(bad+".how", []byte(how), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return bad
+}
+
 // Bad input is one line that names what is wrong, before anything is started.
 func TestRefused(t *testing.T) {
 	for want, o := range map[string]Options{
