--- a/internal/peering/view.go
+++ b/internal/peering/view.go
@@ -33,6 +33,9 @@
 	view    atomic.Pointer[members.View]
 	figures atomic.Pointer[members.Figures]
 	lost    atomic.Uint64 // datagrams that found no room
+
+	inc   uint32 // the own incarnation so far
+	wrong bool   // it was told that something does not hold
 }
 
 type datagram struct {
@@ -135,6 +138,17 @@
 	}
 	f := v.d.Figures()
 	v.figures.Store(&f)
+	v.hold()
+}
+
+// hold looks at what must always hold of the own member. A line of it is a fault of this program.
+func (v *View) hold() {
+	inc, state := v.d.Incarnation(), v.d.State()
+	if wrong := inc < v.inc || state == members.Dead || state == members.Suspected; wrong && !v.wrong {
+		v.wrong = true
+		v.log.Warn("view broken", "incarnation", inc, "before", v.inc, "state", state)
+	}
+	v.inc = max(v.inc, inc)
 }
 
 // tell writes the lines of a change: members lost, by reason, and members that are back. Who joins, restarts or leaves as it
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -320,3 +320,20 @@
 		t.Error("no log line found")
 	}
 }
+
+// A block fleet that needs what the configuration does not say is one line, and no start.
+func TestFleetNeeds(t *testing.T) {
+	for text, want := range map[string]string{
+		"fleet {}\n": "fleet needs seeds and address: the configuration names no peers",
+		"fleet {\n address = \"127.0.0.1:7\"\n seeds = [\"127.0.0.1:8\"]\n}\n":                            "fleet needs listen: the configuration has no peer_listen",
+		"fleet {\n name = \"a b\"\n}\n":                                                                   ":2: name is \"a b\"",
+		"fleet {\n address = \"127.0.0.1:7\"\n listen = \"127.0.0.1:7\"\n seeds = [\"127.0.0.1:8\"]\n}\n": "",
+	} {
+		path := filepath.Join(t.TempDir(), "settings.hcl")
+		write(t, path, text)
+		err := load(t, configFile(t, "127.0.0.1:1", "127.0.0.1:2")).ReadSettings(path)
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%s: got %v, want %q", text, err, want)
+		}
+	}
+}
