--- a/internal/members/gossip.go
+++ b/internal/members/gossip.go
@@ -172,7 +172,7 @@
 	case Dead:
 		switch {
 		case w.inc < e.Incarnation || !e.lives():
-		case e.State == Suspected:
+		case e.State == Suspected && d.now >= d.mute:
 			d.die(e)
 		default:
 			d.soon(e) // one's own probe, in place of belief
--- a/internal/members/suspect.go
+++ b/internal/members/suspect.go
@@ -118,6 +118,9 @@
 			continue // decided meanwhile
 		}
 		if !s.follow && d.now >= s.ranked+rankEvery {
+			if d.mayDie(s) {
+				continue
+			}
 			d.rank(s)
 		}
 		if !s.follow && d.now >= s.began+given {
@@ -160,6 +163,9 @@
 // mayDie has a member be dead if enough witnesses heard nothing of it, or if there is nobody but this decider to be one and
 // it heard nothing for twice as long.
 func (d *Decider) mayDie(s *suspect) bool {
+	if d.now < d.mute {
+		return false // what it hears now may have waited while it stood still, and the refutation behind it
+	}
 	if len(s.by) < enough && !(s.said && d.now-s.own >= alone+d.doubt()-suspicion && !d.others(s.e)) {
 		return false
 	}
