Duties, begun: the table that voters will agree on, a holder's lease, the fence; explored with clocks

A table that gives a duty on before the lease is over, a holder that counts from the answer, and one that takes clocks to be the same are each found.

--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,327 @@
+package duty
+
+import (
+	"errors"
+	"fmt"
+	"hash"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"reachspread/internal/explore"
+)
+
+func a(n string) Router { return Router{n, 1} }
+
+// story applies commands and tells what became of them, a line each.
+func story(t *testing.T, table *Table, all ...Command) (lines []string) {
+	t.Helper()
+	for i, c := range all {
+		answer, changes := table.Apply(uint64(10*(i+1)), c)
+		line := fmt.Sprintf("%v", answer.OK)
+		for _, x := range changes {
+			word := "lost by"
+			if x.Granted {
+				word = "to"
+			}
+			line += fmt.Sprintf("; %s %s %d %s %d (%s)", x.Grant.Duty, word, x.Grant.Holder.Boot, x.Grant.Holder.Name, x.Grant.Token, x.Why)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// A duty goes from hand to hand: asked, waited for, yielded, handed to whom it was meant for past who waits, expired, asked again by a
+// later life.
+func TestTable(t *testing.T) {
+	table, err := NewTable([]Duty{{Name: "scribe"}, {Name: "drain", Holders: 2}}, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := story(t, table,
+		Command{Kind: Acquire, Duty: "scribe", Who: a("r1")},
+		Command{Kind: Acquire, Duty: "scribe", Who: a("r2")}, // waits
+		Command{Kind: Acquire, Duty: "scribe", Who: a("r3")}, // waits
+		Command{Kind: Acquire, Duty: "scribe", Who: a("r1")}, // has not heard
+		Command{Kind: Renew, Duty: "scribe", Who: a("r1"), Token: 10},
+		Command{Kind: Expire, Duty: "scribe", Token: 10}, // renewed since
+		Command{Kind: Renew, Duty: "scribe", Who: a("r2"), Token: 10},
+		Command{Kind: HandOver, Duty: "scribe", Who: a("r1"), Token: 10, To: "r3"},
+		Command{Kind: Yield, Duty: "scribe", Who: a("r1"), Token: 10}, // came twice
+		Command{Kind: Expire, Duty: "scribe", Token: 80},
+		Command{Kind: Acquire, Duty: "scribe", Who: Router{"r2", 2}}, // another life
+		Command{Kind: Renew, Duty: "scribe", Who: a("r2"), Token: 100},
+		Command{Kind: HandOver, Duty: "scribe", Who: Router{"r2", 2}, Token: 110, To: "r9"}, // who is not there
+		Command{Kind: Acquire, Duty: "scribe", Who: a("r4")},
+		Command{Kind: Forget, Duty: "scribe", To: "r9"},
+		Command{Kind: Acquire, Duty: "drain", Who: a("r1")},
+		Command{Kind: Acquire, Duty: "drain", Who: a("r2")},
+		Command{Kind: Acquire, Duty: "drain", Who: a("r3")},
+		Command{Kind: Acquire, Duty: "nothing", Who: a("r3")},
+	)
+	want := []string{
+		"true; scribe to 1 r1 10 (asked)", "false", "false", "true", "true", "false", "false",
+		"true; scribe lost by 1 r1 10 (handed over); scribe to 1 r3 80 (handed over)", "false",
+		"true; scribe lost by 1 r3 80 (expired); scribe to 1 r2 100 (in turn)",
+		"true; scribe lost by 1 r2 100 (again); scribe to 2 r2 110 (again)", "false",
+		"true; scribe lost by 2 r2 110 (handed over)", "false", "true; scribe to 1 r4 150 (in turn)",
+		"true; drain to 1 r1 160 (asked)", "true; drain to 1 r2 170 (asked)", "false", "false",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Whatever is applied in whatever order: no duty has more holders than it allows, no router two grants of it, tokens only grow, and
+// two tables that apply the same are the same.
+func TestTableHolds(t *testing.T) {
+	duties := []Duty{{Name: "one"}, {Name: "two", Holders: 2}}
+	rapid.Check(t, func(t *rapid.T) {
+		x, _ := NewTable(duties, 0)
+		y, _ := NewTable(duties, 0)
+		last, place := uint64(0), uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			place += uint64(rapid.IntRange(1, 3).Draw(t, "places"))
+			c := Command{Kind: Kind(rapid.IntRange(0, 6).Draw(t, "kind")), Duty: rapid.SampledFrom([]string{"one", "two", "none"}).Draw(t, "duty"),
+				Who:   Router{rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "who"), uint32(rapid.IntRange(1, 2).Draw(t, "boot"))},
+				Token: last - uint64(rapid.IntRange(0, 2).Draw(t, "behind"))&min(last, 3), Renewals: uint64(rapid.IntRange(0, 2).Draw(t, "renewals")),
+				To: rapid.SampledFrom([]string{"", "a", "d"}).Draw(t, "to")}
+			_, changes := x.Apply(place, c)
+			y.Apply(place, c)
+			for _, ch := range changes {
+				if ch.Granted {
+					if ch.Grant.Token <= last {
+						t.Fatalf("token %d after %d", ch.Grant.Token, last)
+					}
+					last = ch.Grant.Token
+				}
+			}
+			count, who := map[string]int{}, map[string]bool{}
+			for _, g := range x.Grants() {
+				count[g.Duty]++
+				if key := g.Duty + g.Holder.Name; who[key] {
+					t.Fatalf("%s holds %s twice", g.Holder.Name, g.Duty)
+				} else {
+					who[key] = true
+				}
+			}
+			if count["one"] > 1 || count["two"] > 2 {
+				t.Fatalf("%v holders", count)
+			}
+			var sx, sy strings.Builder
+			x.WriteState(&sx)
+			y.WriteState(&sy)
+			if sx.String() != sy.String() {
+				t.Fatal("two tables differ")
+			}
+		}
+	})
+}
+
+// A holder counts from before it asked, is not led by old answers, and stops when in doubt; a fence lets nothing lower pass.
+func TestHolderAndFence(t *testing.T) {
+	h := NewHolder(Usual)
+	s := time.Second
+	begin := func(now time.Duration, token uint64, within time.Duration) {
+		t.Helper()
+		got, left, ok := h.Begin(now)
+		if got != token || left != within || ok != (token > 0) {
+			t.Errorf("at %v: %d, %v, %v; want %d, %v", now, got, left, ok, token, within)
+		}
+	}
+	begin(5*s, 0, 0)
+	h.Granted(5*s, Grant{Token: 7})
+	begin(5*s+50*time.Millisecond, 7, 1940*time.Millisecond)
+	begin(4*s, 0, 0) // its clock is behind where the lease began
+	begin(6*s+889*time.Millisecond, 7, 101*time.Millisecond)
+	begin(6*s+890*time.Millisecond, 0, 0) // the margin
+	h.Granted(6*s, Grant{Token: 7, Renewals: 1})
+	h.Granted(5*s, Grant{Token: 7}) // an old answer
+	h.Granted(9*s, Grant{Token: 3}) // of an old grant
+	begin(7*s, 7, 990*time.Millisecond)
+	h.Lost(6)
+	begin(7*s, 7, 990*time.Millisecond)
+	h.Lost(7)
+	begin(7*s, 0, 0)
+	h.Granted(8*s, Grant{Token: 9})
+	begin(8*s, 9, 1990*time.Millisecond)
+
+	var f Fence
+	for i, x := range []struct {
+		duty  string
+		token uint64
+		pass  bool
+	}{{"a", 7, true}, {"a", 7, true}, {"b", 3, true}, {"a", 9, true}, {"a", 8, false}, {"b", 0, false}, {"b", 4, true}} {
+		if got := f.Pass(x.duty, x.token); got != x.pass {
+			t.Errorf("%d: %+v: got %v", i, x, got)
+		}
+	}
+}
+
+// word is what goes between the sequencer and a holder in the explorer.
+type word struct {
+	Kind  Kind
+	Nth   int // of the holder's requests
+	OK    bool
+	Grant Grant
+}
+
+// flaw is what is done wrong in the explorer.
+type flaw int
+
+const (
+	none        flaw = iota
+	noWait           // the sequencer gives a duty on before a lease has passed
+	fromAnswer       // the holder counts from the answer
+	noAllowance      // clocks are taken to be the same
+)
+
+// sequencer applies commands in the order in which they come, and expires grants by its own clock.
+type sequencer struct {
+	t     *Table
+	place uint64
+	since map[uint64]time.Duration // by token, the last renewal
+	flaw  flaw
+}
+
+var exploring = Times{Lease: 2 * time.Second, Allowance: 12 * time.Millisecond}
+
+func (s *sequencer) Start(time.Duration) explore.Out[word] { return explore.Out[word]{} }
+
+func (s *sequencer) apply(now time.Duration, c Command) (answer Answer) {
+	s.place++
+	answer, changes := s.t.Apply(s.place, c)
+	for _, x := range changes {
+		if x.Granted {
+			s.since[x.Grant.Token] = now
+		} else {
+			delete(s.since, x.Grant.Token)
+		}
+	}
+	if c.Kind == Renew && answer.OK {
+		s.since[c.Token] = now
+	}
+	return answer
+}
+
+func (s *sequencer) out(o explore.Out[word]) explore.Out[word] {
+	lease := exploring.Lease
+	if s.flaw == noWait {
+		lease /= 2
+	}
+	for _, g := range s.t.Grants() {
+		if due := s.since[g.Token] + lease; o.Wake == 0 || due < o.Wake {
+			o.Wake = due
+		}
+	}
+	return o
+}
+
+func (s *sequencer) Receive(now time.Duration, from int, m word) explore.Out[word] {
+	answer := s.apply(now, Command{Kind: m.Kind, Duty: "d", Who: Router{fmt.Sprint(from), 1}, Token: m.Grant.Token})
+	return s.out(explore.Out[word]{Send: []explore.Send[word]{{To: from, Msg: word{m.Kind, m.Nth, answer.OK, answer.Grant}}}})
+}
+
+func (s *sequencer) Wake(now time.Duration) explore.Out[word] {
+	lease := exploring.Lease
+	if s.flaw == noWait {
+		lease /= 2
+	}
+	for _, g := range s.t.Grants() {
+		if now >= s.since[g.Token]+lease {
+			s.apply(now, Command{Kind: Expire, Duty: "d", Token: g.Token, Renewals: g.Renewals})
+		}
+	}
+	return s.out(explore.Out[word]{})
+}
+
+func (s *sequencer) Write(h hash.Hash64) {
+	s.t.WriteState(h)
+	fmt.Fprint(h, s.place, s.since)
+}
+
+// client wants the duty, renews it a lease later, and asks again while it has not.
+type client struct {
+	h    *Holder
+	nth  int
+	sent map[int]time.Duration
+	flaw flaw
+}
+
+func (c *client) request(now time.Duration, kind Kind, g Grant) explore.Out[word] {
+	c.nth++
+	c.sent[c.nth] = now
+	return explore.Out[word]{Send: []explore.Send[word]{{To: 0, Msg: word{Kind: kind, Nth: c.nth, Grant: g}}}, Wake: now + exploring.Lease}
+}
+
+func (c *client) Start(now time.Duration) explore.Out[word] { return c.request(now, Acquire, Grant{}) }
+func (c *client) Wake(now time.Duration) explore.Out[word] {
+	if g, held := c.h.Grant(); held {
+		return c.request(now, Renew, g)
+	}
+	return c.request(now, Acquire, Grant{})
+}
+func (c *client) Receive(now time.Duration, _ int, m word) explore.Out[word] {
+	sent := c.sent[m.Nth]
+	if c.flaw == fromAnswer {
+		sent = now
+	}
+	g, _ := c.h.Grant()
+	switch {
+	case m.OK:
+		c.h.Granted(sent, m.Grant)
+	case m.Kind == Renew:
+		c.h.Lost(g.Token)
+	}
+	return explore.Out[word]{Wake: now + exploring.Lease}
+}
+func (c *client) Write(h hash.Hash64) { fmt.Fprint(h, *c.h, c.nth, c.sent) }
+
+var errTwo = errors.New("two act under the duty")
+
+// All orders of a sequencer and two holders whose clocks differ by 5 ms at most, with a lost message, a copy and a standstill: no two
+// may act at one moment. Each flaw is found.
+func TestExploreLeases(t *testing.T) {
+	for _, x := range []struct {
+		flaw  flaw
+		depth int
+	}{{none, 6}, {noWait, 7}, {fromAnswer, 7}, {noAllowance, 7}} {
+		times := exploring
+		if x.flaw == noAllowance {
+			times.Allowance = 0
+		}
+		q := explore.Question[word]{Nodes: 3, Depth: x.depth, Skew: 5 * time.Millisecond, Budget: explore.Budget{Losses: 1, Copies: 1, Pauses: 1}, States: 600_000,
+			Make: func(n, life int, _ explore.Node[word]) explore.Node[word] {
+				if n == 0 {
+					table, _ := NewTable([]Duty{{Name: "d"}}, 0)
+					return &sequencer{t: table, since: map[uint64]time.Duration{}, flaw: x.flaw}
+				}
+				return &client{h: NewHolder(times), sent: map[int]time.Duration{}, flaw: x.flaw}
+			},
+			Holds: func(nodes []explore.Node[word], now []time.Duration) error {
+				acts := 0
+				for i, n := range nodes[1:] {
+					if c, ok := n.(*client); ok {
+						if _, _, may := c.h.Begin(now[i+1]); may {
+							acts++
+						}
+					}
+				}
+				if acts > 1 {
+					return errTwo
+				}
+				return nil
+			}}
+		answer, err := explore.Explore(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("flaw %d: %s", x.flaw, answer)
+		if found := errors.Is(answer.Broken, errTwo); found != (x.flaw != none) {
+			t.Errorf("flaw %d: %s", x.flaw, answer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/duty/types.go
@@ -0,0 +1,102 @@
+// Package duty is work that only so many routers may do at a time: the table of grants that voters agree on, and the holder's
+// side of a lease. docs/design/duties.md has the why.
+//
+// This file is the interface; table.go has the table, holder.go the lease. Both are state machines without I/O, clock or
+// goroutine. The table's owner applies the same commands in the same order at each voter; it looks at no time at all. The
+// holder's owner gives it the time of one monotonic clock that never goes back.
+//
+// What its users may rely on: tokens only grow, over all duties; at most as many grants of a duty stand as it allows; and as long
+// as clocks' rates differ by no more than the allowance says, nobody begins work under a grant that has been given to
+// another. Whatever leaves the process under a duty carries its token, and whoever receives it refuses lower ones: that holds
+// whatever the clocks do.
+package duty
+
+import "time"
+
+// Bounds of what comes from outside.
+const (
+	MostDuties  = 64
+	MostHolders = 64  // of one duty at a time
+	MostWaiting = 256 // for one duty
+	MostName    = 48  // bytes of a duty's or a router's name
+)
+
+// Duty is one kind of work.
+type Duty struct {
+	Name    string
+	Holders int // at a time; 0 counts as 1
+}
+
+// Router is who asks: its name, and the process, so that what an earlier life asked for is not this one's.
+type Router struct {
+	Name string
+	Boot uint32
+}
+
+// Grant is a duty in somebody's hands.
+type Grant struct {
+	Duty     string
+	Holder   Router
+	Token    uint64
+	Renewals uint64 // so far
+}
+
+// Kind is what a command does.
+type Kind uint8
+
+// The kinds.
+const (
+	Acquire  Kind = iota // for Who: a grant if a slot is free, otherwise a place in the line
+	Renew                // Who still holds Token
+	Yield                // Who gives Token back
+	HandOver             // Who gives Token back, and its slot is To's for as long as that one is expected
+	Expire               // Token has had no renewal beyond Renewals for a whole lease, by the leader's clock
+	Forget               // Who waits no more, or To's slot is kept no more
+)
+
+// Command is one step of the agreed sequence.
+type Command struct {
+	Kind     Kind
+	Duty     string
+	Who      Router
+	Token    uint64
+	Renewals uint64
+	To       string
+}
+
+// Why is the reason for a change.
+type Why string
+
+// The reasons.
+const (
+	Asked      Why = "asked"       // a slot was free
+	InTurn     Why = "in turn"     // one became free, and this router had waited
+	Yielded    Why = "yielded"     // given back
+	HandedOver Why = "handed over" // given back for a router that was named
+	Expired    Why = "expired"     // not renewed
+	Again      Why = "again"       // the same router, another process
+)
+
+// Change is what became of a grant.
+type Change struct {
+	Grant   Grant
+	Granted bool // or taken back
+	Why     Why
+}
+
+// Answer is what a command's sender is told.
+type Answer struct {
+	OK    bool
+	Grant Grant  // of Acquire and Renew, if OK
+	Why   string // if not
+}
+
+// Times are a lease's.
+type Times struct {
+	Lease     time.Duration // on the voters' side
+	Allowance time.Duration // for clocks whose rates differ, and rounding
+	Margin    time.Duration // before the end, in which no work is begun and what is under way ends
+}
+
+// Usual is a lease of 2 s. Rates differ by one part in 1,000 at most: 2 ms in a lease, and five times that is allowed for.
+var Usual = Times{Lease: 2 * time.Second, Allowance: 10 * time.Millisecond, Margin: 100 * time.Millisecond}
