--- a/internal/viewlab/measure_test.go
+++ b/internal/viewlab/measure_test.go
@@ -81,7 +81,7 @@
 // Bytes, datagrams and memory of a router while nothing happens, and a crash, at growing sizes.
 func TestMeasureSizes(t *testing.T) {
 	asked(t)
-	for _, n := range []int{10, 30, 100, 300, 1000, 3000, 10000} {
+	for _, n := range []int{10, 30, 100, 300, 1000, 3000, 6000, 10000} {
 		if n > *sizes {
 			break
 		}
