--- a/internal/experiment/schedule.go
+++ b/internal/experiment/schedule.go
@@ -18,6 +18,7 @@
 	Cores             float64
 	Held              bool   // the clients' listeners are the platform's, and every process of a router inherits them
 	View              bool   // routers keep a view of the fleet, and it is judged
+	Seeds             int    // with View: the configuration names no peers, and so many routers are asked for the fleet; 0 for peers
 	Settings          string // the operators' file of every router, empty for none
 	Slack             time.Duration
 	Settle            time.Duration // after the last fault until the fleet must serve as before; 0 for no bound
@@ -33,7 +34,7 @@
 
 func (d *decoder) rig(r *Rig, b *hclsyntax.Block) {
 	d.body(b.Body, "rig", fields{"memory_mb": whole(&r.MemoryMB, 32, 1<<20), "sockets": whole(&r.Sockets, 96, 1<<20), "cores": num(&r.Cores, 0.01, 64),
-		"held": flag(&r.Held), "view": flag(&r.View), "settings": word(&r.Settings), "slack": span(&r.Slack, 0), "settle": span(&r.Settle, 0),
+		"held": flag(&r.Held), "view": flag(&r.View), "seeds": whole(&r.Seeds, 0, 1024), "settings": word(&r.Settings), "slack": span(&r.Slack, 0), "settle": span(&r.Settle, 0),
 		"pieces": num(&r.Pieces, 0, 1), "silent": num(&r.Silent, 0, 1), "leave": num(&r.Leave, 0, 1), "retries": flag(&r.Retries), "scrape": span(&r.Scrape, 10*time.Millisecond)}, nil)
 }
 
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -94,7 +94,7 @@
 		}
 		if settings != "" {
 			r.settings = filepath.Join(r.folder, "settings.hcl")
-			if err := os.WriteFile(r.settings, []byte(expand(settings, r.disk())), 0o644); err != nil {
+			if err := os.WriteFile(r.settings, []byte(strings.ReplaceAll(expand(settings, r.disk()), "@FLEET@", p.fleetFields(i))), 0o644); err != nil {
 				return err
 			}
 		}
@@ -117,12 +117,29 @@
 	return nil
 }
 
+// fleetFields are those of a router's block fleet: none where the configuration names its peers.
+func (p *play) fleetFields(i int) string {
+	n := p.o.Experiment.Rig.Seeds
+	if n == 0 {
+		return ""
+	}
+	var seeds []string
+	for _, a := range p.layout.known(min(n, p.spec.Routers)) {
+		seeds = append(seeds, strconv.Quote(a))
+	}
+	return fmt.Sprintf("  listen = %q\n  address = %q\n  seeds = [%s]\n", p.layout.peer(i), p.layout.seen(i), strings.Join(seeds, ", "))
+}
+
 // configure writes the configuration that processes read.
 func (r *router) configure() error {
 	p, x := r.p, &r.p.o.Experiment.Rig
+	peers := p.layout.known(p.spec.Routers)
+	if x.Seeds > 0 {
+		peers = nil
+	}
 	text := p.fleet.RouterConfig(standin.Place{Name: r.name(), Listen: p.layout.client(r.n), Discovery: p.layout.list(r.n), Seed: p.o.Seed<<16 | uint64(r.n+1),
 		Zone: p.spec.Shape().Routers[r.n], Memory: x.MemoryMB, Sockets: x.Sockets, Cores: x.Cores,
-		Me: r.n, PeerListen: p.layout.peer(r.n).String(), Peers: p.layout.known(p.spec.Routers)})
+		Me: r.n, PeerListen: p.layout.peer(r.n).String(), Peers: peers})
 	return os.WriteFile(filepath.Join(r.folder, "config.json"), text, 0o644)
 }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -100,7 +100,7 @@
 		p.settings = string(text)
 	}
 	if o.Experiment.Rig.View {
-		p.settings += "\nfleet {}\n"
+		p.settings += "\nfleet {\n@FLEET@}\n"
 	}
 	p.views = o.Experiment.Rig.View
 	if err := p.check(); err != nil {
--- a/internal/rig/view_test.go
+++ b/internal/rig/view_test.go
@@ -126,6 +126,18 @@
   length = "2s"
   routers = [0]
 }
+`},
+	"strangers, from two seeds that go": {6, `
+fault "kill" {
+  at = "2s"
+  length = "2s"
+  routers = [0, 1]
+}
+fault "kill" {
+  at = "3s"
+  length = "4s"
+  routers = [4]
+}
 `},
 	"one alone": {1, `
 fault "kill" {
@@ -155,6 +167,9 @@
 			if strings.Contains(x.faults, "replace") {
 				held = "held = true"
 			}
+			if strings.HasPrefix(name, "strangers") {
+				held = "seeds = 2"
+			}
 			r := playOnce(t, Options{Experiment: parse(t, "17s", x.routers, "view = true\n"+held, x.faults), Seed: 1, Program: binary})
 			for _, v := range r.Verdicts {
 				t.Error(v.String())
