--- a/internal/members/join.go
+++ b/internal/members/join.go
@@ -311,7 +311,8 @@
 	return k
 }
 
-// Know takes up members before the first step. They are probed like any others.
+// Know takes up members before the first step. They are in the first view that is told, as no change of it, and are probed like
+// any others.
 func (d *Decider) Know(k *Kept) {
 	d.list = slices.Grow(d.list, len(k.cards))
 	for i, c := range k.cards {
@@ -324,5 +325,7 @@
 		d.list = slices.Insert(d.list, at, e)
 		d.byAddr[key(c.Addr)] = e
 		d.set(e, Alive, k.incs[i])
+		e.told = told{boot: c.Boot, lives: true, ever: true}
 	}
+	d.touched = map[ref]*entry{}
 }
