--- a/internal/members/join.go
+++ b/internal/members/join.go
@@ -160,7 +160,7 @@
 		if len(d.list) >= d.c.Members {
 			return
 		}
-		e = d.insert(i, r, &c)
+		e = d.insert(i, r, cardOf(&c), c.Incarnation)
 		d.figures.Joins++
 		d.tellLater(freshWord{word: aliveWord(e), card: true})
 		return
@@ -194,7 +194,7 @@
 		d.who ^= markWho(e)
 		d.digest ^= mark(e)
 	}
-	e.card = &card{c.Name, c.Zone, c.Version, c.Addr, c.Boot}
+	e.card = cardOf(c)
 	if e.lives() {
 		d.who ^= markWho(e)
 		d.digest ^= mark(e)
@@ -284,11 +284,11 @@
 }
 
 // insert puts a new member in, alive.
-func (d *Decider) insert(at int, r ref, c *Member) *entry {
-	e := &entry{card: &card{c.Name, c.Zone, c.Version, c.Addr, c.Boot}, ref: r, State: Left, Since: d.now}
+func (d *Decider) insert(at int, r ref, c *card, inc uint32) *entry {
+	e := &entry{card: c, ref: r, State: Left, Since: d.now}
 	d.list = slices.Insert(d.list, at, e)
 	d.byAddr[key(c.Addr)] = e
-	d.set(e, Alive, c.Incarnation)
+	d.set(e, Alive, inc)
 	return e
 }
 
@@ -306,7 +306,7 @@
 	k := &Kept{}
 	for i := range all {
 		c := &all[i]
-		k.cards, k.incs = append(k.cards, &card{c.Name, c.Zone, c.Version, c.Addr, c.Boot}), append(k.incs, c.Incarnation)
+		k.cards, k.incs = append(k.cards, cardOf(c)), append(k.incs, c.Incarnation)
 	}
 	return k
 }
@@ -321,10 +321,7 @@
 		if e != nil || len(d.list) >= d.c.Members {
 			continue
 		}
-		e = &entry{card: c, ref: r, State: Left, Since: d.now}
-		d.list = slices.Insert(d.list, at, e)
-		d.byAddr[key(c.Addr)] = e
-		d.set(e, Alive, k.incs[i])
+		e = d.insert(at, r, c, k.incs[i])
 		e.told = told{boot: c.Boot, lives: true, ever: true}
 	}
 	d.touched = map[ref]*entry{}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -100,6 +100,8 @@
 	Boot                uint32
 }
 
+func cardOf(m *Member) *card { return &card{m.Name, m.Zone, m.Version, m.Addr, m.Boot} }
+
 // member is the entry as users and others are told of it.
 func (e *entry) member() *Member {
 	return &Member{Name: e.Name, Zone: e.Zone, Version: e.Version, Addr: e.Addr, Incarnation: e.Incarnation, Boot: e.Boot, State: e.State, Since: e.Since}
