Clients: pipelined requests are served, a client that left is seen at the moment of sending

Cause, found by reading and shown by stories that fail without the change: - of requests that came in one piece the second was refused as "no place": the HTTP server reads nothing between them, so the door was never told that the first was done (503 and a closed connection, the third got no answer at all); - the watch on a client ended with the first byte behind an open request, so a client that closed or reset after it was not noticed before its deadline; - a connection to a server may take a while to come up, and the watch may be late where processor time is short: nothing was looked at before the write.

At the write the client's socket itself is looked at, and the deadline is worked out from the request's first byte. What was not written leaves the connection reusable. Ruled out: half-closed clients (they were and are taken as gone, PROTOCOL names no other meaning).

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -44,6 +44,7 @@
 	Load   *balance.Load
 	Body   Body
 	Unfit  bool // the real server finds the request itself at fault, as any other would
+	Left   bool // nothing was sent, as the client has left
 }
 
 // ErrSpoilt says that what came is no answer, although the real server and its connection stand.
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -27,6 +27,9 @@
 		if head.Unfit {
 			f.answer(Answer{Verdict: Unfit})
 		}
+		if head.Left {
+			r.Leave(f)
+		}
 		r.book(s, head)
 	}()
 }
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -7,11 +7,11 @@
 	"reachspread/balance"
 )
 
-// TakeIn starts a flow for a request whose last byte came at the time given. Its caller owes one call of Done,
-// unless there is an error.
-func (r *Router) TakeIn(a balance.Arrival, came time.Time, m Message) (*Flow, error) {
+// TakeIn starts a flow for a request whose first byte came at the time given, from which on its client waits. Its
+// caller owes one call of Done, unless there is an error.
+func (r *Router) TakeIn(a balance.Arrival, began time.Time, m Message) (*Flow, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Flow{id: a.ID, arrival: a, class: r.figures.of(a.Class), message: m, deadline: came.Add(a.Left), ctx: ctx, cancel: cancel, final: make(chan Answer, 1)}
+	f := &Flow{id: a.ID, arrival: a, class: r.figures.of(a.Class), message: m, deadline: began.Add(a.Left), ctx: ctx, cancel: cancel, final: make(chan Answer, 1)}
 	f.holds.Store(1)
 	if err := r.admit(f); err != nil {
 		cancel()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -29,15 +29,14 @@
 
 // Front listens for clients and hands their requests to the core.
 type Front struct {
-	router     *routing.Router
-	server     *fasthttp.Server
-	limits     FrontLimits
-	listener   *listener
-	tap        Tap          // nil for none
-	capture    Capture      // nil for none
-	bodies     atomic.Int64 // bytes of all bodies that are held
-	mostBodies atomic.Int64
-	ready      atomic.Bool
+	router   *routing.Router
+	server   *fasthttp.Server
+	limits   FrontLimits
+	listener *listener
+	tap      Tap     // nil for none
+	capture  Capture // nil for none
+	memory   budget  // of all bodies that are held, and of what clients sent ahead
+	ready    atomic.Bool
 }
 
 // FrontLimits bounds what clients may take up.
@@ -57,7 +56,7 @@
 	if limits.Short == nil {
 		limits.Short = func() {}
 	}
-	f.listener = newListener(&limits)
+	f.listener = newListener(&limits, &f.memory)
 	slow := slowClient
 	if f.listener.strict {
 		slow = slowSilent
@@ -101,7 +100,7 @@
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
 // SetBodies bounds the bytes of the bodies of all requests together.
-func (f *Front) SetBodies(most int) { f.mostBodies.Store(int64(most)) }
+func (f *Front) SetBodies(most int) { f.memory.most.Store(int64(most)) }
 
 // SetKeeps says whether a connection outlives its answer. An answer that begins from then on tells so to its client.
 func (f *Front) SetKeeps(keeps bool) {
@@ -158,14 +157,15 @@
 		return
 	}
 	body, err := f.readBody(ctx)
-	defer f.bodies.Add(-int64(cap(body))) // once the answer has begun, nobody needs it any more
+	defer func() { f.memory.give(cap(body)) }() // once the answer has begun, nobody needs it any more
 	if err != nil {
 		f.refuse(ctx, err)
 		return
 	}
-	came := time.Now()
 	// Up to here its connection counts as silent: who sends half a request must not keep others out.
 	conn := ctx.Conn().(*clientConn)
+	conn.taken()
+	came := conn.readAt
 	if !f.ask(ctx, conn) {
 		return
 	}
@@ -184,7 +184,7 @@
 		client:      conn,
 	}
 	conn.open = true
-	flow, err := f.router.TakeIn(arrival, came, m)
+	flow, err := f.router.TakeIn(arrival, conn.beganAt, m)
 	if err != nil {
 		f.lose(ctx, fasthttp.StatusConflict, err.Error())
 		return
@@ -259,7 +259,7 @@
 var errCrowded = errors.New("no room for the body")
 
 // readBody reads a request's body. Its buffer grows with what comes, not with what was announced, and counts in
-// f.bodies, whatever the error. A client that closes half-way ends fasthttp's stream like a whole body.
+// f.memory, whatever the error. A client that closes half-way ends fasthttp's stream like a whole body.
 func (f *Front) readBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
 	length := ctx.Request.Header.ContentLength() // negative where it was not announced
 	if length > MaxBody {
@@ -269,8 +269,7 @@
 	for stream := ctx.RequestBodyStream(); stream != nil; {
 		if len(body) == cap(body) {
 			more := max(cap(body), firstGrow)
-			if f.bodies.Add(int64(more)) > f.mostBodies.Load() {
-				f.bodies.Add(-int64(more))
+			if !f.memory.take(more) {
 				return body, errCrowded
 			}
 			body = append(make([]byte, 0, cap(body)+more), body...)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,13 +19,6 @@
 )
 
 const (
-	// lingerFor and lingerBytes bound what is read of a request that was refused before its end, lingerShort where
-	// places are short.
-	lingerFor   = time.Second
-	lingerLess  = 500 * time.Millisecond // where the client may have been accepted late
-	lingerShort = 100 * time.Millisecond
-	lingerBytes = 4 << 20
-
 	// ending is how many connections that were shut may still be on their way out of the HTTP server; then nothing is
 	// accepted until some are. Its workers end slower than new connections come, and it refuses beyond its own bound.
 	ending = 32
@@ -41,19 +33,17 @@
 	deferFor = time.Second          // that the system waits for a client's first word, where the door looks at it
 )
 
-// stuckFor is how long a client may take to read what one write sent, where the door has no bound of its own.
-const stuckFor = 10 * time.Second
-
 // listener carries out what package door decides on client connections.
 type listener struct {
 	net.Listener
 	socket *os.File // the listener's, as a listener itself lets nobody at its descriptor
 	raw    syscall.RawConn
 	start  time.Time
-	strict bool   // levels bound slow clients, and what a client has said is looked at before it is let in
-	shared bool   // others have the socket; whoever starts one may make it block, for all
-	header string // that names a client, empty for none
-	log    func() // the process had no descriptor left
+	strict bool    // levels bound slow clients, and what a client has said is looked at before it is let in
+	shared bool    // others have the socket; whoever starts one may make it block, for all
+	header string  // that names a client, empty for none
+	log    func()  // the process had no descriptor left
+	memory *budget // of what clients sent and nobody has used yet
 
 	leaving atomic.Bool           // answers tell that their connections end
 	mover   atomic.Pointer[Mover] // to a process that takes over, nil without one
@@ -75,10 +65,10 @@
 	text  []byte        // of a refusal
 }
 
-func newListener(limits *FrontLimits) *listener {
+func newListener(limits *FrontLimits, memory *budget) *listener {
 	c := limits.Door
 	l := &listener{start: time.Now(), door: door.New(c, limits.Seed), most: c.Places + c.Step + ending, log: limits.Short,
-		strict: c.Patience != [3]time.Duration{}, header: limits.Identity, turn: turnOf}
+		strict: c.Patience != [3]time.Duration{}, header: limits.Identity, turn: turnOf, memory: memory}
 	l.room = sync.NewCond(&l.mu)
 	return l
 }
@@ -269,7 +259,8 @@
 				}
 				return nil
 			}
-			c = l.admit(a.Conn, nc, bytes.Clone(l.ahead[:got]))
+			c = l.admit(a.Conn, nc)
+			c.keep(bytes.Clone(l.ahead[:got]))
 		case door.Turn:
 			l.idle++
 			if !e.Left { // no request was read whole, so nothing is owed
@@ -295,8 +286,8 @@
 }
 
 // admit gives a connection its name. The lock is held.
-func (l *listener) admit(name int32, nc net.Conn, ahead []byte) *clientConn {
-	c := &clientConn{Conn: nc, listener: l, name: name, ahead: ahead}
+func (l *listener) admit(name int32, nc net.Conn) *clientConn {
+	c := &clientConn{Conn: nc, listener: l, name: name}
 	for int(name) >= len(l.conns) {
 		l.conns = append(l.conns, nil)
 	}
@@ -412,152 +403,3 @@
 	defer l.mu.Unlock()
 	return l.door.Use()
 }
-
-// clientConn is a client's connection, which can be watched while its request is held or out: fasthttp does not
-// read it then, and would not notice that the client leaves.
-type clientConn struct {
-	net.Conn
-	listener *listener
-	name     int32  // at the door
-	ahead    []byte // read by the watch, due to the next Read
-	used     bool   // something was read
-	begun    bool   // something of the next request was read
-	unread   bool   // more of a refused request may come
-	open     bool   // a request was read whole and is not answered
-	closed   bool
-	hurried  bool // its time is over; the listener's lock guards it
-
-	// Of the watch, its user's alone:
-	gone    func()
-	watched chan struct{} // closed when it ends, nil without one
-	left    atomic.Bool   // the client ended the connection
-}
-
-// Read is called by fasthttp between requests and for what is left of one, never while one is open.
-func (c *clientConn) Read(p []byte) (int, error) {
-	if c.open { // only the goroutine that serves the connection sets it
-		c.open, c.begun = false, false
-		c.listener.tell(door.Event{Kind: door.Done, Conn: c.name})
-	}
-	var n int
-	var err error
-	switch {
-	case len(c.ahead) > 0:
-		n = copy(p, c.ahead)
-		c.ahead = c.ahead[n:]
-	case c.used && !c.begun && c.listener.parting.Load():
-		n, err = c.lastLook(p, io.EOF)
-	default:
-		n, err = c.Conn.Read(p)
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() && !c.begun {
-			n, err = c.lastLook(p, err)
-		}
-	}
-	if n > 0 && !c.begun {
-		c.used, c.begun = true, true
-		// It is not idle any more; later bytes gain a slow sender no time.
-		c.listener.tell(door.Event{Kind: door.Began, Conn: c.name})
-		c.unhurry()
-	}
-	return n, err
-}
-
-// lastLook is for a silent connection whose time is over. If another process takes over, it goes there, with whatever
-// is on its way. Otherwise a request that has come but was not read, as the router had
-// no time of the core, is read now; where there is none, the close follows at once, so that hardly any can cross it.
-func (c *clientConn) lastLook(p []byte, over error) (n int, err error) {
-	if m := c.listener.mover.Load(); m != nil && m.move(moved{}, c.Conn) == nil {
-		c.Conn.Close()
-		return 0, over
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return 0, over
-	}
-	raw.Control(func(fd uintptr) { n, err = syscall.Read(int(fd), p) })
-	if n > 0 {
-		c.Conn.SetReadDeadline(time.Now().Add(slowClient))
-		return n, nil
-	}
-	c.Conn.Close()
-	return 0, over
-}
-
-// unhurry gives a request that came as its connection was hurried the time that any has.
-func (c *clientConn) unhurry() {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	if c.hurried {
-		c.hurried = false
-		c.Conn.SetReadDeadline(time.Now().Add(slowClient))
-	}
-}
-
-// Write gives up on a client that reads no more: its stream would hold a real server's connection for ever.
-func (c *clientConn) Write(p []byte) (int, error) {
-	c.Conn.SetWriteDeadline(time.Now().Add(c.listener.reading()))
-	return c.Conn.Write(p)
-}
-
-// watch calls gone if the client ends the connection before unwatch is called. Nothing else may read meanwhile.
-func (c *clientConn) watch(gone func()) {
-	c.Conn.SetReadDeadline(time.Time{})
-	done := make(chan struct{})
-	c.gone, c.watched = gone, done
-	go func() {
-		defer close(done)
-		var b [1]byte
-		n, err := c.Conn.Read(b[:])
-		if n > 0 {
-			c.ahead = append(c.ahead, b[:n]...)
-			return
-		}
-		if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
-			c.left.Store(true)
-			gone()
-		}
-	}()
-}
-
-// unwatch ends the watch, if there is one.
-func (c *clientConn) unwatch() {
-	if c.watched == nil {
-		return
-	}
-	c.Conn.SetReadDeadline(time.Unix(1, 0))
-	<-c.watched
-	c.watched = nil
-	c.Conn.SetReadDeadline(time.Time{})
-}
-
-// Close reads on for a moment where a request was refused before its end: closed with bytes unread, the
-// connection would be reset and the client might lose the answer.
-func (c *clientConn) Close() error {
-	if c.closed {
-		return net.ErrClosed
-	}
-	c.closed = true
-	l := c.listener
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.unread && tcp.CloseWrite() == nil {
-		linger := lingerFor
-		switch {
-		case l.level() > door.Calm:
-			linger = lingerShort
-		case l.strict:
-			linger = lingerLess
-		}
-		c.Conn.SetReadDeadline(time.Now().Add(linger))
-		io.CopyN(io.Discard, c.Conn, lingerBytes)
-	}
-	err := c.Conn.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.alive--
-	actions := l.door.Step(l.now(), door.Event{Kind: door.Closed, Conn: c.name})
-	l.conns[c.name] = nil
-	for _, a := range actions {
-		l.carryOut(a)
-	}
-	l.room.Signal()
-	return err
-}
--- a/internal/transport/move.go
+++ b/internal/transport/move.go
@@ -348,7 +348,7 @@
 }
 
 // adopt serves a client on a connection that another process had. What was read of its next request goes first.
-func (f *Front) adopt(c net.Conn, ahead []byte) error {
+func (f *Front) adopt(c net.Conn, ahead []received) error {
 	conn := f.listener.adopt(c, ahead)
 	if conn == nil {
 		return errDeclined
@@ -358,7 +358,7 @@
 }
 
 // adopt admits a connection that was never in the line.
-func (l *listener) adopt(nc net.Conn, ahead []byte) (c *clientConn) {
+func (l *listener) adopt(nc net.Conn, ahead []received) (c *clientConn) {
 	from, _ := netip.ParseAddrPort(nc.RemoteAddr().String())
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -368,7 +368,8 @@
 	for _, a := range l.door.Step(l.now(), door.Event{Kind: door.Opened, Addr: from.Addr().Unmap()}) {
 		switch a.Kind {
 		case door.Admit:
-			c = l.admit(a.Conn, nc, ahead)
+			c = l.admit(a.Conn, nc)
+			c.ahead = ahead
 		case door.Shut, door.Hurry:
 			l.carryOut(a)
 		}
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -139,9 +139,9 @@
 
 	headCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	x, result := s.exchange(headCtx, deadline, to, req, written)
+	x, result := s.exchange(headCtx, to, outgoing{request: req, deadline: deadline, client: msg.client, written: written})
 	if x == nil {
-		return routing.Head{Result: result}
+		return routing.Head{Result: result, Left: result == balance.NotSent && msg.client.hasLeft()}
 	}
 	unfit := false
 	if x.resp.StatusCode() == fasthttp.StatusOK {
@@ -174,7 +174,7 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetRequestURI(protocol.PathLoad)
-	x, result := s.exchange(ctx, time.Time{}, to, req, func() {})
+	x, result := s.exchange(ctx, to, outgoing{request: req, written: func() {}})
 	if x == nil {
 		return result, nil
 	}
@@ -202,9 +202,41 @@
 	whole   bool        // the answer was read to its end
 }
 
+// outgoing is a request on its way to a real server.
+type outgoing struct {
+	request  *fasthttp.Request
+	deadline time.Time   // of which the real server is told, none if zero
+	client   *clientConn // who waits for the answer, nil for nobody in particular
+	written  func()      // is called once the last byte is
+}
+
+// errUnsent says that nothing of a request was written.
+var errUnsent = errors.New("nobody waits for the answer any more")
+
+// write writes a request, unless nobody waits for its answer any more. That is looked at, and what is left of the
+// deadline worked out, at the last moment: the connection may have taken a while to come up.
+func (o *outgoing) write(ctx context.Context, c *conn) error {
+	o.request.Header.SetHost(c.to.Addr)
+	if !o.deadline.IsZero() {
+		left := time.Until(o.deadline)
+		if left <= 0 {
+			return errUnsent
+		}
+		o.request.Header.Set(protocol.HeaderTimeLeft, protocol.FormatDuration(left))
+	}
+	if ctx.Err() != nil || o.client.hasLeft() {
+		return errUnsent
+	}
+	out := bufio.NewWriterSize(c, readBuffer)
+	if err := o.request.Write(out); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
 // exchange writes a request and reads the head of its answer. Without one it tells the result, which depends on
 // whether the last byte had been written.
-func (s *RealServers) exchange(ctx context.Context, deadline time.Time, to routing.Entry, req *fasthttp.Request, written func()) (*exchange, balance.Result) {
+func (s *RealServers) exchange(ctx context.Context, to routing.Entry, o outgoing) (*exchange, balance.Result) {
 	c, err := s.pool.take(ctx, to)
 	if err != nil {
 		if errors.Is(err, errNoSocket) {
@@ -214,21 +246,16 @@
 	}
 	x := &exchange{servers: s, conn: c, resp: fasthttp.AcquireResponse()}
 	x.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-
-	req.Header.SetHost(to.Addr)
-	if !deadline.IsZero() {
-		req.Header.Set(protocol.HeaderTimeLeft, protocol.FormatDuration(time.Until(deadline)))
-	}
-	out := bufio.NewWriterSize(c, readBuffer)
-	err = req.Write(out)
-	if err == nil {
-		err = out.Flush()
-	}
-	if err != nil {
+	if err := o.write(ctx, c); err != nil {
+		unsent := errors.Is(err, errUnsent)
+		x.whole = unsent // the connection is as it was
 		x.close()
+		if unsent {
+			return nil, balance.NotSent
+		}
 		return nil, ended(ctx, balance.NotSent, balance.NoConnection)
 	}
-	written()
+	o.written()
 	if err := x.readHead(ctx); err != nil {
 		result := x.failed(ctx, balance.TimedOut)
 		x.close()
--- a/internal/transport/tap.go
+++ b/internal/transport/tap.go
@@ -115,7 +115,7 @@
 
 // Load returns how full the front is.
 func (f *Front) Load() FrontLoad {
-	return FrontLoad{Bodies: float64(f.bodies.Load()) / float64(f.mostBodies.Load()), Connections: f.listener.use()}
+	return FrontLoad{Bodies: f.memory.share(), Connections: f.listener.use()}
 }
 
 var _ io.ReadCloser = (*watchedStream)(nil)
