Figures: every request taken is counted to its end, by class

taken = served + refused + failed + abandoned + moved + open. Requests whose clients left and streams that moved to another process were counted nowhere, so nothing could tell a lost request from one whose client had gone. A story for each way to end asserts the sum; taken_total, abandoned_total and moved_total are told with the other figures.

--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -76,7 +76,9 @@
 // Class is how the requests of one class ended.
 type Class struct {
 	Name                          string
+	Taken                         uint64 // the sum of all others and of those that are open
 	Fulfilled, Throttled, Faulted uint64
+	Abandoned, Moved              uint64
 }
 
 // Call is one line that the door answers.
@@ -119,6 +121,9 @@
 	{Name: "fulfilled_total", Meaning: "requests served to their end", class: func(c *Class) uint64 { return c.Fulfilled }},
 	{Name: "throttled_total", Meaning: "requests refused; repeating them is harmless", class: func(c *Class) uint64 { return c.Throttled }},
 	{Name: "faulted_total", Meaning: "requests that failed, or whose stream broke", class: func(c *Class) uint64 { return c.Faulted }},
+	{Name: "taken_total", Meaning: "requests read whole: those of the three figures above and of the two below, and those still open", class: func(c *Class) uint64 { return c.Taken }},
+	{Name: "abandoned_total", Meaning: "requests whose clients left before the end of their answers", class: func(c *Class) uint64 { return c.Abandoned }},
+	{Name: "moved_total", Meaning: "requests with whose streams another process of this router goes on", class: func(c *Class) uint64 { return c.Moved }},
 	{Name: "relayed_total", Meaning: "attempts written whole to model hosts", whole: func(v *Values) int64 { return int64(v.Relayed) }},
 	{Name: "open_requests", Meaning: "requests taken and not ended by now", whole: func(v *Values) int64 { return v.Open }},
 	{Name: "registry_entries", Meaning: "model hosts in the list by now", whole: func(v *Values) int64 { return v.Entries }},
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -78,7 +78,7 @@
 // Each figure is there under its name from the first call on, by class in the classes' order, and a line ends it.
 func TestVars(t *testing.T) {
 	s := &scripted{values: Values{Relayed: 9, Open: 4, Entries: 10, Avoided: 2, Accepted: 1, Invalid: 3,
-		Classes: []Class{{Name: `o"dd\`, Throttled: 8}, {Name: "C", Fulfilled: 812, Throttled: 5, Faulted: 6}}}}
+		Classes: []Class{{Name: `o"dd\`, Taken: 8, Throttled: 8}, {Name: "C", Taken: 834, Fulfilled: 812, Throttled: 5, Faulted: 6, Abandoned: 7, Moved: 2}}}}
 	want := `+OK
 edge_router_fulfilled_total{priority="C"} 812
 edge_router_fulfilled_total{priority="o\"dd\\"} 0
@@ -86,6 +86,12 @@
 edge_router_throttled_total{priority="o\"dd\\"} 8
 edge_router_faulted_total{priority="C"} 6
 edge_router_faulted_total{priority="o\"dd\\"} 0
+edge_router_taken_total{priority="C"} 834
+edge_router_taken_total{priority="o\"dd\\"} 8
+edge_router_abandoned_total{priority="C"} 7
+edge_router_abandoned_total{priority="o\"dd\\"} 0
+edge_router_moved_total{priority="C"} 2
+edge_router_moved_total{priority="o\"dd\\"} 0
 edge_router_relayed_total 9
 edge_router_open_requests 4
 edge_router_registry_entries 10
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -284,3 +284,13 @@
 		}
 	}
 }
+
+// Until looks again and again until something holds that tells nobody by itself when it does.
+func Until(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited %v in vain: %s", Patience, what)
+		}
+	}
+}
--- a/internal/routing/admit.go
+++ b/internal/routing/admit.go
@@ -18,6 +18,7 @@
 	}
 	r.flows[f.id] = f
 	r.mu.Unlock()
+	f.class.take() // before anything can end it
 	f.arrival.Left = time.Until(f.deadline)
 	r.post(f.arrival)
 	return nil
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -20,8 +20,19 @@
 	fleet   atomic.Pointer[Fleet]             // nil before any view
 }
 
-// class counts the ends of one class of flows. A nil class is one that nobody listed: it counts nothing.
-type class struct{ ended [Nobody + 1]atomic.Uint64 }
+// class counts the requests of one class: those that were taken, and how they ended. What was taken and has not ended is
+// open. A nil class is one that nobody listed: it counts nothing.
+type class struct {
+	taken atomic.Uint64
+	ended [Moved + 1]atomic.Uint64
+}
+
+// take counts a request that is to be ended once.
+func (c *class) take() {
+	if c != nil {
+		c.taken.Add(1)
+	}
+}
 
 // end counts a flow that ended so.
 func (c *class) end(v Verdict) {
@@ -53,8 +64,18 @@
 // of returns the counts of a class, nil if it is not listed.
 func (f *figures) of(name string) *class { return f.all()[name] }
 
-// Counts is how the flows of a class ended so far.
-type Counts struct{ Served, TurnedDown, Failed uint64 }
+// Counts is how the requests of a class ended so far. Taken is the sum of the others and of those that are open.
+type Counts struct {
+	Taken                      uint64
+	Served, TurnedDown, Failed uint64
+	Abandoned                  uint64 // their clients left before the end
+	Moved                      uint64 // another process goes on with them
+}
+
+// Open is how many have not ended.
+func (c Counts) Open() uint64 {
+	return c.Taken - c.Served - c.TurnedDown - c.Failed - c.Abandoned - c.Moved
+}
 
 // Figures is what the core did so far, and how it stands.
 type Figures struct {
@@ -75,8 +96,11 @@
 		out.Fleet = *fleet
 	}
 	for name, c := range f.all() {
-		out.Classes[name] = Counts{Served: c.ended[Served].Load(), TurnedDown: c.ended[TurnedDown].Load(),
-			Failed: c.ended[Failed].Load() + c.ended[Unfit].Load()}
+		counts := Counts{Served: c.ended[Served].Load(), TurnedDown: c.ended[TurnedDown].Load(),
+			Failed:    c.ended[Failed].Load() + c.ended[Unfit].Load(),
+			Abandoned: c.ended[Nobody].Load(), Moved: c.ended[Moved].Load()}
+		counts.Taken = c.taken.Load() // after the ends, so that never more have ended than were taken
+		out.Classes[name] = counts
 	}
 	return out
 }
@@ -97,6 +121,7 @@
 // Carry counts a stream that another process began, until ended is told how it ends here.
 func (r *Router) Carry(class string) (ended func(Verdict)) {
 	r.figures.open.Add(1)
+	r.figures.of(class).take()
 	return func(v Verdict) {
 		r.figures.of(class).end(v)
 		r.figures.open.Add(-1)
@@ -104,4 +129,8 @@
 }
 
 // Refused counts a request of a class that a front ended before it was a flow.
-func (r *Router) Refused(class string, v Verdict) { r.figures.of(class).end(v) }
+func (r *Router) Refused(class string, v Verdict) {
+	c := r.figures.of(class)
+	c.take()
+	c.end(v)
+}
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -17,7 +17,8 @@
 	TurnedDown
 	Failed
 	Unfit  // the request itself is at fault, by a real server's word
-	Nobody // was left to be answered, here
+	Nobody // was left to be answered
+	Moved  // to another process, which goes on with the stream
 )
 
 // Answer is the final answer to a flow.
@@ -65,6 +66,7 @@
 	}
 	// The answer may have come at the same time: a stream must be ended by someone.
 	if f.answered.CompareAndSwap(false, true) {
+		f.class.end(Nobody)
 		return a, false
 	}
 	return <-f.final, true
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -12,11 +12,12 @@
 
 // Stream is an answer on its way to the client. The front reads it to its end or to an error, and closes it.
 type Stream struct {
-	router *Router
-	s      *scheduling
-	body   Body
-	err    error
-	once   sync.Once
+	router    *Router
+	s         *scheduling
+	body      Body
+	err       error
+	unclaimed bool // its client had gone before, and was counted so
+	once      sync.Once
 }
 
 // relay hands a begun answer over to the flow's client, to whom it belongs from now on.
@@ -25,7 +26,8 @@
 	r.post(balance.FirstToken{ID: s.flow.id, Attempt: s.number})
 	stream := &Stream{router: r, s: s, body: body}
 	if !s.flow.answer(Answer{Verdict: Served, Stream: stream}) {
-		stream.Close() // the client had gone
+		stream.unclaimed = true
+		stream.Close()
 	}
 }
 
@@ -52,12 +54,8 @@
 		case errors.Is(st.err, os.ErrDeadlineExceeded):
 			head.Result = balance.TimedOut // silent: the process need not be dead
 		}
-		switch head.Result {
-		case balance.OK:
-			st.s.flow.class.end(Served)
-		case balance.Cancelled: // nobody was left to be answered
-		default:
-			st.s.flow.class.end(Failed)
+		if !st.unclaimed {
+			st.s.flow.class.end(st.verdict(head.Result))
 		}
 		var kept float64
 		kept, head.Load = st.body.End()
@@ -66,6 +64,19 @@
 	return nil
 }
 
+// verdict is how a flow ended whose stream did so.
+func (st *Stream) verdict(result balance.Result) Verdict {
+	switch {
+	case result == balance.OK:
+		return Served
+	case errors.Is(st.err, ErrMoved):
+		return Moved
+	case result == balance.Cancelled:
+		return Nobody
+	}
+	return Failed
+}
+
 // Source is where an answer comes from.
 type Source struct {
 	Server string    // the real server's id
--- a/internal/transport/client_test.go
+++ b/internal/transport/client_test.go
@@ -10,8 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"reachspread/internal/peers"
 	"reachspread/internal/protocol"
+	"reachspread/internal/routing"
 )
 
 // dial connects to a router; the connection ends with the test.
@@ -88,3 +91,85 @@
 		})
 	}
 }
+
+// Every request that is taken ends in one way: taken = served + refused + failed + abandoned + moved + open, whatever clients and
+// servers do.
+func TestEveryRequestIsAccountedFor(t *testing.T) {
+	answer := func(text string) func(chan bool) func(net.Conn) bool {
+		return func(chan bool) func(net.Conn) bool { return peers.Answer(text) }
+	}
+	scripts := map[string]func(more chan bool) func(net.Conn) bool{
+		"served":  answer(peers.Whole()),
+		"refused": answer(peers.Full),
+		"unfit":   answer("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"),
+		"broken":  answer(peers.Head + peers.Chunk(peers.Event) + "z\r\n"),
+		"held":    func(more chan bool) func(net.Conn) bool { return peers.Held(more) },
+		"silent": func(chan bool) func(net.Conn) bool {
+			return func(c net.Conn) bool { io.Copy(io.Discard, c); return false }
+		},
+	}
+	for _, tt := range []struct {
+		name, script string
+		do           func(t *testing.T, r *router, s *peers.Server, more chan bool)
+		want         routing.Counts
+	}{
+		{"served, three in one piece", "served", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			conn := dial(t, r.addr)
+			io.WriteString(conn, peers.AskText("1", "")+peers.AskText("2", "")+peers.AskText("3", "Connection: close\r\n"))
+			io.Copy(io.Discard, conn)
+		}, routing.Counts{Taken: 3, Served: 3}},
+		{"refused", "refused", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			peers.Do(t, peers.Ask(t, r.addr, "q", nil))
+		}, routing.Counts{Taken: 1, TurnedDown: 1}},
+		{"at fault", "unfit", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			peers.Do(t, peers.Ask(t, r.addr, "q", nil))
+		}, routing.Counts{Taken: 1, Failed: 1}},
+		{"a stream that breaks", "broken", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			peers.Do(t, peers.Ask(t, r.addr, "q", nil))
+		}, routing.Counts{Taken: 1, Failed: 1}},
+		{"out of time", "silent", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			peers.Do(t, peers.Ask(t, r.addr, "q", map[string]string{"X-Time-Left": "100m"}))
+		}, routing.Counts{Taken: 1, TurnedDown: 1}},
+		{"left before the first attempt's answer", "silent", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			conn := dial(t, r.addr)
+			io.WriteString(conn, peers.AskText("1", ""))
+			peers.Next(t, s.Requests, "an attempt")
+			conn.Close()
+		}, routing.Counts{Taken: 1, Abandoned: 1}},
+		{"left in a stream, with more behind", "held", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			conn := dial(t, r.addr)
+			io.WriteString(conn, peers.AskText("1", "")+peers.AskText("2", ""))
+			if _, err := bufio.NewReader(conn).ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+			conn.SetLinger(0)
+			conn.Close()
+		}, routing.Counts{Taken: 1, Abandoned: 1}},
+		{"an id in use", "held", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			conn := dial(t, r.addr)
+			io.WriteString(conn, peers.AskText("same", "Connection: close\r\n"))
+			peers.Next(t, s.Requests, "an attempt")
+			peers.Do(t, peers.Ask(t, r.addr, "same", nil))
+			more <- true
+			io.Copy(io.Discard, conn)
+		}, routing.Counts{Taken: 2, Served: 1, Failed: 1}},
+		{"not whole", "served", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
+			conn := dial(t, r.addr)
+			io.WriteString(conn, strings.TrimSuffix(peers.AskText("1", ""), "}"))
+			conn.CloseWrite()
+			io.Copy(io.Discard, conn)
+		}, routing.Counts{}}, // it was never a request
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			more := make(chan bool)
+			server := peers.NewServer(t, scripts[tt.script](more))
+			r := newRouter(t, server)
+			tt.do(t, r, server, more)
+			peers.Until(t, "nothing is open", func() bool { return r.core.Figures().Open == 0 })
+			got := r.core.Figures().Classes["chat"]
+			if diff := cmp.Diff(tt.want, got); diff != "" || got.Open() != 0 {
+				t.Errorf("%d open %s", got.Open(), diff)
+			}
+		})
+	}
+}
