Discovery: a failed call is made again within 6 s however many routers share it

Cause: where discovery must be asked, waits after a failure grew with the fleet and doubled, up to 36 s at 300 routers; what discovery then had counts as told after 6 s, whatever call failed. Now 4.5 s at the longest, still jittered by half.

--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -57,9 +57,13 @@
 	if within > 0 {
 		spread = min(spread, within*4/5)
 	}
-	return Pace{Start: spread, First: spread, Longest: 3 * spread}
+	return Pace{Start: spread, First: min(spread, mostWait), Longest: min(3*spread, mostWait)}
 }
 
+// mostWait bounds the usual wait after a failure. A change counts as told 6 s after discovery had it and could be reached,
+// whatever call failed: the longest wait, which is half as much again, and the call after it have to end within that.
+const mostWait = 3 * time.Second
+
 // Discovery watches the list of service entries.
 type Discovery struct {
 	addr  string
--- a/internal/transport/pace_test.go
+++ b/internal/transport/pace_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// However many routers share a discovery, each has made its next call and can have heard of it 6 s after discovery could be reached
+// again, and their calls are spread.
+func TestAFailedCallIsMadeAgainInTime(t *testing.T) {
+	const told, answer = 6 * time.Second, time.Second
+	for _, routers := range []int{1, 3, 30, 300, 3000} {
+		pace := transport.Asked(routers, 10*time.Second)
+		shortest, longest := time.Hour, time.Duration(0)
+		for before := range 1000 {
+			wait := pace.Wait(before % 20)
+			shortest, longest = min(shortest, wait), max(longest, wait)
+		}
+		if longest+answer > told {
+			t.Errorf("%d routers: a wait of %v and an answer that takes %v", routers, longest, answer)
+		}
+		if longest < 2*shortest {
+			t.Errorf("%d routers: all waits are from %v to %v", routers, shortest, longest)
+		}
+	}
+}
+
 // An agent that takes connections and says nothing is asked again, each time anew, until it answers.
 func TestASilentAgent(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
