Discovery: a watch that fell silent is opened anew within what the platform leaves

Where discovery must be asked, the wait after a silent watch was the usual one after a failure: noticed 6 s after the call began, asked again up to 4.5 s later, where what was missed counts as told 7 s after. Now 1.2 s at the longest.

--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -83,6 +85,17 @@
 	return usual/2 + rand.N(usual)
 }
 
+// AfterSilence returns how long to wait after a watch has fallen silent. What it missed counts as told 2 s after the time
+// that its call could wait, and its silence was noticed answerIn after that. When watches fall silent together, their calls
+// still began at different times, so the next ones are spread.
+func (p Pace) AfterSilence() time.Duration {
+	usual := min(p.First, mostSilence)
+	return usual/2 + rand.N(usual)
+}
+
+// mostSilence bounds the usual wait after a silent watch.
+const mostSilence = 800 * time.Millisecond
+
 // WholeList is the version to start from where no list of this discovery is held.
 const WholeList = -1
 
@@ -113,8 +126,12 @@
 		if good {
 			failed = 0
 		}
+		wait := d.pace.Wait(failed)
+		if good && errors.Is(err, os.ErrDeadlineExceeded) {
+			wait = d.pace.AfterSilence()
+		}
 		select {
-		case <-time.After(d.pace.Wait(failed)):
+		case <-time.After(wait):
 		case <-ctx.Done():
 		}
 		failed++
--- a/internal/transport/pace_test.go
+++ b/internal/transport/pace_test.go
@@ -77,6 +77,14 @@
 		if longest+answer > told {
 			t.Errorf("%d routers: a wait of %v and an answer that takes %v", routers, longest, answer)
 		}
+		longestSilence := time.Duration(0)
+		for range 1000 {
+			longestSilence = max(longestSilence, pace.AfterSilence())
+		}
+		const noticed, missed, grace = time.Second, 2 * time.Second, 500 * time.Millisecond // after the call's own wait
+		if noticed+longestSilence > missed+grace {
+			t.Errorf("%d routers: a wait of %v after a silent watch", routers, longestSilence)
+		}
 		if longest < 2*shortest {
 			t.Errorf("%d routers: all waits are from %v to %v", routers, shortest, longest)
 		}
