--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -505,7 +505,7 @@
 	if n := len(of[Send](g.step(trial, second))); n != 1 {
 		t.Fatalf("want one trial, got %d", n)
 	}
-	out = g.after(100*ms, FirstToken{ID: trial.ID}, FirstToken{ID: second.ID})
+	g.after(100*ms, FirstToken{ID: trial.ID}, FirstToken{ID: second.ID})
 	if a.ejected != 0 || !a.cold {
 		t.Errorf("after the trial: ejected %v, cold %v; a replica that died comes back cold", a.ejected, a.cold)
 	}
--- a/balance/check.go
+++ b/balance/check.go
@@ -18,7 +18,7 @@
 		case k.Effect < Safe || k.Effect > Unsafe:
 			return fmt.Errorf("Classes[%d].Effect is %d; it must be Safe, Keyed or Unsafe", i, k.Effect)
 		case min(k.Aim, k.AimPer1000, k.TokenAim, k.Deadline, k.Window) < 0:
-			return fmt.Errorf("Classes[%d] has a negative time; its times must be 0 or more", i)
+			return fmt.Errorf("the times of Classes[%d] must be 0 or more", i)
 		}
 		names[k.Name] = true
 	}
--- a/balance/news_test.go
+++ b/balance/news_test.go
@@ -113,7 +113,6 @@
 // A slow replica is known to all from the first that met it, until that is old.
 func TestSlownessIsToldAndBelieved(t *testing.T) {
 	g := talking(t, members("a")...)
-	a := g.b.replicas["a"]
 	g.step(g.request("safe"))
 	tells := of[Tell](g.after(900*ms, FirstToken{ID: "q1"}))
 	if len(tells) != 1 || tells[0].News[0].Slow < surprise {
@@ -121,7 +120,7 @@
 	}
 
 	h := talking(t, members("a", "b")...)
-	a = h.b.replicas["a"]
+	a := h.b.replicas["a"]
 	for range 3 {
 		h.step(Heard{From: 1, Zone: mark("here"), News: tells[0].News})
 	}
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -98,9 +98,7 @@
 	}
 	for _, i := range order {
 		if b := h.instances[i]; b != nil {
-			for _, a := range step(i, b, time.Duration(batch.Now), events[i]) {
-				reply.Outbox = append(reply.Outbox, a)
-			}
+			reply.Outbox = append(reply.Outbox, step(i, b, time.Duration(batch.Now), events[i])...)
 		}
 	}
 	return reply, nil
--- a/cmd/reachspread/shadow.go
+++ b/cmd/reachspread/shadow.go
@@ -45,7 +45,7 @@
 			case errors.As(err, &exit):
 				os.Exit(exit.ExitCode()) // it has told why
 			case err != nil:
-				return fmt.Errorf("%w; build it with go build -o bin/ ./cmd/...", err)
+				return fmt.Errorf("%w; build it with `go build -o bin/ ./cmd/...` first", err)
 			}
 			return nil
 		},
--- a/internal/dutylab/dutylab.go
+++ b/internal/dutylab/dutylab.go
@@ -157,14 +157,14 @@
 // New makes a world.
 func New(s Spec) (*World, error) {
 	if s.Routers < 1 || s.Routers > 5000 {
-		return nil, fmt.Errorf("Routers is %d; it must be from 1 to 5000", s.Routers)
+		return nil, fmt.Errorf("spec: Routers is %d; it must be from 1 to 5000", s.Routers)
 	}
 	if s.Times == (duty.Times{}) {
 		s.Times = duty.Usual
 	}
 	s.May = max(s.May, s.Voters)
 	if s.May > s.Routers {
-		return nil, fmt.Errorf("May is %d of %d routers", s.May, s.Routers)
+		return nil, fmt.Errorf("spec: May is %d of %d routers", s.May, s.Routers)
 	}
 	for _, d := range []struct {
 		of *time.Duration
--- a/internal/dutylab/dutylab_test.go
+++ b/internal/dutylab/dutylab_test.go
@@ -18,8 +18,6 @@
 
 var duties = []duty.Duty{{Name: "scribe"}, {Name: "pool", Zones: []string{"b"}}, {Name: "drain", ByZone: true}}
 
-const settle = 20 * time.Second
-
 // played is what came of a play.
 type played struct {
 	w        *dutylab.World
@@ -133,10 +131,6 @@
 	all.Wait()
 }
 
-func pause(n int, at, length time.Duration) faults.Fault {
-	return faults.Fault{Kind: faults.Pause, At: at, Length: length, Routers: faults.Select{Numbers: []int{n}}}
-}
-
 // What was planted is found: a receiver without a fence, a leader that does not wait, clocks whose rates differ by more than is allowed
 // for. Without them nothing is.
 func TestPlanted(t *testing.T) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -387,7 +387,7 @@
 	} {
 		s := small(1)
 		change(&s)
-		if _, err := New(s); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+		if _, err := New(s); err == nil || !strings.HasPrefix(err.Error(), "spec: "+want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("got %v, want %q", err, want)
 		}
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -176,19 +176,19 @@
 func New(c Config, now time.Duration) (*Decider, error) {
 	switch {
 	case c.Name == "" || len(c.Name) > MostName:
-		return nil, fmt.Errorf("Name is %q; it must have 1 to %d bytes", c.Name, MostName)
+		return nil, fmt.Errorf("member: Name is %q; it must have 1 to %d bytes", c.Name, MostName)
 	case len(c.Zone) > MostZone:
-		return nil, fmt.Errorf("Zone is %q; it must have %d bytes at most", c.Zone, MostZone)
+		return nil, fmt.Errorf("member: Zone is %q; it must have %d bytes at most", c.Zone, MostZone)
 	case len(c.Version) > MostVersion:
-		return nil, fmt.Errorf("Version is %q; it must have %d bytes at most", c.Version, MostVersion)
+		return nil, fmt.Errorf("member: Version is %q; it must have %d bytes at most", c.Version, MostVersion)
 	case !c.Addr.IsValid() || !c.Addr.Addr().Is4() || c.Addr.Port() == 0:
-		return nil, fmt.Errorf("Addr is %v; it must be an IPv4 address with a port", c.Addr)
+		return nil, fmt.Errorf("member: Addr is %v; it must be an IPv4 address with a port", c.Addr)
 	case c.Boot == 0:
-		return nil, errors.New("Boot must not be 0")
+		return nil, errors.New("member: Boot must not be 0")
 	}
 	for _, s := range c.Name + c.Zone + c.Version {
 		if s <= ' ' || s > '~' {
-			return nil, fmt.Errorf("Name, Zone and Version must be printable ASCII without spaces; they are %q, %q and %q", c.Name, c.Zone, c.Version)
+			return nil, fmt.Errorf("member: Name, Zone and Version must be printable ASCII without spaces; they are %q, %q and %q", c.Name, c.Zone, c.Version)
 		}
 	}
 	if c.Members == 0 {
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -30,11 +30,10 @@
 
 // net is deciders that hear each other at once, on one clock.
 type fleet struct {
-	t     *testing.T
-	now   time.Duration
-	at    map[netip.AddrPort]*Decider
-	other []Action // that are no datagrams, of the decider at hand
-	done  map[netip.AddrPort][]Action
+	t    *testing.T
+	now  time.Duration
+	at   map[netip.AddrPort]*Decider
+	done map[netip.AddrPort][]Action
 }
 
 func newFleet(t *testing.T) *fleet {
--- a/internal/peering/store.go
+++ b/internal/peering/store.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -194,7 +195,7 @@
 	return s.db.Update(func(tx *bbolt.Tx) error {
 		if k.Reset {
 			for _, b := range [][]byte{bucketMeta, bucketLog} {
-				if err := tx.DeleteBucket(b); err != nil && !errors.Is(err, bbolt.ErrBucketNotFound) {
+				if err := tx.DeleteBucket(b); err != nil && !errors.Is(err, bbolterrors.ErrBucketNotFound) {
 					return err
 				}
 			}
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -35,7 +35,7 @@
 		{`"aimNs":8000000000,`, ``, "settings.services[0].aimNs is missing"},
 		{`,"hardLimitNs":8000000000`, ``, "settings.services[0].hardLimitNs is missing"},
 		{`"hardLimitNs":8000000000`, `"hardLimitNs":0`, "settings.services[0].hardLimitNs is 0"},
-		{`"hardLimitNs":8000000000`, `"hardLimitNs":-1`, "settings: Classes[0] has a negative time"},
+		{`"hardLimitNs":8000000000`, `"hardLimitNs":-1`, "settings: the times of Classes[0] must be 0 or more"},
 		{`"hardLimitNs":8000000000`, `"hardLimitNs":null`, "settings.services[0].hardLimitNs is null; it was a number"},
 		{`"hardLimitNs":8000000000`, `"hardLimitNs":"8s"`, "hardLimitNs"},
 		{`"hardLimitNs":8000000000`, `"hardLimitNs":1.5`, "hardLimitNs"},
--- a/internal/rig/page.go
+++ b/internal/rig/page.go
@@ -32,10 +32,9 @@
 
 // page draws a history.
 type page struct {
-	w     io.Writer
-	end   int64
-	err   error
-	lines int
+	w   io.Writer
+	end int64
+	err error
 }
 
 func (p *page) put(format string, v ...any) {
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -75,7 +75,6 @@
 	down   int        // faults that keep it from running
 	paused int        // faults that have it stand still
 	ended  bool       // the play is over
-	leaves time.Time  // when its last process was told to end
 	freed  time.Time  // when it was last made to go on
 }
 
--- a/internal/rig/returns.go
+++ b/internal/rig/returns.go
@@ -12,8 +12,7 @@
 
 // Returns collects how long routers took to come back after they had died or were restarted, from the start of the process to each phase and stage.
 type Returns struct {
-	of    map[string][]time.Duration
-	order []string
+	of map[string][]time.Duration
 }
 
 // returnSteps are what is looked for, in the order of a return: phases of the program, and stages by the words of their log lines.
--- a/internal/viewlab/viewlab.go
+++ b/internal/viewlab/viewlab.go
@@ -52,7 +52,6 @@
 	zone   string
 	d      *members.Decider
 	gen    uint32
-	most   uint32 // the highest incarnation that any of its lives had
 	inc    uint32 // of this life
 	due    time.Duration
 	down   int
@@ -129,7 +128,7 @@
 // New makes a world. Its faults must exist in virtual time of views.
 func New(s Spec) (*World, error) {
 	if s.Routers < 1 || s.Routers > 60000 {
-		return nil, fmt.Errorf("Routers is %d; it must be from 1 to 60000", s.Routers)
+		return nil, fmt.Errorf("spec: Routers is %d; it must be from 1 to 60000", s.Routers)
 	}
 	if err := faults.Check(s.Faults, s.Shape(), faults.View, s.Length); err != nil {
 		return nil, err
