Clients: requests that came together are all answered where clients are sent away

The HTTP server had read the further ones along with the first and dropped them with the connection that the first answer ended. Bytes behind a request now stay with the connection, and its answer ends it only once none are left. Without the change both cases of the test fail.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"reachspread/internal/door"
+	"reachspread/internal/protocol"
 )
 
 const (
@@ -74,6 +75,8 @@
 	gone    func()
 	watched chan struct{} // closed when it ends, nil without one
 	left    atomic.Bool   // the client ended the connection
+
+	further atomic.Bool // bytes of a request behind the open one are kept
 }
 
 // keep leaves bytes for the next calls of Read that were read elsewhere.
@@ -102,6 +105,9 @@
 	if n == 0 {
 		return n, err
 	}
+	if !c.begun {
+		n -= c.keepFurther(p[:n], at)
+	}
 	c.readAt = at
 	if !c.begun {
 		c.used, c.begun, c.beganAt = true, true, at
@@ -112,6 +118,22 @@
 	return n, err
 }
 
+// keepFurther takes what lies behind the first request in bytes that were just read, for the next calls of Read. It returns how many
+// those are. The HTTP server is not to hold them: it would drop them with a connection that ends, and their clients get no answer.
+func (c *clientConn) keepFurther(p []byte, at time.Time) int {
+	seen, whole := protocol.Look(p, "")
+	if !whole || seen.Length < 0 || seen.Length >= len(p) {
+		return 0
+	}
+	rest := received{bytes: append([]byte(nil), p[seen.Length:]...), at: at}
+	if c.listener.memory.take(len(rest.bytes)) {
+		rest.budget = len(rest.bytes)
+	}
+	c.ahead = append([]received{rest}, c.ahead...)
+	c.further.Store(true)
+	return len(rest.bytes)
+}
+
 // answered notes that the request which was open has its final answer, if one was. Only the goroutine that serves the
 // connection calls it.
 func (c *clientConn) answered() {
@@ -140,6 +162,7 @@
 	if next.bytes = next.bytes[n:]; len(next.bytes) == 0 {
 		c.listener.memory.give(next.budget)
 		c.ahead = c.ahead[1:]
+		c.further.Store(len(c.ahead) > 0)
 	}
 	return n, at
 }
@@ -216,7 +239,7 @@
 				c.keep(append([]byte(nil), buffer[:n]...))
 				return false
 			}
-			c.ahead = append(c.ahead, received{bytes: append([]byte(nil), buffer[:n]...), at: time.Now(), budget: n})
+			c.keepAhead(buffer[:n])
 			kept += n
 			if len(buffer) == 1 {
 				buffer = make([]byte, aheadBuffer)
@@ -230,6 +253,17 @@
 	return false
 }
 
+// keepAhead keeps bytes that were read by the watch. The first one of a request was read alone; what follows goes with it.
+func (c *clientConn) keepAhead(p []byte) {
+	c.further.Store(true)
+	if last := len(c.ahead) - 1; last >= 0 && len(c.ahead[last].bytes) == 1 {
+		c.ahead[last].bytes = append(c.ahead[last].bytes, p...)
+		c.ahead[last].budget += len(p)
+		return
+	}
+	c.ahead = append(c.ahead, received{bytes: append([]byte(nil), p...), at: time.Now(), budget: len(p)})
+}
+
 // hasLeft looks at the connection itself, as the watch may be late where the router is short of processor time. With
 // bytes unread in front of its end only the watch can tell.
 func (c *clientConn) hasLeft() bool {
--- a/internal/transport/client_test.go
+++ b/internal/transport/client_test.go
@@ -173,3 +173,44 @@
 		})
 	}
 }
+
+// Requests that came together are all answered where the router sends its clients away meanwhile; the last answer ends the connection.
+func TestPipelinedRequestsAreAnsweredInADrain(t *testing.T) {
+	for name, apart := range map[string]bool{"in one piece": false, "the others behind the open one": true} {
+		t.Run(name, func(t *testing.T) {
+			more := make(chan bool)
+			server := peers.NewServer(t, peers.Held(more))
+			r := newRouter(t, server)
+			conn := dial(t, r.addr)
+			first, others := peers.AskText("1", ""), peers.AskText("2", "")+peers.AskText("3", "")
+			if !apart {
+				first, others = first+others, ""
+			}
+			io.WriteString(conn, first)
+			peers.Next(t, server.Requests, "an attempt")
+			io.WriteString(conn, others)
+			r.front.SetKeeps(false)
+			in := bufio.NewReader(conn)
+			for i := 1; i <= 3; i++ {
+				if i > 1 {
+					peers.Next(t, server.Requests, "an attempt")
+				}
+				more <- true
+				response, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+				body, err := io.ReadAll(response.Body)
+				if response.StatusCode != http.StatusOK || err != nil || string(body) != peers.Event+peers.Done {
+					t.Errorf("request %d: got %d %q, %v; want its answer", i, response.StatusCode, body, err)
+				}
+				if response.Close && i < 3 {
+					t.Errorf("answer %d ends the connection before its further requests", i)
+				}
+			}
+			if _, err := in.ReadByte(); err != io.EOF {
+				t.Errorf("after the last answer: %v, want the end", err)
+			}
+		})
+	}
+}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -129,9 +129,7 @@
 }
 
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
-	if f.listener.leaving.Load() {
-		ctx.SetConnectionClose()
-	}
+	defer f.leave(ctx)
 	switch path := string(ctx.URI().PathOriginal()); { // as it came, as it is passed on
 	case path == protocol.PathReady:
 		if !f.ready.Load() {
@@ -149,6 +147,15 @@
 	}
 }
 
+// leave ends a connection with its answer while clients are sent away, unless further requests on it have come already: those are
+// answered first.
+func (f *Front) leave(ctx *fasthttp.RequestCtx) {
+	conn, ok := ctx.Conn().(*clientConn)
+	if f.listener.leaving.Load() && !(ok && conn.further.Load()) {
+		ctx.SetConnectionClose()
+	}
+}
+
 // complete takes one request through the core.
 func (f *Front) complete(ctx *fasthttp.RequestCtx) {
 	header := &ctx.Request.Header
--- a/internal/transport/stories_test.go
+++ b/internal/transport/stories_test.go
@@ -23,8 +23,9 @@
 
 // router is a front, a core and connections to the real servers s0, s1 and so on.
 type router struct {
-	addr string
-	core *routing.Router
+	addr  string
+	core  *routing.Router
+	front *transport.Front
 }
 
 func newRouter(t *testing.T, servers ...*peers.Server) *router {
@@ -42,7 +43,7 @@
 	network := transport.NewRealServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute,
 		Connections: 10, Silent: 300 * time.Millisecond}, log)
 	r := &router{core: routing.New(b, network, log, time.Second)}
-	front := transport.NewFront(r.core, transport.FrontLimits{Door: door.Config{Places: 100, Step: 8}, Bodies: 1 << 20}, nil)
+	r.front = transport.NewFront(r.core, transport.FrontLimits{Door: door.Config{Places: 100, Step: 8}, Bodies: 1 << 20}, nil)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -51,7 +52,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(func() { stop(); ln.Close() })
 	go r.core.Run(ctx)
-	go front.Serve(ln, false)
+	go r.front.Serve(ln, false)
 	var entries []string
 	for i, s := range servers {
 		entries = append(entries, peers.Entry(fmt.Sprint("s", i), s.Addr, "Ready"))
