Stand-in hosts: nothing is reset once the end of a reset fault was told

TestFaults/reset failed now and then: of the end and the next turn the loop took either when both were there, so one more cut could follow. The end is looked at under the lock under which it is told. The new test fails without it.

--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -121,14 +121,9 @@
 // cut resets all connections over and over.
 func (h *Host) cut(until <-chan struct{}) {
 	for {
-		h.mu.Lock()
-		for c := range h.conns {
-			if tcp, ok := c.(*net.TCPConn); ok {
-				tcp.SetLinger(0)
-			}
-			c.Close()
+		if h.cutOnce(until) {
+			return
 		}
-		h.mu.Unlock()
 		select {
 		case <-until:
 			return
@@ -137,6 +132,24 @@
 	}
 }
 
+// cutOnce resets all connections, unless that is over. The end is told under the lock, so nothing is cut after it.
+func (h *Host) cutOnce(until <-chan struct{}) (over bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-until:
+		return true
+	default:
+	}
+	for c := range h.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+	return false
+}
+
 // amiss returns what the host's sockets do wrong by now, and what ends with it.
 func (h *Host) amiss() (how faults.Kind, until <-chan struct{}) {
 	h.mu.Lock()
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -86,3 +87,19 @@
 	}
 	return "well"
 }
+
+// Nothing is cut once the end of the fault was told.
+func TestNothingIsCutAfterTheEnd(t *testing.T) {
+	here, there := net.Pipe()
+	defer there.Close()
+	h := &Host{conns: map[net.Conn]bool{here: true}}
+	until := make(chan struct{})
+	close(until)
+	if !h.cutOnce(until) {
+		t.Error("the fault goes on")
+	}
+	go there.Write([]byte("x"))
+	if _, err := here.Read(make([]byte, 1)); err != nil {
+		t.Errorf("a connection was cut: %v", err)
+	}
+}
