--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -1,7 +1,9 @@
 package balance
 
 import (
+	"flag"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -37,3 +39,52 @@
 		step(100*ms, Outcome{ID: id, Result: OK, Final: true})
 	}
 }
+
+var capacity = flag.Bool("capacity", false, "print lines of docs/measurements/capacity.csv")
+
+// TestMeasureCapacity prints the module's time for a request and its memory by the number of hosts, at the planned number of routers for
+// each host.
+func TestMeasureCapacity(t *testing.T) {
+	if !*capacity {
+		t.Skip("a measurement; see docs/CAPACITY.md")
+	}
+	for _, hosts := range []int{50, 100, 200, 400, 800, 1200} {
+		for range 3 {
+			result := testing.Benchmark(func(b *testing.B) { benchmarkRequest(b, hosts, hosts*330/810) })
+			fmt.Printf("decisions for one request,us,hosts,%d,%.2f\n", hosts, float64(result.NsPerOp())/1000)
+		}
+		for range 3 {
+			fmt.Printf("memory of the decisions,kB,hosts,%d,%.0f\n", hosts, memoryOf(hosts))
+		}
+	}
+}
+
+// memoryOf is what the state of one router takes once each of its share's hosts is known to keep as much as is remembered.
+func memoryOf(hosts int) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var list []Member
+	for i, name := range numbered("r", hosts) {
+		list = append(list, Member{Replica: name, Zone: fmt.Sprint("z", i%6), Kind: "k"})
+	}
+	cfg := testConfig()
+	cfg.Zone, cfg.Gateways = "z0", hosts*330/810
+	b, err := New(cfg, 1)
+	if err != nil {
+		panic(err)
+	}
+	b.Step(100*sec, []Event{Members{Version: 1, Whole: true, Members: list}})
+	for from := range cfg.Gateways {
+		b.Step(100*sec, []Event{Heard{From: from, Zone: mark(fmt.Sprint("z", from%6))}})
+	}
+	for _, r := range b.share {
+		for i := range mostKept {
+			r.kept.Put(fmt.Sprintf("%016x", i), b.now, 1000)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(b)
+	return float64(after.HeapAlloc-before.HeapAlloc) / 1000
+}
--- /dev/null
+++ b/cmd/reachlab/capacity.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/capacity"
+)
+
+func capacityCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "capacity FILE",
+		Short: "Print the tables of docs/CAPACITY.md from kept results, such as docs/measurements/capacity.csv",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			file, err := os.Open(args[0])
+			if err != nil {
+				return err
+			}
+			defer file.Close()
+			samples, err := capacity.Read(file)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			lines, err := capacity.Fit(samples)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			_, err = fmt.Fprint(cmd.OutOrStdout(), capacity.Tables(lines))
+			return err
+		},
+	}
+}
--- a/cmd/reachspread/shadow.go
+++ b/cmd/reachspread/shadow.go
@@ -123,7 +123,7 @@
 		row("started", p.Started)
 		row("recorded", fmt.Sprintf("%d, %d of them compared", p.Recorded, p.Compared))
 		row("passed over, busy", p.Busy)
-		row("schedulings denied by copies_per_host", p.HostFull)
+		row("attempts denied by copies_per_host", p.HostFull)
 		for _, m := range []struct {
 			name   string
 			counts map[shadow.Cause]uint64
--- a/internal/door/ledger.go
+++ b/internal/door/ledger.go
@@ -3,20 +3,20 @@
 // Owner is whoever holds descriptors.
 type Owner string
 
-// The owners. Clients have their places and the step, real servers as many connections as clients have places; copies
+// The owners. Clients have their places and the step, servers as many connections as clients have places; copies
 // give way to known clients: what they don't use is lent, and no copy starts before it is given back.
 const (
-	Listeners   Owner = "listeners" // with the descriptor held back for when there is no other
-	KnownOnes   Owner = "known clients"
-	Unknown     Owner = "unknown clients"
-	StepOnes    Owner = "clients on the step"
-	RealServers Owner = "real servers"
-	Copies      Owner = "copies"
-	Discovery   Owner = "discovery"
-	StatusOnes  Owner = "status"
-	Files       Owner = "files"
-	Operators   Owner = "operators" // their door
-	Float       Owner = "run-time"  // standard streams, the poller, probes, connections that end just now
+	Listeners  Owner = "listeners" // with the descriptor held back for when there is no other
+	KnownOnes  Owner = "known clients"
+	Unknown    Owner = "unknown clients"
+	StepOnes   Owner = "clients on the step"
+	Servers    Owner = "real servers" // operators read this name in door status
+	Copies     Owner = "copies"
+	Discovery  Owner = "discovery"
+	StatusOnes Owner = "status"
+	Files      Owner = "files"
+	Operators  Owner = "operators" // their door
+	Float      Owner = "run-time"  // standard streams, the poller, probes, connections that end just now
 )
 
 // Line is one owner's part of the ledger.
--- a/internal/lab/measure_test.go
+++ b/internal/lab/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -67,3 +68,20 @@
 			float64(r.Events)/wall.Seconds(), float64(took.Nanoseconds())/1000/max(r.Asked/2, 1), float64(most.Microseconds())/1000, m.HeapSys>>20)
 	}
 }
+
+// TestMeasureWords prints, as lines of docs/measurements/capacity.csv, the words that a router hears for each attempt of the fleet, by the
+// number of routers at the planned number of hosts for each.
+func TestMeasureWords(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; see docs/CAPACITY.md")
+	}
+	for _, routers := range []int{12, 24, 48, 96, 192} {
+		for seed := range uint64(3) {
+			hosts := routers * 810 / 330
+			s := fleetOf(seed, routers, hosts/3, float64(hosts))
+			s.Length = 6 * time.Second
+			r, _ := run(t, s)
+			fmt.Printf("words that all routers hear of an attempt,words,routers,%d,%.2f\n", routers, float64(r.Heard)/float64(r.Attempts))
+		}
+	}
+}
--- a/internal/mirror/answer.go
+++ b/internal/mirror/answer.go
@@ -90,7 +90,7 @@
 
 // side is an answer in a record.
 func side(a shadow.Answer, outcome string, texts bool) records.Side {
-	s := records.Side{Outcome: outcome, Host: a.Host, Schedulings: a.Schedules, Bytes: a.Bytes, Chars: len(a.Text),
+	s := records.Side{Outcome: outcome, Host: a.Host, Attempts: a.Schedules, Bytes: a.Bytes, Chars: len(a.Text),
 		Digest: a.Digest, Finish: a.Finish, Tokens: known(a.Tokens), Kept: known(a.Kept), WaitMs: millis(a.Wait), FirstMs: millis(a.First),
 		BetweenMs: millis(a.Between), WholeMs: millis(a.Whole)}
 	if texts {
@@ -161,8 +161,8 @@
 // unserved says why a request that was answered got no stream.
 func unserved(v routing.Verdict) shadow.Cause {
 	switch v {
-	case routing.TurnedDown:
-		return shadow.TurnedDown
+	case routing.Refused:
+		return shadow.Refused
 	case routing.Unfit:
 		return shadow.Unfit
 	}
--- a/internal/mirror/pool.go
+++ b/internal/mirror/pool.go
@@ -35,7 +35,7 @@
 	start   time.Time
 	log     routing.Logger
 	router  *routing.Router
-	servers *transport.RealServers
+	servers *transport.Servers
 	stop    context.CancelFunc
 	done    chan struct{} // closed when its goroutine has ended
 	answers atomic.Int64  // bytes to be kept of each
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.servers = transport.NewRealServers(transport.ServerLimits{Connect: m.o.Connect, Keepalive: m.o.Idle,
+	p.servers = transport.NewServers(transport.ServerLimits{Connect: m.o.Connect, Keepalive: m.o.Idle,
 		Silent: set.Silent, Connections: set.Sockets}, p.log)
 	p.router = routing.New(b, seated{p.servers, p}, p.log, probeFor)
 	ctx, stop := context.WithCancel(context.Background())
@@ -291,14 +291,14 @@
 
 // carry takes a copy through the pool's core, as a front does with a request, and reads its answer to the end.
 func (p *pool) carry(c *copied, arrival balance.Arrival) (how shadow.Cause) {
-	flow, err := p.router.TakeIn(arrival, time.Now(), copyMessage{c.taken.Message.WithID(arrival.ID), c})
+	request, err := p.router.TakeIn(arrival, time.Now(), copyMessage{c.taken.Message.WithID(arrival.ID), c})
 	if err != nil {
 		c.answer.finish(string(shadow.Failed))
 		return shadow.Failed
 	}
-	defer p.router.Done(flow)
-	defer context.AfterFunc(c.ctx, func() { p.router.Leave(flow) })()
-	answer, ok := flow.Wait()
+	defer p.router.Done(request)
+	defer context.AfterFunc(c.ctx, func() { p.router.Leave(request) })()
+	answer, ok := request.Wait()
 	if !ok {
 		c.answer.finish("left")
 		return shadow.Broken
@@ -386,9 +386,9 @@
 	copied *copied
 }
 
-// seated is the pool's network: each scheduling needs a seat at its host, which the decider grants.
+// seated is the pool's network: each attempt needs a seat at its host, which the decider grants.
 type seated struct {
-	*transport.RealServers
+	*transport.Servers
 	pool *pool
 }
 
@@ -420,7 +420,7 @@
 		}
 		msg = msg.Under(duty, token, func(highest uint64) { s.pool.m.o.Duties.Refused(duty, highest) })
 	}
-	head := s.RealServers.Schedule(ctx, deadline, to, msg, written)
+	head := s.Servers.Schedule(ctx, deadline, to, msg, written)
 	heard()
 	if head.Body == nil {
 		left()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,4 +1,4 @@
-// Package peers has the scripted real servers, discovery and clients that the tests of the network code are told
+// Package peers has the scripted servers, discovery and clients that the tests of the network code are told
 // against, all on the loopback.
 package peers
 
@@ -18,7 +18,7 @@
 // Patience bounds each wait for an event that must come.
 const Patience = 10 * time.Second
 
-// Pieces of a real server's answer.
+// Pieces of a server's answer.
 const (
 	Head  = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	End   = "0\r\n\r\n"
@@ -34,13 +34,13 @@
 // Whole is a complete answer.
 func Whole() string { return Head + Chunk(Event) + Chunk(Done) + End }
 
-// Request is what a real server was sent.
+// Request is what a server was sent.
 type Request struct {
 	Method, URI, Body string
 	Header            http.Header
 }
 
-// Server is a scripted real server.
+// Server is a scripted server.
 type Server struct {
 	Addr     string
 	Requests chan Request // in their order
@@ -48,7 +48,7 @@
 	ln       net.Listener
 }
 
-// NewServer starts a real server; script answers one request on c, and tells whether to keep c for more.
+// NewServer starts a server; script answers one request on c, and tells whether to keep c for more.
 func NewServer(t testing.TB, script func(c net.Conn) (keep bool)) *Server {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -175,7 +175,7 @@
 	}
 }
 
-// Entry is a service entry in discovery's form.
+// Entry is a listed server in discovery's form.
 func Entry(id, addr, state string) string {
 	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"a","kind":"k","state":%q}`, id, addr, state)
 }
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -176,7 +176,7 @@
 	return c.checkDuties(path)
 }
 
-// connectFor is the time for a connection to a real server to come up.
+// connectFor is the time for a connection to a server to come up.
 func (c *Config) connectFor() time.Duration { return time.Duration(c.Settings.Limits.ConnectTimeoutNs) }
 
 // LogFormat returns how log lines are written.
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -108,7 +108,7 @@
 		{Owner: door.KnownOnes, Share: reserve},
 		{Owner: door.Unknown, Share: clients - reserve},
 		{Owner: door.StepOnes, Share: step},
-		{Owner: door.RealServers, Share: r.servers},
+		{Owner: door.Servers, Share: r.servers},
 		{Owner: door.Discovery, Share: 1},
 		{Owner: door.Copies, Share: c.copies()},
 		{Owner: door.StatusOnes, Share: c.aside() - c.copies()}, // with the files of the records
@@ -121,7 +121,7 @@
 func (p *Program) ledger() door.Ledger {
 	counts, _ := p.front.DoorStatus(0)
 	used := map[door.Owner]int{door.Listeners: 3, door.Discovery: 1, door.KnownOnes: counts.Known, door.Unknown: counts.Unknown,
-		door.StepOnes: counts.Step, door.RealServers: p.servers.Open(),
+		door.StepOnes: counts.Step, door.Servers: p.servers.Open(),
 		door.Float: max(p.front.Alive()-counts.Known-counts.Unknown-counts.Step, 0)}
 	if p.mirror != nil {
 		used[door.Copies] = p.mirror.Sockets()
--- a/internal/program/exchange_test.go
+++ b/internal/program/exchange_test.go
@@ -220,7 +220,7 @@
 // connection; whatever has no one to go to ends where it is.
 func TestStreamsMove(t *testing.T) {
 	hold := make(chan bool)
-	// A real server says something at each stage: one that is silent for longer than 4.5 s is given up, and on a busy machine all of
+	// A server says something at each stage: one that is silent for longer than 4.5 s is given up, and on a busy machine all of
 	// this takes longer.
 	var stages []chan bool
 	var waits []<-chan bool
@@ -276,7 +276,7 @@
 		}
 	}
 	if got := host.Accepted() - conns; got > 0 {
-		t.Errorf("%d new connections to the real server; those of the streams were there", got)
+		t.Errorf("%d new connections to the server; those of the streams were there", got)
 	}
 	if _, _, _, twice := host.Counts(); twice != nil {
 		t.Errorf("%v had two attempts out", twice)
@@ -292,7 +292,7 @@
 	third.exit(true)
 }
 
-// answerOf returns what a real server's answer to the clients' usual prompt is.
+// answerOf returns what a server's answer to the clients' usual prompt is.
 func answerOf(t *testing.T, p *platformOf, host *peers.Model) string {
 	t.Helper()
 	r := peers.Ask(t, host.Addr, "as it is", nil)
--- a/internal/program/parts.go
+++ b/internal/program/parts.go
@@ -5,9 +5,9 @@
 // part is something that a program has beside its core. Any of its functions may be nil.
 type part struct {
 	name  string
-	start func(work context.Context) error // before anything is served; work ends with the last flow
+	start func(work context.Context) error // before anything is served; work ends with the last request
 	leave func()                           // SIGTERM came, and no phase has changed yet
-	stop  func(whole bool)                 // whole: the last flow is answered; otherwise something failed
+	stop  func(whole bool)                 // whole: the last request is answered; otherwise something failed
 }
 
 // all has every part, in the order of their start. They leave and stop the other way round: the one that gives connections
--- a/internal/program/phases.go
+++ b/internal/program/phases.go
@@ -11,7 +11,7 @@
 // The phases.
 const (
 	Starting  Phase = "starting"  // resources are set up, nothing is answered
-	Listing   Phase = "listing"   // not ready: no service entry is known
+	Listing   Phase = "listing"   // not ready: no server is listed
 	Withheld  Phase = "withheld"  // the same, and clients are to be sent away once there is one
 	Serving   Phase = "serving"   // ready
 	Draining  Phase = "draining"  // clients are sent away, until they are taken again
@@ -69,7 +69,7 @@
 
 const (
 	opened   happening = "opened"
-	listed   happening = "listed" // a service entry is known
+	listed   happening = "listed" // a server is listed
 	drainOn  happening = "drain-on"
 	drainOff happening = "drain-off"
 	sigterm  happening = "SIGTERM"
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -34,7 +34,7 @@
 	getenv   func(string) string
 	file     string // the operators' settings, empty for none
 	log      routing.Logger
-	servers  *transport.RealServers
+	servers  *transport.Servers
 	mirror   *mirror.Mirror    // nil without a file
 	status   *transport.Status // nil where the settings name no folder
 	capture  *capture.Writer   // nil where they name no file
@@ -63,7 +63,7 @@
 	zone        string                 // this router's, as the fleet view has it
 	copied      uint64                 // the token of another's record that is kept; Duties asks for one at a time
 	accepted    atomic.Uint64          // files taken at SIGHUP
-	invalid     atomic.Uint64          // files turned down
+	invalid     atomic.Uint64          // files refused
 
 	mu        sync.Mutex
 	phase     Phase
@@ -97,7 +97,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	alone := p.cfg.room(beside.Others{})
-	servers := transport.NewRealServers(transport.ServerLimits{Connect: p.cfg.connectFor(),
+	servers := transport.NewServers(transport.ServerLimits{Connect: p.cfg.connectFor(),
 		Keepalive:   time.Duration(p.cfg.Settings.Limits.KeepaliveNs),
 		Silent:      silentFor,
 		Connections: alone.servers}, p.log)
@@ -124,7 +124,7 @@
 		return err
 	}
 
-	// The core and discovery work on until the last flow is answered.
+	// The core and discovery work on until the last request is answered.
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	written := make(chan struct{})
@@ -241,13 +241,13 @@
 	}
 }
 
-// refuse counts and tells that a file was turned down.
+// refuse counts and tells that a file was refused.
 func (p *Program) refuse(cause error) {
 	p.invalid.Add(1)
 	p.log.Warn("reload refused", "cause", cause)
 }
 
-// tell hands a list of service entries to the core.
+// tell hands a list of listed servers to the core.
 func (p *Program) tell(l *protocol.List) {
 	p.kept.telling.Lock()
 	defer p.kept.telling.Unlock()
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -137,7 +137,7 @@
 			t.Errorf("shares of %d under a limit of %d: %+v", ledger.Shares(), ledger.Limit, ledger)
 		}
 		for _, line := range ledger.Lines {
-			needs := line.Owner == door.Unknown || line.Owner == door.StepOnes || line.Owner == door.RealServers || line.Owner == door.Float
+			needs := line.Owner == door.Unknown || line.Owner == door.StepOnes || line.Owner == door.Servers || line.Owner == door.Float
 			if line.Share < 0 || needs && line.Share == 0 {
 				t.Errorf("%s has a share of %d under a limit of %d", line.Owner, line.Share, ledger.Limit)
 			}
@@ -145,7 +145,7 @@
 	})
 }
 
-// From start to exit: ready once a service entry is known; after SIGTERM each answer ends its connection, what
+// From start to exit: ready once a server is listed; after SIGTERM each answer ends its connection, what
 // was taken is finished, and the program ends by itself.
 func TestPhases(t *testing.T) {
 	more := make(chan bool)
@@ -197,12 +197,12 @@
 		ends <- end{resp.Close, string(body), err}
 	}
 	go ask("before")
-	peers.Next(t, s.Requests, "the first scheduling")
+	peers.Next(t, s.Requests, "the first attempt")
 	sigterm()
 	enter(Leaving)
 	ready(503)
 	go ask("after")
-	peers.Next(t, s.Requests, "a scheduling while leaving")
+	peers.Next(t, s.Requests, "an attempt while leaving")
 	enter(Finishing)
 	peers.Give(t, more, true)
 	peers.Give(t, more, true)
@@ -264,7 +264,7 @@
 		_, body, err := peers.Do(t, peers.Ask(t, p.ln.Addr().String(), "held", nil))
 		ends <- fmt.Sprint(body, err)
 	}()
-	peers.Next(t, s.Requests, "a scheduling")
+	peers.Next(t, s.Requests, "an attempt")
 
 	for _, bad := range []string{"{", strings.Replace(string(text), d.Addr, "nowhere", 1)} {
 		write(t, path, bad)
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -125,7 +125,7 @@
 		status, body, err := peers.Do(t, peers.Ask(t, s.addr(), "before", nil))
 		ends <- fmt.Sprintln(status, strings.Contains(body, "[DONE]"), err)
 	}()
-	peers.Next(t, host.Started, "a scheduling")
+	peers.Next(t, host.Started, "an attempt")
 	ask := func(id, class string) int {
 		status, _, _ := peers.Do(t, peers.Ask(t, s.addr(), id, map[string]string{"X-Service-Class": class}))
 		return status
--- a/internal/program/room.go
+++ b/internal/program/room.go
@@ -24,7 +24,7 @@
 	// with less, collecting takes so much of a core that connections are closed late.
 	programBytes = 13 << 20
 	heapShare    = 0.97
-	// besideSockets are the descriptors of a process beside another that are neither clients' nor real servers'.
+	// besideSockets are the descriptors of a process beside another that are neither clients' nor servers'.
 	besideSockets = 32
 	// newcomer are those that a process which may be replaced leaves for the one to come.
 	newcomer = besideSockets + 2*fewestClient
@@ -33,7 +33,7 @@
 )
 
 // room divides the limits, with what the operators' settings need set aside first. Each client may need a second
-// connection to a real server.
+// connection to a server.
 func (c *Config) room(o beside.Others) room {
 	memory := int64(c.Limits.MemoryMB) << 20
 	beside := heapShare * float64(memory-programBytes)
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -57,7 +57,7 @@
 	v := management.Values{Relayed: f.Relayed, Open: f.Open, Entries: f.Entries, Avoided: f.Avoided,
 		Accepted: p.accepted.Load(), Invalid: p.invalid.Load(), Fleet: p.fleetValues(), Duties: p.dutyValues(), Recovery: p.recoveryValues()}
 	for name, c := range f.Classes {
-		v.Classes = append(v.Classes, management.Class{Name: name, Taken: c.Taken, Fulfilled: c.Served, Throttled: c.TurnedDown,
+		v.Classes = append(v.Classes, management.Class{Name: name, Taken: c.Taken, Fulfilled: c.Served, Throttled: c.Refused,
 			Faulted: c.Failed, Abandoned: c.Abandoned, Moved: c.Moved})
 	}
 	return v
--- a/internal/program/service_test.go
+++ b/internal/program/service_test.go
@@ -165,8 +165,8 @@
 	}
 }
 
-// Every figure against what clients and real servers saw: served, refused, failed, cut off, client gone, attempts, a
-// real server ejected, a list that grows and shrinks.
+// Every figure against what clients and servers saw: served, refused, failed, cut off, client gone, attempts, a
+// server ejected, a list that grows and shrinks.
 func TestFiguresAreTrue(t *testing.T) {
 	hold := make(chan bool)
 	well, bad := peers.NewModel(t, peers.Manner{Events: 2}), peers.NewModel(t, peers.Manner{Status: 500})
--- a/internal/program/shadow.go
+++ b/internal/program/shadow.go
@@ -16,15 +16,15 @@
 const closeFor = 200 * time.Millisecond
 
 // startMirror turns on what the operators' settings say.
-func (p *Program) startMirror(servers *transport.RealServers) error {
+func (p *Program) startMirror(servers *transport.Servers) error {
 	var refused uint64
 	p.mirror = mirror.New(mirror.Options{Balance: p.cfg.balance, Seed: p.cfg.seed, Connect: p.cfg.connectFor(),
 		Idle: time.Duration(p.cfg.Settings.Limits.KeepaliveNs), Log: p.log,
 		Sample: func() shadow.Sample {
 			core, front := p.router.Load(), p.front.Load()
 			s := shadow.Sample{Held: core.Held, Late: core.Late, Bodies: front.Bodies,
-				Sockets: max(front.Connections, servers.Load()), Refusals: int(core.TurnedDown - refused)}
-			refused = core.TurnedDown
+				Sockets: max(front.Connections, servers.Load()), Refusals: int(core.Refused - refused)}
+			refused = core.Refused
 			return s
 		}})
 	if dir := p.cfg.set.StatusDir; dir != "" {
--- a/internal/program/shadow_test.go
+++ b/internal/program/shadow_test.go
@@ -279,11 +279,11 @@
 		cause  shadow.Cause // of the records
 		down   bool
 	}{
-		{"says nothing", peers.Manner{Silent: true}, []string{"share = 1", "share = 1\n patience = \"100ms\""}, shadow.TurnedDown, true},
+		{"says nothing", peers.Manner{Silent: true}, []string{"share = 1", "share = 1\n patience = \"100ms\""}, shadow.Refused, true},
 		{"a twentieth of the pace", peers.Manner{Gap: 40 * time.Millisecond}, []string{"share = 1", "share = 1\n patience = \"150ms\"\n longest = \"200ms\""}, shadow.TooLong, true},
 		{"falls silent", peers.Manner{Gap: time.Minute}, []string{"share = 1", "share = 1\n silent = \"100ms\""}, shadow.Broken, true},
 		{"breaks halfway", peers.Manner{Break: true}, nil, shadow.Broken, true},
-		{"errors", peers.Manner{Status: 500}, nil, shadow.TurnedDown, true},
+		{"errors", peers.Manner{Status: 500}, nil, shadow.Refused, true},
 		{"finds the request at fault", peers.Manner{Status: 404}, nil, shadow.Unfit, false},
 		{"a report that can't be read", peers.Manner{Report: "{"}, nil, "", false},
 	} {
@@ -423,7 +423,7 @@
 			}()
 			peers.Next(t, candidate.Started, "a copy")
 			if live.Hold != nil {
-				peers.Next(t, s.live.Started, "a scheduling")
+				peers.Next(t, s.live.Started, "an attempt")
 				leave()
 			}
 			<-answered
@@ -512,7 +512,7 @@
 		answered <- err
 	}()
 	peers.Next(t, candidate.Started, "a copy")
-	peers.Next(t, s.live.Started, "a scheduling")
+	peers.Next(t, s.live.Started, "an attempt")
 	s.sigterm()
 	for end := time.Now().Add(peers.Patience); ; time.Sleep(time.Millisecond) {
 		if _, _, out, _ := candidate.Counts(); out == 0 {
@@ -627,14 +627,14 @@
 	}
 }
 
-// Pressure on the live path, here by flows that wait for a real server, drops copies and lets them back.
+// Pressure on the live path, here by requests that wait for a server, drops copies and lets them back.
 func TestShadowYieldsToPressure(t *testing.T) {
 	candidate := peers.NewModel(t, peers.Manner{Silent: true})
 	s := startShadow(t, host(candidate.Addr), "held = 1000", "held = 1\n grace = \"30ms\"")
 	s.served("q0")
 	peers.Next(t, candidate.Started, "a copy")
 	s.live.Set(peers.Manner{Status: 503})
-	for _, e := range []string{"Terminating", "Ready"} { // no real server: requests are held
+	for _, e := range []string{"Terminating", "Ready"} { // no server: requests are held
 		s.p.tell(mustList(t, peers.List(9, false, peers.Entry("s0", s.live.Addr, e))))
 		if e == "Ready" {
 			break
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -9,7 +9,7 @@
 	"reachspread/balance"
 )
 
-// ServiceEntry is one real server as discovery lists it. The decisions know it by its id, which is alike at all
+// ServiceEntry is one server as discovery lists it. The decisions know it by its id, which is alike at all
 // routers; only the network uses the address.
 type ServiceEntry struct {
 	ID        string  `json:"id"`
@@ -77,7 +77,7 @@
 	return ev
 }
 
-// Addrs returns where to reach each real server of the list.
+// Addrs returns where to reach each server of the list.
 func (l *List) Addrs() map[string]string {
 	addrs := make(map[string]string, len(l.Servers))
 	for _, e := range l.Servers {
--- a/internal/protocol/news.go
+++ b/internal/protocol/news.go
@@ -12,7 +12,7 @@
 //
 //	byte 0       version in the high half, n in the low one; version 5 where words have prefixes
 //	byte 1       mark of the sender's zone
-//	per item:    tag of the real server, 3 bytes, high one first
+//	per item:    tag of the server, 3 bytes, high one first
 //	             what is said: top bit 0 for tokens, 1 for slowness; the rest is a logarithm
 //	             in version 5, the mark of a prefix, 2 bytes, high one first; 0 for none
 //
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -48,20 +48,20 @@
 
 // Side is one of the two answers. What is not known is left out.
 type Side struct {
-	Outcome     string   `json:"outcome"` // whole, or why not
-	Host        string   `json:"host,omitempty"`
-	Schedulings int      `json:"schedulings"`
-	Bytes       int64    `json:"bytes"`            // of the stream
-	Chars       int      `json:"chars"`            // bytes of its text, as far as kept
-	Digest      string   `json:"digest,omitempty"` // keyed anew at each start, so that it can't be looked up
-	Finish      string   `json:"finish,omitempty"`
-	Tokens      *int     `json:"tokens,omitempty"`
-	Kept        *int     `json:"kept_tokens,omitempty"`
-	WaitMs      *float64 `json:"wait_ms,omitempty"`    // from take-in until the scheduling that answered was sent
-	FirstMs     *float64 `json:"first_ms,omitempty"`   // from take-in to the first event
-	BetweenMs   *float64 `json:"between_ms,omitempty"` // mean time between tokens
-	WholeMs     *float64 `json:"whole_ms,omitempty"`
-	Text        string   `json:"text,omitempty"` // only where the settings keep texts
+	Outcome   string   `json:"outcome"` // whole, or why not
+	Host      string   `json:"host,omitempty"`
+	Attempts  int      `json:"schedulings"`      // the name that kept files have
+	Bytes     int64    `json:"bytes"`            // of the stream
+	Chars     int      `json:"chars"`            // bytes of its text, as far as kept
+	Digest    string   `json:"digest,omitempty"` // keyed anew at each start, so that it can't be looked up
+	Finish    string   `json:"finish,omitempty"`
+	Tokens    *int     `json:"tokens,omitempty"`
+	Kept      *int     `json:"kept_tokens,omitempty"`
+	WaitMs    *float64 `json:"wait_ms,omitempty"`    // from take-in until the attempt that answered was sent
+	FirstMs   *float64 `json:"first_ms,omitempty"`   // from take-in to the first event
+	BetweenMs *float64 `json:"between_ms,omitempty"` // mean time between tokens
+	WholeMs   *float64 `json:"whole_ms,omitempty"`
+	Text      string   `json:"text,omitempty"` // only where the settings keep texts
 }
 
 // Compared is how the copy's answer compares with the live one.
--- a/internal/routing/entries.go
+++ b/internal/routing/entries.go
@@ -2,7 +2,7 @@
 
 import "reachspread/balance"
 
-// entry is what is known of a real server, apart from the decisions.
+// entry is what is known of a server, apart from the decisions.
 type entry struct {
 	Entry
 	state balance.State
@@ -43,13 +43,13 @@
 	r.post(ev)
 }
 
-// Retune puts other settings in force, for flows taken in from now on.
+// Retune puts other settings in force, for requests taken in from now on.
 func (r *Router) Retune(c balance.Config) {
 	r.figures.list(c.Classes)
 	r.post(balance.Retune{Config: c})
 }
 
-// ready returns a real server that may be sent to. It is asked again right before a send: the module decides
+// ready returns a server that may be sent to. It is asked again right before a send: the module decides
 // on events that are drained before, and what drains or is gone must get nothing new.
 func (r *Router) ready(id string) (Entry, bool) {
 	r.mu.Lock()
@@ -58,13 +58,13 @@
 	return e.Entry, ok && e.state == balance.Serving
 }
 
-// Ready tells whether a real server may be sent to by now.
+// Ready tells whether a server may be sent to by now.
 func (r *Router) Ready(id string) bool {
 	_, ok := r.ready(id)
 	return ok
 }
 
-// Serving returns how many real servers may be sent to.
+// Serving returns how many servers may be sent to.
 func (r *Router) Serving() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/routing/figures.go
+++ b/internal/routing/figures.go
@@ -14,8 +14,8 @@
 type figures struct {
 	classes atomic.Pointer[map[string]*class] // replaced, never changed
 	relayed atomic.Uint64                     // attempts written whole
-	open    atomic.Int64                      // flows taken in and not done
-	entries atomic.Int64                      // real servers listed
+	open    atomic.Int64                      // requests taken in and not done
+	entries atomic.Int64                      // servers listed
 	avoided atomic.Int64                      // of these, out of rotation
 	fleet   atomic.Pointer[Fleet]             // nil before any view
 }
@@ -34,7 +34,7 @@
 	}
 }
 
-// end counts a flow that ended so.
+// end counts a request that ended so.
 func (c *class) end(v Verdict) {
 	if c != nil {
 		c.ended[v].Add(1)
@@ -66,15 +66,15 @@
 
 // Counts is how the requests of a class ended so far. Taken is the sum of the others and of those that are open.
 type Counts struct {
-	Taken                      uint64
-	Served, TurnedDown, Failed uint64
-	Abandoned                  uint64 // their clients left before the end
-	Moved                      uint64 // another process goes on with them
+	Taken                   uint64
+	Served, Refused, Failed uint64
+	Abandoned               uint64 // their clients left before the end
+	Moved                   uint64 // another process goes on with them
 }
 
 // Open is how many have not ended.
 func (c Counts) Open() uint64 {
-	return c.Taken - c.Served - c.TurnedDown - c.Failed - c.Abandoned - c.Moved
+	return c.Taken - c.Served - c.Refused - c.Failed - c.Abandoned - c.Moved
 }
 
 // Figures is what the core did so far, and how it stands.
@@ -96,7 +96,7 @@
 		out.Fleet = *fleet
 	}
 	for name, c := range f.all() {
-		counts := Counts{Served: c.ended[Served].Load(), TurnedDown: c.ended[TurnedDown].Load(),
+		counts := Counts{Served: c.ended[Served].Load(), Refused: c.ended[Refused].Load(),
 			Failed:    c.ended[Failed].Load() + c.ended[Unfit].Load(),
 			Abandoned: c.ended[Nobody].Load(), Moved: c.ended[Moved].Load()}
 		counts.Taken = c.taken.Load() // after the ends, so that never more have ended than were taken
@@ -105,13 +105,13 @@
 	return out
 }
 
-// Open returns the ids and classes of up to most flows that are not answered to their end, and how many more there are.
+// Open returns the ids and classes of up to most requests that are not answered to their end, and how many more there are.
 func (r *Router) Open(most int) (ids, classes []string, more int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, f := range r.flows {
+	for id, f := range r.requests {
 		if len(ids) == most {
-			return ids, classes, len(r.flows) - most
+			return ids, classes, len(r.requests) - most
 		}
 		ids, classes = append(ids, id), append(classes, f.arrival.Class)
 	}
@@ -128,7 +128,7 @@
 	}
 }
 
-// Refused counts a request of a class that a front ended before it was a flow.
+// Refused counts a request of a class that a front ended before it was a request.
 func (r *Router) Refused(class string, v Verdict) {
 	c := r.figures.of(class)
 	c.take()
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -14,22 +14,22 @@
 // The final answers.
 const (
 	Served Verdict = iota
-	TurnedDown
+	Refused
 	Failed
-	Unfit  // the request itself is at fault, by a real server's word
+	Unfit  // the request itself is at fault, by a server's word
 	Nobody // was left to be answered
 	Moved  // to another process, which goes on with the stream
 )
 
-// Answer is the final answer to a flow.
+// Answer is the final answer to a request.
 type Answer struct {
 	Verdict Verdict
-	Wait    time.Duration // TurnedDown: when to come back, 0 for no advice
+	Wait    time.Duration // Refused: when to come back, 0 for no advice
 	Stream  *Stream       // Served: the events as they come
 }
 
-// Flow is one client request on its way through the router.
-type Flow struct {
+// Request is one client request on its way through the router.
+type Request struct {
 	id       string // the module's name for it
 	arrival  balance.Arrival
 	class    *class // counts its end
@@ -40,13 +40,13 @@
 	cancel   context.CancelFunc
 	answered atomic.Bool
 	final    chan Answer
-	tries    int          // schedulings so far; the deciding goroutine's
-	holds    atomic.Int32 // of the client and of each scheduling that is out
+	tries    int          // attempts so far; the deciding goroutine's
+	holds    atomic.Int32 // of the client and of each attempt that is out
 }
 
-// answer gives the flow its final answer and reports whether it was the first. This is the only place that does, and
-// the one that counts it, but for a stream, whose end tells whether the flow was served.
-func (f *Flow) answer(a Answer) bool {
+// answer gives the request its final answer and reports whether it was the first. This is the only place that does, and
+// the one that counts it, but for a stream, whose end tells whether the request was served.
+func (f *Request) answer(a Answer) bool {
 	if !f.answered.CompareAndSwap(false, true) {
 		return false
 	}
@@ -58,7 +58,7 @@
 }
 
 // Wait returns the final answer; ok is false if the client has gone and nobody is to be answered.
-func (f *Flow) Wait() (a Answer, ok bool) {
+func (f *Request) Wait() (a Answer, ok bool) {
 	select {
 	case a = <-f.final:
 		return a, true
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -13,19 +13,19 @@
 // Stream is an answer on its way to the client. The front reads it to its end or to an error, and closes it.
 type Stream struct {
 	router    *Router
-	s         *scheduling
+	s         *attempt
 	body      Body
 	err       error
 	unclaimed bool // its client had gone before, and was counted so
 	once      sync.Once
 }
 
-// relay hands a begun answer over to the flow's client, to whom it belongs from now on.
-func (r *Router) relay(s *scheduling, body Body) {
-	s.flow.message = nil // nothing more is sent
-	r.post(balance.FirstToken{ID: s.flow.id, Attempt: s.number})
+// relay hands a begun answer over to the request's client, to whom it belongs from now on.
+func (r *Router) relay(s *attempt, body Body) {
+	s.request.message = nil // nothing more is sent
+	r.post(balance.FirstToken{ID: s.request.id, Attempt: s.number})
 	stream := &Stream{router: r, s: s, body: body}
-	if !s.flow.answer(Answer{Verdict: Served, Stream: stream}) {
+	if !s.request.answer(Answer{Verdict: Served, Stream: stream}) {
 		stream.unclaimed = true
 		stream.Close()
 	}
@@ -47,7 +47,7 @@
 		switch {
 		case st.err == io.EOF:
 			head.Result = balance.OK
-		case st.s.flow.ctx.Err() != nil || st.err == nil || st.err == ErrMoved:
+		case st.s.request.ctx.Err() != nil || st.err == nil || st.err == ErrMoved:
 			head.Result = balance.Cancelled // by the client, or no longer ours
 		case errors.Is(st.err, ErrSpoilt):
 			head.Result = balance.Error // the process that made it goes on
@@ -55,7 +55,7 @@
 			head.Result = balance.TimedOut // silent: the process need not be dead
 		}
 		if !st.unclaimed {
-			st.s.flow.class.end(st.verdict(head.Result))
+			st.s.request.class.end(st.verdict(head.Result))
 		}
 		var kept float64
 		kept, head.Load = st.body.End()
@@ -64,7 +64,7 @@
 	return nil
 }
 
-// verdict is how a flow ended whose stream did so.
+// verdict is how a request ended whose stream did so.
 func (st *Stream) verdict(result balance.Result) Verdict {
 	switch {
 	case result == balance.OK:
@@ -79,8 +79,8 @@
 
 // Source is where an answer comes from.
 type Source struct {
-	Server string    // the real server's id
-	Before int       // schedulings that came to nothing before
+	Server string    // the server's id
+	Before int       // attempts that came to nothing before
 	Sent   time.Time // that the one which answered was given to the network
 }
 
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -10,12 +10,12 @@
 func (r *Router) route(action balance.Action) {
 	switch a := action.(type) {
 	case balance.Send:
-		r.send(r.flow(a.ID), a)
+		r.send(r.request(a.ID), a)
 	case balance.Refuse:
 		r.refused.Add(1)
-		r.flow(a.ID).answer(Answer{Verdict: TurnedDown, Wait: a.Away})
+		r.request(a.ID).answer(Answer{Verdict: Refused, Wait: a.Away})
 	case balance.Fail:
-		r.flow(a.ID).answer(Answer{Verdict: Failed})
+		r.request(a.ID).answer(Answer{Verdict: Failed})
 	case balance.Probe:
 		r.probe(a.Replica)
 	case balance.Tell:
@@ -27,11 +27,11 @@
 	}
 }
 
-// flow returns a flow that the module names. It is there: see release.
-func (r *Router) flow(id string) *Flow {
+// request returns a request that the module names. It is there: see release.
+func (r *Router) request(id string) *Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.flows[id]
+	return r.requests[id]
 }
 
 // tellDecision logs the module's own words, of the form "event: replica".
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,8 +1,8 @@
-// Package routing is the core of the router. It takes flows (client requests) from any front, lets package
-// balance decide, and has schedulings (attempts) carried out on real servers. It knows nothing of HTTP.
+// Package routing is the core of the router. It takes requests (client requests) from any front, lets package
+// balance decide, and has attempts (attempts) carried out on servers. It knows nothing of HTTP.
 //
-// A flow passes these stages, each in a file of its own: take in, admit, route, send, relay, book. Its final
-// answer is given in Flow.answer and nowhere else.
+// A request passes these stages, each in a file of its own: take in, admit, route, send, relay, book. Its final
+// answer is given in Request.answer and nowhere else.
 package routing
 
 import (
@@ -16,38 +16,38 @@
 	"reachspread/balance"
 )
 
-// Message is what passes unchanged from the client to a real server. Only the front that made it and the
+// Message is what passes unchanged from the client to a server. Only the front that made it and the
 // network that sends it look inside.
 type Message any
 
-// Entry is a service entry: a real server and where to reach it.
+// Entry is a listed server: a server and where to reach it.
 type Entry struct {
 	ID   string
 	Addr string
 }
 
-// Network is what the core needs of the real servers.
+// Network is what the core needs of the servers.
 type Network interface {
-	// Schedule sends m to a real server once and waits until the deadline for the first event of its answer. The end
+	// Schedule sends m to a server once and waits until the deadline for the first event of its answer. The end
 	// of ctx ends all of it, the body too. Whatever does not return a body has been given up by then, so that
-	// no two schedulings of a flow overlap. It calls written once the last byte of m is.
+	// no two attempts of a request overlap. It calls written once the last byte of m is.
 	Schedule(ctx context.Context, deadline time.Time, to Entry, m Message, written func()) Head
-	// Probe asks a real server for its load, until ctx ends.
+	// Probe asks a server for its load, until ctx ends.
 	Probe(ctx context.Context, to Entry) (balance.Result, *balance.Load)
-	// Forget closes the idle connections to a real server.
+	// Forget closes the idle connections to a server.
 	Forget(id string)
 }
 
-// Head is how a scheduling began, or how it ended without a beginning.
+// Head is how an attempt began, or how it ended without a beginning.
 type Head struct {
 	Result balance.Result // OK if there is a body
 	Load   *balance.Load
 	Body   Body
-	Unfit  bool // the real server finds the request itself at fault, as any other would
+	Unfit  bool // the server finds the request itself at fault, as any other would
 	Left   bool // nothing was sent, as the client has left
 }
 
-// ErrSpoilt says that what came is no answer, although the real server and its connection stand.
+// ErrSpoilt says that what came is no answer, although the server and its connection stand.
 var ErrSpoilt = errors.New("spoilt")
 
 // ErrMoved says that another process goes on with a stream. It is that one's to count and to end.
@@ -84,26 +84,26 @@
 	clock    clock
 	probeFor time.Duration
 	tell     func(balance.Tell) // to other routers; must not block
-	refused  atomic.Uint64      // flows turned down so far
+	refused  atomic.Uint64      // requests refused so far
 	figures  figures
 
-	mu      sync.Mutex
-	pending []balance.Event
-	viewed  *Fleet          // that came since the last decision, nil for none
-	heard   []balance.Event // from other routers, to be decided on with the next event
-	since   time.Time       // the first of them came
-	late    time.Duration   // the longest wait for the deciding goroutine since the last Load
-	entries map[string]entry
-	told    int64 // news from discovery so far
-	flows   map[string]*Flow
-	ended   []*Flow       // to be forgotten once the events before are decided on
-	wake    chan struct{} // holds one token while events are pending
+	mu       sync.Mutex
+	pending  []balance.Event
+	viewed   *Fleet          // that came since the last decision, nil for none
+	heard    []balance.Event // from other routers, to be decided on with the next event
+	since    time.Time       // the first of them came
+	late     time.Duration   // the longest wait for the deciding goroutine since the last Load
+	entries  map[string]entry
+	told     int64 // news from discovery so far
+	requests map[string]*Request
+	ended    []*Request    // to be forgotten once the events before are decided on
+	wake     chan struct{} // holds one token while events are pending
 }
 
 // New returns a Router that stands still until Run. A probe is given up after probeFor.
 func New(b *balance.Balancer, n Network, log Logger, probeFor time.Duration) *Router {
 	r := &Router{balancer: b, network: n, log: log, clock: startClock(), probeFor: probeFor,
-		tell: func(balance.Tell) {}, entries: map[string]entry{}, flows: map[string]*Flow{}, wake: make(chan struct{}, 1)}
+		tell: func(balance.Tell) {}, entries: map[string]entry{}, requests: map[string]*Request{}, wake: make(chan struct{}, 1)}
 	r.figures.list(b.Classes())
 	return r
 }
@@ -198,20 +198,20 @@
 
 // Load is how the core fares.
 type Load struct {
-	Held       int           // flows that wait for a real server
-	Late       time.Duration // the longest that an event waited for its decision since the last Load
-	TurnedDown uint64        // flows so far
+	Held    int           // requests that wait for a server
+	Late    time.Duration // the longest that an event waited for its decision since the last Load
+	Refused uint64        // requests so far
 }
 
-// Load looks at all open flows, so it is for a few calls in a second.
+// Load looks at all open requests, so it is for a few calls in a second.
 func (r *Router) Load() Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := Load{Late: r.late, TurnedDown: r.refused.Load()}
+	l := Load{Late: r.late, Refused: r.refused.Load()}
 	if r.late = 0; len(r.pending) > 0 {
 		l.Late = max(l.Late, time.Since(r.since))
 	}
-	for _, f := range r.flows {
+	for _, f := range r.requests {
 		if f.holds.Load() == 1 && !f.answered.Load() {
 			l.Held++
 		}
@@ -238,8 +238,8 @@
 	}
 }
 
-// drain takes all events that are pending, the flows that ended with them, and a view of the fleet that came meanwhile.
-func (r *Router) drain() ([]balance.Event, []*Flow, *Fleet) {
+// drain takes all events that are pending, the requests that ended with them, and a view of the fleet that came meanwhile.
+func (r *Router) drain() ([]balance.Event, []*Request, *Fleet) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	events, ended, fleet := append(r.heard, r.pending...), r.ended, r.viewed
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -7,10 +7,10 @@
 	"reachspread/balance"
 )
 
-// send starts one scheduling. The flow's deadline ends it until its answer has begun; its client's leaving ends
+// send starts one attempt. The request's deadline ends it until its answer has begun; its client's leaving ends
 // it at any time.
-func (r *Router) send(f *Flow, a balance.Send) {
-	s := &scheduling{flow: f, number: f.tries, to: a.Replica, sent: time.Now()}
+func (r *Router) send(f *Request, a balance.Send) {
+	s := &attempt{request: f, number: f.tries, to: a.Replica, sent: time.Now()}
 	f.tries++
 	f.holds.Add(1)
 	to, ok := r.ready(a.Replica)
@@ -34,7 +34,7 @@
 	}()
 }
 
-// probe asks a real server for its load and tells the module.
+// probe asks a server for its load and tells the module.
 func (r *Router) probe(id string) {
 	to, ok := r.ready(id)
 	if !ok {
--- a/internal/routing/takein.go
+++ b/internal/routing/takein.go
@@ -7,11 +7,11 @@
 	"reachspread/balance"
 )
 
-// TakeIn starts a flow for a request whose first byte came at the time given, from which on its client waits. Its
+// TakeIn starts a request for a request whose first byte came at the time given, from which on its client waits. Its
 // caller owes one call of Done, unless there is an error.
-func (r *Router) TakeIn(a balance.Arrival, began time.Time, m Message) (*Flow, error) {
+func (r *Router) TakeIn(a balance.Arrival, began time.Time, m Message) (*Request, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Flow{id: a.ID, arrival: a, class: r.figures.of(a.Class), message: m, deadline: began.Add(a.Left), ctx: ctx, cancel: cancel, final: make(chan Answer, 1)}
+	f := &Request{id: a.ID, arrival: a, class: r.figures.of(a.Class), message: m, deadline: began.Add(a.Left), ctx: ctx, cancel: cancel, final: make(chan Answer, 1)}
 	f.holds.Store(1)
 	if err := r.admit(f); err != nil {
 		cancel()
@@ -21,23 +21,23 @@
 	return f, nil
 }
 
-// Leave notes that the client of a flow has gone: the module is told and what is out is given up.
-func (r *Router) Leave(f *Flow) {
+// Leave notes that the client of a request has gone: the module is told and what is out is given up.
+func (r *Router) Leave(f *Request) {
 	f.cancel()
 	r.post(balance.Aborted{ID: f.id})
 }
 
-// Done ends a flow whose client has its answer, or has gone.
-func (r *Router) Done(f *Flow) {
+// Done ends a request whose client has its answer, or has gone.
+func (r *Router) Done(f *Request) {
 	f.cancel()
 	r.figures.open.Add(-1)
 	r.release(f)
 }
 
-// release gives up one of the holds on a flow: its client has one, and so has each scheduling that is out. The
-// last one gone, the flow is forgotten, but not before the module has decided on its last event: until then the
+// release gives up one of the holds on a request: its client has one, and so has each attempt that is out. The
+// last one gone, the request is forgotten, but not before the module has decided on its last event: until then the
 // module may still name it, and would pass over a new request of that name.
-func (r *Router) release(f *Flow) {
+func (r *Router) release(f *Request) {
 	if f.holds.Add(-1) > 0 {
 		return
 	}
@@ -47,14 +47,14 @@
 	r.rouse()
 }
 
-// forget drops flows that have ended. A client that leaves while its flow is being sent ends it twice, and by the
-// second time another flow may have the name.
-func (r *Router) forget(ended []*Flow) {
+// forget drops requests that have ended. A client that leaves while its request is being sent ends it twice, and by the
+// second time another request may have the name.
+func (r *Router) forget(ended []*Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, f := range ended {
-		if r.flows[f.id] == f {
-			delete(r.flows, f.id)
+		if r.requests[f.id] == f {
+			delete(r.requests, f.id)
 		}
 	}
 }
--- /dev/null
+++ b/internal/scalerun/scalerun_test.go
@@ -0,0 +1,80 @@
+package scalerun
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func plan() Plan {
+	return Plan{Hollow: 12, Zones: 3, Length: 2 * time.Second, Apart: time.Second, Within: time.Minute, Seed: 1}
+}
+
+// Real and hollow members are one fleet: all of them learn of each thing that happens, and send about as much.
+func TestRealAndHollowMembersAgree(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "reachspread")
+	if out, err := exec.Command("go", "build", "-o", program, "reachspread/cmd/reachspread").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	p := plan()
+	p.Real, p.Program, p.Loss = 2, program, 0.02
+	r, err := Run(t.Context(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	r.Write(&text)
+	t.Log(text.String())
+	if len(r.Known) != 6 {
+		t.Errorf("%d things happened, want 6", len(r.Known))
+	}
+	for _, k := range r.Known {
+		if k.All == 0 || k.Half > k.NinetyNine || k.NinetyNine > k.All {
+			t.Errorf("%+v: want it known to all", k)
+		}
+	}
+	if r.Real.Datagrams == 0 || r.Hollow.Datagrams == 0 || r.Real.MemoryMB == 0 {
+		t.Errorf("real %+v, hollow %+v: want figures of both", r.Real, r.Hollow)
+	}
+	// Both send a few datagrams each second; over 2 s chance alone makes them differ.
+	if ratio := r.Real.Datagrams / r.Hollow.Datagrams; ratio < 0.4 || ratio > 2.5 {
+		t.Errorf("a real member sends %.2f times what a hollow one does", ratio)
+	}
+}
+
+// An end of the run ends everything, wherever it is.
+func TestRunEndsWithItsContext(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if _, err := Run(ctx, plan()); err != context.Canceled {
+		t.Errorf("got %v, want that it was ended", err)
+	}
+}
+
+// Plans that can not be played, or would take too much of the machine, are refused in one line that names the field.
+func TestBadPlans(t *testing.T) {
+	for want, change := range map[string]func(*Plan){
+		"hollow is 1;":                      func(p *Plan) { p.Hollow = 1 },
+		"hollow is 9000;":                   func(p *Plan) { p.Hollow = 9000 },
+		"real is 301;":                      func(p *Plan) { p.Real = 301 },
+		"program is empty":                  func(p *Plan) { p.Real = 1 },
+		"zones is 0;":                       func(p *Plan) { p.Zones = 0 },
+		"loss is 1;":                        func(p *Plan) { p.Loss = 1 },
+		"churn is -1;":                      func(p *Plan) { p.Churn = -1 },
+		"length, apart and within":          func(p *Plan) { p.Length = 0 },
+		"40 real and 12 hollow members may": func(p *Plan) { p.Real, p.Program = 40, "router" },
+	} {
+		p := plan()
+		change(&p)
+		if err := p.Check(4096); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+	p := plan()
+	if err := p.Check(4096); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/shadow/compare.go
+++ b/internal/shadow/compare.go
@@ -38,12 +38,12 @@
 	Finish    string // the reason that it gives for its end
 	Tokens    int
 	Kept      int           // prompt tokens that the host still held
-	Wait      time.Duration // until the scheduling that answered was sent: the host's own time begins there
+	Wait      time.Duration // until the attempt that answered was sent: the host's own time begins there
 	First     time.Duration
 	Between   time.Duration // mean time between tokens
 	Whole     time.Duration
 	Host      string
-	Schedules int // schedulings that it took
+	Schedules int // attempts that it took
 }
 
 // Comparison is how a copy's answer compares with the live one.
--- a/internal/shadow/decider.go
+++ b/internal/shadow/decider.go
@@ -194,7 +194,7 @@
 	d.gaps[c.session] = true
 }
 
-// seat grants a scheduling unless the host has as many as it may, or the copy is to end.
+// seat grants an attempt unless the host has as many as it may, or the copy is to end.
 func (d *Decider) seat(e Seat) {
 	c := d.copies[e.Copy]
 	ok := c != nil && c.state == out && !c.ending
@@ -300,7 +300,7 @@
 		bad = c.cause == TooLong
 	}
 	switch {
-	case c.ending && !bad, how == Unfit, how == TurnedDown && c.capped:
+	case c.ending && !bad, how == Unfit, how == Refused && c.capped:
 		return
 	case bad:
 		d.failures++
@@ -460,7 +460,7 @@
 	return true
 }
 
-// turn is a copy's right to one scheduling. It may reach its host at any time from when it is sent to when the host is heard, so the
+// turn is a copy's right to one attempt. It may reach its host at any time from when it is sent to when the host is heard, so the
 // window begins with the latter: a host sees no more in any second of its own, however long copies are on their way.
 type turn struct {
 	copy uint64
@@ -500,7 +500,7 @@
 	}
 }
 
-// rate returns how many schedulings may reach hosts in any window, and its length.
+// rate returns how many attempts may reach hosts in any window, and its length.
 func (d *Decider) rate() (n int, window time.Duration) {
 	if r := d.c.Caps.PerSecond; r < 1 {
 		return 1, time.Duration(float64(time.Second) / r)
--- a/internal/shadow/decider_test.go
+++ b/internal/shadow/decider_test.go
@@ -123,7 +123,7 @@
 			[]Action{Seated{1, "a", true}, Seated{2, "a", true}, Seated{3, "a", false}, Seated{3, "b", true}}},
 		{3 * ms, []Event{Left{"a"}, Seat{3, "a"}, Seat{9, "b"}}, []Action{Seated{3, "a", true}, Seated{9, "b", false}}},
 		// A copy that found no room because of our own cap says nothing about the pool.
-		{4 * ms, []Event{Ended{3, TurnedDown}, LiveEnded{3, true}}, []Action{Record{3, TurnedDown, true}}},
+		{4 * ms, []Event{Ended{3, Refused}, LiveEnded{3, true}}, []Action{Record{3, Refused, true}}},
 	})
 	if d.failures != 0 {
 		t.Errorf("%d failures", d.failures)
@@ -164,7 +164,7 @@
 	if d.failures != 0 || !maps.Equal(d.Counts().Pressed, map[string]uint64{"held": 1, "late": 1}) {
 		t.Errorf("%d failures, pressed by %v", d.failures, d.Counts().Pressed)
 	}
-	// While copies run, their further schedulings are denied, and they with them.
+	// While copies run, their further attempts are denied, and they with them.
 	d.Step(6800*ms, []Event{Offer{6, 6, 1}})
 	if got := d.Step(6900*ms, []Event{hot, Seat{6, "a"}}); !cmp.Equal(got, []Action{End{6, Pressed}, Seated{6, "a", false}}) {
 		t.Error(got)
@@ -283,7 +283,7 @@
 	over     bool
 }
 
-// sending is a scheduling that reaches its host at some time from at to heard.
+// sending is an attempt that reaches its host at some time from at to heard.
 type sending struct {
 	copy  uint64
 	at    time.Duration
@@ -370,7 +370,7 @@
 					w.t.Fatalf("%d seats at %s", w.seats[a.Host], a.Host)
 				}
 				if w.hotAt > 0 && w.now-w.hotAt < w.c.Pressure.Calm {
-					w.t.Fatal("a scheduling under pressure")
+					w.t.Fatal("an attempt under pressure")
 				}
 			}
 		}
@@ -499,7 +499,7 @@
 				if len(w.out) == 0 {
 					t.Skip()
 				}
-				w.step(Ended{pick(w.out), rapid.SampledFrom([]Cause{"", "", "", Failed, TurnedDown, Broken, Unfit}).Draw(t, "how")})
+				w.step(Ended{pick(w.out), rapid.SampledFrom([]Cause{"", "", "", Failed, Refused, Broken, Unfit}).Draw(t, "how")})
 			},
 			"live": func(t *rapid.T) {
 				if len(w.lives) == 0 {
--- a/internal/shadow/types.go
+++ b/internal/shadow/types.go
@@ -16,7 +16,7 @@
 type Caps struct {
 	PerSecond float64       // copies that reach hosts in any second, further tries among them; under 1, one in that many seconds
 	Out       int           // copies started and not ended
-	PerHost   int           // schedulings out to one candidate host
+	PerHost   int           // attempts out to one candidate host
 	Bytes     int64         // of the bodies of all copies, until their Drop or Record
 	Waiting   int           // copies that wait to be started
 	Wait      time.Duration // for a copy to be started; after that it is dropped
@@ -29,7 +29,7 @@
 // Pressure says when the live path is taken to be short of something. A signal counts from High on and is over at
 // half of it; at Hard times High, running copies end as well.
 type Pressure struct {
-	Held     float64       // flows that wait for a real server
+	Held     float64       // requests that wait for a server
 	Bodies   float64       // share of the room for request bodies
 	Sockets  float64       // share of the descriptors of either side
 	Late     time.Duration // of the deciding goroutine
@@ -71,10 +71,10 @@
 
 	TooLong Cause = "too long" // ended: the answer took longer than Caps.Longest
 
-	TurnedDown Cause = "turned down" // the pool had no host with room in time
-	Failed     Cause = "failed"      // the copy got no answer
-	Broken     Cause = "broken"      // its stream broke, fell silent or was spoilt
-	Unfit      Cause = "unfit"       // a host found the request itself at fault
+	Refused Cause = "turned down" // the pool had no host with room in time
+	Failed  Cause = "failed"      // the copy got no answer
+	Broken  Cause = "broken"      // its stream broke, fell silent or was spoilt
+	Unfit   Cause = "unfit"       // a host found the request itself at fault
 )
 
 // Event is something that happened: one of the types below.
@@ -87,16 +87,16 @@
 	Bytes   int    // of its body
 }
 
-// Seat asks whether a scheduling of a copy may go to a host.
+// Seat asks whether an attempt of a copy may go to a host.
 type Seat struct {
 	Copy uint64
 	Host string
 }
 
-// Heard says that a host has answered a scheduling that was granted, or that it is over: it reached the host by now, if ever.
+// Heard says that a host has answered an attempt that was granted, or that it is over: it reached the host by now, if ever.
 type Heard struct{ Copy uint64 }
 
-// Left says that a scheduling that was granted is over.
+// Left says that an attempt that was granted is over.
 type Left struct{ Host string }
 
 // Ended says that a copy's attempt is over. How is empty for a whole answer.
@@ -161,7 +161,7 @@
 	Cause Cause
 }
 
-// Seated answers a Seat. Without OK the scheduling counts as turned away unseen.
+// Seated answers a Seat. Without OK the attempt counts as turned away unseen.
 type Seated struct {
 	Copy uint64
 	Host string
@@ -212,7 +212,7 @@
 	Ended                                map[Cause]uint64 // started and given up
 	Incomparable                         map[Cause]uint64 // records by their cause
 	Pressed                              map[string]uint64
-	HostFull                             uint64 // schedulings denied by the cap for each host
+	HostFull                             uint64 // attempts denied by the cap for each host
 
 	Waiting, Out, Pairing int // pairing: the copy has ended, the live answer has not
 	Bytes                 int64
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -206,7 +206,7 @@
 	}
 }
 
-// Write gives up on a client that reads no more: its stream would hold a real server's connection for ever.
+// Write gives up on a client that reads no more: its stream would hold a server's connection for ever.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.Conn.SetWriteDeadline(time.Now().Add(c.listener.reading()))
 	return c.Conn.Write(p)
--- a/internal/transport/client_test.go
+++ b/internal/transport/client_test.go
@@ -120,7 +120,7 @@
 		}, routing.Counts{Taken: 3, Served: 3}},
 		{"refused", "refused", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
 			peers.Do(t, peers.Ask(t, r.addr, "q", nil))
-		}, routing.Counts{Taken: 1, TurnedDown: 1}},
+		}, routing.Counts{Taken: 1, Refused: 1}},
 		{"at fault", "unfit", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
 			peers.Do(t, peers.Ask(t, r.addr, "q", nil))
 		}, routing.Counts{Taken: 1, Failed: 1}},
@@ -129,7 +129,7 @@
 		}, routing.Counts{Taken: 1, Failed: 1}},
 		{"out of time", "silent", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
 			peers.Do(t, peers.Ask(t, r.addr, "q", map[string]string{"X-Time-Left": "100m"}))
-		}, routing.Counts{Taken: 1, TurnedDown: 1}},
+		}, routing.Counts{Taken: 1, Refused: 1}},
 		{"left before the first attempt's answer", "silent", func(t *testing.T, r *router, s *peers.Server, more chan bool) {
 			conn := dial(t, r.addr)
 			io.WriteString(conn, peers.AskText("1", ""))
@@ -214,3 +214,50 @@
 		})
 	}
 }
+
+// What a server is told of the time left is counted from the first byte of the request, whatever has kept it since: its client's slow
+// writing, or a request before it on the connection.
+func TestTimeLeftIsCountedFromTheFirstByte(t *testing.T) {
+	const (
+		asked = 8 * time.Second
+		kept  = 200 * time.Millisecond
+	)
+	slow := func(c net.Conn) bool {
+		time.Sleep(kept)
+		io.WriteString(c, peers.Whole())
+		return true
+	}
+	for name, tt := range map[string]struct {
+		script func(net.Conn) bool
+		send   func(conn net.Conn)
+		before int // attempts before the one in question
+	}{
+		"written slowly": {peers.Answer(peers.Whole()), func(conn net.Conn) {
+			text := peers.AskText("1", "")
+			io.WriteString(conn, text[:len(text)-1])
+			time.Sleep(kept)
+			io.WriteString(conn, text[len(text)-1:])
+		}, 0},
+		"in one piece with another": {slow, func(conn net.Conn) {
+			io.WriteString(conn, peers.AskText("1", "")+peers.AskText("2", ""))
+		}, 1},
+		"behind another that is open": {slow, func(conn net.Conn) {
+			io.WriteString(conn, peers.AskText("1", ""))
+			io.WriteString(conn, peers.AskText("2", ""))
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := peers.NewServer(t, tt.script)
+			conn := dial(t, newRouter(t, server).addr)
+			tt.send(conn)
+			for range tt.before {
+				peers.Next(t, server.Requests, "an attempt")
+			}
+			told := peers.Next(t, server.Requests, "an attempt").Header.Get(protocol.HeaderTimeLeft)
+			left, err := protocol.ParseDuration(told)
+			if err != nil || left > asked-kept || left < asked/2 {
+				t.Errorf("told %s, %v; want at most %v", told, err, asked-kept)
+			}
+		})
+	}
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -66,7 +66,7 @@
 // whatever call failed: the longest wait, which is half as much again, and the call after it have to end within that.
 const mostWait = 3 * time.Second
 
-// Discovery watches the list of service entries.
+// Discovery watches the list of listed servers.
 type Discovery struct {
 	addr  string
 	pace  Pace
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -191,7 +191,7 @@
 		client:      conn,
 	}
 	conn.open = true
-	flow, err := f.router.TakeIn(arrival, conn.beganAt, m)
+	request, err := f.router.TakeIn(arrival, conn.beganAt, m)
 	if err != nil {
 		f.lose(ctx, fasthttp.StatusConflict, err.Error())
 		return
@@ -203,12 +203,12 @@
 	if f.tap != nil {
 		watcher = f.offer(header, &arrival, came, m)
 	}
-	conn.watch(func() { f.router.Leave(flow) })
+	conn.watch(func() { f.router.Leave(request) })
 	end := func() {
 		conn.unwatch()
-		f.router.Done(flow)
+		f.router.Done(request)
 	}
-	answer, ok := flow.Wait()
+	answer, ok := request.Wait()
 	if ok && answer.Verdict == routing.Served {
 		ctx.Response.Header.SetContentType("text/event-stream")
 		if watcher != nil {
@@ -226,13 +226,13 @@
 	switch {
 	case !ok:
 		ctx.SetConnectionClose() // nobody reads it
-	case answer.Verdict == routing.TurnedDown:
+	case answer.Verdict == routing.Refused:
 		if answer.Wait > 0 {
 			ctx.Response.Header.Set("Retry-After", protocol.FormatRetryAfter(answer.Wait))
 		}
-		answerLine(ctx, fasthttp.StatusServiceUnavailable, "turned down; trying again is harmless")
+		answerLine(ctx, fasthttp.StatusServiceUnavailable, "refused; trying again is harmless")
 	case answer.Verdict == routing.Unfit:
-		reject(ctx, fasthttp.StatusBadRequest, "no real server can use this request")
+		reject(ctx, fasthttp.StatusBadRequest, "no server can use this request")
 	default:
 		answerLine(ctx, fasthttp.StatusBadGateway, "failed")
 	}
@@ -297,7 +297,7 @@
 	return body, nil
 }
 
-// relayed ends its flow with its stream.
+// relayed ends its request with its stream.
 type relayed struct {
 	*routing.Stream
 	end func()
@@ -350,11 +350,11 @@
 	f.lose(ctx, code, line)
 }
 
-// lose rejects a request that is no flow, and counts it in place of one.
+// lose rejects a request that is no request, and counts it in place of one.
 func (f *Front) lose(ctx *fasthttp.RequestCtx, code int, line string) {
 	v := routing.Failed
 	if code == fasthttp.StatusTooManyRequests || code == fasthttp.StatusServiceUnavailable {
-		v = routing.TurnedDown
+		v = routing.Refused
 	}
 	f.router.Refused(string(ctx.Request.Header.Peek(protocol.HeaderClass)), v)
 	reject(ctx, code, line)
--- a/internal/transport/move.go
+++ b/internal/transport/move.go
@@ -29,13 +29,13 @@
 )
 
 // moved is what goes with a connection to the process that takes over: of a stream, what of it is half read; of an idle
-// connection to a real server, how long it is that; nothing of a client's silent one.
+// connection to a server, how long it is that; nothing of a client's silent one.
 type moved struct {
 	Version int             `json:"version"`
 	Stream  bool            `json:"stream"`
 	Server  *routing.Entry  `json:"server,omitempty"` // of a stream, or of an idle connection, which has no client
 	Keep    bool            `json:"keep,omitempty"`   // the connection to it outlives the stream
-	Idle    time.Duration   `json:"idle,omitempty"`   // or, of a stream, how long its real server has said nothing
+	Idle    time.Duration   `json:"idle,omitempty"`   // or, of a stream, how long its server has said nothing
 	Class   string          `json:"class,omitempty"`
 	Chunks  protocol.Chunks `json:"chunks"`
 	Line    []byte          `json:"line,omitempty"` // of the event at hand
@@ -63,7 +63,7 @@
 
 var errDeclined = errors.New("the other process has no room for it")
 
-// move gives a connection away, with the one to a real server if it has a stream. Without an error it is the other
+// move gives a connection away, with the one to a server if it has a stream. Without an error it is the other
 // process's: the caller's own copy must be closed, unread and unwritten.
 func (m *Mover) move(what moved, conns ...net.Conn) error {
 	what.Version = movedVersion
@@ -115,7 +115,7 @@
 // Receiver takes connections from a process that leaves.
 type Receiver struct {
 	front   *Front
-	servers *RealServers
+	servers *Servers
 	ln      *net.UnixListener
 	log     routing.Logger
 
@@ -125,7 +125,7 @@
 }
 
 // NewReceiver listens at a path, in place of whoever did before.
-func NewReceiver(path string, front *Front, servers *RealServers, log routing.Logger) (*Receiver, error) {
+func NewReceiver(path string, front *Front, servers *Servers, log routing.Logger) (*Receiver, error) {
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
 	}
@@ -297,7 +297,7 @@
 	notes := protocol.NotesFrom(m.Line, m.Long)
 	raw := make([]byte, readBuffer)
 	out := make([]byte, 0, readBuffer+64)
-	last := time.Now().Add(-m.Idle) // a move gives a real server no more time to be silent
+	last := time.Now().Add(-m.Idle) // a move gives a server no more time to be silent
 	for stays := false; m.Chunks.At != protocol.AtWhole; {
 		if mover := r.front.listener.mover.Load(); mover != nil && !stays {
 			client.unwatch()
--- a/internal/transport/move_test.go
+++ b/internal/transport/move_test.go
@@ -20,7 +20,7 @@
 // half is one of two processes of a router, here in one.
 type half struct {
 	front   *transport.Front
-	servers *transport.RealServers
+	servers *transport.Servers
 	core    *routing.Router
 	addr    string
 }
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &half{servers: transport.NewRealServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute, Connections: 10, Silent: silent}, lines)}
+	h := &half{servers: transport.NewServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute, Connections: 10, Silent: silent}, lines)}
 	h.core = routing.New(b, h.servers, lines, time.Second)
 	h.front = transport.NewFront(h.core, transport.FrontLimits{Door: door.Config{Places: 100, Step: 8}, Bodies: 1 << 20}, nil)
 	r, err := transport.NewReceiver(path, h.front, h.servers, lines)
@@ -51,7 +51,7 @@
 	return h
 }
 
-// A real server that has fallen silent gets no more time by a move, nor by one that fails: its client is told in time.
+// A server that has fallen silent gets no more time by a move, nor by one that fails: its client is told in time.
 func TestMoveAndSilence(t *testing.T) {
 	const silent = time.Second
 	for name, path := range map[string]string{"moved": "taken", "nobody takes it": "gone"} {
--- a/internal/transport/pieces_test.go
+++ b/internal/transport/pieces_test.go
@@ -30,7 +30,7 @@
 	io.WriteString(c, text)
 }
 
-// Whatever pieces a good exchange comes in, from the client, the real server and discovery, the same bytes come out.
+// Whatever pieces a good exchange comes in, from the client, the server and discovery, the same bytes come out.
 func TestAnyPieces(t *testing.T) {
 	lists, answers, told := make(chan []int, 1), make(chan []int, 1), make(chan *protocol.List, 1)
 	defer close(lists)
@@ -77,8 +77,8 @@
 		if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || string(body) != peers.Event+peers.Done {
 			rt.Fatalf("got %d %q, %v", resp.StatusCode, body, err)
 		}
-		if got := peers.Next(t, s.Requests, "a scheduling"); got.Header.Get("X-Correlation-Id") != id || !strings.HasSuffix(peers.AskText(id, ""), got.Body) {
-			rt.Fatalf("the real server got %+v", got)
+		if got := peers.Next(t, s.Requests, "an attempt"); got.Header.Get("X-Correlation-Id") != id || !strings.HasSuffix(peers.AskText(id, ""), got.Body) {
+			rt.Fatalf("the server got %+v", got)
 		}
 	})
 	if len(lines) > 0 {
@@ -86,7 +86,7 @@
 	}
 }
 
-// A good real server that writes its head slowly, a byte at a time, is not taken for one that has fallen silent.
+// A good server that writes its head slowly, a byte at a time, is not taken for one that has fallen silent.
 func TestSlowHeadIsNotSilence(t *testing.T) {
 	s := peers.NewServer(t, func(c net.Conn) bool {
 		for _, b := range []byte(peers.Head) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -1,4 +1,4 @@
-// Package transport holds all that touches sockets: the front for clients, the connections to real servers and the
+// Package transport holds all that touches sockets: the front for clients, the connections to servers and the
 // watch on discovery. The HTTP on them is fasthttp's.
 package transport
 
@@ -20,23 +20,23 @@
 	readBuffer = 4096
 )
 
-// errNoSocket says that all sockets for real servers are in use.
-var errNoSocket = errors.New("no socket left for real servers")
+// errNoSocket says that all sockets for servers are in use.
+var errNoSocket = errors.New("no socket left for servers")
 
-// pool keeps connections to real servers, for each the most recently used first, and bounds their number.
+// pool keeps connections to servers, for each the most recently used first, and bounds their number.
 type pool struct {
 	connectFor time.Duration
 	idleFor    time.Duration // safely under the time after which the other side closes
 	limit      int           // connections in all
 
 	mu     sync.Mutex
-	idle   map[routing.Entry][]*conn // by real server and address, the oldest first; none is empty
+	idle   map[routing.Entry][]*conn // by server and address, the oldest first; none is empty
 	open   int
 	closed bool
 	swept  time.Time
 }
 
-// conn is a connection to a real server. Its user has it alone.
+// conn is a connection to a server. Its user has it alone.
 type conn struct {
 	net.Conn
 	err   error // the last one of the socket: without one, an answer that fails was spoilt
@@ -47,7 +47,7 @@
 	head  context.Context // of the head that is being read, nil for none
 }
 
-// take returns an idle connection to a real server, or a new one.
+// take returns an idle connection to a server, or a new one.
 func (p *pool) take(ctx context.Context, to routing.Entry) (*conn, error) {
 	for {
 		c, err := p.pop(to)
@@ -76,7 +76,7 @@
 }
 
 // pop returns the most recently used idle connection. Without one it returns nil and reserves room for a new one,
-// if need be in place of the longest idle connection to any real server.
+// if need be in place of the longest idle connection to any server.
 func (p *pool) pop(to routing.Entry) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,7 +118,7 @@
 	}
 }
 
-// keep has a real server's idle connections be these. On a long day each id is one of thousands: none leaves a trace.
+// keep has a server's idle connections be these. On a long day each id is one of thousands: none leaves a trace.
 func (p *pool) keep(to routing.Entry, l []*conn) {
 	if p.idle[to] = l; len(l) == 0 {
 		delete(p.idle, to)
@@ -203,7 +203,7 @@
 	return p.open
 }
 
-// forget closes the idle connections to a real server.
+// forget closes the idle connections to a server.
 func (p *pool) forget(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -25,7 +25,7 @@
 	mostRefusal = 64 << 10
 	mostOpening = 64 << 10
 	mostStream  = MaxBody
-	// headIn is how long a head that has begun may be silent. A real server writes it at once, in whatever pieces.
+	// headIn is how long a head that has begun may be silent. A server writes it at once, in whatever pieces.
 	headIn = time.Second
 	// mostInterim bounds the 1xx answers before the answer itself.
 	mostInterim = 100
@@ -42,7 +42,7 @@
 	refused func(highest uint64)
 }
 
-// Under returns a copy that carries the token of a duty. Refused is told where a real server has seen a higher one.
+// Under returns a copy that carries the token of a duty. Refused is told where a server has seen a higher one.
 func (m *Message) Under(duty string, token uint64, refused func(highest uint64)) *Message {
 	c := *m
 	c.duty, c.refused = duty+" "+strconv.FormatUint(token, 10), refused
@@ -59,69 +59,69 @@
 // Body returns the body as it came, to be read only.
 func (m *Message) Body() []byte { return m.body }
 
-// RealServers sends to real servers. It implements routing.Network.
-type RealServers struct {
+// Servers sends to servers. It implements routing.Network.
+type Servers struct {
 	pool *pool
 	log  routing.Logger
 
 	silent time.Duration
 
 	mu      sync.Mutex
-	unclear map[string]bool // real servers whose last load report could not be read
+	unclear map[string]bool // servers whose last load report could not be read
 
 	follows bool // streams may move to another process
 	moving  atomic.Bool
 	live    map[*conn]bool // whose streams may; mu guards it
 }
 
-// ServerLimits bounds the connections to real servers.
+// ServerLimits bounds the connections to servers.
 type ServerLimits struct {
 	Connect     time.Duration // for a connection to come up
-	Keepalive   time.Duration // after which a real server closes an idle one
+	Keepalive   time.Duration // after which a server closes an idle one
 	Silent      time.Duration // for a stream, before it is taken for dead
 	Connections int
 }
 
-// NewRealServers returns a RealServers without connections.
-func NewRealServers(l ServerLimits, log routing.Logger) *RealServers {
-	return &RealServers{log: log, unclear: map[string]bool{}, live: map[*conn]bool{}, silent: l.Silent,
+// NewServers returns a Servers without connections.
+func NewServers(l ServerLimits, log routing.Logger) *Servers {
+	return &Servers{log: log, unclear: map[string]bool{}, live: map[*conn]bool{}, silent: l.Silent,
 		pool: &pool{connectFor: l.Connect, idleFor: idlePart(l.Keepalive), limit: l.Connections, idle: map[routing.Entry][]*conn{}}}
 }
 
 // Load returns the share of the connections that are in use.
-func (s *RealServers) Load() float64 { return s.pool.load() }
+func (s *Servers) Load() float64 { return s.pool.load() }
 
 // Open returns the connections that are open, idle ones among them.
-func (s *RealServers) Open() int { return s.pool.count(0) }
+func (s *Servers) Open() int { return s.pool.count(0) }
 
 // Close closes the idle connections. Those in use close with their users.
-func (s *RealServers) Close() { s.pool.keepIdle(false) }
+func (s *Servers) Close() { s.pool.keepIdle(false) }
 
-// Retime sets the time for a connection to come up, and that after which a real server closes an idle one.
-func (s *RealServers) Retime(connect, keepalive time.Duration) {
+// Retime sets the time for a connection to come up, and that after which a server closes an idle one.
+func (s *Servers) Retime(connect, keepalive time.Duration) {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
 	s.pool.connectFor, s.pool.idleFor = connect, idlePart(keepalive)
 }
 
-// idlePart is how long a connection is kept that a real server closes after a time.
+// idlePart is how long a connection is kept that a server closes after a time.
 func idlePart(keepalive time.Duration) time.Duration { return keepalive * 3 / 4 }
 
 // Limit bounds the connections from now on.
-func (s *RealServers) Limit(connections int) { s.pool.bound(connections) }
+func (s *Servers) Limit(connections int) { s.pool.bound(connections) }
 
 // KeepIdle says whether connections may stay open without a use; if not, the idle ones give their descriptors back at
 // once.
-func (s *RealServers) KeepIdle(may bool) { s.pool.keepIdle(may) }
+func (s *Servers) KeepIdle(may bool) { s.pool.keepIdle(may) }
 
-// Forget closes the idle connections to a real server.
-func (s *RealServers) Forget(id string) {
+// Forget closes the idle connections to a server.
+func (s *Servers) Forget(id string) {
 	s.judgeLoad(id, nil)
 	s.pool.forget(id)
 }
 
 // Schedule implements routing.Network. Nothing is ever sent a second time here: that is the module's decision.
-func (s *RealServers) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message, written func()) routing.Head {
+func (s *Servers) Schedule(ctx context.Context, deadline time.Time, to routing.Entry, m routing.Message, written func()) routing.Head {
 	msg := m.(*Message)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -170,7 +170,7 @@
 }
 
 // Probe implements routing.Network.
-func (s *RealServers) Probe(ctx context.Context, to routing.Entry) (balance.Result, *balance.Load) {
+func (s *Servers) Probe(ctx context.Context, to routing.Entry) (balance.Result, *balance.Load) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetRequestURI(protocol.PathLoad)
@@ -195,17 +195,17 @@
 
 // exchange is one request on a connection, and its answer from the head on.
 type exchange struct {
-	servers *RealServers
+	servers *Servers
 	conn    *conn
 	resp    *fasthttp.Response
 	stop    func() bool // ends the watch on the context
 	whole   bool        // the answer was read to its end
 }
 
-// outgoing is a request on its way to a real server.
+// outgoing is a request on its way to a server.
 type outgoing struct {
 	request  *fasthttp.Request
-	deadline time.Time   // of which the real server is told, none if zero
+	deadline time.Time   // of which the server is told, none if zero
 	client   *clientConn // who waits for the answer, nil for nobody in particular
 	written  func()      // is called once the last byte is
 }
@@ -236,7 +236,7 @@
 
 // exchange writes a request and reads the head of its answer. Without one it tells the result, which depends on
 // whether the last byte had been written.
-func (s *RealServers) exchange(ctx context.Context, to routing.Entry, o outgoing) (*exchange, balance.Result) {
+func (s *Servers) exchange(ctx context.Context, to routing.Entry, o outgoing) (*exchange, balance.Result) {
 	c, err := s.pool.take(ctx, to)
 	if err != nil {
 		if errors.Is(err, errNoSocket) {
@@ -265,7 +265,7 @@
 }
 
 // readHead reads the head of the answer, after any 1xx. It waits for the first byte of each as long as ctx lasts,
-// but not for the rest: a head that stops half-way would take all the time that another real server might use.
+// but not for the rest: a head that stops half-way would take all the time that another server might use.
 func (x *exchange) readHead(ctx context.Context) error {
 	for range mostInterim {
 		if _, err := x.conn.in.Peek(1); err != nil {
@@ -355,7 +355,7 @@
 }
 
 // classify tells the result of an answer that is no stream, and whether it blames the request. That says nothing
-// against the real server: held against it, one client's bad requests would shut out the whole fleet.
+// against the server: held against it, one client's bad requests would shut out the whole fleet.
 func classify(resp *fasthttp.Response) (result balance.Result, unfit bool) {
 	code := resp.StatusCode()
 	unprocessed := string(resp.Header.Peek(protocol.HeaderUnprocessed)) == "1"
@@ -369,7 +369,7 @@
 }
 
 // readLoad reads a load report. One that can not be read is logged once until a good one comes.
-func (s *RealServers) readLoad(id string, text []byte) *balance.Load {
+func (s *Servers) readLoad(id string, text []byte) *balance.Load {
 	if len(text) == 0 {
 		return nil
 	}
@@ -378,7 +378,7 @@
 	return load
 }
 
-func (s *RealServers) judgeLoad(id string, err error) {
+func (s *Servers) judgeLoad(id string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
@@ -391,7 +391,7 @@
 	s.unclear[id] = true
 }
 
-// body is a stream on its way from a real server. It implements routing.Body.
+// body is a stream on its way from a server. It implements routing.Body.
 type body struct {
 	*exchange
 	ctx   context.Context
@@ -405,7 +405,7 @@
 	quietTo time.Time // of the next read, where it goes on after a stop
 }
 
-// open waits for the first whole event. Up to there, another real server may still serve the flow.
+// open waits for the first whole event. Up to there, another server may still serve the request.
 func (b *body) open() error {
 	buf := make([]byte, readBuffer)
 	for len(b.first) < mostOpening {
--- a/internal/transport/stories_test.go
+++ b/internal/transport/stories_test.go
@@ -21,7 +21,7 @@
 	"reachspread/internal/transport"
 )
 
-// router is a front, a core and connections to the real servers s0, s1 and so on.
+// router is a front, a core and connections to the servers s0, s1 and so on.
 type router struct {
 	addr  string
 	core  *routing.Router
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	network := transport.NewRealServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute,
+	network := transport.NewServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute,
 		Connections: 10, Silent: 300 * time.Millisecond}, log)
 	r := &router{core: routing.New(b, network, log, time.Second)}
 	r.front = transport.NewFront(r.core, transport.FrontLimits{Door: door.Config{Places: 100, Step: 8}, Bodies: 1 << 20}, nil)
@@ -89,7 +89,7 @@
 		if diff := cmp.Diff(peers.Done, string(rest)); diff != "" || err != nil {
 			t.Errorf("request %d: %v %s", i, err, diff)
 		}
-		got := peers.Next(t, s.Requests, "a scheduling")
+		got := peers.Next(t, s.Requests, "an attempt")
 		left, err := protocol.ParseDuration(got.Header.Get("X-Time-Left"))
 		if err != nil || left <= 0 || left > 8*time.Second {
 			t.Errorf("X-Time-Left is %q, %v", got.Header.Get("X-Time-Left"), err)
@@ -102,16 +102,16 @@
 		}
 	}
 	if n := s.Conns.Load(); n != 1 {
-		t.Errorf("the real server accepted %d connections, want 1", n)
+		t.Errorf("the server accepted %d connections, want 1", n)
 	}
 }
 
-// Each way in which a scheduling may end leads to one answer, and never to two schedulings at once.
-func TestSchedulingsThatFail(t *testing.T) {
+// Each way in which an attempt may end leads to one answer, and never to two attempts at once.
+func TestAttemptsThatFail(t *testing.T) {
 	torn := peers.Head + peers.Chunk(peers.Event)
 	for _, tt := range []struct {
 		name   string
-		script func(net.Conn) bool // of both real servers
+		script func(net.Conn) bool // of both servers
 		status int
 		sent   int
 		torn   bool
@@ -147,13 +147,13 @@
 				t.Errorf("got %d, %v; want %d, torn %v", status, err, tt.status, tt.torn)
 			}
 			if n := len(a.Requests) + len(b.Requests); n != tt.sent {
-				t.Errorf("%d schedulings, want %d", n, tt.sent)
+				t.Errorf("%d attempts, want %d", n, tt.sent)
 			}
 		})
 	}
 }
 
-// What a real server sends beyond its answer harms nobody: not this client, and not the next one on the connection.
+// What a server sends beyond its answer harms nobody: not this client, and not the next one on the connection.
 func TestMoreThanAnAnswer(t *testing.T) {
 	interim := "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 	for name, script := range map[string]func(net.Conn) bool{
@@ -169,7 +169,7 @@
 	}
 }
 
-// A connection that was refused or closed while idle proves that nothing ran: the flow goes on elsewhere.
+// A connection that was refused or closed while idle proves that nothing ran: the request goes on elsewhere.
 func TestConnectionsThatAreGone(t *testing.T) {
 	closed := make(chan bool, 1)
 	s := peers.NewServer(t, func(c net.Conn) bool {
@@ -183,16 +183,16 @@
 		if status, body, err := peers.Do(t, peers.Ask(t, r.addr, fmt.Sprint("q", i), nil)); status != 200 || err != nil {
 			t.Errorf("got %d %q, %v; want it served", status, body, err)
 		}
-		peers.Next(t, closed, "the real server's close")
+		peers.Next(t, closed, "the server's close")
 	}
 	down := peers.NewServer(t, nil)
 	down.Stop()
 	if status, body, err := peers.Do(t, peers.Ask(t, newRouter(t, down, s).addr, "q", nil)); status != 200 || err != nil {
-		t.Errorf("with one real server down: got %d %q, %v; want it served", status, body, err)
+		t.Errorf("with one server down: got %d %q, %v; want it served", status, body, err)
 	}
 }
 
-// A refusal comes at once and tells when to come back; a deadline ends a scheduling that got no answer.
+// A refusal comes at once and tells when to come back; a deadline ends an attempt that got no answer.
 func TestDeadlineIsAnsweredInTime(t *testing.T) {
 	gone := make(chan bool, 1)
 	s := peers.NewServer(t, func(c net.Conn) bool {
@@ -208,10 +208,10 @@
 	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("got %d, Retry-After %q; want a refusal with a time", resp.StatusCode, resp.Header.Get("Retry-After"))
 	}
-	peers.Next(t, gone, "the scheduling's connection closed")
+	peers.Next(t, gone, "the attempt's connection closed")
 }
 
-// A client that leaves frees the real server at once, whether its answer has begun or not.
+// A client that leaves frees the server at once, whether its answer has begun or not.
 func TestClientLeaves(t *testing.T) {
 	for name, begun := range map[string]string{"before an answer": "", "in a stream": peers.Head + peers.Chunk(peers.Event)} {
 		t.Run(name, func(t *testing.T) {
@@ -228,9 +228,9 @@
 				t.Fatal(err)
 			}
 			peers.Ask(t, r.addr, "q", nil).Write(c)
-			peers.Next(t, s.Requests, "a scheduling")
+			peers.Next(t, s.Requests, "an attempt")
 			c.Close()
-			peers.Next(t, gone, "the scheduling's connection closed")
+			peers.Next(t, gone, "the attempt's connection closed")
 		})
 	}
 }
@@ -291,7 +291,7 @@
 		}
 	}
 	if n := len(s.Requests); n != 0 {
-		t.Errorf("%d requests reached the real server", n)
+		t.Errorf("%d requests reached the server", n)
 	}
 }
 
@@ -316,13 +316,13 @@
 		got, err := io.ReadAll(c)
 		c.Close()
 		if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 400 ") || len(s.Requests) > 0 {
-			t.Errorf("%s: got %.20q, %v and %d schedulings; want 400 and none", name, got, err, len(s.Requests))
+			t.Errorf("%s: got %.20q, %v and %d attempts; want 400 and none", name, got, err, len(s.Requests))
 		}
 	}
 }
 
 // Ids are fresh by the platform's word. Who uses that of an open request gets an error; the first one is unharmed.
-func TestTwoFlowsOfOneID(t *testing.T) {
+func TestTwoRequestsOfOneID(t *testing.T) {
 	more := make(chan bool)
 	s := peers.NewServer(t, peers.Held(more))
 	r := newRouter(t, s)
@@ -331,17 +331,17 @@
 		status, body, err := peers.Do(t, peers.Ask(t, r.addr, "same", nil))
 		end <- fmt.Sprint(status, body, err)
 	}()
-	peers.Next(t, s.Requests, "a scheduling")
+	peers.Next(t, s.Requests, "an attempt")
 	if status, body, err := peers.Do(t, peers.Ask(t, r.addr, "same", nil)); status != 409 || err != nil {
 		t.Errorf("the second: got %d %q, %v; want 409", status, body, err)
 	}
 	more <- true
 	if got := peers.Next(t, end, "an answer"); got != fmt.Sprint(200, peers.Event+peers.Done, nil) || len(s.Requests) > 0 {
-		t.Errorf("the first: got %s and %d more schedulings; want it whole", got, len(s.Requests))
+		t.Errorf("the first: got %s and %d more attempts; want it whole", got, len(s.Requests))
 	}
 }
 
-// A request that a real server finds at fault is answered so at once. Tried elsewhere and held against each, one
+// A request that a server finds at fault is answered so at once. Tried elsewhere and held against each, one
 // client's bad requests would have the whole fleet ejected.
 func TestUnfitRequestHarmsNoRealServer(t *testing.T) {
 	s := peers.NewServer(t, peers.Answer("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"))
@@ -352,7 +352,7 @@
 			t.Errorf("got %d %q, %v; want 400", status, body, err)
 		}
 		if n := len(s.Requests); n != i+1 || len(lines) > 0 {
-			t.Errorf("%d schedulings for %d requests, %d log lines", n, i+1, len(lines))
+			t.Errorf("%d attempts for %d requests, %d log lines", n, i+1, len(lines))
 		}
 	}
 }
--- a/internal/transport/tap.go
+++ b/internal/transport/tap.go
@@ -59,7 +59,7 @@
 	return copier.Copy(pools, Taken{Arrival: *a, Tenant: string(tenant), Came: came, Message: m})
 }
 
-// watchedStream is a stream that ends its flow and shows itself to a watcher.
+// watchedStream is a stream that ends its request and shows itself to a watcher.
 type watchedStream struct {
 	*routing.Stream
 	watcher Watcher
--- a/internal/transport/track.go
+++ b/internal/transport/track.go
@@ -10,7 +10,7 @@
 	"reachspread/internal/protocol"
 )
 
-// track follows the chunks of a stream as they come from a real server, so that another process can go on with it at any
+// track follows the chunks of a stream as they come from a server, so that another process can go on with it at any
 // byte. It stands below whatever reads the stream, and stops it between two reads.
 type track struct {
 	chunks  protocol.Chunks
@@ -75,7 +75,7 @@
 }
 
 // unfollow ends that with the stream.
-func (s *RealServers) unfollow(c *conn) {
+func (s *Servers) unfollow(c *conn) {
 	if c.track == nil {
 		return
 	}
@@ -86,8 +86,8 @@
 }
 
 // Move has all streams move to another process, as the front says which, and the idle connections with them: each new one
-// would cost a real server work, and the first request on it time.
-func (s *RealServers) Move(m *Mover) {
+// would cost a server work, and the first request on it time.
+func (s *Servers) Move(m *Mover) {
 	s.moving.Store(true)
 	for _, c := range s.pool.empty() {
 		m.move(moved{Server: &c.to, Idle: time.Since(c.since)}, c.Conn) // one that is declined is closed as it would be
--- a/internal/transport/unsent_test.go
+++ b/internal/transport/unsent_test.go
@@ -54,7 +54,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := peers.NewServer(t, peers.Answer(peers.Whole()))
-			servers := NewRealServers(ServerLimits{Connect: time.Second, Keepalive: time.Minute, Connections: 1, Silent: time.Second}, make(peers.Lines, 1))
+			servers := NewServers(ServerLimits{Connect: time.Second, Keepalive: time.Minute, Connections: 1, Silent: time.Second}, make(peers.Lines, 1))
 			client, accepted := pair(t)
 			m := &Message{method: []byte("POST"), uri: []byte("/v1/chat/completions"), id: []byte("q"), client: &clientConn{Conn: accepted}}
 			leave(client)
