Clients: further requests on a connection stay unread until it is their turn

Further requests were read ahead while one was open; a stream that breaks has to end its connection, and what was read of the others went with it unanswered. Now a request's head says how much of it is read, the watch on its client reads one byte more at most and asks the system (POLLRDHUP) whether the client has ended the connection behind what is unread. TestFurtherRequestsStayUnread fails with the code before.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"reachspread/internal/door"
 	"reachspread/internal/protocol"
 )
@@ -18,12 +20,6 @@
 	lingerLess  = 500 * time.Millisecond // where the client may have been accepted late
 	lingerShort = 100 * time.Millisecond
 	lingerBytes = 4 << 20
-
-	// mostAhead bounds what is read of a client's further requests while one is open. Beyond it the client's own
-	// sending stops, and with it the news that it has left.
-	mostAhead = 64 << 10
-	// aheadBuffer is how much of it is read at a time.
-	aheadBuffer = 4 << 10
 )
 
 // stuckFor is how long a client may take to read what one write sent, where the door has no bound of its own.
@@ -47,132 +43,144 @@
 // share is the part of the bytes that is in use.
 func (b *budget) share() float64 { return float64(b.used.Load()) / float64(b.most.Load()) }
 
-// received is what came from a client at one time.
-type received struct {
-	bytes  []byte
-	at     time.Time
-	budget int // that it holds until it is used
-}
-
-// clientConn is a client's connection. While a request on it is open the HTTP server does not read it, so a watch does: it
-// notices that the client leaves, and keeps what comes of further requests.
+// clientConn is a client's connection. Of requests that come together it reads just the first: what was read of others would be
+// lost with a connection that has to end. While a request is open the HTTP server does not read, so a watch looks whether the
+// client leaves.
 type clientConn struct {
 	net.Conn
 	listener *listener
-	name     int32      // at the door
-	ahead    []received // by the watch, due to the next calls of Read
-	used     bool       // something was read
-	begun    bool       // something of the next request was read
-	unread   bool       // more of a refused request may come
-	open     bool       // a request was read whole and is not answered
+	name     int32  // at the door
+	ahead    []byte // read elsewhere, due to the next calls of Read
+	due      int    // bytes of the request that is read and have not come, where its head tells; 0 for unknown
+	used     bool   // something was read
+	begun    bool   // something of the next request was read
+	unread   bool   // more of a refused request may come
+	open     bool   // a request was read whole and is not answered
 	closed   bool
 	hurried  bool // its time is over; the listener's lock guards it
 
-	readAt  time.Time // when the bytes came that Read returned last
+	readAt  time.Time // when Read returned something last
 	beganAt time.Time // when the first byte of the request came that is read or open
 
 	// Of the watch, its user's alone:
 	gone    func()
 	watched chan struct{} // closed when it ends, nil without one
 	left    atomic.Bool   // the client ended the connection
-
-	further atomic.Bool // bytes of a request behind the open one are kept
-}
-
-// keep leaves bytes for the next calls of Read that were read elsewhere.
-func (c *clientConn) keep(bytes []byte) {
-	if len(bytes) > 0 {
-		c.ahead = append(c.ahead, received{bytes: bytes, at: time.Now()})
-	}
+	first   atomic.Bool   // the watch has read the first byte of the next request
+	firstAt time.Time     // when
 }
 
 // Read is called by the HTTP server between requests and for what is left of one, never while one is open.
 func (c *clientConn) Read(p []byte) (n int, err error) {
 	c.answered()
-	at := time.Now()
 	switch {
-	case len(c.ahead) > 0:
-		n, at = c.readKept(p)
-	case c.used && !c.begun && c.listener.parting.Load():
+	case c.begun:
+		if c.due > 0 {
+			p = p[:min(len(p), c.due)]
+		}
+		n, err = c.readKept(p)
+		c.due = max(c.due-n, 0)
+		c.readAt = time.Now()
+		return n, err
+	case len(c.ahead) == 0 && c.used && c.listener.parting.Load():
 		n, err = c.lastLook(p, io.EOF)
 	default:
-		n, err = c.Conn.Read(p)
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() && !c.begun {
+		n, err = c.readFirst(p)
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
 			n, err = c.lastLook(p, err)
 		}
-		at = time.Now()
-	}
-	if n == 0 {
-		return n, err
-	}
-	if !c.begun {
-		n -= c.keepFurther(p[:n], at)
 	}
-	c.readAt = at
-	if !c.begun {
-		c.used, c.begun, c.beganAt = true, true, at
-		// It is not idle any more; later bytes gain a slow sender no time.
-		c.listener.tell(door.Event{Kind: door.Began, Conn: c.name})
-		c.unhurry()
+	if n > 0 {
+		c.readAt = time.Now()
+		c.begin(n)
 	}
 	return n, err
 }
 
-// keepFurther takes what lies behind the first request in bytes that were just read, for the next calls of Read. It returns how many
-// those are. The HTTP server is not to hold them: it would drop them with a connection that ends, and their clients get no answer.
-func (c *clientConn) keepFurther(p []byte, at time.Time) int {
-	seen, whole := protocol.Look(p, "")
-	if !whole || seen.Length < 0 || seen.Length >= len(p) {
-		return 0
+// taken notes that a request was read whole. Where its bytes came along with those of the one before, no Read has told so.
+func (c *clientConn) taken() {
+	c.answered()
+	if !c.begun {
+		c.begin(0)
 	}
-	rest := received{bytes: append([]byte(nil), p[seen.Length:]...), at: at}
-	if c.listener.memory.take(len(rest.bytes)) {
-		rest.budget = len(rest.bytes)
+}
+
+// begin notes that a request has begun with so many bytes.
+func (c *clientConn) begin(bytes int) {
+	c.used, c.begun, c.beganAt = true, true, c.readAt
+	if c.first.Swap(false) {
+		c.beganAt = c.firstAt
 	}
-	c.ahead = append([]received{rest}, c.ahead...)
-	c.further.Store(true)
-	return len(rest.bytes)
+	c.due = max(c.due-bytes, 0)
+	// It is not idle any more; later bytes gain a slow sender no time.
+	c.listener.tell(door.Event{Kind: door.Began, Conn: c.name})
+	c.unhurry()
 }
 
-// answered notes that the request which was open has its final answer, if one was. Only the goroutine that serves the
-// connection calls it.
-func (c *clientConn) answered() {
-	if !c.open {
-		return
+// readKept reads what was read elsewhere, or else from the connection.
+func (c *clientConn) readKept(p []byte) (n int, err error) {
+	if len(c.ahead) == 0 {
+		return c.Conn.Read(p)
 	}
-	c.open, c.begun = false, false
-	c.listener.tell(door.Event{Kind: door.Done, Conn: c.name})
+	n = copy(p, c.ahead)
+	c.ahead = c.ahead[n:]
+	return n, nil
 }
 
-// taken notes that a request was read whole. Where its bytes came along with those of the one before, no Read has told
-// so.
-func (c *clientConn) taken() {
-	c.answered()
-	if c.begun {
-		return
+// readFirst reads the beginning of a request, and nothing of the next one where its head tells how long it is.
+func (c *clientConn) readFirst(p []byte) (n int, err error) {
+	if len(c.ahead) > 1 { // read as the connection was accepted, whatever it is
+		n = c.firstOf(c.ahead[:min(len(c.ahead), len(p))])
+		return c.readKept(p[:n])
 	}
-	c.begun, c.beganAt = true, c.readAt
-	c.listener.tell(door.Event{Kind: door.Began, Conn: c.name})
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	kept := copy(p, c.ahead) // the byte that the watch has read
+	c.ahead = nil
+	var failed error
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, failed = syscall.Recvfrom(int(fd), p[kept:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if failed == syscall.EAGAIN || failed == syscall.EINTR {
+			n, failed = 0, nil
+			return kept > 0 // what is there goes on; otherwise it is waited for
+		}
+		if failed == nil && n > 0 {
+			n, failed = syscall.Read(int(fd), p[kept:c.firstOf(p[:kept+n])])
+		}
+		if failed == nil && n == 0 && kept == 0 {
+			failed = io.EOF
+		}
+		return true
+	})
+	if err == nil {
+		err = failed
+	}
+	if kept+max(n, 0) > 0 { // an error comes again with the next call
+		return kept + max(n, 0), nil
+	}
+	return 0, err
 }
 
-// readKept returns bytes that were kept, and when they came.
-func (c *clientConn) readKept(p []byte) (n int, at time.Time) {
-	next := &c.ahead[0]
-	n, at = copy(p, next.bytes), next.at
-	if next.bytes = next.bytes[n:]; len(next.bytes) == 0 {
-		c.listener.memory.give(next.budget)
-		c.ahead = c.ahead[1:]
-		c.further.Store(len(c.ahead) > 0)
+// firstOf returns how many of some bytes belong to the request that begins with them, and sets what is due of it.
+func (c *clientConn) firstOf(p []byte) int {
+	c.due = 0
+	if seen, whole := protocol.Look(p, ""); whole && seen.Length > 0 {
+		c.due = seen.Length
+		return min(len(p), seen.Length)
 	}
-	return n, at
+	return len(p)
 }
 
-// dropKept gives up what nobody will read any more.
-func (c *clientConn) dropKept() {
-	for _, r := range c.ahead {
-		c.listener.memory.give(r.budget)
+// answered notes that the request which was open has its final answer, if one was. Only the goroutine that serves the
+// connection calls it.
+func (c *clientConn) answered() {
+	if !c.open {
+		return
 	}
-	c.ahead = nil
+	c.open, c.begun = false, false
+	c.listener.tell(door.Event{Kind: door.Done, Conn: c.name})
 }
 
 // lastLook is for a silent connection whose time is over. If another process takes over, it goes there, with whatever
@@ -188,6 +196,7 @@
 		return 0, over
 	}
 	raw.Control(func(fd uintptr) { n, err = syscall.Read(int(fd), p) })
+	c.due = 0
 	if n > 0 {
 		c.Conn.SetReadDeadline(time.Now().Add(slowClient))
 		return n, nil
@@ -220,48 +229,76 @@
 	c.gone, c.watched = gone, done
 	go func() {
 		defer close(done)
-		if c.readAhead() {
+		if c.awaitLeave() {
 			c.left.Store(true)
 			gone()
 		}
 	}()
 }
 
-// readAhead keeps what comes. It returns at the end of the watch, or true when the client leaves.
-func (c *clientConn) readAhead() (left bool) {
-	var one [1]byte // most clients send nothing
-	buffer := one[:]
-	for kept := 0; kept < mostAhead; {
-		n, err := c.Conn.Read(buffer)
-		if n > 0 {
-			if !c.listener.memory.take(n) {
-				// Without the room to note them they are kept all the same, as they were read, but nothing more is.
-				c.keep(append([]byte(nil), buffer[:n]...))
-				return false
-			}
-			c.keepAhead(buffer[:n])
-			kept += n
-			if len(buffer) == 1 {
-				buffer = make([]byte, aheadBuffer)
-			}
-		}
-		if err != nil {
-			timeout, ok := err.(net.Error)
-			return !ok || !timeout.Timeout()
-		}
+// awaitLeave returns true when the client leaves, and false at the end of the watch. It reads the first byte of a further request, and
+// nothing more of it: behind unread bytes the system still tells that the client has ended the connection.
+func (c *clientConn) awaitLeave() (left bool) {
+	var one [1]byte
+	n, err := c.Conn.Read(one[:])
+	if n > 0 {
+		c.ahead = append(c.ahead, one[0])
+		c.firstAt = time.Now()
+		c.first.Store(true)
+		return c.awaitHangUp()
 	}
-	return false
+	timeout, ok := err.(net.Error)
+	return !ok || !timeout.Timeout()
 }
 
-// keepAhead keeps bytes that were read by the watch. The first one of a request was read alone; what follows goes with it.
-func (c *clientConn) keepAhead(p []byte) {
-	c.further.Store(true)
-	if last := len(c.ahead) - 1; last >= 0 && len(c.ahead[last].bytes) == 1 {
-		c.ahead[last].bytes = append(c.ahead[last].bytes, p...)
-		c.ahead[last].budget += len(p)
-		return
+// awaitHangUp waits until the client has ended the connection, and returns true, or until the watch ends.
+func (c *clientConn) awaitHangUp() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	over := false
+	err = raw.Read(func(fd uintptr) bool { // is called whenever something comes
+		over = hungUp(fd)
+		return over
+	})
+	return err == nil && over
+}
+
+// hungUp tells that the other side has ended a connection, or only its sending, whatever is unread of it.
+func hungUp(fd uintptr) bool {
+	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(look, 0)
+	return err == nil && n > 0 && look[0].Revents&ended != 0
+}
+
+// hasFurther tells that something of a further request has come while one is open.
+func (c *clientConn) hasFurther() bool {
+	if c.first.Load() {
+		return true
+	}
+	found := false
+	c.control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		found = n > 0 && err == nil
+	})
+	return found
+}
+
+// control lets f at the descriptor. It returns false where the connection is closed on this side.
+func (c *clientConn) control(f func(fd uintptr)) bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
 	}
-	c.ahead = append(c.ahead, received{bytes: append([]byte(nil), p...), at: time.Now(), budget: len(p)})
+	raw, err := socket.SyscallConn()
+	return err == nil && raw.Control(f) == nil
 }
 
 // hasLeft looks at the connection itself, as the watch may be late where the router is short of processor time. With
@@ -273,21 +310,14 @@
 	if c.left.Load() {
 		return true
 	}
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
-	left := true // if it is closed on this side
-	raw.Control(func(fd uintptr) {
+	left := false
+	open := c.control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		left = n == 0 && err == nil || err == syscall.ECONNRESET || err == syscall.EPIPE
+		ended := n == 0 && err == nil || err == syscall.ECONNRESET || err == syscall.EPIPE
+		left = ended || n > 0 && hungUp(fd)
 	})
-	return left
+	return left || !open
 }
 
 // unwatch ends the watch, if there is one.
@@ -308,7 +338,6 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	c.dropKept()
 	l := c.listener
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.unread && tcp.CloseWrite() == nil {
 		linger := lingerFor
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -35,7 +35,7 @@
 	listener *listener
 	tap      Tap     // nil for none
 	capture  Capture // nil for none
-	memory   budget  // of all bodies that are held, and of what clients sent ahead
+	memory   budget  // of all bodies that are held
 	ready    atomic.Bool
 }
 
@@ -56,7 +56,7 @@
 	if limits.Short == nil {
 		limits.Short = func() {}
 	}
-	f.listener = newListener(&limits, &f.memory)
+	f.listener = newListener(&limits)
 	slow := slowClient
 	if f.listener.strict {
 		slow = slowSilent
@@ -151,7 +151,7 @@
 // answered first.
 func (f *Front) leave(ctx *fasthttp.RequestCtx) {
 	conn, ok := ctx.Conn().(*clientConn)
-	if f.listener.leaving.Load() && !(ok && conn.further.Load()) {
+	if f.listener.leaving.Load() && !(ok && conn.hasFurther()) {
 		ctx.SetConnectionClose()
 	}
 }
@@ -172,7 +172,7 @@
 	// Up to here its connection counts as silent: who sends half a request must not keep others out.
 	conn := ctx.Conn().(*clientConn)
 	conn.taken()
-	came := conn.readAt
+	came := time.Now()
 	if !f.ask(ctx, conn) {
 		return
 	}
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -97,7 +97,7 @@
 		t.Fatal(err)
 	}
 	l := newListener(&FrontLimits{Door: door.Config{Places: 20, Step: 4, Fair: true, Away: time.Second, Addresses: 10,
-		Address: door.Cap{Conns: 3}, Net: door.Cap{Conns: 5}, Patience: [3]time.Duration{time.Second, time.Second, time.Second}}}, new(budget))
+		Address: door.Cap{Conns: 3}, Net: door.Cap{Conns: 5}, Patience: [3]time.Duration{time.Second, time.Second, time.Second}}})
 	if err := l.listen(ln, false); err != nil {
 		t.Fatal(err)
 	}
@@ -137,7 +137,7 @@
 		t.Fatal(err)
 	}
 	l := newListener(&FrontLimits{Door: door.Config{Places: 20, Step: 4, Fair: true, Away: time.Second, Address: door.Cap{PerSecond: 1},
-		Patience: [3]time.Duration{time.Second, time.Second, time.Second}}}, new(budget))
+		Patience: [3]time.Duration{time.Second, time.Second, time.Second}}})
 	if err := l.listen(ln, false); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -39,11 +39,10 @@
 	socket *os.File // the listener's, as a listener itself lets nobody at its descriptor
 	raw    syscall.RawConn
 	start  time.Time
-	strict bool    // levels bound slow clients, and what a client has said is looked at before it is let in
-	shared bool    // others have the socket; whoever starts one may make it block, for all
-	header string  // that names a client, empty for none
-	log    func()  // the process had no descriptor left
-	memory *budget // of what clients sent and nobody has used yet
+	strict bool   // levels bound slow clients, and what a client has said is looked at before it is let in
+	shared bool   // others have the socket; whoever starts one may make it block, for all
+	header string // that names a client, empty for none
+	log    func() // the process had no descriptor left
 
 	leaving atomic.Bool           // answers tell that their connections end
 	mover   atomic.Pointer[Mover] // to a process that takes over, nil without one
@@ -65,10 +64,10 @@
 	text  []byte        // of a refusal
 }
 
-func newListener(limits *FrontLimits, memory *budget) *listener {
+func newListener(limits *FrontLimits) *listener {
 	c := limits.Door
 	l := &listener{start: time.Now(), door: door.New(c, limits.Seed), most: c.Places + c.Step + ending, log: limits.Short,
-		strict: c.Patience != [3]time.Duration{}, header: limits.Identity, turn: turnOf, memory: memory}
+		strict: c.Patience != [3]time.Duration{}, header: limits.Identity, turn: turnOf}
 	l.room = sync.NewCond(&l.mu)
 	return l
 }
@@ -260,7 +259,7 @@
 				return nil
 			}
 			c = l.admit(a.Conn, nc)
-			c.keep(bytes.Clone(l.ahead[:got]))
+			c.ahead = bytes.Clone(l.ahead[:got])
 		case door.Turn:
 			l.idle++
 			if !e.Left { // no request was read whole, so nothing is owed
--- a/internal/transport/move.go
+++ b/internal/transport/move.go
@@ -348,7 +348,7 @@
 }
 
 // adopt serves a client on a connection that another process had. What was read of its next request goes first.
-func (f *Front) adopt(c net.Conn, ahead []received) error {
+func (f *Front) adopt(c net.Conn, ahead []byte) error {
 	conn := f.listener.adopt(c, ahead)
 	if conn == nil {
 		return errDeclined
@@ -358,7 +358,7 @@
 }
 
 // adopt admits a connection that was never in the line.
-func (l *listener) adopt(nc net.Conn, ahead []received) (c *clientConn) {
+func (l *listener) adopt(nc net.Conn, ahead []byte) (c *clientConn) {
 	from, _ := netip.ParseAddrPort(nc.RemoteAddr().String())
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/unsent_test.go
+++ b/internal/transport/unsent_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"reachspread/balance"
+	"reachspread/internal/door"
 	"reachspread/internal/peers"
 	"reachspread/internal/routing"
 )
@@ -78,3 +80,47 @@
 		t.Errorf("got %v, want it unsent", err)
 	}
 }
+
+// Of requests that came together one is read: a connection that has to end with its answer, as where a stream breaks, takes none of the
+// others with it that were read and not answered. The watch reads a byte, and still notices that the client leaves.
+func TestFurtherRequestsStayUnread(t *testing.T) {
+	client, accepted := pair(t)
+	conn := &clientConn{Conn: accepted, listener: newListener(&FrontLimits{Door: door.Config{Places: 1, Step: 1}})}
+	first, second, third := peers.AskText("1", ""), peers.AskText("2", ""), peers.AskText("3", "")
+	if _, err := client.Write([]byte(first + second + third)); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 8<<10)
+	read := func(want string) {
+		t.Helper()
+		n, err := conn.Read(buffer)
+		if err != nil || string(buffer[:n]) != want {
+			t.Fatalf("read %q, %v; want %q", buffer[:n], err, want)
+		}
+		conn.open = true
+	}
+	unread := func() int {
+		n := 0
+		conn.control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
+		return n
+	}
+	read(first)
+	if n := unread(); n != len(second+third) {
+		t.Errorf("%d bytes are unread, want %d", n, len(second+third))
+	}
+	left := make(chan bool, 1)
+	conn.watch(func() { left <- true })
+	peers.Until(t, "the watch has read a byte", func() bool { return conn.first.Load() })
+	conn.unwatch()
+	if n := unread(); n != len(second+third)-1 || !conn.hasFurther() || conn.hasLeft() {
+		t.Errorf("%d bytes are unread, further %v, left %v", n, conn.hasFurther(), conn.hasLeft())
+	}
+	read(second)
+	conn.watch(func() { left <- true })
+	client.Close()
+	peers.Next(t, left, "the client's end is noticed")
+	if n := unread(); n != len(third)-1 || !conn.hasLeft() {
+		t.Errorf("%d bytes are unread, left %v", n, conn.hasLeft())
+	}
+	conn.unwatch()
+}
