--- a/internal/shadow/decider.go
+++ b/internal/shadow/decider.go
@@ -480,8 +480,8 @@
 func (d *Decider) send(id uint64) bool {
 	for i := range d.turns {
 		if t := &d.turns[i]; t.copy == id && !t.sent {
-			t.sent = true
-			return true
+			t.sent = d.mayReach()
+			return t.sent
 		}
 	}
 	if !d.spare() {
@@ -491,6 +491,18 @@
 	return true
 }
 
+// mayReach tells whether one more attempt may reach a host now. A turn that was taken under a higher cap may have to wait.
+func (d *Decider) mayReach() bool {
+	n, window := d.rate()
+	reached := 0
+	for _, t := range d.turns {
+		if t.sent && !(t.over && d.now-t.at >= window) {
+			reached++
+		}
+	}
+	return reached < n
+}
+
 // heard ends the turns that a copy has used.
 func (d *Decider) heard(id uint64) {
 	for i := range d.turns {
--- a/internal/shadow/decider_test.go
+++ b/internal/shadow/decider_test.go
@@ -116,6 +116,23 @@
 	})
 }
 
+// A copy that started under a higher rate has its turn, and still waits for it where the rate was lowered meanwhile (rapid found it: 2 copies
+// might reach a host in a second that allowed one).
+func TestLoweredRateHoldsTurnsBack(t *testing.T) {
+	c := config()
+	c.Caps.PerSecond = 2
+	lower := c
+	lower.Caps.PerSecond = 1
+	play(t, c, []moment{
+		{ms, ready(Offer{1, 7, 10}, Offer{2, 7, 10}), []Action{Start{1, false}, Start{2, false}}},
+		{2 * ms, []Event{Retune{lower}}, nil},
+		{3 * ms, []Event{Seat{1, "h"}}, []Action{Seated{1, "h", true}}},
+		{4 * ms, []Event{Heard{1}, Left{"h"}}, nil},
+		{5 * ms, []Event{Seat{2, "h"}}, []Action{Seated{2, "h", false}}},
+		{4*ms + time.Second, []Event{Seat{2, "h"}}, []Action{Seated{2, "h", true}}},
+	})
+}
+
 func TestSeatsAtOneHost(t *testing.T) {
 	d := play(t, config(), []moment{
 		{ms, ready(Offer{1, 1, 1}, Offer{2, 2, 1}, Offer{3, 3, 1}), []Action{Start{1, false}, Start{2, false}, Start{3, false}}},
