Clients: one look at what is unread serves both questions; budget has its own file

Read again: hasLeft and hasFurther peeked by two copies, a fallback for connections that are no sockets could not be reached, a comment was no longer true, and the budget of bodies stood with the connections.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -25,24 +25,6 @@
 // stuckFor is how long a client may take to read what one write sent, where the door has no bound of its own.
 const stuckFor = 10 * time.Second
 
-// budget bounds the bytes that clients sent and nobody has used yet.
-type budget struct{ used, most atomic.Int64 }
-
-// take reserves bytes, if there are so many left.
-func (b *budget) take(bytes int) bool {
-	if b.used.Add(int64(bytes)) > b.most.Load() {
-		b.used.Add(-int64(bytes))
-		return false
-	}
-	return true
-}
-
-// give returns bytes that were taken.
-func (b *budget) give(bytes int) { b.used.Add(-int64(bytes)) }
-
-// share is the part of the bytes that is in use.
-func (b *budget) share() float64 { return float64(b.used.Load()) / float64(b.most.Load()) }
-
 // clientConn is a client's connection. Of requests that come together it reads just the first: what was read of others would be
 // lost with a connection that has to end. While a request is open the HTTP server does not read, so a watch looks whether the
 // client leaves.
@@ -253,11 +235,7 @@
 
 // awaitHangUp waits until the client has ended the connection, and returns true, or until the watch ends.
 func (c *clientConn) awaitHangUp() bool {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -282,27 +260,27 @@
 	if c.first.Load() {
 		return true
 	}
-	found := false
-	c.control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		found = n > 0 && err == nil
-	})
-	return found
+	n, err := c.peek()
+	return n > 0 && err == nil
 }
 
-// control lets f at the descriptor. It returns false where the connection is closed on this side.
-func (c *clientConn) control(f func(fd uintptr)) bool {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
+// peek looks at what is unread without taking it. At the end of the connection it returns 0 and no error.
+func (c *clientConn) peek() (n int, err error) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, net.ErrClosed
+	}
+	var b [1]byte
+	closed := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if closed != nil {
+		return 0, net.ErrClosed
 	}
-	raw, err := socket.SyscallConn()
-	return err == nil && raw.Control(f) == nil
+	return n, err
 }
 
-// hasLeft looks at the connection itself, as the watch may be late where the router is short of processor time. With
-// bytes unread in front of its end only the watch can tell.
+// hasLeft looks at the connection itself, as the watch may be late where the router is short of processor time.
 func (c *clientConn) hasLeft() bool {
 	if c == nil { // a copy, for whose answer no client waits
 		return false
@@ -310,14 +288,24 @@
 	if c.left.Load() {
 		return true
 	}
-	left := false
-	open := c.control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended := n == 0 && err == nil || err == syscall.ECONNRESET || err == syscall.EPIPE
-		left = ended || n > 0 && hungUp(fd)
-	})
-	return left || !open
+	n, err := c.peek()
+	switch err {
+	case nil:
+		return n == 0 || c.hungUp()
+	case net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE:
+		return true
+	}
+	return false
+}
+
+// hungUp tells that the client has ended the connection behind what is unread.
+func (c *clientConn) hungUp() (ended bool) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	raw.Control(func(fd uintptr) { ended = hungUp(fd) })
+	return ended
 }
 
 // unwatch ends the watch, if there is one.
--- a/internal/transport/unsent_test.go
+++ b/internal/transport/unsent_test.go
@@ -100,8 +100,12 @@
 		conn.open = true
 	}
 	unread := func() int {
+		raw, err := accepted.SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
 		n := 0
-		conn.control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
+		raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
 		return n
 	}
 	read(first)
