--- a/balance/balance.go
+++ b/balance/balance.go
@@ -338,6 +338,7 @@
 		keys: [2]uint64{rendezvous.Hash(ev.Prefix), rendezvous.Hash(cmp.Or(ev.Session, ev.ID))}}
 	q.prefix = prefixKey(q.prefixTag())
 	b.requests[ev.ID] = q
+	b.cfg.Retries.First(ev.Again)
 	b.prompts.Add(q.Prefix)
 	b.hold(q)
 }
@@ -908,13 +909,18 @@
 	case ev.Final || q.closed:
 		b.close(q)
 	case q.out > 0:
-	case len(q.attempts) < b.cfg.MaxAttempts && b.now < b.spent(q) && b.anyUse(q):
+	case b.now < b.spent(q) && b.anyUse(q) && b.mayRepeat(q):
 		b.hold(q)
 	default:
 		b.answer(q)
 	}
 }
 
+// mayRepeat tells whether the settings and the budget leave q a further attempt. It spends from the budget.
+func (b *Balancer) mayRepeat(q *request) bool {
+	return len(q.attempts) < b.cfg.MaxAttempts && q.mayRun() && b.cfg.Retries.Take()
+}
+
 // anyUse tells whether a further attempt may go anywhere.
 func (b *Balancer) anyUse(q *request) bool {
 	return slices.ContainsFunc(b.order, func(r *replica) bool {
--- a/balance/types.go
+++ b/balance/types.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"reachspread/internal/budget"
 	"reachspread/internal/rendezvous"
 	"reachspread/internal/shares"
 )
@@ -47,6 +48,7 @@
 	Worth      float64       // of a request, against other classes
 	LateWorth  float64       // share of the worth kept between aim and deadline
 	Streamed   bool
+	Runs       int // attempts of a request that may have run, 0 for no bound
 }
 
 // aimOf is the aim for a prompt of so many tokens.
@@ -59,18 +61,19 @@
 	Zone    string
 	Classes []Class
 
-	AskForList     bool          // discovery sends nothing unless asked
-	MayProbe       bool          // Probe is allowed
-	MaxAttempts    int           // for each request; 0 counts as 1
-	StartCapacity  float64       // a replica starts at this share of its capacity or more
-	ColdTime       time.Duration // and is warm after this
-	OverloadFactor float64       // a cold replica sent more than this multiple of its capacity
-	OverloadWindow time.Duration // for this long falls over
-	Tick           time.Duration // the host calls Step at most this often
-	CrossZonePrice float64       // points lost when every request crosses zones once
-	MaxAway        time.Duration // the longest that a refusal may tell a client to stay away, 0 for not at all
-	Gateways       int           // how many there are, this one included, where they may Tell; 0 where not
-	Me             int           // the own number among them, from 0
+	AskForList     bool           // discovery sends nothing unless asked
+	MayProbe       bool           // Probe is allowed
+	MaxAttempts    int            // for each request; 0 counts as 1
+	StartCapacity  float64        // a replica starts at this share of its capacity or more
+	ColdTime       time.Duration  // and is warm after this
+	OverloadFactor float64        // a cold replica sent more than this multiple of its capacity
+	OverloadWindow time.Duration  // for this long falls over
+	Tick           time.Duration  // the host calls Step at most this often
+	CrossZonePrice float64        // points lost when every request crosses zones once
+	MaxAway        time.Duration  // the longest that a refusal may tell a client to stay away, 0 for not at all
+	Retries        *budget.Bucket // of further attempts, nil for no bound
+	Gateways       int            // how many there are, this one included, where they may Tell; 0 where not
+	Me             int            // the own number among them, from 0
 }
 
 // State is what discovery says of a replica.
@@ -125,6 +128,7 @@
 	Hint    time.Duration // a guess of its work, 0 for none
 	Prompt  float64       // tokens
 	Shared  float64       // of these, tokens of the shared prefix
+	Again   bool          // goes on with a request that ran in part; its sender has taken it from Config.Retries
 }
 
 // FirstToken says that an attempt's answer has begun; the request now belongs to its client.
@@ -281,6 +285,17 @@
 // mark is the short name of a zone.
 func mark(zone string) uint8 { return uint8(rendezvous.Hash(zone)) }
 
+// mayRun tells whether the class leaves a request one more attempt that runs.
+func (q *request) mayRun() bool {
+	runs := 0
+	for _, a := range q.attempts {
+		if a.ran {
+			runs++
+		}
+	}
+	return q.class.Runs == 0 || runs < q.class.Runs
+}
+
 // place is what shares are dealt by.
 func place(r *replica) (name uint64, zone uint8) { return r.name, mark(r.Zone) }
 
--- /dev/null
+++ b/coord/link/link.go
@@ -0,0 +1,288 @@
+// Package link carries messages between processes: frames over TCP, one connection to each address that something is sent to. Nothing is
+// acknowledged and nothing is sent twice; what can't be sent soon is lost, as on any network. Messages of one sender to one address that
+// arrive do so in their order.
+package link
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialFor      = 500 * time.Millisecond
+	writeFor     = 2 * time.Second
+	dialAgain    = 200 * time.Millisecond // between two tries
+	unacked      = 1500 * time.Millisecond
+	idleFor      = 20 * time.Second // then a connection is closed
+	queued       = 256              // messages that wait for one address; further ones are lost
+	mostAddress  = 4096
+	mostAccepted = 1024
+	buffer       = 16 << 10
+	frameHead    = 4 + 1
+
+	// MostMessage bounds a message, in bytes.
+	MostMessage = 24 << 20
+)
+
+// Kind tells messages of different protocols on one link apart.
+type Kind uint8
+
+// Handler is given each message that comes. It must not keep data, and other messages of the same sender wait for it.
+type Handler func(kind Kind, data []byte)
+
+// Figures are counters since the start.
+type Figures struct {
+	Sent, SentBytes         uint64
+	Received, ReceivedBytes uint64
+	Lost                    uint64 // found no room, or no connection
+}
+
+// Link is one process's.
+type Link struct {
+	listen netip.AddrPort
+	handle Handler
+	ctx    context.Context
+
+	mu      sync.Mutex
+	lines   map[string]*line
+	inbound map[net.Conn]bool
+
+	sent, sentBytes, received, receivedBytes, lost atomic.Uint64
+}
+
+// line is the way to one address.
+type line struct {
+	queue chan []byte // frames
+}
+
+// New returns a link that will listen at an address.
+func New(listen netip.AddrPort, handle Handler) *Link {
+	return &Link{listen: listen, handle: handle, lines: map[string]*line{}, inbound: map[net.Conn]bool{}}
+}
+
+// Start listens and carries messages until ctx ends.
+func (l *Link) Start(ctx context.Context) error {
+	listener := net.ListenConfig{KeepAlive: -1}
+	ln, err := listener.Listen(ctx, "tcp4", l.listen.String())
+	if err != nil {
+		return err
+	}
+	l.ctx = ctx
+	context.AfterFunc(ctx, func() {
+		ln.Close()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for c := range l.inbound {
+			c.Close()
+		}
+	})
+	go l.accept(ln)
+	return nil
+}
+
+// Figures returns the counters.
+func (l *Link) Figures() Figures {
+	return Figures{Sent: l.sent.Load(), SentBytes: l.sentBytes.Load(), Received: l.received.Load(), ReceivedBytes: l.receivedBytes.Load(), Lost: l.lost.Load()}
+}
+
+func (l *Link) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) || l.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			pause(l.ctx, dialAgain)
+			continue
+		}
+		l.mu.Lock()
+		full := len(l.inbound) >= mostAccepted || l.ctx.Err() != nil
+		if !full {
+			l.inbound[c] = true
+		}
+		l.mu.Unlock()
+		if full {
+			c.Close()
+			continue
+		}
+		go l.read(c)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// read takes messages until the connection ends or has been silent for long.
+func (l *Link) read(c net.Conn) {
+	defer func() {
+		c.Close()
+		l.mu.Lock()
+		delete(l.inbound, c)
+		l.mu.Unlock()
+	}()
+	in := bufio.NewReaderSize(c, buffer)
+	var head [frameHead]byte
+	for {
+		c.SetReadDeadline(time.Now().Add(2 * idleFor))
+		if _, err := io.ReadFull(in, head[:]); err != nil {
+			return
+		}
+		n := binary.BigEndian.Uint32(head[:])
+		if n > MostMessage {
+			return
+		}
+		data, err := io.ReadAll(io.LimitReader(in, int64(n))) // grows as it comes: a length alone takes no memory
+		if err != nil || len(data) != int(n) {
+			return
+		}
+		l.received.Add(1)
+		l.receivedBytes.Add(uint64(frameHead + len(data)))
+		l.handle(Kind(head[4]), data)
+	}
+}
+
+// Send leaves a message for an address. It waits for nobody.
+func (l *Link) Send(to string, kind Kind, data []byte) {
+	if len(data) > MostMessage {
+		l.lost.Add(1)
+		return
+	}
+	frame := make([]byte, 0, frameHead+len(data))
+	frame = binary.BigEndian.AppendUint32(frame, uint32(len(data)))
+	frame = append(append(frame, byte(kind)), data...)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ln := l.lines[to]
+	if ln == nil {
+		if len(l.lines) >= mostAddress || l.ctx == nil || l.ctx.Err() != nil {
+			l.lost.Add(1)
+			return
+		}
+		ln = &line{queue: make(chan []byte, queued)}
+		l.lines[to] = ln
+		go l.write(to, ln)
+	}
+	select {
+	case ln.queue <- frame:
+	default:
+		l.lost.Add(1)
+	}
+}
+
+// write sends what is left for one address, over one connection at a time, until nothing came for long.
+func (l *Link) write(to string, ln *line) {
+	var c net.Conn
+	var out *bufio.Writer
+	var again time.Time
+	idle := time.NewTimer(idleFor)
+	defer idle.Stop()
+	defer func() {
+		if c != nil {
+			c.Close()
+		}
+	}()
+	for {
+		var frame []byte
+		idle.Reset(idleFor)
+		select {
+		case <-l.ctx.Done():
+			return
+		case frame = <-ln.queue:
+		case <-idle.C:
+			if l.retire(to, ln) {
+				return
+			}
+			continue
+		}
+		if c == nil {
+			if time.Now().Before(again) {
+				l.lost.Add(1)
+				continue
+			}
+			if c = l.dial(to); c == nil {
+				again = time.Now().Add(dialAgain)
+				l.lost.Add(1)
+				continue
+			}
+			out = bufio.NewWriterSize(c, buffer)
+		}
+		if err := l.flush(c, out, ln, frame); err != nil {
+			c.Close()
+			c, again = nil, time.Now().Add(dialAgain/4)
+		}
+	}
+}
+
+// retire forgets a line that nothing waits on.
+func (l *Link) retire(to string, ln *line) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(ln.queue) > 0 {
+		return false
+	}
+	delete(l.lines, to)
+	return true
+}
+
+// flush writes a frame and those that wait behind it.
+func (l *Link) flush(c net.Conn, out *bufio.Writer, ln *line, frame []byte) error {
+	c.SetWriteDeadline(time.Now().Add(writeFor))
+	for {
+		if _, err := out.Write(frame); err != nil {
+			return err
+		}
+		l.sent.Add(1)
+		l.sentBytes.Add(uint64(len(frame)))
+		select {
+		case frame = <-ln.queue:
+			continue
+		default:
+		}
+		return out.Flush()
+	}
+}
+
+// dial connects to an address, nil where it does not answer soon.
+func (l *Link) dial(to string) net.Conn {
+	dialer := net.Dialer{Timeout: dialFor, KeepAlive: -1}
+	c, err := dialer.DialContext(l.ctx, "tcp4", to)
+	if err != nil {
+		return nil
+	}
+	giveUp(c)
+	go func() { // the other side says nothing; that it has ended is seen here
+		io.Copy(io.Discard, c)
+		c.Close()
+	}()
+	return c
+}
+
+// giveUp has the system end a connection whose other side acknowledges nothing.
+func giveUp(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) {
+		unix.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
+	})
+}
--- /dev/null
+++ b/coord/storage/folder.go
@@ -0,0 +1,71 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+)
+
+// Folder is Files in a folder of the operating system. Open files stay open.
+type Folder struct {
+	path string
+	open map[string]*os.File
+}
+
+// NewFolder returns the folder at a path, which is made if there is none.
+func NewFolder(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, 0o755); err != nil {
+		return nil, err
+	}
+	return &Folder{path: path, open: map[string]*os.File{}}, nil
+}
+
+// Read implements Files.
+func (f *Folder) Read(name string) ([]byte, error) { return os.ReadFile(filepath.Join(f.path, name)) }
+
+// WriteAt implements Files.
+func (f *Folder) WriteAt(name string, data []byte, offset int64) error {
+	file, err := f.file(name)
+	if err != nil {
+		return err
+	}
+	_, err = file.WriteAt(data, offset)
+	return err
+}
+
+// Sync implements Files.
+func (f *Folder) Sync(name string) error {
+	file, err := f.file(name)
+	if err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+// SyncFolder implements Files.
+func (f *Folder) SyncFolder() error {
+	folder, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	return folder.Sync()
+}
+
+// Close closes the open files.
+func (f *Folder) Close() {
+	for name, file := range f.open {
+		file.Close()
+		delete(f.open, name)
+	}
+}
+
+func (f *Folder) file(name string) (*os.File, error) {
+	if file := f.open[name]; file != nil {
+		return file, nil
+	}
+	file, err := os.OpenFile(filepath.Join(f.path, name), os.O_RDWR|os.O_CREATE, 0o644)
+	if err == nil {
+		f.open[name] = file
+	}
+	return file, err
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,48 @@
+package budget
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// In no span of events are there more repeats than the first tries in it and the bound allow, whatever the order and whatever restarts.
+func TestAnySpan(t *testing.T) {
+	is := is.New(t)
+	const ratio, most, events = 0.2, 3.0, 400
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		b := New(ratio, most)
+		balance := make([]float64, 1, events+1) // repeats less what first tries added, so far
+		for range events {
+			sum := balance[len(balance)-1]
+			switch rng.IntN(40) {
+			case 0:
+				b = New(ratio, most) // a restart
+			case 1, 2, 3, 4, 5, 6, 7, 8, 9, 10:
+				if b.Take() {
+					sum++
+				}
+			default:
+				b.First(false)
+				sum -= ratio
+			}
+			balance = append(balance, sum)
+		}
+		for from := range balance {
+			for to := from; to < len(balance); to++ {
+				is.True(balance[to]-balance[from] <= most+1e-9)
+			}
+		}
+	}
+}
+
+// Without a budget every repeat is allowed; an empty one allows none.
+func TestNone(t *testing.T) {
+	is := is.New(t)
+	var none *Bucket
+	none.First(false)
+	is.True(none.Take())
+	is.True(!New(0.2, 5).Take())
+}
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -77,6 +77,9 @@
 	return Failed
 }
 
+// Body returns the answer as the network has it.
+func (st *Stream) Body() Body { return st.body }
+
 // Source is where an answer comes from.
 type Source struct {
 	Server string    // the server's id
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -26,6 +26,8 @@
 	Verdict Verdict
 	Wait    time.Duration // Refused: when to come back, 0 for no advice
 	Stream  *Stream       // Served: the events as they come
+	Final   any           // Failed, Unfit: the last answer of a server's own, nil for none
+	Ran     bool          // Refused: a server may have run it before, which did no harm
 }
 
 // Request is one client request on its way through the router.
@@ -40,6 +42,8 @@
 	cancel   context.CancelFunc
 	answered atomic.Bool
 	final    chan Answer
+	ran      atomic.Bool  // an attempt may have run
+	word     atomic.Value // the last answer of a server's own, nothing for none
 	tries    int          // attempts so far; the deciding goroutine's
 	holds    atomic.Int32 // of the client and of each attempt that is out
 }
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -13,9 +13,11 @@
 		r.send(r.request(a.ID), a)
 	case balance.Refuse:
 		r.refused.Add(1)
-		r.request(a.ID).answer(Answer{Verdict: Refused, Wait: a.Away})
+		f := r.request(a.ID)
+		f.answer(Answer{Verdict: Refused, Wait: a.Away, Ran: f.ran.Load()})
 	case balance.Fail:
-		r.request(a.ID).answer(Answer{Verdict: Failed})
+		f := r.request(a.ID)
+		f.answer(Answer{Verdict: Failed, Final: f.word.Load()})
 	case balance.Probe:
 		r.probe(a.Replica)
 	case balance.Tell:
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -45,6 +45,7 @@
 	Body   Body
 	Unfit  bool // the server finds the request itself at fault, as any other would
 	Left   bool // nothing was sent, as the client has left
+	Final  any  // the server's own answer, which the client gets if no further attempt does better; nil for none
 }
 
 // ErrSpoilt says that what came is no answer, although the server and its connection stand.
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -20,12 +20,18 @@
 	}
 	go func() {
 		head := r.network.Schedule(f.ctx, f.deadline, to, f.message, func() { r.figures.relayed.Add(1) })
+		if mayHaveRun(head.Result) {
+			f.ran.Store(true)
+		}
 		if head.Body != nil {
 			r.relay(s, head.Body)
 			return
 		}
+		if head.Final != nil {
+			f.word.Store(head.Final)
+		}
 		if head.Unfit {
-			f.answer(Answer{Verdict: Unfit})
+			f.answer(Answer{Verdict: Unfit, Final: f.word.Load()})
 		}
 		if head.Left {
 			r.Leave(f)
@@ -48,3 +54,8 @@
 		r.post(balance.Probed{Replica: id, Result: result, Load: load})
 	}()
 }
+
+// mayHaveRun tells whether an attempt that ended so may have been worked on.
+func mayHaveRun(result balance.Result) bool {
+	return result != balance.Full && result != balance.NoConnection && result != balance.NotSent
+}
--- /dev/null
+++ b/internal/system/configuration/patch.go
@@ -0,0 +1,128 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Patch is a change of named items.
+type Patch struct {
+	Version int64
+	upsert  []field
+	remove  []removal
+}
+
+// removal names items of a list that are to go.
+type removal struct {
+	list  string
+	names []string
+}
+
+// ParsePatch reads a change.
+func ParsePatch(text []byte) (*Patch, error) {
+	members, err := readObject(text, "the change")
+	if err != nil {
+		return nil, err
+	}
+	p := &Patch{}
+	found := false
+	for _, m := range members {
+		switch m.name {
+		case versionField:
+			found = true
+			if err := json.Unmarshal(m.value, &p.Version); err != nil {
+				return nil, &SyntaxError{versionField, "is not a whole number"}
+			}
+		case "upsert":
+			if p.upsert, err = readUpsert(m.value); err != nil {
+				return nil, err
+			}
+		case "remove":
+			if p.remove, err = readRemove(m.value); err != nil {
+				return nil, err
+			}
+		default:
+			return nil, &SyntaxError{m.name, "is not a member of a change; it has version, upsert and remove"}
+		}
+	}
+	if !found {
+		return nil, &SyntaxError{versionField, "is missing"}
+	}
+	return p, nil
+}
+
+func readUpsert(text json.RawMessage) ([]field, error) {
+	members, err := readObject(text, "upsert")
+	if err != nil {
+		return nil, err
+	}
+	var all []field
+	for _, m := range members {
+		f, err := readField(m)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, f)
+	}
+	return all, nil
+}
+
+func readRemove(text json.RawMessage) ([]removal, error) {
+	members, err := readObject(text, "remove")
+	if err != nil {
+		return nil, err
+	}
+	var all []removal
+	for _, m := range members {
+		r := removal{list: m.name}
+		if err := json.Unmarshal(m.value, &r.names); err != nil {
+			return nil, &SyntaxError{"remove." + m.name, "is not a list of names"}
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
+
+// Apply returns the document after a change. The document itself stays as it is.
+func (d *Document) Apply(p *Patch) (*Document, error) {
+	next := d.clone()
+	next.Version = p.Version
+	for _, r := range p.remove {
+		f := next.find(r.list)
+		if f == nil || !f.list {
+			continue // what is not there is gone already
+		}
+		f.items = slices.DeleteFunc(f.items, func(it item) bool { return slices.Contains(r.names, it.name) })
+	}
+	for _, u := range p.upsert {
+		f := next.find(u.name)
+		switch {
+		case f == nil:
+			next.fields = append(next.fields, u)
+		case f.list != u.list:
+			return nil, &SyntaxError{"upsert." + u.name, fmt.Sprintf("list is %v, as it is in force it is %v", u.list, f.list)}
+		case !u.list:
+			f.value = u.value
+		default:
+			f.items = upsert(f.items, u.items)
+		}
+	}
+	return next, nil
+}
+
+// upsert replaces items by name and appends those that are new.
+func upsert(items, changed []item) []item {
+	place := map[string]int{}
+	for i, it := range items {
+		place[it.name] = i
+	}
+	for _, it := range changed {
+		if i, ok := place[it.name]; ok {
+			items[i] = it
+			continue
+		}
+		items = append(items, it)
+	}
+	return items
+}
--- /dev/null
+++ b/internal/system/configuration/store.go
@@ -0,0 +1,218 @@
+package configuration
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"google.golang.org/protobuf/proto"
+
+	"reachspread/internal/system/message"
+)
+
+const (
+	digestBytes = 16
+	// MostDigests is how many orders are remembered, so that each is acknowledged again whenever it comes again.
+	MostDigests = 8192
+)
+
+// State is a configuration in force, in all its forms. It never changes.
+type State struct {
+	Document *Document
+	Typed    *Configuration
+	JSON     []byte
+}
+
+// Version is the version of a state, 0 for none.
+func (s *State) Version() int64 {
+	if s == nil {
+		return 0
+	}
+	return s.Document.Version
+}
+
+// Store is the state that the register replicates: the configuration, and which orders were taken. It implements chain.Machine.
+type Store struct {
+	state   *State // nil before the first configuration
+	digests map[[digestBytes]byte]bool
+	order   [][digestBytes]byte // the digests, the oldest first
+	last    *message.Order      // that made the state from the one before
+}
+
+// NewStore returns a store without a configuration.
+func NewStore() *Store { return &Store{digests: map[[digestBytes]byte]bool{}} }
+
+// Committed is what a store tells of its state.
+type Committed struct {
+	State *State
+	Last  *message.Order // that made it, nil for unknown
+}
+
+// Value implements chain.Machine: a Committed.
+func (s *Store) Value() any { return Committed{s.state, s.last} }
+
+// digest names an order: the same bytes on top of the same version are the same order.
+func digest(o *message.Order) (d [digestBytes]byte) {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d %d ", o.Kind, o.IfMatch)
+	h.Write(o.Body)
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
+// Decide implements chain.Machine: orders and changes are those of package message.
+func (s *Store) Decide(text []byte) (change, reply []byte) {
+	order := &message.Order{}
+	if err := proto.Unmarshal(text, order); err != nil {
+		return nil, s.reply(http.StatusBadRequest, err.Error())
+	}
+	d := digest(order)
+	if s.digests[d] {
+		return nil, s.reply(http.StatusOK, "taken before")
+	}
+	if order.IfMatch != s.state.Version() {
+		return nil, s.reply(http.StatusPreconditionFailed, fmt.Sprintf("version %d is in force, not %d", s.state.Version(), order.IfMatch))
+	}
+	next, err := s.next(order)
+	if err != nil {
+		return nil, s.reply(http.StatusBadRequest, err.Error())
+	}
+	change, err = proto.Marshal(&message.Change{Order: order, Digest: d[:]})
+	if err != nil {
+		return nil, s.reply(http.StatusInternalServerError, err.Error())
+	}
+	return change, marshalReply(&message.OrderReply{Status: http.StatusOK, Version: next.Version()})
+}
+
+func (s *Store) reply(status int, text string) []byte {
+	return marshalReply(&message.OrderReply{Status: int32(status), Text: text, Version: s.state.Version()})
+}
+
+func marshalReply(r *message.OrderReply) []byte {
+	out, _ := proto.Marshal(r)
+	return out
+}
+
+// ErrNothing says that there is no configuration to be changed.
+var ErrNothing = errors.New("no configuration is in force yet")
+
+// next is the state after an order, or why it is refused.
+func (s *Store) next(order *message.Order) (*State, error) {
+	next, err := Next(s.state, order)
+	if err != nil {
+		return nil, err
+	}
+	if next.Version() <= s.state.Version() {
+		return nil, &InvalidError{"the configuration", versionField, fmt.Sprintf("%d is not above %d, which is in force", next.Version(), s.state.Version())}
+	}
+	return next, nil
+}
+
+// Next is the state that an order makes of another, which is nil where there is none; or why it can't be.
+func Next(state *State, order *message.Order) (*State, error) {
+	var document *Document
+	var err error
+	switch order.Kind {
+	case message.Order_PUT:
+		document, err = Parse(order.Body)
+	case message.Order_PATCH:
+		var patch *Patch
+		if patch, err = ParsePatch(order.Body); err != nil {
+			return nil, err
+		}
+		if state == nil {
+			return nil, ErrNothing
+		}
+		document, err = state.Document.Apply(patch)
+	default:
+		return nil, &SyntaxError{"kind", fmt.Sprintf("%d is not known", order.Kind)}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return NewState(document)
+}
+
+// NewState compiles a document.
+func NewState(d *Document) (*State, error) {
+	typed, err := Compile(d)
+	if err != nil {
+		return nil, err
+	}
+	return &State{Document: d, Typed: typed, JSON: d.JSON()}, nil
+}
+
+// Apply implements chain.Machine.
+func (s *Store) Apply(text []byte) {
+	change := &message.Change{}
+	if proto.Unmarshal(text, change) != nil || len(change.Digest) != digestBytes {
+		return
+	}
+	next, err := Next(s.state, change.Order)
+	if err != nil {
+		return // the head has seen that it can be; a fault of this kind is the same on all
+	}
+	s.state, s.last = next, change.Order
+	s.remember([digestBytes]byte(change.Digest))
+}
+
+func (s *Store) remember(d [digestBytes]byte) {
+	if s.digests[d] {
+		return
+	}
+	s.digests[d] = true
+	if s.order = append(s.order, d); len(s.order) > MostDigests {
+		delete(s.digests, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// Snapshot implements chain.Machine.
+func (s *Store) Snapshot() []byte {
+	out := &message.Stored{}
+	if s.state != nil {
+		out.Document = s.state.JSON
+	}
+	for _, d := range s.order {
+		out.Digests = append(out.Digests, d[:]...)
+	}
+	text, _ := proto.Marshal(out)
+	return text
+}
+
+// Restore implements chain.Machine.
+func (s *Store) Restore(text []byte) error {
+	stored := &message.Stored{}
+	if err := proto.Unmarshal(text, stored); err != nil {
+		return err
+	}
+	next := NewStore()
+	if len(stored.Document) > 0 {
+		document, err := Parse(stored.Document)
+		if err != nil {
+			return err
+		}
+		if next.state, err = NewState(document); err != nil {
+			return err
+		}
+	}
+	for chunk := range bytesChunks(stored.Digests, digestBytes) {
+		next.remember([digestBytes]byte(chunk))
+	}
+	*s = *next
+	return nil
+}
+
+// bytesChunks gives the whole pieces of a length, one after the other.
+func bytesChunks(text []byte, length int) func(yield func([]byte) bool) {
+	return func(yield func([]byte) bool) {
+		for len(text) >= length {
+			if !yield(bytes.Clone(text[:length])) {
+				return
+			}
+			text = text[length:]
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/dataplane/intake.go
@@ -0,0 +1,277 @@
+package dataplane
+
+import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"reachspread/balance"
+	"reachspread/internal/protocol"
+	"reachspread/internal/routing"
+	"reachspread/internal/system/configuration"
+	"reachspread/internal/transport"
+)
+
+const (
+	// usualBody bounds a request's body where the configuration has no bound.
+	usualBody = 4 << 20
+	comeBack  = 200 * time.Millisecond // where nothing can be served yet
+	// charsPerToken is the length of a token where a request does not tell its tokens.
+	charsPerToken = 4
+	// resumeSuffix is behind the names of requests that go on with a stream.
+	resumeSuffix = "+"
+)
+
+// admitted is what the head of a request says of it.
+type admitted struct {
+	state  *configuration.State
+	route  *configuration.Route
+	tenant *configuration.Tenant // nil for none
+}
+
+// admittedKey is where the front keeps it between the head and the body.
+const admittedKey = "admitted"
+
+// Local implements transport.Intake: nothing on the clients' address is for the router itself.
+func (p *Plane) Local(*fasthttp.RequestCtx) bool { return false }
+
+// Head implements transport.Intake: routes, keys and what is known decide whether a body is worth reading.
+func (p *Plane) Head(ctx *fasthttp.RequestCtx) *transport.Rejection {
+	p.counts.Taken.Add(1)
+	state := p.state.Load()
+	if state == nil {
+		return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no configuration is known yet", Wait: comeBack}
+	}
+	a := &admitted{state: state, route: state.Typed.Route(hostOf(ctx), pathOf(ctx))}
+	if a.route == nil {
+		return &transport.Rejection{Code: http.StatusNotFound, Line: "no such route"}
+	}
+	if state.Typed.Keyed() && !a.route.Public {
+		if !p.o.Fresh() {
+			return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "keys can not be checked now", Wait: comeBack}
+		}
+		key := protocol.BearerKey(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+		if a.tenant = state.Typed.Tenant(key); a.tenant == nil {
+			return &transport.Rejection{Code: http.StatusUnauthorized, Line: "no such key"}
+		}
+	}
+	ctx.SetUserValue(admittedKey, a)
+	return nil
+}
+
+// hostOf is the host that a request names, without a port.
+func hostOf(ctx *fasthttp.RequestCtx) string {
+	host := string(ctx.Request.Header.Host())
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// pathOf is the path of a request as it came, without a query.
+func pathOf(ctx *fasthttp.RequestCtx) string {
+	path, _, _ := strings.Cut(string(ctx.RequestURI()), "?")
+	return path
+}
+
+// Plan implements transport.Intake.
+func (p *Plane) Plan(ctx *fasthttp.RequestCtx, body []byte, began time.Time) (*transport.Plan, *transport.Rejection) {
+	a := ctx.UserValue(admittedKey).(*admitted)
+	request, err := readRequest(&ctx.Request.Header, a.route, len(body))
+	if err != nil {
+		return nil, &transport.Rejection{Code: http.StatusBadRequest, Line: err.Error()}
+	}
+	if a.tenant != nil && a.tenant.RatePerS > 0 {
+		if ok, wait := p.o.Quotas.Take(a.tenant, request.units(a.tenant)); !ok {
+			return nil, &transport.Rejection{Code: http.StatusTooManyRequests, Line: "over the tenant's quota", Wait: wait, Keep: true}
+		}
+	}
+	s := p.pick(a.route)
+	if s == nil || s.serving.Load() == 0 {
+		return nil, &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no host of the service is known", Wait: comeBack, Keep: true}
+	}
+	request.arrival.ID = strconv.FormatUint(p.next.Add(1), 36)
+	return &transport.Plan{
+		Router:  s.router,
+		Arrival: request.arrival,
+		Message: transport.NewForwarded(ctx, body, request.forward(ctx, a)),
+		Resume:  p.resume(s, request, began),
+	}, nil
+}
+
+// request is what a request tells of itself.
+type request struct {
+	route   *configuration.Route
+	arrival balance.Arrival
+	usage   protocol.Usage
+	counted bool // the request tells its tokens
+}
+
+// errNoID says that a request has no name.
+var errNoID = errors.New(protocol.HeaderRequestID + " is missing")
+
+// readRequest reads what the decisions need.
+func readRequest(h *fasthttp.RequestHeader, route *configuration.Route, bodyLen int) (*request, error) {
+	get := func(name string) string { return string(h.Peek(name)) }
+	if get(protocol.HeaderRequestID) == "" {
+		return nil, errNoID
+	}
+	r := &request{route: route, arrival: balance.Arrival{Class: route.Name, Left: route.Timeout()}}
+	left, told, err := protocol.ParseDeadline(get(protocol.HeaderDeadline))
+	if err != nil {
+		return nil, err
+	}
+	if told {
+		r.arrival.Left = min(left, route.Timeout())
+	}
+	if r.usage, r.counted, err = protocol.ParseUsage(get(protocol.HeaderTokenUsage)); err != nil {
+		return nil, err
+	}
+	parts, err := protocol.ParsePrompt(get(protocol.HeaderPromptPrefix))
+	if err != nil {
+		return nil, err
+	}
+	r.arrival.Prompt = float64(bodyLen / charsPerToken)
+	if r.counted {
+		r.arrival.Prompt = r.usage.Prompt
+	}
+	if n := len(parts); n > 0 {
+		r.arrival.Session = parts[n-1].ID
+		for _, part := range parts[:n-1] {
+			r.arrival.Prefix, r.arrival.Shared = part.ID, r.arrival.Shared+part.Tokens
+		}
+	}
+	r.arrival.Shared = min(r.arrival.Shared, r.arrival.Prompt)
+	return r, nil
+}
+
+// units is what the request takes of a tenant's quota.
+func (r *request) units(t *configuration.Tenant) float64 {
+	if t.Unit != configuration.TokensUnit {
+		return 1
+	}
+	if !r.counted {
+		return t.UncachedTokens
+	}
+	return r.usage.Prompt + r.usage.Answer
+}
+
+// forward says how the request is passed on: without its key, under its tenant's name.
+func (r *request) forward(ctx *fasthttp.RequestCtx, a *admitted) *transport.Forward {
+	f := &transport.Forward{Events: r.route.Kind == configuration.Streaming, Silent: silence(r.route)}
+	named := connectionNames(ctx.Request.Header.Peek("Connection"))
+	for name, value := range ctx.Request.Header.All() {
+		n := string(name)
+		if protocol.ConnectionField(n) || named[strings.ToLower(n)] || own(n) {
+			continue
+		}
+		f.Header = append(f.Header, protocol.Field{Name: n, Value: string(value)})
+	}
+	if a.tenant != nil {
+		f.Header = append(f.Header, protocol.Field{Name: protocol.HeaderTenant, Value: a.tenant.Name})
+	}
+	return f
+}
+
+// own tells whether a header is set by the router, whatever the client has sent.
+func own(name string) bool {
+	switch http.CanonicalHeaderKey(name) {
+	case "Authorization", protocol.HeaderTenant, protocol.HeaderRequestID, protocol.HeaderDeadline, protocol.HeaderExpectedInstance:
+		return true
+	}
+	return false
+}
+
+// connectionNames are the headers that a client's Connection header names, in lower case.
+func connectionNames(value []byte) map[string]bool {
+	named := map[string]bool{}
+	for part := range bytes.SplitSeq(value, []byte(",")) {
+		if name := strings.ToLower(string(bytes.TrimSpace(part))); name != "" {
+			named[name] = true
+		}
+	}
+	return named
+}
+
+// silence is how long a stream of a route may say nothing: a client gives it up then as well.
+func silence(r *configuration.Route) time.Duration {
+	return max(silentFor, 4*r.Target(), 8*r.Gap())
+}
+
+// pick draws one of a route's services by their weights.
+func (p *Plane) pick(r *configuration.Route) *service {
+	pools := *p.pools.Load()
+	total := 0.0
+	for _, share := range r.Shares() {
+		total += share.Weight
+	}
+	at := rand.Float64() * total
+	for _, share := range r.Shares() {
+		if at -= share.Weight; at < 0 && share.Weight > 0 {
+			return pools[share.Service]
+		}
+	}
+	return nil
+}
+
+// resume returns how a broken stream goes on at another host, nil where the route does not allow it.
+func (p *Plane) resume(s *service, r *request, began time.Time) func(message *transport.Message, after string) (*transport.Plan, bool) {
+	if r.route.Kind != configuration.Streaming || !r.route.StreamResumption {
+		return nil
+	}
+	tries := 1
+	return func(message *transport.Message, after string) (*transport.Plan, bool) {
+		left := r.arrival.Left - time.Since(began)
+		if tries >= max(r.route.MaxAttempts, 1) || left <= 0 || !s.retries.Take() {
+			return nil, false
+		}
+		next := r.arrival
+		next.ID += strings.Repeat(resumeSuffix, tries)
+		next.Left, next.Again = r.arrival.Left, true
+		tries++
+		return &transport.Plan{Router: s.router, Arrival: next, Message: message.After(after)}, true
+	}
+}
+
+// Served implements transport.Intake.
+func (p *Plane) Served(ctx *fasthttp.RequestCtx, s *routing.Stream) {
+	transport.WriteFinal(ctx, transport.FinalOf(s))
+}
+
+// Unserved implements transport.Intake.
+func (p *Plane) Unserved(ctx *fasthttp.RequestCtx, a routing.Answer) {
+	final, _ := a.Final.(*transport.Final)
+	switch {
+	case a.Verdict == routing.Refused && !a.Ran:
+		transport.Refuse(ctx, transport.Rejection{Code: http.StatusServiceUnavailable, Line: "refused; it has not run", Wait: a.Wait, Keep: true})
+	case final != nil:
+		transport.WriteFinal(ctx, final)
+	case a.Verdict == routing.Unfit:
+		transport.Refuse(ctx, transport.Rejection{Code: http.StatusBadRequest, Line: "no host can use this request", Keep: true})
+	default:
+		transport.Refuse(ctx, transport.Rejection{Code: http.StatusBadGateway, Line: "failed", Keep: true})
+	}
+}
+
+// Count implements transport.Intake.
+func (p *Plane) Count(*fasthttp.RequestCtx, transport.Rejection) { p.counts.Rejected.Add(1) }
+
+// MaxBody implements transport.Intake.
+func (p *Plane) MaxBody() int {
+	if state := p.state.Load(); state != nil && state.Typed.Limits.MaxBodyBytes > 0 {
+		return state.Typed.Limits.MaxBodyBytes
+	}
+	return usualBody
+}
+
+// LongHead implements transport.Intake.
+func (p *Plane) LongHead() transport.Rejection {
+	return transport.Rejection{Code: http.StatusRequestHeaderFieldsTooLarge, Line: "the head is too long"}
+}
--- /dev/null
+++ b/internal/system/dataplane/plane.go
@@ -0,0 +1,234 @@
+// Package dataplane is the data plane of the router fleet: it takes clients' requests by the configuration in force and has them
+// served by the hosts of their services. Every decision on which prompt goes where and when is package balance's, one for each service.
+package dataplane
+
+import (
+	"context"
+	"fmt"
+	"hash/maphash"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"reachspread/balance"
+	"reachspread/internal/budget"
+	"reachspread/internal/routing"
+	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/instances"
+	"reachspread/internal/system/message"
+	"reachspread/internal/system/settings"
+	"reachspread/internal/transport"
+)
+
+const (
+	mostAttempts = 4 // of one try, those that were turned away among them
+	tick         = time.Millisecond
+	probeFor     = time.Second
+	mostAway     = 2 * time.Second
+	// slackPart is the part of the retry budget's slack that all routers together may hold, as the view of how many there are is late.
+	slackPart = 0.7
+)
+
+// Quotas says whether a tenant may have so many units now. It is called for each request of a tenant with a limit, and never waits.
+type Quotas interface {
+	// Take takes units of a tenant's quota; where there are too few, it says when to ask again.
+	Take(t *configuration.Tenant, units float64) (ok bool, wait time.Duration)
+}
+
+// Options are what a Plane is made with.
+type Options struct {
+	Settings *settings.Settings
+	Servers  *transport.Servers
+	Quotas   Quotas
+	// Fresh tells whether what is known of the configuration is young enough to honour keys by it.
+	Fresh func() bool
+	Log   routing.Logger
+	Seed  uint64
+}
+
+// Plane is one router's. It implements transport.Intake.
+type Plane struct {
+	o     Options
+	ctx   context.Context
+	state atomic.Pointer[configuration.State] // nil before the first configuration
+	hash  maphash.Seed
+	next  atomic.Uint64 // of names for the decisions
+
+	mu       sync.Mutex
+	services map[string]*service
+	routers  int // that live, this one among them
+
+	pools  atomic.Pointer[map[string]*service] // replaced, never changed
+	counts Counts
+}
+
+// service is one service's decisions.
+type service struct {
+	name    string
+	router  *routing.Router
+	retries *budget.Bucket
+	stop    context.CancelFunc
+	told    uint64 // the revision of the hosts that it was told of
+	serving atomic.Int64
+}
+
+// Counts are requests by their ends, for the figures.
+type Counts struct {
+	Taken, Rejected atomic.Uint64
+}
+
+// New returns a plane that serves nothing before the first configuration. Its decisions run until ctx ends.
+func New(ctx context.Context, o Options) *Plane {
+	p := &Plane{o: o, ctx: ctx, hash: maphash.MakeSeed(), services: map[string]*service{}, routers: 1}
+	p.pools.Store(&map[string]*service{})
+	return p
+}
+
+// State is the configuration in force, nil for none.
+func (p *Plane) State() *configuration.State { return p.state.Load() }
+
+// Configure puts a configuration in force.
+func (p *Plane) Configure(state *configuration.State) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byService := classesOf(state.Typed)
+	for name, classes := range byService {
+		if err := p.tune(name, classes); err != nil {
+			return fmt.Errorf("service %s: %w", name, err)
+		}
+	}
+	all := make(map[string]*service, len(p.services))
+	for name, s := range p.services {
+		all[name] = s
+	}
+	p.pools.Store(&all)
+	p.state.Store(state)
+	return nil
+}
+
+// tune makes the decisions of a service, or gives them other classes. The lock is held.
+func (p *Plane) tune(name string, classes []balance.Class) error {
+	s := p.services[name]
+	if s == nil {
+		s = &service{name: name, retries: budget.New(p.o.Settings.Bounds.RetryBudgetRatio, p.slack())}
+		b, err := balance.New(p.config(s, classes), p.o.Seed^rand.Uint64())
+		if err != nil {
+			return err
+		}
+		s.router = routing.New(b, p.o.Servers, p.o.Log, probeFor)
+		ctx, stop := context.WithCancel(p.ctx)
+		s.stop = stop
+		go s.router.Run(ctx)
+		p.services[name] = s
+		return nil
+	}
+	s.router.Retune(p.config(s, classes))
+	return nil
+}
+
+// slack is how many repeats one router may save up.
+func (p *Plane) slack() float64 {
+	return slackPart * p.o.Settings.Bounds.RetryBudgetSlack / float64(max(p.routers, 1))
+}
+
+// SetRouters tells how many routers live, this one among them.
+func (p *Plane) SetRouters(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.routers = max(n, 1)
+	for _, s := range p.services {
+		s.retries.SetMost(p.slack())
+	}
+}
+
+// config is what the decisions of a service are told.
+func (p *Plane) config(s *service, classes []balance.Class) balance.Config {
+	return balance.Config{Zone: p.o.Settings.Zone, Classes: classes, MaxAttempts: mostAttempts, StartCapacity: 0.5, ColdTime: time.Second,
+		OverloadFactor: 4, OverloadWindow: time.Second, Tick: tick, CrossZonePrice: crossZonePrice, MaxAway: mostAway, Retries: s.retries}
+}
+
+// crossZonePrice is what crossing zones counts in the decisions, in parts of what there is to earn.
+const crossZonePrice = 0.01
+
+// classesOf are the classes of each service: one for each route that may go there.
+func classesOf(c *configuration.Configuration) map[string][]balance.Class {
+	all := map[string][]balance.Class{}
+	for _, r := range c.Routes {
+		for _, share := range r.Shares() {
+			all[share.Service] = append(all[share.Service], classOf(r))
+		}
+	}
+	return all
+}
+
+const (
+	lateWorth = 0.3 // of an answer behind its aim, as nobody tells it
+	silentFor = 2 * time.Second
+)
+
+// classOf is what the decisions know of a route.
+func classOf(r *configuration.Route) balance.Class {
+	c := balance.Class{Name: r.Name, Effect: balance.Unsafe, Aim: r.Target(), Deadline: r.Timeout(), TokenAim: r.Gap(),
+		Worth: 1 / float64(1+max(r.Priority, 0)), LateWorth: lateWorth, Streamed: r.Kind == configuration.Streaming, Runs: max(r.MaxAttempts, 1)}
+	if r.Idempotent() {
+		c.Effect = balance.Safe
+	}
+	return c
+}
+
+// Hosts tells the decisions which hosts a service has.
+func (p *Plane) Hosts(name string, revision uint64, all []*instances.Record, now time.Duration) {
+	p.mu.Lock()
+	s := p.services[name]
+	p.mu.Unlock()
+	if s == nil || s.told == revision {
+		return
+	}
+	s.told = revision
+	ev := balance.Members{Whole: true}
+	addrs := map[string]string{}
+	serving := 0
+	clock := time.Duration(time.Now().UnixNano())
+	for _, r := range all {
+		m := balance.Member{Replica: r.Id, Zone: r.Zone, Kind: name}
+		switch r.State {
+		case message.Instance_READY:
+			m.State = balance.Serving
+			serving++
+		case message.Instance_DRAINING:
+			m.State = balance.Draining
+		default:
+			m.State = balance.Gone
+		}
+		if left := r.ColdUntil - now; left > 0 {
+			m.Born = clock + left - time.Second
+		}
+		ev.Members = append(ev.Members, m)
+		addrs[r.Id] = r.Address
+	}
+	s.serving.Store(int64(serving))
+	s.router.Told(ev, addrs)
+}
+
+// Serving tells whether there is a configuration, and a host for at least one service of it.
+func (p *Plane) Serving() bool {
+	if p.state.Load() == nil {
+		return false
+	}
+	for _, s := range *p.pools.Load() {
+		if s.serving.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Figures are those of all services, by name.
+func (p *Plane) Figures() map[string]routing.Figures {
+	all := map[string]routing.Figures{}
+	for name, s := range *p.pools.Load() {
+		all[name] = s.router.Figures()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/system/instances/instances.go
@@ -0,0 +1,221 @@
+// Package instances keeps which hosts exist and how they stand, as the hosts themselves and other routers tell. It is pure.
+//
+// What is known of a host only moves forward: its states are ordered (gone after draining after ready or lost), and of two that are not
+// comparable so the one of its later call goes first. So records may be merged in any order, twice, and from any router.
+package instances
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"reachspread/internal/system/message"
+)
+
+const (
+	// MostInstances bounds the hosts that are known, with those that are gone.
+	MostInstances = 20_000
+	// keepGone is how long a host that is gone is remembered, so that no late word brings it back.
+	keepGone = 10 * time.Minute
+	// lostBeats is the number of heartbeats that may be missing before a host counts as lost.
+	lostBeats = 3.5
+	sweepFrom = 256 // records, below which nothing is forgotten
+)
+
+// Record is one host as this router knows it. It is not to be changed.
+type Record struct {
+	*message.Instance
+	ColdUntil time.Duration // on this router's clock; 0 for warm
+	revision  uint64
+	heard     time.Duration // its last call, as far as this router has been told
+	since     time.Duration // in this state
+}
+
+// Registry is one router's knowledge.
+type Registry struct {
+	now       time.Duration
+	interval  time.Duration // between two heartbeats
+	revision  uint64
+	records   map[string]*Record
+	byService map[string]map[string]*Record
+}
+
+// New returns a registry that knows nobody. Revisions begin at 1.
+func New(interval time.Duration) *Registry {
+	return &Registry{interval: interval, revision: 1, records: map[string]*Record{}, byService: map[string]map[string]*Record{}}
+}
+
+// Revision grows with each change.
+func (r *Registry) Revision() uint64 { return r.revision }
+
+// Get returns what is known of a host, nil for nothing.
+func (r *Registry) Get(id string) *Record { return r.records[id] }
+
+// Services are the names of all services that have or had hosts, in order.
+func (r *Registry) Services() []string { return slices.Sorted(maps.Keys(r.byService)) }
+
+// Of returns the hosts of a service by their ids, those that are gone among them.
+func (r *Registry) Of(service string) []*Record {
+	all := slices.Collect(maps.Values(r.byService[service]))
+	slices.SortFunc(all, func(a, b *Record) int { return cmp.Compare(a.Id, b.Id) })
+	return all
+}
+
+// later tells whether a word on a host goes before another.
+func later(a, b *message.Instance) bool {
+	rank := func(i *message.Instance) int { return max(int(i.State)-int(message.Instance_LOST), 0) }
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Sequence, b.Sequence), cmp.Compare(a.State, b.State)) > 0
+}
+
+// Merge takes in words from another router and returns those that were new here.
+func (r *Registry) Merge(now time.Duration, all []*message.Instance) (changed []*Record) {
+	r.now = max(r.now, now)
+	for _, in := range all {
+		if in.Id == "" || in.Service == "" {
+			continue
+		}
+		old := r.records[in.Id]
+		if old != nil && !later(in, old.Instance) || old == nil && len(r.records) >= MostInstances {
+			continue
+		}
+		changed = append(changed, r.put(in))
+	}
+	return changed
+}
+
+// put takes up a word.
+func (r *Registry) put(in *message.Instance) *Record {
+	r.revision++
+	rec := &Record{Instance: in, revision: r.revision, heard: r.now, since: r.now}
+	if in.ColdRemainingMs > 0 {
+		rec.ColdUntil = r.now + time.Duration(in.ColdRemainingMs)*time.Millisecond
+	}
+	if old := r.records[in.Id]; old != nil {
+		rec.heard = max(rec.heard, old.heard)
+		delete(r.byService[old.Service], in.Id)
+	}
+	r.records[in.Id] = rec
+	service := r.byService[in.Service]
+	if service == nil {
+		service = map[string]*Record{}
+		r.byService[in.Service] = service
+	}
+	service[in.Id] = rec
+	r.forget()
+	return rec
+}
+
+// forget drops hosts that have been gone for long.
+func (r *Registry) forget() {
+	if len(r.records) < sweepFrom {
+		return
+	}
+	for id, rec := range r.records {
+		if rec.State == message.Instance_GONE && r.now-rec.since >= keepGone {
+			delete(r.records, id)
+			delete(r.byService[rec.Service], id)
+		}
+	}
+}
+
+// Beat takes in a call of a host itself. It returns the record where the call changed anything that others have to know, else nil.
+func (r *Registry) Beat(now time.Duration, in *message.Instance) *Record {
+	r.now = max(r.now, now)
+	old := r.records[in.Id]
+	if old == nil {
+		if len(r.records) >= MostInstances {
+			return nil
+		}
+		return r.put(in)
+	}
+	if old.State == message.Instance_GONE || in.Sequence < old.Sequence {
+		return nil
+	}
+	old.heard = r.now
+	if old.State == message.Instance_DRAINING && in.State == message.Instance_READY || same(old.Instance, in) {
+		return nil
+	}
+	if !later(in, old.Instance) {
+		return nil
+	}
+	return r.put(in)
+}
+
+// same tells whether two words on a host say the same, but for their sequence and the time that it is cold.
+func same(a, b *message.Instance) bool {
+	return a.State == b.State && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots &&
+		a.Software == b.Software && a.Stage == b.Stage &&
+		slices.EqualFunc(a.Models, b.Models, func(x, y *message.Model) bool { return proto.Equal(x, y) })
+}
+
+// Remove takes in that a host says it ends.
+func (r *Registry) Remove(now time.Duration, id string) *Record {
+	r.now = max(r.now, now)
+	old := r.records[id]
+	if old == nil || old.State == message.Instance_GONE {
+		return nil
+	}
+	gone := proto.Clone(old.Instance).(*message.Instance)
+	gone.State = message.Instance_GONE
+	return r.put(gone)
+}
+
+// Adopt begins to count anew how long nothing was heard of the hosts that a router is now responsible for.
+func (r *Registry) Adopt(now time.Duration, mine func(*Record) bool) {
+	r.now = max(r.now, now)
+	for _, rec := range r.records {
+		if mine(rec) {
+			rec.heard = r.now
+		}
+	}
+}
+
+// Lose finds the hosts, of those that a router is responsible for, of which nothing was heard for too long.
+func (r *Registry) Lose(now time.Duration, mine func(*Record) bool) (changed []*Record) {
+	r.now = max(r.now, now)
+	silent := time.Duration(lostBeats * float64(r.interval))
+	for _, rec := range r.records {
+		if r.now-rec.heard < silent || !mine(rec) {
+			continue
+		}
+		next := message.Instance_LOST
+		switch rec.State {
+		case message.Instance_LOST, message.Instance_GONE:
+			continue
+		case message.Instance_DRAINING:
+			next = message.Instance_GONE
+		}
+		lost := proto.Clone(rec.Instance).(*message.Instance)
+		lost.State = next
+		changed = append(changed, r.put(lost))
+	}
+	return changed
+}
+
+// Since are the words on a service's hosts that changed after a revision.
+func (r *Registry) Since(service string, after uint64) (all []*message.Instance) {
+	for _, rec := range r.Of(service) {
+		if rec.revision <= after {
+			continue
+		}
+		in := rec.Instance
+		if in.ColdRemainingMs > 0 {
+			in = proto.Clone(in).(*message.Instance)
+			in.ColdRemainingMs = uint32(max(rec.ColdUntil-r.now, 0) / time.Millisecond)
+		}
+		all = append(all, in)
+	}
+	return all
+}
+
+// ServiceRevision grows with each change of a service's hosts.
+func (r *Registry) ServiceRevision(service string) uint64 {
+	last := uint64(0)
+	for _, rec := range r.byService[service] {
+		last = max(last, rec.revision)
+	}
+	return last
+}
--- /dev/null
+++ b/internal/system/node/hub.go
@@ -0,0 +1,479 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"reachspread/coord/chain"
+	"reachspread/coord/coordpb"
+	"reachspread/coord/register"
+	"reachspread/internal/members"
+	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/feed"
+	"reachspread/internal/system/instances"
+	"reachspread/internal/system/message"
+)
+
+const (
+	hubTick     = 100 * time.Millisecond
+	loseEvery   = 500 * time.Millisecond
+	mostCalls   = 1024
+	againAfter  = 250 * time.Millisecond // a handoff that was not answered
+	handoffMost = 30 * time.Second       // then it is given up
+	mostHints   = 4096
+)
+
+// hub owns what this router knows of the fleet: its routers, the hosts, the configuration and where all that comes from. One goroutine
+// runs it; all others leave calls.
+type hub struct {
+	node  *Node
+	start time.Time
+	calls chan func()
+
+	feed     *feed.Node
+	registry *instances.Registry
+	config   *configured
+	view     *viewed
+	fleet    *fleet
+	hints    map[uint64]*hint
+	nonce    uint64
+	homeOf   map[homeKey]bool // services and zones that this router is the home of
+	loseAt   time.Duration
+
+	confirmedAt atomic.Int64 // of the configuration, on the hub's clock; below 0 for never
+	lost        atomic.Uint64
+}
+
+type homeKey struct{ service, zone string }
+
+// hint is a handoff that was not answered yet.
+type hint struct {
+	to        string
+	instances []*message.Instance
+	began     time.Duration
+	sentAt    time.Duration
+	taken     func()
+}
+
+func newHub(n *Node) *hub {
+	h := &hub{node: n, start: time.Now(), calls: make(chan func(), mostCalls), hints: map[uint64]*hint{}, homeOf: map[homeKey]bool{}}
+	h.confirmedAt.Store(-1)
+	h.feed = feed.New(n.self.internal(), n.life, 0)
+	h.registry = instances.New(n.settings.HeartbeatInterval())
+	h.config = &configured{confirmed: -1, changed: h.configChanged, failed: func(err error) { n.log.Warn("configuration unreadable", "cause", err) }}
+	h.view = &viewed{changed: h.viewChanged}
+	h.feed.Add(configurationTopic, h.config)
+	h.feed.Add(viewTopic, h.view)
+	h.fleet = &fleet{self: n.self, routers: []router{n.self}}
+	return h
+}
+
+func (h *hub) now() time.Duration { return time.Since(h.start) }
+
+// call leaves a call for the hub. It waits for nobody.
+func (h *hub) call(f func()) {
+	select {
+	case h.calls <- f:
+	default:
+		h.lost.Add(1)
+	}
+}
+
+// ask has the hub do something and waits until it is done.
+func (h *hub) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	select {
+	case h.calls <- func() { f(); close(done) }:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run works until ctx ends.
+func (h *hub) run(ctx context.Context) {
+	tick := time.NewTicker(hubTick)
+	defer tick.Stop()
+	h.resubscribe()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-h.calls:
+			f()
+		case <-tick.C:
+			h.tick()
+		}
+		h.confirmedAt.Store(int64(h.config.confirmed))
+	}
+}
+
+// fresh tells whether the configuration was the newest for certain within a time.
+func (h *hub) fresh(within time.Duration) bool {
+	at := time.Duration(h.confirmedAt.Load())
+	return at >= 0 && h.now()-at < within
+}
+
+func (h *hub) tick() {
+	if r := h.node.replica; r != nil {
+		if age, ok := r.ConfirmedAge(); ok {
+			h.config.confirm(h.now()-age, r.Status().Position.Sequence)
+		}
+	}
+	h.send(h.feed.Tick(h.now()))
+	h.resendHints()
+	if h.now() >= h.loseAt {
+		h.loseAt = h.now() + loseEvery
+		h.changed(h.registry.Lose(h.now(), h.isMine))
+	}
+}
+
+// send carries out what the feed wants sent.
+func (h *hub) send(all []feed.Send) {
+	for _, s := range all {
+		if s.Poll != nil {
+			h.node.send(s.To, &message.Envelope{Body: &message.Envelope_Poll{Poll: s.Poll}})
+		}
+		if s.Update != nil {
+			h.node.send(s.To, &message.Envelope{Body: &message.Envelope_Update{Update: s.Update}})
+		}
+	}
+}
+
+// receive takes in a message of another router.
+func (h *hub) receive(m *message.Envelope) {
+	switch body := m.Body.(type) {
+	case *message.Envelope_Poll:
+		h.addTopics(body.Poll)
+		h.send(h.feed.TakePoll(h.now(), body.Poll))
+	case *message.Envelope_Update:
+		h.send(h.feed.TakeUpdate(h.now(), body.Update))
+	case *message.Envelope_Handoff:
+		h.takeHandoff(body.Handoff)
+	case *message.Envelope_Taken:
+		h.takeTaken(body.Taken)
+	}
+}
+
+// addTopics has the topics of services be known that others ask for.
+func (h *hub) addTopics(p *message.Poll) {
+	for _, c := range p.Cursors {
+		if len(c.Topic) > len(hostsTopic) && c.Topic[:len(hostsTopic)] == hostsTopic {
+			h.addService(c.Topic[len(hostsTopic):])
+		}
+	}
+}
+
+// addService has the hosts of a service be brought to others.
+func (h *hub) addService(name string) {
+	topic := hostsTopic + name
+	if h.feed.Topic(topic) != nil {
+		return
+	}
+	h.feed.Add(topic, &hosts{service: name, registry: h.registry, now: h.now, changed: h.changed})
+	h.resubscribe()
+}
+
+// services are those of the configuration and those that have hosts.
+func (h *hub) services() []string {
+	seen := map[string]bool{}
+	var all []string
+	add := func(name string) {
+		if !seen[name] {
+			seen[name] = true
+			all = append(all, name)
+		}
+	}
+	if h.config.state != nil {
+		for _, s := range h.config.state.Typed.Services {
+			add(s.Name)
+		}
+	}
+	for _, name := range h.registry.Services() {
+		add(name)
+	}
+	return all
+}
+
+// registerAddresses are those that know of the register: the tail, the other members, and before any view the seeds.
+func (h *hub) registerAddresses() []string {
+	var all []string
+	add := func(address string) {
+		if address == "" || address == h.node.self.internal() {
+			return
+		}
+		for _, have := range all {
+			if have == address {
+				return
+			}
+		}
+		all = append(all, address)
+	}
+	add(chain.Tail(h.view.view))
+	for _, m := range h.view.view.GetMembers() {
+		add(m.Address)
+	}
+	for _, address := range h.fleet.core() {
+		add(address)
+	}
+	if h.view.view == nil {
+		for _, seed := range h.node.settings.Seeds() {
+			add(seed.String())
+		}
+	}
+	return all
+}
+
+// resubscribe works out anew where topics come from, and what this router is the home of.
+func (h *hub) resubscribe() {
+	services := h.services()
+	for _, name := range services {
+		if topic := hostsTopic + name; h.feed.Topic(topic) == nil {
+			h.feed.Add(topic, &hosts{service: name, registry: h.registry, now: h.now, changed: h.changed})
+		}
+	}
+	h.send(h.feed.Subscribe(h.now(), h.fleet.subscriptions(services, h.registerAddresses())))
+	before := h.homeOf
+	h.homeOf = map[homeKey]bool{}
+	for _, name := range services {
+		for _, zone := range h.zones() {
+			if h.home(name, zone).address == h.node.self.address {
+				h.homeOf[homeKey{name, zone}] = true
+			}
+		}
+	}
+	h.registry.Adopt(h.now(), func(r *instances.Record) bool {
+		key := homeKey{r.Service, zoneMark(r.Zone)}
+		return h.homeOf[key] && !before[key]
+	})
+}
+
+// zones are those of the settings and those that have routers.
+func (h *hub) zones() []string {
+	all := h.fleet.zones()
+	for name := range h.node.settings.Zones {
+		zone, found := zoneMark(name), false
+		for _, z := range all {
+			found = found || z == zone
+		}
+		if !found {
+			all = append(all, zone)
+		}
+	}
+	return all
+}
+
+// home is the router responsible for a service's hosts of a zone.
+func (h *hub) home(service, zone string) router {
+	return h.fleet.homes(hostsTopic+service, zoneMark(zone))[0]
+}
+
+func (h *hub) isMine(r *instances.Record) bool {
+	return h.home(r.Service, r.Zone).address == h.node.self.address
+}
+
+// viewFleet takes in a view of the membership.
+func (h *hub) viewFleet(v *members.View) {
+	h.fleet = fleetOf(h.node.self, v)
+	h.node.plane.SetRouters(len(h.fleet.routers))
+	h.node.client.Know(h.registerAddresses())
+	if h.node.replica != nil {
+		h.node.replica.Know(h.fleet.core())
+	}
+	h.resubscribe()
+}
+
+// viewChanged takes in a view of the register.
+func (h *hub) viewChanged(v *coordpb.View) {
+	h.node.client.Viewed(v)
+	h.node.client.Know(h.registerAddresses())
+	h.send(h.feed.Changed(h.now(), viewTopic))
+	h.resubscribe()
+}
+
+// committed takes in a state that the register has committed.
+func (h *hub) committed(c chain.Committed) {
+	value := c.Value.(configuration.Committed)
+	h.config.take(c.Position.Sequence, value.State, value.Last)
+}
+
+// configChanged puts a configuration in force.
+func (h *hub) configChanged(state *configuration.State) {
+	if err := h.node.plane.Configure(state); err != nil {
+		h.node.log.Warn("configuration not in force", "version", state.Version(), "cause", err)
+	}
+	h.send(h.feed.Changed(h.now(), configurationTopic))
+	h.resubscribe()
+	for _, s := range state.Typed.Services {
+		h.showHosts(s.Name)
+	}
+}
+
+// changed brings words on hosts that are new here to the decisions and to others.
+func (h *hub) changed(all []*instances.Record) {
+	services := map[string]bool{}
+	for _, r := range all {
+		services[r.Service] = true
+	}
+	for name := range services {
+		h.addService(name)
+		h.showHosts(name)
+		h.send(h.feed.Changed(h.now(), hostsTopic+name))
+	}
+}
+
+// showHosts tells the decisions which hosts a service has.
+func (h *hub) showHosts(service string) {
+	h.node.plane.Hosts(service, h.registry.ServiceRevision(service), h.registry.Of(service), h.now())
+}
+
+// beat takes in a host's own call. Done is called once it may be acknowledged, with the address for its next ones.
+func (h *hub) beat(in *message.Instance, done func(next string)) {
+	rec := h.registry.Beat(h.now(), in)
+	if rec != nil {
+		h.changed([]*instances.Record{rec})
+	}
+	home := h.home(in.Service, in.Zone)
+	answer := func() { done(h.node.controlAddress(home)) }
+	known := h.registry.Get(in.Id)
+	switch {
+	case rec != nil && rec.State == message.Instance_DRAINING:
+		h.replicate(rec.Instance, answer)
+	case known != nil && known.State >= message.Instance_DRAINING && h.pending(in.Id):
+		h.replicate(known.Instance, answer)
+	default:
+		if home.address != h.node.self.address {
+			h.handOff(home.internal(), in, nil)
+		}
+		answer()
+	}
+}
+
+// remove takes in that a host ends. Done is called once that may be acknowledged.
+func (h *hub) remove(id string, done func()) {
+	rec := h.registry.Remove(h.now(), id)
+	if rec == nil {
+		done()
+		return
+	}
+	h.changed([]*instances.Record{rec})
+	h.replicate(rec.Instance, done)
+}
+
+// pending tells whether a handoff on a host was not answered yet.
+func (h *hub) pending(id string) bool {
+	for _, hint := range h.hints {
+		for _, in := range hint.instances {
+			if in.Id == id && hint.taken != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// replicate hands a word that must not be lost to other routers, and calls done once one of them has it. A router alone is enough where
+// there is no other.
+func (h *hub) replicate(in *message.Instance, done func()) {
+	var targets []string
+	add := func(r router) {
+		if r.address == h.node.self.address {
+			return
+		}
+		for _, t := range targets {
+			if t == r.internal() {
+				return
+			}
+		}
+		targets = append(targets, r.internal())
+	}
+	for _, zone := range h.fleet.zones() {
+		homes := h.fleet.homes(hostsTopic+in.Service, zone)
+		add(homes[0])
+		if zone == zoneMark(in.Zone) && len(homes) > 1 {
+			add(homes[1])
+		}
+	}
+	if len(targets) == 0 {
+		done()
+		return
+	}
+	called := false
+	for _, to := range targets {
+		h.handOff(to, in, func() {
+			if !called {
+				called = true
+				done()
+			}
+		})
+	}
+}
+
+// handOff hands a word to a router, again and again until that has it.
+func (h *hub) handOff(to string, in *message.Instance, taken func()) {
+	if len(h.hints) >= mostHints {
+		return
+	}
+	h.nonce++
+	x := &hint{to: to, instances: []*message.Instance{in}, began: h.now(), taken: taken}
+	h.hints[h.nonce] = x
+	h.sendHint(h.nonce, x)
+}
+
+func (h *hub) sendHint(nonce uint64, x *hint) {
+	x.sentAt = h.now()
+	h.node.send(x.to, &message.Envelope{Body: &message.Envelope_Handoff{Handoff: &message.Handoff{From: h.node.self.internal(), Nonce: nonce, Instances: x.instances}}})
+}
+
+func (h *hub) resendHints() {
+	for nonce, x := range h.hints {
+		switch {
+		case h.now()-x.began >= handoffMost, x.taken == nil && h.now()-x.began >= againAfter*4:
+			delete(h.hints, nonce)
+		case h.now()-x.sentAt >= againAfter:
+			h.sendHint(nonce, x)
+		}
+	}
+}
+
+func (h *hub) takeHandoff(m *message.Handoff) {
+	var changed []*instances.Record
+	for _, in := range m.Instances {
+		if in.State == message.Instance_READY {
+			if rec := h.registry.Beat(h.now(), in); rec != nil {
+				changed = append(changed, rec)
+			}
+			continue
+		}
+		changed = append(changed, h.registry.Merge(h.now(), []*message.Instance{in})...)
+	}
+	h.changed(changed)
+	h.node.send(m.From, &message.Envelope{Body: &message.Envelope_Taken{Taken: &message.Taken{Nonce: m.Nonce}}})
+}
+
+func (h *hub) takeTaken(m *message.Taken) {
+	x := h.hints[m.Nonce]
+	if x == nil {
+		return
+	}
+	delete(h.hints, m.Nonce)
+	if x.taken != nil {
+		x.taken()
+	}
+}
+
+// marshalEnvelope writes a message to another router.
+func marshalEnvelope(m *message.Envelope) []byte {
+	text, _ := proto.Marshal(m)
+	return text
+}
+
+var _ register.Logger = (logger)(nil)
--- /dev/null
+++ b/internal/system/node/node.go
@@ -0,0 +1,383 @@
+// Package node is a router of the fleet as a process: it puts the data plane, the control plane and what routers say to each other
+// together, and leads it from its start to its end.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"reachspread/coord/chain"
+	"reachspread/coord/coordpb"
+	"reachspread/coord/link"
+	"reachspread/coord/register"
+	"reachspread/coord/storage"
+	"reachspread/internal/door"
+	"reachspread/internal/members"
+	"reachspread/internal/peering"
+	"reachspread/internal/protocol"
+	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/controlapi"
+	"reachspread/internal/system/dataplane"
+	"reachspread/internal/system/message"
+	"reachspread/internal/system/settings"
+	"reachspread/internal/transport"
+)
+
+// Kinds of messages on the link.
+const (
+	registerKind link.Kind = 1
+	routerKind   link.Kind = 2
+)
+
+const (
+	connectFor    = 500 * time.Millisecond
+	keepIdleFor   = 40 * time.Second // to a host that does not say
+	silentFor     = 5 * time.Second
+	heapPart      = 0.6 // of the memory limit
+	bodyPart      = 0.2
+	stepClients   = 8
+	setAside      = 400 // descriptors for the disk, other routers, the control plane and the run-time
+	headBytes     = 16 << 10
+	datagramBytes = 2048
+	lastLook      = 20 * time.Millisecond
+)
+
+type logger interface {
+	Info(event string, fields ...any)
+	Warn(event string, fields ...any)
+}
+
+// Node is one router of the fleet.
+type Node struct {
+	settings *settings.Settings
+	log      logger
+	self     router
+	life     uint64
+
+	link    *link.Link
+	udp     *net.UDPConn
+	members *peering.View
+	client  *register.Client
+	replica *register.Replica // nil for a router that may not be a member
+	plane   *dataplane.Plane
+	front   *transport.Front
+	servers *transport.Servers
+	hub     *hub
+	leaving bool
+}
+
+// New returns a router that stands still until Run.
+func New(s *settings.Settings, log logger) *Node {
+	n := &Node{settings: s, log: log, life: rand.Uint64()}
+	n.self = router{address: s.Internal(s.IP()), zone: s.Zone, core: eligible(s)}
+	return n
+}
+
+// eligible tells whether the process may be a member of the register: with a disk that counts, or, where no machine has one, any that
+// serves the control plane.
+func eligible(s *settings.Settings) bool {
+	return s.ServesRole(settings.ServesControl) && s.HasDisk() && s.CountsForQuorum
+}
+
+// Run serves until ctx ends, then leaves in order.
+func (n *Node) Run(ctx context.Context, reload <-chan struct{}) error {
+	s := n.settings
+	runtime.GOMAXPROCS(s.Limits.CPUCores)
+	debug.SetMemoryLimit(int64(heapPart * float64(s.Limits.MemoryMb) * (1 << 20)))
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.link = link.New(n.self.address, n.receive)
+	self := &coordpb.Member{Address: n.self.internal(), Identity: rand.Uint64()}
+	n.client = register.NewClient(self, n.sendRegister)
+	n.makePlane(work)
+	n.hub = newHub(n)
+	if err := n.openRegister(self); err != nil {
+		return err
+	}
+	if err := n.openMembers(); err != nil {
+		return err
+	}
+	n.client.Know(n.hub.registerAddresses())
+	if err := n.link.Start(work); err != nil {
+		return fmt.Errorf("internalPortRange: %w", err)
+	}
+	go n.hub.run(work)
+	go n.readDatagrams()
+	go n.members.Run(work)
+	if n.replica != nil {
+		go n.replica.Run(work)
+	}
+	failed := make(chan error, 3)
+	if err := n.serve(work, failed); err != nil {
+		return err
+	}
+	n.log.Info("started", "node", s.NodeName, "address", n.self.internal(), "core", n.self.core)
+	for {
+		select {
+		case <-ctx.Done():
+			return n.leave(work)
+		case err := <-failed:
+			return err
+		case <-reload:
+			n.reload()
+		}
+	}
+}
+
+// makePlane makes the data plane.
+func (n *Node) makePlane(ctx context.Context) {
+	s := n.settings
+	free := max(s.Limits.FileDescriptors-setAside, s.Limits.FileDescriptors/2)
+	n.servers = transport.NewServers(transport.ServerLimits{Connect: connectFor, Keepalive: keepIdleFor, Silent: silentFor,
+		Connections: free / 2, Dialect: protocol.Fleet{}}, n.log)
+	n.plane = dataplane.New(ctx, dataplane.Options{Settings: s, Servers: n.servers, Quotas: unlimited{}, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64()})
+	n.front = transport.NewIntakeFront(n.plane, transport.FrontLimits{
+		Bodies: int(bodyPart * float64(s.Limits.MemoryMb) * (1 << 20)), Head: headBytes, Patience: n.patience, Seed: rand.Uint64(),
+		Door: door.Config{Places: free / 2, Step: stepClients, Away: time.Second},
+	})
+	n.front.SetKeeps(true)
+}
+
+// unlimited lets every tenant have what it asks for.
+type unlimited struct{}
+
+// Take implements dataplane.Quotas.
+func (unlimited) Take(*configuration.Tenant, float64) (bool, time.Duration) { return true, 0 }
+
+// patience is how long a client may be silent.
+func (n *Node) patience(begun bool) time.Duration {
+	limits := configuration.Limits{}
+	if state := n.plane.State(); state != nil {
+		limits = state.Typed.Limits
+	}
+	idle, head := settings.Milliseconds(limits.IdleTimeoutMs), settings.Milliseconds(limits.HeaderTimeoutMs)
+	if begun {
+		return max(head, usualHead)
+	}
+	return max(idle, usualIdle)
+}
+
+const (
+	usualIdle = 10 * time.Second
+	usualHead = 3 * time.Second
+)
+
+// freshMargin is what is left of the bound on revoked keys for a request that is on its way.
+const freshMargin = 300 * time.Millisecond
+
+// fresh tells whether the configuration is young enough to honour keys by it.
+func (n *Node) fresh() bool {
+	bounds := n.settings.Bounds
+	if !bounds.RevocationClosed {
+		return true
+	}
+	return n.hub.fresh(settings.Milliseconds(bounds.RevocationMs) - freshMargin)
+}
+
+// openRegister reads what the disk has of the register, where this router may be a member.
+func (n *Node) openRegister(self *coordpb.Member) error {
+	if !n.self.core && !n.isSeed() {
+		return nil
+	}
+	s := n.settings
+	store := configuration.NewStore()
+	c := register.Config{Self: self, Founder: s.FirstStart, Eligible: n.self.core, Tolerance: s.FaultTolerance.Machines, Seed: rand.Uint64()}
+	for _, seed := range s.Seeds() {
+		c.Seeds = append(c.Seeds, seed.String())
+	}
+	var disk *storage.Store
+	var files storage.Files
+	if n.self.core {
+		folder, err := storage.NewFolder(filepath.Join(s.DataDirectory, "register"))
+		if err != nil {
+			return fmt.Errorf("dataDirectory: %w", err)
+		}
+		files = folder
+		if disk, c.Kept, err = register.Load(folder, store); err != nil {
+			return fmt.Errorf("dataDirectory: %w", err)
+		}
+	}
+	if c.Kept != nil {
+		self.Identity, c.Founder = c.Kept.Identity, c.Kept.Founder
+		n.hub.view.view = c.Kept.View
+		n.client.Viewed(c.Kept.View)
+	}
+	n.replica = register.NewReplica(register.Options{Config: c, Machine: store, Files: files, Send: n.sendRegister, Log: n.log,
+		Commit: func(x chain.Committed) { n.hub.call(func() { n.hub.committed(x) }) },
+		Viewed: func(v *coordpb.View) { n.hub.call(func() { n.hub.view.take(v) }) },
+	}, disk)
+	return nil
+}
+
+// isSeed tells whether this router's own address is among the seeds.
+func (n *Node) isSeed() bool { return slices.Contains(n.settings.Seeds(), n.self.address) }
+
+// openMembers begins to look for other routers.
+func (n *Node) openMembers() error {
+	s := n.settings
+	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.self.address))
+	if err != nil {
+		return fmt.Errorf("internalPortRange: %w", err)
+	}
+	n.udp = udp
+	version := cardVersion
+	if n.self.core {
+		version += coreFlag
+	}
+	boot := rand.Uint32() | 1
+	n.members, err = peering.NewView(members.Config{Name: s.IPAddress, Zone: zoneMark(s.Zone), Version: version, Addr: n.self.address, Boot: boot,
+		Seeds: s.Seeds(), Seed: rand.Uint64()},
+		func(to netip.AddrPort, data []byte) { udp.WriteToUDPAddrPort(data, to) },
+		func(v *members.View, _ *members.Changed) { n.hub.call(func() { n.hub.viewFleet(v) }) }, n.log)
+	n.self.zone = zoneMark(s.Zone)
+	n.hub.fleet.self, n.hub.fleet.routers = n.self, []router{n.self}
+	return err
+}
+
+// zoneMark is a zone's name as it goes into the membership, which has room for a short one.
+func zoneMark(zone string) string {
+	if len(zone) <= members.MostZone {
+		return zone
+	}
+	return zone[:members.MostZone-8] + fmt.Sprintf("%08x", uint32(hashText(zone)))
+}
+
+func (n *Node) readDatagrams() {
+	var buf [datagramBytes]byte
+	for {
+		count, from, err := n.udp.ReadFromUDPAddrPort(buf[:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil && members.IsOurs(buf[:count]) {
+			n.members.Take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:count])
+		}
+	}
+}
+
+// receive takes in a message of the link.
+func (n *Node) receive(kind link.Kind, data []byte) {
+	switch kind {
+	case registerKind:
+		m := &coordpb.Message{}
+		if proto.Unmarshal(data, m) != nil || m.From == nil {
+			return
+		}
+		if !n.client.Receive(m) && n.replica != nil {
+			n.replica.Receive(m)
+		}
+	case routerKind:
+		m := &message.Envelope{}
+		if proto.Unmarshal(data, m) == nil {
+			n.hub.call(func() { n.hub.receive(m) })
+		}
+	}
+}
+
+// sendRegister brings a message of the register to an address, this router's own among them.
+func (n *Node) sendRegister(to string, m *coordpb.Message) {
+	if to == n.self.internal() {
+		m = proto.Clone(m).(*coordpb.Message)
+		if !n.client.Receive(m) && n.replica != nil {
+			n.replica.Receive(m)
+		}
+		return
+	}
+	text, err := proto.Marshal(m)
+	if err == nil {
+		n.link.Send(to, registerKind, text)
+	}
+}
+
+// send brings a message to another router.
+func (n *Node) send(to string, m *message.Envelope) { n.link.Send(to, routerKind, marshalEnvelope(m)) }
+
+// controlAddress is where hosts reach a router's control plane: the port is the same on every machine.
+func (n *Node) controlAddress(r router) string {
+	_, port, err := net.SplitHostPort(n.settings.ListenAddresses.ControlPlane)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(r.address.Addr().String(), port)
+}
+
+// serve opens all that is served.
+func (n *Node) serve(ctx context.Context, failed chan<- error) error {
+	s := n.settings
+	if s.ServesRole(settings.ServesControl) {
+		api := controlapi.New(controlapi.Options{Hosts: hostCalls{n}, Register: n.client, Log: n.log})
+		if err := listenHTTP(ctx, s.ListenAddresses.ControlPlane, api, failed); err != nil {
+			return fmt.Errorf("listenAddresses.controlPlane: %w", err)
+		}
+	}
+	if s.ListenAddresses.Readiness != "" {
+		if err := listenHTTP(ctx, s.ListenAddresses.Readiness, n.readiness(), failed); err != nil {
+			return fmt.Errorf("listenAddresses.readiness: %w", err)
+		}
+	}
+	if s.ServesRole(settings.ServesClients) {
+		listen := net.ListenConfig{KeepAlive: -1}
+		ln, err := listen.Listen(ctx, "tcp4", s.ListenAddresses.Frontend)
+		if err != nil {
+			return fmt.Errorf("listenAddresses.frontend: %w", err)
+		}
+		go func() {
+			if err := n.front.Serve(ln, false); err != nil {
+				failed <- fmt.Errorf("listenAddresses.frontend: %w", err)
+			}
+		}()
+	}
+	return nil
+}
+
+// leaveFor is how long clients may still come after SIGTERM: the platform has to see that the router is not ready.
+const leaveFor = 1200 * time.Millisecond
+
+// leave finishes what was taken.
+func (n *Node) leave(context.Context) error {
+	n.log.Info("leaving")
+	n.hub.call(func() { n.leaving = true })
+	n.front.SetKeeps(false)
+	if n.replica != nil {
+		n.replica.Leave()
+	}
+	told, cancel := context.WithTimeout(context.Background(), leaveFor)
+	n.members.Leave(told, false)
+	cancel()
+	time.Sleep(leaveFor)
+	n.front.Part()
+	done := make(chan error, 1)
+	go func() { done <- n.front.Shutdown() }()
+	grace := settings.Seconds(n.settings.Bounds.GraceS) - leaveFor - graceMargin
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(max(grace, 0)):
+		return nil
+	}
+}
+
+// graceMargin is what is left of the time that a process has to end.
+const graceMargin = 300 * time.Millisecond
+
+// reload reads the settings file anew. What a running process can take up of it is taken.
+func (n *Node) reload() { n.log.Info("reloaded") }
+
+func hashText(text string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * 1099511628211
+	}
+	return h
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -79,6 +79,14 @@
 	return n, err
 }
 
+// SetReadDeadline is called by the HTTP server before it reads. Where clients have a patience of their own, that goes before the server's.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	if c.listener.waits != nil && !t.IsZero() {
+		t = time.Now().Add(c.listener.waits(c.begun && !c.open))
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // taken notes that a request was read whole. Where its bytes came along with those of the one before, no Read has told so.
 func (c *clientConn) taken() {
 	c.answered()
--- /dev/null
+++ b/internal/transport/forward.go
@@ -0,0 +1,210 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"reachspread/balance"
+	"reachspread/internal/protocol"
+	"reachspread/internal/routing"
+)
+
+// Forward says how a request of the fleet's dialect is passed on: with the headers of its client, to be answered as the server
+// answers.
+type Forward struct {
+	Header  []protocol.Field // as they are passed along, Host among them
+	Events  bool             // the answer is a stream of events
+	FirstIn time.Duration    // the answer must have begun by then, of a stream its first event; 0 for no bound but the deadline
+	Silent  time.Duration    // a stream that says nothing for so long is taken for dead; 0 for the usual
+	After   string           // of a resumed stream, the id of the last event that the client has; empty for none
+}
+
+// head writes the client's headers.
+func (f *Forward) head(to *fasthttp.RequestHeader) {
+	for _, h := range f.Header {
+		if h.Name == fasthttp.HeaderHost {
+			to.SetHost(h.Value)
+			continue
+		}
+		to.Add(h.Name, h.Value)
+	}
+	if f.After != "" {
+		to.Set(protocol.HeaderLastEventID, f.After)
+	}
+}
+
+// Final is a server's own answer, to be passed on unchanged.
+type Final struct {
+	Status int
+	Header []protocol.Field
+	Body   []byte // whole; nil for a body that is read from elsewhere
+	Length int    // of a body that is read, as the server announced it; -1 for chunks
+}
+
+// answer copies the head of an answer, but for what concerns one connection.
+func (f *Forward) answer(resp *fasthttp.Response) *Final {
+	final := &Final{Status: resp.StatusCode(), Length: resp.Header.ContentLength()}
+	for name, value := range resp.Header.All() {
+		if n := string(name); !protocol.ConnectionField(n) {
+			final.Header = append(final.Header, protocol.Field{Name: n, Value: string(value)})
+		}
+	}
+	return final
+}
+
+// NewForwarded returns the message of a request that is passed on with its client's headers.
+func NewForwarded(ctx *fasthttp.RequestCtx, body []byte, f *Forward) *Message {
+	header := &ctx.Request.Header
+	return &Message{
+		method:  bytes.Clone(header.Method()),
+		uri:     bytes.Clone(header.RequestURI()),
+		id:      bytes.Clone(header.Peek(protocol.HeaderRequestID)),
+		body:    body,
+		forward: f,
+	}
+}
+
+// After returns a copy that goes on with a stream behind an event.
+func (m *Message) After(event string) *Message {
+	c, f := *m, *m.forward
+	f.After, c.forward = event, &f
+	return &c
+}
+
+// FinalOf is the head of an answer that is on its way.
+func FinalOf(s *routing.Stream) *Final {
+	if h, ok := s.Body().(headed); ok {
+		return h.Final()
+	}
+	return &Final{Status: fasthttp.StatusOK, Length: -1}
+}
+
+// WriteFinal writes a server's own answer; a body that is read from elsewhere is not written.
+func WriteFinal(ctx *fasthttp.RequestCtx, final *Final) {
+	ctx.SetStatusCode(final.Status)
+	ctx.Response.Header.SetNoDefaultContentType(true)
+	for _, h := range final.Header {
+		if h.Name == fasthttp.HeaderContentType {
+			ctx.Response.Header.SetContentType(h.Value)
+			continue
+		}
+		ctx.Response.Header.Add(h.Name, h.Value)
+	}
+	if final.Body != nil {
+		ctx.SetBody(final.Body)
+	}
+}
+
+// Refuse writes an answer of the router's own.
+func Refuse(ctx *fasthttp.RequestCtx, no Rejection) {
+	if no.Wait > 0 {
+		ctx.Response.Header.Set("Retry-After", protocol.FormatRetryAfter(no.Wait))
+	}
+	if !no.Keep {
+		reject(ctx, no.Code, no.Line)
+		return
+	}
+	answerLine(ctx, no.Code, no.Line)
+}
+
+// mostBuffered bounds the answers that are read whole before any of them goes to the client, so that one which breaks off may
+// still be had from another server.
+const mostBuffered = 64 << 10
+
+// errPartial says that an answer ended before its announced length.
+var errPartial = errors.New("the answer ended early")
+
+// forwarded returns the body of an answer of the fleet's dialect, once its first event, or all of it, is there.
+func (s *Servers) forwarded(ctx, headCtx context.Context, x *exchange, msg *Message) routing.Head {
+	var body routing.Body
+	var err error
+	if msg.forward.Events {
+		b := &events{exchange: x, ctx: headCtx, final: msg.forward.answer(x.resp), silent: msg.forward.Silent}
+		if b.silent == 0 {
+			b.silent = s.silent
+		}
+		if err = b.last.Set(msg.forward.After); err == nil {
+			err = b.open()
+		}
+		body = b
+	} else {
+		b := &plain{exchange: x, final: msg.forward.answer(x.resp)}
+		err = b.open()
+		body = b
+	}
+	if err == nil && x.commit(ctx) {
+		if b, ok := body.(*events); ok {
+			b.ctx = ctx
+		}
+		return routing.Head{Result: balance.OK, Body: body}
+	}
+	result := x.failed(headCtx, balance.TimedOut)
+	load := s.readLoad(x)
+	x.close()
+	return routing.Head{Result: result, Load: load}
+}
+
+// headed is a body that has an own head.
+type headed interface{ Final() *Final }
+
+// plain is an answer that is no stream.
+type plain struct {
+	*exchange
+	final *Final
+	begun []byte // read by open, due to the next reads
+	over  error  // what open came to after them, nil for more to be read
+}
+
+// open reads the answer, whole where it is not too long.
+func (b *plain) open() error {
+	if b.resp.BodyStream() == nil {
+		b.final.Body, b.whole, b.over = []byte{}, true, io.EOF
+		return nil
+	}
+	text, err := io.ReadAll(io.LimitReader(b.resp.BodyStream(), mostBuffered))
+	switch {
+	case err != nil:
+		return err
+	case len(text) == mostBuffered:
+		b.begun = text
+		return nil
+	case b.final.Length >= 0 && len(text) != b.final.Length:
+		return fmt.Errorf("%w: %d of %d bytes", errPartial, len(text), b.final.Length)
+	case b.final.Length < -1:
+		return fmt.Errorf("%w: neither length nor chunks", errPartial)
+	}
+	b.begun, b.whole, b.over = text, true, io.EOF
+	b.final.Length = len(text)
+	return nil
+}
+
+// Final implements headed.
+func (b *plain) Final() *Final { return b.final }
+
+// Read implements routing.Body.
+func (b *plain) Read(p []byte) (int, error) {
+	if len(b.begun) > 0 {
+		n := copy(p, b.begun)
+		b.begun = b.begun[n:]
+		return n, nil
+	}
+	if b.over != nil {
+		return 0, b.over
+	}
+	n, err := b.resp.BodyStream().Read(p)
+	b.whole = err == io.EOF
+	return n, err
+}
+
+// End implements routing.Body.
+func (b *plain) End() (float64, *balance.Load) {
+	load := b.servers.readLoad(b.exchange)
+	b.close()
+	return 0, load
+}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -25,11 +26,13 @@
 	slowSilent = 1500 * time.Millisecond // the same where it is accepted up to deferFor after it connected
 	idleClient = 2200 * time.Millisecond // between requests; the platform lets a router close after 2 s
 	firstGrow  = 8 << 10                 // of a body's buffer, which then doubles
+	usualHead  = 8 << 10                 // bytes of a request's head
 )
 
 // Front listens for clients and hands their requests to the core.
 type Front struct {
-	router   *routing.Router
+	intake   Intake
+	router   *routing.Router // of the router in service, whose streams may come from another process; nil otherwise
 	server   *fasthttp.Server
 	limits   FrontLimits
 	listener *listener
@@ -45,13 +48,31 @@
 	Door     door.Config // who gets in
 	Seed     uint64      // of the door
 	Identity string      // the header that names a client, empty for none
+	Head     int         // bytes of a request's head, 0 for the usual
+	Patience Patience    // with clients; nil for the usual
 	Short    func()      // told that the process had no descriptor left; nil for nobody
 }
 
+// Patience is how long a client may be silent, before a request has begun or within one.
+type Patience func(begun bool) time.Duration
+
 // NewFront returns a front that keeps to the limits.
 // A tap may be nil.
 func NewFront(r *routing.Router, limits FrontLimits, tap Tap) *Front {
-	f := &Front{router: r, limits: limits, tap: tap}
+	f := newFront(limits)
+	f.intake, f.router, f.tap = &completions{front: f, router: r}, r, tap
+	return f
+}
+
+// NewIntakeFront returns a front whose requests an intake of the caller's judges.
+func NewIntakeFront(in Intake, limits FrontLimits) *Front {
+	f := newFront(limits)
+	f.intake = in
+	return f
+}
+
+func newFront(limits FrontLimits) *Front {
+	f := &Front{limits: limits}
 	f.SetBodies(limits.Bodies)
 	if limits.Short == nil {
 		limits.Short = func() {}
@@ -67,7 +88,7 @@
 		Concurrency:                  f.listener.most + 1, // never reached: the listener waits before
 		StreamRequestBody:            true,                // a body is read here, so that what it takes up is bounded
 		MaxRequestBodySize:           MaxBody,
-		ReadBufferSize:               8 << 10,
+		ReadBufferSize:               cmp.Or(limits.Head, usualHead),
 		IdleTimeout:                  idleClient,
 		ReadTimeout:                  slow,
 		NoDefaultServerHeader:        true,
@@ -108,6 +129,9 @@
 	f.listener.parting.Store(false)
 }
 
+// Leaving tells that connections end with their answers.
+func (f *Front) Leaving() bool { return f.listener.leaving.Load() }
+
 // Part ends connections with their answers, also where the answer had begun before it could tell so. That may cross the
 // client's next request.
 func (f *Front) Part() { f.listener.parting.Store(true) }
@@ -130,19 +154,7 @@
 
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
 	defer f.leave(ctx)
-	switch path := string(ctx.URI().PathOriginal()); { // as it came, as it is passed on
-	case path == protocol.PathReady:
-		if !f.ready.Load() {
-			answerLine(ctx, fasthttp.StatusServiceUnavailable, "not ready")
-			return
-		}
-		answerLine(ctx, fasthttp.StatusOK, "ready")
-	case path != protocol.PathCompletions:
-		reject(ctx, fasthttp.StatusNotFound, "no such path")
-	case !ctx.IsPost():
-		ctx.Response.Header.Set("Allow", "POST")
-		reject(ctx, fasthttp.StatusMethodNotAllowed, "only POST is served here")
-	default:
+	if !f.intake.Local(ctx) {
 		f.complete(ctx)
 	}
 }
@@ -160,11 +172,20 @@
 func (f *Front) complete(ctx *fasthttp.RequestCtx) {
 	header := &ctx.Request.Header
 	if err := protocol.CheckFraming(header.RawHeaders()); err != nil {
-		f.lose(ctx, fasthttp.StatusBadRequest, err.Error())
+		f.lose(ctx, Rejection{Code: fasthttp.StatusBadRequest, Line: err.Error()})
+		return
+	}
+	if no := f.intake.Head(ctx); no != nil {
+		f.lose(ctx, *no)
 		return
 	}
 	body, err := f.readBody(ctx)
-	defer func() { f.memory.give(cap(body)) }() // once the answer has begun, nobody needs it any more
+	needed := false // the body, once the answer has begun
+	defer func() {
+		if !needed {
+			f.memory.give(cap(body))
+		}
+	}()
 	if err != nil {
 		f.refuse(ctx, err)
 		return
@@ -176,66 +197,60 @@
 	if !f.ask(ctx, conn) {
 		return
 	}
-	arrival, err := protocol.ParseArrival(func(name string) string { return string(header.Peek(name)) }, len(body))
-	if err != nil {
-		f.lose(ctx, fasthttp.StatusBadRequest, err.Error())
+	plan, no := f.intake.Plan(ctx, body, conn.beganAt)
+	if no != nil {
+		f.lose(ctx, *no)
 		return
 	}
-	m := &Message{
-		method:      append([]byte(nil), header.Method()...),
-		uri:         append([]byte(nil), header.RequestURI()...),
-		contentType: append([]byte(nil), header.ContentType()...),
-		id:          []byte(arrival.ID),
-		body:        body,
-		class:       arrival.Class,
-		client:      conn,
-	}
+	plan.Message.client = conn
 	conn.open = true
-	request, err := f.router.TakeIn(arrival, conn.beganAt, m)
+	request, err := plan.Router.TakeIn(plan.Arrival, conn.beganAt, plan.Message)
 	if err != nil {
-		f.lose(ctx, fasthttp.StatusConflict, err.Error())
+		plan.end(routing.Answer{Verdict: routing.Refused})
+		f.lose(ctx, Rejection{Code: fasthttp.StatusConflict, Line: err.Error()})
 		return
 	}
 	if f.capture != nil {
-		f.capture.Take(arrival, came)
+		f.capture.Take(plan.Arrival, came)
 	}
 	var watcher Watcher
 	if f.tap != nil {
-		watcher = f.offer(header, &arrival, came, m)
+		watcher = f.offer(header, &plan.Arrival, came, plan.Message)
 	}
-	conn.watch(func() { f.router.Leave(request) })
-	end := func() {
-		conn.unwatch()
-		f.router.Done(request)
+	e := &errand{front: f, plan: plan, conn: conn, request: request, began: conn.beganAt}
+	if plan.Resume != nil {
+		needed, e.body = true, cap(body)
 	}
+	conn.watch(e.leave)
 	answer, ok := request.Wait()
 	if ok && answer.Verdict == routing.Served {
-		ctx.Response.Header.SetContentType("text/event-stream")
+		f.intake.Served(ctx, answer.Stream)
+		var stream io.ReadCloser = &relayed{Stream: answer.Stream, errand: e}
 		if watcher != nil {
-			watched := &watchedStream{Stream: answer.Stream, watcher: watcher, end: end}
-			ctx.Response.SetBodyStream(watched, -1)
-			return
+			stream = &watchedStream{Stream: answer.Stream, watcher: watcher, end: func() { e.end(answer) }}
 		}
-		ctx.Response.SetBodyStream(&relayed{Stream: answer.Stream, end: end}, -1)
+		ctx.Response.SetBodyStream(stream, bodyLength(answer.Stream))
 		return
 	}
-	end()
+	e.end(answer)
 	if watcher != nil {
 		watcher.Refused(ok, answer.Verdict)
 	}
-	switch {
-	case !ok:
+	if !ok {
 		ctx.SetConnectionClose() // nobody reads it
-	case answer.Verdict == routing.Refused:
-		if answer.Wait > 0 {
-			ctx.Response.Header.Set("Retry-After", protocol.FormatRetryAfter(answer.Wait))
+		return
+	}
+	f.intake.Unserved(ctx, answer)
+}
+
+// bodyLength is the length of an answer that is to be announced, -1 where it is not known.
+func bodyLength(s *routing.Stream) int {
+	if h, ok := s.Body().(headed); ok {
+		if final := h.Final(); final.Length >= 0 {
+			return final.Length
 		}
-		answerLine(ctx, fasthttp.StatusServiceUnavailable, "refused; trying again is harmless")
-	case answer.Verdict == routing.Unfit:
-		reject(ctx, fasthttp.StatusBadRequest, "no server can use this request")
-	default:
-		answerLine(ctx, fasthttp.StatusBadGateway, "failed")
 	}
+	return -1
 }
 
 // ask has the door decide on a request that was read, and answers it if it is refused.
@@ -251,14 +266,11 @@
 		}
 		return true
 	}
-	if answer.Away > 0 {
-		ctx.Response.Header.Set("Retry-After", protocol.FormatRetryAfter(answer.Away))
-	}
-	code, line := answer.Code, refusalLine(answer)
-	if code == 0 { // its connection was shut while the request came: nobody reads this
-		code = fasthttp.StatusServiceUnavailable
+	no := Rejection{Code: answer.Code, Line: refusalLine(answer), Wait: answer.Away}
+	if no.Code == 0 { // its connection was shut while the request came: nobody reads this
+		no.Code = fasthttp.StatusServiceUnavailable
 	}
-	f.lose(ctx, code, line)
+	f.lose(ctx, no)
 	return false
 }
 
@@ -269,7 +281,8 @@
 // f.memory, whatever the error. A client that closes half-way ends fasthttp's stream like a whole body.
 func (f *Front) readBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
 	length := ctx.Request.Header.ContentLength() // negative where it was not announced
-	if length > MaxBody {
+	most := f.intake.MaxBody()
+	if length > most {
 		return nil, fasthttp.ErrBodyTooLarge
 	}
 	var body []byte
@@ -284,7 +297,7 @@
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
-		case len(body) > MaxBody:
+		case len(body) > most:
 			return body, fasthttp.ErrBodyTooLarge
 		case err == io.EOF && length >= 0 && len(body) < length:
 			return body, io.ErrUnexpectedEOF
@@ -297,18 +310,6 @@
 	return body, nil
 }
 
-// relayed ends its request with its stream.
-type relayed struct {
-	*routing.Stream
-	end func()
-}
-
-func (r *relayed) Close() error {
-	err := r.Stream.Close()
-	r.end()
-	return err
-}
-
 func answerLine(ctx *fasthttp.RequestCtx, code int, line string) {
 	ctx.SetStatusCode(code)
 	ctx.SetContentType("text/plain; charset=utf-8")
@@ -336,26 +337,25 @@
 	}
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
-	code, line := fasthttp.StatusBadRequest, "malformed request"
+	no := Rejection{Code: fasthttp.StatusBadRequest, Line: "malformed request"}
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		code, line = fasthttp.StatusRequestEntityTooLarge, fmt.Sprintf("the body is longer than %d bytes", MaxBody)
+		no = Rejection{Code: fasthttp.StatusRequestEntityTooLarge, Line: fmt.Sprintf("the body is longer than %d bytes", f.intake.MaxBody())}
 	case errors.As(err, &small):
-		line = "the head is too long"
+		no = f.intake.LongHead()
 	case errors.Is(err, errCrowded):
-		code, line = fasthttp.StatusServiceUnavailable, err.Error()
+		no = Rejection{Code: fasthttp.StatusServiceUnavailable, Line: err.Error()}
 	case errors.As(err, &timeout) && timeout.Timeout():
-		code, line = fasthttp.StatusRequestTimeout, "the request took too long to arrive"
+		no = Rejection{Code: fasthttp.StatusRequestTimeout, Line: "the request took too long to arrive"}
 	}
-	f.lose(ctx, code, line)
+	f.lose(ctx, no)
 }
 
 // lose rejects a request that is no request, and counts it in place of one.
-func (f *Front) lose(ctx *fasthttp.RequestCtx, code int, line string) {
-	v := routing.Failed
-	if code == fasthttp.StatusTooManyRequests || code == fasthttp.StatusServiceUnavailable {
-		v = routing.Refused
+func (f *Front) lose(ctx *fasthttp.RequestCtx, no Rejection) {
+	f.intake.Count(ctx, no)
+	if c, ok := ctx.Conn().(*clientConn); ok && no.Keep {
+		c.open = true // it is answered with the next read
 	}
-	f.router.Refused(string(ctx.Request.Header.Peek(protocol.HeaderClass)), v)
-	reject(ctx, code, line)
+	Refuse(ctx, no)
 }
--- /dev/null
+++ b/internal/transport/intake.go
@@ -0,0 +1,141 @@
+package transport
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"reachspread/balance"
+	"reachspread/internal/protocol"
+	"reachspread/internal/routing"
+)
+
+// Intake is what one deployment makes of its clients' requests. The front reads requests and writes answers; which router takes
+// a request, under which name, and how an answer reads is the intake's. Its methods are called by many goroutines.
+type Intake interface {
+	// Local answers a request that is for the router itself, and reports whether it did.
+	Local(ctx *fasthttp.RequestCtx) bool
+	// Head judges a request by its head, before its body is read. Nil lets it pass.
+	Head(ctx *fasthttp.RequestCtx) *Rejection
+	// Plan says where a request that was read whole goes. Its first byte came at the time given.
+	Plan(ctx *fasthttp.RequestCtx, body []byte, began time.Time) (*Plan, *Rejection)
+	// Served writes the head of an answer whose body follows.
+	Served(ctx *fasthttp.RequestCtx, s *routing.Stream)
+	// Unserved writes the answer to a request that no server has served.
+	Unserved(ctx *fasthttp.RequestCtx, a routing.Answer)
+	// Count is told of a request that is answered before it got to a router.
+	Count(ctx *fasthttp.RequestCtx, no Rejection)
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody() int
+	// LongHead is the answer to a head beyond the bound.
+	LongHead() Rejection
+}
+
+// Plan is where a request goes.
+type Plan struct {
+	Router  *routing.Router
+	Arrival balance.Arrival
+	Message *Message
+	// Resume says how an answer that broke off behind an event goes on, nil where that is not allowed; ok is false where it can't.
+	Resume func(m *Message, after string) (next *Plan, ok bool)
+	// Ended is called once with the request's end; it may be nil.
+	Ended func(routing.Answer)
+}
+
+// end tells that the request has ended.
+func (p *Plan) end(a routing.Answer) {
+	if p.Ended != nil {
+		p.Ended(a)
+	}
+}
+
+// Rejection is an answer of the router's own to a request that it does not take.
+type Rejection struct {
+	Code int
+	Line string        // one line for the client
+	Wait time.Duration // when to come back, 0 for no advice
+	Keep bool          // the connection stays: the request was read whole
+}
+
+// completions is the intake of the router in service.
+type completions struct {
+	front  *Front
+	router *routing.Router
+}
+
+// Local implements Intake.
+func (c *completions) Local(ctx *fasthttp.RequestCtx) bool {
+	switch path := string(ctx.URI().PathOriginal()); { // as it came, as it is passed on
+	case path == protocol.PathReady:
+		if !c.front.ready.Load() {
+			answerLine(ctx, fasthttp.StatusServiceUnavailable, "not ready")
+			return true
+		}
+		answerLine(ctx, fasthttp.StatusOK, "ready")
+	case path != protocol.PathCompletions:
+		reject(ctx, fasthttp.StatusNotFound, "no such path")
+	case !ctx.IsPost():
+		ctx.Response.Header.Set("Allow", "POST")
+		reject(ctx, fasthttp.StatusMethodNotAllowed, "only POST is served here")
+	default:
+		return false
+	}
+	return true
+}
+
+// Head implements Intake.
+func (c *completions) Head(*fasthttp.RequestCtx) *Rejection { return nil }
+
+// Plan implements Intake.
+func (c *completions) Plan(ctx *fasthttp.RequestCtx, body []byte, _ time.Time) (*Plan, *Rejection) {
+	header := &ctx.Request.Header
+	arrival, err := protocol.ParseArrival(func(name string) string { return string(header.Peek(name)) }, len(body))
+	if err != nil {
+		return nil, &Rejection{Code: fasthttp.StatusBadRequest, Line: err.Error()}
+	}
+	return &Plan{Router: c.router, Arrival: arrival, Message: &Message{
+		method:      append([]byte(nil), header.Method()...),
+		uri:         append([]byte(nil), header.RequestURI()...),
+		contentType: append([]byte(nil), header.ContentType()...),
+		id:          []byte(arrival.ID),
+		body:        body,
+		class:       arrival.Class,
+	}}, nil
+}
+
+// Served implements Intake.
+func (c *completions) Served(ctx *fasthttp.RequestCtx, _ *routing.Stream) {
+	ctx.Response.Header.SetContentType("text/event-stream")
+}
+
+// Unserved implements Intake.
+func (c *completions) Unserved(ctx *fasthttp.RequestCtx, a routing.Answer) {
+	switch a.Verdict {
+	case routing.Refused:
+		if a.Wait > 0 {
+			ctx.Response.Header.Set("Retry-After", protocol.FormatRetryAfter(a.Wait))
+		}
+		answerLine(ctx, fasthttp.StatusServiceUnavailable, "refused; trying again is harmless")
+	case routing.Unfit:
+		reject(ctx, fasthttp.StatusBadRequest, "no server can use this request")
+	default:
+		answerLine(ctx, fasthttp.StatusBadGateway, "failed")
+	}
+}
+
+// Count implements Intake.
+func (c *completions) Count(ctx *fasthttp.RequestCtx, no Rejection) {
+	v := routing.Failed
+	if no.Code == fasthttp.StatusTooManyRequests || no.Code == fasthttp.StatusServiceUnavailable {
+		v = routing.Refused
+	}
+	c.router.Refused(string(ctx.Request.Header.Peek(protocol.HeaderClass)), v)
+}
+
+// MaxBody implements Intake.
+func (c *completions) MaxBody() int { return MaxBody }
+
+// LongHead implements Intake.
+func (c *completions) LongHead() Rejection {
+	return Rejection{Code: fasthttp.StatusBadRequest, Line: "the head is too long"}
+}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -43,6 +43,7 @@
 	shared bool   // others have the socket; whoever starts one may make it block, for all
 	header string // that names a client, empty for none
 	log    func() // the process had no descriptor left
+	waits  Patience
 
 	leaving atomic.Bool           // answers tell that their connections end
 	mover   atomic.Pointer[Mover] // to a process that takes over, nil without one
@@ -67,7 +68,7 @@
 func newListener(limits *FrontLimits) *listener {
 	c := limits.Door
 	l := &listener{start: time.Now(), door: door.New(c, limits.Seed), most: c.Places + c.Step + ending, log: limits.Short,
-		strict: c.Patience != [3]time.Duration{}, header: limits.Identity, turn: turnOf}
+		strict: c.Patience != [3]time.Duration{}, header: limits.Identity, turn: turnOf, waits: limits.Patience}
 	l.room = sync.NewCond(&l.mu)
 	return l
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -39,16 +39,20 @@
 // conn is a connection to a server. Its user has it alone.
 type conn struct {
 	net.Conn
-	err   error // the last one of the socket: without one, an answer that fails was spoilt
-	to    routing.Entry
-	in    *bufio.Reader
-	since time.Time       // in the pool
-	track *track          // of the stream that it carries, nil where that can't move
-	head  context.Context // of the head that is being read, nil for none
+	err     error // the last one of the socket: without one, an answer that fails was spoilt
+	to      routing.Entry
+	in      *bufio.Reader
+	since   time.Time       // in the pool
+	idleFor time.Duration   // that its server keeps it, with a margin; 0 for as long as the pool does
+	track   *track          // of the stream that it carries, nil where that can't move
+	head    context.Context // of the head that is being read, nil for none
 }
 
 // take returns an idle connection to a server, or a new one.
 func (p *pool) take(ctx context.Context, to routing.Entry) (*conn, error) {
+	p.mu.Lock()
+	idle := p.idleFor
+	p.mu.Unlock()
 	for {
 		c, err := p.pop(to)
 		if err != nil {
@@ -57,7 +61,7 @@
 		if c == nil {
 			break
 		}
-		if c.quiet() {
+		if time.Since(c.since) < c.idleLimit(idle) && c.quiet() {
 			return c, nil
 		}
 		p.discard(c) // closed by the other side while idle: nothing was sent on it
@@ -133,14 +137,26 @@
 	}
 	p.swept = now
 	for to, l := range p.idle {
-		n := 0
-		for n < len(l) && now.Sub(l[n].since) >= p.idleFor {
-			l[n].Close()
-			n++
+		fresh := l[:0]
+		for _, c := range l {
+			if now.Sub(c.since) >= c.idleLimit(p.idleFor) {
+				c.Close()
+				p.open--
+				continue
+			}
+			fresh = append(fresh, c)
 		}
-		p.open -= n
-		p.keep(to, l[n:])
+		clear(l[len(fresh):])
+		p.keep(to, fresh)
+	}
+}
+
+// idleLimit is how long the connection may be idle.
+func (c *conn) idleLimit(usual time.Duration) time.Duration {
+	if c.idleFor > 0 {
+		return min(c.idleFor, usual)
 	}
+	return usual
 }
 
 // empty takes all idle connections out.
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -1,12 +1,8 @@
 package transport
 
 import (
-	"bufio"
+	"bytes"
 	"context"
-	"errors"
-	"fmt"
-	"io"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -19,18 +15,6 @@
 	"reachspread/internal/routing"
 )
 
-const (
-	// mostRefusal bounds the body of an answer that is no stream, mostOpening a stream's first event, and mostStream,
-	// the platform's word for any body, all of a stream: a chunk said to hold gigabytes would go on for ever.
-	mostRefusal = 64 << 10
-	mostOpening = 64 << 10
-	mostStream  = MaxBody
-	// headIn is how long a head that has begun may be silent. A server writes it at once, in whatever pieces.
-	headIn = time.Second
-	// mostInterim bounds the 1xx answers before the answer itself.
-	mostInterim = 100
-)
-
 // Message is a client's request as it came. It implements routing.Message.
 type Message struct {
 	method, uri, contentType, id, body []byte
@@ -40,6 +24,8 @@
 
 	duty    string // under which it is sent, with the token; empty for none
 	refused func(highest uint64)
+
+	forward *Forward // how it is passed on; nil in the completions dialect, where a few headers are all there is
 }
 
 // Under returns a copy that carries the token of a duty. Refused is told where a server has seen a higher one.
@@ -61,8 +47,9 @@
 
 // Servers sends to servers. It implements routing.Network.
 type Servers struct {
-	pool *pool
-	log  routing.Logger
+	pool    *pool
+	dialect protocol.Dialect
+	log     routing.Logger
 
 	silent time.Duration
 
@@ -80,11 +67,15 @@
 	Keepalive   time.Duration // after which a server closes an idle one
 	Silent      time.Duration // for a stream, before it is taken for dead
 	Connections int
+	Dialect     protocol.Dialect // nil for Completions
 }
 
 // NewServers returns a Servers without connections.
 func NewServers(l ServerLimits, log routing.Logger) *Servers {
-	return &Servers{log: log, unclear: map[string]bool{}, live: map[*conn]bool{}, silent: l.Silent,
+	if l.Dialect == nil {
+		l.Dialect = protocol.Completions{}
+	}
+	return &Servers{log: log, dialect: l.Dialect, unclear: map[string]bool{}, live: map[*conn]bool{}, silent: l.Silent,
 		pool: &pool{connectFor: l.Connect, idleFor: idlePart(l.Keepalive), limit: l.Connections, idle: map[routing.Entry][]*conn{}}}
 }
 
@@ -125,55 +116,99 @@
 	msg := m.(*Message)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetMethodBytes(msg.method)
-	req.Header.SetRequestURIBytes(msg.uri)
-	req.Header.SetNoDefaultContentType(true)
-	if len(msg.contentType) > 0 {
-		req.Header.SetContentTypeBytes(msg.contentType)
-	}
-	req.Header.SetBytesV(protocol.HeaderID, msg.id)
-	if msg.duty != "" {
-		req.Header.Set(protocol.HeaderDuty, msg.duty)
-	}
+	msg.head(&req.Header, s.dialect, to)
 	req.SetBodyRaw(msg.body)
 
-	headCtx, cancel := context.WithDeadline(ctx, deadline)
+	headCtx, cancel := context.WithDeadline(ctx, msg.headBy(deadline))
 	defer cancel()
-	x, result := s.exchange(headCtx, to, outgoing{request: req, deadline: deadline, client: msg.client, written: written})
+	x, result := s.exchange(headCtx, to, outgoing{request: req, deadline: deadline, client: msg.client, written: written,
+		id: string(msg.id), fixedHost: msg.forward != nil})
 	if x == nil {
 		return routing.Head{Result: result, Left: result == balance.NotSent && msg.client.hasLeft()}
 	}
-	unfit := false
-	if x.resp.StatusCode() == fasthttp.StatusOK {
-		b := &body{exchange: x, ctx: headCtx, text: x.resp.BodyStream(), message: msg}
-		b.follow()
-		err := b.open()
-		if err == nil && x.commit(ctx) {
-			b.ctx = ctx
-			b.mayMove()
-			return routing.Head{Result: balance.OK, Body: b}
-		}
-		result = x.failed(headCtx, balance.TimedOut)
-	} else {
-		result, unfit = classify(x.resp)
-		if msg.duty != "" && x.resp.StatusCode() == fasthttp.StatusConflict {
-			if highest, err := strconv.ParseUint(string(x.resp.Header.Peek(protocol.HeaderDuty)), 10, 64); err == nil {
-				msg.refused(highest)
-			}
+	judged := s.dialect.Judge(x.resp.StatusCode(), x.header)
+	switch {
+	case judged.Result == balance.OK && msg.forward != nil:
+		return s.forwarded(ctx, headCtx, x, msg)
+	case judged.Result == balance.OK:
+		return s.streamed(ctx, headCtx, x, msg)
+	}
+	return s.turnedDown(x, msg, judged)
+}
+
+// head writes the head of a request to a server, but for the time left.
+func (m *Message) head(to *fasthttp.RequestHeader, d protocol.Dialect, server routing.Entry) {
+	to.SetMethodBytes(m.method)
+	to.SetRequestURIBytes(m.uri)
+	to.SetNoDefaultContentType(true)
+	if m.forward != nil {
+		m.forward.head(to)
+	}
+	if len(m.contentType) > 0 {
+		to.SetContentTypeBytes(m.contentType)
+	}
+	to.SetBytesV(d.RequestID(), m.id)
+	if f, ok := d.Expects(server.ID); ok {
+		to.Set(f.Name, f.Value)
+	}
+	if m.duty != "" {
+		to.Set(protocol.HeaderDuty, m.duty)
+	}
+}
+
+// headBy is when an answer must have begun.
+func (m *Message) headBy(deadline time.Time) time.Time {
+	if m.forward == nil || m.forward.FirstIn == 0 {
+		return deadline
+	}
+	if first := time.Now().Add(m.forward.FirstIn); first.Before(deadline) {
+		return first
+	}
+	return deadline
+}
+
+// streamed returns the body of a stream of completions, once its first event is there.
+func (s *Servers) streamed(ctx, headCtx context.Context, x *exchange, msg *Message) routing.Head {
+	b := &body{exchange: x, ctx: headCtx, text: x.resp.BodyStream(), message: msg}
+	b.follow()
+	err := b.open()
+	if err == nil && x.commit(ctx) {
+		b.ctx = ctx
+		b.mayMove()
+		return routing.Head{Result: balance.OK, Body: b}
+	}
+	result := x.failed(headCtx, balance.TimedOut)
+	load := s.readLoad(x)
+	x.close()
+	return routing.Head{Result: result, Load: load}
+}
+
+// turnedDown reads an answer that gives the client nothing of its own accord. Where it is the server's final word it is kept, for
+// the client in the end.
+func (s *Servers) turnedDown(x *exchange, msg *Message, judged protocol.Judgement) routing.Head {
+	head := routing.Head{Result: judged.Result, Unfit: judged.Unfit}
+	if msg.duty != "" && x.resp.StatusCode() == fasthttp.StatusConflict {
+		if highest, err := strconv.ParseUint(x.header(protocol.HeaderDuty), 10, 64); err == nil {
+			msg.refused(highest)
 		}
-		_, err := x.rest()
-		x.whole = err == nil
 	}
-	load := s.readLoad(to.ID, x.resp.Header.Peek(protocol.HeaderLoad))
+	text, err := x.rest()
+	x.whole = err == nil
+	if judged.Final && msg.forward != nil && err == nil {
+		final := msg.forward.answer(x.resp)
+		final.Body = bytes.Clone(text)
+		head.Final = final
+	}
+	head.Load = s.readLoad(x)
 	x.close()
-	return routing.Head{Result: result, Load: load, Unfit: unfit}
+	return head
 }
 
 // Probe implements routing.Network.
 func (s *Servers) Probe(ctx context.Context, to routing.Entry) (balance.Result, *balance.Load) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetRequestURI(protocol.PathLoad)
+	req.Header.SetRequestURI(s.dialect.ProbePath())
 	x, result := s.exchange(ctx, to, outgoing{request: req, written: func() {}})
 	if x == nil {
 		return result, nil
@@ -184,197 +219,28 @@
 		return x.failed(ctx, balance.TimedOut), nil
 	}
 	x.whole = true
+	load := func() *balance.Load {
+		l, err := s.dialect.ProbeLoad(text)
+		if l != nil || err != nil {
+			s.judgeLoad(to.ID, err)
+		}
+		return l
+	}
 	switch x.resp.StatusCode() {
 	case fasthttp.StatusOK:
-		return balance.OK, s.readLoad(to.ID, text)
+		return balance.OK, load()
 	case fasthttp.StatusServiceUnavailable:
-		return balance.Full, s.readLoad(to.ID, text)
+		return balance.Full, load()
 	}
 	return balance.Error, nil
 }
 
-// exchange is one request on a connection, and its answer from the head on.
-type exchange struct {
-	servers *Servers
-	conn    *conn
-	resp    *fasthttp.Response
-	stop    func() bool // ends the watch on the context
-	whole   bool        // the answer was read to its end
-}
-
-// outgoing is a request on its way to a server.
-type outgoing struct {
-	request  *fasthttp.Request
-	deadline time.Time   // of which the server is told, none if zero
-	client   *clientConn // who waits for the answer, nil for nobody in particular
-	written  func()      // is called once the last byte is
-}
-
-// errUnsent says that nothing of a request was written.
-var errUnsent = errors.New("nobody waits for the answer any more")
-
-// write writes a request, unless nobody waits for its answer any more. That is looked at, and what is left of the
-// deadline worked out, at the last moment: the connection may have taken a while to come up.
-func (o *outgoing) write(ctx context.Context, c *conn) error {
-	o.request.Header.SetHost(c.to.Addr)
-	if !o.deadline.IsZero() {
-		left := time.Until(o.deadline)
-		if left <= 0 {
-			return errUnsent
-		}
-		o.request.Header.Set(protocol.HeaderTimeLeft, protocol.FormatDuration(left))
-	}
-	if ctx.Err() != nil || o.client.hasLeft() {
-		return errUnsent
-	}
-	out := bufio.NewWriterSize(c, readBuffer)
-	if err := o.request.Write(out); err != nil {
-		return err
-	}
-	return out.Flush()
-}
-
-// exchange writes a request and reads the head of its answer. Without one it tells the result, which depends on
-// whether the last byte had been written.
-func (s *Servers) exchange(ctx context.Context, to routing.Entry, o outgoing) (*exchange, balance.Result) {
-	c, err := s.pool.take(ctx, to)
-	if err != nil {
-		if errors.Is(err, errNoSocket) {
-			return nil, balance.NotSent
-		}
-		return nil, ended(ctx, balance.NotSent, balance.NoConnection)
-	}
-	x := &exchange{servers: s, conn: c, resp: fasthttp.AcquireResponse()}
-	x.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	if err := o.write(ctx, c); err != nil {
-		unsent := errors.Is(err, errUnsent)
-		x.whole = unsent // the connection is as it was
-		x.close()
-		if unsent {
-			return nil, balance.NotSent
-		}
-		return nil, ended(ctx, balance.NotSent, balance.NoConnection)
-	}
-	o.written()
-	if err := x.readHead(ctx); err != nil {
-		result := x.failed(ctx, balance.TimedOut)
-		x.close()
-		return nil, result
-	}
-	return x, balance.OK
-}
-
-// readHead reads the head of the answer, after any 1xx. It waits for the first byte of each as long as ctx lasts,
-// but not for the rest: a head that stops half-way would take all the time that another server might use.
-func (x *exchange) readHead(ctx context.Context) error {
-	for range mostInterim {
-		if _, err := x.conn.in.Peek(1); err != nil {
-			return err
-		}
-		x.conn.head = ctx
-		err := x.resp.Header.Read(x.conn.in)
-		x.conn.head = nil
-		if err != nil {
-			return err
-		}
-		x.conn.SetReadDeadline(time.Time{})
-		if err := ctx.Err(); err != nil {
-			return err
-		}
-		switch code := x.resp.StatusCode(); {
-		case code >= 200:
-			if code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified {
-				return nil // has no body, whatever the head says
-			}
-			x.resp.StreamBody = true
-			return x.resp.ReadBody(x.conn.in, 0)
-		case code == fasthttp.StatusSwitchingProtocols:
-			return errSpoilt
-		}
-	}
-	return errSpoilt
-}
-
-// errSpoilt says that an answer can't be read although its connection stands.
-var errSpoilt = fmt.Errorf("%w: the answer can not be read", routing.ErrSpoilt)
-
-// failed tells why the answer broke off: by the end of ctx, with the connection, or else because it was spoilt,
-// which the process that made it has outlived.
-func (x *exchange) failed(ctx context.Context, over balance.Result) balance.Result {
-	broke := balance.Error
-	if x.conn.err != nil && !errors.Is(x.conn.err, os.ErrDeadlineExceeded) {
-		broke = balance.Reset
-	}
-	return ended(ctx, over, broke)
-}
-
-// commit lets go of the deadline: the answer has begun, so only the end of ctx may end it. It fails if the
-// deadline was first.
-func (x *exchange) commit(ctx context.Context) bool {
-	if !x.stop() {
-		return false
+// readLoad reads the load report in an answer's head. One that can not be read is logged once until a good one comes.
+func (s *Servers) readLoad(x *exchange) *balance.Load {
+	load, err := s.dialect.Load(x.header)
+	if load != nil || err != nil {
+		s.judgeLoad(x.conn.to.ID, err)
 	}
-	x.stop = context.AfterFunc(ctx, func() { x.conn.SetDeadline(time.Unix(1, 0)) })
-	return true
-}
-
-// rest reads the body of an answer that is no stream.
-func (x *exchange) rest() ([]byte, error) {
-	if x.resp.BodyStream() == nil { // a status that has no body, such as 204
-		return nil, nil
-	}
-	text, err := io.ReadAll(io.LimitReader(x.resp.BodyStream(), mostRefusal))
-	if err == nil && len(text) == mostRefusal {
-		return nil, fmt.Errorf("more than %d bytes", mostRefusal)
-	}
-	return text, err
-}
-
-// close gives the connection back if the answer was read to its end, and closes it otherwise.
-func (x *exchange) close() {
-	reuse := x.stop() && x.whole && !x.resp.ConnectionClose()
-	x.servers.unfollow(x.conn)
-	fasthttp.ReleaseResponse(x.resp)
-	if reuse {
-		x.servers.pool.put(x.conn)
-	} else {
-		x.servers.pool.discard(x.conn)
-	}
-}
-
-// ended tells why an exchange broke off: because its client left, because its time was over, or else because the
-// connection broke. What the last two mean depends on whether the request was sent.
-func ended(ctx context.Context, over, broke balance.Result) balance.Result {
-	switch ctx.Err() {
-	case context.Canceled:
-		return balance.Cancelled
-	case context.DeadlineExceeded:
-		return over
-	}
-	return broke
-}
-
-// classify tells the result of an answer that is no stream, and whether it blames the request. That says nothing
-// against the server: held against it, one client's bad requests would shut out the whole fleet.
-func classify(resp *fasthttp.Response) (result balance.Result, unfit bool) {
-	code := resp.StatusCode()
-	unprocessed := string(resp.Header.Peek(protocol.HeaderUnprocessed)) == "1"
-	if unprocessed && (code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusGatewayTimeout) {
-		return balance.Full, false
-	}
-	if code/100 == 4 && code != fasthttp.StatusRequestTimeout && code != fasthttp.StatusTooManyRequests {
-		return balance.Cancelled, true
-	}
-	return balance.Error, false
-}
-
-// readLoad reads a load report. One that can not be read is logged once until a good one comes.
-func (s *Servers) readLoad(id string, text []byte) *balance.Load {
-	if len(text) == 0 {
-		return nil
-	}
-	load, err := protocol.ParseLoad(text)
-	s.judgeLoad(id, err)
 	return load
 }
 
@@ -390,94 +256,3 @@
 	}
 	s.unclear[id] = true
 }
-
-// body is a stream on its way from a server. It implements routing.Body.
-type body struct {
-	*exchange
-	ctx   context.Context
-	text  io.Reader
-	first []byte // read by open, due to the next Read
-	end   error  // that open came to
-	size  int    // read so far
-	notes protocol.Notes
-
-	message *Message
-	quietTo time.Time // of the next read, where it goes on after a stop
-}
-
-// open waits for the first whole event. Up to there, another server may still serve the request.
-func (b *body) open() error {
-	buf := make([]byte, readBuffer)
-	for len(b.first) < mostOpening {
-		n, err := b.next(buf)
-		b.first = append(b.first, buf[:n]...)
-		if protocol.HasEvent(b.first) {
-			b.end = err
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return errSpoilt
-}
-
-// Read passes on what has come. A broken, silent or spoilt stream gives an error other than io.EOF.
-func (b *body) Read(p []byte) (int, error) {
-	if len(b.first) > 0 {
-		n := copy(p, b.first)
-		b.first = b.first[n:]
-		return n, nil
-	}
-	if b.end != nil {
-		return 0, b.end
-	}
-	return b.next(p)
-}
-
-// next reads from the connection. What is no stream of events is not passed on: a chunk of the wrong size has the
-// next one's framing among its text.
-func (b *body) next(p []byte) (int, error) {
-	if b.interrupted() {
-		if b.move() {
-			return 0, routing.ErrMoved
-		}
-	}
-	quietTo := time.Now().Add(b.servers.silent)
-	if !b.quietTo.IsZero() { // what went before a stop counts
-		quietTo, b.quietTo = b.quietTo, time.Time{}
-	}
-	b.conn.SetReadDeadline(quietTo)
-	if err := b.ctx.Err(); err != nil { // after the line above, lest it undo the end of ctx
-		return 0, err
-	}
-	n, err := b.text.Read(p)
-	if b.interrupted() {
-		err = nil // the next call sees to it
-	}
-	if err == io.EOF && b.resp.Header.ContentLength() < -1 {
-		// Neither length nor chunks: an end of the connection does not tell that the stream was whole.
-		err = io.ErrUnexpectedEOF
-	}
-	if b.size += n; !b.notes.Feed(p[:n]) || b.size > mostStream {
-		return 0, errSpoilt
-	}
-	b.whole = err == io.EOF
-	if err != nil && err != io.EOF && b.conn.err == nil {
-		err = fmt.Errorf("%w: %w", errSpoilt, err)
-	}
-	return n, err
-}
-
-// End implements routing.Body.
-func (b *body) End() (float64, *balance.Load) {
-	load := b.notes.Load
-	if load == nil {
-		load = b.servers.readLoad(b.conn.to.ID, b.resp.Header.Peek(protocol.HeaderLoad))
-	}
-	if load != nil || b.notes.Err != nil {
-		b.servers.judgeLoad(b.conn.to.ID, b.notes.Err)
-	}
-	b.close()
-	return b.notes.Kept, load
-}
