Quotas: granted by owners of shards under a lease and a fencing token

Limits are shared now by grants that expire; owners are members of the chain, by the view, and act only while a majority confirms their epoch.

--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -99,8 +99,9 @@
 	pending *coordpb.Append // at the head: the change that is on its way; elsewhere the last one passed on
 	pendAt  time.Duration
 
-	confirm confirming
-	waiting []waiting
+	confirm  confirming
+	answered map[string]time.Duration // when this process last confirmed its epoch to an address
+	waiting  []waiting
 }
 
 // New returns a replica whose machine has the state of a position.
@@ -108,7 +109,8 @@
 	if p == nil {
 		p = &coordpb.Position{}
 	}
-	return &Replica{self: self, machine: m, position: p, now: now, view: &coordpb.View{}, confirm: confirming{at: -1}}
+	return &Replica{self: self, machine: m, position: p, now: now, view: &coordpb.View{}, confirm: confirming{at: -1},
+		answered: map[string]time.Duration{}}
 }
 
 // Position is how far the state is. It is not to be changed.
@@ -184,7 +186,7 @@
 func (r *Replica) Begin(now time.Duration, v *coordpb.View) []Effect {
 	r.begin(now)
 	r.view, r.sealed, r.resumed, r.synced, r.downSynced, r.began, r.pending = v, false, false, false, false, r.now, nil
-	r.confirm = confirming{nonce: r.confirm.nonce, at: -1}
+	r.confirm, r.answered = confirming{nonce: r.confirm.nonce, at: -1}, map[string]time.Duration{}
 	r.dismiss()
 	if r.isHead() {
 		r.complete()
--- a/coord/chain/confirm.go
+++ b/coord/chain/confirm.go
@@ -40,6 +40,7 @@
 	for _, m := range r.view.Members {
 		if m.Identity == r.self.Identity {
 			c.answers[m.Address] = true
+			r.answered[m.Address] = r.now
 			continue
 		}
 		ask := &coordpb.Message{From: r.self, Body: &coordpb.Message_Confirm{Confirm: &coordpb.Confirm{Epoch: r.view.Epoch, Nonce: c.nonce}}}
@@ -54,7 +55,7 @@
 	if c.under && r.now >= c.asked+confirmFor {
 		c.under = false
 	}
-	if len(r.waiting) > 0 || r.Readable() && (c.at < 0 || r.now >= c.at+ConfirmEvery) {
+	if len(r.waiting) > 0 || !r.sealed && r.synced && r.index() >= 0 && (c.at < 0 || r.now >= c.at+ConfirmEvery) {
 		r.startConfirm()
 	}
 }
@@ -63,6 +64,7 @@
 	if c.Epoch != r.view.Epoch || r.sealed || view.MemberOf(r.view, r.self.Identity) == nil {
 		return
 	}
+	r.answered[from] = r.now
 	answer := &coordpb.Message{From: r.self, Body: &coordpb.Message_Confirmed{Confirmed: &coordpb.Confirmed{Epoch: c.Epoch, Nonce: c.Nonce}}}
 	r.do(Send{To: from, Message: answer, Informal: true})
 }
@@ -75,6 +77,16 @@
 	r.judgeConfirm()
 }
 
+// Answered is how long ago this process last confirmed its epoch, and to whom.
+func (r *Replica) Answered() (all []*coordpb.Answered) {
+	for _, m := range r.view.Members {
+		if at, ok := r.answered[m.Address]; ok {
+			all = append(all, &coordpb.Answered{Identity: m.Identity, AgeMs: uint64((r.now - at).Milliseconds())})
+		}
+	}
+	return all
+}
+
 // judgeConfirm ends a round that a majority has answered, and gives the replies that waited for it.
 func (r *Replica) judgeConfirm() {
 	c := &r.confirm
--- /dev/null
+++ b/coord/quota/quota.go
@@ -0,0 +1,197 @@
+// Package quota shares a limit on a rate among many processes: the owner of a key grants units to those who ask, each grant for a short
+// time. It is pure: no I/O, clock or goroutine.
+//
+// An Owner has a bucket for each key, which fills at the limit's rate; what it grants is gone from there, used or not. A Holder keeps
+// what one process was granted, until that expires. So in any span of time all holders together use no more than the bucket can give in
+// that span and in the life of a grant before it. Who the owner is, and that there is one at a time, is the caller's to see to.
+package quota
+
+import "time"
+
+const (
+	// richFrom is the share of a bucket from which on more is granted than is needed at once.
+	richFrom = 0.5
+	// richPart is the part of what is beyond that one asker gets.
+	richPart = 0.25
+	mostKeys = 65_536
+)
+
+// Limit bounds the use of one key.
+type Limit struct {
+	Rate  float64 // units a second
+	Burst float64 // units at once
+}
+
+// Ask is what a process wants of a key.
+type Ask struct {
+	Need     float64 // units without which it can't go on
+	Want     float64 // further ones, for what comes next
+	Returned float64 // units that it was granted, did not use, and will not
+}
+
+// Answer is what it gets.
+type Answer struct {
+	Granted float64       // Need and a part of Want, or 0
+	Wait    time.Duration // where Need is not granted: when it may be
+}
+
+// Owner has the buckets of the keys that one process is responsible for. Its zero value is ready.
+type Owner struct {
+	buckets map[string]*bucket
+}
+
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+// Serve answers an ask at a time. A bucket that was not there before begins empty: what an owner before granted is unknown.
+func (o *Owner) Serve(now time.Duration, key string, limit Limit, ask Ask) Answer {
+	if o.buckets == nil {
+		o.buckets = map[string]*bucket{}
+	}
+	b := o.buckets[key]
+	if b == nil {
+		if len(o.buckets) >= mostKeys {
+			clear(o.buckets) // each begins empty again, which grants less, never more
+		}
+		b = &bucket{at: now}
+		o.buckets[key] = b
+	}
+	b.tokens = min(b.tokens+limit.Rate*(now-b.at).Seconds()+max(ask.Returned, 0), limit.Burst)
+	b.at = now
+	if ask.Need > 0 && b.tokens <= 0 {
+		return Answer{Wait: wait(-b.tokens, limit.Rate)}
+	}
+	granted := max(ask.Need, 0)
+	if rich := b.tokens - granted - richFrom*limit.Burst; rich > 0 {
+		granted += min(max(ask.Want, 0), richPart*rich)
+	}
+	b.tokens -= granted // may fall below nothing: whoever asks for much is served as often as others
+	return Answer{Granted: granted}
+}
+
+func wait(units, rate float64) time.Duration {
+	const least = 50 * time.Millisecond
+	if rate <= 0 {
+		return time.Minute
+	}
+	return least + time.Duration(units/rate*float64(time.Second))
+}
+
+// Clear forgets all buckets: another process was the owner meanwhile.
+func (o *Owner) Clear() { clear(o.buckets) }
+
+// Holder keeps what one process was granted of one key.
+type Holder struct {
+	Life time.Duration // of a grant
+
+	grants []grant // the oldest first
+	used   float64 // units a second, of late
+	at     time.Duration
+}
+
+type grant struct {
+	units float64
+	until time.Duration
+}
+
+const (
+	usageSpan = 2.0 // seconds over which use is averaged
+	ahead     = 0.4 // seconds of use that are held in advance
+	lowest    = 0.5 // of that, below which more is asked for
+	oldPart   = 0.4 // of a grant's life, that is left when what is unused goes back
+)
+
+// Held is how many units may be used now.
+func (h *Holder) Held(now time.Duration) float64 {
+	for len(h.grants) > 0 && h.grants[0].until <= now {
+		h.grants = h.grants[1:]
+	}
+	sum := 0.0
+	for _, g := range h.grants {
+		sum += g.units
+	}
+	return sum
+}
+
+// Take uses units, if so many are held.
+func (h *Holder) Take(now time.Duration, units float64) bool {
+	if h.Held(now) < units {
+		return false
+	}
+	h.fade(now)
+	h.used += units / usageSpan
+	for units > 0 && len(h.grants) > 0 { // a sum of parts may be short of them by a rounding error
+		g := &h.grants[0]
+		if g.units > units {
+			g.units -= units
+			break
+		}
+		units -= g.units
+		h.grants = h.grants[1:]
+	}
+	return true
+}
+
+// fade lets what was used long ago count less.
+func (h *Holder) fade(now time.Duration) {
+	if passed := (now - h.at).Seconds(); passed > 0 {
+		h.used *= max(1-passed/usageSpan, 0)
+		h.at = now
+	}
+}
+
+// Missing is what is to be asked for: what is needed now, and what will be. Ok is false where nothing is.
+func (h *Holder) Missing(now time.Duration, need float64) (ask Ask, ok bool) {
+	h.fade(now)
+	held, target := h.Held(now), ahead*h.used
+	if need > 0 {
+		return Ask{Need: need - held, Want: target}, true
+	}
+	if held >= lowest*target {
+		return ask, false
+	}
+	return Ask{Want: target - held}, true
+}
+
+// Grant takes in units that were asked for at a time.
+func (h *Holder) Grant(asked time.Duration, units float64) {
+	if units > 0 {
+		h.grants = append(h.grants, grant{units, asked + h.Life})
+	}
+}
+
+// Return takes out what will not be used before it expires, to be given back.
+func (h *Holder) Return(now time.Duration) (units float64) {
+	h.fade(now)
+	spare := h.Held(now) - ahead*h.used
+	for len(h.grants) > 0 && spare > 0 {
+		g := &h.grants[0]
+		if g.until-now > time.Duration(oldPart*float64(h.Life)) {
+			break
+		}
+		back := min(g.units, spare)
+		units, spare, g.units = units+back, spare-back, g.units-back
+		if g.units > 0 {
+			break
+		}
+		h.grants = h.grants[1:]
+	}
+	return units
+}
+
+// Life is how long a grant may last, so that the use of all stays within a bound: in a window, the limit's rate and burst with an
+// overshoot, and some slack.
+func Life(l Limit, window time.Duration, overshoot, slack float64) time.Duration {
+	const (
+		part     = 0.6 // of what the bound leaves; the rest is for requests on their way and for what falls below nothing
+		shortest = 200 * time.Millisecond
+		longest  = 3 * time.Second
+	)
+	if l.Rate <= 0 {
+		return shortest
+	}
+	spare := overshoot*(l.Rate*window.Seconds()+l.Burst) + slack
+	return min(max(time.Duration(part*spare/l.Rate*float64(time.Second)), shortest), longest)
+}
--- a/coord/register/replica.go
+++ b/coord/register/replica.go
@@ -13,6 +13,7 @@
 	"reachspread/coord/chain"
 	"reachspread/coord/coordpb"
 	"reachspread/coord/storage"
+	"reachspread/coord/view"
 )
 
 const (
@@ -157,6 +158,12 @@
 	return r.now() - s.ConfirmedAt, true
 }
 
+// Holds tells whether this process may act on the duties that the view gives it: a majority has confirmed the epoch of late.
+func (r *Replica) Holds() (v *coordpb.View, ok bool) {
+	s := r.status.Load()
+	return s.View, s.ConfirmedAt >= 0 && r.now()-s.ConfirmedAt < view.Lease
+}
+
 // Run works until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	if r.store != nil {
--- a/coord/view/propose.go
+++ b/coord/view/propose.go
@@ -220,6 +220,7 @@
 	for _, m := range all {
 		v.Chain = append(v.Chain, m.Identity)
 	}
+	v.Duties = d.duties(v, nil)
 	return v
 }
 
@@ -248,6 +249,7 @@
 	if len(v.Chain) < LeastChain(len(v.Members), d.c.Tolerance) {
 		return nil
 	}
+	v.Duties = d.duties(v, promises)
 	return v
 }
 
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -56,9 +56,10 @@
 // Status is how the owner stands, for others to know.
 type Status struct {
 	Position *coordpb.Position
-	Healthy  bool // what is written gets to the disk
-	Stuck    bool // a change has waited for the chain for too long
-	Leaving  bool // the process is about to end
+	Answered []*coordpb.Answered // how long ago this process last confirmed its epoch, and to whom
+	Healthy  bool                // what is written gets to the disk
+	Stuck    bool                // a change has waited for the chain for too long
+	Leaving  bool                // the process is about to end
 }
 
 // Effect is something for the owner to do: one of the types below.
@@ -110,6 +111,7 @@
 	status Status
 
 	view           *coordpb.View // epoch 0 before the first one
+	learnedAt      time.Duration // when this process learnt of it
 	promised       *coordpb.Ballot
 	acceptedBallot *coordpb.Ballot
 	acceptedView   *coordpb.View
@@ -132,6 +134,7 @@
 	if d.view == nil {
 		d.view = &coordpb.View{}
 	}
+	d.learnedAt = now
 	if d.promised != nil {
 		d.round, d.sealedAt = d.promised.Round, now
 	}
@@ -325,7 +328,7 @@
 	if v == nil || v.Epoch <= d.view.Epoch {
 		return
 	}
-	d.view = proto.Clone(v).(*coordpb.View)
+	d.view, d.learnedAt = proto.Clone(v).(*coordpb.View), d.now
 	d.promised, d.acceptedBallot, d.acceptedView, d.proposal, d.sealedAt, d.wantAt = nil, nil, nil, nil, 0, 0
 	d.do(Write{&coordpb.Record{Body: &coordpb.Record_Learned{Learned: d.view}}})
 	d.do(Decided{d.view})
--- a/internal/system/configuration/compile.go
+++ b/internal/system/configuration/compile.go
@@ -229,6 +229,16 @@
 // Tenant returns who holds a key, nil for nobody.
 func (c *Configuration) Tenant(key string) *Tenant { return c.keys[key] }
 
+// TenantNamed returns the tenant of a name, nil for none.
+func (c *Configuration) TenantNamed(name string) *Tenant {
+	for _, t := range c.Tenants {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
 // Service returns the service of a name, nil for none.
 func (c *Configuration) Service(name string) *Service { return c.services[name] }
 
--- a/internal/system/dataplane/intake.go
+++ b/internal/system/dataplane/intake.go
@@ -88,7 +88,9 @@
 	if err != nil {
 		return nil, &transport.Rejection{Code: http.StatusBadRequest, Line: err.Error()}
 	}
-	if a.tenant != nil && a.tenant.RatePerS > 0 {
+	limited := a.tenant != nil && a.tenant.RatePerS > 0
+	taken := time.Now()
+	if limited {
 		if ok, wait := p.o.Quotas.Take(a.tenant, request.units(a.tenant)); !ok {
 			return nil, &transport.Rejection{Code: http.StatusTooManyRequests, Line: "over the tenant's quota", Wait: wait, Keep: true}
 		}
@@ -97,12 +99,21 @@
 	if s == nil || s.serving.Load() == 0 {
 		return nil, &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no host of the service is known", Wait: comeBack, Keep: true}
 	}
+	var ended func(routing.Answer)
+	if limited {
+		ended = func(end routing.Answer) {
+			if end.Verdict == routing.Refused && !end.Ran {
+				p.o.Quotas.Put(a.tenant, request.units(a.tenant), taken)
+			}
+		}
+	}
 	request.arrival.ID = strconv.FormatUint(p.next.Add(1), 36)
 	return &transport.Plan{
 		Router:  s.router,
 		Arrival: request.arrival,
 		Message: transport.NewForwarded(ctx, body, request.forward(ctx, a)),
 		Resume:  p.resume(s, request, began),
+		Ended:   ended,
 	}, nil
 }
 
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -30,10 +30,13 @@
 	slackPart = 0.7
 )
 
-// Quotas says whether a tenant may have so many units now. It is called for each request of a tenant with a limit, and never waits.
+// Quotas says whether a tenant may have so many units now. It is called for each request of a tenant with a limit, and waits
+// for a moment at most.
 type Quotas interface {
 	// Take takes units of a tenant's quota; where there are too few, it says when to ask again.
 	Take(t *configuration.Tenant, units float64) (ok bool, wait time.Duration)
+	// Put gives back units that were taken at a time for a request that did not run.
+	Put(t *configuration.Tenant, units float64, taken time.Time)
 }
 
 // Options are what a Plane is made with.
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -74,6 +74,7 @@
 	front   *transport.Front
 	servers *transport.Servers
 	hub     *hub
+	quotas  *quotas
 	leaving bool
 }
 
@@ -100,6 +101,7 @@
 	n.link = link.New(n.self.address, n.receive)
 	self := &coordpb.Member{Address: n.self.internal(), Identity: rand.Uint64()}
 	n.client = register.NewClient(self, n.sendRegister)
+	n.quotas = newQuotas(n)
 	n.makePlane(work)
 	n.hub = newHub(n)
 	if err := n.openRegister(self); err != nil {
@@ -141,7 +143,7 @@
 	free := max(s.Limits.FileDescriptors-setAside, s.Limits.FileDescriptors/2)
 	n.servers = transport.NewServers(transport.ServerLimits{Connect: connectFor, Keepalive: keepIdleFor, Silent: silentFor,
 		Connections: free / 2, Dialect: protocol.Fleet{}}, n.log)
-	n.plane = dataplane.New(ctx, dataplane.Options{Settings: s, Servers: n.servers, Quotas: unlimited{}, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64()})
+	n.plane = dataplane.New(ctx, dataplane.Options{Settings: s, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64()})
 	n.front = transport.NewIntakeFront(n.plane, transport.FrontLimits{
 		Bodies: int(bodyPart * float64(s.Limits.MemoryMb) * (1 << 20)), Head: headBytes, Patience: n.patience, Seed: rand.Uint64(),
 		Door: door.Config{Places: free / 2, Step: stepClients, Away: time.Second},
@@ -149,12 +151,6 @@
 	n.front.SetKeeps(true)
 }
 
-// unlimited lets every tenant have what it asks for.
-type unlimited struct{}
-
-// Take implements dataplane.Quotas.
-func (unlimited) Take(*configuration.Tenant, float64) (bool, time.Duration) { return true, 0 }
-
 // patience is how long a client may be silent.
 func (n *Node) patience(begun bool) time.Duration {
 	limits := configuration.Limits{}
@@ -215,7 +211,10 @@
 	}
 	n.replica = register.NewReplica(register.Options{Config: c, Machine: store, Files: files, Send: n.sendRegister, Log: n.log,
 		Commit: func(x chain.Committed) { n.hub.call(func() { n.hub.committed(x) }) },
-		Viewed: func(v *coordpb.View) { n.hub.call(func() { n.hub.view.take(v) }) },
+		Viewed: func(v *coordpb.View) {
+			n.quotas.viewed(v)
+			n.hub.call(func() { n.hub.view.take(v) })
+		},
 	}, disk)
 	return nil
 }
@@ -279,7 +278,7 @@
 		}
 	case routerKind:
 		m := &message.Envelope{}
-		if proto.Unmarshal(data, m) == nil {
+		if proto.Unmarshal(data, m) == nil && !n.quotas.receive(m) {
 			n.hub.call(func() { n.hub.receive(m) })
 		}
 	}
