--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -124,7 +124,7 @@
 	if !r.synced || !r.downSynced {
 		return r.resumed || r.now-r.began >= stuckAfter
 	}
-	return r.isHead() && r.pending != nil && r.now-r.pendAt >= stuckAfter
+	return r.isHead() && r.pending != nil && r.pending.Sequence > r.committed && r.now-r.pendAt >= stuckAfter
 }
 
 // Readable tells that this process is the tail and has the state of the chain.
--- a/internal/system/node/fleet.go
+++ b/internal/system/node/fleet.go
@@ -85,6 +85,24 @@
 	return all
 }
 
+// neighbours are the other routers that are not of the register: those of the own zone, or all where that has none.
+func (f *fleet) neighbours() []string {
+	var near, all []string
+	for _, r := range f.routers {
+		if r.core || r.address == f.self.address {
+			continue
+		}
+		all = append(all, r.internal())
+		if r.zone == f.self.zone {
+			near = append(near, r.internal())
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return all
+}
+
 // stepIn is how many further candidates there are behind a home.
 const stepIn = 2
 
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -43,7 +44,8 @@
 	homeOf   map[homeKey]bool // services and zones that this router is the home of
 	loseAt   time.Duration
 
-	confirmedAt atomic.Int64 // of the configuration, on the hub's clock; below 0 for never
+	neighbours  atomic.Pointer[[]string] // routers of the own zone that are not of the register, or of others where there is none
+	confirmedAt atomic.Int64             // of the configuration, on the hub's clock; below 0 for never
 	lost        atomic.Uint64
 }
 
@@ -280,9 +282,20 @@
 	return h.home(r.Service, r.Zone).address == h.node.self.address
 }
 
+// neighbour is a router that may reach what this one does not, empty for none.
+func (h *hub) neighbour() string {
+	all := h.neighbours.Load()
+	if all == nil || len(*all) == 0 {
+		return ""
+	}
+	return (*all)[rand.IntN(len(*all))]
+}
+
 // viewFleet takes in a view of the membership.
 func (h *hub) viewFleet(v *members.View) {
 	h.fleet = fleetOf(h.node.self, v)
+	near := h.fleet.neighbours()
+	h.neighbours.Store(&near)
 	h.node.plane.SetRouters(len(h.fleet.routers))
 	h.node.client.Know(h.registerAddresses())
 	if h.node.replica != nil {
--- a/internal/system/node/quotas.go
+++ b/internal/system/node/quotas.go
@@ -44,6 +44,7 @@
 	at      time.Duration
 	advance bool
 	came    chan *message.QuotaAnswer // nil where nobody waits
+	relayed *message.QuotaAsk         // of another router, which gets the answer; nil for an own one
 }
 
 // shard is a part of the duties that this router owns.
@@ -91,25 +92,26 @@
 // Take implements dataplane.Quotas: where too few units are held, it waits for the owner for a moment.
 func (q *quotas) Take(t *configuration.Tenant, units float64) (ok bool, wait time.Duration) {
 	until := q.now() + quotaPatience
-	for {
+	for try := 0; ; try++ {
 		q.mu.Lock()
 		h, now := q.holding(t), q.now()
 		if h.Take(now, units) {
 			if ask, more := h.Missing(now, 0); more && !h.asking {
 				h.asking = true
 				ask.Returned = h.Return(now)
-				q.ask(t.Name, ask, nil)
+				q.ask(t.Name, ask, nil, false)
 			}
 			q.mu.Unlock()
 			return true, 0
 		}
 		if now >= until {
 			q.mu.Unlock()
+			q.node.log.Warn("quota owner silent", "tenant", t.Name)
 			return false, quotaAgain
 		}
 		ask, _ := h.Missing(now, units)
 		came := make(chan *message.QuotaAnswer, 1)
-		nonce := q.ask(t.Name, ask, came)
+		nonce := q.ask(t.Name, ask, came, try%2 == 1)
 		q.mu.Unlock()
 		timer := time.NewTimer(quotaAnswerIn)
 		select {
@@ -136,17 +138,21 @@
 	q.holding(t).Grant(taken.Sub(q.start), units)
 }
 
-// ask asks the owner for units. The lock is held.
-func (q *quotas) ask(tenant string, ask quota.Ask, came chan *message.QuotaAnswer) (nonce uint64) {
+// ask asks the owner for units, or another router to ask it. The lock is held.
+func (q *quotas) ask(tenant string, ask quota.Ask, came chan *message.QuotaAnswer, relay bool) (nonce uint64) {
 	q.nonce++
 	m := &message.QuotaAsk{From: q.node.self.internal(), Nonce: q.nonce, Tenant: tenant, Need: ask.Need, Want: ask.Want, Returned: ask.Returned}
 	q.asked[q.nonce] = &asking{tenant: tenant, at: q.now(), advance: came == nil, came: came}
 	owner, _ := view.Owner(q.node.client.View(), tenant)
+	neighbour := q.node.hub.neighbour()
 	switch {
 	case owner == nil:
 		q.take(&message.QuotaAnswer{Nonce: m.Nonce})
 	case owner.Address == q.node.self.internal():
 		q.take(q.serve(m))
+	case relay && neighbour != "":
+		m.Relay = true
+		q.node.send(neighbour, &message.Envelope{Body: &message.Envelope_QuotaAsk{QuotaAsk: m}})
 	default:
 		q.node.send(owner.Address, &message.Envelope{Body: &message.Envelope_QuotaAsk{QuotaAsk: m}})
 	}
@@ -154,6 +160,23 @@
 	return m.Nonce
 }
 
+// relay asks the owner for another router. The lock is held.
+func (q *quotas) relay(m *message.QuotaAsk) {
+	owner, _ := view.Owner(q.node.client.View(), m.Tenant)
+	if owner == nil {
+		return
+	}
+	q.nonce++
+	q.asked[q.nonce] = &asking{tenant: m.Tenant, at: q.now(), relayed: m}
+	ask := &message.QuotaAsk{From: q.node.self.internal(), Nonce: q.nonce, Tenant: m.Tenant, Need: m.Need, Want: m.Want, Returned: m.Returned}
+	if owner.Address == q.node.self.internal() {
+		q.take(q.serve(ask))
+		return
+	}
+	q.node.send(owner.Address, &message.Envelope{Body: &message.Envelope_QuotaAsk{QuotaAsk: ask}})
+	q.forget()
+}
+
 // forget drops asks in advance that were not answered. The lock is held.
 func (q *quotas) forget() {
 	if len(q.asked) < 64 {
@@ -179,8 +202,12 @@
 	switch body := m.Body.(type) {
 	case *message.Envelope_QuotaAsk:
 		q.mu.Lock()
+		defer q.mu.Unlock()
+		if body.QuotaAsk.Relay {
+			q.relay(body.QuotaAsk)
+			return true
+		}
 		answer := q.serve(body.QuotaAsk)
-		q.mu.Unlock()
 		q.node.send(body.QuotaAsk.From, &message.Envelope{Body: &message.Envelope_QuotaAnswer{QuotaAnswer: answer}})
 	case *message.Envelope_QuotaAnswer:
 		q.mu.Lock()
@@ -199,6 +226,11 @@
 		return // too late: what it grants is not used
 	}
 	q.ended(a.Nonce, asked)
+	if asked.relayed != nil {
+		back := &message.QuotaAnswer{Nonce: asked.relayed.Nonce, Owner: a.Owner, Epoch: a.Epoch, Granted: a.Granted, WaitUs: a.WaitUs}
+		q.node.send(asked.relayed.From, &message.Envelope{Body: &message.Envelope_QuotaAnswer{QuotaAnswer: back}})
+		return
+	}
 	if h := q.held[asked.tenant]; h != nil && a.Owner {
 		h.Grant(asked.at, a.Granted)
 	}
