--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -84,11 +84,16 @@
 
 // Holder keeps what one process was granted of one key.
 type Holder struct {
-	Life time.Duration // of a grant
+	Life   time.Duration // of a grant
+	Lend   time.Duration // while no owner answers, the use of so long a time may go on
+	Window time.Duration // after which it may again
 
-	grants []grant // the oldest first
-	used   float64 // units a second, of late
-	at     time.Duration
+	grants   []grant // the oldest first
+	used     float64 // units a second, of late
+	at       time.Duration
+	lentFrom time.Duration // the beginning of what goes on without an owner
+	lent     float64       // units, since then
+	mayLend  float64       // units, as it began
 }
 
 type grant struct {
@@ -142,6 +147,19 @@
 	}
 }
 
+// Borrow uses units that nobody granted, as no owner answers: a process may go on for a moment as it did before, once in a window.
+func (h *Holder) Borrow(now time.Duration, units float64) bool {
+	if h.mayLend == 0 || now-h.lentFrom >= h.Window {
+		h.fade(now)
+		h.lentFrom, h.lent, h.mayLend = now, 0, h.used*h.Lend.Seconds()
+	}
+	if h.lent+units > h.mayLend {
+		return false
+	}
+	h.lent += units
+	return true
+}
+
 // Missing is what is to be asked for: what is needed now, and what will be. Ok is false where nothing is.
 func (h *Holder) Missing(now time.Duration, need float64) (ask Ask, ok bool) {
 	h.fade(now)
@@ -181,17 +199,29 @@
 	return units
 }
 
-// Life is how long a grant may last, so that the use of all stays within a bound: in a window, the limit's rate and burst with an
-// overshoot, and some slack.
-func Life(l Limit, window time.Duration, overshoot, slack float64) time.Duration {
+// Spare is how much longer than a window all may go on at a limit's rate, so that their use in the window stays within a bound: the
+// limit's rate and burst with an overshoot, and some slack.
+func Spare(l Limit, window time.Duration, overshoot, slack float64) time.Duration {
+	if l.Rate <= 0 {
+		return 0
+	}
+	return time.Duration((overshoot*(l.Rate*window.Seconds()+l.Burst) + slack) / l.Rate * float64(time.Second))
+}
+
+// The parts of what a bound leaves spare that are given to grants which last, and to use that goes on while no owner answers. The rest is
+// for requests on their way, and for buckets that fall below nothing.
+const (
+	LifePart = 0.35
+	LendPart = 0.35
+)
+
+// SetSpare sets how long grants last, and how long use may go on while no owner answers, by what a bound leaves spare.
+func (h *Holder) SetSpare(spare, window time.Duration) {
 	const (
-		part     = 0.6 // of what the bound leaves; the rest is for requests on their way and for what falls below nothing
 		shortest = 200 * time.Millisecond
 		longest  = 3 * time.Second
 	)
-	if l.Rate <= 0 {
-		return shortest
-	}
-	spare := overshoot*(l.Rate*window.Seconds()+l.Burst) + slack
-	return min(max(time.Duration(part*spare/l.Rate*float64(time.Second)), shortest), longest)
+	h.Life = min(max(time.Duration(LifePart*float64(spare)), shortest), longest)
+	h.Lend = min(time.Duration(LendPart*float64(spare)), longest)
+	h.Window = window + h.Life + h.Lend
 }
--- a/internal/system/node/quotas.go
+++ b/internal/system/node/quotas.go
@@ -65,14 +65,14 @@
 	return quota.Limit{Rate: t.RatePerS, Burst: max(t.Burst, t.RatePerS/10)}
 }
 
-// life is how long what is granted to a tenant lasts.
-func (q *quotas) life(t *configuration.Tenant) time.Duration {
+// spare is how much longer than the window all routers may go on at a tenant's rate.
+func (q *quotas) spare(t *configuration.Tenant) time.Duration {
 	b := q.node.settings.Bounds
 	slack := b.QuotaSlack
 	if t.Unit != configuration.TokensUnit {
 		slack = 0
 	}
-	return quota.Life(limitOf(t), settings.Seconds(b.QuotaWindowS), b.QuotaOvershoot, slack)
+	return quota.Spare(limitOf(t), settings.Seconds(b.QuotaWindowS), b.QuotaOvershoot, slack)
 }
 
 // holding returns what is held of a tenant's quota. The lock is held.
@@ -85,13 +85,13 @@
 		h = &holding{}
 		q.held[t.Name] = h
 	}
-	h.Life = q.life(t)
+	h.SetSpare(q.spare(t), settings.Seconds(q.node.settings.Bounds.QuotaWindowS))
 	return h
 }
 
 // Take implements dataplane.Quotas: where too few units are held, it waits for the owner for a moment.
 func (q *quotas) Take(t *configuration.Tenant, units float64) (ok bool, wait time.Duration) {
-	until := q.now() + quotaPatience
+	until, silent := q.now()+quotaPatience, false
 	for try := 0; ; try++ {
 		q.mu.Lock()
 		h, now := q.holding(t), q.now()
@@ -104,9 +104,12 @@
 			q.mu.Unlock()
 			return true, 0
 		}
+		if silent && h.Borrow(now, units) {
+			q.mu.Unlock()
+			return true, 0
+		}
 		if now >= until {
 			q.mu.Unlock()
-			q.node.log.Warn("quota owner silent", "tenant", t.Name)
 			return false, quotaAgain
 		}
 		ask, _ := h.Missing(now, units)
@@ -121,9 +124,11 @@
 				return false, time.Duration(a.WaitUs) * time.Microsecond
 			}
 			if !a.Owner {
+				silent = true
 				time.Sleep(quotaAnswerIn / 4)
 			}
 		case <-timer.C:
+			silent = true
 			q.mu.Lock()
 			delete(q.asked, nonce)
 			q.mu.Unlock()
