--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -35,8 +35,10 @@
 	Wait    time.Duration // where Need is not granted: when it may be
 }
 
-// Owner has the buckets of the keys that one process is responsible for. Its zero value is ready.
+// Owner has the buckets of the keys that one process is responsible for.
 type Owner struct {
+	Since time.Duration // nobody has granted anything from then on but this owner
+
 	buckets map[string]*bucket
 }
 
@@ -45,7 +47,8 @@
 	at     time.Duration
 }
 
-// Serve answers an ask at a time. A bucket that was not there before begins empty: what an owner before granted is unknown.
+// Serve answers an ask at a time. A bucket was empty when the owner became so, as what the one before granted is unknown, and has filled
+// since.
 func (o *Owner) Serve(now time.Duration, key string, limit Limit, ask Ask) Answer {
 	if o.buckets == nil {
 		o.buckets = map[string]*bucket{}
@@ -53,9 +56,10 @@
 	b := o.buckets[key]
 	if b == nil {
 		if len(o.buckets) >= mostKeys {
-			clear(o.buckets) // each begins empty again, which grants less, never more
+			o.Since = now // what was granted is forgotten, so all begin empty again
+			clear(o.buckets)
 		}
-		b = &bucket{at: now}
+		b = &bucket{at: o.Since}
 		o.buckets[key] = b
 	}
 	b.tokens = min(b.tokens+limit.Rate*(now-b.at).Seconds()+max(ask.Returned, 0), limit.Burst)
@@ -79,9 +83,6 @@
 	return least + time.Duration(units/rate*float64(time.Second))
 }
 
-// Clear forgets all buckets: another process was the owner meanwhile.
-func (o *Owner) Clear() { clear(o.buckets) }
-
 // Holder keeps what one process was granted of one key.
 type Holder struct {
 	Life   time.Duration // of a grant
--- a/coord/view/propose.go
+++ b/coord/view/propose.go
@@ -330,7 +330,10 @@
 		return false
 	}
 	p := d.peers[m.Address]
-	return p == nil || p.member.Identity != m.Identity || !d.alive(p)
+	if p == nil {
+		return d.now-d.began >= suspectAfter
+	}
+	return p.member.Identity != m.Identity || !d.alive(p)
 }
 
 // replaced tells that a member has been gone for so long that another process may take its place.
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -301,8 +301,12 @@
 // alive tells that a peer was heard of in time, and that it hears this process.
 func (d *Decider) alive(p *peer) bool { return p.member != nil && d.now-p.heard < suspectAfter }
 
-// fit tells that a peer may be in a chain: it lives, hears this process, its storage works, and it is not about to end.
-func (d *Decider) fit(p *peer) bool { return d.alive(p) && p.hears && p.healthy && !p.leaving }
+// fit tells that a peer may be in a chain: it lives, hears this process, its storage works, and it is not about to end. Whether it hears
+// this process is known some time after the first word of it.
+func (d *Decider) fit(p *peer) bool {
+	hears := p.hears || d.now-p.since < suspectAfter
+	return d.alive(p) && hears && p.healthy && !p.leaving
+}
 
 // peerOf returns the peer with an identity, nil for none.
 func (d *Decider) peerOf(identity uint64) *peer {
@@ -320,7 +324,12 @@
 		return d.status.Healthy && !d.status.Leaving
 	}
 	p := d.peerOf(identity)
-	return p != nil && d.fit(p)
+	if p == nil {
+		m := MemberOf(d.view, identity)
+		known := m != nil && d.peers[m.Address] != nil // in another life
+		return !known && d.now-d.began < suspectAfter
+	}
+	return d.fit(p)
 }
 
 // learn takes up a view that was decided.
--- a/internal/system/node/quotas.go
+++ b/internal/system/node/quotas.go
@@ -255,7 +255,8 @@
 			continue
 		}
 		if s := q.owned[i]; s == nil || s.since != duty.Since {
-			q.owned[i] = &shard{since: duty.Since, from: q.now() + time.Duration(duty.WaitMs)*time.Millisecond}
+			from := q.now() + time.Duration(duty.WaitMs)*time.Millisecond
+			q.owned[i] = &shard{since: duty.Since, from: from, owner: quota.Owner{Since: from}}
 		}
 	}
 }
