--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -177,9 +177,13 @@
 func (r *Replica) Seal() { r.sealed = true }
 
 // Resume takes up the view that a life before of this process knew. It takes no part in that epoch any more: what is on its disk may
-// be more than it told its neighbours, so the chain has to begin another.
+// be more than it told its neighbours, so the chain has to begin another. Whom it confirmed the epoch to is forgotten: it may have been
+// anybody, right before it began anew.
 func (r *Replica) Resume(v *coordpb.View, sealed bool) {
 	r.view, r.sealed, r.resumed, r.began = v, sealed, true, r.now
+	for _, m := range v.Members {
+		r.answered[m.Address] = r.now
+	}
 }
 
 // Begin takes up a view.
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -212,8 +212,8 @@
 // The parts of what a bound leaves spare that are given to grants which last, and to use that goes on while no owner answers. The rest is
 // for requests on their way, and for buckets that fall below nothing.
 const (
-	LifePart = 0.35
-	LendPart = 0.35
+	LifePart = 0.2
+	LendPart = 0.6
 )
 
 // SetSpare sets how long grants last, and how long use may go on while no owner answers, by what a bound leaves spare.
--- a/coord/register/simulation_test.go
+++ b/coord/register/simulation_test.go
@@ -30,6 +30,7 @@
 	cut    map[[2]string]bool
 
 	clients   map[string]*caller
+	sync      time.Duration // that a disk takes for a write, on average
 	tolerance int
 	plant     plant
 	history   history
@@ -158,6 +159,7 @@
 	w := &world{rng: rand.New(rand.NewPCG(seed, 0)), byAddr: map[string]*process{}, links: map[[2]string]time.Duration{}, cut: map[[2]string]bool{},
 		clients: map[string]*caller{}, tolerance: tolerance, trace: func(string, ...any) {}}
 	w.history.init()
+	w.sync = []time.Duration{time.Millisecond, 10 * time.Millisecond, 50 * time.Millisecond}[w.rng.IntN(3)]
 	var seeds []string
 	for i := range machines {
 		if i < 3 {
@@ -253,7 +255,7 @@
 	if w.plant == earlyWrite {
 		p.carryOut(p.core.Written(upTo, w.now))
 	}
-	took := time.Duration(500+w.rng.IntN(1500))*time.Microsecond + p.slow
+	took := w.sync/2 + time.Duration(w.rng.Int64N(int64(w.sync))) + p.slow
 	w.after(took, func() {
 		if p.life != life || !p.up {
 			return
--- a/coord/view/propose.go
+++ b/coord/view/propose.go
@@ -238,7 +238,10 @@
 	if source == nil {
 		return nil
 	}
-	v := &coordpb.View{Epoch: d.view.Epoch + 1, Members: d.members(promises), MembersSince: d.view.MembersSince}
+	v := &coordpb.View{Epoch: d.view.Epoch + 1, Members: d.view.Members, MembersSince: d.view.MembersSince}
+	if d.settled(promises) {
+		v.Members = d.members(promises)
+	}
 	if !sameMembers(v.Members, d.view.Members) {
 		v.MembersSince = v.Epoch
 	}
@@ -253,29 +256,48 @@
 	return v
 }
 
-// source is the member whose state is complete: of those that promised the one that is furthest. Nothing can be said where the last
-// epoch that any of them completed is one with other members.
+// settled tells that so many have completed the present epoch that one of them is left whatever is tolerated. Only then the members may
+// change: the next ones can tell by it that nothing was committed in an epoch of members whom they can't ask.
+func (d *Decider) settled(promises map[string]*promised) bool {
+	complete := 0
+	for _, m := range promises {
+		if m.Position.StateEpoch == d.view.Epoch && slices.Contains(d.view.Chain, m.from.Identity) {
+			complete++
+		}
+	}
+	return complete >= LeastChain(len(d.view.Members), d.c.Tolerance)
+}
+
+// source is the member whose state is complete: of those that promised the one that is furthest. All epochs after the last one that it
+// completed are of the present members, and had one of those that promised in their chain, so nothing was committed in them. Where there
+// are others between, nothing can be said.
 func (d *Decider) source(promises map[string]*promised) *coordpb.Member {
 	var best *promised
 	for _, m := range promises {
-		if best == nil || further(m.Position, best.Position) || !further(best.Position, m.Position) && d.before(m.from, best.from) {
+		if best == nil || further(m.Position, best.Position) || !further(best.Position, m.Position) && d.better(m, best) {
 			best = m
 		}
 	}
-	if best == nil || best.Position.StateEpoch < d.view.MembersSince && d.view.MembersSince > 1 {
+	if best == nil || best.Position.StateEpoch+1 < d.view.MembersSince {
 		return nil
 	}
 	return best.from
 }
 
+// better tells which of two members goes first of those whose states are the same: one that can go on, as it was in the present chain.
+func (d *Decider) better(a, b *promised) bool {
+	if a.Healthy != b.Healthy {
+		return a.Healthy
+	}
+	return d.order(a.from, b.from) < 0
+}
+
 // further tells whether a state has more in it than another.
 func further(a, b *coordpb.Position) bool {
 	return cmp.Or(cmp.Compare(a.StateEpoch, b.StateEpoch), cmp.Compare(a.Sequence, b.Sequence)) > 0
 }
 
-// before tells whether a member goes before another in a new chain: as it was in the present one, those outside last.
-func (d *Decider) before(a, b *coordpb.Member) bool { return d.order(a, b) < 0 }
-
+// order compares the places of members in a new chain: as it was in the present one, those outside last.
 func (d *Decider) order(a, b *coordpb.Member) int {
 	in := func(m *coordpb.Member) int {
 		if i := slices.Index(d.view.Chain, m.Identity); i >= 0 {
@@ -392,7 +414,26 @@
 	if !settled && fit >= LeastChain(len(d.view.Members), d.c.Tolerance) && fit >= Majority(len(d.view.Members)) {
 		return true
 	}
-	return fit >= Majority(len(d.view.Members)) && !sameMembers(d.members(nil), d.view.Members)
+	return fit >= Majority(len(d.view.Members)) && d.complete() && !sameMembers(d.members(nil), d.view.Members)
+}
+
+// complete tells whether so many are known to have completed the present epoch that the members may change.
+func (d *Decider) complete() bool {
+	complete := 0
+	for _, identity := range d.view.Chain {
+		position := d.status.Position
+		if identity != d.c.Self.Identity {
+			p := d.peerOf(identity)
+			if p == nil || !d.alive(p) {
+				continue
+			}
+			position = p.position
+		}
+		if position.GetStateEpoch() == d.view.Epoch {
+			complete++
+		}
+	}
+	return complete >= LeastChain(len(d.view.Members), d.c.Tolerance)
 }
 
 // mayFound tells whether the first view may be proposed: enough processes are there and nobody new has come for a while, or it has
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -34,6 +34,7 @@
 	mostBackoff    = 400 * time.Millisecond
 	sealedFor      = 700 * time.Millisecond // sealed without a view to follow: proposes itself
 	fewestMembers  = 3                      // voted for where there are as many
+	leastApart     = 100 * time.Millisecond // between two views, for what is known of the processes to follow
 	mostPeers      = 256
 )
 
@@ -339,6 +340,7 @@
 	}
 	d.view, d.learnedAt = proto.Clone(v).(*coordpb.View), d.now
 	d.promised, d.acceptedBallot, d.acceptedView, d.proposal, d.sealedAt, d.wantAt = nil, nil, nil, nil, 0, 0
+	d.notUntil = d.now + leastApart
 	d.do(Write{&coordpb.Record{Body: &coordpb.Record_Learned{Learned: d.view}}})
 	d.do(Decided{d.view})
 }
