--- a/balance/balance.go
+++ b/balance/balance.go
@@ -132,6 +132,7 @@
 	askedTo  time.Duration
 	again    time.Duration // not weighed before
 	attempts []*attempt
+	home     *replica
 	out      int  // attempts without outcome
 	closed   bool // nothing is owed any more
 }
@@ -529,7 +530,7 @@
 
 // choose returns the better of two sampled replicas with room, or nil if none has any.
 func (b *Balancer) choose(q *request) *replica {
-	local := !b.sighted || b.crossTime(q) > q.Shared*slowRead
+	local := !(b.cfg.OneHome && q.Prefix != "") && !b.sighted || b.crossTime(q) > q.Shared*slowRead
 	pool, near := b.pool[:0], b.near[:0]
 	for _, r := range b.share {
 		if b.room(r) && b.mayUse(q, r) {
@@ -575,6 +576,13 @@
 // none. Of these a session has two; without a prefix it has two of all.
 func (b *Balancer) homes(q *request, pool []*replica) []*replica {
 	sample := pool
+	if q.Prefix != "" && b.cfg.OneHome {
+		sample = ranked(q.keys[0], pool, 2)
+		if len(sample) > 0 {
+			q.home = sample[0]
+		}
+		return sample
+	}
 	if q.Prefix != "" {
 		part := b.prompts.Share(q.Prefix, unseen)
 		sample = ranked(q.keys[0], pool, max(int(math.Ceil(spread*part*float64(len(pool)))), 2))
@@ -721,6 +729,9 @@
 		return 0
 	}
 	kept := max(min(r.kept.Get(q.prefix, r.lost), q.Shared), r.kept.Get(q.Session, r.lost))
+	if q.home == r {
+		kept = max(kept, q.Shared)
+	}
 	return max(q.Prompt-kept, 1)
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -71,6 +71,7 @@
 	Tick           time.Duration  // the host calls Step at most this often
 	CrossZonePrice float64        // points lost when every request crosses zones once
 	MaxAway        time.Duration  // the longest that a refusal may tell a client to stay away, 0 for not at all
+	OneHome        bool           // a prefix is kept by one replica, alike for all gateways, as far as that has room
 	Retries        *budget.Bucket // of further attempts, nil for no bound
 	Gateways       int            // how many there are, this one included, where they may Tell; 0 where not
 	Me             int            // the own number among them, from 0
--- a/internal/system/configuration/compile.go
+++ b/internal/system/configuration/compile.go
@@ -115,6 +115,7 @@
 	Tenants  []*Tenant  `json:"tenants" validate:"dive"`
 
 	keyed    bool // requests need keys
+	least    int  // the rank of the least urgent route
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Tenant
@@ -207,6 +208,7 @@
 		}
 		places[at] = r.Name
 		c.hosts[at.host] = append(c.hosts[at.host], r)
+		c.least = max(c.least, r.Priority)
 	}
 	return nil
 }
@@ -226,6 +228,9 @@
 // Keyed tells whether requests need keys, but for public routes.
 func (c *Configuration) Keyed() bool { return c.keyed }
 
+// LeastUrgent is the priority of the least urgent route.
+func (c *Configuration) LeastUrgent() int { return c.least }
+
 // Tenant returns who holds a key, nil for nobody.
 func (c *Configuration) Tenant(key string) *Tenant { return c.keys[key] }
 
--- a/internal/system/dataplane/intake.go
+++ b/internal/system/dataplane/intake.go
@@ -188,13 +188,26 @@
 	if a.tenant != nil {
 		f.Header = append(f.Header, protocol.Field{Name: protocol.HeaderTenant, Value: a.tenant.Name})
 	}
+	f.Header = append(f.Header, protocol.Field{Name: protocol.HeaderPriority, Value: strconv.Itoa(rank(a))})
 	return f
 }
 
+// mostRank is the least urgent rank that a host knows.
+const mostRank = 9
+
+// rank is how urgent a request is to its host, 0 being first: by its tenant, and of those of tenants that are alike by its route.
+func rank(a *admitted) int {
+	rank := a.route.Priority
+	if a.tenant != nil && a.tenant.Priority != nil {
+		rank += *a.tenant.Priority * (a.state.Typed.LeastUrgent() + 1)
+	}
+	return min(max(rank, 0), mostRank)
+}
+
 // own tells whether a header is set by the router, whatever the client has sent.
 func own(name string) bool {
 	switch http.CanonicalHeaderKey(name) {
-	case "Authorization", protocol.HeaderTenant, protocol.HeaderRequestID, protocol.HeaderDeadline, protocol.HeaderExpectedInstance:
+	case "Authorization", protocol.HeaderTenant, protocol.HeaderRequestID, protocol.HeaderDeadline, protocol.HeaderExpectedInstance, protocol.HeaderPriority:
 		return true
 	}
 	return false
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -148,7 +148,7 @@
 // config is what the decisions of a service are told.
 func (p *Plane) config(s *service, classes []balance.Class) balance.Config {
 	return balance.Config{Zone: p.o.Settings.Zone, Classes: classes, MaxAttempts: mostAttempts, StartCapacity: 0.5, ColdTime: time.Second,
-		OverloadFactor: 4, OverloadWindow: time.Second, Tick: tick, CrossZonePrice: crossZonePrice, MaxAway: mostAway, Retries: s.retries}
+		OverloadFactor: 4, OverloadWindow: time.Second, Tick: tick, CrossZonePrice: crossZonePrice, MaxAway: mostAway, OneHome: true, Retries: s.retries}
 }
 
 // crossZonePrice is what crossing zones counts in the decisions, in parts of what there is to earn.
