Return: no wait for leases of those that promised, an early Sync counts, dials end sooner; classes of one worth

Cause: after a loss of all power the chain was whole 0.7 s after its last member was up: a Sync that came before its view was lost for 0.2 s, a dial to a machine still down held messages for 0.5 s.

--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -95,6 +95,9 @@
 	began      time.Duration // the epoch, here
 	resendAt   time.Duration
 
+	early     *coordpb.Sync // of an epoch that this process does not know yet
+	earlyFrom string
+
 	orders  []order
 	pending *coordpb.Append // at the head: the change that is on its way; elsewhere the last one passed on
 	pendAt  time.Duration
@@ -194,6 +197,9 @@
 	r.dismiss()
 	if r.isHead() {
 		r.complete()
+	} else if early := r.early; early.GetEpoch() == v.Epoch {
+		r.early = nil
+		r.takeSync(r.earlyFrom, early)
 	}
 	return r.out
 }
@@ -309,6 +315,9 @@
 
 // takeSync takes in with which state the epoch begins.
 func (r *Replica) takeSync(from string, s *coordpb.Sync) {
+	if s.Epoch > r.view.Epoch {
+		r.early, r.earlyFrom = s, from
+	}
 	if !r.in(s.Epoch) || from != r.predecessor() || s.Position == nil {
 		return
 	}
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	dialFor      = 500 * time.Millisecond
+	dialFor      = 200 * time.Millisecond // a machine that comes up meanwhile is not noticed by the try under way
 	writeFor     = 2 * time.Second
-	dialAgain    = 200 * time.Millisecond // between two tries
+	dialAgain    = 50 * time.Millisecond // between two tries
 	unacked      = 1500 * time.Millisecond
 	idleFor      = 20 * time.Second // then a connection is closed
 	queued       = 256              // messages that wait for one address; further ones are lost
@@ -223,7 +223,7 @@
 		}
 		if err := l.flush(c, out, ln, frame); err != nil {
 			c.Close()
-			c, again = nil, time.Now().Add(dialAgain/4)
+			c, again = nil, time.Now().Add(dialAgain)
 		}
 	}
 }
--- a/coord/register/simulation_test.go
+++ b/coord/register/simulation_test.go
@@ -60,6 +60,7 @@
 	up      bool
 	frozen  time.Duration // until then it does nothing
 	waiting []func()      // for the end of that
+	armed   bool          // it loses its disk with its next promise
 
 	core    *Core
 	machine *counter
@@ -376,6 +377,16 @@
 
 // send brings a message to a machine or a client, unless the way is cut. Messages of one pair come in order.
 func (w *world) send(from, to string, m *coordpb.Message) {
+	w.history.voted(w, m)
+	if p := w.byAddr[from]; m.GetPromise() != nil && (p.armed || w.plant == keepsIdentity && w.rng.IntN(10) == 0) {
+		p.armed = false
+		w.after(time.Millisecond, func() { // in the middle of an agreement, where it matters
+			w.trace("%v wipe %s right after a promise", w.now, p.address)
+			p.crash()
+			p.wipe()
+			w.after(5*time.Millisecond, p.start)
+		})
+	}
 	if w.cut[[2]string{from, to}] {
 		return
 	}
@@ -549,12 +560,56 @@
 	refused      map[string]bool   // orders that were refused
 	states       map[uint64]string // committed, by sequence
 	views        map[uint64]string // by epoch
-	orders, read int               // that were answered
+	votes        map[vote]*given
+	orders, read int // that were answered
 	lastAck      time.Duration
 }
 
 func (h *history) init() {
 	h.made, h.by, h.refused, h.states, h.views = map[string]int{}, map[int]string{}, map[string]bool{}, map[uint64]string{}, map[uint64]string{}
+	h.votes = map[vote]*given{}
+}
+
+// vote is one identity's part in the agreement on one epoch's view.
+type vote struct{ identity, instance uint64 }
+
+// given is what it has promised and accepted there so far.
+type given struct{ promised, accepted *coordpb.Ballot }
+
+// voted takes in that a process promises or accepts: no identity goes back behind what it promised, or forgets what it accepted.
+func (h *history) voted(w *world, m *coordpb.Message) {
+	of := func(instance uint64) *given {
+		key := vote{m.From.Identity, instance}
+		if h.votes[key] == nil {
+			h.votes[key] = &given{}
+		}
+		return h.votes[key]
+	}
+	switch body := m.Body.(type) {
+	case *coordpb.Message_Promise:
+		g := of(body.Promise.Instance)
+		if less(body.Promise.Ballot, g.promised) {
+			w.fail("%s promises %v for view %d; it has promised %v", m.From.Address, body.Promise.Ballot, body.Promise.Instance, g.promised)
+		}
+		if less(body.Promise.AcceptedBallot, g.accepted) {
+			w.fail("%s promises for view %d and tells of %v; it has accepted %v", m.From.Address, body.Promise.Instance, body.Promise.AcceptedBallot, g.accepted)
+		}
+		g.promised = body.Promise.Ballot
+	case *coordpb.Message_Accepted:
+		g := of(body.Accepted.Instance)
+		if less(body.Accepted.Ballot, g.promised) {
+			w.fail("%s accepts %v for view %d; it has promised %v", m.From.Address, body.Accepted.Ballot, body.Accepted.Instance, g.promised)
+		}
+		g.promised, g.accepted = body.Accepted.Ballot, body.Accepted.Ballot
+	}
+}
+
+// less compares ballots; nil is the least.
+func less(a, b *coordpb.Ballot) bool {
+	if a == nil || b == nil {
+		return a == nil && b != nil
+	}
+	return cmp.Or(cmp.Compare(a.Round, b.Round), cmp.Compare(a.Proposer, b.Proposer)) < 0
 }
 
 // replied takes in what a client was answered.
--- a/coord/view/duties.go
+++ b/coord/view/duties.go
@@ -56,10 +56,16 @@
 	return all
 }
 
-// leaseLeft is how long the owner of a shard, or one before it, may still act on it at most. By what a majority has confirmed to it: a
-// confirmation that succeeds has an answer of at least one of them.
+// leaseLeft is how long the owner of a shard, or one before it, may still act on it at most. One that has promised to leave the epoch does
+// not act any more. Of another one it is known by what a majority has confirmed to it: a confirmation that succeeds has an answer of at
+// least one of them.
 func (d *Decider) leaseLeft(duty *coordpb.Duty, promises map[string]*promised) time.Duration {
 	left := time.Duration(duty.WaitMs)*time.Millisecond - (d.now - d.learnedAt)
+	for _, p := range promises {
+		if p.from.Identity == duty.Owner {
+			return max(left, 0)
+		}
+	}
 	for _, p := range promises {
 		for _, a := range p.Answered {
 			if a.Identity == duty.Owner {
--- a/internal/system/dataplane/intake.go
+++ b/internal/system/dataplane/intake.go
@@ -22,7 +22,9 @@
 const (
 	// usualBody bounds a request's body where the configuration has no bound.
 	usualBody = 4 << 20
-	comeBack  = 200 * time.Millisecond // where nothing can be served yet
+	// leastBack and mostBack are when to come back where nothing can be served yet.
+	leastBack = 500 * time.Millisecond
+	mostBack  = 900 * time.Millisecond
 	// charsPerToken is the length of a token where a request does not tell its tokens.
 	charsPerToken = 4
 	// resumeSuffix is behind the names of requests that go on with a stream.
@@ -47,7 +49,7 @@
 	p.counts.Taken.Add(1)
 	state := p.state.Load()
 	if state == nil {
-		return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no configuration is known yet", Wait: comeBack}
+		return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no configuration is known yet", Wait: comeBack()}
 	}
 	a := &admitted{state: state, route: state.Typed.Route(hostOf(ctx), pathOf(ctx))}
 	if a.route == nil {
@@ -55,7 +57,7 @@
 	}
 	if state.Typed.Keyed() && !a.route.Public {
 		if !p.o.Fresh() {
-			return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "keys can not be checked now", Wait: comeBack}
+			return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "keys can not be checked now", Wait: comeBack()}
 		}
 		key := protocol.BearerKey(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
 		if a.tenant = state.Typed.Tenant(key); a.tenant == nil {
@@ -66,6 +68,9 @@
 	return nil
 }
 
+// comeBack is when a client should come back to a router that can't serve anything yet. It differs from client to client.
+func comeBack() time.Duration { return leastBack + rand.N(mostBack-leastBack) }
+
 // hostOf is the host that a request names, without a port.
 func hostOf(ctx *fasthttp.RequestCtx) string {
 	host := string(ctx.Request.Header.Host())
@@ -97,7 +102,7 @@
 	}
 	s := p.pick(a.route)
 	if s == nil || s.serving.Load() == 0 {
-		return nil, &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no host of the service is known", Wait: comeBack, Keep: true}
+		return nil, &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no host of the service is known", Wait: comeBack(), Keep: true}
 	}
 	var ended func(routing.Answer)
 	if limited {
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -173,7 +173,7 @@
 // classOf is what the decisions know of a route.
 func classOf(r *configuration.Route) balance.Class {
 	c := balance.Class{Name: r.Name, Effect: balance.Unsafe, Aim: r.Target(), Deadline: r.Timeout(), TokenAim: r.Gap(),
-		Worth: 1 / float64(1+max(r.Priority, 0)), LateWorth: lateWorth, Streamed: r.Kind == configuration.Streaming, Runs: max(r.MaxAttempts, 1)}
+		Worth: 1, LateWorth: lateWorth, Streamed: r.Kind == configuration.Streaming, Runs: max(r.MaxAttempts, 1)}
 	if r.Idempotent() {
 		c.Effect = balance.Safe
 	}
