--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -104,7 +104,7 @@
 
 const (
 	usageSpan = 2.0 // seconds over which use is averaged
-	ahead     = 0.4 // seconds of use that are held in advance
+	ahead     = 0.0 // seconds of use that are held in advance
 	lowest    = 0.5 // of that, below which more is asked for
 	oldPart   = 0.4 // of a grant's life, that is left when what is unused goes back
 )
@@ -209,13 +209,20 @@
 	return time.Duration((overshoot*(l.Rate*window.Seconds()+l.Burst) + slack) / l.Rate * float64(time.Second))
 }
 
-// The parts of what a bound leaves spare that are given to grants which last, and to use that goes on while no owner answers. The rest is
-// for requests on their way, and for buckets that fall below nothing.
+// The parts of what a bound leaves spare: for what a bucket holds beyond the burst, for grants that last, and for use that goes on while
+// no owner answers. The rest is for requests on their way, and for buckets that fall below nothing.
 const (
-	LifePart = 0.2
-	LendPart = 0.6
+	BurstPart = 0.45
+	LifePart  = 0.1
+	LendPart  = 0.35
 )
 
+// Widen is a limit whose burst has its part of what a bound leaves spare.
+func (l Limit) Widen(spare time.Duration) Limit {
+	l.Burst += BurstPart * spare.Seconds() * l.Rate
+	return l
+}
+
 // SetSpare sets how long grants last, and how long use may go on while no owner answers, by what a bound leaves spare.
 func (h *Holder) SetSpare(spare, window time.Duration) {
 	const (
--- a/internal/system/node/quotas.go
+++ b/internal/system/node/quotas.go
@@ -274,7 +274,7 @@
 	if s == nil || !holds || tenant == nil || q.now() < s.from {
 		return answer
 	}
-	got := s.owner.Serve(q.now(), m.Tenant, limitOf(tenant), quota.Ask{Need: m.Need, Want: m.Want, Returned: m.Returned})
+	got := s.owner.Serve(q.now(), m.Tenant, limitOf(tenant).Widen(q.spare(tenant)), quota.Ask{Need: m.Need, Want: m.Want, Returned: m.Returned})
 	answer.Owner, answer.Epoch, answer.Granted, answer.WaitUs = true, v.Epoch, got.Granted, got.Wait.Microseconds()
 	return answer
 }
