--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -136,6 +136,14 @@
 // Sequence is the number of changes that are committed, as far as this process knows.
 func (r *Replica) Sequence() uint64 { return r.committed }
 
+// Idle is for how long this process has not acted on any duty for certain: since its start, if it has not been in a chain since.
+func (r *Replica) Idle() time.Duration {
+	if r.resumed {
+		return r.now - r.began
+	}
+	return 0
+}
+
 // index is this process's place in the chain, -1 for none.
 func (r *Replica) index() int { return slices.Index(r.view.Chain, r.self.Identity) }
 
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -14,6 +14,9 @@
 	// richPart is the part of what is beyond that one asker gets.
 	richPart = 0.25
 	mostKeys = 65_536
+	slowest  = 1e-3 // units a second, for the sake of a wait that ends
+	// leastWait is the least time after which one that was sent away asks again.
+	leastWait = 50 * time.Millisecond
 )
 
 // Limit bounds the use of one key.
@@ -32,7 +35,7 @@
 // Answer is what it gets.
 type Answer struct {
 	Granted float64       // Need and a part of Want, or 0
-	Wait    time.Duration // where Need is not granted: when it may be
+	Wait    time.Duration // where nothing is granted: when to ask again
 }
 
 // Owner has the buckets of the keys that one process is responsible for.
@@ -65,7 +68,7 @@
 	b.tokens = min(b.tokens+limit.Rate*(now-b.at).Seconds()+max(ask.Returned, 0), limit.Burst)
 	b.at = now
 	if ask.Need > 0 && b.tokens <= 0 {
-		return Answer{Wait: wait(-b.tokens, limit.Rate)}
+		return Answer{Wait: leastWait + seconds(-b.tokens/max(limit.Rate, slowest))}
 	}
 	granted := max(ask.Need, 0)
 	if rich := b.tokens - granted - richFrom*limit.Burst; rich > 0 {
@@ -75,13 +78,7 @@
 	return Answer{Granted: granted}
 }
 
-func wait(units, rate float64) time.Duration {
-	const least = 50 * time.Millisecond
-	if rate <= 0 {
-		return time.Minute
-	}
-	return least + time.Duration(units/rate*float64(time.Second))
-}
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Holder keeps what one process was granted of one key.
 type Holder struct {
--- a/coord/register/core.go
+++ b/coord/register/core.go
@@ -142,7 +142,7 @@
 
 // status has the view know how this process stands.
 func (o *Core) status() {
-	o.view.SetStatus(view.Status{Position: o.chain.Position(), Answered: o.chain.Answered(), Healthy: o.healthy, Stuck: o.chain.Stuck(), Leaving: o.leaving})
+	o.view.SetStatus(view.Status{Position: o.chain.Position(), Answered: o.chain.Answered(), Idle: o.chain.Idle(), Healthy: o.healthy, Stuck: o.chain.Stuck(), Leaving: o.leaving})
 }
 
 // settle carries effects out, with those that follow from them.
--- a/coord/view/duties.go
+++ b/coord/view/duties.go
@@ -50,28 +50,30 @@
 		load[owner]++
 		all[shard] = &coordpb.Duty{Owner: owner, Since: v.Epoch}
 		if shard < len(before) {
-			all[shard].WaitMs = uint32(d.leaseLeft(before[shard], promises).Milliseconds())
+			all[shard].WaitMs = int32(d.leaseLeft(before[shard], promises).Milliseconds())
 		}
 	}
 	return all
 }
 
-// leaseLeft is how long the owner of a shard, or one before it, may still act on it at most. One that has promised to leave the epoch does
-// not act any more. Of another one it is known by what a majority has confirmed to it: a confirmation that succeeds has an answer of at
-// least one of them.
+// leaseLeft is how long the owner of a shard, or one before it, may still act on it at most; below 0, for so long nobody has. One that has
+// promised to leave the epoch does not act any more, and says since when. Of another one it is known by what a majority has confirmed to
+// it: a confirmation that succeeds has an answer of at least one of them.
 func (d *Decider) leaseLeft(duty *coordpb.Duty, promises map[string]*promised) time.Duration {
-	left := time.Duration(duty.WaitMs)*time.Millisecond - (d.now - d.learnedAt)
+	before := time.Duration(duty.WaitMs)*time.Millisecond - (d.now - d.learnedAt)
+	left := -mostIdle
 	for _, p := range promises {
 		if p.from.Identity == duty.Owner {
-			return max(left, 0)
+			return max(before, -time.Duration(p.IdleMs)*time.Millisecond, -mostIdle)
 		}
-	}
-	for _, p := range promises {
 		for _, a := range p.Answered {
 			if a.Identity == duty.Owner {
 				left = max(left, Lease+leaseMargin-time.Duration(a.AgeMs)*time.Millisecond)
 			}
 		}
 	}
-	return max(left, 0)
+	return max(before, left)
 }
+
+// mostIdle bounds for how long nobody is said to have acted.
+const mostIdle = 3 * time.Second
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -57,6 +57,7 @@
 // Status is how the owner stands, for others to know.
 type Status struct {
 	Position *coordpb.Position
+	Idle     time.Duration       // for so long it has not acted on its duties
 	Answered []*coordpb.Answered // how long ago this process last confirmed its epoch, and to whom
 	Healthy  bool                // what is written gets to the disk
 	Stuck    bool                // a change has waited for the chain for too long
--- a/coord/view/vote.go
+++ b/coord/view/vote.go
@@ -27,7 +27,8 @@
 	}
 	d.promise(p.Ballot)
 	d.send(from.Address, &coordpb.Message{Body: &coordpb.Message_Promise{Promise: &coordpb.Promise{Instance: p.Instance, Ballot: p.Ballot,
-		AcceptedBallot: d.acceptedBallot, AcceptedView: d.acceptedView, Position: d.status.Position, Healthy: d.status.Healthy && !d.status.Leaving, Answered: d.status.Answered}}})
+		AcceptedBallot: d.acceptedBallot, AcceptedView: d.acceptedView, Position: d.status.Position, Healthy: d.status.Healthy && !d.status.Leaving, Answered: d.status.Answered,
+		IdleMs: uint64(d.status.Idle.Milliseconds())}}})
 }
 
 // takeAccept votes for a view.
--- a/internal/system/feed/feed.go
+++ b/internal/system/feed/feed.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	// PollEvery is the time between two polls of a source.
-	PollEvery = 400 * time.Millisecond
+	// PollEvery is the time between two polls of a source, and hurriedEvery while something that has to be fresh is not.
+	PollEvery    = 400 * time.Millisecond
+	hurriedEvery = 100 * time.Millisecond
 	// staleAfter is how long a source may bring nothing fresh before the next candidate is turned to.
 	staleAfter = 1000 * time.Millisecond
 	// tryFor is how long each further candidate is given.
-	tryFor = 500 * time.Millisecond
+	tryFor = 300 * time.Millisecond
 	// retryFirst is the time after which the first candidate is asked again, beside the one in use.
 	retryFirst = 2 * time.Second
 	// subscribed is how long a subscriber is sent changes after its last poll.
@@ -183,6 +184,9 @@
 // poll asks all sources in use for what is new, and now and then the first candidates of flows that use others.
 func (n *Node) poll() {
 	n.pollAt = n.now + PollEvery
+	if n.isBehind() {
+		n.pollAt = n.now + hurriedEvery
+	}
 	asked := map[string]*message.Poll{}
 	for _, f := range n.flows {
 		n.ask(asked, f.Candidates[f.at], f.Topic)
@@ -199,6 +203,19 @@
 	}
 }
 
+// isBehind tells whether something that has to be confirmed as the newest has not been for too long.
+func (n *Node) isBehind() bool {
+	for _, f := range n.flows {
+		if !f.Confirmed {
+			continue
+		}
+		if at, ok := n.topics[f.Topic].Confirmed(); !ok || n.now-at >= staleAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // ask adds a topic to the poll of a source.
 func (n *Node) ask(polls map[string]*message.Poll, source, topic string) {
 	poll := polls[source]
@@ -319,6 +336,9 @@
 			topic.Merge(news)
 		}
 		cursor.Life, cursor.Revision = news.Life, news.Revision
+		if !answered && n.isBehind() {
+			n.pollAt = n.now // what came has to be confirmed
+		}
 		if answered {
 			confirmed := neverStarted
 			if news.AgeUs >= 0 {
