--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -17,6 +17,8 @@
 	slowest  = 1e-3 // units a second, for the sake of a wait that ends
 	// leastWait is the least time after which one that was sent away asks again.
 	leastWait = 50 * time.Millisecond
+	// mostWait bounds the time within which those that were sent away come back one after the other.
+	mostWait = time.Second
 )
 
 // Limit bounds the use of one key.
@@ -46,8 +48,9 @@
 }
 
 type bucket struct {
-	tokens float64
-	at     time.Duration
+	tokens  float64
+	at      time.Duration
+	returns time.Duration // when the last of those that were sent away is to ask again
 }
 
 // Serve answers an ask at a time. A bucket was empty when the owner became so, as what the one before granted is unknown, and has filled
@@ -68,7 +71,7 @@
 	b.tokens = min(b.tokens+limit.Rate*(now-b.at).Seconds()+max(ask.Returned, 0), limit.Burst)
 	b.at = now
 	if ask.Need > 0 && b.tokens <= 0 {
-		return Answer{Wait: leastWait + seconds(-b.tokens/max(limit.Rate, slowest))}
+		return Answer{Wait: b.sendAway(now, max(limit.Rate, slowest), ask.Need)}
 	}
 	granted := max(ask.Need, 0)
 	if rich := b.tokens - granted - richFrom*limit.Burst; rich > 0 {
@@ -78,6 +81,13 @@
 	return Answer{Granted: granted}
 }
 
+// sendAway is when one that needs units is to ask again: behind those that were sent away before, but not for ever.
+func (b *bucket) sendAway(now time.Duration, rate, need float64) time.Duration {
+	b.returns = max(b.returns, now+seconds(-b.tokens/rate)) + seconds(need/rate)
+	b.returns = min(b.returns, now+mostWait)
+	return max(b.returns-now, leastWait)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Holder keeps what one process was granted of one key.
