Quotas: an owner counts a window and is told of by its likes; use without an owner stays what it was

Cause: a token bucket of the limit's rate gave hot tenants 1.0 of what the bound leaves 1.3 of, and after the loss of the core tenants were refused for 2 s as a bucket began at nothing. Owners count what they granted in the last window, tell the other members of each grant, and take over with those counts; where counts are missing they keep to the rate.

--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -22,6 +22,8 @@
 	ResendEvery = 200 * time.Millisecond
 	// stuckAfter is how long the chain may take for a change, or to begin an epoch, before another view is called for.
 	stuckAfter = 900 * time.Millisecond
+	// restartsIn is the least time between the end of a process and the beginning of the next one on its machine.
+	restartsIn = 250 * time.Millisecond
 	// MostOrders bounds the orders that wait at the head; further ones are not taken.
 	MostOrders = 256
 )
@@ -136,10 +138,11 @@
 // Sequence is the number of changes that are committed, as far as this process knows.
 func (r *Replica) Sequence() uint64 { return r.committed }
 
-// Idle is for how long this process has not acted on any duty for certain: since its start, if it has not been in a chain since.
+// Idle is for how long this process has not acted on any duty for certain: since the end of its life before, if it has not been in a chain
+// since.
 func (r *Replica) Idle() time.Duration {
 	if r.resumed {
-		return r.now - r.began
+		return r.now - r.began + restartsIn
 	}
 	return 0
 }
--- a/coord/quota/quota_test.go
+++ b/coord/quota/quota_test.go
@@ -8,24 +8,45 @@
 	"github.com/matryer/is"
 )
 
-const rate = 100.0
+const (
+	rate      = 100.0
+	window    = 8 * time.Second
+	overshoot = 0.1
+	slack     = 60.0
+	biggest   = 8.0
+)
 
-var limit = Limit{Rate: rate, Burst: rate}
+var (
+	limit   = Limit{Rate: rate, Burst: rate}
+	plan    = NewPlan(limit, window, overshoot, slack)
+	allowed = (limit.Rate*window.Seconds()+limit.Burst)*(1+overshoot) + slack
+)
 
-// A bucket fills from the time on since when nobody else grants, gives what is needed while there is anything in it, and tells when to
-// ask again.
+// The parts of a plan are those of its bound.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	is.Equal(plan.Most, 900+mostPart*150)
+	is.Equal(plan.Depth, 100+depthPart*150)
+	is.Equal(plan.Life, lifeOfGrant)
+}
+
+// An owner grants what the bound has room for in a window, and not more at once than its depth, and tells when to ask again.
 func TestOwner(t *testing.T) {
 	is := is.New(t)
-	o := &Owner{Since: time.Second}
-	is.Equal(o.Serve(time.Second, "k", limit, Ask{Need: 1}).Granted, 0.0)
-	is.Equal(o.Serve(1100*time.Millisecond, "k", limit, Ask{Need: 30}).Granted, 30.0) // more than the 10 that are there
-	late := o.Serve(1100*time.Millisecond, "k", limit, Ask{Need: 1})
+	o := NewOwner(0, window, nil, -window)
+	is.Equal(o.Serve(0, "k", plan, Ask{Need: 1}).Granted, 0.0) // nothing has come yet
+	is.Equal(o.Serve(10*time.Second, "k", plan, Ask{Need: plan.Depth}).Granted, plan.Depth)
+	is.Equal(o.Serve(10*time.Second, "k", plan, Ask{Need: 1}).Granted, 0.0)
+	is.Equal(o.Serve(10*time.Second+100*time.Millisecond, "k", plan, Ask{Need: 30}).Granted, 30.0) // more than has come since
+	late := o.Serve(10*time.Second+100*time.Millisecond, "k", plan, Ask{Need: 1})
 	is.Equal(late.Granted, 0.0)
-	is.True(late.Wait >= 200*time.Millisecond)
-	is.Equal(o.Serve(10*time.Second, "k", limit, Ask{Need: 1, Want: 1000}).Granted, 1+richPart*(rate-1-richFrom*rate))
-	is.Equal(o.Serve(10*time.Second, "other", limit, Ask{Need: 100}).Granted, 100.0) // full, and not more
-	is.Equal(o.Serve(10*time.Second, "other", limit, Ask{Need: 1}).Granted, 0.0)
-	is.Equal(o.Serve(10*time.Second, "other", limit, Ask{Need: 1, Returned: 50}).Granted, 1.0)
+	is.True(late.Wait >= leastWait)
+	granted := plan.Depth + 30
+	for now := 11 * time.Second; now < 17*time.Second; now += 10 * time.Millisecond {
+		granted += o.Serve(now, "k", plan, Ask{Need: 5}).Granted
+	}
+	is.True(granted <= plan.Most)
+	is.True(granted > 0.8*plan.Most)
 }
 
 // Those that are sent away come back one after the other, within a second.
@@ -34,7 +55,7 @@
 	o := &Owner{}
 	before := time.Duration(0)
 	for range 20 {
-		got := o.Serve(0, "k", limit, Ask{Need: 10})
+		got := o.Serve(0, "k", plan, Ask{Need: 10})
 		is.Equal(got.Granted, 0.0)
 		is.True(got.Wait > before || got.Wait == mostWait)
 		before = got.Wait
@@ -42,10 +63,79 @@
 	is.Equal(before, mostWait)
 }
 
+// An owner that does not know what was granted before begins at nothing, and keeps to the limit's rate for a window.
+func TestBlind(t *testing.T) {
+	is := is.New(t)
+	o := NewOwner(0, window, nil, 0)
+	granted := 0.0
+	for now := time.Duration(0); now < window; now += 10 * time.Millisecond {
+		granted += o.Serve(now, "k", plan, Ask{Need: 3}).Granted
+	}
+	is.True(granted <= rate*window.Seconds()+3)
+	is.True(granted > 0.95*blindPart*rate*(window-blindGap).Seconds())
+}
+
+// An owner that takes over goes on with what it was told.
+func TestTakeOver(t *testing.T) {
+	is := is.New(t)
+	tracker := Tracker{Window: window}
+	first := NewOwner(-20*time.Second, window, nil, -20*time.Second)
+	now, number, granted := time.Duration(0), uint64(0), 0.0
+	for ; now < 6*time.Second; now += 100 * time.Millisecond {
+		got := first.Serve(now, "k", plan, Ask{Need: 20}).Granted
+		granted += got
+		tracker.Told(now, 1, number, map[string]float64{"k": got}, 0)
+		number++
+	}
+	keys, complete := tracker.Known(now, 1)
+	is.True(complete <= 0)
+	second := NewOwner(now, window, keys, complete)
+	for ; now < 7500*time.Millisecond; now += 10 * time.Millisecond {
+		granted += second.Serve(now, "k", plan, Ask{Need: 20}).Granted
+	}
+	is.True(granted <= plan.Most)
+	is.True(granted > 0.9*plan.Most)
+}
+
+// What is known of an owner is complete only from a gap in its words on, and from when it knew all itself.
+func TestTracker(t *testing.T) {
+	is := is.New(t)
+	tracker := Tracker{Window: window}
+	_, complete := tracker.Known(time.Second, 1)
+	is.Equal(complete, time.Second)
+	tracker.Told(time.Second, 1, 0, nil, 0)
+	_, complete = tracker.Known(2*time.Second, 1)
+	is.Equal(complete, time.Second-window)
+	tracker.Told(2*time.Second, 1, 1, map[string]float64{"k": 5}, 3*time.Second)
+	keys, complete := tracker.Known(2*time.Second, 1)
+	is.Equal(complete, 5*time.Second-window)
+	is.Equal(keys["k"].Sum(3*time.Second), 5.0)
+	tracker.Told(4*time.Second, 1, 3, nil, 0)
+	keys, complete = tracker.Known(4*time.Second, 1)
+	is.Equal(complete, 4*time.Second)
+	is.Equal(len(keys), 0)
+}
+
+// Counts of a span: a unit counts for the span and a part of it at most.
+func TestUsage(t *testing.T) {
+	is := is.New(t)
+	u := &Usage{Span: window}
+	u.Add(0, 3)
+	u.Add(4*time.Second, 4)
+	is.Equal(u.Sum(7900*time.Millisecond), 7.0)
+	is.Equal(u.Sum(8500*time.Millisecond), 4.0)
+	is.Equal(u.Sum(time.Hour), 0.0)
+	other := &Usage{Span: window}
+	other.Add(time.Hour, 2)
+	u.Add(time.Hour, 1)
+	is.Equal(u.Merged(time.Hour, other).Sum(time.Hour), 3.0)
+	is.Equal(u.Merged(time.Hour, nil).Sum(time.Hour), 1.0)
+}
+
 // What was granted is used once, and expires.
 func TestHolder(t *testing.T) {
 	is := is.New(t)
-	h := &Holder{Life: time.Second}
+	h := &Holder{Plan: Plan{Life: time.Second}}
 	is.True(!h.Take(0, 1))
 	h.Grant(0, 10)
 	h.Grant(500*time.Millisecond, 5)
@@ -53,14 +143,12 @@
 	is.Equal(h.Held(600*time.Millisecond), 3.0)
 	is.True(!h.Take(600*time.Millisecond, 4))
 	is.Equal(h.Held(1500*time.Millisecond), 0.0)
-	ask, ok := h.Missing(1500*time.Millisecond, 7)
-	is.True(ok)
-	is.Equal(ask.Need, 7.0)
+	is.Equal(h.Missing(1500*time.Millisecond, 7).Need, 7.0)
 }
 
 // Parts whose sum is what is taken, but for a rounding error, do not end the process.
 func TestRounding(t *testing.T) {
-	h := &Holder{Life: time.Hour}
+	h := &Holder{Plan: Plan{Life: time.Hour}}
 	for range 10 {
 		h.Grant(0, 0.1)
 	}
@@ -70,44 +158,47 @@
 	}
 }
 
-// Without an owner, use goes on as it was for a moment, once in a window.
+// Without an owner, use goes on as it was for a moment, once in a window, and an owner is told of it.
 func TestBorrow(t *testing.T) {
 	is := is.New(t)
-	h := &Holder{Life: time.Second}
-	h.SetSpare(2*time.Second, 8*time.Second)
+	h := &Holder{Plan: plan}
 	now := time.Duration(0)
 	for range 100 { // 100 units a second
 		now += 100 * time.Millisecond
 		h.Grant(now, 10)
 		is.True(h.Take(now, 10))
 	}
-	borrowed := 0.0
-	for h.Borrow(now, 10) {
-		borrowed += 10
+	borrowed, from := 0.0, now
+	for ; now < from+2*lendFor; now += 10 * time.Millisecond {
+		if h.Borrow(now, 2) {
+			borrowed += 2
+		}
 	}
-	is.True(borrowed >= 40 && borrowed <= 1.2*LendPart*2*100)
-	is.True(!h.Borrow(now+time.Second, 10))
-	is.True(!(&Holder{}).Borrow(0, 1)) // who has used nothing borrows nothing
-}
-
-// A limit is widened by a part of what its bound leaves spare.
-func TestSpare(t *testing.T) {
-	is := is.New(t)
-	spare := Spare(limit, 8*time.Second, 0.1, 50)
-	is.Equal(spare, 1400*time.Millisecond) // (0.1 * 900 + 50) / 100
-	is.Equal(limit.Widen(spare).Burst, rate+BurstPart*140)
-	is.Equal(Spare(Limit{}, time.Second, 0.1, 50), time.Duration(0))
+	is.True(borrowed >= 0.8*rate*lendFor.Seconds() && borrowed <= rate*lendFor.Seconds()+rate*window.Seconds()/usageParts)
+	is.Equal(h.Missing(now, 1).Borrowed, borrowed)
+	h.Reported(borrowed)
+	is.Equal(h.Missing(now, 1).Borrowed, 0.0)
+	is.True(!(&Holder{Plan: plan}).Borrow(0, 1)) // who has used nothing borrows nothing
 }
 
 // fleet is routers that use one key's units, and owners that come and go, as the drawn schedules have them.
 type fleet struct {
 	rng     *rand.Rand
 	now     time.Duration
-	spare   time.Duration
-	owner   *Owner
-	second  *Owner // acts at the same time, which must never be; nil for none
+	owners  []*owner // the last one acts, and with a fault planted the one before as well
+	tracker Tracker  // of those that stand by
 	holders []*Holder
 	used    []use
+	without time.Duration // no owner acts until then
+}
+
+// owner is one, with what it has to tell.
+type owner struct {
+	*Owner
+	name, number uint64
+	untold       float64
+	toldAt       time.Duration
+	end          time.Duration // it granted nothing after that; 0 while it acts
 }
 
 type use struct {
@@ -115,44 +206,45 @@
 	units float64
 }
 
-const (
-	window    = 8 * time.Second
-	overshoot = 0.1
-	slack     = 60.0
-	biggest   = 8.0
-)
-
 func newFleet(seed uint64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), spare: Spare(limit, window, overshoot, slack), owner: &Owner{}}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), tracker: Tracker{Window: window}}
+	f.owners = []*owner{{Owner: NewOwner(0, window, nil, -window)}}
 	for range 10 {
-		f.holders = append(f.holders, f.holder())
+		f.holders = append(f.holders, &Holder{Plan: plan})
 	}
 	return f
 }
 
-func (f *fleet) holder() *Holder {
-	h := &Holder{}
-	h.SetSpare(f.spare, window)
-	return h
+// tell has an owner tell those that stand by, at the latest where it has granted a tenth of a second's units.
+func (f *fleet) tell(o *owner) {
+	if o.untold < 0.1*rate && f.now-o.toldAt < 100*time.Millisecond {
+		return
+	}
+	if f.rng.IntN(400) > 0 { // a word may be lost
+		f.tracker.Told(f.now, o.name, o.number, map[string]float64{"k": o.untold}, o.Blind-f.now)
+	}
+	o.number, o.untold, o.toldAt = o.number+1, 0, f.now
 }
 
 // request is one of a router: it takes what it holds, or asks; the answer may be lost, and the router may then go on without.
-func (f *fleet) request(reach bool) {
+func (f *fleet) request(double bool) {
 	h, units := f.holders[f.rng.IntN(len(f.holders))], 1+f.rng.Float64()*(biggest-1)
-	if !h.Take(f.now, units) {
-		if !reach {
-			if !h.Borrow(f.now, units) {
-				return
-			}
-			f.used = append(f.used, use{f.now, units})
+	switch {
+	case h.Take(f.now, units):
+	case f.now < f.without:
+		if !h.Borrow(f.now, units) {
 			return
 		}
-		owner := f.owner
-		if f.second != nil && f.rng.IntN(2) == 0 {
-			owner = f.second
+	default:
+		o := f.owners[len(f.owners)-1]
+		if double && len(f.owners) > 1 && f.rng.IntN(2) == 0 {
+			o = f.owners[len(f.owners)-2]
 		}
-		ask, _ := h.Missing(f.now, units)
-		got := owner.Serve(f.now, "k", limit.Widen(f.spare), ask)
+		ask := h.Missing(f.now, units)
+		got := o.Serve(f.now, "k", plan, ask)
+		h.Reported(ask.Borrowed)
+		o.untold += got.Granted + ask.Borrowed
+		f.tell(o)
 		if f.rng.IntN(20) == 0 {
 			return // the answer is lost
 		}
@@ -164,6 +256,38 @@
 	f.used = append(f.used, use{f.now, units})
 }
 
+// takeOver ends the owner and has another one come, which was told of its grants or has lost all memory.
+func (f *fleet) takeOver(double bool) {
+	before := f.owners[len(f.owners)-1]
+	gap := time.Duration(f.rng.IntN(2000)) * time.Millisecond
+	memory := f.rng.IntN(3) > 0
+	if !memory {
+		gap = max(gap, 500*time.Millisecond) // its process has to begin anew
+		f.tracker = Tracker{Window: window}
+	}
+	keys, complete := map[string]*Usage{}, f.now-window
+	for _, o := range f.owners {
+		if o.end > 0 && f.now-o.end > window {
+			continue
+		}
+		known, from := f.tracker.Known(f.now, o.name)
+		complete = max(complete, from)
+		for key, usage := range known {
+			keys[key] = usage.Merged(f.now, keys[key])
+		}
+	}
+	before.end = f.now
+	if !memory {
+		complete = f.now + gap
+	}
+	if double {
+		gap = 0
+	}
+	f.without = f.now + gap
+	next := &owner{Owner: NewOwner(f.without, window, keys, complete), name: before.name + 1, toldAt: f.without}
+	f.owners = append(f.owners, next)
+}
+
 // most is the greatest use in any window.
 func (f *fleet) most() float64 {
 	most, sum, from := 0.0, 0.0, 0
@@ -178,34 +302,28 @@
 	return most
 }
 
-// play draws a minute of traffic far beyond the limit, with owners that end and come, routers that are replaced, and spans in which no
-// owner is reached.
-func (f *fleet) play(overlap bool) {
-	without := time.Duration(0) // no owner acts until then
+// play draws a minute of traffic far beyond the limit, with owners that end and come, routers that are replaced, calm times, and spans in
+// which no owner is reached.
+func (f *fleet) play(double bool) {
 	for f.now < time.Minute {
 		f.now += time.Duration(f.rng.ExpFloat64() * float64(8*time.Millisecond))
-		switch f.rng.IntN(1500) {
-		case 0: // the owner ends, and another one comes once nobody acts
-			if overlap {
-				f.second = &Owner{Since: f.now - time.Second}
-				continue
-			}
-			without = f.now + time.Duration(f.rng.IntN(2000))*time.Millisecond
-			f.owner = &Owner{Since: f.now}
-		case 1:
-			f.holders[f.rng.IntN(len(f.holders))] = f.holder()
-		case 2: // a calm time, in which buckets fill
+		switch f.rng.IntN(2500) {
+		case 0, 1:
+			f.takeOver(double)
+		case 2:
+			f.holders[f.rng.IntN(len(f.holders))] = &Holder{Plan: plan}
+		case 3:
 			f.now += time.Duration(f.rng.IntN(10)) * time.Second
 		}
-		f.request(f.now >= without)
+		f.request(double)
 	}
 }
 
-// Whatever is drawn of owners that end, lost answers, new routers and calm times, in no window is more used than the bound allows.
+// Whatever is drawn of owners that end, with and without what they told, lost words and answers, new routers and calm times, in no window
+// is more used than the bound allows.
 func TestBound(t *testing.T) {
-	allowed := (limit.Rate*window.Seconds()+limit.Burst)*(1+overshoot) + slack
 	top := 0.0
-	for seed := range uint64(150) {
+	for seed := range uint64(400) {
 		f := newFleet(seed)
 		f.play(false)
 		top = max(top, f.most())
@@ -218,8 +336,7 @@
 
 // Two owners at once, the same share granted twice, are found.
 func TestGrantedTwice(t *testing.T) {
-	allowed := (limit.Rate*window.Seconds()+limit.Burst)*(1+overshoot) + slack
-	for seed := range uint64(150) {
+	for seed := range uint64(400) {
 		f := newFleet(seed)
 		f.play(true)
 		if f.most() > allowed {
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -282,7 +282,10 @@
 		d.peers[from.Address] = p
 	}
 	if p.member == nil || p.member.Identity != from.Identity {
-		*p = peer{member: from, first: d.now, since: d.now}
+		*p = peer{member: from, first: d.now, since: d.now, heard: d.now}
+		if d.c.Core || d.mayVote() {
+			d.sendHeartbeat(from.Address) // it waits for a word of this process
+		}
 	}
 	if d.now-p.heard >= suspectAfter {
 		p.since = d.now
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -115,6 +115,7 @@
 		return fmt.Errorf("internalPortRange: %w", err)
 	}
 	go n.hub.run(work)
+	go n.quotas.run(work)
 	go n.readDatagrams()
 	go n.members.Run(work)
 	if n.replica != nil {
--- /dev/null
+++ b/internal/system/node/owning.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"maps"
+	"time"
+
+	"reachspread/coord/coordpb"
+	"reachspread/coord/quota"
+	"reachspread/coord/view"
+	"reachspread/internal/system/message"
+)
+
+const (
+	// tellEvery is the time after which other members are told of grants, and tellAtLeast that after which they are told that there were none.
+	tellEvery   = 100 * time.Millisecond
+	tellAtLeast = time.Second
+	// tellPart is the part of a second's units after which they are told at once.
+	tellPart = 0.1
+)
+
+// owning is what this router owns of the tenants' limits, as a member of the register: the shards of the duties that the view gives it. It
+// tells the other members of each grant, so that one of them can go on where this one ends. The lock of its quotas guards it.
+type owning struct {
+	quotas  *quotas
+	view    *coordpb.View // the last one
+	gapAt   time.Duration // views may be missing that were in force until then
+	past    []pastView
+	shards  map[int]*shard
+	tracker quota.Tracker
+
+	untold map[string]float64 // grants, by tenant
+	number uint64             // of the next word to the others
+	toldAt time.Duration
+}
+
+// pastView is a view of late.
+type pastView struct {
+	view  *coordpb.View
+	until time.Duration // another one was learnt of then
+}
+
+// shard is a part of the duties that this router owns.
+type shard struct {
+	since uint64 // the epoch
+	from  time.Duration
+	owner *quota.Owner
+}
+
+// viewed takes in a view of the register: the duties in it may be this router's.
+func (o *owning) viewed(v *coordpb.View) {
+	now := o.quotas.now()
+	if o.view == nil || v.Epoch != o.view.Epoch+1 {
+		o.gapAt = now
+		if v.Epoch == 1 {
+			o.gapAt = 0 // nobody had any duty before
+		}
+	}
+	if o.view != nil {
+		o.past = append(o.past, pastView{o.view, now})
+	}
+	for len(o.past) > 0 && now-o.past[0].until > o.tracker.Window {
+		o.past = o.past[1:]
+	}
+	o.view = v
+	for i, duty := range v.Duties {
+		m := view.MemberOf(v, duty.Owner)
+		if m == nil || m.Address != o.quotas.node.self.internal() {
+			delete(o.shards, i)
+			continue
+		}
+		if s := o.shards[i]; s == nil || s.since != duty.Since {
+			o.shards[i] = o.takeOver(now, i, duty)
+		}
+	}
+}
+
+// takeOver begins the ownership of a shard, with what is known of the grants of those who had it of late.
+func (o *owning) takeOver(now time.Duration, i int, duty *coordpb.Duty) *shard {
+	complete := o.gapAt
+	known := map[string]*quota.Usage{}
+	seen := map[uint64]bool{}
+	for _, p := range o.past {
+		if i >= len(p.view.Duties) || seen[p.view.Duties[i].Owner] {
+			continue
+		}
+		owner := p.view.Duties[i].Owner
+		seen[owner] = true
+		keys, from := o.tracker.Known(now, owner)
+		complete = max(complete, from)
+		for key, usage := range keys {
+			if view.Shard(key) == i {
+				known[key] = usage.Merged(now, known[key])
+			}
+		}
+	}
+	from := now + time.Duration(duty.WaitMs)*time.Millisecond
+	return &shard{since: duty.Since, from: from, owner: quota.NewOwner(from, o.tracker.Window, known, complete)}
+}
+
+// serve answers an ask, where this router is the owner for certain.
+func (o *owning) serve(m *message.QuotaAsk) *message.QuotaAnswer {
+	answer := &message.QuotaAnswer{Nonce: m.Nonce}
+	node, now := o.quotas.node, o.quotas.now()
+	state := node.plane.State()
+	if node.replica == nil || state == nil {
+		return answer
+	}
+	v, holds := node.replica.Holds()
+	s := o.shards[view.Shard(m.Tenant)]
+	tenant := state.Typed.TenantNamed(m.Tenant)
+	if s == nil || !holds || tenant == nil || now < s.from {
+		return answer
+	}
+	plan := o.quotas.plan(tenant)
+	got := s.owner.Serve(now, m.Tenant, plan, quota.Ask{Need: m.Need, Borrowed: m.Borrowed})
+	answer.Owner, answer.Epoch, answer.Granted, answer.WaitUs = true, v.Epoch, got.Granted, got.Wait.Microseconds()
+	if used := got.Granted + m.Borrowed; used > 0 {
+		o.untold[m.Tenant] += used
+		if o.untold[m.Tenant] >= tellPart*plan.Rate {
+			o.tell(now)
+		}
+	}
+	return answer
+}
+
+// tell brings the grants since the last time to the other members.
+func (o *owning) tell(now time.Duration) {
+	if len(o.shards) == 0 || len(o.untold) == 0 && now-o.toldAt < tellAtLeast {
+		return
+	}
+	self := o.identity()
+	m := &message.QuotaUsage{Owner: self, Number: o.number, Grants: maps.Clone(o.untold), BlindUs: o.blind(now).Microseconds()}
+	o.number++
+	o.toldAt = now
+	clear(o.untold)
+	o.told(m) // so that it is known where this router gets a duty back
+	for _, member := range o.view.Members {
+		if member.Identity != self {
+			o.quotas.node.send(member.Address, &message.Envelope{Body: &message.Envelope_QuotaUsage{QuotaUsage: m}})
+		}
+	}
+}
+
+// identity is this router's own in the view.
+func (o *owning) identity() uint64 { return o.quotas.node.replica.Status().Identity }
+
+// blind is for how long this router still does not know all that was granted before it.
+func (o *owning) blind(now time.Duration) time.Duration {
+	left := time.Duration(0)
+	for _, s := range o.shards {
+		left = max(left, s.owner.Blind-now)
+	}
+	return left
+}
+
+// told takes in what an owner tells.
+func (o *owning) told(m *message.QuotaUsage) {
+	o.tracker.Told(o.quotas.now(), m.Owner, m.Number, m.Grants, time.Duration(m.BlindUs)*time.Microsecond)
+}
--- a/internal/system/node/quotas.go
+++ b/internal/system/node/quotas.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,74 +19,77 @@
 	quotaPatience = 400 * time.Millisecond // for which a request waits for its units
 	quotaAgain    = 300 * time.Millisecond // when to come back where no owner answers
 	mostTenants   = 65_536
+	mostAsks      = 64 // on their way, before those that are old are looked for
 )
 
-// quotas is this router's part in the tenants' limits: what it holds of each, and the buckets of those that it owns.
+// quotas is this router's part in the tenants' limits: what it holds of each. What it owns of them is owning's.
 type quotas struct {
 	node  *Node
 	start time.Time
 
-	mu    sync.Mutex
-	held  map[string]*holding
-	asked map[uint64]*asking
-	nonce uint64
-	owned map[int]*shard
-}
-
-// holding is what this router holds of one tenant's quota.
-type holding struct {
-	quota.Holder
-	asking bool // units in advance were asked for
+	mu     sync.Mutex
+	held   map[string]*quota.Holder
+	asked  map[uint64]*asking
+	nonce  uint64
+	owning owning
 }
 
 // asking is an ask on its way.
 type asking struct {
-	tenant  string
-	at      time.Duration
-	advance bool
-	came    chan *message.QuotaAnswer // nil where nobody waits
-	relayed *message.QuotaAsk         // of another router, which gets the answer; nil for an own one
-}
-
-// shard is a part of the duties that this router owns.
-type shard struct {
-	since uint64 // the epoch
-	from  time.Duration
-	owner quota.Owner
+	tenant   string
+	at       time.Duration
+	borrowed float64 // units that it tells of
+	came     chan *message.QuotaAnswer
+	relayed  *message.QuotaAsk // of another router, which gets the answer; nil for an own one
 }
 
 func newQuotas(n *Node) *quotas {
-	return &quotas{node: n, start: time.Now(), held: map[string]*holding{}, asked: map[uint64]*asking{}, nonce: rand.Uint64(), owned: map[int]*shard{}}
+	q := &quotas{node: n, start: time.Now(), held: map[string]*quota.Holder{}, asked: map[uint64]*asking{}, nonce: rand.Uint64()}
+	q.owning = owning{quotas: q, shards: map[int]*shard{}, untold: map[string]float64{},
+		tracker: quota.Tracker{Window: settings.Seconds(n.settings.Bounds.QuotaWindowS)}}
+	return q
 }
 
 func (q *quotas) now() time.Duration { return time.Since(q.start) }
 
-// limitOf is the limit of a tenant.
-func limitOf(t *configuration.Tenant) quota.Limit {
-	return quota.Limit{Rate: t.RatePerS, Burst: max(t.Burst, t.RatePerS/10)}
+// run tells others of what this router owns until ctx ends.
+func (q *quotas) run(ctx context.Context) {
+	tick := time.NewTicker(tellEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			q.mu.Lock()
+			q.owning.tell(q.now())
+			q.mu.Unlock()
+		}
+	}
 }
 
-// spare is how much longer than the window all routers may go on at a tenant's rate.
-func (q *quotas) spare(t *configuration.Tenant) time.Duration {
+// plan divides the bound on a tenant's use.
+func (q *quotas) plan(t *configuration.Tenant) quota.Plan {
 	b := q.node.settings.Bounds
 	slack := b.QuotaSlack
 	if t.Unit != configuration.TokensUnit {
 		slack = 0
 	}
-	return quota.Spare(limitOf(t), settings.Seconds(b.QuotaWindowS), b.QuotaOvershoot, slack)
+	limit := quota.Limit{Rate: t.RatePerS, Burst: t.Burst}
+	return quota.NewPlan(limit, settings.Seconds(b.QuotaWindowS), b.QuotaOvershoot, slack)
 }
 
-// holding returns what is held of a tenant's quota. The lock is held.
-func (q *quotas) holding(t *configuration.Tenant) *holding {
+// holder returns what is held of a tenant's quota. The lock is held.
+func (q *quotas) holder(t *configuration.Tenant) *quota.Holder {
 	h := q.held[t.Name]
 	if h == nil {
 		if len(q.held) >= mostTenants {
 			clear(q.held)
 		}
-		h = &holding{}
+		h = &quota.Holder{}
 		q.held[t.Name] = h
 	}
-	h.SetSpare(q.spare(t), settings.Seconds(q.node.settings.Bounds.QuotaWindowS))
+	h.Plan = q.plan(t)
 	return h
 }
 
@@ -94,17 +98,8 @@
 	until, silent := q.now()+quotaPatience, false
 	for try := 0; ; try++ {
 		q.mu.Lock()
-		h, now := q.holding(t), q.now()
-		if h.Take(now, units) {
-			if ask, more := h.Missing(now, 0); more && !h.asking {
-				h.asking = true
-				ask.Returned = h.Return(now)
-				q.ask(t.Name, ask, nil, false)
-			}
-			q.mu.Unlock()
-			return true, 0
-		}
-		if silent && h.Borrow(now, units) {
+		h, now := q.holder(t), q.now()
+		if h.Take(now, units) || silent && h.Borrow(now, units) {
 			q.mu.Unlock()
 			return true, 0
 		}
@@ -112,27 +107,31 @@
 			q.mu.Unlock()
 			return false, quotaAgain
 		}
-		ask, _ := h.Missing(now, units)
-		came := make(chan *message.QuotaAnswer, 1)
-		nonce := q.ask(t.Name, ask, came, try%2 == 1)
+		nonce, came := q.ask(t.Name, h.Missing(now, units), try%2 == 1)
 		q.mu.Unlock()
-		timer := time.NewTimer(quotaAnswerIn)
-		select {
-		case a := <-came:
-			timer.Stop()
-			if a.Owner && a.Granted == 0 {
-				return false, time.Duration(a.WaitUs) * time.Microsecond
-			}
-			if !a.Owner {
-				silent = true
-				time.Sleep(quotaAnswerIn / 4)
-			}
-		case <-timer.C:
-			silent = true
-			q.mu.Lock()
-			delete(q.asked, nonce)
-			q.mu.Unlock()
+		a := q.await(nonce, came)
+		if a.GetOwner() && a.Granted == 0 {
+			return false, time.Duration(a.WaitUs) * time.Microsecond
 		}
+		silent = !a.GetOwner()
+	}
+}
+
+// await waits for the answer to an ask, nil where none comes in time. An answer of one who is not the owner is no reason to ask again at once.
+func (q *quotas) await(nonce uint64, came <-chan *message.QuotaAnswer) *message.QuotaAnswer {
+	timer := time.NewTimer(quotaAnswerIn)
+	defer timer.Stop()
+	select {
+	case a := <-came:
+		if !a.Owner {
+			time.Sleep(quotaAnswerIn / 4)
+		}
+		return a
+	case <-timer.C:
+		q.mu.Lock()
+		delete(q.asked, nonce)
+		q.mu.Unlock()
+		return nil
 	}
 }
 
@@ -140,84 +139,77 @@
 func (q *quotas) Put(t *configuration.Tenant, units float64, taken time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.holding(t).Grant(taken.Sub(q.start), units)
+	q.holder(t).Grant(taken.Sub(q.start), units)
 }
 
 // ask asks the owner for units, or another router to ask it. The lock is held.
-func (q *quotas) ask(tenant string, ask quota.Ask, came chan *message.QuotaAnswer, relay bool) (nonce uint64) {
+func (q *quotas) ask(tenant string, ask quota.Ask, relay bool) (nonce uint64, came chan *message.QuotaAnswer) {
+	came = make(chan *message.QuotaAnswer, 1)
+	m := q.begin(&asking{tenant: tenant, came: came, borrowed: ask.Borrowed}, ask.Need, ask.Borrowed)
+	if neighbour := q.node.hub.neighbour(); relay && neighbour != "" {
+		m.Relay = true
+		q.node.send(neighbour, &message.Envelope{Body: &message.Envelope_QuotaAsk{QuotaAsk: m}})
+		return m.Nonce, came
+	}
+	q.toOwner(m)
+	return m.Nonce, came
+}
+
+// begin notes an ask. The lock is held.
+func (q *quotas) begin(a *asking, need, borrowed float64) *message.QuotaAsk {
 	q.nonce++
-	m := &message.QuotaAsk{From: q.node.self.internal(), Nonce: q.nonce, Tenant: tenant, Need: ask.Need, Want: ask.Want, Returned: ask.Returned}
-	q.asked[q.nonce] = &asking{tenant: tenant, at: q.now(), advance: came == nil, came: came}
-	owner, _ := view.Owner(q.node.client.View(), tenant)
-	neighbour := q.node.hub.neighbour()
+	a.at = q.now()
+	q.asked[q.nonce] = a
+	q.forget()
+	return &message.QuotaAsk{From: q.node.self.internal(), Nonce: q.nonce, Tenant: a.tenant, Need: need, Borrowed: borrowed}
+}
+
+// toOwner brings an ask to the owner. The lock is held.
+func (q *quotas) toOwner(m *message.QuotaAsk) {
+	owner, _ := view.Owner(q.node.client.View(), m.Tenant)
 	switch {
 	case owner == nil:
 		q.take(&message.QuotaAnswer{Nonce: m.Nonce})
 	case owner.Address == q.node.self.internal():
-		q.take(q.serve(m))
-	case relay && neighbour != "":
-		m.Relay = true
-		q.node.send(neighbour, &message.Envelope{Body: &message.Envelope_QuotaAsk{QuotaAsk: m}})
+		q.take(q.owning.serve(m))
 	default:
 		q.node.send(owner.Address, &message.Envelope{Body: &message.Envelope_QuotaAsk{QuotaAsk: m}})
 	}
-	q.forget()
-	return m.Nonce
 }
 
 // relay asks the owner for another router. The lock is held.
 func (q *quotas) relay(m *message.QuotaAsk) {
-	owner, _ := view.Owner(q.node.client.View(), m.Tenant)
-	if owner == nil {
-		return
-	}
-	q.nonce++
-	q.asked[q.nonce] = &asking{tenant: m.Tenant, at: q.now(), relayed: m}
-	ask := &message.QuotaAsk{From: q.node.self.internal(), Nonce: q.nonce, Tenant: m.Tenant, Need: m.Need, Want: m.Want, Returned: m.Returned}
-	if owner.Address == q.node.self.internal() {
-		q.take(q.serve(ask))
-		return
-	}
-	q.node.send(owner.Address, &message.Envelope{Body: &message.Envelope_QuotaAsk{QuotaAsk: ask}})
-	q.forget()
+	q.toOwner(q.begin(&asking{tenant: m.Tenant, relayed: m}, m.Need, m.Borrowed))
 }
 
-// forget drops asks in advance that were not answered. The lock is held.
+// forget drops asks that were not answered. The lock is held.
 func (q *quotas) forget() {
-	if len(q.asked) < 64 {
+	if len(q.asked) < mostAsks {
 		return
 	}
 	for nonce, a := range q.asked {
 		if q.now()-a.at > 2*quotaPatience {
-			q.ended(nonce, a)
+			delete(q.asked, nonce)
 		}
 	}
 }
 
-// ended forgets an ask. The lock is held.
-func (q *quotas) ended(nonce uint64, a *asking) {
-	delete(q.asked, nonce)
-	if h := q.held[a.tenant]; h != nil && a.advance {
-		h.asking = false
-	}
-}
-
 // receive takes in a message; ok is false where it is none of quotas.
 func (q *quotas) receive(m *message.Envelope) (ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	switch body := m.Body.(type) {
 	case *message.Envelope_QuotaAsk:
-		q.mu.Lock()
-		defer q.mu.Unlock()
 		if body.QuotaAsk.Relay {
 			q.relay(body.QuotaAsk)
 			return true
 		}
-		answer := q.serve(body.QuotaAsk)
+		answer := q.owning.serve(body.QuotaAsk)
 		q.node.send(body.QuotaAsk.From, &message.Envelope{Body: &message.Envelope_QuotaAnswer{QuotaAnswer: answer}})
 	case *message.Envelope_QuotaAnswer:
-		q.mu.Lock()
 		q.take(body.QuotaAnswer)
-		q.mu.Unlock()
+	case *message.Envelope_QuotaUsage:
+		q.owning.told(body.QuotaUsage)
 	default:
 		return false
 	}
@@ -230,51 +222,22 @@
 	if asked == nil {
 		return // too late: what it grants is not used
 	}
-	q.ended(a.Nonce, asked)
+	delete(q.asked, a.Nonce)
 	if asked.relayed != nil {
 		back := &message.QuotaAnswer{Nonce: asked.relayed.Nonce, Owner: a.Owner, Epoch: a.Epoch, Granted: a.Granted, WaitUs: a.WaitUs}
 		q.node.send(asked.relayed.From, &message.Envelope{Body: &message.Envelope_QuotaAnswer{QuotaAnswer: back}})
 		return
 	}
 	if h := q.held[asked.tenant]; h != nil && a.Owner {
+		h.Reported(asked.borrowed)
 		h.Grant(asked.at, a.Granted)
 	}
-	if asked.came != nil {
-		asked.came <- a
-	}
+	asked.came <- a
 }
 
-// viewed takes in a view of the register: the duties in it may be this router's.
+// viewed takes in a view of the register.
 func (q *quotas) viewed(v *coordpb.View) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i, duty := range v.Duties {
-		m := view.MemberOf(v, duty.Owner)
-		if m == nil || m.Address != q.node.self.internal() {
-			delete(q.owned, i)
-			continue
-		}
-		if s := q.owned[i]; s == nil || s.since != duty.Since {
-			from := q.now() + time.Duration(duty.WaitMs)*time.Millisecond
-			q.owned[i] = &shard{since: duty.Since, from: from, owner: quota.Owner{Since: from}}
-		}
-	}
-}
-
-// serve answers an ask, where this router is the owner for certain. The lock is held.
-func (q *quotas) serve(m *message.QuotaAsk) *message.QuotaAnswer {
-	answer := &message.QuotaAnswer{Nonce: m.Nonce}
-	state := q.node.plane.State()
-	if q.node.replica == nil || state == nil {
-		return answer
-	}
-	v, holds := q.node.replica.Holds()
-	s := q.owned[view.Shard(m.Tenant)]
-	tenant := state.Typed.TenantNamed(m.Tenant)
-	if s == nil || !holds || tenant == nil || q.now() < s.from {
-		return answer
-	}
-	got := s.owner.Serve(q.now(), m.Tenant, limitOf(tenant).Widen(q.spare(tenant)), quota.Ask{Need: m.Need, Want: m.Want, Returned: m.Returned})
-	answer.Owner, answer.Epoch, answer.Granted, answer.WaitUs = true, v.Epoch, got.Granted, got.Wait.Microseconds()
-	return answer
+	q.owning.viewed(v)
 }
