Return: hosts are kept on the register's machines, whose members are homes while the membership forms

Cause: after all processes were killed hosts were unknown for 1.2 s (their next call) and homes for 1.5 s (the membership's join), and a confirmed configuration took three polls of 0.1 s each to be known as fresh. Subscribers are told when their source becomes fresh.

--- a/internal/system/feed/feed.go
+++ b/internal/system/feed/feed.go
@@ -93,6 +93,7 @@
 // subscriber is a router that polls this one.
 type subscriber struct {
 	polled  time.Duration
+	nonce   uint64            // of its last poll
 	cursors map[string]uint64 // revisions of this process that it was sent, by topic
 }
 
@@ -260,7 +261,7 @@
 		s = &subscriber{}
 		n.subscribers[p.From] = s
 	}
-	s.polled, s.cursors = n.now, map[string]uint64{}
+	s.polled, s.nonce, s.cursors = n.now, p.Nonce, map[string]uint64{}
 	update := &message.Update{From: n.self, Nonce: p.Nonce}
 	for _, c := range p.Cursors {
 		topic := n.topics[c.Topic]
@@ -308,6 +309,24 @@
 	return n.out
 }
 
+// Refreshed brings to the subscribers of a topic that it was confirmed, as an answer to their last polls: they asked before it was.
+func (n *Node) Refreshed(now time.Duration, name string) []Send {
+	n.begin(now)
+	topic := n.topics[name]
+	if topic == nil {
+		return nil
+	}
+	for address, s := range n.subscribers {
+		after, ok := s.cursors[name]
+		if !ok || n.now-s.polled >= subscribed {
+			continue
+		}
+		s.cursors[name] = topic.Revision()
+		n.out = append(n.out, Send{To: address, Update: &message.Update{From: n.self, Nonce: s.nonce, News: []*message.News{n.news(name, topic, after)}}})
+	}
+	return n.out
+}
+
 // Subscribers are the addresses that are sent a topic's changes.
 func (n *Node) Subscribers(name string) (all []string) {
 	for address, s := range n.subscribers {
--- a/internal/system/instances/instances.go
+++ b/internal/system/instances/instances.go
@@ -195,6 +195,18 @@
 	return changed
 }
 
+// Living are the words on all hosts that are not gone.
+func (r *Registry) Living() (all []*message.Instance) {
+	for _, service := range r.Services() {
+		for _, rec := range r.Of(service) {
+			if rec.State != message.Instance_GONE {
+				all = append(all, rec.Instance)
+			}
+		}
+	}
+	return all
+}
+
 // Since are the words on a service's hosts that changed after a revision.
 func (r *Registry) Since(service string, after uint64) (all []*message.Instance) {
 	for _, rec := range r.Of(service) {
--- a/internal/system/node/fleet.go
+++ b/internal/system/node/fleet.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"reachspread/coord/coordpb"
 	"reachspread/internal/members"
 	"reachspread/internal/rendezvous"
 	"reachspread/internal/system/feed"
@@ -44,15 +45,31 @@
 	return f
 }
 
+// with are the routers and the members of the register, which are taken to live while little is known of the fleet.
+func (f *fleet) with(v *coordpb.View) *fleet {
+	all := &fleet{self: f.self, routers: slices.Clone(f.routers)}
+	for _, m := range v.GetMembers() {
+		address, err := netip.ParseAddrPort(m.Address)
+		known := slices.ContainsFunc(all.routers, func(r router) bool { return r.address == address })
+		if err == nil && !known {
+			all.routers = append(all.routers, router{address, m.Label, true})
+		}
+	}
+	slices.SortFunc(all.routers, func(a, b router) int { return a.address.Compare(b.address) })
+	return all
+}
+
 // homes are the routers of a zone in the order in which they are responsible for a key: the first one is its home, the others step in.
-// For a zone without routers all of the fleet are.
+// Members of the register go before others, as they keep what they know over a restart. For a zone without routers all of the fleet are.
 func (f *fleet) homes(key, zone string) []router {
 	pool := f.inZone(zone)
 	if len(pool) == 0 {
 		pool = slices.Clone(f.routers)
 	}
 	hash := rendezvous.Hash(key)
-	return rendezvous.First(hash, pool, len(pool), func(r router) uint64 { return rendezvous.Hash(r.internal()) })
+	all := rendezvous.First(hash, pool, len(pool), func(r router) uint64 { return rendezvous.Hash(r.internal()) })
+	slices.SortStableFunc(all, func(a, b router) int { return cmp.Compare(rank(a), rank(b)) })
+	return all
 }
 
 func (f *fleet) inZone(zone string) (all []router) {
@@ -138,7 +155,6 @@
 	candidates := slices.Clone(register)
 	if !f.self.core {
 		home := f.homes(configurationTopic, f.self.zone)
-		slices.SortStableFunc(home, func(a, b router) int { return cmp.Compare(rank(a), rank(b)) })
 		if home[0].address != f.self.address {
 			near := addresses(home, 1+stepIn)
 			candidates = append(near, slices.DeleteFunc(candidates, func(a string) bool { return slices.Contains(near, a) })...)
@@ -151,7 +167,7 @@
 	return all
 }
 
-// rank has routers of the register go before others: they hear of changes anyway.
+// rank has routers that may be members of the register go before others.
 func rank(r router) int {
 	if r.core {
 		return 0
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -25,6 +25,7 @@
 	againAfter  = 250 * time.Millisecond // a handoff that was not answered
 	handoffMost = 30 * time.Second       // then it is given up
 	mostHints   = 4096
+	freshFor    = time.Second // a confirmation that is younger is worth telling
 )
 
 // hub owns what this router knows of the fleet: its routers, the hosts, the configuration and where all that comes from. One goroutine
@@ -38,11 +39,14 @@
 	registry *instances.Registry
 	config   *configured
 	view     *viewed
-	fleet    *fleet
+	members  *fleet // by the membership
+	fleet    *fleet // these, and what is taken to live beside them
 	hints    map[uint64]*hint
 	nonce    uint64
 	homeOf   map[homeKey]bool // services and zones that this router is the home of
 	loseAt   time.Duration
+	wasYoung bool
+	wasFresh bool // the configuration was confirmed of late
 
 	neighbours  atomic.Pointer[[]string] // routers of the own zone that are not of the register, or of others where there is none
 	confirmedAt atomic.Int64             // of the configuration, on the hub's clock; below 0 for never
@@ -69,10 +73,22 @@
 	h.view = &viewed{changed: h.viewChanged}
 	h.feed.Add(configurationTopic, h.config)
 	h.feed.Add(viewTopic, h.view)
-	h.fleet = &fleet{self: n.self, routers: []router{n.self}}
+	h.alone()
 	return h
 }
 
+// alone begins with nobody else.
+func (h *hub) alone() {
+	h.members = &fleet{self: h.node.self, routers: []router{h.node.self}}
+	h.fleet = h.members
+}
+
+// joinFor is how long a router may take to learn from the membership who else lives. Until then the members of the register are taken to.
+const joinFor = 3 * time.Second
+
+// young tells whether the membership may not know of all yet.
+func (h *hub) young() bool { return h.now() < joinFor }
+
 func (h *hub) now() time.Duration { return time.Since(h.start) }
 
 // call leaves a call for the hub. It waits for nobody.
@@ -125,10 +141,10 @@
 }
 
 func (h *hub) tick() {
-	if r := h.node.replica; r != nil {
-		if age, ok := r.ConfirmedAge(); ok {
-			h.config.confirm(h.now()-age, r.Status().Position.Sequence)
-		}
+	h.confirm()
+	h.refresh()
+	if h.wasYoung && !h.young() {
+		h.resubscribe()
 	}
 	h.send(h.feed.Tick(h.now()))
 	h.resendHints()
@@ -138,6 +154,26 @@
 	}
 }
 
+// confirm takes in when the register's state was the newest for certain, where this router is its tail.
+func (h *hub) confirm() {
+	r := h.node.replica
+	if r == nil {
+		return
+	}
+	if age, ok := r.ConfirmedAge(); ok {
+		h.config.confirm(h.now()-age, r.Status().Position.Sequence)
+	}
+}
+
+// refresh tells subscribers where the configuration has become fresh: they may wait for that to serve.
+func (h *hub) refresh() {
+	fresh := h.config.confirmed >= 0 && h.now()-h.config.confirmed < freshFor
+	if fresh && !h.wasFresh {
+		h.send(h.feed.Refreshed(h.now(), configurationTopic))
+	}
+	h.wasFresh = fresh
+}
+
 // send carries out what the feed wants sent.
 func (h *hub) send(all []feed.Send) {
 	for _, s := range all {
@@ -158,6 +194,7 @@
 		h.send(h.feed.TakePoll(h.now(), body.Poll))
 	case *message.Envelope_Update:
 		h.send(h.feed.TakeUpdate(h.now(), body.Update))
+		h.refresh()
 	case *message.Envelope_Handoff:
 		h.takeHandoff(body.Handoff)
 	case *message.Envelope_Taken:
@@ -236,6 +273,10 @@
 
 // resubscribe works out anew where topics come from, and what this router is the home of.
 func (h *hub) resubscribe() {
+	h.fleet = h.members
+	if h.wasYoung = h.young(); h.wasYoung {
+		h.fleet = h.members.with(h.view.view)
+	}
 	services := h.services()
 	for _, name := range services {
 		if topic := hostsTopic + name; h.feed.Topic(topic) == nil {
@@ -293,13 +334,13 @@
 
 // viewFleet takes in a view of the membership.
 func (h *hub) viewFleet(v *members.View) {
-	h.fleet = fleetOf(h.node.self, v)
-	near := h.fleet.neighbours()
+	h.members = fleetOf(h.node.self, v)
+	near := h.members.neighbours()
 	h.neighbours.Store(&near)
-	h.node.plane.SetRouters(len(h.fleet.routers))
+	h.node.plane.SetRouters(len(h.members.routers))
 	h.node.client.Know(h.registerAddresses())
 	if h.node.replica != nil {
-		h.node.replica.Know(h.fleet.core())
+		h.node.replica.Know(h.members.core())
 	}
 	h.resubscribe()
 }
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -99,7 +99,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.link = link.New(n.self.address, n.receive)
-	self := &coordpb.Member{Address: n.self.internal(), Identity: rand.Uint64()}
+	self := &coordpb.Member{Address: n.self.internal(), Identity: rand.Uint64(), Label: zoneMark(s.Zone)}
 	n.client = register.NewClient(self, n.sendRegister)
 	n.quotas = newQuotas(n)
 	n.makePlane(work)
@@ -114,6 +114,13 @@
 	if err := n.link.Start(work); err != nil {
 		return fmt.Errorf("internalPortRange: %w", err)
 	}
+	if s.HasDisk() {
+		k := n.keeper()
+		if err := k.load(); err != nil {
+			n.log.Warn("kept hosts unreadable", "cause", err)
+		}
+		go k.run(work)
+	}
 	go n.hub.run(work)
 	go n.quotas.run(work)
 	go n.readDatagrams()
@@ -206,9 +213,9 @@
 		}
 	}
 	if c.Kept != nil {
+		n.client.Viewed(c.Kept.View)
 		self.Identity, c.Founder = c.Kept.Identity, c.Kept.Founder
 		n.hub.view.view = c.Kept.View
-		n.client.Viewed(c.Kept.View)
 	}
 	n.replica = register.NewReplica(register.Options{Config: c, Machine: store, Files: files, Send: n.sendRegister, Log: n.log,
 		Commit: func(x chain.Committed) { n.hub.call(func() { n.hub.committed(x) }) },
@@ -241,7 +248,7 @@
 		func(to netip.AddrPort, data []byte) { udp.WriteToUDPAddrPort(data, to) },
 		func(v *members.View, _ *members.Changed) { n.hub.call(func() { n.hub.viewFleet(v) }) }, n.log)
 	n.self.zone = zoneMark(s.Zone)
-	n.hub.fleet.self, n.hub.fleet.routers = n.self, []router{n.self}
+	n.hub.alone()
 	return err
 }
 
