--- a/coord/quota/holder.go
+++ b/coord/quota/holder.go
@@ -66,7 +66,7 @@
 	if h.mayUse == 0 || now-h.lentFrom >= h.Plan.Window+lendFor {
 		h.lentFrom, h.mayUse = now, used
 	}
-	if now-h.lentFrom >= lendFor || used+units > h.mayUse {
+	if now-h.lentFrom >= lendFor || used+units/2 > h.mayUse { // where few are used, one in two that do not fit is let pass
 		return false
 	}
 	h.use(now, units)
--- a/coord/quota/owner.go
+++ b/coord/quota/owner.go
@@ -5,9 +5,9 @@
 const (
 	mostKeys = 65_536
 	// blindPart is the part of the limit's rate that an owner grants which does not know what was granted before.
-	blindPart = 0.95
+	blindPart = 0.7
 	// blindGap is how long such an owner grants nothing after the one before: that one may have granted at its fastest until its end.
-	blindGap = 250 * time.Millisecond
+	blindGap = 500 * time.Millisecond
 	// leastWait is the least time after which one that was sent away asks again, and mostWait that within which those that were sent away
 	// come back one after the other.
 	leastWait = 50 * time.Millisecond
@@ -162,3 +162,29 @@
 	}
 	return &sum
 }
+
+// Parts are the counts of the last span, the newest last, for a process that goes on after this one.
+func (u *Usage) Parts(now time.Duration) []float64 {
+	u.advance(now)
+	out := make([]float64, 0, len(u.parts))
+	for n := int64(len(u.parts)) - 1; n >= 0; n-- {
+		at := u.last - n
+		if at < 0 {
+			out = append(out, 0)
+			continue
+		}
+		out = append(out, u.parts[at%int64(len(u.parts))])
+	}
+	return out
+}
+
+// FromParts are counts of a span as they were when Parts gave them, taken as though no time had passed since. The present time must be
+// later than a span.
+func FromParts(span, now time.Duration, parts []float64) *Usage {
+	u := &Usage{Span: span}
+	part := max(span/usageParts, 1)
+	for i, units := range parts {
+		u.Add(now-time.Duration(len(parts)-1-i)*part, units)
+	}
+	return u
+}
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -28,8 +28,8 @@
 // The parts of what a bound leaves beyond rate and burst. The rest is for requests on their way, for what an owner granted right before its
 // end and could not tell the next one, and for what processes that are cut off use meanwhile.
 const (
-	mostPart  = 0.65
-	depthPart = 0.20
+	mostPart  = 0.70
+	depthPart = 0.15
 
 	lifeOfGrant = 200 * time.Millisecond
 )
@@ -44,6 +44,11 @@
 	return p
 }
 
+// Unknown is what may have been granted beside what is known: so many seconds' units, and what can be in a time.
+func (p Plan) Unknown(units float64, in time.Duration) float64 {
+	return units*p.Rate + p.Most/p.Window.Seconds()*in.Seconds()
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Ask is what a process wants of a key.
--- a/coord/quota/replica.go
+++ b/coord/quota/replica.go
@@ -55,3 +55,14 @@
 	}
 	return o.keys, o.complete
 }
+
+// All is what is known of all owners' grants, by key.
+func (t *Tracker) All(now time.Duration) map[string]*Usage {
+	all := map[string]*Usage{}
+	for _, o := range t.owners {
+		for key, usage := range o.keys {
+			all[key] = usage.Merged(now, all[key])
+		}
+	}
+	return all
+}
--- a/internal/system/configuration/compile.go
+++ b/internal/system/configuration/compile.go
@@ -119,6 +119,7 @@
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Tenant
+	tenants  map[string]*Tenant
 }
 
 // InvalidError says why a configuration that could be read is refused.
@@ -133,7 +134,7 @@
 
 // Compile gives the typed form of a document, or the first fault for which it is refused.
 func Compile(d *Document) (*Configuration, error) {
-	c := &Configuration{hosts: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Tenant{}}
+	c := &Configuration{hosts: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Tenant{}, tenants: map[string]*Tenant{}}
 	if err := json.Unmarshal(d.JSON(), c); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
@@ -215,6 +216,7 @@
 
 func (c *Configuration) addTenants() error {
 	for _, t := range c.Tenants {
+		c.tenants[t.Name] = t
 		for _, key := range t.APIKeys {
 			if other := c.keys[key]; other != nil && other != t {
 				return &InvalidError{fmt.Sprintf("tenant %q", t.Name), "apiKeys", fmt.Sprintf("tenant %q has one of the keys as well", other.Name)}
@@ -235,14 +237,7 @@
 func (c *Configuration) Tenant(key string) *Tenant { return c.keys[key] }
 
 // TenantNamed returns the tenant of a name, nil for none.
-func (c *Configuration) TenantNamed(name string) *Tenant {
-	for _, t := range c.Tenants {
-		if t.Name == name {
-			return t
-		}
-	}
-	return nil
-}
+func (c *Configuration) TenantNamed(name string) *Tenant { return c.tenants[name] }
 
 // Service returns the service of a name, nil for none.
 func (c *Configuration) Service(name string) *Service { return c.services[name] }
--- a/internal/system/node/keep.go
+++ b/internal/system/node/keep.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io/fs"
@@ -15,19 +16,22 @@
 )
 
 const (
-	// keepEvery is the time between two looks whether the hosts have to be kept anew.
-	keepEvery = time.Second
-	hostsFile = "hosts"
+	// keepEvery is the time after which is kept what has changed, and keepSoonest that between two writes where tenants use so much that
+	// it is kept earlier.
+	keepEvery   = time.Second
+	keepSoonest = 200 * time.Millisecond
+	keptFile    = "kept"
 )
 
-// keeper keeps the hosts that are known on the disk of a router that has one, so that a fleet which has lost all power serves before every
-// host has called again. What is kept may be old: hosts are tried, and lost again where they do not answer or call.
+// keeper keeps on the disk of a router that has one which hosts are known and what tenants have used of late, so that a fleet which has
+// lost all power serves before every host has called again and without refusing tenants for what they may have used. What is kept may be
+// old: hosts are tried, and lost again where they do not answer or call; of tenants as much as could be is taken to be used since.
 type keeper struct {
-	hub  *hub
+	node *Node
 	path string
 }
 
-// load puts the hosts that were kept into the registry.
+// load takes up what was kept.
 func (k *keeper) load() error {
 	text, err := os.ReadFile(k.path)
 	if errors.Is(err, fs.ErrNotExist) {
@@ -36,19 +40,24 @@
 	if err != nil {
 		return err
 	}
-	kept := &message.Instances{}
+	kept := &message.Kept{}
 	if err := proto.Unmarshal(text, kept); err != nil {
 		return err
 	}
-	k.hub.registry.Merge(k.hub.now(), kept.Instances)
+	hub, quotas := k.node.hub, k.node.quotas
+	hub.registry.Merge(hub.now(), kept.Instances)
+	quotas.mu.Lock()
+	defer quotas.mu.Unlock()
+	quotas.owning.restore(quotas.now(), kept.Usage)
 	return nil
 }
 
-// run keeps the hosts whenever they have changed, until ctx ends. Nothing waits for it.
+// run keeps what has changed, until ctx ends. Nothing waits for it.
 func (k *keeper) run(ctx context.Context) {
-	tick := time.NewTicker(keepEvery)
+	tick := time.NewTicker(keepSoonest)
 	defer tick.Stop()
-	last := uint64(0)
+	var last []byte
+	var keptAt time.Time
 	failed := false
 	for {
 		select {
@@ -56,30 +65,38 @@
 			return
 		case <-tick.C:
 		}
-		var all message.Instances
-		revision := last
-		k.hub.ask(ctx, func() {
-			if revision = k.hub.registry.Revision(); revision != last {
-				all.Instances = k.hub.registry.Living()
-			}
-		})
-		if revision == last {
+		if time.Since(keptAt) < keepEvery && !k.node.quotas.keepNow() {
+			continue
+		}
+		keptAt = time.Now()
+		text, err := k.marshal(ctx)
+		if err == nil && bytes.Equal(text, last) {
 			continue
 		}
-		text, err := proto.Marshal(&all)
 		if err == nil {
 			err = durable.WriteWhole(k.path, text)
 		}
 		if err != nil && !failed {
-			k.hub.node.log.Warn("hosts not kept", "cause", err)
+			k.node.log.Warn("hosts not kept", "cause", err)
 		}
 		if failed = err != nil; !failed {
-			last = revision
+			last = text
 		}
 	}
 }
 
+// marshal writes what is to be kept. The same knowledge gives the same bytes.
+func (k *keeper) marshal(ctx context.Context) ([]byte, error) {
+	kept := &message.Kept{}
+	k.node.hub.ask(ctx, func() { kept.Instances = k.node.hub.registry.Living() })
+	quotas := k.node.quotas
+	quotas.mu.Lock()
+	kept.Usage = quotas.owning.keep(quotas.now())
+	quotas.mu.Unlock()
+	return proto.MarshalOptions{Deterministic: true}.Marshal(kept)
+}
+
 // keeper returns the keeper of a router with a disk.
 func (n *Node) keeper() *keeper {
-	return &keeper{hub: n.hub, path: filepath.Join(n.settings.DataDirectory, hostsFile)}
+	return &keeper{node: n, path: filepath.Join(n.settings.DataDirectory, keptFile)}
 }
--- a/internal/system/node/owning.go
+++ b/internal/system/node/owning.go
@@ -27,6 +27,8 @@
 	past    []pastView
 	shards  map[int]*shard
 	tracker quota.Tracker
+	unkept  map[string]float64      // grants that were not kept yet, by tenant
+	kept    map[string]*quota.Usage // by a life before of this process, nil for nothing
 
 	untold map[string]float64 // grants, by tenant
 	number uint64             // of the next word to the others
@@ -93,10 +95,59 @@
 			}
 		}
 	}
+	if len(o.past) == 0 && o.kept != nil {
+		known, complete = o.afterRestart(now), now-o.tracker.Window
+	}
 	from := now + time.Duration(duty.WaitMs)*time.Millisecond
 	return &shard{since: duty.Since, from: from, owner: quota.NewOwner(from, o.tracker.Window, known, complete)}
 }
 
+const (
+	// unkeptPart is the part of a second's units of a tenant after which its use is kept at once, and unkeptFor bounds the time until it is.
+	unkeptPart = 0.5
+	unkeptFor  = 350 * time.Millisecond
+)
+
+// afterRestart is what may have been granted before this process began, by what its life before has kept: that, and as much as can have been
+// granted after it was kept.
+func (o *owning) afterRestart(now time.Duration) map[string]*quota.Usage {
+	all := map[string]*quota.Usage{}
+	state := o.quotas.node.plane.State()
+	for key, usage := range o.kept {
+		all[key] = usage.Merged(now, nil)
+	}
+	if state == nil {
+		return all
+	}
+	for _, t := range state.Typed.Tenants {
+		if all[t.Name] == nil {
+			all[t.Name] = &quota.Usage{Span: o.tracker.Window}
+		}
+		all[t.Name].Add(now, o.quotas.plan(t).Unknown(unkeptPart, unkeptFor))
+	}
+	return all
+}
+
+// keep is what a life after this one is to know.
+func (o *owning) keep(now time.Duration) map[string]*message.UsageParts {
+	clear(o.unkept)
+	out := map[string]*message.UsageParts{}
+	for key, usage := range o.tracker.All(now) {
+		if usage.Sum(now) > 0 {
+			out[key] = &message.UsageParts{Units: usage.Parts(now)}
+		}
+	}
+	return out
+}
+
+// restore takes in what a life before has kept.
+func (o *owning) restore(now time.Duration, kept map[string]*message.UsageParts) {
+	o.kept = map[string]*quota.Usage{}
+	for key, parts := range kept {
+		o.kept[key] = quota.FromParts(o.tracker.Window, now, parts.Units)
+	}
+}
+
 // serve answers an ask, where this router is the owner for certain.
 func (o *owning) serve(m *message.QuotaAsk) *message.QuotaAnswer {
 	answer := &message.QuotaAnswer{Nonce: m.Nonce}
@@ -156,4 +207,21 @@
 // told takes in what an owner tells.
 func (o *owning) told(m *message.QuotaUsage) {
 	o.tracker.Told(o.quotas.now(), m.Owner, m.Number, m.Grants, time.Duration(m.BlindUs)*time.Microsecond)
+	for tenant, units := range m.Grants {
+		o.unkept[tenant] += units
+	}
+}
+
+// keepNow tells whether a tenant has used so much since it was kept that it has to be again.
+func (o *owning) keepNow() bool {
+	state := o.quotas.node.plane.State()
+	if state == nil {
+		return false
+	}
+	for tenant, units := range o.unkept {
+		if t := state.Typed.TenantNamed(tenant); t != nil && units >= unkeptPart*t.RatePerS {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/system/node/quotas.go
+++ b/internal/system/node/quotas.go
@@ -45,12 +45,15 @@
 
 func newQuotas(n *Node) *quotas {
 	q := &quotas{node: n, start: time.Now(), held: map[string]*quota.Holder{}, asked: map[uint64]*asking{}, nonce: rand.Uint64()}
-	q.owning = owning{quotas: q, shards: map[int]*shard{}, untold: map[string]float64{},
+	q.owning = owning{quotas: q, shards: map[int]*shard{}, untold: map[string]float64{}, unkept: map[string]float64{},
 		tracker: quota.Tracker{Window: settings.Seconds(n.settings.Bounds.QuotaWindowS)}}
 	return q
 }
 
-func (q *quotas) now() time.Duration { return time.Since(q.start) }
+// clockBegins is what the quotas' clock shows at the start, so that times before it can be told as well.
+const clockBegins = time.Hour
+
+func (q *quotas) now() time.Duration { return clockBegins + time.Since(q.start) }
 
 // run tells others of what this router owns until ctx ends.
 func (q *quotas) run(ctx context.Context) {
@@ -68,6 +71,13 @@
 	}
 }
 
+// keepNow tells whether what tenants have used has to be kept.
+func (q *quotas) keepNow() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.owning.keepNow()
+}
+
 // plan divides the bound on a tenant's use.
 func (q *quotas) plan(t *configuration.Tenant) quota.Plan {
 	b := q.node.settings.Bounds
@@ -139,7 +149,7 @@
 func (q *quotas) Put(t *configuration.Tenant, units float64, taken time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.holder(t).Grant(taken.Sub(q.start), units)
+	q.holder(t).Grant(clockBegins+taken.Sub(q.start), units)
 }
 
 // ask asks the owner for units, or another router to ask it. The lock is held.
