--- /dev/null
+++ b/coord/chain/chain_test.go
@@ -0,0 +1,289 @@
+package chain
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"reachspread/coord/coordpb"
+)
+
+// list is a machine that holds words; an order "!x" is refused, one that is there already is nothing new.
+type list struct{ words []string }
+
+func (l *list) Decide(order []byte) (change, reply []byte) {
+	switch word := string(order); {
+	case strings.HasPrefix(word, "!"):
+		return nil, []byte("refused")
+	case slices.Contains(l.words, word):
+		return nil, []byte("taken before")
+	}
+	return order, []byte("taken")
+}
+func (l *list) Apply(change []byte) { l.words = append(l.words, string(change)) }
+func (l *list) Snapshot() []byte    { return []byte(strings.Join(l.words, ",")) }
+func (l *list) Restore(s []byte) error {
+	l.words = nil
+	if len(s) > 0 {
+		l.words = strings.Split(string(s), ",")
+	}
+	return nil
+}
+func (l *list) Value() any { return string(l.Snapshot()) }
+
+func member(i int) *coordpb.Member {
+	return &coordpb.Member{Address: fmt.Sprintf("m%d", i), Identity: uint64(100 + i)}
+}
+
+// chainOf is a view of three members in which some are the chain.
+func chainOf(epoch uint64, order ...int) *coordpb.View {
+	v := &coordpb.View{Epoch: epoch, MembersSince: 1}
+	for i := range 3 {
+		v.Members = append(v.Members, member(i))
+	}
+	for _, i := range order {
+		v.Chain = append(v.Chain, member(i).Identity)
+	}
+	return v
+}
+
+// replica is that of member i with so many words, which its machine has.
+func replica(i int, words ...string) (*Replica, *list) {
+	l := &list{words: words}
+	return New(member(i), l, &coordpb.Position{StateEpoch: 1, Sequence: uint64(len(words)), EntryEpoch: 1}, 0), l
+}
+
+func from(i int, m *coordpb.Message) *coordpb.Message {
+	m.From = member(i)
+	return m
+}
+
+// told is what a step does, in words.
+func told(effects []Effect) (all []string) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Write:
+			all = append(all, "write")
+		case Committed:
+			all = append(all, fmt.Sprint("committed ", e.Position.Sequence, " ", e.Value))
+		case Send:
+			name := strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", e.Message.Body), "*coordpb.Message_"))
+			if r := e.Message.GetReply(); r != nil {
+				name += " " + string(r.Reply)
+			}
+			all = append(all, name+" to "+e.To)
+		}
+	}
+	return all
+}
+
+func synced(epoch uint64) *coordpb.Message {
+	return &coordpb.Message{Body: &coordpb.Message_Synced{Synced: &coordpb.Synced{Epoch: epoch}}}
+}
+
+func sync(epoch, sequence, entry uint64) *coordpb.Message {
+	return &coordpb.Message{Body: &coordpb.Message_Sync{Sync: &coordpb.Sync{Epoch: epoch, Position: &coordpb.Position{Sequence: sequence, EntryEpoch: entry}}}}
+}
+
+func submit(id uint64, order string) *coordpb.Message {
+	return &coordpb.Message{From: &coordpb.Member{Address: "client"}, Body: &coordpb.Message_Submit{Submit: &coordpb.Submit{Id: id, Order: []byte(order)}}}
+}
+
+func appendOf(epoch, sequence, previous uint64, change string) *coordpb.Message {
+	return &coordpb.Message{Body: &coordpb.Message_Append{Append: &coordpb.Append{Epoch: epoch, Sequence: sequence, PreviousEpoch: previous, Change: []byte(change),
+		Origin: &coordpb.Origin{Address: "client", Id: 7}, Reply: []byte("taken")}}}
+}
+
+func commit(epoch, sequence uint64) *coordpb.Message {
+	return &coordpb.Message{Body: &coordpb.Message_Commit{Commit: &coordpb.Commit{Epoch: epoch, Sequence: sequence}}}
+}
+
+func confirmed(epoch, nonce uint64) *coordpb.Message {
+	return &coordpb.Message{Body: &coordpb.Message_Confirmed{Confirmed: &coordpb.Confirmed{Epoch: epoch, Nonce: nonce}}}
+}
+
+// take gives a replica messages and returns what the last one led to.
+func take(t *testing.T, r *Replica, all ...*coordpb.Message) []string {
+	t.Helper()
+	var got []string
+	for _, m := range all {
+		effects, ok := r.Receive(time.Millisecond, m)
+		if !ok {
+			t.Fatalf("%T is not known", m.Body)
+		}
+		got = told(effects)
+	}
+	return got
+}
+
+// The beginning of an epoch: the head has the state; each other takes it from the member before, and says so once all behind it have it.
+func TestBegin(t *testing.T) {
+	is := is.New(t)
+	head, _ := replica(0, "a")
+	is.Equal(told(head.Begin(0, chainOf(2, 0, 1, 2))), []string{"write", "sync to m1"})
+	is.Equal(take(t, head, submit(1, "b")), nil) // not before all have the state
+	is.Equal(take(t, head, from(1, synced(2))), []string{"committed 1 a", "write", "append to m1"})
+
+	middle, _ := replica(1, "a")
+	middle.Begin(0, chainOf(2, 0, 1, 2))
+	is.Equal(take(t, middle, from(0, sync(2, 1, 1))), []string{"write", "sync to m2"})
+	is.Equal(take(t, middle, from(2, synced(2))), []string{"committed 1 a", "synced to m0"})
+	is.Equal(take(t, middle, from(0, sync(2, 1, 1))), []string{"synced to m0"}) // it was lost
+
+	tail, machine := replica(2, "x", "y")
+	tail.Begin(0, chainOf(2, 0, 1, 2))
+	is.Equal(take(t, tail, from(1, sync(2, 1, 1))), []string{"need to m1"}) // another state
+	snapshot := &coordpb.Message{Body: &coordpb.Message_Snapshot{Snapshot: &coordpb.Snapshot{Epoch: 2, Position: &coordpb.Position{StateEpoch: 2, Sequence: 1, EntryEpoch: 1}, State: []byte("a")}}}
+	is.Equal(take(t, tail, from(1, snapshot)), []string{"write", "committed 1 a", "synced to m1"})
+	is.Equal(machine.words, []string{"a"})
+	is.True(tail.Readable())
+}
+
+// A Sync that comes before its view counts.
+func TestEarlySync(t *testing.T) {
+	is := is.New(t)
+	r, _ := replica(1, "a")
+	is.Equal(take(t, r, from(0, sync(2, 1, 1))), nil)
+	is.Equal(told(r.Begin(0, chainOf(2, 0, 1))), []string{"write", "committed 1 a", "synced to m0"})
+}
+
+// active is a replica in the middle of its work.
+func active(t *testing.T, i int) *Replica {
+	t.Helper()
+	r, _ := replica(i, "a")
+	r.Begin(0, chainOf(2, 0, 1, 2))
+	switch i {
+	case 0:
+		take(t, r, from(1, synced(2)))
+	case 1:
+		take(t, r, from(0, sync(2, 1, 1)), from(2, synced(2)))
+	case 2:
+		take(t, r, from(1, sync(2, 1, 1)))
+	}
+	return r
+}
+
+// What each place in the chain does with what comes.
+func TestPlaces(t *testing.T) {
+	for name, c := range map[string]struct {
+		at   int
+		in   []*coordpb.Message
+		want []string
+	}{
+		"head takes an order":                     {0, []*coordpb.Message{submit(1, "b")}, []string{"write", "append to m1"}},
+		"head takes one at a time":                {0, []*coordpb.Message{submit(1, "b"), submit(2, "c")}, nil},
+		"head goes on with the next":              {0, []*coordpb.Message{submit(1, "b"), submit(2, "c"), from(2, commit(2, 2))}, []string{"committed 2 a,b", "write", "append to m1"}},
+		"head has the order already":              {0, []*coordpb.Message{submit(1, "b"), submit(1, "b")}, nil},
+		"head refuses once it is sure":            {0, []*coordpb.Message{submit(1, "!b")}, []string{"confirm to m1", "confirm to m2"}},
+		"head refuses":                            {0, []*coordpb.Message{submit(1, "!b"), from(1, confirmed(2, 1))}, []string{"reply refused to client"}},
+		"head has taken it":                       {0, []*coordpb.Message{submit(1, "a"), from(2, confirmed(2, 1))}, []string{"reply taken before to client"}},
+		"an old confirmation":                     {0, []*coordpb.Message{submit(1, "!b"), from(1, confirmed(2, 9))}, nil},
+		"a confirmation of another epoch":         {0, []*coordpb.Message{submit(1, "!b"), from(1, confirmed(1, 1))}, nil},
+		"middle is no head":                       {1, []*coordpb.Message{submit(1, "b")}, []string{"redirect to client"}},
+		"middle passes on":                        {1, []*coordpb.Message{from(0, appendOf(2, 2, 1, "b"))}, []string{"write", "append to m2"}},
+		"middle passes on again what was lost":    {1, []*coordpb.Message{from(0, appendOf(2, 2, 1, "b")), from(0, appendOf(2, 2, 1, "b"))}, []string{"append to m2"}},
+		"middle has missed one":                   {1, []*coordpb.Message{from(0, appendOf(2, 3, 2, "c"))}, []string{"need to m0"}},
+		"middle heeds only the one before":        {1, []*coordpb.Message{from(2, appendOf(2, 2, 1, "b"))}, nil},
+		"middle heeds only its epoch":             {1, []*coordpb.Message{from(0, appendOf(1, 2, 1, "b"))}, nil},
+		"middle learns of a commit":               {1, []*coordpb.Message{from(0, appendOf(2, 2, 1, "b")), from(2, commit(2, 2))}, []string{"committed 2 a,b"}},
+		"a commit of what is not there":           {1, []*coordpb.Message{from(2, commit(2, 2))}, nil},
+		"a commit of one that is not the tail":    {1, []*coordpb.Message{from(0, appendOf(2, 2, 1, "b")), from(0, commit(2, 2))}, nil},
+		"tail commits and answers":                {2, []*coordpb.Message{from(1, appendOf(2, 2, 1, "b"))}, []string{"write", "reply taken to client", "commit to m0", "commit to m1", "commit to m2"}},
+		"tail reads once it is sure":              {2, []*coordpb.Message{{From: member(1), Body: &coordpb.Message_Read{Read: &coordpb.Read{Id: 1}}}}, []string{"confirm to m0", "confirm to m1"}},
+		"tail reads":                              {2, []*coordpb.Message{{From: member(1), Body: &coordpb.Message_Read{Read: &coordpb.Read{Id: 1}}}, from(0, confirmed(2, 1))}, []string{"reply a to m1"}},
+		"middle does not read":                    {1, []*coordpb.Message{{From: member(0), Body: &coordpb.Message_Read{Read: &coordpb.Read{Id: 1}}}}, []string{"redirect to m0"}},
+		"a member confirms its epoch":             {1, []*coordpb.Message{from(0, &coordpb.Message{Body: &coordpb.Message_Confirm{Confirm: &coordpb.Confirm{Epoch: 2, Nonce: 5}}})}, []string{"confirmed to m0"}},
+		"a member does not confirm another epoch": {1, []*coordpb.Message{from(0, &coordpb.Message{Body: &coordpb.Message_Confirm{Confirm: &coordpb.Confirm{Epoch: 1, Nonce: 5}}})}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := take(t, active(t, c.at), c.in...); !slices.Equal(got, c.want) {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Who has promised to leave an epoch does nothing in it any more.
+func TestSealed(t *testing.T) {
+	is := is.New(t)
+	for i := range 3 {
+		r := active(t, i)
+		r.Seal()
+		is.Equal(take(t, r, submit(1, "b")), []string{"redirect to client"})
+		is.Equal(take(t, r, from(max(i-1, 0), appendOf(2, 2, 1, "b"))), nil)
+		is.Equal(take(t, r, from(1, &coordpb.Message{Body: &coordpb.Message_Confirm{Confirm: &coordpb.Confirm{Epoch: 2, Nonce: 5}}})), nil)
+		is.True(!r.Readable())
+		_, ok := r.ConfirmedAt()
+		is.True(!ok)
+	}
+}
+
+// A process that comes back takes no part in the epoch that it left, and calls for another.
+func TestResume(t *testing.T) {
+	is := is.New(t)
+	r, _ := replica(1, "a")
+	r.Resume(chainOf(2, 0, 1, 2), false)
+	is.Equal(take(t, r, from(0, sync(2, 1, 1))), nil)
+	is.True(r.Stuck())
+	is.Equal(len(r.Answered()), 3) // it may have confirmed its epoch to anybody right before
+	is.True(r.Idle() > 0)
+	r.Begin(0, chainOf(3, 0, 1, 2))
+	is.True(!r.Stuck())
+	is.Equal(r.Idle(), time.Duration(0))
+	outside, _ := replica(1, "a")
+	outside.Resume(chainOf(2, 0, 2), false)
+	is.True(!outside.Stuck())
+}
+
+// What is not answered is sent again, and a chain that does not get on calls for another view.
+func TestAgain(t *testing.T) {
+	is := is.New(t)
+	r := active(t, 0)
+	take(t, r, submit(1, "b"))
+	is.True(!slices.Contains(told(r.Tick(ResendEvery/2)), "append to m1"))
+	is.True(slices.Contains(told(r.Tick(2*ResendEvery)), "append to m1"))
+	is.True(!r.Stuck())
+	r.Tick(2 * stuckAfter)
+	is.True(r.Stuck())
+	take(t, r, from(2, commit(2, 2)))
+	is.True(!r.Stuck())
+	begun, _ := replica(0, "a")
+	begun.Begin(0, chainOf(2, 0, 1))
+	is.True(slices.Contains(told(begun.Tick(2*ResendEvery)), "sync to m1"))
+	begun.Tick(2 * stuckAfter)
+	is.True(begun.Stuck())
+}
+
+// Orders and reads that wait for an epoch that is over are sent elsewhere.
+func TestDismissed(t *testing.T) {
+	is := is.New(t)
+	r := active(t, 0)
+	take(t, r, submit(1, "b"), submit(2, "c"), submit(3, "!d"))
+	r.Seal()
+	is.Equal(told(r.Begin(0, chainOf(3, 1, 2))), []string{"redirect to client", "redirect to client"})
+}
+
+// More orders than there is room for are not taken.
+func TestBounded(t *testing.T) {
+	is := is.New(t)
+	r := active(t, 0)
+	for i := range uint64(MostOrders + 1) {
+		take(t, r, submit(i, fmt.Sprint("w", i)))
+	}
+	is.Equal(take(t, r, submit(9999, "one more")), []string{"redirect to client"})
+}
+
+// The only member of a chain does all of it.
+func TestAlone(t *testing.T) {
+	is := is.New(t)
+	v := &coordpb.View{Epoch: 1, Members: []*coordpb.Member{member(0)}, Chain: []uint64{100}}
+	r, _ := replica(0)
+	is.Equal(told(r.Begin(0, v)), []string{"committed 0 "})
+	is.Equal(take(t, r, submit(1, "a")), []string{"write", "reply taken to client", "commit to m0"})
+	is.Equal(take(t, r, from(0, commit(1, 1))), []string{"committed 1 a"})
+	is.Equal(take(t, r, submit(2, "!x")), []string{"reply refused to client"})
+}
--- /dev/null
+++ b/coord/link/link_test.go
@@ -0,0 +1,126 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// patience bounds what a test waits for; it is never waited for where all is well.
+const patience = 10 * time.Second
+
+// received is a message that came.
+type received struct {
+	kind Kind
+	data string
+}
+
+// started returns a link that listens on a free port, and what comes there.
+func started(t *testing.T) (*Link, string, chan received) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	ln.Close()
+	came := make(chan received, 1000)
+	l := New(netip.MustParseAddrPort(address), func(kind Kind, data []byte) { came <- received{kind, string(data)} })
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	if err := l.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return l, address, came
+}
+
+func next(t *testing.T, came chan received) received {
+	t.Helper()
+	select {
+	case r := <-came:
+		return r
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+		return received{}
+	}
+}
+
+// Messages come with their kinds, in their order, whatever their size.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	a, _, _ := started(t)
+	_, to, came := started(t)
+	large := bytes.Repeat([]byte("x"), 1<<20)
+	a.Send(to, 2, large)
+	for i := range 100 {
+		a.Send(to, 1, fmt.Append(nil, i))
+	}
+	is.Equal(next(t, came), received{2, string(large)})
+	for i := range 100 {
+		is.Equal(next(t, came), received{1, fmt.Sprint(i)})
+	}
+	is.True(a.Figures().Sent == 101)
+	is.True(a.Figures().SentBytes > 1<<20)
+}
+
+// A process that comes back at an address gets what is sent from then on; what could not be sent is counted.
+func TestReturn(t *testing.T) {
+	is := is.New(t)
+	a, _, _ := started(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	to := ln.Addr().String()
+	ln.Close()
+	came := make(chan received, 1000)
+	b := New(netip.MustParseAddrPort(to), func(kind Kind, data []byte) { came <- received{kind, string(data)} })
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	again := time.NewTicker(time.Millisecond)
+	defer again.Stop()
+	for started, arrived := false, false; !arrived; {
+		a.Send(to, 1, []byte("word"))
+		select {
+		case <-came:
+			is.True(started)
+			arrived = true
+		case <-again.C:
+			if !started && a.Figures().Lost > 0 { // nobody has listened so far
+				is.NoErr(b.Start(ctx))
+				started = true
+			}
+		}
+	}
+}
+
+// Bytes that are no frames end their connection and nothing else; a length alone takes no memory.
+func TestGarbage(t *testing.T) {
+	is := is.New(t)
+	a, _, _ := started(t)
+	_, to, came := started(t)
+	for _, text := range [][]byte{{0xff, 0xff, 0xff, 0xff, 1, 2}, {0, 0x10, 0, 0, 1}, []byte("GET / HTTP/1.1\r\n\r\n")} {
+		c, err := net.Dial("tcp", to)
+		is.NoErr(err)
+		c.Write(text)
+		c.(*net.TCPConn).CloseWrite()
+		c.SetReadDeadline(time.Now().Add(patience))
+		c.Read(make([]byte, 1)) // until it is closed
+		c.Close()
+	}
+	a.Send(to, 1, []byte("whole"))
+	is.Equal(next(t, came), received{1, "whole"})
+	is.Equal(len(came), 0)
+}
+
+// A message beyond the bound is not sent.
+func TestTooLong(t *testing.T) {
+	is := is.New(t)
+	a, _, _ := started(t)
+	a.Send("127.0.0.1:1", 1, make([]byte, MostMessage+1))
+	is.Equal(a.Figures().Lost, uint64(1))
+}
--- /dev/null
+++ b/internal/protocol/fleet_test.go
@@ -0,0 +1,132 @@
+package protocol
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"reachspread/balance"
+)
+
+// headers reads from a map.
+func headers(m map[string]string) Header { return func(name string) string { return m[name] } }
+
+// What the head of a host's answer says: only Not-Executed and 421 say that nothing ran, and only what is sealed is the host's word.
+func TestFleetJudge(t *testing.T) {
+	seal := map[string]string{HeaderSeal: "s"}
+	refused := map[string]string{HeaderNotExecuted: "1"}
+	for _, c := range []struct {
+		status int
+		head   map[string]string
+		want   Judgement
+	}{
+		{200, seal, Judgement{Result: balance.OK, Final: true}},
+		{204, seal, Judgement{Result: balance.OK, Final: true}},
+		{200, nil, Judgement{Result: balance.Error}},
+		{500, seal, Judgement{Result: balance.Error, Final: true}},
+		{504, seal, Judgement{Result: balance.Error, Final: true}},
+		{429, seal, Judgement{Result: balance.Error, Final: true}},
+		{404, seal, Judgement{Result: balance.Cancelled, Unfit: true, Final: true}},
+		{500, nil, Judgement{Result: balance.Error}},
+		{503, refused, Judgement{Result: balance.Full}},
+		{504, refused, Judgement{Result: balance.Full}},
+		{429, refused, Judgement{Result: balance.Full}},
+		{400, refused, Judgement{Result: balance.NotSent, Unfit: true, Final: true}},
+		{503, nil, Judgement{Result: balance.Error}},
+		{421, nil, Judgement{Result: balance.NoConnection}},
+	} {
+		if got := (Fleet{}).Judge(c.status, headers(c.head)); got != c.want {
+			t.Errorf("%d %v: got %+v, want %+v", c.status, c.head, got, c.want)
+		}
+	}
+}
+
+// The words of the fleet's wire.
+func TestFleetWords(t *testing.T) {
+	is := is.New(t)
+	f := Fleet{}
+	is.Equal(f.TimeLeft(1500*time.Microsecond), Field{HeaderDeadline, "1"})
+	is.Equal(f.TimeLeft(-time.Second), Field{HeaderDeadline, "0"})
+	expects, ok := f.Expects("i-1")
+	is.True(ok && expects == Field{HeaderExpectedInstance, "i-1"})
+	is.True(f.Foreign("a", headers(map[string]string{HeaderRequestID: "b"})))
+	is.True(!f.Foreign("a", headers(map[string]string{HeaderRequestID: "a"})))
+	is.True(!f.Foreign("a", headers(nil)))
+	is.Equal(f.KeepAlive(headers(map[string]string{"Keep-Alive": "timeout=5, max=100"})), 5*time.Second)
+	is.Equal(f.KeepAlive(headers(map[string]string{"Keep-Alive": "max=100"})), time.Duration(0))
+	is.Equal(f.KeepAlive(headers(map[string]string{"Keep-Alive": "timeout=soon"})), time.Duration(0))
+	is.True(ConnectionField("keep-alive") && ConnectionField("Transfer-Encoding") && !ConnectionField("Content-Type"))
+	is.Equal(BearerKey("Bearer k"), "k")
+	is.Equal(BearerKey("bearer k"), "k")
+	is.Equal(BearerKey("Basic k"), "")
+	is.Equal(BearerKey("k"), "")
+}
+
+// Load reports, in answers' heads and as asked for.
+func TestFleetLoad(t *testing.T) {
+	is := is.New(t)
+	load, err := ParseServerLoad("3, 1,8")
+	is.NoErr(err)
+	is.Equal(*load, balance.Load{Streams: 4, Busy: 0.375, Unread: -1})
+	for _, text := range []string{"3,1", "3,1,8,9", "a,1,8", "-1,0,8", ""} {
+		if _, err := ParseServerLoad(text); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+	load, err = (Fleet{}).ProbeLoad([]byte(`{"waiting":1,"running":12}`))
+	is.NoErr(err)
+	is.Equal(load.Streams, 13.0)
+	_, err = (Fleet{}).ProbeLoad([]byte(`{"waiting":1}`))
+	is.True(err != nil)
+	none, err := (Fleet{}).Load(headers(nil))
+	is.True(none == nil && err == nil)
+}
+
+// A prompt's parts, its usage and its deadline.
+func TestPrompt(t *testing.T) {
+	is := is.New(t)
+	parts, err := ParsePrompt("5c1e:800, 91bd:410,e440:250")
+	is.NoErr(err)
+	is.Equal(parts, []PromptPart{{"5c1e", 800}, {"91bd", 410}, {"e440", 250}})
+	for _, text := range []string{"5c1e", "5c1e:", ":5", "5c1e:-1", "5c1e:1,", strings.Repeat("a:1,", mostParts) + "a:1"} {
+		if _, err := ParsePrompt(text); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+	usage, ok, err := ParseUsage("1460,80")
+	is.True(ok && err == nil && usage == Usage{1460, 80})
+	_, ok, err = ParseUsage("")
+	is.True(!ok && err == nil)
+	for _, text := range []string{"1460", "a,1", "1,a"} {
+		if _, _, err := ParseUsage(text); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+	left, ok, err := ParseDeadline("1500.5")
+	is.True(ok && err == nil && left == 1500500*time.Microsecond)
+	for _, text := range []string{"soon", "-1", "1e12", "NaN"} {
+		if _, _, err := ParseDeadline(text); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+}
+
+// Whatever a head holds, it is read or refused.
+func FuzzFleetHeads(f *testing.F) {
+	f.Add("5c1e:800,91bd:410", "1460,80", "1500", "3,0,8", "timeout=5")
+	f.Fuzz(func(t *testing.T, prompt, usage, deadline, load, keep string) {
+		if parts, err := ParsePrompt(prompt); err == nil && len(parts) > mostParts {
+			t.Error("too many parts")
+		}
+		ParseUsage(usage)
+		if left, _, err := ParseDeadline(deadline); err == nil && left < 0 {
+			t.Error("a deadline below 0")
+		}
+		if l, err := ParseServerLoad(load); err == nil && l.Streams < 0 {
+			t.Error("a load below 0")
+		}
+		(Fleet{}).KeepAlive(headers(map[string]string{"Keep-Alive": keep}))
+	})
+}
--- /dev/null
+++ b/internal/system/controlapi/api_test.go
@@ -0,0 +1,176 @@
+package controlapi
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"reachspread/coord/coordpb"
+	"reachspread/internal/system/message"
+)
+
+type lines struct{}
+
+func (lines) Info(string, ...any) {}
+func (lines) Warn(string, ...any) {}
+
+// fleet stands in for what the API calls.
+type fleet struct {
+	beats   []*message.Instance
+	removed []string
+	slow    bool // nothing can be acknowledged
+
+	orders []*message.Order
+	reply  *message.OrderReply // nil for no answer
+	stored *message.Stored
+}
+
+func (f *fleet) Beat(_ context.Context, in *message.Instance) (string, bool) {
+	f.beats = append(f.beats, in)
+	return "10.0.0.1:80", !f.slow
+}
+
+func (f *fleet) Remove(_ context.Context, id string) bool {
+	f.removed = append(f.removed, id)
+	return !f.slow
+}
+
+var errSilent = errors.New("nobody answers")
+
+func (f *fleet) Submit(_ context.Context, text []byte) (*coordpb.Reply, error) {
+	order := &message.Order{}
+	if err := proto.Unmarshal(text, order); err != nil {
+		return nil, err
+	}
+	f.orders = append(f.orders, order)
+	if f.reply == nil {
+		return nil, errSilent
+	}
+	out, err := proto.Marshal(f.reply)
+	return &coordpb.Reply{Reply: out}, err
+}
+
+func (f *fleet) Read(context.Context) (*coordpb.Reply, error) {
+	if f.stored == nil {
+		return nil, errSilent
+	}
+	out, err := proto.Marshal(f.stored)
+	return &coordpb.Reply{Reply: out}, err
+}
+
+func (f *fleet) call(method, path, body string, ifMatch ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	for _, v := range ifMatch {
+		r.Header.Set("If-Match", v)
+	}
+	w := httptest.NewRecorder()
+	New(Options{Hosts: f, Register: f, Log: lines{}}).ServeHTTP(w, r)
+	return w
+}
+
+const beat = `{"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1","slots":64,"state":"ready","coldRemainingMs":12.5,"stage":"both","models":[{"name":"m","version":3}],"sequence":4,"later":1}`
+
+// A host's call is taken with all that it tells, and answered with the address for the next one.
+func TestBeat(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{}
+	w := f.call(http.MethodPut, "/instances/i-1", beat)
+	is.Equal(w.Code, 200)
+	is.Equal(w.Body.String(), `{"heartbeatAddress":"10.0.0.1:80"}`)
+	is.Equal(w.Header().Get("Content-Type"), "application/json")
+	in := f.beats[0]
+	is.Equal(in.Id, "i-1")
+	is.Equal(in.Models[0].Version, int64(3))
+	is.Equal(in.Sequence, uint64(4))
+	is.Equal(in.ColdRemainingMs, uint32(12))
+	is.Equal(f.call(http.MethodPut, "/instances/i-1", strings.Replace(beat, "ready", "draining", 1)).Code, 200)
+	is.Equal(f.beats[1].State, message.Instance_DRAINING)
+	is.Equal(f.call(http.MethodDelete, "/instances/i-1", "").Code, 200)
+	is.Equal(f.removed, []string{"i-1"})
+	f.slow = true
+	is.Equal(f.call(http.MethodPut, "/instances/i-1", beat).Code, 503)
+	is.Equal(f.call(http.MethodDelete, "/instances/i-1", "").Code, 503)
+}
+
+// A call that can't be used is refused with a line that names the field, and changes nothing.
+func TestBadBeat(t *testing.T) {
+	for name, c := range map[string]struct{ body, says string }{
+		"cut":              {beat[:50], "registration"},
+		"no service":       {strings.Replace(beat, `"service":"s",`, "", 1), "service"},
+		"no address":       {strings.Replace(beat, `"address":"10.0.0.9:80",`, "", 1), "address"},
+		"unknown state":    {strings.Replace(beat, "ready", "tired", 1), "state"},
+		"sequence is text": {strings.Replace(beat, `"sequence":4`, `"sequence":"4"`, 1), "sequence"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fleet{}
+			w := f.call(http.MethodPut, "/instances/i-1", c.body)
+			is.Equal(w.Code, 400)
+			is.True(strings.Contains(w.Body.String(), c.says))
+			is.Equal(len(f.beats), 0)
+		})
+	}
+}
+
+// Orders go to the register with the version that they build on, and its outcome is the answer.
+func TestOrders(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{reply: &message.OrderReply{Status: 200, Version: 7}}
+	is.Equal(f.call(http.MethodPut, "/configuration", `{"version":7}`, "0").Code, 200)
+	is.Equal(f.orders[0].Kind, message.Order_PUT)
+	is.Equal(f.call(http.MethodPatch, "/configuration", `{"version":9}`, `"7"`).Code, 200)
+	is.Equal(f.orders[1].Kind, message.Order_PATCH)
+	is.Equal(f.orders[1].IfMatch, int64(7))
+	f.reply = &message.OrderReply{Status: 412, Version: 9, Text: "version 9 is in force, not 7"}
+	w := f.call(http.MethodPut, "/configuration", `{"version":11}`, "7")
+	is.Equal(w.Code, 412)
+	is.True(strings.Contains(w.Body.String(), "version 9"))
+	f.reply = nil
+	is.Equal(f.call(http.MethodPut, "/configuration", `{"version":11}`, "7").Code, 503)
+}
+
+// What can never be taken is refused here, without asking the register.
+func TestBadOrders(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{reply: &message.OrderReply{Status: 200}}
+	is.Equal(f.call(http.MethodPut, "/configuration", `{"version":`, "0").Code, 400)
+	is.Equal(f.call(http.MethodPut, "/configuration", `{"version":7,"routes":[{"name":"a","timeoutMs":1,"service":"z"}]}`, "0").Code, 400)
+	is.Equal(f.call(http.MethodPatch, "/configuration", `{"version":7,"other":1}`, "0").Code, 400)
+	is.Equal(f.call(http.MethodPut, "/configuration", `{"version":7}`).Code, 400)
+	is.Equal(f.call(http.MethodPut, "/configuration", `{"version":7}`, "seven").Code, 400)
+	is.Equal(f.call(http.MethodPut, "/configuration", `{"version":7,"x":"`+strings.Repeat("y", mostOrderBody)+`"}`, "0").Code, 413)
+	is.Equal(f.call(http.MethodPost, "/configuration", `{"version":7}`, "0").Code, 405)
+	is.Equal(f.call(http.MethodGet, "/nothing", "").Code, 404)
+	is.Equal(len(f.orders), 0)
+}
+
+// The configuration is read whole, or not at all.
+func TestRead(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{}
+	is.Equal(f.call(http.MethodGet, "/configuration", "").Code, 503)
+	f.stored = &message.Stored{}
+	is.Equal(f.call(http.MethodGet, "/configuration", "").Code, 404)
+	f.stored = &message.Stored{Document: []byte(`{"version":7}`)}
+	w := f.call(http.MethodGet, "/configuration", "")
+	is.Equal(w.Code, 200)
+	is.Equal(w.Body.String(), `{"version":7}`)
+}
+
+// Whatever a host sends, it is taken or refused.
+func FuzzBeat(f *testing.F) {
+	f.Add([]byte(beat))
+	f.Add([]byte(`{"service":"s","address":"a","state":"ready","sequence":1e300,"slots":-1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		w := new(fleet).call(http.MethodPut, "/instances/i-1", string(body))
+		if w.Code != 200 && w.Code != 400 {
+			t.Errorf("status %d", w.Code)
+		}
+	})
+}
