Register: a reply to a client of the same process reaches it; routers on loopback as a test

Cause: a reply to an order or a read that came in at the answering machine itself was taken for a message of the core and dropped; the operator got no answer there for a second and went on to another router. Found by the new test of whole routers on loopback addresses (five routers, a machine of the register lost and back, all ended at once).

--- a/cmd/reachspread/router.go
+++ b/cmd/reachspread/router.go
@@ -37,6 +37,7 @@
 					}
 				}
 			}()
+			node.Limit(s.Limits)
 			return node.New(s, logging.New(os.Stderr, logging.Text)).Run(ctx, reload)
 		},
 	}
--- a/coord/register/core.go
+++ b/coord/register/core.go
@@ -221,7 +221,7 @@
 		switch {
 		case q.done != nil:
 			out.Commits = append(out.Commits, *q.done)
-		case q.send.To == o.c.Self.Address:
+		case q.send.To == o.c.Self.Address && !forClient(q.send.Message):
 			o.own = append(o.own, proto.Clone(q.send.Message).(*coordpb.Message))
 		default:
 			out.Sends = append(out.Sends, *q.send)
@@ -230,6 +230,9 @@
 	o.queue = slices.Delete(o.queue, 0, n)
 }
 
+// forClient tells whether a message is for a client, which may be one of this very process.
+func forClient(m *coordpb.Message) bool { return m.GetReply() != nil || m.GetRedirect() != nil }
+
 // Replay puts the records that were written behind a saved state into it. The machine gets the state.
 func Replay(d *coordpb.Durable, records []*coordpb.Record, m chain.Machine) error {
 	if len(d.State) > 0 {
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -75,12 +75,19 @@
 	servers *transport.Servers
 	hub     *hub
 	quotas  *quotas
-	leaving bool
+	abort   context.CancelFunc // ends all at once, as a crash does
+	started chan struct{}      // closed once all is served
+}
+
+// Limit has the run-time keep to what the process may use. It counts for the whole process.
+func Limit(l settings.Limits) {
+	runtime.GOMAXPROCS(l.CPUCores)
+	debug.SetMemoryLimit(int64(heapPart * float64(l.MemoryMb) * (1 << 20)))
 }
 
 // New returns a router that stands still until Run.
 func New(s *settings.Settings, log logger) *Node {
-	n := &Node{settings: s, log: log, life: rand.Uint64()}
+	n := &Node{settings: s, log: log, life: rand.Uint64(), started: make(chan struct{})}
 	n.self = router{address: s.Internal(s.IP()), zone: s.Zone, core: eligible(s)}
 	return n
 }
@@ -94,10 +101,9 @@
 // Run serves until ctx ends, then leaves in order.
 func (n *Node) Run(ctx context.Context, reload <-chan struct{}) error {
 	s := n.settings
-	runtime.GOMAXPROCS(s.Limits.CPUCores)
-	debug.SetMemoryLimit(int64(heapPart * float64(s.Limits.MemoryMb) * (1 << 20)))
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	n.abort = stop
 	n.link = link.New(n.self.address, n.receive)
 	self := &coordpb.Member{Address: n.self.internal(), Identity: rand.Uint64(), Label: zoneMark(s.Zone)}
 	n.client = register.NewClient(self, n.sendRegister)
@@ -123,6 +129,7 @@
 	}
 	go n.hub.run(work)
 	go n.quotas.run(work)
+	context.AfterFunc(work, func() { n.udp.Close() })
 	go n.readDatagrams()
 	go n.members.Run(work)
 	if n.replica != nil {
@@ -132,9 +139,12 @@
 	if err := n.serve(work, failed); err != nil {
 		return err
 	}
+	close(n.started)
 	n.log.Info("started", "node", s.NodeName, "address", n.self.internal(), "core", n.self.core)
 	for {
 		select {
+		case <-work.Done():
+			return errAborted
 		case <-ctx.Done():
 			return n.leave(work)
 		case err := <-failed:
@@ -145,6 +155,9 @@
 	}
 }
 
+// errAborted ends a router that was stopped at once.
+var errAborted = errors.New("aborted")
+
 // makePlane makes the data plane.
 func (n *Node) makePlane(ctx context.Context) {
 	s := n.settings
@@ -339,8 +352,9 @@
 		if err != nil {
 			return fmt.Errorf("listenAddresses.frontend: %w", err)
 		}
+		context.AfterFunc(ctx, n.front.StopAccepting)
 		go func() {
-			if err := n.front.Serve(ln, false); err != nil {
+			if err := n.front.Serve(ln, false); err != nil && ctx.Err() == nil {
 				failed <- fmt.Errorf("listenAddresses.frontend: %w", err)
 			}
 		}()
@@ -354,7 +368,6 @@
 // leave finishes what was taken.
 func (n *Node) leave(context.Context) error {
 	n.log.Info("leaving")
-	n.hub.call(func() { n.leaving = true })
 	n.front.SetKeeps(false)
 	if n.replica != nil {
 		n.replica.Leave()
--- /dev/null
+++ b/internal/system/node/node_test.go
@@ -0,0 +1,342 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"reachspread/internal/system/settings"
+)
+
+// patience bounds what a story waits for; it is never waited for where all is well.
+const patience = 30 * time.Second
+
+// lines drops log lines.
+type lines struct{}
+
+func (lines) Info(string, ...any) {}
+func (lines) Warn(string, ...any) {}
+
+// testFleet is routers on addresses of the loopback, of which the first ones have disks.
+type testFleet struct {
+	t     *testing.T
+	net   byte // the third byte of all addresses
+	ports struct{ internal, front, ready, control int }
+	disks int
+	nodes []*running
+}
+
+// running is one of them.
+type running struct {
+	*Node
+	ip     string
+	ended  chan error
+	cancel context.CancelFunc
+}
+
+var (
+	nextNet   byte
+	nextNetMu sync.Mutex
+)
+
+func newFleet(t *testing.T, routers, disks int) *testFleet {
+	t.Helper()
+	nextNetMu.Lock()
+	nextNet++
+	f := &testFleet{t: t, net: nextNet, disks: disks}
+	nextNetMu.Unlock()
+	f.ports.internal, f.ports.front, f.ports.ready, f.ports.control = 7680, 8662, 8663, 8665
+	for i := range routers {
+		f.nodes = append(f.nodes, &running{ip: fmt.Sprintf("127.77.%d.%d", f.net, i+1)})
+	}
+	folder := t.TempDir()
+	for i := range f.nodes {
+		f.start(i, folder, true)
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.abort()
+			<-n.ended
+		}
+	})
+	return f
+}
+
+// start begins a life of a router.
+func (f *testFleet) start(i int, folder string, first bool) {
+	n := f.nodes[i]
+	s := &settings.Settings{NodeName: fmt.Sprint("n", i), Serves: []string{settings.ServesClients, settings.ServesControl}, IPAddress: n.ip,
+		Zone: fmt.Sprint("z", i%3), InternalPortRange: []int{f.ports.internal, f.ports.internal}, FirstStart: first, HeartbeatIntervalMs: 60_000,
+		Zones: map[string]string{"z0": "r", "z1": "r", "z2": "r"}, Limits: settings.Limits{CPUCores: 1, MemoryMb: 64, FileDescriptors: 2000},
+		FaultTolerance: settings.FaultTolerance{Machines: 1}, Bounds: settings.Bounds{GraceS: 3, RevocationClosed: true, RevocationMs: 5000, RetryBudgetRatio: 1, RetryBudgetSlack: 64, QuotaWindowS: 8, QuotaOvershoot: 0.1}}
+	for j := range min(3, len(f.nodes)) {
+		s.SeedNodes = append(s.SeedNodes, fmt.Sprintf("%s:%d", f.nodes[j].ip, f.ports.control))
+	}
+	if i < f.disks {
+		s.DataDirectory, s.CountsForQuorum = filepath.Join(folder, s.NodeName), true
+	}
+	s.ListenAddresses = settings.ListenAddresses{Frontend: fmt.Sprintf("%s:%d", n.ip, f.ports.front),
+		Readiness: fmt.Sprintf("%s:%d", n.ip, f.ports.ready), ControlPlane: fmt.Sprintf("%s:%d", n.ip, f.ports.control)}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.Node, n.cancel, n.ended = New(s, lines{}), cancel, make(chan error, 1)
+	node := n.Node
+	go func() { n.ended <- node.Run(ctx, nil) }()
+	select {
+	case <-node.started:
+	case err := <-n.ended:
+		f.t.Fatal(err)
+	}
+}
+
+// crash ends a router at once.
+func (f *testFleet) crash(i int) {
+	f.nodes[i].abort()
+	<-f.nodes[i].ended
+}
+
+func (f *testFleet) control(i int) string {
+	return fmt.Sprintf("http://%s:%d", f.nodes[i].ip, f.ports.control)
+}
+
+// call calls the control plane of a router.
+func (f *testFleet) call(i int, method, path, body string, header map[string]string) (int, string) {
+	f.t.Helper()
+	r, err := http.NewRequest(method, f.control(i)+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// order brings an order to routers by turns until it is answered for certain, as operators do.
+func (f *testFleet) order(method, body string, on int64, routers ...int) int {
+	f.t.Helper()
+	until := time.Now().Add(patience)
+	for try := 0; time.Now().Before(until); try++ {
+		status, _ := f.call(routers[try%len(routers)], method, "/configuration", body, map[string]string{"If-Match": fmt.Sprint(on)})
+		if status != 0 && status/100 != 5 {
+			return status
+		}
+	}
+	f.t.Fatal("no answer to an order")
+	return 0
+}
+
+// eventually waits until something holds.
+func (f *testFleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for until := time.Now().Add(patience); time.Now().Before(until); <-tick.C {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("not within %v: %s", patience, what)
+}
+
+func (f *testFleet) ready(i int) bool {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/readiness", f.nodes[i].ip, f.ports.ready))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// request sends a client's request through a router.
+func (f *testFleet) request(i int, path, id, key string) (status int, body string) {
+	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", f.nodes[i].ip, f.ports.front), time.Second)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 1\r\n\r\nx", path, id, key)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+// host answers each request with its own name.
+func (f *testFleet) host(name string) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("Response-Seal", "seal")
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Write([]byte(name))
+	})}
+	go server.Serve(ln)
+	f.t.Cleanup(func() { server.Close() })
+	return ln.Addr().String()
+}
+
+func (f *testFleet) beat(router int, id, service, address, state string, sequence int) (int, string) {
+	body, _ := json.Marshal(map[string]any{"service": service, "address": address, "zone": "z0", "state": state, "sequence": sequence})
+	return f.call(router, http.MethodPut, "/instances/"+id, string(body), nil)
+}
+
+const first = `{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/","kind":"safe","timeoutMs":3000,"targetLatencyMs":500,"service":"s","maxAttempts":2}],` +
+	`"services":[{"name":"s"},{"name":"t"}],"tenants":[{"name":"x","apiKeys":["k"],"ratePerS":1000,"burst":1000}]}`
+
+// The whole path: routers find each other by seeds, one order at any of them is in force on all, hosts that call one are known to all, a drain
+// is heeded everywhere, a key that is taken away is refused, and all of it goes on when a machine of the register is lost and comes back.
+func TestFleet(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 5, 3)
+	all := []int{0, 1, 2, 3, 4}
+	is.Equal(f.order(http.MethodPut, first, 0, 4, 3), 200)
+	is.Equal(f.order(http.MethodPut, first, 0, 1), 200) // again
+	one, two := f.host("one"), f.host("two")
+	status, text := f.beat(3, "i-1", "s", one, "ready", 1)
+	is.Equal(status, 200)
+	is.True(strings.Contains(text, "heartbeatAddress"))
+	serves := func(i int, id, want string) func() bool {
+		return func() bool {
+			status, text := f.request(i, "/a", id, "k")
+			return status == 200 && text == want
+		}
+	}
+	for _, i := range all {
+		f.eventually(fmt.Sprint("router ", i, " serves"), serves(i, fmt.Sprint("q", i), "one"))
+		f.eventually(fmt.Sprint("router ", i, " is ready"), func() bool { return f.ready(i) })
+	}
+	status, _ = f.request(0, "/a", "q", "other")
+	is.Equal(status, 401)
+
+	status, _ = f.beat(2, "i-2", "s", two, "ready", 1)
+	is.Equal(status, 200)
+	status, _ = f.beat(4, "i-1", "s", one, "draining", 2)
+	is.Equal(status, 200)
+	for _, i := range all {
+		f.eventually(fmt.Sprint("router ", i, " heeds the drain"), serves(i, fmt.Sprint("d", i), "two"))
+	}
+
+	f.crash(1)
+	is.Equal(f.order(http.MethodPatch, `{"version":5,"upsert":{"tenants":[{"name":"x","apiKeys":["k2"],"ratePerS":1000,"burst":1000}]}}`, 1, 0, 2, 3), 200)
+	for _, i := range []int{0, 2, 3, 4} {
+		f.eventually(fmt.Sprint("router ", i, " refuses the key"), func() bool {
+			f.beat(0, "i-2", "s", two, "ready", 2)
+			status, _ := f.request(i, "/a", fmt.Sprint("k", i), "k")
+			return status == 401
+		})
+	}
+	f.start(1, filepath.Dir(f.nodes[1].settings.DataDirectory), false)
+	f.eventually("the machine that came back is in the chain", func() bool { return len(f.nodes[1].replica.Status().View.Chain) == 3 })
+	f.eventually("its configuration is the newest", func() bool {
+		status, text := f.call(1, http.MethodGet, "/configuration", "", nil)
+		return status == 200 && strings.Contains(text, `"version":5`)
+	})
+	is.Equal(f.order(http.MethodPut, first, 0, 1), 200) // it was taken once, and is never refused
+	is.Equal(f.order(http.MethodPut, strings.Replace(first, `"version":1`, `"version":9`, 1), 1, 3), 412)
+}
+
+// After all have ended at once, the register's machines have the configuration and the hosts, and all serve again.
+func TestAllEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, 3)
+	is.Equal(f.order(http.MethodPut, first, 0, 0), 200)
+	one := f.host("one")
+	status, _ := f.beat(0, "i-1", "s", one, "ready", 1)
+	is.Equal(status, 200)
+	f.eventually("it is kept", func() bool {
+		for i := range 3 {
+			kept, err := filepath.Glob(filepath.Join(f.nodes[i].settings.DataDirectory, keptFile))
+			if err != nil || len(kept) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	folder := filepath.Dir(f.nodes[0].settings.DataDirectory)
+	for i := range f.nodes {
+		f.crash(i)
+	}
+	for i := range f.nodes {
+		f.start(i, folder, false)
+	}
+	for i := range f.nodes {
+		f.eventually(fmt.Sprint("router ", i, " serves"), func() bool {
+			status, _ := f.request(i, "/a", fmt.Sprint("q", i), "k")
+			return status == 200
+		})
+	}
+}
+
+// A router that is told to end answers what it took, and tells the platform that it is not ready.
+func TestLeave(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 1)
+	is.Equal(f.order(http.MethodPut, first, 0, 0), 200)
+	let := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	took := make(chan struct{})
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(took)
+		<-let
+		w.Header().Set("Response-Seal", "seal")
+		w.Write([]byte("late"))
+	}))
+	status, _ := f.beat(0, "i-1", "s", ln.Addr().String(), "ready", 1)
+	is.Equal(status, 200)
+	f.eventually("it is ready", func() bool { return f.ready(0) })
+	answered := make(chan string, 1)
+	go func() {
+		_, text := f.request(0, "/a", "q", "k")
+		answered <- text
+	}()
+	<-took
+	f.nodes[0].cancel()
+	f.eventually("it is not ready", func() bool { return !f.ready(0) })
+	close(let)
+	is.Equal(<-answered, "late")
+	err = <-f.nodes[0].ended
+	f.nodes[0].ended <- err
+	is.NoErr(err)
+}
+
+// Bytes that are no message of routers change nothing.
+func TestForeignMessages(t *testing.T) {
+	n := New(&settings.Settings{IPAddress: "127.0.0.1", InternalPortRange: []int{1, 1}, Bounds: settings.Bounds{QuotaWindowS: 8}}, lines{})
+	n.quotas = newQuotas(n)
+	n.hub = newHub(n)
+	for _, text := range [][]byte{nil, {0xff}, bytes.Repeat([]byte{0x0a}, 100)} {
+		n.receive(registerKind, text)
+		n.receive(routerKind, text)
+		n.receive(77, text)
+	}
+}
