Quotas: a request sent long after it was taken in, or again, takes its units anew

Cause: a request held while no host has room is counted where it arrives at a host; backlogs released together could pass the quota's bound in one window. Ruled out: taking units at the sending only, as refusals would come late.

--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -19,6 +19,9 @@
 		return
 	}
 	go func() {
+		if !r.admitted(s) {
+			return
+		}
 		head := r.network.Schedule(f.ctx, f.deadline, to, f.message, func() { r.figures.relayed.Add(1) })
 		if mayHaveRun(head.Result) {
 			f.ran.Store(true)
@@ -55,6 +58,28 @@
 	}()
 }
 
+// Admitted is a message whose sending has to be allowed again, right before: where something that it was given may have run out since.
+type Admitted interface {
+	// Admit allows an attempt; again says that one before may have run. Where it does not, it says when the client should come back. It
+	// may wait for a moment.
+	Admit(again bool) (ok bool, wait time.Duration)
+}
+
+// admitted tells whether an attempt may be sent. If not, its request is refused.
+func (r *Router) admitted(s *attempt) bool {
+	m, ok := s.request.message.(Admitted)
+	if !ok {
+		return true
+	}
+	allowed, wait := m.Admit(s.request.ran.Load())
+	if allowed {
+		return true
+	}
+	s.request.answer(Answer{Verdict: Refused, Wait: wait, Ran: s.request.ran.Load()})
+	r.book(s, Head{Result: balance.NotSent})
+	return false
+}
+
 // mayHaveRun tells whether an attempt that ended so may have been worked on.
 func mayHaveRun(result balance.Result) bool {
 	return result != balance.Full && result != balance.NoConnection && result != balance.NotSent
--- a/internal/system/dataplane/intake.go
+++ b/internal/system/dataplane/intake.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -93,32 +94,21 @@
 	if err != nil {
 		return nil, &transport.Rejection{Code: http.StatusBadRequest, Line: err.Error()}
 	}
-	limited := a.tenant != nil && a.tenant.RatePerS > 0
-	taken := time.Now()
-	if limited {
-		if ok, wait := p.o.Quotas.Take(a.tenant, request.units(a.tenant)); !ok {
-			return nil, &transport.Rejection{Code: http.StatusTooManyRequests, Line: "over the tenant's quota", Wait: wait, Keep: true}
-		}
+	units := p.allowance(a.tenant, request)
+	if ok, wait := units.take(); !ok {
+		return nil, &transport.Rejection{Code: http.StatusTooManyRequests, Line: "over the tenant's quota", Wait: wait, Keep: true}
 	}
 	s := p.pick(a.route)
 	if s == nil || s.serving.Load() == 0 {
 		return nil, &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no host of the service is known", Wait: comeBack(), Keep: true}
 	}
-	var ended func(routing.Answer)
-	if limited {
-		ended = func(end routing.Answer) {
-			if end.Verdict == routing.Refused && !end.Ran {
-				p.o.Quotas.Put(a.tenant, request.units(a.tenant), taken)
-			}
-		}
-	}
 	request.arrival.ID = strconv.FormatUint(p.next.Add(1), 36)
 	return &transport.Plan{
 		Router:  s.router,
 		Arrival: request.arrival,
-		Message: transport.NewForwarded(ctx, body, request.forward(ctx, a)),
-		Resume:  p.resume(s, request, began),
-		Ended:   ended,
+		Message: transport.NewForwarded(ctx, body, request.forward(ctx, a, units)),
+		Resume:  p.resume(s, request, units, began),
+		Ended:   units.ended,
 	}, nil
 }
 
@@ -168,6 +158,49 @@
 	return r, nil
 }
 
+// allowance is what one request takes of its tenant's quota.
+type allowance struct {
+	quotas Quotas
+	tenant *configuration.Tenant // nil for no limit
+	units  float64
+	taken  atomic.Int64 // when, in Unix nanoseconds
+}
+
+// allowanceFor is how long what was taken may wait for its sending: it counts where the request arrives at a host.
+const allowanceFor = 500 * time.Millisecond
+
+func (p *Plane) allowance(tenant *configuration.Tenant, r *request) *allowance {
+	a := &allowance{quotas: p.o.Quotas}
+	if tenant != nil && tenant.RatePerS > 0 {
+		a.tenant, a.units = tenant, r.units(tenant)
+	}
+	return a
+}
+
+// take takes the units.
+func (a *allowance) take() (ok bool, wait time.Duration) {
+	if a.tenant == nil {
+		return true, 0
+	}
+	a.taken.Store(time.Now().UnixNano())
+	return a.quotas.Take(a.tenant, a.units)
+}
+
+// admit takes the units anew for an attempt that comes late, or after one that may have run.
+func (a *allowance) admit(again bool) (ok bool, wait time.Duration) {
+	if a.tenant == nil || !again && time.Since(time.Unix(0, a.taken.Load())) < allowanceFor {
+		return true, 0
+	}
+	return a.take()
+}
+
+// ended gives the units back where nothing has run.
+func (a *allowance) ended(end routing.Answer) {
+	if a.tenant != nil && end.Verdict == routing.Refused && !end.Ran {
+		a.quotas.Put(a.tenant, a.units, time.Unix(0, a.taken.Load()))
+	}
+}
+
 // units is what the request takes of a tenant's quota.
 func (r *request) units(t *configuration.Tenant) float64 {
 	if t.Unit != configuration.TokensUnit {
@@ -180,8 +213,8 @@
 }
 
 // forward says how the request is passed on: without its key, under its tenant's name.
-func (r *request) forward(ctx *fasthttp.RequestCtx, a *admitted) *transport.Forward {
-	f := &transport.Forward{Events: r.route.Kind == configuration.Streaming, Silent: silence(r.route)}
+func (r *request) forward(ctx *fasthttp.RequestCtx, a *admitted, units *allowance) *transport.Forward {
+	f := &transport.Forward{Events: r.route.Kind == configuration.Streaming, Silent: silence(r.route), Admit: units.admit}
 	named := connectionNames(ctx.Request.Header.Peek("Connection"))
 	for name, value := range ctx.Request.Header.All() {
 		n := string(name)
@@ -251,7 +284,7 @@
 }
 
 // resume returns how a broken stream goes on at another host, nil where the route does not allow it.
-func (p *Plane) resume(s *service, r *request, began time.Time) func(message *transport.Message, after string) (*transport.Plan, bool) {
+func (p *Plane) resume(s *service, r *request, units *allowance, began time.Time) func(message *transport.Message, after string) (*transport.Plan, bool) {
 	if r.route.Kind != configuration.Streaming || !r.route.StreamResumption {
 		return nil
 	}
@@ -261,6 +294,9 @@
 		if tries >= max(r.route.MaxAttempts, 1) || left <= 0 || !s.retries.Take() {
 			return nil, false
 		}
+		if ok, _ := units.take(); !ok {
+			return nil, false
+		}
 		next := r.arrival
 		next.ID += strings.Repeat(resumeSuffix, tries)
 		next.Left, next.Again = r.arrival.Left, true
--- a/internal/transport/forward.go
+++ b/internal/transport/forward.go
@@ -22,7 +22,9 @@
 	Events  bool             // the answer is a stream of events
 	FirstIn time.Duration    // the answer must have begun by then, of a stream its first event; 0 for no bound but the deadline
 	Silent  time.Duration    // a stream that says nothing for so long is taken for dead; 0 for the usual
-	After   string           // of a resumed stream, the id of the last event that the client has; empty for none
+	// Admit allows an attempt right before it is sent, nil for all; see routing.Admitted.
+	Admit func(again bool) (ok bool, wait time.Duration)
+	After string // of a resumed stream, the id of the last event that the client has; empty for none
 }
 
 // head writes the client's headers.
@@ -77,6 +79,14 @@
 	return &c
 }
 
+// Admit implements routing.Admitted.
+func (m *Message) Admit(again bool) (ok bool, wait time.Duration) {
+	if m.forward == nil || m.forward.Admit == nil {
+		return true, 0
+	}
+	return m.forward.Admit(again)
+}
+
 // FinalOf is the head of an answer that is on its way.
 func FinalOf(s *routing.Stream) *Final {
 	if h, ok := s.Body().(headed); ok {
