--- a/balance/docs_test.go
+++ b/balance/docs_test.go
@@ -12,13 +12,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	code, err := os.ReadFile("balance.go")
-	if err != nil {
-		t.Fatal(err)
+	var code strings.Builder
+	for _, path := range policy(t) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		code.Write(text)
 	}
-	parts := strings.Split(string(code), `Log{"`)
+	parts := strings.Split(code.String(), `Log{"`)
 	if len(parts) < 2 {
-		t.Fatal("no log line found in balance.go")
+		t.Fatal("no log line found in the files that decide")
 	}
 	for _, part := range parts[1:] {
 		words, _, _ := strings.Cut(part, `: "`)
--- a/balance/learned.go
+++ b/balance/learned.go
@@ -33,18 +33,6 @@
 	mostCap   = 1000 // streams, of what is believed
 )
 
-// fit is the seconds of reading by tokens.
-type fit struct{ decayed.Line }
-
-// slope returns the seconds to read a token.
-func (f *fit) slope() float64 { return f.Slope(slowRead) }
-
-// at returns the seconds to a first token behind so many unread tokens.
-func (f *fit) at(tokens float64) float64 { return slowFirst + tokens*f.slope() }
-
-// slowness is what r took over what was expected, fading to 1. Hearsay counts more the older the own view is.
-func (b *Balancer) slowness(r *replica) float64 { return r.slow.At(b.now) }
-
 // Learned returns what has been learned by now. It decides nothing.
 func (b *Balancer) Learned() Learned {
 	l := Learned{Work: b.done, MeanWork: b.meanWork, Decode: map[string]float64{}, Kinds: map[string]Pace{}}
--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -2,27 +2,99 @@
 
 import (
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"unicode/utf8"
+
+	"github.com/pelletier/go-toml/v2"
 )
 
-// The operators port balance.go by hand and don't run a longer one.
-func TestModuleSize(t *testing.T) {
-	text, err := os.ReadFile("balance.go")
+// mostLines is how long the files that decide may be together, and mostColumns how long a line of them:
+// the operators port them by hand.
+const (
+	mostLines   = 940
+	mostColumns = 110
+)
+
+// undecided are the files that hold the interface, the state and what is read of it; they decide nothing.
+var undecided = []string{"check.go", "figures.go", "learned.go", "state.go", "types.go"}
+
+// policy returns the paths of the files that the deployment says decide.
+func policy(t *testing.T) []string {
+	t.Helper()
+	text, err := os.ReadFile("../deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
+	var deployment struct{ Policy []string }
+	if err := toml.Unmarshal(text, &deployment); err != nil {
+		t.Fatal(err)
+	}
+	var files []string
+	for _, path := range deployment.Policy {
+		files = append(files, filepath.Join("..", path))
+	}
+	return files
+}
+
+func TestModuleSize(t *testing.T) {
 	lines := 0
-	for i, line := range strings.Split(string(text), "\n") {
-		if strings.TrimSpace(line) != "" {
-			lines++
+	for _, path := range policy(t) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if n := utf8.RuneCountInString(line); n > mostColumns {
+				t.Errorf("%s:%d has %d characters; %d at most", path, i+1, n, mostColumns)
+			}
+		}
+	}
+	if lines > mostLines {
+		t.Errorf("%d lines that are not blank; %d at most", lines, mostLines)
+	}
+}
+
+// TestEveryDecisionIsListed: a file of this package is on the policy list, or is one of the few that decide nothing.
+func TestEveryDecisionIsListed(t *testing.T) {
+	listed := policy(t)
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") || slices.Contains(undecided, file) {
+			continue
+		}
+		if !slices.Contains(listed, filepath.Join("..", "balance", file)) {
+			t.Errorf("%s is not on the policy list of deploy/balancer.toml", file)
 		}
-		if n := utf8.RuneCountInString(line); n > 110 {
-			t.Errorf("line %d has %d characters; 110 at most", i+1, n)
+	}
+}
+
+// TestFilesThatDecideNothing: no action is given, and no random number drawn, outside the policy.
+func TestFilesThatDecideNothing(t *testing.T) {
+	for _, file := range undecided {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, word := range []string{"b.do(", "b.rng."} {
+			if strings.Contains(string(text), word) {
+				t.Errorf("%s has %s; files that decide are on the policy list", file, word)
+			}
 		}
 	}
-	if lines > 940 {
-		t.Errorf("%d lines that are not blank; 940 at most", lines)
+	text, err := os.ReadFile("state.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(string(text), "\nfunc ") {
+		t.Error("state.go has a function; it holds types only")
 	}
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -1,6 +1,6 @@
 // Package balance decides for one gateway which replica of a language-model fleet gets which prompt, and when.
 //
-// This file is the whole interface; balance.go holds every decision. A Balancer is a pure state machine: the
+// This file is the whole interface; deploy/balancer.toml lists the files that decide. A Balancer is a pure state machine: the
 // host calls Step with what has happened and carries out the actions that come back, in order. The host owes
 // it one caller at a time, a clock that never goes back, and every event that concerns this gateway. It may
 // expect that the same seed, settings and events always give the same actions.
@@ -286,17 +286,6 @@
 // mark is the short name of a zone.
 func mark(zone string) uint8 { return uint8(rendezvous.Hash(zone)) }
 
-// mayRun tells whether the class leaves a request one more attempt that runs.
-func (q *request) mayRun() bool {
-	runs := 0
-	for _, a := range q.attempts {
-		if a.ran {
-			runs++
-		}
-	}
-	return q.class.Runs == 0 || runs < q.class.Runs
-}
-
 // place is what shares are dealt by.
 func place(r *replica) (name uint64, zone uint8) { return r.name, mark(r.Zone) }
 
--- a/coord/register/replica.go
+++ b/coord/register/replica.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,7 +62,6 @@
 
 	status atomic.Pointer[Status]
 	lost   atomic.Uint64
-	once   sync.Once
 }
 
 // batch is what goes to the disk at once.
