--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -58,6 +58,8 @@
 	lines   map[string]*line
 	inbound map[net.Conn]bool
 
+	closing sync.WaitGroup
+
 	sent, sentBytes, received, receivedBytes, lost atomic.Uint64
 }
 
@@ -79,7 +81,9 @@
 		return err
 	}
 	l.ctx = ctx
+	l.closing.Add(1)
 	context.AfterFunc(ctx, func() {
+		defer l.closing.Done()
 		ln.Close()
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -91,6 +95,9 @@
 	return nil
 }
 
+// Wait returns once the link has let go of its address, after its context has ended.
+func (l *Link) Wait() { l.closing.Wait() }
+
 // Figures returns the counters.
 func (l *Link) Figures() Figures {
 	return Figures{Sent: l.sent.Load(), SentBytes: l.sentBytes.Load(), Received: l.received.Load(), ReceivedBytes: l.receivedBytes.Load(), Lost: l.lost.Load()}
--- a/coord/quota/quota_test.go
+++ b/coord/quota/quota_test.go
@@ -190,6 +190,7 @@
 	holders []*Holder
 	used    []use
 	without time.Duration // no owner acts until then
+	plan    Plan
 }
 
 // owner is one, with what it has to tell.
@@ -207,7 +208,7 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), tracker: Tracker{Window: window}}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), tracker: Tracker{Window: window}, plan: plan}
 	f.owners = []*owner{{Owner: NewOwner(0, window, nil, -window)}}
 	for range 10 {
 		f.holders = append(f.holders, &Holder{Plan: plan})
@@ -241,7 +242,7 @@
 			o = f.owners[len(f.owners)-2]
 		}
 		ask := h.Missing(f.now, units)
-		got := o.Serve(f.now, "k", plan, ask)
+		got := o.Serve(f.now, "k", f.plan, ask)
 		h.Reported(ask.Borrowed)
 		o.untold += got.Granted + ask.Borrowed
 		f.tell(o)
@@ -289,9 +290,16 @@
 }
 
 // most is the greatest use in any window.
-func (f *fleet) most() float64 {
+func (f *fleet) most() float64 { return f.mostSince(0) }
+
+// mostSince is the greatest use in any window that begins at a time or later.
+func (f *fleet) mostSince(begin time.Duration) float64 {
 	most, sum, from := 0.0, 0.0, 0
 	for _, u := range f.used {
+		if u.at < begin {
+			from++
+			continue
+		}
 		sum += u.units
 		for f.used[from].at <= u.at-window {
 			sum -= f.used[from].units
@@ -304,8 +312,10 @@
 
 // play draws a minute of traffic far beyond the limit, with owners that end and come, routers that are replaced, calm times, and spans in
 // which no owner is reached.
-func (f *fleet) play(double bool) {
-	for f.now < time.Minute {
+func (f *fleet) play(double bool) { f.playUntil(time.Minute, double) }
+
+func (f *fleet) playUntil(end time.Duration, double bool) {
+	for f.now < end {
 		f.now += time.Duration(f.rng.ExpFloat64() * float64(8*time.Millisecond))
 		switch f.rng.IntN(2500) {
 		case 0, 1:
@@ -334,6 +344,25 @@
 	t.Logf("at most %.0f of %.0f", top, allowed)
 }
 
+// A lowered limit binds soon after it is in force, once nobody borrows on what was used before, whatever else is drawn.
+func TestLowered(t *testing.T) {
+	const change = 30 * time.Second
+	lower := Limit{Rate: rate / 2, Burst: rate / 4}
+	allowed := (lower.Rate*window.Seconds()+lower.Burst)*(1+overshoot) + slack
+	for seed := range uint64(400) {
+		f := newFleet(seed)
+		f.playUntil(change, false)
+		f.plan = NewPlan(lower, window, overshoot, slack)
+		for _, h := range f.holders {
+			h.Plan = f.plan
+		}
+		f.playUntil(time.Minute, false)
+		if most := f.mostSince(change + lendFor); most > allowed {
+			t.Errorf("seed %d: %.0f units in a window; %.0f are allowed", seed, most, allowed)
+		}
+	}
+}
+
 // Two owners at once, the same share granted twice, are found.
 func TestGrantedTwice(t *testing.T) {
 	for seed := range uint64(400) {
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -76,6 +77,7 @@
 	hub     *hub
 	quotas  *quotas
 	abort   context.CancelFunc // ends all at once, as a crash does
+	closing sync.WaitGroup     // what has to be closed before Run returns
 	started chan struct{}      // closed once all is served
 }
 
@@ -92,16 +94,17 @@
 	return n
 }
 
-// eligible tells whether the process may be a member of the register: with a disk that counts, or, where no machine has one, any that
-// serves the control plane.
+// eligible tells whether the process may be a member of the register. One that counts and has no disk keeps the register in memory, and is
+// another member in each life.
 func eligible(s *settings.Settings) bool {
-	return s.ServesRole(settings.ServesControl) && s.HasDisk() && s.CountsForQuorum
+	return s.ServesRole(settings.ServesControl) && s.CountsForQuorum
 }
 
 // Run serves until ctx ends, then leaves in order.
 func (n *Node) Run(ctx context.Context, reload <-chan struct{}) error {
 	s := n.settings
 	work, stop := context.WithCancel(context.Background())
+	defer n.closing.Wait()
 	defer stop()
 	n.abort = stop
 	n.link = link.New(n.self.address, n.receive)
@@ -120,6 +123,7 @@
 	if err := n.link.Start(work); err != nil {
 		return fmt.Errorf("internalPortRange: %w", err)
 	}
+	n.atEnd(work, n.link.Wait)
 	if s.HasDisk() {
 		k := n.keeper()
 		if err := k.load(); err != nil {
@@ -129,7 +133,7 @@
 	}
 	go n.hub.run(work)
 	go n.quotas.run(work)
-	context.AfterFunc(work, func() { n.udp.Close() })
+	n.atEnd(work, func() { n.udp.Close() })
 	go n.readDatagrams()
 	go n.members.Run(work)
 	if n.replica != nil {
@@ -155,6 +159,15 @@
 	}
 }
 
+// atEnd has something closed once ctx ends, before Run returns.
+func (n *Node) atEnd(ctx context.Context, close func()) {
+	n.closing.Add(1)
+	context.AfterFunc(ctx, func() {
+		defer n.closing.Done()
+		close()
+	})
+}
+
 // errAborted ends a router that was stopped at once.
 var errAborted = errors.New("aborted")
 
@@ -215,7 +228,7 @@
 	}
 	var disk *storage.Store
 	var files storage.Files
-	if n.self.core {
+	if n.self.core && s.HasDisk() {
 		folder, err := storage.NewFolder(filepath.Join(s.DataDirectory, "register"))
 		if err != nil {
 			return fmt.Errorf("dataDirectory: %w", err)
@@ -337,12 +350,12 @@
 	s := n.settings
 	if s.ServesRole(settings.ServesControl) {
 		api := controlapi.New(controlapi.Options{Hosts: hostCalls{n}, Register: n.client, Log: n.log})
-		if err := listenHTTP(ctx, s.ListenAddresses.ControlPlane, api, failed); err != nil {
+		if err := n.listenHTTP(ctx, s.ListenAddresses.ControlPlane, api, failed); err != nil {
 			return fmt.Errorf("listenAddresses.controlPlane: %w", err)
 		}
 	}
 	if s.ListenAddresses.Readiness != "" {
-		if err := listenHTTP(ctx, s.ListenAddresses.Readiness, n.readiness(), failed); err != nil {
+		if err := n.listenHTTP(ctx, s.ListenAddresses.Readiness, n.readiness(), failed); err != nil {
 			return fmt.Errorf("listenAddresses.readiness: %w", err)
 		}
 	}
@@ -352,7 +365,7 @@
 		if err != nil {
 			return fmt.Errorf("listenAddresses.frontend: %w", err)
 		}
-		context.AfterFunc(ctx, n.front.StopAccepting)
+		n.atEnd(ctx, n.front.StopAccepting)
 		go func() {
 			if err := n.front.Serve(ln, false); err != nil && ctx.Err() == nil {
 				failed <- fmt.Errorf("listenAddresses.frontend: %w", err)
--- a/internal/system/node/node_test.go
+++ b/internal/system/node/node_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -35,6 +36,7 @@
 	net   byte // the third byte of all addresses
 	ports struct{ internal, front, ready, control int }
 	disks int
+	bare  int // of those without a disk, so many count
 	nodes []*running
 }
 
@@ -52,10 +54,15 @@
 )
 
 func newFleet(t *testing.T, routers, disks int) *testFleet {
+	t.Helper()
+	return startFleet(t, routers, disks, 0)
+}
+
+func startFleet(t *testing.T, routers, disks, bare int) *testFleet {
 	t.Helper()
 	nextNetMu.Lock()
 	nextNet++
-	f := &testFleet{t: t, net: nextNet, disks: disks}
+	f := &testFleet{t: t, net: nextNet, disks: disks, bare: bare}
 	nextNetMu.Unlock()
 	f.ports.internal, f.ports.front, f.ports.ready, f.ports.control = 7680, 8662, 8663, 8665
 	for i := range routers {
@@ -85,8 +92,9 @@
 		s.SeedNodes = append(s.SeedNodes, fmt.Sprintf("%s:%d", f.nodes[j].ip, f.ports.control))
 	}
 	if i < f.disks {
-		s.DataDirectory, s.CountsForQuorum = filepath.Join(folder, s.NodeName), true
+		s.DataDirectory = filepath.Join(folder, s.NodeName)
 	}
+	s.CountsForQuorum = i < f.disks+f.bare
 	s.ListenAddresses = settings.ListenAddresses{Frontend: fmt.Sprintf("%s:%d", n.ip, f.ports.front),
 		Readiness: fmt.Sprintf("%s:%d", n.ip, f.ports.ready), ControlPlane: fmt.Sprintf("%s:%d", n.ip, f.ports.control)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -96,6 +104,7 @@
 	select {
 	case <-node.started:
 	case err := <-n.ended:
+		n.ended <- err // for whoever waits for its end
 		f.t.Fatal(err)
 	}
 }
@@ -340,3 +349,24 @@
 		n.receive(77, text)
 	}
 }
+
+// Where no machine has a disk, those that count keep the register in memory. One that begins anew is another member, and what was acknowledged
+// outlives it.
+func TestNoDisks(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 4, 0, 3)
+	is.Equal(f.order(http.MethodPut, first, 0, 3), 200)
+	for i := range 3 {
+		before := f.nodes[i].replica.Status().View.GetEpoch()
+		f.crash(i)
+		f.start(i, "", false)
+		f.eventually("it is a member again", func() bool {
+			status := f.nodes[i].replica.Status()
+			complete := status.Position.GetStateEpoch() == status.View.GetEpoch()
+			return status.View.GetEpoch() > before && complete && slices.Contains(status.View.GetChain(), status.Identity)
+		})
+	}
+	status, text := f.call(1, http.MethodGet, "/configuration", "", nil)
+	is.Equal(status, 200)
+	is.True(strings.Contains(text, `"s"`))
+}
--- a/internal/system/node/serve.go
+++ b/internal/system/node/serve.go
@@ -23,14 +23,14 @@
 func (silent) Write(p []byte) (int, error) { return len(p), nil }
 
 // listenHTTP serves a handler on an address until ctx ends.
-func listenHTTP(ctx context.Context, address string, handler http.Handler, failed chan<- error) error {
+func (n *Node) listenHTTP(ctx context.Context, address string, handler http.Handler, failed chan<- error) error {
 	listen := net.ListenConfig{KeepAlive: -1}
 	ln, err := listen.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: handler, ReadTimeout: callFor, WriteTimeout: callFor, IdleTimeout: idleFor, ErrorLog: log.New(silent{}, "", 0)}
-	context.AfterFunc(ctx, func() { server.Close() })
+	n.atEnd(ctx, func() { server.Close() })
 	go func() {
 		if err := server.Serve(ln); err != http.ErrServerClosed {
 			failed <- err
