--- a/internal/relay/tcp.go
+++ b/internal/relay/tcp.go
@@ -33,6 +33,8 @@
 	dialer  net.Dialer // from the address that it listens at, so that the far side can tell relays apart
 	watcher Watcher    // nil for nobody
 	all     sync.WaitGroup
+	// taking is held while a connection is taken from the queue. It may be waited for with mu held, not the other way round.
+	taking sync.Mutex
 
 	mu      sync.Mutex
 	ln      *net.TCPListener
@@ -129,6 +131,8 @@
 // further SYN. The lock is held.
 func (r *Conns) deafen() error {
 	r.ln.SetDeadline(time.Unix(1, 0)) // wakes accept, which waits for the end
+	r.taking.Lock()                   // it may be about to take what comes next, which would be the plug
+	defer r.taking.Unlock()
 	if err := r.backlog(0); err != nil {
 		return err
 	}
@@ -181,7 +185,7 @@
 			return
 		}
 		<-on
-		c, err := ln.AcceptTCP()
+		c, err := r.take(ln)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
@@ -202,6 +206,13 @@
 	}
 }
 
+// take takes a connection from the queue.
+func (r *Conns) take(ln *net.TCPListener) (*net.TCPConn, error) {
+	r.taking.Lock()
+	defer r.taking.Unlock()
+	return ln.AcceptTCP()
+}
+
 func (r *Conns) carry(x *carried) {
 	defer func() {
 		r.mu.Lock()
