Service: at small limits the pages of the program that only its start needed are given back

Ruled out: heaps (GOGC 50 gives 1 MB), the settings' check (it stands in the operators' list of libraries). Change: at 64 MB or less, read-only mappings of the program that have no page of their own are dropped after the start.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -120,6 +120,9 @@
 		}
 	}
 	p.take(p.cfg.room(others))
+	if p.cfg.Limits.MemoryMB <= smallMemory {
+		releasePages()
+	}
 	if err := p.listen(ctx); err != nil {
 		return err
 	}
