--- a/internal/system/dataplane/intake.go
+++ b/internal/system/dataplane/intake.go
@@ -48,25 +48,51 @@
 // Head implements transport.Intake: routes, keys and what is known decide whether a body is worth reading.
 func (p *Plane) Head(ctx *fasthttp.RequestCtx) *transport.Rejection {
 	p.counts.Taken.Add(1)
+	if !p.knows() && p.starting() {
+		return nil // it is read, and admitted once the router knows
+	}
+	a, no := p.admit(ctx)
+	if no == nil {
+		ctx.SetUserValue(admittedKey, a)
+	}
+	return no
+}
+
+// knows tells whether a configuration is known by which requests can be admitted.
+func (p *Plane) knows() bool {
+	state := p.state.Load()
+	return state != nil && (!state.Typed.Keyed() || p.o.Fresh())
+}
+
+// admit looks up the route of a request and who sends it.
+func (p *Plane) admit(ctx *fasthttp.RequestCtx) (*admitted, *transport.Rejection) {
 	state := p.state.Load()
 	if state == nil {
-		return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no configuration is known yet", Wait: comeBack()}
+		return nil, &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no configuration is known yet", Wait: comeBack()}
 	}
 	a := &admitted{state: state, route: state.Typed.Route(hostOf(ctx), pathOf(ctx))}
 	if a.route == nil {
-		return &transport.Rejection{Code: http.StatusNotFound, Line: "no such route"}
+		return nil, &transport.Rejection{Code: http.StatusNotFound, Line: "no such route"}
 	}
 	if state.Typed.Keyed() && !a.route.Public {
 		if !p.o.Fresh() {
-			return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "keys can not be checked now", Wait: comeBack()}
+			return nil, &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "keys can not be checked now", Wait: comeBack()}
 		}
 		key := protocol.BearerKey(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
 		if a.tenant = state.Typed.Tenant(key); a.tenant == nil {
-			return &transport.Rejection{Code: http.StatusUnauthorized, Line: "no such key"}
+			return nil, &transport.Rejection{Code: http.StatusUnauthorized, Line: "no such key"}
 		}
 	}
-	ctx.SetUserValue(admittedKey, a)
-	return nil
+	return a, nil
+}
+
+// admitted is what admit found for a request when its head came, or finds now, once the router knows enough.
+func (p *Plane) admitted(ctx *fasthttp.RequestCtx) (*admitted, *transport.Rejection) {
+	if a, ok := ctx.UserValue(admittedKey).(*admitted); ok {
+		return a, nil
+	}
+	p.await(ctx, p.knows)
+	return p.admit(ctx)
 }
 
 // comeBack is when a client should come back to a router that can't serve anything yet. It differs from client to client.
@@ -89,7 +115,10 @@
 
 // Plan implements transport.Intake.
 func (p *Plane) Plan(ctx *fasthttp.RequestCtx, body []byte, began time.Time) (*transport.Plan, *transport.Rejection) {
-	a := ctx.UserValue(admittedKey).(*admitted)
+	a, no := p.admitted(ctx)
+	if no != nil {
+		return nil, no
+	}
 	request, err := readRequest(&ctx.Request.Header, a.route, len(body))
 	if err != nil {
 		return nil, &transport.Rejection{Code: http.StatusBadRequest, Line: err.Error()}
@@ -99,7 +128,7 @@
 		return nil, &transport.Rejection{Code: http.StatusTooManyRequests, Line: "over the tenant's quota", Wait: wait, Keep: true}
 	}
 	s := p.pick(a.route)
-	if s == nil || s.serving.Load() == 0 {
+	if s == nil || !p.await(ctx, func() bool { return s.serving.Load() > 0 }) {
 		return nil, &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "no host of the service is known", Wait: comeBack(), Keep: true}
 	}
 	request.arrival.ID = strconv.FormatUint(p.next.Add(1), 36)
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -49,6 +49,7 @@
 	Fresh func() bool
 	Log   routing.Logger
 	Seed  uint64
+	Began time.Time // when the router did
 }
 
 // Plane is one router's. It implements transport.Intake.
@@ -63,8 +64,9 @@
 	services map[string]*service
 	routers  int // that live, this one among them
 
-	pools  atomic.Pointer[map[string]*service] // replaced, never changed
-	counts Counts
+	pools   atomic.Pointer[map[string]*service] // replaced, never changed
+	counts  Counts
+	changes changes
 }
 
 // service is one service's decisions.
@@ -109,6 +111,7 @@
 	}
 	p.pools.Store(&all)
 	p.state.Store(state)
+	p.changes.notify()
 	return nil
 }
 
@@ -199,8 +202,9 @@
 		ev.Members = append(ev.Members, m)
 		addrs[r.Id] = r.Address
 	}
-	s.serving.Store(int64(serving))
 	s.router.Told(ev, addrs)
+	s.serving.Store(int64(serving))
+	p.changes.notify()
 }
 
 // Serving tells whether there is a configuration, and a host for at least one service of it.
--- a/internal/system/dataplane/plane_test.go
+++ b/internal/system/dataplane/plane_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,7 +151,7 @@
 	front  *transport.Front
 	addr   string
 	quotas *quotas
-	fresh  bool
+	fresh  atomic.Bool
 }
 
 const routes = `{"version":1,"routes":[
@@ -163,15 +165,22 @@
 
 const keyed = `,"tenants":[{"name":"x","apiKeys":["k1"],"priority":1,"unit":"tokens","uncachedTokens":200,"ratePerS":1000,"burst":1000}]`
 
+// newFleet is one whose router has begun long ago.
 func newFleet(t *testing.T, extra string, hosts ...*host) *fleet {
+	t.Helper()
+	return fleetSince(t, time.Now().Add(-time.Hour), extra, hosts...)
+}
+
+func fleetSince(t *testing.T, began time.Time, extra string, hosts ...*host) *fleet {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	f := &fleet{quotas: &quotas{left: 1e9}, fresh: true}
+	f := &fleet{quotas: &quotas{left: 1e9}}
+	f.fresh.Store(true)
 	s := &settings.Settings{Zone: "a", Bounds: settings.Bounds{RetryBudgetRatio: 5, RetryBudgetSlack: 100}}
 	servers := transport.NewServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute, Silent: time.Second, Connections: 50,
 		Dialect: protocol.Fleet{}}, lines{})
-	f.plane = New(ctx, Options{Settings: s, Servers: servers, Quotas: f.quotas, Fresh: func() bool { return f.fresh }, Log: lines{}})
+	f.plane = New(ctx, Options{Settings: s, Servers: servers, Quotas: f.quotas, Fresh: func() bool { return f.fresh.Load() }, Log: lines{}, Began: began})
 	f.front = transport.NewIntakeFront(f.plane, transport.FrontLimits{Bodies: 1 << 20, Door: door.Config{Places: 100, Step: 8}})
 	f.front.SetKeeps(true)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -331,7 +340,7 @@
 	f.configure(t, fmt.Sprintf(routes, keyed))
 	f.hosts(h)
 	is.Equal(f.call(t, "/safe/", "", "Authorization: Bearer k1").StatusCode, 200)
-	f.fresh = false
+	f.fresh.Store(false)
 	is.Equal(f.call(t, "/safe/", "", "Authorization: Bearer k1").StatusCode, 503)
 	is.Equal(f.call(t, "/open/", "").StatusCode, 200)
 	is.Equal(len(h.requests()), 2)
@@ -546,3 +555,43 @@
 		is.Equal(string(text), fmt.Sprintf("/safe/%d", i))
 	}
 }
+
+// What comes while a router starts waits for what is needed to serve it: a configuration, its being the newest, a host. Nothing waits where
+// the router has been there for long, and nothing waits for what does not come.
+func TestStarting(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t, "i-1", func(r seen) string { return answer(r, 200, "", "whole") })
+	f := fleetSince(t, time.Now(), "none")
+	f.fresh.Store(false)
+	const key = "Authorization: Bearer k1"
+	answered := make(chan string, 1)
+	go func() {
+		got := f.call(t, "/safe/1", "body", key)
+		answered <- fmt.Sprint(got.StatusCode, got.body)
+	}()
+	waits := func() {
+		t.Helper()
+		for f.plane.changes.count() == 0 {
+			runtime.Gosched()
+		}
+		select {
+		case got := <-answered:
+			t.Fatalf("it was answered too early: %s", got)
+		default:
+		}
+	}
+	waits()
+	f.configure(t, fmt.Sprintf(routes, keyed))
+	waits()
+	f.fresh.Store(true)
+	f.plane.Refreshed()
+	waits()
+	f.hosts(h)
+	is.Equal(<-answered, "200whole")
+
+	is.Equal(f.call(t, "/safe/1", "", key, "Request-Deadline: 2000").StatusCode, 200)
+	f.fresh.Store(false)
+	late := f.call(t, "/safe/1", "", key, "Request-Deadline: 20")
+	is.Equal(late.StatusCode, 503)
+	is.True(late.Header.Get("Retry-After") != "")
+}
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -167,8 +167,10 @@
 
 // refresh tells subscribers where the configuration has become fresh: they may wait for that to serve.
 func (h *hub) refresh() {
+	h.confirmedAt.Store(int64(h.config.confirmed))
 	fresh := h.config.confirmed >= 0 && h.now()-h.config.confirmed < freshFor
 	if fresh && !h.wasFresh {
+		h.node.plane.Refreshed()
 		h.send(h.feed.Refreshed(h.now(), configurationTopic))
 	}
 	h.wasFresh = fresh
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -177,7 +177,7 @@
 	free := max(s.Limits.FileDescriptors-setAside, s.Limits.FileDescriptors/2)
 	n.servers = transport.NewServers(transport.ServerLimits{Connect: connectFor, Keepalive: keepIdleFor, Silent: silentFor,
 		Connections: free / 2, Dialect: protocol.Fleet{}}, n.log)
-	n.plane = dataplane.New(ctx, dataplane.Options{Settings: s, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64()})
+	n.plane = dataplane.New(ctx, dataplane.Options{Settings: s, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64(), Began: time.Now()})
 	n.front = transport.NewIntakeFront(n.plane, transport.FrontLimits{
 		Bodies: int(bodyPart * float64(s.Limits.MemoryMb) * (1 << 20)), Head: headBytes, Patience: n.patience, Seed: rand.Uint64(),
 		Door: door.Config{Places: free / 2, Step: stepClients, Away: time.Second},
