--- /dev/null
+++ b/cmd/reachspread/check.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/message"
+	systemsettings "reachspread/internal/system/settings"
+)
+
+// checkCommand checks files and starts nothing: those of the router in service, the settings of the fleet's router, or a configuration that
+// is to be put.
+func checkCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "check",
+		Short: "Check the configuration and the settings, and start nothing",
+		Args:  cobra.NoArgs,
+	}
+	file := settingsFlag(c)
+	router := c.Flags().Bool("router", false, "check the settings file of the fleet's router, which "+systemsettings.PathVariable+" names")
+	put := c.Flags().String("configuration", "", "check a `file` as PUT /configuration would, - for standard input")
+	c.MarkFlagsMutuallyExclusive("router", "configuration", "settings")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		switch {
+		case *router:
+			return checkRouter(cmd.OutOrStdout())
+		case *put != "":
+			return checkConfiguration(cmd.OutOrStdout(), *put)
+		}
+		cfg, _, err := load(*file)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "%s: the configuration is good\n", cfg.Name)
+		return nil
+	}
+	return c
+}
+
+func checkRouter(out io.Writer) error {
+	s, err := systemsettings.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: the settings are good\n", s.NodeName)
+	return nil
+}
+
+// checkConfiguration reads a configuration with the code by which the control plane takes one.
+func checkConfiguration(out io.Writer, file string) error {
+	text, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	state, err := configuration.Next(nil, &message.Order{Kind: message.Order_PUT, Body: text})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "version %d: the configuration is good, with %d routes, %d services and %d tenants\n", state.Version(),
+		len(state.Typed.Routes), len(state.Typed.Services), len(state.Typed.Tenants))
+	return nil
+}
+
+// readFile reads a file, or standard input for -.
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(name)
+}
--- a/cmd/reachspread/main.go
+++ b/cmd/reachspread/main.go
@@ -76,24 +76,6 @@
 	return c
 }
 
-func checkCommand() *cobra.Command {
-	c := &cobra.Command{
-		Use:   "check",
-		Short: "Check the configuration and the settings, and start nothing",
-		Args:  cobra.NoArgs,
-	}
-	file := settingsFlag(c)
-	c.RunE = func(cmd *cobra.Command, _ []string) error {
-		cfg, _, err := load(*file)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintf(cmd.OutOrStdout(), "%s: the configuration is good\n", cfg.Name)
-		return nil
-	}
-	return c
-}
-
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
--- a/cmd/reachspread/main_test.go
+++ b/cmd/reachspread/main_test.go
@@ -21,11 +21,18 @@
 		{[]string{"serve"}, "", "ROUTER_CONFIG is not set"},
 		{[]string{"serve", "now"}, "", "unknown command"},
 		{[]string{"check", "--settings", "../../deploy/settings.hcl"}, "", "ROUTER_CONFIG is not set"},
+		{[]string{"check", "--router"}, "", "REACHSPREAD_CONFIG is not set"},
+		{[]string{"check", "--router", "--configuration", "x"}, "", "none of the others can be"},
+		{[]string{"check", "--configuration", "nowhere.json"}, "", "nowhere.json"},
+		{[]string{"check", "--configuration", "testdata/good.json"}, "version 3: the configuration is good, with 1 routes, 1 services and 0 tenants\n", ""},
+		{[]string{"check", "--configuration", "testdata/bad.json"}, "", `route "r": service: "other" is not among the services`},
+		{[]string{"router"}, "", "REACHSPREAD_CONFIG is not set"},
 		{[]string{"shadow", "status"}, "", "--settings must name"},
 		{[]string{"shadow", "status", "--settings", "nowhere.hcl"}, "", "nowhere.hcl"},
 		{[]string{"shadow", "report", "."}, "", "go build -o bin/ ./cmd/..."},
 	} {
 		t.Setenv("ROUTER_CONFIG", "")
+		t.Setenv("REACHSPREAD_CONFIG", "")
 		var out bytes.Buffer
 		c := command()
 		c.SetArgs(tt.args)
--- a/cmd/reachspread/router.go
+++ b/cmd/reachspread/router.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,17 +29,32 @@
 			defer signal.Stop(hup)
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
-			reload := make(chan struct{}, 1)
-			go func() {
-				for range hup {
-					select {
-					case reload <- struct{}{}:
-					default:
-					}
-				}
-			}()
+			log := logging.New(os.Stderr, logging.Text)
+			reload := make(chan *settings.Settings)
+			go readAgain(ctx, hup, reload, log)
 			node.Limit(s.Limits)
-			return node.New(s, logging.New(os.Stderr, logging.Text)).Run(ctx, reload)
+			return node.New(s, log).Run(ctx, reload)
 		},
 	}
 }
+
+// readAgain reads the settings file at each signal until ctx ends. A file that can't be used changes nothing.
+func readAgain(ctx context.Context, signals <-chan os.Signal, read chan<- *settings.Settings, log *logging.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		s, err := settings.Load(os.Getenv)
+		if err != nil {
+			log.Warn("settings unusable", "cause", err)
+			continue
+		}
+		select {
+		case read <- s:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -18,11 +18,11 @@
 // New returns an empty bucket that gets so many repeats for each first try, and holds so many at most.
 func New(ratio, most float64) *Bucket { return &Bucket{ratio: ratio, most: max(most, 0)} }
 
-// SetMost bounds what the bucket holds from now on.
-func (b *Bucket) SetMost(most float64) {
+// Set changes what each first try adds and what the bucket holds at most, from now on.
+func (b *Bucket) Set(ratio, most float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.most = max(most, 0)
+	b.ratio, b.most = ratio, max(most, 0)
 	b.tokens = min(b.tokens, b.most)
 }
 
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -46,3 +46,20 @@
 	is.True(none.Take())
 	is.True(!New(0.2, 5).Take())
 }
+
+// What is set later counts from then on: a bucket that may hold less loses what is beyond, and one that gets nothing for first tries stays empty.
+func TestSet(t *testing.T) {
+	is := is.New(t)
+	b := New(1, 5)
+	for range 5 {
+		b.First(false)
+	}
+	b.Set(0, 1)
+	is.True(b.Take())
+	is.True(!b.Take())
+	b.First(false)
+	is.True(!b.Take())
+	b.Set(1, 1)
+	b.First(false)
+	is.True(b.Take())
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -226,6 +226,8 @@
 		d.receive(e.From, e.Data)
 	case Leave:
 		d.leave(e.Replaced)
+	case Seeds:
+		d.c.Seeds = e.All
 	}
 	d.due()
 	d.tell()
--- a/internal/members/types.go
+++ b/internal/members/types.go
@@ -112,9 +112,13 @@
 // Leave says that the router is about to end. Replaced says that another process of it takes over, which is no leaving.
 type Leave struct{ Replaced bool }
 
+// Seeds replaces the addresses that are asked for the fleet. They are not to be changed.
+type Seeds struct{ All []netip.AddrPort }
+
 func (Received) isEvent() {}
 func (Passed) isEvent()   {}
 func (Leave) isEvent()    {}
+func (Seeds) isEvent()    {}
 
 // Action is something for the owner to do: one of the types below.
 type Action interface{ isAction() }
--- a/internal/peering/view.go
+++ b/internal/peering/view.go
@@ -28,6 +28,7 @@
 	start   time.Time // with the monotonic clock, the only one that is asked
 	in      chan datagram
 	leave   chan leaving
+	seeds   chan []netip.AddrPort
 	room    sync.Pool
 
 	view    atomic.Pointer[members.View]
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &View{d: d, send: send, changed: changed, log: log, start: time.Now(), in: make(chan datagram, mostWaiting), leave: make(chan leaving),
+	v := &View{d: d, send: send, changed: changed, log: log, start: time.Now(), in: make(chan datagram, mostWaiting), leave: make(chan leaving), seeds: make(chan []netip.AddrPort),
 		room: sync.Pool{New: func() any { return new([members.MostDatagram]byte) }}}
 	v.publish()
 	return v, nil
@@ -90,6 +91,8 @@
 		case l := <-v.leave:
 			v.step(members.Leave{Replaced: l.replaced})
 			close(l.done)
+		case all := <-v.seeds:
+			v.step(members.Seeds{All: all})
 		case <-timer.C:
 			v.step(members.Passed{})
 		}
@@ -108,6 +111,14 @@
 	}
 }
 
+// SetSeeds replaces the addresses that are asked for the fleet.
+func (v *View) SetSeeds(ctx context.Context, all []netip.AddrPort) {
+	select {
+	case v.seeds <- all:
+	case <-ctx.Done():
+	}
+}
+
 // Now returns the present view. It waits for nothing, and is not to be changed.
 func (v *View) Now() *members.View { return v.view.Load() }
 
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -42,7 +42,7 @@
 
 // Options are what a Plane is made with.
 type Options struct {
-	Settings *settings.Settings
+	Settings func() *settings.Settings // in force; not to be changed
 	Servers  *transport.Servers
 	Quotas   Quotas
 	// Fresh tells whether what is known of the configuration is young enough to honour keys by it.
@@ -128,7 +128,7 @@
 		}
 		return nil
 	}
-	s = &service{name: name, wanted: classes, tuned: classes, retries: budget.New(p.o.Settings.Bounds.RetryBudgetRatio, p.slack())}
+	s = &service{name: name, wanted: classes, tuned: classes, retries: budget.New(p.o.Settings().Bounds.RetryBudgetRatio, p.slack())}
 	b, err := balance.New(p.config(s, classes), p.o.Seed^rand.Uint64())
 	if err != nil {
 		return err
@@ -143,7 +143,16 @@
 
 // slack is how many repeats one router may save up.
 func (p *Plane) slack() float64 {
-	return slackPart * p.o.Settings.Bounds.RetryBudgetSlack / float64(max(p.routers, 1))
+	return slackPart * p.o.Settings().Bounds.RetryBudgetSlack / float64(max(p.routers, 1))
+}
+
+// Tune takes up what settings that were read anew say of budgets.
+func (p *Plane) Tune() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services {
+		s.retries.Set(p.o.Settings().Bounds.RetryBudgetRatio, p.slack())
+	}
 }
 
 // SetRouters tells how many routers live, this one among them.
@@ -152,7 +161,7 @@
 	defer p.mu.Unlock()
 	p.routers = max(n, 1)
 	for _, s := range p.services {
-		s.retries.SetMost(p.slack())
+		s.retries.Set(p.o.Settings().Bounds.RetryBudgetRatio, p.slack())
 	}
 }
 
@@ -165,7 +174,7 @@
 
 // config is what the decisions of a service are told.
 func (p *Plane) config(s *service, classes []balance.Class) balance.Config {
-	return balance.Config{Zone: p.o.Settings.Zone, Classes: classes, MaxAttempts: mostAttempts, StartCapacity: 0.5, ColdTime: time.Second,
+	return balance.Config{Zone: p.o.Settings().Zone, Classes: classes, MaxAttempts: mostAttempts, StartCapacity: 0.5, ColdTime: time.Second,
 		OverloadFactor: 4, OverloadWindow: time.Second, Tick: tick, CrossZonePrice: crossZonePrice, MaxAway: mostAway, OneHome: true, Retries: s.retries}
 }
 
--- /dev/null
+++ b/internal/system/node/decode_test.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"reachspread/coord/coordpb"
+	"reachspread/coord/link"
+	"reachspread/coord/register"
+	"reachspread/internal/system/message"
+	"reachspread/internal/system/settings"
+)
+
+// ended is a context that is over.
+func ended() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// quiet is a router that listens nowhere.
+func quiet() *Node {
+	n := New(&settings.Settings{IPAddress: "127.0.0.1", Zone: "z", InternalPortRange: []int{1, 1}, Bounds: settings.Bounds{QuotaWindowS: 8}}, lines{})
+	n.link = link.New(n.self.address, n.receive)
+	n.client = register.NewClient(&coordpb.Member{Address: n.self.internal()}, func(string, *coordpb.Message) {})
+	n.quotas = newQuotas(n)
+	n.makePlane(ended())
+	n.hub = newHub(n)
+	return n
+}
+
+// Whatever another router sends, nothing ends the process, and what it tells of hosts and configurations can be told on.
+func FuzzReceive(f *testing.F) {
+	host := &message.Instance{Id: "i", Service: "s", Address: "a", State: message.Instance_DRAINING}
+	hosts, _ := proto.Marshal(&message.Instances{Instances: []*message.Instance{host}})
+	for _, m := range []*message.Envelope{
+		{Body: &message.Envelope_Poll{Poll: &message.Poll{From: "127.0.0.1:2", Nonce: 1, Cursors: []*message.Cursor{{Topic: "hosts/s"}, {Topic: configurationTopic}}}}},
+		{Body: &message.Envelope_Update{Update: &message.Update{From: "127.0.0.1:2", News: []*message.News{{Topic: "hosts/s", Revision: 3, Payload: hosts}}}}},
+		{Body: &message.Envelope_Update{Update: &message.Update{News: []*message.News{{Topic: configurationTopic, Revision: 3, Payload: []byte{0x22, 0x01, 0x00}}}}}},
+		{Body: &message.Envelope_Handoff{Handoff: &message.Handoff{From: "127.0.0.1:2", Instances: []*message.Instance{host}}}},
+		{Body: &message.Envelope_QuotaAsk{QuotaAsk: &message.QuotaAsk{From: "127.0.0.1:2", Tenant: "x", Need: 5, Relay: true}}},
+		{Body: &message.Envelope_QuotaAnswer{QuotaAnswer: &message.QuotaAnswer{Owner: true, Granted: 5}}},
+	} {
+		f.Add(marshalEnvelope(m))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		n := quiet()
+		n.receive(routerKind, data)
+		for len(n.hub.calls) > 0 {
+			(<-n.hub.calls)()
+		}
+		for _, name := range n.hub.registry.Services() {
+			for _, r := range n.hub.registry.Of(name) {
+				if _, err := proto.Marshal(r.Instance); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+	})
+}
+
+// Bytes that are no message of the register are passed over, and those that are reach nobody where there is no replica.
+func TestForeignRegisterMessages(t *testing.T) {
+	n := quiet()
+	whole, _ := proto.Marshal(&coordpb.Message{From: &coordpb.Member{Identity: 1}, Body: &coordpb.Message_Reply{Reply: &coordpb.Reply{Id: 7}}})
+	for _, text := range [][]byte{nil, whole, whole[:len(whole)-1], append(whole, 0xff)} {
+		n.receive(registerKind, text)
+	}
+}
+
+// The page for on-call staff has each event that the fleet's code logs.
+func TestEventsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/oncall.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var files []string
+	for _, pattern := range []string{"../*/*.go", "../../../coord/*/*.go", "../../../cmd/reachspread/*.go"} {
+		found, err := filepath.Glob(pattern)
+		if err != nil {
+			t.Fatal(err)
+		}
+		files = append(files, found...)
+	}
+	events := 0
+	for _, file := range files {
+		code, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range regexp.MustCompile(`[lL]og\.(?:Info|Warn)\("([^"]+)"`).FindAllSubmatch(code, -1) {
+			events++
+			if !strings.Contains(string(page), "`"+string(m[1])+"`") {
+				t.Errorf("%s logs %q, which docs/oncall.md lacks", file, m[1])
+			}
+		}
+	}
+	if events == 0 {
+		t.Error("no event found")
+	}
+}
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -68,7 +68,7 @@
 	h := &hub{node: n, start: time.Now(), calls: make(chan func(), mostCalls), hints: map[uint64]*hint{}, homeOf: map[homeKey]bool{}}
 	h.confirmedAt.Store(-1)
 	h.feed = feed.New(n.self.internal(), n.life, 0)
-	h.registry = instances.New(n.settings.HeartbeatInterval())
+	h.registry = instances.New(n.settings().HeartbeatInterval())
 	h.config = &configured{confirmed: -1, changed: h.configChanged, failed: func(err error) { n.log.Warn("configuration unreadable", "cause", err) }}
 	h.view = &viewed{changed: h.viewChanged}
 	h.feed.Add(configurationTopic, h.config)
@@ -266,7 +266,7 @@
 		add(address)
 	}
 	if h.view.view == nil {
-		for _, seed := range h.node.settings.Seeds() {
+		for _, seed := range h.node.settings().Seeds() {
 			add(seed.String())
 		}
 	}
@@ -304,7 +304,7 @@
 // zones are those of the settings and those that have routers.
 func (h *hub) zones() []string {
 	all := h.fleet.zones()
-	for name := range h.node.settings.Zones {
+	for name := range h.node.settings().Zones {
 		zone, found := zoneMark(name), false
 		for _, z := range all {
 			found = found || z == zone
--- a/internal/system/node/keep.go
+++ b/internal/system/node/keep.go
@@ -98,5 +98,5 @@
 
 // keeper returns the keeper of a router with a disk.
 func (n *Node) keeper() *keeper {
-	return &keeper{node: n, path: filepath.Join(n.settings.DataDirectory, keptFile)}
+	return &keeper{node: n, path: filepath.Join(n.settings().DataDirectory, keptFile)}
 }
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -13,7 +13,9 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -61,10 +63,10 @@
 
 // Node is one router of the fleet.
 type Node struct {
-	settings *settings.Settings
-	log      logger
-	self     router
-	life     uint64
+	inForce atomic.Pointer[settings.Settings]
+	log     logger
+	self    router
+	life    uint64
 
 	link    *link.Link
 	udp     *net.UDPConn
@@ -89,7 +91,8 @@
 
 // New returns a router that stands still until Run.
 func New(s *settings.Settings, log logger) *Node {
-	n := &Node{settings: s, log: log, life: rand.Uint64(), started: make(chan struct{})}
+	n := &Node{log: log, life: rand.Uint64(), started: make(chan struct{})}
+	n.inForce.Store(s)
 	n.self = router{address: s.Internal(s.IP()), zone: s.Zone, core: eligible(s)}
 	return n
 }
@@ -100,9 +103,12 @@
 	return s.ServesRole(settings.ServesControl) && s.CountsForQuorum
 }
 
-// Run serves until ctx ends, then leaves in order.
-func (n *Node) Run(ctx context.Context, reload <-chan struct{}) error {
-	s := n.settings
+// settings are those in force. They are not to be changed.
+func (n *Node) settings() *settings.Settings { return n.inForce.Load() }
+
+// Run serves until ctx ends, then leaves in order. What comes on reload are settings that were read anew.
+func (n *Node) Run(ctx context.Context, reload <-chan *settings.Settings) error {
+	s := n.settings()
 	work, stop := context.WithCancel(context.Background())
 	defer n.closing.Wait()
 	defer stop()
@@ -153,8 +159,8 @@
 			return n.leave(work)
 		case err := <-failed:
 			return err
-		case <-reload:
-			n.reload()
+		case read := <-reload:
+			n.reload(work, read)
 		}
 	}
 }
@@ -173,11 +179,11 @@
 
 // makePlane makes the data plane.
 func (n *Node) makePlane(ctx context.Context) {
-	s := n.settings
+	s := n.settings()
 	free := max(s.Limits.FileDescriptors-setAside, s.Limits.FileDescriptors/2)
 	n.servers = transport.NewServers(transport.ServerLimits{Connect: connectFor, Keepalive: keepIdleFor, Silent: silentFor,
 		Connections: free / 2, Dialect: protocol.Fleet{}}, n.log)
-	n.plane = dataplane.New(ctx, dataplane.Options{Settings: s, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64(), Began: time.Now()})
+	n.plane = dataplane.New(ctx, dataplane.Options{Settings: n.settings, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64(), Began: time.Now()})
 	n.front = transport.NewIntakeFront(n.plane, transport.FrontLimits{
 		Bodies: int(bodyPart * float64(s.Limits.MemoryMb) * (1 << 20)), Head: headBytes, Patience: n.patience, Seed: rand.Uint64(),
 		Door: door.Config{Places: free / 2, Step: stepClients, Away: time.Second},
@@ -208,7 +214,7 @@
 
 // fresh tells whether the configuration is young enough to honour keys by it.
 func (n *Node) fresh() bool {
-	bounds := n.settings.Bounds
+	bounds := n.settings().Bounds
 	if !bounds.RevocationClosed {
 		return true
 	}
@@ -220,7 +226,7 @@
 	if !n.self.core && !n.isSeed() {
 		return nil
 	}
-	s := n.settings
+	s := n.settings()
 	store := configuration.NewStore()
 	c := register.Config{Self: self, Founder: s.FirstStart, Eligible: n.self.core, Tolerance: s.FaultTolerance.Machines, Seed: rand.Uint64()}
 	for _, seed := range s.Seeds() {
@@ -254,11 +260,11 @@
 }
 
 // isSeed tells whether this router's own address is among the seeds.
-func (n *Node) isSeed() bool { return slices.Contains(n.settings.Seeds(), n.self.address) }
+func (n *Node) isSeed() bool { return slices.Contains(n.settings().Seeds(), n.self.address) }
 
 // openMembers begins to look for other routers.
 func (n *Node) openMembers() error {
-	s := n.settings
+	s := n.settings()
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.self.address))
 	if err != nil {
 		return fmt.Errorf("internalPortRange: %w", err)
@@ -338,7 +344,7 @@
 
 // controlAddress is where hosts reach a router's control plane: the port is the same on every machine.
 func (n *Node) controlAddress(r router) string {
-	_, port, err := net.SplitHostPort(n.settings.ListenAddresses.ControlPlane)
+	_, port, err := net.SplitHostPort(n.settings().ListenAddresses.ControlPlane)
 	if err != nil {
 		return ""
 	}
@@ -347,7 +353,7 @@
 
 // serve opens all that is served.
 func (n *Node) serve(ctx context.Context, failed chan<- error) error {
-	s := n.settings
+	s := n.settings()
 	if s.ServesRole(settings.ServesControl) {
 		api := controlapi.New(controlapi.Options{Hosts: hostCalls{n}, Register: n.client, Log: n.log})
 		if err := n.listenHTTP(ctx, s.ListenAddresses.ControlPlane, api, failed); err != nil {
@@ -392,7 +398,7 @@
 	n.front.Part()
 	done := make(chan error, 1)
 	go func() { done <- n.front.Shutdown() }()
-	grace := settings.Seconds(n.settings.Bounds.GraceS) - leaveFor - graceMargin
+	grace := settings.Seconds(n.settings().Bounds.GraceS) - leaveFor - graceMargin
 	select {
 	case err := <-done:
 		return err
@@ -404,8 +410,15 @@
 // graceMargin is what is left of the time that a process has to end.
 const graceMargin = 300 * time.Millisecond
 
-// reload reads the settings file anew. What a running process can take up of it is taken.
-func (n *Node) reload() { n.log.Info("reloaded") }
+// reload takes up what a running process can of settings that were read anew.
+func (n *Node) reload(ctx context.Context, read *settings.Settings) {
+	next, taken, later := n.settings().After(read)
+	n.inForce.Store(next)
+	n.members.SetSeeds(ctx, next.Seeds())
+	n.plane.Tune()
+	n.hub.call(n.hub.resubscribe)
+	n.log.Info("settings reloaded", "taken_up", strings.Join(taken, ","), "from_next_start", strings.Join(later, ","))
+}
 
 func hashText(text string) uint64 {
 	h := uint64(14695981039346656037)
--- a/internal/system/node/node_test.go
+++ b/internal/system/node/node_test.go
@@ -43,9 +43,10 @@
 // running is one of them.
 type running struct {
 	*Node
-	ip     string
-	ended  chan error
-	cancel context.CancelFunc
+	ip      string
+	ended   chan error
+	cancel  context.CancelFunc
+	reloads chan *settings.Settings
 }
 
 var (
@@ -99,8 +100,9 @@
 		Readiness: fmt.Sprintf("%s:%d", n.ip, f.ports.ready), ControlPlane: fmt.Sprintf("%s:%d", n.ip, f.ports.control)}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.Node, n.cancel, n.ended = New(s, lines{}), cancel, make(chan error, 1)
-	node := n.Node
-	go func() { n.ended <- node.Run(ctx, nil) }()
+	n.reloads = make(chan *settings.Settings)
+	node, reloads := n.Node, n.reloads
+	go func() { n.ended <- node.Run(ctx, reloads) }()
 	select {
 	case <-node.started:
 	case err := <-n.ended:
@@ -262,7 +264,7 @@
 			return status == 401
 		})
 	}
-	f.start(1, filepath.Dir(f.nodes[1].settings.DataDirectory), false)
+	f.start(1, filepath.Dir(f.nodes[1].settings().DataDirectory), false)
 	f.eventually("the machine that came back is in the chain", func() bool { return len(f.nodes[1].replica.Status().View.Chain) == 3 })
 	f.eventually("its configuration is the newest", func() bool {
 		status, text := f.call(1, http.MethodGet, "/configuration", "", nil)
@@ -282,14 +284,14 @@
 	is.Equal(status, 200)
 	f.eventually("it is kept", func() bool {
 		for i := range 3 {
-			kept, err := filepath.Glob(filepath.Join(f.nodes[i].settings.DataDirectory, keptFile))
+			kept, err := filepath.Glob(filepath.Join(f.nodes[i].settings().DataDirectory, keptFile))
 			if err != nil || len(kept) == 0 {
 				return false
 			}
 		}
 		return true
 	})
-	folder := filepath.Dir(f.nodes[0].settings.DataDirectory)
+	folder := filepath.Dir(f.nodes[0].settings().DataDirectory)
 	for i := range f.nodes {
 		f.crash(i)
 	}
@@ -338,6 +340,23 @@
 	is.NoErr(err)
 }
 
+// Settings that are read anew are taken up by the running process: a router whose seeds were all wrong finds the others by new ones.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 3)
+	is.Equal(f.order(http.MethodPut, first, 0, 0), 200)
+	f.eventually("all know of each other", func() bool { return f.nodes[2].plane.Routers() == 3 })
+	before := f.nodes[2].settings()
+	read := *before
+	read.SeedNodes = []string{before.SeedNodes[1]}
+	read.Bounds.DrainMs, read.Zone = 1234, "elsewhere"
+	f.nodes[2].reloads <- &read
+	f.eventually("they are in force", func() bool { return f.nodes[2].settings().Bounds.DrainMs == 1234 })
+	is.Equal(f.nodes[2].settings().SeedNodes, read.SeedNodes)
+	is.Equal(f.nodes[2].settings().Zone, before.Zone)
+	is.Equal(f.order(http.MethodPut, strings.Replace(first, `"version":1`, `"version":2`, 1), 1, 2), 200)
+}
+
 // Bytes that are no message of routers change nothing.
 func TestForeignMessages(t *testing.T) {
 	n := New(&settings.Settings{IPAddress: "127.0.0.1", InternalPortRange: []int{1, 1}, Bounds: settings.Bounds{QuotaWindowS: 8}}, lines{})
--- a/internal/system/node/quotas.go
+++ b/internal/system/node/quotas.go
@@ -46,7 +46,7 @@
 func newQuotas(n *Node) *quotas {
 	q := &quotas{node: n, start: time.Now(), held: map[string]*quota.Holder{}, asked: map[uint64]*asking{}, nonce: rand.Uint64()}
 	q.owning = owning{quotas: q, shards: map[int]*shard{}, untold: map[string]float64{}, unkept: map[string]float64{},
-		tracker: quota.Tracker{Window: settings.Seconds(n.settings.Bounds.QuotaWindowS)}}
+		tracker: quota.Tracker{Window: settings.Seconds(n.settings().Bounds.QuotaWindowS)}}
 	return q
 }
 
@@ -80,7 +80,7 @@
 
 // plan divides the bound on a tenant's use.
 func (q *quotas) plan(t *configuration.Tenant) quota.Plan {
-	b := q.node.settings.Bounds
+	b := q.node.settings().Bounds
 	slack := b.QuotaSlack
 	if t.Unit != configuration.TokensUnit {
 		slack = 0
--- a/internal/system/settings/settings_test.go
+++ b/internal/system/settings/settings_test.go
@@ -44,6 +44,7 @@
 machines = 1
 [bounds]
 drainMs = 2000
+quotaWindowS = 8
 quotaOvershoot = 0.1
 revocationClosed = true
 someLaterBound = 3
@@ -112,6 +113,33 @@
 	is.Equal(s.NodeName, "frontend-a-1")
 }
 
+// Of settings that are read again a running process takes up what it can, and names the rest.
+func TestAfter(t *testing.T) {
+	is := is.New(t)
+	before, err := Parse([]byte(good))
+	is.NoErr(err)
+	same, taken, later := before.After(before)
+	is.Equal(same, before)
+	is.Equal(len(taken)+len(later), 0)
+	text := good
+	for old, new := range map[string]string{`"10.2.0.32:8665"`: `"10.9.0.32:8665"`, `drainMs = 2000`: `drainMs = 2500`, `quotaWindowS = 8`: `quotaWindowS = 9`,
+		`zone = "a"`: `zone = "b"`, `memoryMb = 284`: `memoryMb = 300`} {
+		changed := strings.Replace(text, old, new, 1)
+		is.True(changed != text) // the file has that field
+		text = changed
+	}
+	read, err := Parse([]byte(text))
+	is.NoErr(err)
+	next, taken, later := before.After(read)
+	is.Equal(taken, []string{"seedNodes", "bounds.drainMs"})
+	is.Equal(later, []string{"zone", "limits", "bounds.quotaWindowS"})
+	is.Equal(next.Seeds()[1].String(), "10.9.0.32:7680")
+	is.Equal(next.Bounds.DrainMs, 2500.0)
+	is.Equal(next.Bounds.QuotaWindowS, 8.0)
+	is.Equal(next.Zone, "a")
+	is.Equal(before.Bounds.DrainMs, 2000.0)
+}
+
 // Whatever the file holds, it is read or refused in one line.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(good))
