Register: every placement of a fault explored, histories checked by porcupine

Explorer: three machines in virtual time; each of seven kinds of fault at each point where a protocol message arrives or a write gets to the disk, two of them with -deviations 2.

--- /dev/null
+++ b/coord/register/explore_test.go
@@ -0,0 +1,240 @@
+package register
+
+import (
+	"flag"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// deviations is how many faults an explored schedule has at most.
+var deviations = flag.Int("deviations", 1, "faults of an explored schedule")
+
+// The explorer plays a register of three machines in virtual time, with a client, and places faults in it in all ways: each kind at each
+// point where a message of the protocol arrives or a write gets to the disk. After one fault the next one comes at any later point within
+// the time of a failover. All else keeps to the drawn order of one seed.
+const (
+	exploreFrom  = 3 * time.Second        // the first view stands
+	firstFaultIn = 400 * time.Millisecond // after that: some orders, one after the other
+	nextFaultIn  = 2 * time.Second        // after the fault before: a failover, with orders after it
+	exploreCalm  = 7 * time.Second        // after the last one, until orders are acknowledged again
+	stall        = 1300 * time.Millisecond
+	backAfter    = 300 * time.Millisecond // a crashed process comes back
+)
+
+// strike is a kind of fault at a point.
+type strike int
+
+const (
+	loseMessage strike = iota // or, of a write, a disk that stalls
+	holdLink                  // all from the sender to the receiver is lost for a while
+	crashReceiver
+	wipeReceiver
+	freezeReceiver
+	crashSender
+	wipeSender
+	strikes
+)
+
+func (s strike) String() string {
+	return [...]string{"lose", "hold", "crash receiver", "wipe receiver", "freeze receiver", "crash sender", "wipe sender"}[s]
+}
+
+// placed is a fault at the point of a number.
+type placed struct {
+	at   int
+	kind strike
+}
+
+// exploration is one schedule.
+type exploration struct {
+	w      *world
+	plan   []placed
+	points int           // so far
+	last   time.Duration // of the last fault that struck
+	wiped  int
+}
+
+// explore plays a plan, and returns how many points there were at which one more fault may be placed.
+func explore(plan []placed, p plant, trace func(string, ...any)) (points int, w *world) {
+	w = newWorld(1, 3, 1)
+	w.plant = p
+	if trace != nil {
+		w.trace = trace
+	}
+	w.startAll()
+	c := w.client("c0")
+	c.waits = true
+	c.loop(40 * time.Millisecond)
+	w.run(exploreFrom)
+	e := &exploration{w: w, plan: plan, last: exploreFrom + firstFaultIn - nextFaultIn}
+	w.strike = e.strike
+	w.run(e.last + nextFaultIn)
+	w.run(e.last + nextFaultIn) // a fault may have struck meanwhile
+	w.strike = nil
+	w.run(e.last + nextFaultIn + exploreCalm)
+	e.checkEnd()
+	return e.points, w
+}
+
+// checkEnd looks at what must hold at the end. Two machines that lost their disks within a moment are more than is tolerated, so orders
+// need not go on.
+func (e *exploration) checkEnd() {
+	if e.wiped > 1 {
+		return
+	}
+	if w := e.w; w.fault == nil && w.now-w.history.lastAck > exploreCalm/2 {
+		w.fail("no order was acknowledged since %v", w.history.lastAck)
+	}
+	e.w.checkEnd()
+	e.w.checkHistory()
+}
+
+// strike is called at each point, and has the plan's faults strike.
+func (e *exploration) strike(at point) (lost bool) {
+	if e.w.now > e.last+nextFaultIn {
+		return false
+	}
+	e.points++
+	for _, f := range e.plan {
+		if f.at == e.points {
+			e.last = e.w.now
+			e.w.trace("%v %v at point %d", e.w.now, f.kind, f.at)
+			return e.apply(f.kind, at)
+		}
+	}
+	return false
+}
+
+// apply has a fault of a kind strike at a point. Of a write, sender and receiver are the one whose disk it is.
+func (e *exploration) apply(kind strike, at point) (lost bool) {
+	sender, receiver := at.from, at.to
+	if receiver == nil {
+		receiver = sender
+	}
+	switch kind {
+	case loseMessage:
+		if at.to == nil {
+			e.stallDisk(sender)
+			return false
+		}
+		return true
+	case holdLink:
+		pair := [2]string{sender.address, receiver.address}
+		e.w.cut[pair] = true
+		e.w.after(stall, func() { e.w.cut[pair] = false })
+		return at.to != nil
+	case freezeReceiver:
+		receiver.freeze(stall)
+	case crashReceiver, wipeReceiver:
+		e.end(receiver, kind == wipeReceiver)
+		return true
+	case crashSender, wipeSender:
+		e.end(sender, kind == wipeSender)
+	}
+	return false
+}
+
+// end ends a process, with its disk or not, and has the next one begin in a moment.
+func (e *exploration) end(p *process, wipe bool) {
+	p.crash()
+	if wipe {
+		p.wipe()
+		e.wiped++
+	}
+	e.w.after(backAfter, p.start)
+}
+
+func (e *exploration) stallDisk(p *process) {
+	p.slow = stall
+	e.w.after(stall, func() { p.slow = 0 })
+}
+
+// plans are all plans with one fault more, given the points of the present one.
+func plans(before []placed, points int) (all [][]placed) {
+	first := 1
+	if len(before) > 0 {
+		first = before[len(before)-1].at + 1
+	}
+	for at := first; at <= points; at++ {
+		for kind := range strikes {
+			all = append(all, append(before[:len(before):len(before)], placed{at, kind}))
+		}
+	}
+	return all
+}
+
+// explorer plays all plans with so many faults, until one finds something that does not hold.
+type explorer struct {
+	plant  plant
+	faults int
+
+	played atomic.Int64
+	broken atomic.Pointer[broken]
+}
+
+// broken is a plan with which something did not hold.
+type broken struct {
+	plan  []placed
+	fault error
+}
+
+// exploreAll plays all plans with so many faults; the result is nil where all holds.
+func exploreAll(p plant, faults int) (played int64, found *broken) {
+	e := &explorer{plant: p, faults: faults}
+	first := e.try(nil)
+	forEach(len(first), func(i int) { e.from(first[i]) })
+	return e.played.Load(), e.broken.Load()
+}
+
+// from plays a plan, and all that begin with it.
+func (e *explorer) from(plan []placed) {
+	for _, next := range e.try(plan) {
+		e.from(next)
+	}
+}
+
+// try plays a plan, and returns those with one more fault that are to be played.
+func (e *explorer) try(plan []placed) (next [][]placed) {
+	if e.broken.Load() != nil {
+		return nil
+	}
+	e.played.Add(1)
+	points, w := explore(plan, e.plant, nil)
+	if w.fault != nil {
+		e.broken.CompareAndSwap(nil, &broken{plan, w.fault})
+		return nil
+	}
+	if len(plan) == e.faults {
+		return nil
+	}
+	return plans(plan, points)
+}
+
+// Wherever a fault strikes, whatever is promised holds, and orders go on afterwards.
+func TestExplore(t *testing.T) {
+	played, found := exploreAll(none, *deviations)
+	if found != nil {
+		t.Errorf("%v: %v", found.plan, found.fault)
+		return
+	}
+	t.Logf("%d schedules with at most %d faults", played, *deviations)
+}
+
+// The explorer finds faults that are planted.
+func TestExplorePlanted(t *testing.T) {
+	for name, p := range map[string]plant{
+		"acknowledged before the tail":   earlyAck,
+		"written before the disk has it": earlyWrite,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			played, found := exploreAll(p, 2)
+			is.True(found != nil)
+			t.Log(fmt.Sprint(played, " schedules; ", found.plan, ": ", found.fault))
+		})
+	}
+}
--- a/coord/register/schedules_test.go
+++ b/coord/register/schedules_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 )
 
@@ -166,9 +167,7 @@
 	}
 	w.startAll()
 	d := &drawer{w: w, lost: map[*process]time.Duration{}, spare: 2}
-	for i := range 3 {
-		w.client(fmt.Sprintf("c%d", i)).loop(60 * time.Millisecond)
-	}
+	w.startClients(seed)
 	w.after(5*time.Second, d.next)
 	w.run(faultsFor)
 	w.run(faultsFor + calmAfter)
@@ -176,9 +175,29 @@
 		w.fail("no order was acknowledged since %v", w.history.lastAck)
 	}
 	w.checkEnd()
+	w.checkHistory()
 	return w
 }
 
+// startClients has clients call. In every other schedule they wait for each answer, so that the history can be checked as a whole.
+func (w *world) startClients(seed uint64) {
+	for i := range 3 {
+		c := w.client(fmt.Sprintf("c%d", i))
+		c.waits = seed%2 == 0
+		c.loop(60 * time.Millisecond)
+	}
+}
+
+// checkHistory has all that clients saw checked as a whole, where they waited for each answer.
+func (w *world) checkHistory() {
+	if w.fault != nil || !w.clients["c0"].waits {
+		return
+	}
+	if result := w.history.linearizable(); result != porcupine.Ok {
+		w.fail("the history of %d calls is not one register's: %s", len(w.history.calls), result)
+	}
+}
+
 // checkEnd looks at what must hold once all is calm: one view, and one state on all of its chain.
 func (w *world) checkEnd() {
 	if w.fault != nil {
@@ -232,12 +251,17 @@
 
 // playAll plays seeds on all cores.
 func playAll(n int, play func(seed uint64)) {
+	forEach(n, func(i int) { play(*from + uint64(i)) })
+}
+
+// forEach calls a function for each number below n, on all cores.
+func forEach(n int, do func(i int)) {
 	var group sync.WaitGroup
-	next := atomic.Uint64{}
+	next := atomic.Int64{}
 	for range runtime.GOMAXPROCS(0) {
 		group.Go(func() {
-			for i := next.Add(1) - 1; i < uint64(n); i = next.Add(1) - 1 {
-				play(*from + i)
+			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+				do(i)
 			}
 		})
 	}
--- a/coord/register/simulation_test.go
+++ b/coord/register/simulation_test.go
@@ -36,6 +36,13 @@
 	history   history
 	fault     error // the first thing that did not hold
 	trace     func(format string, args ...any)
+	strike    func(point) bool // is told of each point, where set; true loses the message or stops the write there
+}
+
+// point is a moment at which a fault may change what follows: a message of the protocol is about to arrive, or a write is about to be on
+// the disk.
+type point struct {
+	from, to *process // to is nil for a write
 }
 
 // plant is a fault in the program itself, which the checks are to find.
@@ -261,6 +268,9 @@
 		if p.life != life || !p.up {
 			return
 		}
+		if w.strike != nil && w.strike(point{from: p}) || p.life != life {
+			return
+		}
 		keep()
 		p.writing = false
 		p.do(func() { p.carryOut(p.core.Written(upTo, w.now)) })
@@ -404,11 +414,23 @@
 			return
 		}
 		if p := w.byAddr[to]; p != nil {
+			if w.strike != nil && isFormal(m) && w.strike(point{w.byAddr[from], p}) {
+				return
+			}
 			p.do(func() { p.receive(m) })
 		}
 	})
 }
 
+// isFormal tells whether a message is a step of the agreement on a view or of the chain, and is not sent again and again.
+func isFormal(m *coordpb.Message) bool {
+	switch m.Body.(type) {
+	case *coordpb.Message_Heartbeat, *coordpb.Message_Confirm, *coordpb.Message_Confirmed, *coordpb.Message_Submit, *coordpb.Message_Read:
+		return false
+	}
+	return true
+}
+
 // receive has a process take in a message, with the faults that are planted.
 func (p *process) receive(m *coordpb.Message) {
 	w, before := p.world, p.machine.Version
@@ -464,11 +486,13 @@
 // caller is a client: it sends orders and reads, one at a time, to machines that it knows.
 type caller struct {
 	world   *world
+	number  int
 	address string
 	view    *coordpb.View
 	next    uint64
 	calls   map[uint64]*call
 	stopped bool
+	waits   bool // it calls again once it was answered or has given up
 }
 
 // call is one order or read.
@@ -479,10 +503,30 @@
 	atLeast int // the version that was acknowledged by then
 	sent    time.Duration
 	over    bool
+	client  int           // its number
+	ended   time.Duration // where over
+	answer  counterReply
+	then    func() // what its client does next, nil for nothing
+}
+
+// answered notes the time of the first answer.
+func (x *call) answered(now time.Duration) {
+	if !x.over {
+		x.over, x.ended = true, now
+	}
+	x.end()
+}
+
+// end has the client go on.
+func (x *call) end() {
+	if then := x.then; then != nil {
+		x.then = nil
+		then()
+	}
 }
 
 func (w *world) client(name string) *caller {
-	c := &caller{world: w, address: name, calls: map[uint64]*call{}}
+	c := &caller{world: w, address: name, number: len(w.clients), calls: map[uint64]*call{}}
 	w.clients[name] = c
 	return c
 }
@@ -493,7 +537,8 @@
 		return
 	}
 	c.next++
-	x := &call{id: c.next, began: c.world.now, atLeast: c.world.history.acknowledged}
+	x := &call{id: c.next, began: c.world.now, atLeast: c.world.history.acknowledged, client: c.number}
+	c.world.history.calls = append(c.world.history.calls, x)
 	if c.world.rng.IntN(3) > 0 {
 		on := c.world.history.acknowledged
 		if c.world.rng.IntN(10) == 0 {
@@ -503,12 +548,25 @@
 	}
 	c.calls[x.id] = x
 	c.try(x)
+	if !c.waits {
+		c.again(pause)
+		return
+	}
+	x.then = func() { c.again(pause) }
+	c.world.after(givesUpAfter, x.end)
+}
+
+// again has a client call again after a pause.
+func (c *caller) again(pause time.Duration) {
 	c.world.after(time.Duration(c.world.rng.ExpFloat64()*float64(pause))+time.Millisecond, func() { c.loop(pause) })
 }
 
+// givesUpAfter is how long a client asks for an answer.
+const givesUpAfter = 5 * time.Second
+
 func (c *caller) try(x *call) {
 	w := c.world
-	if x.over || c.stopped || w.now-x.began > 5*time.Second {
+	if x.over || c.stopped || w.now-x.began > givesUpAfter {
 		return
 	}
 	x.sent = w.now
@@ -547,7 +605,7 @@
 	case *coordpb.Message_Reply:
 		if x := c.calls[body.Reply.Id]; x != nil {
 			c.world.history.replied(c.world, x, body.Reply)
-			x.over = true
+			x.answered(c.world.now)
 		}
 	}
 }
@@ -563,11 +621,13 @@
 	votes        map[vote]*given
 	orders, read int // that were answered
 	lastAck      time.Duration
+	calls        []*call        // all of them, in the order of their beginnings
+	versions     map[string]int // that orders have made, by what processes have committed
 }
 
 func (h *history) init() {
 	h.made, h.by, h.refused, h.states, h.views = map[string]int{}, map[int]string{}, map[string]bool{}, map[uint64]string{}, map[uint64]string{}
-	h.votes = map[vote]*given{}
+	h.votes, h.versions = map[vote]*given{}, map[string]int{}
 }
 
 // vote is one identity's part in the agreement on one epoch's view.
@@ -618,6 +678,9 @@
 		h.read++
 		var state counter
 		json.Unmarshal(r.Reply, &state)
+		if !x.over {
+			x.answer.Version = state.Version
+		}
 		if state.Version < x.atLeast {
 			w.fail("a read that began at %v saw version %d; %d was acknowledged by then", x.began, state.Version, x.atLeast)
 		}
@@ -631,6 +694,9 @@
 	}
 	var answer counterReply
 	json.Unmarshal(r.Reply, &answer)
+	if !x.over {
+		x.answer = answer
+	}
 	if !answer.Taken {
 		h.refused[x.order.Name] = true
 		if v := h.made[x.order.Name]; v > 0 {
@@ -660,6 +726,16 @@
 		w.fail("%s commits another state %d than was committed before", p.address, c.Position.Sequence)
 	}
 	h.states[c.Position.Sequence] = state
+	h.noteVersion(p.machine, state)
+}
+
+// noteVersion notes which order made the version of a committed state. The machine may be further by now.
+func (h *history) noteVersion(m *counter, state string) {
+	var version int
+	fmt.Sscan(state, &version)
+	if i := len(m.By) - 1 - (m.Version - version); i >= 0 && i < len(m.By) {
+		h.versions[m.By[i]] = version
+	}
 }
 
 // viewed takes in that a process learns of a view.
