Status: each router of the fleet tells how it stands; fleet status, members, register, configuration, hosts

The readiness address serves /status: ready, requests, configuration in force and its age, the routers that live, the register's chain with who is behind and whose disk is in trouble, hosts with their models.

--- a/cmd/reachspread/fleet.go
+++ b/cmd/reachspread/fleet.go
@@ -23,6 +23,7 @@
 	c := &cobra.Command{Use: "fleet", Short: "Ask about the fleet of routers"}
 	c.AddCommand(shows("view", "Ask a running router who of the fleet lives, as it sees it", printView), fleetDutiesCommand(),
 		shows("recovery", "Ask a running router how it came back: the stage, what it waits for, what was thrown away", printRecovery))
+	c.AddCommand(fleetStatusCommands()...)
 	return c
 }
 
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -86,6 +86,11 @@
 	Taken, Rejected atomic.Uint64
 }
 
+// Requests are how many heads of requests were taken since the start, and how many were rejected before a host was looked for.
+func (p *Plane) Requests() (taken, rejected uint64) {
+	return p.counts.Taken.Load(), p.counts.Rejected.Load()
+}
+
 // New returns a plane that serves nothing before the first configuration. Its decisions run until ctx ends.
 func New(ctx context.Context, o Options) *Plane {
 	p := &Plane{o: o, ctx: ctx, hash: maphash.MakeSeed(), services: map[string]*service{}, routers: 1}
--- a/internal/system/node/node_test.go
+++ b/internal/system/node/node_test.go
@@ -114,7 +114,8 @@
 // crash ends a router at once.
 func (f *testFleet) crash(i int) {
 	f.nodes[i].abort()
-	<-f.nodes[i].ended
+	err := <-f.nodes[i].ended
+	f.nodes[i].ended <- err // for whoever waits for its end
 }
 
 func (f *testFleet) control(i int) string {
--- a/internal/system/node/serve.go
+++ b/internal/system/node/serve.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"reachspread/internal/system/message"
+	"reachspread/internal/system/status"
 )
 
 const (
@@ -39,7 +40,7 @@
 	return nil
 }
 
-// readiness answers whether clients may be sent here.
+// readiness answers whether clients may be sent here, and tells staff how the router stands.
 func (n *Node) readiness() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/readiness", func(w http.ResponseWriter, _ *http.Request) {
@@ -49,6 +50,7 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	}).Methods(http.MethodGet)
+	m.HandleFunc(status.Path, n.tellStatus).Methods(http.MethodGet)
 	return m
 }
 
--- /dev/null
+++ b/internal/system/node/status.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"reachspread/coord/coordpb"
+	"reachspread/coord/register"
+	"reachspread/coord/view"
+	"reachspread/internal/members"
+	"reachspread/internal/system/instances"
+	"reachspread/internal/system/message"
+	"reachspread/internal/system/status"
+)
+
+// statusIn bounds the time in which the parts of a status are gathered.
+const statusIn = 2 * time.Second
+
+// tellStatus answers how this router stands.
+func (n *Node) tellStatus(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), statusIn)
+	defer cancel()
+	s, ok := n.Status(ctx)
+	if !ok {
+		http.Error(w, "the router is too busy to tell", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s)
+}
+
+// Status gathers how this router stands; ok is false where it did not come in time.
+func (n *Node) Status(ctx context.Context) (s *status.Router, ok bool) {
+	in := n.settings()
+	s = &status.Router{Name: in.NodeName, Address: n.self.internal(), Zone: in.Zone, Core: n.self.core, Ready: n.Ready(), Leaving: n.front.Leaving()}
+	s.Requests.Taken, s.Requests.Rejected = n.plane.Requests()
+	s.Members = memberStatus(n.members.Now())
+	if !n.hub.ask(ctx, func() { n.hub.fillStatus(s) }) {
+		return nil, false
+	}
+	if n.replica == nil {
+		return s, true
+	}
+	inspection, ok := n.replica.Inspect(ctx)
+	if !ok {
+		return nil, false
+	}
+	fillReplica(&s.Register, inspection)
+	return s, true
+}
+
+// fillStatus fills in what the hub owns.
+func (h *hub) fillStatus(s *status.Router) {
+	s.UpS = h.now().Seconds()
+	s.Configuration = h.configurationStatus()
+	s.Register.Epoch = h.view.view.GetEpoch()
+	s.Register.Machines = machineStatus(h.view.view)
+	for _, name := range h.services() {
+		s.Services = append(s.Services, serviceStatus(name, h.registry.Of(name), h.now()))
+	}
+}
+
+func (h *hub) configurationStatus() status.Configuration {
+	c := status.Configuration{Fresh: h.node.fresh(), From: h.feed.Source(configurationTopic, "")}
+	if state := h.config.state; state != nil {
+		c.Version, c.Routes, c.Tenants = state.Version(), len(state.Typed.Routes), len(state.Typed.Tenants)
+	}
+	if at, ok := h.config.Confirmed(); ok {
+		c.ConfirmedS = age(h.now() - at)
+	}
+	return c
+}
+
+// memberStatus is the fleet as the membership has it.
+func memberStatus(v *members.View) (all []status.Member) {
+	for _, m := range v.Members {
+		all = append(all, status.Member{Address: m.Addr.String(), Zone: m.Zone, State: m.State.String(), Core: strings.Contains(m.Version, coreFlag)})
+	}
+	return all
+}
+
+// machineStatus is the register's machines by its view: the chain in its order, then the other members.
+func machineStatus(v *coordpb.View) (all []status.Machine) {
+	for i, identity := range v.GetChain() {
+		all = append(all, status.Machine{Address: view.MemberOf(v, identity).GetAddress(), Identity: identityText(identity), Member: true, Place: i + 1})
+	}
+	for _, m := range v.GetMembers() {
+		if !slices.Contains(v.Chain, m.Identity) {
+			all = append(all, status.Machine{Address: m.Address, Identity: identityText(m.Identity), Member: true})
+		}
+	}
+	return all
+}
+
+// fillReplica fills in what a replica knows: how it stands, and what it heard of the other machines.
+func fillReplica(s *status.Register, in register.Inspection) {
+	self := &status.Replica{Identity: identityText(in.Identity), Sequence: in.Position.GetSequence(), Healthy: in.Healthy, Shards: in.Shards}
+	if in.Confirmed {
+		self.ConfirmedS = age(in.ConfirmedAge)
+	}
+	s.Replica = self
+	s.Epoch = in.View.GetEpoch()
+	s.Machines = machineStatus(in.View)
+	now := time.Duration(0)
+	peers := append([]view.Peer{{Member: &coordpb.Member{Address: in.Address, Identity: in.Identity}, Position: in.Position, Healthy: in.Healthy, HeardAge: &now}}, in.Peers...)
+	newest := uint64(0)
+	for _, p := range peers {
+		newest = max(newest, p.Position.GetSequence())
+	}
+	for _, p := range peers {
+		m := machineOf(s, p)
+		m.Sequence, m.Behind = p.Position.GetSequence(), newest-p.Position.GetSequence()
+		m.Healthy, m.Leaving = p.Healthy, p.Leaving
+		if p.HeardAge != nil {
+			m.Heard = age(*p.HeardAge)
+		}
+	}
+}
+
+// machineOf is the entry of a peer; one that is no member gets one.
+func machineOf(s *status.Register, p view.Peer) *status.Machine {
+	identity := identityText(p.Member.Identity)
+	at := slices.IndexFunc(s.Machines, func(m status.Machine) bool { return m.Identity == identity })
+	if at < 0 {
+		s.Machines = append(s.Machines, status.Machine{Address: p.Member.Address, Identity: identity})
+		at = len(s.Machines) - 1
+	}
+	return &s.Machines[at]
+}
+
+// serviceStatus is the hosts of a service, those that are gone left out.
+func serviceStatus(name string, all []*instances.Record, now time.Duration) status.Service {
+	s := status.Service{Name: name, Hosts: []status.Host{}}
+	for _, r := range all {
+		if r.State == message.Instance_GONE {
+			continue
+		}
+		host := status.Host{ID: r.Id, Address: r.Address, Zone: r.Zone, State: strings.ToLower(r.State.String()), Slots: r.Slots,
+			ColdS: max(r.ColdUntil-now, 0).Seconds()}
+		for _, m := range r.Models {
+			host.Models = append(host.Models, status.Model{Name: m.Name, Version: m.Version})
+		}
+		s.Hosts = append(s.Hosts, host)
+	}
+	return s
+}
+
+func identityText(identity uint64) string { return fmt.Sprintf("%016x", identity) }
+
+// age is a time in seconds.
+func age(d time.Duration) *float64 {
+	s := d.Seconds()
+	return &s
+}
--- /dev/null
+++ b/internal/system/node/status_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"reachspread/internal/system/status"
+)
+
+// status reads a router's status at its readiness address; nil where it does not answer.
+func (f *testFleet) status(i int) *status.Router {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d%s", f.nodes[i].ip, f.ports.ready, status.Path))
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	s, err := status.Read(resp.Body)
+	if err != nil {
+		return nil
+	}
+	return s
+}
+
+// Each router tells how it stands: the routers it sees, the register's chain with who is behind, the configuration in force, and the hosts.
+func TestStatus(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, 3)
+	is.Equal(f.order(http.MethodPut, first, 0, 0), 200)
+	code, _ := f.beat(0, "i-1", "s", f.host("one"), "ready", 1)
+	is.Equal(code, 200)
+	for i := range f.nodes {
+		f.eventually(fmt.Sprint("router ", i, " tells all of it"), func() bool {
+			s := f.status(i)
+			return s != nil && s.Ready && len(s.Members) == 4 && s.Configuration.Version == 1 && s.Configuration.Fresh && hasHost(s, "s", "i-1") && chainLength(s) == 3
+		})
+	}
+	s := f.status(0)
+	is.Equal(s.Name, "n0")
+	is.True(s.Core)
+	is.Equal(s.Configuration.Tenants, 1)
+	is.True(s.Register.Replica != nil)
+	is.True(s.Register.Replica.Healthy)
+	bare := f.status(3)
+	is.True(!bare.Core)
+	is.Equal(bare.Register.Replica, nil) // it has no part in the register
+	is.True(bare.Configuration.From != "")
+
+	f.crash(1)
+	f.eventually("the register's other machines see that one is lost", func() bool {
+		s := f.status(0)
+		return s != nil && chainLength(s) == 2 && s.Register.Epoch > 1
+	})
+	for _, m := range f.status(0).Register.Machines {
+		is.True(m.Member) // until another machine takes its place
+		is.Equal(m.Place == 0, m.Address == f.nodes[1].self.internal())
+	}
+}
+
+func hasHost(s *status.Router, service, id string) bool {
+	for _, of := range s.Services {
+		for _, h := range of.Hosts {
+			if of.Name == service && h.ID == id && h.State == "ready" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// chainLength is how many machines are in the chain.
+func chainLength(s *status.Router) (n int) {
+	for _, m := range s.Register.Machines {
+		if m.Place > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// What is told can be read by programs: the names of its fields are those of the operators' page.
+func TestStatusIsJSON(t *testing.T) {
+	is := is.New(t)
+	text, err := json.Marshal(&status.Router{Name: "n", Services: []status.Service{{Name: "s", Hosts: []status.Host{{ID: "i"}}}}})
+	is.NoErr(err)
+	var plain struct {
+		Name     string
+		Services []struct{ Hosts []struct{ ID string } }
+	}
+	is.NoErr(json.Unmarshal(text, &plain))
+	is.Equal(plain.Services[0].Hosts[0].ID, "i")
+}
--- /dev/null
+++ b/internal/system/status/status.go
@@ -0,0 +1,116 @@
+// Package status is what a router of the fleet tells its operators of itself: the shapes that the readiness address serves under Path and
+// that the command line reads. Times are in seconds. It has no I/O.
+package status
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// Path is where a router tells its status, on its readiness address.
+const Path = "/status"
+
+// Router is one router's status.
+type Router struct {
+	Name          string        `json:"name"`
+	Address       string        `json:"address"` // for other routers
+	Zone          string        `json:"zone"`
+	Core          bool          `json:"core"` // it may be a member of the register
+	UpS           float64       `json:"upS"`
+	Ready         bool          `json:"ready"`
+	Leaving       bool          `json:"leaving"`
+	Requests      Requests      `json:"requests"`
+	Configuration Configuration `json:"configuration"`
+	Members       []Member      `json:"members"` // of the fleet, this one among them
+	Register      Register      `json:"register"`
+	Services      []Service     `json:"services"`
+}
+
+// Requests are counts since the start.
+type Requests struct {
+	Taken    uint64 `json:"taken"`
+	Rejected uint64 `json:"rejected"` // before a host was looked for
+}
+
+// Configuration is the one in force.
+type Configuration struct {
+	Version    int64    `json:"version"` // 0 for none
+	Routes     int      `json:"routes"`
+	Tenants    int      `json:"tenants"`
+	ConfirmedS *float64 `json:"confirmedS"` // it was the newest for certain so long ago; null for never
+	Fresh      bool     `json:"fresh"`      // young enough to honour keys by it
+	From       string   `json:"from"`       // the router that it comes from, empty for the register itself
+}
+
+// Member is a router of the fleet, as this one sees it.
+type Member struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"`
+	Core    bool   `json:"core"`
+}
+
+// Register is what this router knows of the register.
+type Register struct {
+	Epoch    uint64    `json:"epoch"` // of the view, 0 for none yet
+	Replica  *Replica  `json:"replica"`
+	Machines []Machine `json:"machines"` // the chain from the head to the tail, then the other members and those that stand by
+}
+
+// Replica is how this router stands as a member of the register; null where it can't be one.
+type Replica struct {
+	Identity   string   `json:"identity"`
+	Sequence   uint64   `json:"sequence"`
+	Healthy    bool     `json:"healthy"`    // what it writes gets to its disk in time
+	ConfirmedS *float64 `json:"confirmedS"` // a majority confirmed its epoch so long ago; null where it may not act
+	Shards     int      `json:"shards"`     // of the duties
+}
+
+// Machine is one that may be a member of the register.
+type Machine struct {
+	Address  string   `json:"address"`
+	Identity string   `json:"identity"`
+	Member   bool     `json:"member"` // it votes on the next view
+	Place    int      `json:"place"`  // in the chain, from 1 at the head; 0 for outside
+	Heard    *float64 `json:"heardS"` // the last word of it is so old; null where this router does not listen or heard none
+	Sequence uint64   `json:"sequence"`
+	Behind   uint64   `json:"behind"` // changes that it lacks of what is known
+	Healthy  bool     `json:"healthy"`
+	Leaving  bool     `json:"leaving"`
+}
+
+// Service is the hosts of one service.
+type Service struct {
+	Name  string `json:"name"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Host is one, as this router knows it.
+type Host struct {
+	ID      string  `json:"id"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	State   string  `json:"state"`
+	Slots   uint32  `json:"slots"`
+	ColdS   float64 `json:"coldS"` // it is slow from its start for so long
+	Models  []Model `json:"models"`
+}
+
+// Model is one that a host has loaded.
+type Model struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+}
+
+// MostBytes bounds a status.
+const MostBytes = 64 << 20
+
+// Read reads a status.
+func Read(from io.Reader) (*Router, error) {
+	r := &Router{}
+	if err := json.NewDecoder(io.LimitReader(from, MostBytes)).Decode(r); err != nil {
+		return nil, fmt.Errorf("the answer is not a router's status: %w", err)
+	}
+	return r, nil
+}
