Pins: set, lifted, listed and watched through the control API and fleet pin; acknowledged once in force everywhere

A change is acknowledged once bounds.revocationMs have passed since it was committed: a router honours keys no longer than that without word of the register, by its own steady clock, so none serves by the pins before.

--- a/cmd/reachspread/fleet.go
+++ b/cmd/reachspread/fleet.go
@@ -24,6 +24,7 @@
 	c.AddCommand(shows("view", "Ask a running router who of the fleet lives, as it sees it", printView), fleetDutiesCommand(),
 		shows("recovery", "Ask a running router how it came back: the stage, what it waits for, what was thrown away", printRecovery))
 	c.AddCommand(fleetStatusCommands()...)
+	c.AddCommand(pinCommand())
 	return c
 }
 
--- /dev/null
+++ b/cmd/reachspread/pin.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/system/controlapi"
+	"reachspread/internal/system/status"
+)
+
+const (
+	pinCallFor  = 12 * time.Second       // one call, which waits until the pin is in force
+	pinAgain    = 200 * time.Millisecond // between calls without a clear answer
+	pinPatience = time.Minute            // for a clear answer
+)
+
+func pinCommand() *cobra.Command {
+	c := &cobra.Command{Use: "pin", Short: "Have requests served by a version of a model that you choose, on every router"}
+	watch := routerStatusCommand("watch", "Ask routers of the fleet what became of the requests in the pins' scopes", printPinFigures)
+	c.AddCommand(pinSetCommand(), pinLiftCommand(), pinListCommand(), pinHistoryCommand(), watch)
+	return c
+}
+
+// control is the control API, at any of some routers.
+type control struct {
+	addresses []string
+	next      int // address that is called next
+}
+
+// controlFlag is the flag that says which routers are called.
+func controlFlag(c *cobra.Command) *control {
+	to := &control{}
+	c.Flags().StringSliceVar(&to.addresses, "control", nil, "the control plane's `address` of a router; several are tried in turn")
+	return to
+}
+
+// errUnclear says that a call had no clear answer: it is to be made again, as it was.
+var errUnclear = errors.New("no clear answer")
+
+// call makes a call until it has a clear answer, at one router after the other.
+func (t *control) call(ctx context.Context, method, path, ifMatch string, body any) (text []byte, err error) {
+	if len(t.addresses) == 0 {
+		return nil, errors.New("--control must name the control plane's address of a router, as its settings file has it under listenAddresses")
+	}
+	ctx, cancel := context.WithTimeout(ctx, pinPatience)
+	defer cancel()
+	for {
+		text, err = t.once(ctx, method, path, ifMatch, body)
+		if !errors.Is(err, errUnclear) {
+			return text, err
+		}
+		t.next++
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(pinAgain):
+		}
+	}
+}
+
+// once makes a call at the router whose turn it is.
+func (t *control) once(ctx context.Context, method, path, ifMatch string, body any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, pinCallFor)
+	defer cancel()
+	address := t.addresses[t.next%len(t.addresses)]
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	if ifMatch != "" {
+		request.Header.Set("If-Match", ifMatch)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w from %s: %w", errUnclear, address, err)
+	}
+	defer answer.Body.Close()
+	text, err = io.ReadAll(io.LimitReader(answer.Body, status.MostBytes))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w from %s: %w", errUnclear, address, err)
+	case answer.StatusCode == http.StatusOK:
+		return text, nil
+	case answer.StatusCode == http.StatusAccepted, answer.StatusCode/100 == 5:
+		return nil, fmt.Errorf("%w from %s: %s", errUnclear, address, answer.Status)
+	}
+	return nil, refusal(answer.Status, text)
+}
+
+// refusal is the error of a call that was refused.
+func refusal(status string, text []byte) error {
+	var problem struct {
+		Error string `json:"error"`
+	}
+	if json.Unmarshal(text, &problem) == nil && problem.Error != "" {
+		return errors.New(problem.Error)
+	}
+	return fmt.Errorf("the router answers %s", status)
+}
+
+// revision is the revision of the pins to build on: the one given, or the one in force.
+func (t *control) revision(ctx context.Context, given int64) (string, error) {
+	if given >= 0 {
+		return fmt.Sprint(given), nil
+	}
+	list, err := t.list(ctx)
+	return fmt.Sprint(list.Revision), err
+}
+
+func (t *control) list(ctx context.Context) (list controlapi.PinList, err error) {
+	text, err := t.call(ctx, http.MethodGet, "/pins", "", nil)
+	if err != nil {
+		return list, err
+	}
+	return list, json.Unmarshal(text, &list)
+}
+
+// pinFlags are those of commands that change pins.
+type pinFlags struct {
+	*control
+	order    controlapi.PinOrder
+	revision int64
+}
+
+func newPinFlags(c *cobra.Command) *pinFlags {
+	f := &pinFlags{control: controlFlag(c)}
+	c.Flags().StringVar(&f.order.By, "by", os.Getenv("USER"), "who orders it, for the history")
+	c.Flags().StringVar(&f.order.Why, "why", "", "the reason, for the history")
+	c.Flags().Int64Var(&f.revision, "revision", -1, "the `revision` of the pins that the change builds on; by itself the one in force")
+	return f
+}
+
+// send brings an order, and prints the outcome once it is in force on every router.
+func (f *pinFlags) send(cmd *cobra.Command, method, name string) error {
+	base, err := f.control.revision(cmd.Context(), f.revision)
+	if err != nil {
+		return err
+	}
+	text, err := f.call(cmd.Context(), method, "/pins/"+name, base, f.order)
+	if err != nil {
+		return err
+	}
+	var outcome controlapi.PinOutcome
+	if err := json.Unmarshal(text, &outcome); err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "revision %d of the pins is in force on every router\n", outcome.Revision)
+	return nil
+}
+
+func pinSetCommand() *cobra.Command {
+	c := &cobra.Command{Use: "set NAME", Short: "Set a pin, or put it in place of the one of its name; returns once it is in force on every router", Args: cobra.ExactArgs(1)}
+	f := newPinFlags(c)
+	c.Flags().StringVar(&f.order.Tenant, "tenant", "", "whose requests; by itself those of all")
+	c.Flags().StringVar(&f.order.Route, "route", "", "the name of the route whose requests; by itself those of all")
+	c.Flags().StringVar(&f.order.Model, "model", "", "the model that they name")
+	c.Flags().Int64Var(&f.order.Version, "version", 0, "the version that is to answer them")
+	c.RunE = func(cmd *cobra.Command, args []string) error { return f.send(cmd, http.MethodPut, args[0]) }
+	return c
+}
+
+func pinLiftCommand() *cobra.Command {
+	c := &cobra.Command{Use: "lift NAME", Short: "Lift a pin; returns once no router holds to it any more", Args: cobra.ExactArgs(1)}
+	f := newPinFlags(c)
+	c.RunE = func(cmd *cobra.Command, args []string) error { return f.send(cmd, http.MethodDelete, args[0]) }
+	return c
+}
+
+func pinListCommand() *cobra.Command {
+	c := &cobra.Command{Use: "list", Short: "List the pins in force, with the hosts that have their versions", Args: cobra.NoArgs}
+	to := controlFlag(c)
+	asJSON := c.Flags().Bool("json", false, "print a line of JSON")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		list, err := to.list(cmd.Context())
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(list)
+		}
+		printPins(cmd.OutOrStdout(), list)
+		return nil
+	}
+	return c
+}
+
+func pinHistoryCommand() *cobra.Command {
+	c := &cobra.Command{Use: "history", Short: "List the pins that were set and lifted, by whom and why, the oldest first", Args: cobra.NoArgs}
+	to := controlFlag(c)
+	asJSON := c.Flags().Bool("json", false, "print a line of JSON")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		text, err := to.call(cmd.Context(), http.MethodGet, "/pins/history", "", nil)
+		if err != nil {
+			return err
+		}
+		var history controlapi.PinHistory
+		if err := json.Unmarshal(text, &history); err != nil {
+			return err
+		}
+		if *asJSON {
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(history)
+		}
+		printPinHistory(cmd.OutOrStdout(), history)
+		return nil
+	}
+	return c
+}
+
+func printPins(w io.Writer, list controlapi.PinList) {
+	fmt.Fprintf(w, "revision %d, %d pins\n", list.Revision, len(list.Pins))
+	table(w, "name|tenant|route|model|version|hosts|set|by|why", func(row func(...any)) {
+		for _, p := range list.Pins {
+			row(p.Name, orAll(p.Tenant), orAll(p.Route), p.Model, p.Version, hostsText(p.Hosts), p.SetAt.Format(time.RFC3339), p.By, p.Why)
+		}
+	})
+}
+
+// hostsText says whether a pin's requests can be served, and why not.
+func hostsText(h *controlapi.PinHosts) string {
+	switch {
+	case h == nil:
+		return noneMark
+	case h.Ready > 0 && h.Others > 0:
+		return fmt.Sprintf("%d, %d with others", h.Ready, h.Others)
+	case h.Ready > 0:
+		return fmt.Sprint(h.Ready)
+	case h.Others > 0:
+		return fmt.Sprintf("none: all %d have others, so requests are refused", h.Others)
+	}
+	return "none has the model, so requests are refused"
+}
+
+func orAll(name string) string {
+	if name == "" {
+		return "all"
+	}
+	return name
+}
+
+func printPinHistory(w io.Writer, history controlapi.PinHistory) {
+	table(w, "revision|at|change|name|tenant|route|model|version|by|why", func(row func(...any)) {
+		for _, c := range history.Changes {
+			change := "set"
+			if c.Lifted {
+				change = "lifted"
+			}
+			row(c.Revision, c.At.Format(time.RFC3339), change, c.Pin.Name, orAll(c.Pin.Tenant), orAll(c.Pin.Route), c.Pin.Model, c.Pin.Version, c.By, c.Why)
+		}
+	})
+}
+
+// printPinFigures prints what became of the requests in the pins' scopes, by router.
+func printPinFigures(w io.Writer, answers []told) {
+	table(w, "pin|version|router|revision|in force for|hosts|requests|answered|wrong|refused|failed", func(row func(...any)) {
+		eachStatus(answers, func(_ told, s *status.Router) {
+			for _, p := range s.Pins.Pins {
+				row(p.Name, p.Version, s.Name, s.Pins.Revision, seconds(&p.SinceS), p.Hosts, p.Requests, answeredText(p.Answered), p.Wrong, p.Refused, p.Failed)
+			}
+		})
+	})
+}
+
+// answeredText is whole answers by version.
+func answeredText(answered map[int64]uint64) string {
+	var words []string
+	for _, version := range slices.Sorted(maps.Keys(answered)) {
+		words = append(words, fmt.Sprintf("%d: %d", version, answered[version]))
+	}
+	if len(words) == 0 {
+		return noneMark
+	}
+	return strings.Join(words, ", ")
+}
--- a/internal/system/controlapi/api.go
+++ b/internal/system/controlapi/api.go
@@ -52,6 +52,7 @@
 type Options struct {
 	Hosts    Hosts
 	Register Register
+	Pins     Pins
 	Log      Logger
 }
 
@@ -67,6 +68,7 @@
 	m.HandleFunc("/configuration", a.read).Methods(http.MethodGet)
 	m.HandleFunc("/configuration", a.order(message.Order_PUT)).Methods(http.MethodPut)
 	m.HandleFunc("/configuration", a.order(message.Order_PATCH)).Methods(http.MethodPatch)
+	a.handlePins(m)
 	return m
 }
 
@@ -171,17 +173,26 @@
 	answer(w, http.StatusOK, struct{}{})
 }
 
-func (a *api) read(w http.ResponseWriter, r *http.Request) {
+// stored reads the register's state, and answers where it can't.
+func (a *api) stored(w http.ResponseWriter, r *http.Request) (stored *message.Stored, ok bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), operatorAnswerIn)
 	defer cancel()
 	reply, err := a.Register.Read(ctx)
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "%v", err)
-		return
+		return nil, false
 	}
-	stored := &message.Stored{}
+	stored = &message.Stored{}
 	if err := proto.Unmarshal(reply.Reply, stored); err != nil {
 		refuse(w, http.StatusInternalServerError, "%v", err)
+		return nil, false
+	}
+	return stored, true
+}
+
+func (a *api) read(w http.ResponseWriter, r *http.Request) {
+	stored, ok := a.stored(w, r)
+	if !ok {
 		return
 	}
 	if len(stored.Document) == 0 {
@@ -205,9 +216,9 @@
 			refuse(w, http.StatusBadRequest, "the body can not be read: %v", err)
 			return
 		}
-		base, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `" `), 10, 64)
+		base, err := readBase(r)
 		if err != nil {
-			refuse(w, http.StatusBadRequest, "If-Match is %q; it must be the version that the change builds on, 0 for the first", r.Header.Get("If-Match"))
+			refuse(w, http.StatusBadRequest, "%v", err)
 			return
 		}
 		order := &message.Order{Kind: kind, IfMatch: base, Body: text}
@@ -220,6 +231,16 @@
 }
 
 // check finds what makes an order invalid whatever is in force: such a one was never taken.
+// readBase reads the version, or the revision of the pins, on which an order builds.
+func readBase(r *http.Request) (int64, error) {
+	text := r.Header.Get("If-Match")
+	base, err := strconv.ParseInt(strings.Trim(text, `" `), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("If-Match is %q; it must be the version that the change builds on, 0 for the first", text)
+	}
+	return base, nil
+}
+
 func check(order *message.Order) error {
 	if order.Kind == message.Order_PATCH {
 		_, err := configuration.ParsePatch(order.Body)
@@ -230,24 +251,31 @@
 }
 
 func (a *api) submit(w http.ResponseWriter, r *http.Request, order *message.Order) {
+	if outcome, ok := a.decide(w, r, order); ok {
+		answer(w, int(outcome.Status), orderOutcome{outcome.Version, outcome.Text})
+	}
+}
+
+// decide has the register decide on an order, and answers where it does not.
+func (a *api) decide(w http.ResponseWriter, r *http.Request, order *message.Order) (outcome *message.OrderReply, ok bool) {
 	text, err := proto.Marshal(order)
 	if err != nil {
 		refuse(w, http.StatusInternalServerError, "%v", err)
-		return
+		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), operatorAnswerIn)
 	defer cancel()
 	reply, err := a.Register.Submit(ctx, text)
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "%v", err)
-		return
+		return nil, false
 	}
-	outcome := &message.OrderReply{}
+	outcome = &message.OrderReply{}
 	if err := proto.Unmarshal(reply.Reply, outcome); err != nil {
 		refuse(w, http.StatusInternalServerError, "%v", err)
-		return
+		return nil, false
 	}
-	answer(w, int(outcome.Status), orderOutcome{outcome.Version, outcome.Text})
+	return outcome, true
 }
 
 // orderOutcome is the answer to an order.
--- a/internal/system/controlapi/api_test.go
+++ b/internal/system/controlapi/api_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -26,6 +27,9 @@
 	removed []string
 	slow    bool // nothing can be acknowledged
 
+	open   bool  // a router that is cut off goes on
+	late   bool  // nothing is in force in time
+	waited int64 // the revision whose being in force was waited for last
 	orders []*message.Order
 	reply  *message.OrderReply // nil for no answer
 	stored *message.Stored
@@ -64,13 +68,22 @@
 	return &coordpb.Reply{Reply: out}, err
 }
 
+func (f *fleet) Fenced() bool { return !f.open }
+
+func (f *fleet) InForce(_ context.Context, revision int64, _ time.Time) bool {
+	f.waited = revision
+	return !f.late
+}
+
+func (f *fleet) Ready(string, int64) (with, without int) { return 2, 1 }
+
 func (f *fleet) call(method, path, body string, ifMatch ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	for _, v := range ifMatch {
 		r.Header.Set("If-Match", v)
 	}
 	w := httptest.NewRecorder()
-	New(Options{Hosts: f, Register: f, Log: lines{}}).ServeHTTP(w, r)
+	New(Options{Hosts: f, Register: f, Pins: f, Log: lines{}}).ServeHTTP(w, r)
 	return w
 }
 
--- a/internal/system/dataplane/models.go
+++ b/internal/system/dataplane/models.go
@@ -31,6 +31,20 @@
 	return (*hosts)[v]
 }
 
+// others is how many hosts are ready that have a model in other versions than one. A host with several counts for each.
+func (m *models) others(v modelVersion) (n int) {
+	hosts := m.hosts.Load()
+	if hosts == nil {
+		return 0
+	}
+	for other, count := range *hosts {
+		if other.model == v.model && other.version != v.version {
+			n += count
+		}
+	}
+	return n
+}
+
 // modelCount is a count under way.
 type modelCount struct {
 	of    *models
--- a/internal/system/dataplane/pinned.go
+++ b/internal/system/dataplane/pinned.go
@@ -232,11 +232,12 @@
 	return all
 }
 
-// Ready is how many hosts that are ready have a version of a model, over all services.
-func (p *Plane) Ready(model string, version int64) int {
-	n := 0
+// Ready is how many hosts that are ready have a version of a model, and how many have others of it, over all services.
+func (p *Plane) Ready(model string, version int64) (with, without int) {
+	v := modelVersion{model, version}
 	for _, s := range *p.pools.Load() {
-		n += s.models.ready(modelVersion{model, version})
+		with += s.models.ready(v)
+		without += s.models.others(v)
 	}
-	return n
+	return with, without
 }
--- a/internal/system/dataplane/pinned_test.go
+++ b/internal/system/dataplane/pinned_test.go
@@ -148,8 +148,9 @@
 	is.True(a.Header.Get("Retry-After") != "")
 	is.True(strings.Contains(a.body, "version 2") && strings.Contains(a.body, "pin p"))
 	is.Equal(f.call(t, "/unsafe/", "", keyOne, modelM, "Request-Id: q2").StatusCode, 200)
-	is.Equal(f.plane.Ready("m", 2), 0)
-	is.Equal(f.plane.Ready("m", 1), 1)
+	with, without := f.plane.Ready("m", 2)
+	is.Equal(with, 0)
+	is.Equal(without, 1)
 	is.Equal(f.plane.Pins()["p"].Refused, uint64(1))
 	is.Equal(f.quotas.put > 0, true) // what was refused takes nothing of the tenant's quota
 }
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -365,6 +365,7 @@
 	if err := h.node.plane.Configure(state); err != nil {
 		h.node.log.Warn("configuration not in force", "version", state.Version(), "cause", err)
 	}
+	h.node.pins.saw(state.Pinned().Revision, time.Now())
 	h.send(h.feed.Changed(h.now(), configurationTopic))
 	h.resubscribe()
 	for _, s := range state.Typed.Services {
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -78,6 +78,7 @@
 	servers *transport.Servers
 	hub     *hub
 	quotas  *quotas
+	pins    *pinCalls
 	abort   context.CancelFunc // ends all at once, as a crash does
 	closing sync.WaitGroup     // what has to be closed before Run returns
 	started chan struct{}      // closed once all is served
@@ -92,6 +93,7 @@
 // New returns a router that stands still until Run.
 func New(s *settings.Settings, log logger) *Node {
 	n := &Node{log: log, life: rand.Uint64(), started: make(chan struct{})}
+	n.pins = &pinCalls{node: n}
 	n.inForce.Store(s)
 	n.self = router{address: s.Internal(s.IP()), zone: s.Zone, core: eligible(s)}
 	return n
@@ -355,7 +357,7 @@
 func (n *Node) serve(ctx context.Context, failed chan<- error) error {
 	s := n.settings()
 	if s.ServesRole(settings.ServesControl) {
-		api := controlapi.New(controlapi.Options{Hosts: hostCalls{n}, Register: n.client, Log: n.log})
+		api := controlapi.New(controlapi.Options{Hosts: hostCalls{n}, Register: n.client, Pins: n.pins, Log: n.log})
 		if err := n.listenHTTP(ctx, s.ListenAddresses.ControlPlane, api, failed); err != nil {
 			return fmt.Errorf("listenAddresses.controlPlane: %w", err)
 		}
--- a/internal/system/node/status.go
+++ b/internal/system/node/status.go
@@ -40,6 +40,7 @@
 	s = &status.Router{Name: in.NodeName, Address: n.self.internal(), Zone: in.Zone, Core: n.self.core, Ready: n.Ready(), Leaving: n.front.Leaving()}
 	s.Requests.Taken, s.Requests.Rejected = n.plane.Requests()
 	s.Members = memberStatus(n.members.Now())
+	s.Pins = n.pinStatus()
 	if !n.hub.ask(ctx, func() { n.hub.fillStatus(s) }) {
 		return nil, false
 	}
@@ -76,6 +77,21 @@
 	return c
 }
 
+// pinStatus is the pins in force, with what became of the requests in their scopes.
+func (n *Node) pinStatus() status.Pins {
+	in := n.plane.State().Pinned()
+	out := status.Pins{Revision: in.Revision, Pins: []status.Pin{}}
+	figures := n.plane.Pins()
+	for _, p := range in.Pins {
+		f := figures[p.Name]
+		pin := status.Pin{Name: p.Name, Tenant: p.Tenant, Route: p.Route, Model: p.Model, Version: p.Version, SinceS: time.Since(f.Since).Seconds(),
+			Requests: f.Requests, Answered: f.Answered, Wrong: f.Wrong, Refused: f.Refused, Failed: f.Failed}
+		pin.Hosts, pin.Others = n.plane.Ready(p.Model, p.Version)
+		out.Pins = append(out.Pins, pin)
+	}
+	return out
+}
+
 // memberStatus is the fleet as the membership has it.
 func memberStatus(v *members.View) (all []status.Member) {
 	for _, m := range v.Members {
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -25,6 +25,30 @@
 	Members       []Member      `json:"members"` // of the fleet, this one among them
 	Register      Register      `json:"register"`
 	Services      []Service     `json:"services"`
+	Pins          Pins          `json:"pins"`
+}
+
+// Pins are the version pins in force on a router.
+type Pins struct {
+	Revision int64 `json:"revision"`
+	Pins     []Pin `json:"pins"`
+}
+
+// Pin is one of them, with the requests of its scope since it came in force on this router, or since the router's start.
+type Pin struct {
+	Name     string           `json:"name"`
+	Tenant   string           `json:"tenant"` // empty for all
+	Route    string           `json:"route"`  // empty for all
+	Model    string           `json:"model"`
+	Version  int64            `json:"version"`
+	Hosts    int              `json:"hosts"`  // that are ready and have the version
+	Others   int              `json:"others"` // that have only other versions of the model
+	SinceS   float64          `json:"sinceS"` // it is in force here for so long
+	Requests uint64           `json:"requests"`
+	Answered map[int64]uint64 `json:"answered"` // whole answers, by the version that they said
+	Wrong    uint64           `json:"wrong"`    // of these, of another version than the pin's
+	Refused  uint64           `json:"refused"`
+	Failed   uint64           `json:"failed"`
 }
 
 // Requests are counts since the start.
