--- a/internal/system/node/node_test.go
+++ b/internal/system/node/node_test.go
@@ -36,7 +36,8 @@
 	net   byte // the third byte of all addresses
 	ports struct{ internal, front, ready, control int }
 	disks int
-	bare  int // of those without a disk, so many count
+	bare  int     // of those without a disk, so many count
+	bound float64 // on the age of what keys are honoured by, in ms
 	nodes []*running
 }
 
@@ -60,10 +61,21 @@
 }
 
 func startFleet(t *testing.T, routers, disks, bare int) *testFleet {
+	t.Helper()
+	return startFleetOf(t, &testFleet{disks: disks, bare: bare, bound: 5000}, routers)
+}
+
+// startBounded starts a fleet whose routers honour keys by what is no older than a bound, in ms.
+func startBounded(t *testing.T, routers, disks int, bound float64) *testFleet {
+	t.Helper()
+	return startFleetOf(t, &testFleet{disks: disks, bound: bound}, routers)
+}
+
+func startFleetOf(t *testing.T, f *testFleet, routers int) *testFleet {
 	t.Helper()
 	nextNetMu.Lock()
 	nextNet++
-	f := &testFleet{t: t, net: nextNet, disks: disks, bare: bare}
+	f.t, f.net = t, nextNet
 	nextNetMu.Unlock()
 	f.ports.internal, f.ports.front, f.ports.ready, f.ports.control = 7680, 8662, 8663, 8665
 	for i := range routers {
@@ -88,7 +100,7 @@
 	s := &settings.Settings{NodeName: fmt.Sprint("n", i), Serves: []string{settings.ServesClients, settings.ServesControl}, IPAddress: n.ip,
 		Zone: fmt.Sprint("z", i%3), InternalPortRange: []int{f.ports.internal, f.ports.internal}, FirstStart: first, HeartbeatIntervalMs: 60_000,
 		Zones: map[string]string{"z0": "r", "z1": "r", "z2": "r"}, Limits: settings.Limits{CPUCores: 1, MemoryMb: 64, FileDescriptors: 2000},
-		FaultTolerance: settings.FaultTolerance{Machines: 1}, Bounds: settings.Bounds{GraceS: 3, RevocationClosed: true, RevocationMs: 5000, RetryBudgetRatio: 1, RetryBudgetSlack: 64, QuotaWindowS: 8, QuotaOvershoot: 0.1}}
+		FaultTolerance: settings.FaultTolerance{Machines: 1}, Bounds: settings.Bounds{GraceS: 3, RevocationClosed: true, RevocationMs: f.bound, RetryBudgetRatio: 1, RetryBudgetSlack: 64, QuotaWindowS: 8, QuotaOvershoot: 0.1}}
 	for j := range min(3, len(f.nodes)) {
 		s.SeedNodes = append(s.SeedNodes, fmt.Sprintf("%s:%d", f.nodes[j].ip, f.ports.control))
 	}
@@ -124,6 +136,12 @@
 
 // call calls the control plane of a router.
 func (f *testFleet) call(i int, method, path, body string, header map[string]string) (int, string) {
+	f.t.Helper()
+	return f.callFor(2*time.Second, i, method, path, body, header)
+}
+
+// callFor calls the control plane of a router, which has a time to answer.
+func (f *testFleet) callFor(timeout time.Duration, i int, method, path, body string, header map[string]string) (int, string) {
 	f.t.Helper()
 	r, err := http.NewRequest(method, f.control(i)+path, strings.NewReader(body))
 	if err != nil {
@@ -132,7 +150,7 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
 		return 0, err.Error()
