--- a/internal/system/dataplane/pinned.go
+++ b/internal/system/dataplane/pinned.go
@@ -166,8 +166,9 @@
 	defer p.mu.Unlock()
 	delete(p.held, h)
 	c := p.figuresOf(h.pin)
+	left := end.Verdict == routing.Served && end.Stream == nil
 	switch {
-	case c == nil:
+	case c == nil || left: // nobody was to be answered
 	case end.Verdict == routing.Refused && h.outdated.Load():
 		c.Requests-- // it is planned anew
 	case end.Verdict == routing.Refused:
--- a/internal/system/dataplane/pinned_test.go
+++ b/internal/system/dataplane/pinned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -334,6 +335,31 @@
 	}
 }
 
+// A client that leaves while its request is at a host ends it, and does not count as served.
+func TestPinnedClientLeaves(t *testing.T) {
+	is := is.New(t)
+	came, let := make(chan struct{}), make(chan struct{})
+	slow := versioned{newHost(t, "i-1", func(r seen) string {
+		close(came)
+		<-let
+		return answer(r, 200, "Versions: 1\r\n", "v1")
+	}), 1}
+	defer close(let)
+	f := newFleet(t, keyed)
+	f.register(slow)
+	f.pin(t, pinOf("x", "", 1))
+	c, err := net.Dial("tcp", f.addr)
+	is.NoErr(err)
+	fmt.Fprintf(c, "POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\n%s\r\n%s\r\nRequest-Id: q\r\nContent-Length: 0\r\n\r\n", keyOne, modelM)
+	<-came
+	c.Close()
+	eventually(t, "it has ended", func() bool { return f.plane.Figures()["s"].Open == 0 })
+	figures := f.plane.Pins()["p"]
+	is.Equal(figures.Requests, uint64(1))
+	is.Equal(len(figures.Answered), 0)
+	is.Equal(figures.Failed, uint64(0))
+}
+
 // eventually waits until something holds.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
--- /dev/null
+++ b/internal/system/node/pins_schedules_test.go
@@ -0,0 +1,276 @@
+package node
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/feed"
+	"reachspread/internal/system/message"
+	"reachspread/internal/system/pinplay"
+	"reachspread/internal/system/pins"
+)
+
+// pinSchedules is how many drawn schedules are played. Each takes 20 ms, and ten times that under the race detector.
+var pinSchedules = flag.Int("pin-schedules", 100, "drawn schedules of pins that are played")
+
+const (
+	drawnBound  = 3 * time.Second // on the age of what keys are honoured by
+	drawnLength = 30 * time.Second
+	drawnTick   = 20 * time.Millisecond
+)
+
+// pinPlant is a fault in the program, which the judge is to find.
+type pinPlant int
+
+const (
+	noPlant        pinPlant = iota
+	ackedTooEarly           // a change is acknowledged as soon as the router that took it has it
+	staleAfterThaw          // a router that stood still goes by what it found young before
+	neverRunsOut            // a router that is cut off goes on
+)
+
+// pinWorld is routers that bring each other the configuration, with pins that change, in virtual time. The first is the register's tail.
+type pinWorld struct {
+	rng     *rand.Rand
+	now     time.Duration
+	plant   pinPlant
+	routers []*drawnRouter
+	queue   []drawnMessage
+	cut     map[[2]int]bool
+	state   *configuration.State
+	changes []drawnChange
+	served  int
+	refused int
+	fault   error
+}
+
+// drawnChange is a change of the pins: the number of its revision is its place, from 1 on.
+type drawnChange struct {
+	committed, acked time.Duration
+}
+
+type drawnRouter struct {
+	world   *pinWorld
+	number  int
+	feed    *feed.Node
+	config  *configured
+	frozen  time.Duration // until then it does nothing
+	waiting []func()      // for the end of that
+	young   bool          // as it last found
+}
+
+type drawnMessage struct {
+	at   time.Duration
+	from int
+	to   int
+	send feed.Send
+}
+
+func newPinWorld(t *testing.T, seed uint64, plant pinPlant) *pinWorld {
+	document, err := configuration.Parse([]byte(pinplay.Configuration))
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := configuration.NewState(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &pinWorld{rng: rand.New(rand.NewPCG(seed, 0)), plant: plant, cut: map[[2]int]bool{}, state: state}
+	for i := range 8 {
+		w.routers = append(w.routers, &drawnRouter{world: w, number: i})
+		w.begin(i)
+	}
+	w.tail().config.take(1, state)
+	return w
+}
+
+func routerName(i int) string { return fmt.Sprintf("r%d", i) }
+
+// begin begins a life of a router: the first two are the homes of their zones, and ask the tail.
+func (w *pinWorld) begin(i int) {
+	r := w.routers[i]
+	r.feed = feed.New(routerName(i), w.rng.Uint64(), w.now)
+	r.config = &configured{confirmed: -1, failed: func(err error) { w.fault = err }}
+	r.config.changed = func(*configuration.State) { w.post(i, r.feed.Changed(w.now, configurationTopic)) }
+	r.feed.Add(configurationTopic, r.config)
+	r.young, r.frozen, r.waiting = false, 0, nil
+	candidates := []string{routerName(0)}
+	if i > 2 {
+		candidates = []string{routerName(1 + i%2), routerName(2 - i%2), routerName(0)}
+	}
+	if i > 0 {
+		w.post(i, r.feed.Subscribe(w.now, []feed.Subscription{{Topic: configurationTopic, Candidates: candidates, Confirmed: true}}))
+	}
+}
+
+func (w *pinWorld) tail() *drawnRouter { return w.routers[0] }
+
+func (w *pinWorld) post(from int, all []feed.Send) {
+	for _, s := range all {
+		var to int
+		fmt.Sscanf(s.To, "r%d", &to)
+		w.queue = append(w.queue, drawnMessage{w.now + time.Duration(1+w.rng.IntN(30))*time.Millisecond, from, to, s})
+	}
+}
+
+// do has a router do something, once it does anything.
+func (r *drawnRouter) do(f func()) {
+	if r.world.now < r.frozen {
+		r.waiting = append(r.waiting, f)
+		return
+	}
+	waiting := r.waiting
+	r.waiting = nil
+	for _, before := range waiting {
+		before()
+	}
+	f()
+}
+
+func (w *pinWorld) deliver() {
+	slices.SortStableFunc(w.queue, func(a, b drawnMessage) int { return cmp.Compare(a.at, b.at) })
+	for len(w.queue) > 0 && w.queue[0].at <= w.now {
+		m := w.queue[0]
+		w.queue = w.queue[1:]
+		if w.cut[[2]int{m.from, m.to}] {
+			continue
+		}
+		r := w.routers[m.to]
+		r.do(func() {
+			if m.send.Poll != nil {
+				w.post(m.to, r.feed.TakePoll(w.now, m.send.Poll))
+			} else {
+				w.post(m.to, r.feed.TakeUpdate(w.now, m.send.Update))
+			}
+		})
+	}
+}
+
+// change commits a change of the pins, and acknowledges it once it is in force.
+func (w *pinWorld) change() {
+	revision := int64(len(w.changes) + 1)
+	set, err := (&pins.Set{Revision: revision - 1}).Add(&message.Pin{Name: "p", Tenant: "x", Model: "m", Version: revision, By: "ann", Why: "trial"})
+	if err != nil {
+		w.fault = err
+		return
+	}
+	w.state = w.state.WithPins(set)
+	w.tail().config.take(w.tail().config.sequence+1, w.state)
+	acked := w.now + drawnBound
+	if w.plant == ackedTooEarly {
+		acked = w.now + drawnTick
+	}
+	w.changes = append(w.changes, drawnChange{w.now, acked})
+}
+
+// request has a client ask a router, which answers by what it knows then.
+func (r *drawnRouter) request() {
+	w, arrived := r.world, r.world.now
+	frozen := w.now < r.frozen
+	r.do(func() {
+		if w.plant != staleAfterThaw || !frozen {
+			age := w.now - r.config.confirmed
+			r.young = r.config.confirmed >= 0 && (age < drawnBound-freshMargin || w.plant == neverRunsOut)
+		}
+		if !r.young {
+			w.refused++
+			return
+		}
+		w.served++
+		w.judge(r, arrived)
+	})
+}
+
+// judge looks at a request that a router serves: it goes by all changes that were acknowledged when it arrived.
+func (w *pinWorld) judge(r *drawnRouter, arrived time.Duration) {
+	revision := r.config.state.Pinned().Revision
+	for i, c := range w.changes {
+		if int64(i+1) > revision && c.acked <= arrived {
+			w.fault = fmt.Errorf("%v: router %d serves by revision %d a request of %v; %d was acknowledged at %v", w.now, r.number, revision, arrived, i+1, c.acked)
+		}
+	}
+}
+
+// trouble draws a cut, a standstill or a new life.
+func (w *pinWorld) trouble() {
+	a, b := w.rng.IntN(len(w.routers)), w.rng.IntN(len(w.routers))
+	switch w.rng.IntN(7) {
+	case 0:
+		w.cut[[2]int{a, b}] = true
+	case 1:
+		for i := range w.routers {
+			w.cut[[2]int{a, i}] = true
+			w.cut[[2]int{i, a}] = w.rng.IntN(3) > 0
+		}
+	case 2, 3:
+		clear(w.cut)
+	case 4, 5:
+		if a > 0 {
+			w.routers[a].frozen = w.now + time.Duration(w.rng.IntN(6000))*time.Millisecond
+		}
+	case 6:
+		if a > 0 {
+			w.begin(a)
+		}
+	}
+}
+
+func (w *pinWorld) play() {
+	for ; w.now < drawnLength && w.fault == nil; w.now += drawnTick {
+		w.tail().config.confirm(w.now, w.tail().config.sequence)
+		for i, r := range w.routers {
+			r.do(func() { w.post(i, r.feed.Tick(w.now)) })
+		}
+		w.deliver()
+		if w.rng.IntN(60) == 0 {
+			w.change()
+		}
+		if w.rng.IntN(30) == 0 {
+			w.trouble()
+		}
+		for _, r := range w.routers {
+			r.request()
+		}
+	}
+}
+
+// Whatever is drawn of cuts, standstills and new lives of routers, each request that arrives after a change of the pins was acknowledged is
+// served by it, or refused.
+func TestDrawnPins(t *testing.T) {
+	served, refused := 0, 0
+	for seed := range uint64(*pinSchedules) {
+		w := newPinWorld(t, seed, noPlant)
+		w.play()
+		if w.fault != nil {
+			t.Errorf("seed %d: %v", seed, w.fault)
+		}
+		served, refused = served+w.served, refused+w.refused
+	}
+	t.Logf("%d schedules: %d requests served, %d refused", *pinSchedules, served, refused)
+	if served < refused {
+		t.Error("too few are served to tell")
+	}
+}
+
+// The judge finds each planted fault.
+func TestPlantedPinFaults(t *testing.T) {
+	for name, plant := range map[string]pinPlant{"acknowledged too early": ackedTooEarly, "stale after a thaw": staleAfterThaw, "never runs out": neverRunsOut} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(*pinSchedules) {
+				w := newPinWorld(t, seed, plant)
+				w.play()
+				if w.fault != nil {
+					t.Logf("seed %d: %v", seed, w.fault)
+					return
+				}
+			}
+			t.Error("not found")
+		})
+	}
+}
