--- /dev/null
+++ b/internal/settings/checker.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+)
+
+// oneLine makes the first error one line.
+func oneLine(diags hcl.Diagnostics) error {
+	for _, d := range diags {
+		if d.Severity != hcl.DiagError {
+			continue
+		}
+		where := ""
+		if d.Subject != nil {
+			where = fmt.Sprintf("%s:%d: ", d.Subject.Filename, d.Subject.Start.Line)
+		}
+		return fmt.Errorf("%s%s", where, strings.Join(strings.Fields(d.Summary+": "+d.Detail), " "))
+	}
+	return nil
+}
+
+// checker fills in defaults and keeps the first fault.
+type checker struct{ err error }
+
+// fault notes that a field of a block is wrong. What is not set at all is told at the block.
+func (c *checker) fault(body hcl.Body, field, format string, v ...any) {
+	where := hcl.Range{}
+	if b, ok := body.(*hclsyntax.Body); ok {
+		where = b.SrcRange
+		if a := b.Attributes[field]; a != nil {
+			where = a.SrcRange
+		}
+	}
+	c.faultAt(where, field, format, v...)
+}
+
+func (c *checker) faultAt(where hcl.Range, field, format string, v ...any) {
+	if c.err == nil {
+		c.err = fmt.Errorf("%s:%d: %s %s", where.Filename, where.Start.Line, field, fmt.Sprintf(format, v...))
+	}
+}
+
+func (c *checker) duration(body hcl.Body, field, word string, usual time.Duration) time.Duration {
+	if word == "" {
+		return usual
+	}
+	d, err := time.ParseDuration(word)
+	if err != nil || d <= 0 || d > 24*time.Hour {
+		c.fault(body, field, "is %q; it must be a time over 0 and up to 24h, such as 250ms or 2s", word)
+	}
+	return d
+}
+
+func (c *checker) size(body hcl.Body, field, word string, usual, least int64) int64 {
+	if word == "" {
+		return usual
+	}
+	n, err := humanize.ParseBytes(word)
+	if err != nil || n > 1<<40 || int64(n) < least {
+		c.fault(body, field, "is %q; it must be a size such as 64KiB or 1MiB, and %s at least", word, humanize.IBytes(uint64(least)))
+		return usual
+	}
+	return int64(n)
+}
+
+func (c *checker) count(body hcl.Body, field string, n *int, usual, most int) int {
+	if n == nil {
+		return usual
+	}
+	if *n < 1 || *n > most {
+		c.fault(body, field, "is %d; it must be from 1 to %d", *n, most)
+	}
+	return *n
+}
+
+func (c *checker) number(body hcl.Body, field string, n *float64, usual, least, most float64) float64 {
+	if n == nil {
+		return usual
+	}
+	if !(*n >= least && *n <= most) {
+		c.fault(body, field, "is %v; it must be from %v to %v", *n, least, most)
+	}
+	return *n
+}
+
+func (c *checker) addr(body hcl.Body, field, word string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(word)
+	if err != nil || !a.Addr().Is4() || a.Port() == 0 {
+		c.fault(body, field, "has %q; it must be an IPv4 address with a port", word)
+	}
+	return a
+}
--- /dev/null
+++ b/internal/settings/door.go
@@ -0,0 +1,128 @@
+package settings
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"reachspread/internal/door"
+)
+
+// Door is the block of that name. Places and the step's own room come from the limits.
+type Door struct {
+	Config   door.Config
+	Reserve  float64 // share of the places
+	Identity string  // header
+}
+
+func (c *checker) door(b *doorBlock) *Door {
+	d := &Door{Identity: b.Header, Reserve: c.number(b.Body, "reserve", b.Reserve, 0.25, 0, 0.9)}
+	d.Config = door.Config{
+		Step:      c.count(b.Body, "step", b.Step, 16, 20), // more would not fit what is set aside for them
+		Addresses: c.count(b.Body, "addresses", b.Addresses, 4096, 1<<20),
+		Away:      c.duration(b.Body, "away", b.Away, time.Second),
+		Address:   c.cap(b.Address.cap(), door.Cap{Conns: 16, Open: 16, PerSecond: 20}),
+		Net:       c.cap(b.Net.cap(), door.Cap{Conns: 64, Open: 64, PerSecond: 100}),
+		Known:     c.cap(b.Known, door.Cap{}),
+		Identity:  c.cap(b.Identity, door.Cap{}),
+		Fair:      true,
+		Last:      true,
+	}
+	d.Config.Lengths = c.lengths(b)
+	d.Config.Patience = c.byLevel(b.Patience, 2*time.Second, 500*time.Millisecond, 100*time.Millisecond)
+	d.Config.Reading = c.byLevel(b.Reading, 10*time.Second, 5*time.Second, 2*time.Second)
+	d.Config.Sending = c.byLevel(b.Sending, 2*time.Second, time.Second, 300*time.Millisecond)
+	switch {
+	case b.Header != "" && !headerName.MatchString(b.Header):
+		c.fault(b.Body, "identity_header", "is %q; it must be the name of a header", b.Header)
+	case len(b.Identities) > 0 && b.Header == "":
+		c.fault(b.Body, "identities", "needs identity_header, which says where an identity stands")
+	case slices.Contains(b.Identities, ""):
+		c.fault(b.Body, "identities", "holds an empty name")
+	}
+	for _, word := range b.Ranges {
+		p, err := netip.ParsePrefix(word)
+		if err != nil || p != p.Masked() {
+			c.fault(b.Body, "ranges", "holds %q; it must be the first address of a net and its length, such as 10.0.0.0/8", word)
+		}
+		d.Config.Ranges = append(d.Config.Ranges, p)
+	}
+	if len(b.Identities) > 0 {
+		d.Config.Identities = map[string]bool{}
+		for _, name := range b.Identities {
+			d.Config.Identities[name] = true
+		}
+	}
+	return d
+}
+
+// byLevel reads a time for each level.
+func (c *checker) byLevel(b *patienceBlock, usual ...time.Duration) (times [3]time.Duration) {
+	if b == nil {
+		b = new(patienceBlock)
+	}
+	for i, word := range []string{b.Calm, b.Tight, b.Critical} {
+		times[i] = c.duration(b.Body, [...]string{"calm", "tight", "critical"}[i], word, usual[i])
+	}
+	return times
+}
+
+// lengths reads how long the prefixes are that count as one address and as one net.
+func (c *checker) lengths(b *doorBlock) door.Lengths {
+	l := door.Lengths{Address4: 32, Net4: 24, Address6: 64, Net6: 48}
+	read := func(b *netBlock, field string, length *int, to *int, most int) {
+		if length == nil {
+			return
+		}
+		if *to = *length; *length < 1 || *length > most {
+			c.fault(b.Body, field, "is %d; a prefix has from 1 to %d bits", *length, most)
+		}
+	}
+	if a := b.Address; a != nil {
+		read(a, "ipv4", a.IPv4, &l.Address4, 32)
+		read(a, "ipv6", a.IPv6, &l.Address6, 128)
+	}
+	if n := b.Net; n != nil {
+		read(n, "ipv4", n.IPv4, &l.Net4, 32)
+		read(n, "ipv6", n.IPv6, &l.Net6, 128)
+	}
+	for _, both := range []struct {
+		field        string
+		address, net int
+	}{{"ipv4", l.Address4, l.Net4}, {"ipv6", l.Address6, l.Net6}} {
+		if both.net < both.address {
+			continue
+		}
+		at, block := b.Body, ""
+		if b.Address != nil {
+			at, block = b.Address.Body, "address"
+		}
+		if b.Net != nil {
+			at, block = b.Net.Body, "net"
+		}
+		c.fault(at, both.field, "(%s) makes an address /%d and its net /%d; a net must be the shorter one", block, both.address, both.net)
+	}
+	return l
+}
+
+// cap reads the bounds of one holder; 0 is no bound.
+func (c *checker) cap(b *capBlock, usual door.Cap) door.Cap {
+	if b == nil {
+		return usual
+	}
+	whole := func(field string, n *int, usual int) int {
+		if n == nil {
+			return usual
+		}
+		if *n < 0 || *n > 1e6 {
+			c.fault(b.Body, field, "is %d; it must be from 0, for no bound, to 1000000", *n)
+		}
+		return *n
+	}
+	bound := door.Cap{Conns: whole("connections", b.Conns, usual.Conns), Open: whole("open", b.Open, usual.Open),
+		PerSecond: c.number(b.Body, "per_second", b.PerSecond, usual.PerSecond, 0, 1e6)}
+	if bound.Conns > 0 && bound.Open > bound.Conns && b.Open != nil {
+		c.fault(b.Body, "open", "is %d; one connection carries one request, and connections is %d", bound.Open, bound.Conns)
+	}
+	return bound
+}
--- /dev/null
+++ b/internal/settings/fleet.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"regexp"
+	"time"
+
+	"reachspread/internal/duty"
+	"reachspread/internal/members"
+)
+
+// Recovery is the block of that name, nil for none: a router keeps what it knows for its next life.
+type Recovery struct {
+	Folder    string
+	Discovery string // the name of whose list it is, the same at all routers; empty for the address of their agents
+}
+
+// Duties is the block of that name, nil for none: what only so many routers may do at a time.
+type Duties struct {
+	Listen  string // of this router's voter; empty for a router that only asks
+	Folder  string // its durable folder, likewise
+	Voters  int    // 1, 3, 5 or 7
+	Times   duty.Times
+	Replace time.Duration // until a voter that is gone makes room for another
+	Drains  int           // routers of a zone that may drain at a time; 0: nobody asks
+	Scribe  bool          // one router keeps the fleet's record
+	Routers []DutyRouter  // that may vote
+}
+
+// DutyRouter is one that may vote, under its name in the fleet view.
+type DutyRouter struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Fleet is the block of that name: routers keep a view of who of them lives.
+type Fleet struct {
+	Name    string           // empty: the configuration's
+	Listen  string           // empty: the configuration's peer_listen
+	Address netip.AddrPort   // at which the others reach this router; not valid: the configuration's own entry of peers
+	Seeds   []netip.AddrPort // none: the configuration's peers, and nobody else may join
+}
+
+// duties reads the block.
+func (c *checker) duties(b *dutiesBlock) *Duties {
+	s := &Duties{Listen: b.Listen, Folder: b.Folder, Voters: c.count(b.Body, "voters", b.Voters, 3, 7), Times: duty.Usual, Scribe: b.Scribe,
+		Replace: c.duration(b.Body, "replace_after", b.Replace, 10*time.Second)}
+	s.Times.Lease = c.duration(b.Body, "lease", b.Lease, duty.Usual.Lease)
+	s.Times.Allowance = max(s.Times.Allowance, s.Times.Lease/200)
+	s.Times.Margin = min(s.Times.Margin, s.Times.Lease/10)
+	if b.Drains != nil && *b.Drains != 0 {
+		s.Drains = c.count(b.Body, "drains", b.Drains, 1, duty.MostHolders)
+	}
+	if err := s.Times.Check(); err != nil {
+		c.fault(b.Body, "lease", "is no good: %v", err)
+	}
+	names := map[string]bool{}
+	for i := range b.Routers {
+		r := &b.Routers[i]
+		if !memberName.MatchString(r.Name) || names[r.Name] {
+			c.faultAt(r.Range, "router", "%q is there twice, or has not 1 to %d printable characters without spaces", r.Name, members.MostName)
+		}
+		names[r.Name] = true
+		s.Routers = append(s.Routers, DutyRouter{r.Name, c.addr(r.Body, "address", r.Address)})
+	}
+	switch {
+	case s.Voters%2 == 0:
+		c.fault(b.Body, "voters", "is %d; it must be 1, 3, 5 or 7", s.Voters)
+	case len(s.Routers) < s.Voters || len(s.Routers) > duty.MostVoters:
+		c.fault(b.Body, "router", "is there %d times; there must be from voters, %d, to %d", len(s.Routers), s.Voters, duty.MostVoters)
+	case (b.Listen == "") != (b.Folder == ""):
+		c.fault(b.Body, "folder", "and listen belong together: a router that may vote needs both")
+	case b.Listen != "":
+		c.addr(b.Body, "listen", b.Listen)
+		s.Folder = filepath.Clean(s.Folder)
+	}
+	if s.Scribe && b.Folder == "" {
+		c.fault(b.Body, "scribe", "needs a folder: the fleet's record is kept there")
+	}
+	return s
+}
+
+// fleet reads the block. Whether the configuration has what it leaves out, the program checks.
+func (c *checker) fleet(b *fleetBlock) *Fleet {
+	s := &Fleet{Name: b.Name, Listen: b.Listen}
+	if b.Address != "" {
+		s.Address = c.addr(b.Body, "address", b.Address)
+	}
+	if b.Listen != "" {
+		c.addr(b.Body, "listen", b.Listen)
+	}
+	for _, word := range b.Seeds {
+		s.Seeds = append(s.Seeds, c.addr(b.Body, "seeds", word))
+	}
+	switch {
+	case len(b.Seeds) > mostSeeds:
+		c.fault(b.Body, "seeds", "has %d addresses; there may be %d", len(b.Seeds), mostSeeds)
+	case len(b.Seeds) > 0 && b.Address == "":
+		c.fault(b.Body, "address", "is missing; with seeds it says where the others reach this router")
+	case !memberName.MatchString(b.Name) && b.Name != "":
+		c.fault(b.Body, "name", "is %q; it must have 1 to %d printable characters without spaces", b.Name, members.MostName)
+	}
+	return s
+}
+
+// mostSeeds bounds the addresses that are asked for the fleet.
+const mostSeeds = 1024
+
+var memberName = regexp.MustCompile(fmt.Sprintf(`^[!-~]{1,%d}$`, members.MostName))
--- /dev/null
+++ b/internal/settings/shadow.go
@@ -0,0 +1,172 @@
+package settings
+
+import (
+	"net"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"time"
+
+	"reachspread/internal/shadow"
+)
+
+// Shadow is the block of that name.
+type Shadow struct {
+	TenantHeader string // empty: no tenants
+	Records      Records
+	Pools        []Pool
+}
+
+// Records says where the records of compared answers go.
+type Records struct {
+	Folder    string // empty: none are kept
+	FileBytes int64
+	Files     int
+	Texts     bool // prompts and answers too
+}
+
+// Pool is one candidate pool.
+type Pool struct {
+	Choice      shadow.Choice
+	Decider     shadow.Config
+	Hosts       []Host // in place of Discovery
+	Discovery   string
+	Sockets     int           // connections to its hosts
+	Patience    time.Duration // for the first event of a copy's answer
+	Silent      time.Duration // for its stream
+	AnswerBytes int           // kept of each of the two answers
+	OneCopier   bool          // only the router that has the duty copies
+}
+
+// Duty is the name of the duty to copy to the pool.
+func (p *Pool) Duty() string { return CopierDuty(p.Choice.Pool) }
+
+// CopierDuty is the name of the duty to copy to a pool.
+func CopierDuty(pool string) string { return "copier/" + pool }
+
+// Copiers are the pools to which one router copies.
+func (s *Settings) Copiers() (names []string) {
+	for i := range s.Shadow.Pools {
+		if p := &s.Shadow.Pools[i]; p.OneCopier {
+			names = append(names, p.Choice.Pool)
+		}
+	}
+	return names
+}
+
+// Host is a candidate host.
+type Host struct{ ID, Addr, Zone, Kind string }
+
+var headerName = regexp.MustCompile(`^[A-Za-z0-9-]+$`)
+
+func (c *checker) shadow(b *shadowBlock) Shadow {
+	s := Shadow{TenantHeader: b.TenantHeader}
+	if b.TenantHeader != "" && !headerName.MatchString(b.TenantHeader) {
+		c.fault(b.Body, "tenant_header", "is %q; it must be the name of a header", b.TenantHeader)
+	}
+	if r := b.Records; r != nil {
+		s.Records = Records{Folder: r.Folder, Texts: r.Texts, Files: c.count(r.Body, "files", r.Files, 16, 10_000),
+			FileBytes: c.size(r.Body, "file_bytes", r.FileBytes, 8<<20, 4<<10)}
+		if r.Folder == "" {
+			c.fault(r.Body, "folder", "is empty; it must name a folder")
+		}
+		s.Records.Folder = filepath.Clean(s.Records.Folder)
+	}
+	pressure := c.pressure(b.Pressure)
+	names := map[string]bool{}
+	for i := range b.Pools {
+		p := &b.Pools[i]
+		if names[p.Name] {
+			c.faultAt(p.Range, "pool", "%q is there twice; each pool needs a name of its own", p.Name)
+		}
+		names[p.Name] = true
+		pool := c.pool(p, s.TenantHeader)
+		pool.Decider.Pressure = pressure
+		s.Pools = append(s.Pools, pool)
+	}
+	if len(b.Pools) > shadow.MostPools {
+		c.faultAt(b.Pools[shadow.MostPools].Range, "pool", "is number %d; there may be %d", shadow.MostPools+1, shadow.MostPools)
+	}
+	return s
+}
+
+func (c *checker) pressure(b *pressureBlock) shadow.Pressure {
+	if b == nil {
+		b = new(pressureBlock)
+	}
+	return shadow.Pressure{
+		Held:     c.number(b.Body, "held", b.Held, 8, 1, 1e6),
+		Bodies:   c.number(b.Body, "bodies", b.Bodies, 0.5, 0.01, 1),
+		Sockets:  c.number(b.Body, "sockets", b.Sockets, 0.7, 0.01, 1),
+		Late:     c.duration(b.Body, "late", b.Late, 10*time.Millisecond),
+		Refusals: c.number(b.Body, "refusals", b.Refusals, 2, 0.1, 1e6),
+		Hard:     c.number(b.Body, "hard", b.Hard, 2, 1, 100),
+		Grace:    c.duration(b.Body, "grace", b.Grace, 500*time.Millisecond),
+		Calm:     c.duration(b.Body, "calm", b.Calm, 2*time.Second),
+	}
+}
+
+var poolName = regexp.MustCompile(`^[a-z0-9-]{1,32}$`)
+
+func (c *checker) pool(b *poolBlock, tenants string) Pool {
+	p := Pool{
+		Choice:    shadow.Choice{Pool: b.Name, Share: b.Share, Classes: b.Classes, Tenants: b.Tenants},
+		Discovery: b.Discovery,
+		OneCopier: b.OneCopier,
+		Sockets:   c.count(b.Body, "sockets", b.Sockets, 16, 10_000),
+		Patience:  c.duration(b.Body, "patience", b.Patience, 15*time.Second),
+		Silent:    c.duration(b.Body, "silent", b.Silent, 15*time.Second),
+		// An answer of the platform's longest body must not push out the caps of everything else.
+		AnswerBytes: int(c.size(b.Body, "answer_bytes", b.AnswerBytes, 32<<10, 1<<10)),
+		Decider: shadow.Config{
+			Caps: shadow.Caps{
+				PerSecond: c.number(b.Body, "copies_per_second", b.PerSecond, 5, 0.01, 1000),
+				Out:       c.count(b.Body, "copies_out", b.Out, 8, 1000),
+				PerHost:   c.count(b.Body, "copies_per_host", b.PerHost, 4, 1000),
+				Waiting:   c.count(b.Body, "copies_waiting", b.Waiting, 16, 1000),
+				Bytes:     c.size(b.Body, "body_bytes", b.Bytes, 1<<20, 1<<10),
+				Wait:      c.duration(b.Body, "wait", b.Wait, time.Second),
+				Longest:   c.duration(b.Body, "longest", b.Longest, 2*time.Minute),
+			},
+			Health: shadow.Health{
+				Failures: c.count(b.Body, "failures", b.Failures, 5, 1000),
+				First:    c.duration(b.Body, "retry_first", b.RetryFirst, time.Second),
+				Most:     c.duration(b.Body, "retry_most", b.RetryMost, time.Minute),
+			},
+		},
+	}
+	h := &p.Decider.Health
+	switch {
+	case !poolName.MatchString(b.Name):
+		c.faultAt(b.Range, "pool", "%q: a name has 1 to 32 small letters, digits and hyphens", b.Name)
+	case !(b.Share >= 0 && b.Share <= 1):
+		c.fault(b.Body, "share", "is %v; it must be from 0 to 1", b.Share)
+	case len(b.Tenants) > 0 && tenants == "":
+		c.fault(b.Body, "tenants", "needs tenant_header in the block shadow, which says where a tenant stands")
+	case slices.Contains(b.Classes, "") || slices.Contains(b.Tenants, ""):
+		c.fault(b.Body, "classes", "and tenants hold an empty name")
+	case b.Discovery == "" && len(b.Hosts) == 0:
+		c.faultAt(b.Range, "pool", "%q has no hosts; it needs blocks host, or discovery", b.Name)
+	case b.Discovery != "" && len(b.Hosts) > 0:
+		c.fault(b.Body, "discovery", "and blocks host exclude each other")
+	case h.First > h.Most:
+		c.fault(b.Body, "retry_first", "is %v; it must not be more than retry_most, %v", h.First, h.Most)
+	case p.Patience > p.Decider.Caps.Longest:
+		c.fault(b.Body, "patience", "is %v; it must not be more than longest, %v", p.Patience, p.Decider.Caps.Longest)
+	}
+	if _, _, err := net.SplitHostPort(b.Discovery); b.Discovery != "" && err != nil {
+		c.fault(b.Body, "discovery", "is %q; it must be an address with a port", b.Discovery)
+	}
+	ids := map[string]bool{}
+	for _, host := range b.Hosts {
+		if _, _, err := net.SplitHostPort(host.Addr); err != nil {
+			c.fault(host.Body, "addr", "is %q; it must be an address with a port", host.Addr)
+		}
+		if host.ID == "" || ids[host.ID] {
+			c.faultAt(host.Range, "host", "%q is empty or there twice in its pool", host.ID)
+		}
+		ids[host.ID] = true
+		p.Hosts = append(p.Hosts, Host{ID: host.ID, Addr: host.Addr, Zone: host.Zone, Kind: host.Kind})
+	}
+	return p
+}
--- a/internal/system/dataplane/pinned.go
+++ b/internal/system/dataplane/pinned.go
@@ -30,7 +30,6 @@
 // pinCounts are a pin's requests since it came in force here.
 type pinCounts struct {
 	revision int64
-	since    time.Time
 	figures  PinFigures
 }
 
