--- a/cmd/reachspread/pin_test.go
+++ b/cmd/reachspread/pin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -105,5 +104,5 @@
 	s.Pins = status.Pins{Revision: 5, Pins: []status.Pin{{Name: "p", Version: 3, Hosts: 2, SinceS: 4, Requests: 12, Answered: map[int64]uint64{3: 10}, Refused: 2}}}
 	text, err := run("fleet", "pin", "watch", "--at", statusServer(t, s))
 	is.NoErr(err)
-	is.True(strings.Contains(text, fmt.Sprint("p 3 n0 5 4s 2 12 3: 10 0 2 0")))
+	is.True(strings.Contains(text, "p 3 n0 5 4s 2 12 3: 10 0 2 0"))
 }
