--- /dev/null
+++ b/cmd/reachlab/account.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/account"
+)
+
+// accountCommand prints what played days of the fleet's bench lost.
+func accountCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "account FILE|ID",
+		Short: "Print what the days of a journal entry, or the day of a bench's report, lost by part and by price",
+		Args:  cobra.ExactArgs(1),
+	}
+	beside := c.Flags().String("beside", "", "another `file or id` whose days are set beside these: figures come with differences")
+	journal := c.Flags().String("journal", "journal", "the `folder` in which entries are looked for by their ids")
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		this, err := readAccount(*journal, args[0])
+		if err != nil {
+			return err
+		}
+		var other *account.Account
+		if *beside != "" {
+			if other, err = readAccount(*journal, *beside); err != nil {
+				return err
+			}
+		}
+		account.Print(cmd.OutOrStdout(), this, other)
+		return nil
+	}
+	return c
+}
+
+// readAccount reads a file, or the journal entry of an id.
+func readAccount(journal, name string) (*account.Account, error) {
+	file, err := os.Open(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		file, err = openEntry(journal, name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	a, err := account.Read(file)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return a, nil
+}
+
+// openEntry opens the last journal entry of an id.
+func openEntry(journal, id string) (*os.File, error) {
+	found, err := filepath.Glob(filepath.Join(journal, "*-"+id+".json"))
+	if err != nil {
+		return nil, err
+	}
+	if len(found) == 0 {
+		return nil, fmt.Errorf("%s: no such file, and no such entry in %s", id, journal)
+	}
+	return os.Open(found[len(found)-1])
+}
--- /dev/null
+++ b/internal/account/print.go
@@ -0,0 +1,78 @@
+package account
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// shownCauses is how many causes of a day are printed; what took less than leastShown is not.
+const (
+	shownCauses = 8
+	leastShown  = 0.0005
+)
+
+// Print writes what each day lost, and what was lost on average. Beside is an account of other plays of the same days, nil for none: its figures
+// come as differences.
+func Print(w io.Writer, a, beside *Account) {
+	if a.ID != "" {
+		fmt.Fprintf(w, "%s, entry %s: %s\n", a.Site, a.ID, a.Why)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer t.Flush()
+	fmt.Fprintln(t, "day\tworth\tscore\trules\twhat took most, in worth")
+	for i := range a.Days {
+		d := &a.Days[i]
+		var other *Day
+		if beside != nil {
+			other = beside.Named(d.Name)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", d.Name, worthText(d, other), scoreText(d), rulesText(d), causesText(d.Losses, other))
+	}
+	fmt.Fprintf(t, "mean\t\t\t\t%s\n", causesText(a.Mean(), meanOf(beside)))
+}
+
+// meanOf is the mean of an account as a day, nil for none.
+func meanOf(a *Account) *Day {
+	if a == nil {
+		return nil
+	}
+	return &Day{Losses: a.Mean()}
+}
+
+func worthText(d, other *Day) string {
+	if other == nil {
+		return fmt.Sprintf("%.3f", d.Worth)
+	}
+	return fmt.Sprintf("%.3f (%+.3f)", d.Worth, d.Worth-other.Worth)
+}
+
+func scoreText(d *Day) string {
+	if !d.Scored {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", d.Score)
+}
+
+func rulesText(d *Day) string {
+	if len(d.Broken) == 0 {
+		return "kept"
+	}
+	return "broken: " + strings.Join(d.Broken, " ")
+}
+
+func causesText(all []Loss, other *Day) string {
+	var words []string
+	for _, l := range all[:min(len(all), shownCauses)] {
+		if l.Worth < leastShown {
+			break
+		}
+		word := fmt.Sprintf("%s %.3f", l.Cause, l.Worth)
+		if other != nil {
+			word += fmt.Sprintf(" (%+.3f)", l.Worth-other.Lost(l.Cause))
+		}
+		words = append(words, word)
+	}
+	return strings.Join(words, ", ")
+}
