Pins: a host that has another version is not in trouble, and traffic out of scope keeps it

Cause: a 421 to a pinned attempt counted as a host that can't be reached, so a host that registers a version it does not have was ejected for everybody; an answer of another version counted as a fault of the host. Now a 421 to a pinned attempt is NotSent, and an unwanted answer is given up as Cancelled.

--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -47,8 +47,8 @@
 		switch {
 		case st.err == io.EOF:
 			head.Result = balance.OK
-		case st.s.request.ctx.Err() != nil || st.err == nil || st.err == ErrMoved:
-			head.Result = balance.Cancelled // by the client, or no longer ours
+		case st.s.request.ctx.Err() != nil || st.err == nil || st.err == ErrMoved || errors.Is(st.err, ErrUnwanted):
+			head.Result = balance.Cancelled // by the client or by us, or no longer ours
 		case errors.Is(st.err, ErrSpoilt):
 			head.Result = balance.Error // the process that made it goes on
 		case errors.Is(st.err, os.ErrDeadlineExceeded):
@@ -71,6 +71,8 @@
 		return Served
 	case errors.Is(st.err, ErrMoved):
 		return Moved
+	case errors.Is(st.err, ErrUnwanted):
+		return Failed
 	case result == balance.Cancelled:
 		return Nobody
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -51,6 +51,9 @@
 // ErrSpoilt says that what came is no answer, although the server and its connection stand.
 var ErrSpoilt = errors.New("spoilt")
 
+// ErrUnwanted says that an answer, whole or not, is not one that its request asked for. Its server is as well as before.
+var ErrUnwanted = errors.New("not what was asked for")
+
 // ErrMoved says that another process goes on with a stream. It is that one's to count and to end.
 var ErrMoved = errors.New("moved to another process")
 
--- a/internal/system/dataplane/pinned_test.go
+++ b/internal/system/dataplane/pinned_test.go
@@ -171,6 +171,47 @@
 	is.True(len(liar.requests()) > 0)
 }
 
+// Hosts that turn pinned requests away, answer them with another version, or roll in their streams are not in trouble: traffic out of scope has
+// them as before.
+func TestPinsHarmNobody(t *testing.T) {
+	head := func(r seen, versions string, events ...string) string {
+		return strings.Replace(stream(r, events...), "Content-Type:", versions+"Content-Type:", 1)
+	}
+	for _, c := range []struct {
+		name, path string
+		pinned     func(r seen) string // what a host answers to a pinned request
+	}{
+		{"turned away", "/unsafe/", func(r seen) string { return answer(r, 421, "Not-Executed: true\r\n", "") }},
+		{"another version", "/safe/", func(r seen) string { return answer(r, 200, "Versions: 1\r\n", "v1") }},
+		{"a stream of another version", "/stream/", func(r seen) string { return head(r, "Versions: 1\r\n", event(1, "a"), "") }},
+		{"rolled in the stream", "/stream/", func(r seen) string {
+			return head(r, "Versions: 2\r\n", event(1, "a"), "versions: 3\n"+event(2, "b"), "")
+		}},
+		{"rolled in the first event", "/stream/", func(r seen) string { return head(r, "Versions: 2\r\n", "versions: 3\n"+event(1, "b"), "") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := versioned{newHost(t, "i-1", func(r seen) string {
+				if r.Header.Get("Expect-Version") != "" {
+					return c.pinned(r)
+				}
+				return answer(r, 200, "", "served")
+			}), 2}
+			f := newFleet(t, keyed)
+			f.register(h)
+			f.pin(t, pinOf("x", "", 2))
+			for i := range 20 {
+				f.call(t, c.path, "", keyOne, modelM, fmt.Sprint("Request-Id: a", i))
+				a := f.call(t, "/unsafe/", "", keyOne, "Model: other", fmt.Sprint("Request-Id: b", i))
+				is.Equal(a.body, "served")
+			}
+			if log := f.log.text(); log != "" {
+				t.Errorf("staff are told: %s", log)
+			}
+		})
+	}
+}
+
 // An answer that does not say its version, or says another one, never reaches the client.
 func TestAnswerOfAnotherVersion(t *testing.T) {
 	for _, c := range []struct{ name, header string }{{"none", ""}, {"another", "Versions: 1\r\n"}, {"no number", "Versions: two\r\n"}} {
--- a/internal/system/dataplane/plane_test.go
+++ b/internal/system/dataplane/plane_test.go
@@ -35,6 +35,26 @@
 func (lines) Info(string, ...any) {}
 func (lines) Warn(string, ...any) {}
 
+// warnings keeps those that somebody may have to act on.
+type warnings struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (w *warnings) Info(string, ...any) {}
+
+func (w *warnings) Warn(event string, fields ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.all = append(w.all, fmt.Sprint(event, fields))
+}
+
+func (w *warnings) text() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return strings.Join(w.all, "; ")
+}
+
 // quotas lets tenants have what is left.
 type quotas struct {
 	mu   sync.Mutex
@@ -154,6 +174,7 @@
 	fresh  atomic.Bool
 
 	revision uint64 // of the hosts that were registered last
+	log      warnings
 }
 
 const routes = `{"version":1,"routes":[
@@ -182,7 +203,7 @@
 	s := &settings.Settings{Zone: "a", Bounds: settings.Bounds{RetryBudgetRatio: 5, RetryBudgetSlack: 100}}
 	servers := transport.NewServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute, Silent: time.Second, Connections: 50,
 		Dialect: protocol.Fleet{}}, lines{})
-	f.plane = New(ctx, Options{Settings: func() *settings.Settings { return s }, Servers: servers, Quotas: f.quotas, Fresh: func() bool { return f.fresh.Load() }, Log: lines{}, Began: began})
+	f.plane = New(ctx, Options{Settings: func() *settings.Settings { return s }, Servers: servers, Quotas: f.quotas, Fresh: func() bool { return f.fresh.Load() }, Log: &f.log, Began: began})
 	f.front = transport.NewIntakeFront(f.plane, transport.FrontLimits{Bodies: 1 << 20, Door: door.Config{Places: 100, Step: 8}})
 	f.front.SetKeeps(true)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/transport/forward.go
+++ b/internal/transport/forward.go
@@ -48,8 +48,13 @@
 	}
 }
 
-// errVersion says that an answer, or its rest, is not of the version that alone counts. The process that made it goes on.
-var errVersion = fmt.Errorf("%w: it is of another version", errSpoilt)
+// errVersion says that an answer, or its rest, is not of the version that alone counts.
+var errVersion = fmt.Errorf("%w: the answer is of another version", routing.ErrUnwanted)
+
+// turnedAway tells that a server has not run a request as it has another version than the one that counts.
+func (f *Forward) turnedAway(status int) bool {
+	return f != nil && f.Version > 0 && status == fasthttp.StatusMisdirectedRequest
+}
 
 // checkVersion tells whether an answer that says it is of a version counts.
 func (f *Forward) checkVersion(said string) error {
@@ -159,7 +164,7 @@
 	if err != nil {
 		load := s.readLoad(x)
 		x.close()
-		return routing.Head{Result: balance.Error, Load: load}
+		return routing.Head{Result: balance.Cancelled, Load: load}
 	}
 	if msg.forward.Events {
 		b := &events{exchange: x, ctx: headCtx, final: msg.forward.answer(x.resp), silent: msg.forward.Silent, version: msg.forward.checkVersion}
@@ -182,6 +187,9 @@
 		return routing.Head{Result: balance.OK, Body: body}
 	}
 	result := x.failed(headCtx, balance.TimedOut)
+	if errors.Is(err, routing.ErrUnwanted) {
+		result = balance.Cancelled
+	}
 	load := s.readLoad(x)
 	x.close()
 	return routing.Head{Result: result, Load: load}
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -187,6 +187,9 @@
 // the client in the end.
 func (s *Servers) turnedDown(x *exchange, msg *Message, judged protocol.Judgement) routing.Head {
 	head := routing.Head{Result: judged.Result, Unfit: judged.Unfit}
+	if msg.forward.turnedAway(x.resp.StatusCode()) {
+		head.Result = balance.NotSent // it is as well as before for others
+	}
 	if msg.duty != "" && x.resp.StatusCode() == fasthttp.StatusConflict {
 		if highest, err := strconv.ParseUint(x.header(protocol.HeaderDuty), 10, 64); err == nil {
 			msg.refused(highest)
