--- a/internal/system/configuration/pinned_test.go
+++ b/internal/system/configuration/pinned_test.go
@@ -128,3 +128,34 @@
 	is.Equal(decide(t, s, text).Status, int32(200))
 	is.Equal(decide(t, s, pinOrder(message.Order_PIN_SET, 0, &message.Pin{Name: "a", Route: "r", Model: "m", Version: 2}, 7)).Status, int32(400))
 }
+
+// Whatever an order's body is, what the head decides on can be applied, raises the revision by one, and is there after a restart.
+func FuzzPinOrders(f *testing.F) {
+	seed, _ := proto.Marshal(&message.Pin{Name: "a", Tenant: "x", Model: "m", Version: 2, By: "ann", Why: "trial"})
+	f.Add(seed, seed)
+	f.Add([]byte{}, []byte{0xff})
+	f.Fuzz(func(t *testing.T, set, lift []byte) {
+		s := NewStore()
+		text, _ := proto.Marshal(&message.Order{Kind: message.Order_PUT, Body: []byte(pinnable)})
+		change, _ := s.Decide(text)
+		s.Apply(change)
+		for i, order := range []*message.Order{{Kind: message.Order_PIN_SET, Body: set}, {Kind: message.Order_PIN_LIFT, IfMatch: 1, Body: lift}} {
+			text, err := proto.Marshal(order)
+			if err != nil {
+				t.Fatal(err)
+			}
+			change, _ := s.Decide(text)
+			if change == nil {
+				return
+			}
+			s.Apply(change)
+			next := NewStore()
+			if err := next.Restore(s.Snapshot()); err != nil {
+				t.Fatal(err)
+			}
+			if got, kept := s.state.Pinned().Revision, next.state.Pinned().Revision; got != int64(i+1) || kept != got {
+				t.Fatalf("revision %d, kept as %d, after %d orders", got, kept, i+1)
+			}
+		}
+	})
+}
