--- a/coord/register/simulation_test.go
+++ b/coord/register/simulation_test.go
@@ -3,10 +3,11 @@
 import (
 	"cmp"
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,7 +102,8 @@
 func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
 func (q *queue) Pop() any     { x := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return x }
 
-// counter is the machine: a version that orders raise by one, if they name the one in force.
+// counter is the machine: a version that orders raise by one, if they name the one in force. What it tells and keeps is text in fields
+// with a space between, as most of the time of a schedule would go into a richer form.
 type counter struct {
 	Version int
 	Taken   map[string]int // the last orders, with the version that each made
@@ -112,38 +114,57 @@
 // remembered is how many orders a counter tells of, to be quick.
 const remembered = 64
 
+// counterOrder raises the version that it is on. Its name has no space.
 type counterOrder struct {
 	Name string
 	On   int
 }
 
+func (o counterOrder) text() []byte { return fmt.Appendf(nil, "%d %s", o.On, o.Name) }
+
+func orderOf(text []byte) (o counterOrder, err error) {
+	on, name, _ := strings.Cut(string(text), " ")
+	o.Name = name
+	o.On, err = strconv.Atoi(on)
+	return o, err
+}
+
+// counterReply tells what became of an order.
 type counterReply struct {
 	Taken   bool
 	Version int
 }
 
+func (r counterReply) text() []byte { return fmt.Appendf(nil, "%t %d", r.Taken, r.Version) }
+
+func replyOf(text []byte) (r counterReply, err error) {
+	taken, version, _ := strings.Cut(string(text), " ")
+	if r.Taken, err = strconv.ParseBool(taken); err != nil {
+		return r, err
+	}
+	r.Version, err = strconv.Atoi(version)
+	return r, err
+}
+
 func newCounter() *counter { return &counter{Taken: map[string]int{}} }
 
 func (c *counter) Decide(text []byte) (change, reply []byte) {
-	var o counterOrder
-	json.Unmarshal(text, &o)
+	o, err := orderOf(text)
 	answer := counterReply{Version: c.Version}
 	switch made, taken := c.Taken[o.Name]; {
 	case taken:
 		answer = counterReply{true, made}
-	case o.On == c.Version:
+	case err == nil && o.On == c.Version:
 		change, answer = text, counterReply{true, c.Version + 1}
 	}
-	reply, _ = json.Marshal(answer)
-	return change, reply
+	return change, answer.text()
 }
 
 func (c *counter) Apply(change []byte) {
-	var o counterOrder
-	json.Unmarshal(change, &o)
+	o, _ := orderOf(change)
 	c.Version++
 	c.Taken[o.Name] = c.Version
-	c.Hash = xxhash.Sum64String(fmt.Sprint(c.Hash, o.Name))
+	c.Hash = xxhash.Sum64String(strconv.FormatUint(c.Hash, 10) + o.Name)
 	if c.By = append(c.By, o.Name); len(c.By) > remembered {
 		delete(c.Taken, c.By[0])
 		c.By = c.By[1:]
@@ -151,16 +172,33 @@
 }
 
 func (c *counter) Snapshot() []byte {
-	text, _ := json.Marshal(c)
+	text := fmt.Appendf(nil, "%d %d", c.Version, c.Hash)
+	for _, name := range c.By {
+		text = append(append(text, ' '), name...)
+	}
 	return text
 }
 
-func (c *counter) Restore(text []byte) error {
+func (c *counter) Restore(text []byte) (err error) {
 	*c = *newCounter()
-	return json.Unmarshal(text, c)
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return fmt.Errorf("a counter of %d fields; there are two at least", len(fields))
+	}
+	if c.Version, err = strconv.Atoi(fields[0]); err != nil {
+		return err
+	}
+	if c.Hash, err = strconv.ParseUint(fields[1], 10, 64); err != nil {
+		return err
+	}
+	c.By = fields[2:]
+	for i, name := range c.By {
+		c.Taken[name] = c.Version - len(c.By) + 1 + i
+	}
+	return nil
 }
 
-func (c *counter) Value() any { return fmt.Sprint(c.Version, " ", c.Hash) }
+func (c *counter) Value() any { return strconv.Itoa(c.Version) + " " + strconv.FormatUint(c.Hash, 10) }
 
 // newWorld has so many machines, of which the first three are the seeds.
 func newWorld(seed uint64, machines, tolerance int) *world {
@@ -440,7 +478,7 @@
 	}
 	p.carryOut(p.core.Receive(w.now, m))
 	if submit := m.GetSubmit(); submit != nil && w.plant == earlyAck && p.machine.Version == before+1 {
-		reply, _ := json.Marshal(counterReply{true, p.machine.Version})
+		reply := counterReply{true, p.machine.Version}.text()
 		w.send(p.address, m.From.Address, &coordpb.Message{From: p.self, Body: &coordpb.Message_Reply{Reply: &coordpb.Reply{Id: submit.Id, Reply: reply}}})
 	}
 }
@@ -579,8 +617,7 @@
 	}
 	m := &coordpb.Message{From: &coordpb.Member{Address: c.address}}
 	if x.order != nil {
-		text, _ := json.Marshal(x.order)
-		m.Body = &coordpb.Message_Submit{Submit: &coordpb.Submit{Id: x.id, Order: text}}
+		m.Body = &coordpb.Message_Submit{Submit: &coordpb.Submit{Id: x.id, Order: x.order.text()}}
 	} else {
 		m.Body = &coordpb.Message_Read{Read: &coordpb.Read{Id: x.id}}
 	}
@@ -677,7 +714,9 @@
 	if x.order == nil {
 		h.read++
 		var state counter
-		json.Unmarshal(r.Reply, &state)
+		if err := state.Restore(r.Reply); err != nil {
+			w.fail("a read was answered %q: %v", r.Reply, err)
+		}
 		if !x.over {
 			x.answer.Version = state.Version
 		}
@@ -692,8 +731,10 @@
 		}
 		return
 	}
-	var answer counterReply
-	json.Unmarshal(r.Reply, &answer)
+	answer, err := replyOf(r.Reply)
+	if err != nil {
+		w.fail("an order was answered %q: %v", r.Reply, err)
+	}
 	if !x.over {
 		x.answer = answer
 	}
