Control plane: played on real processes with cuts, disks that stall or are full; pins as well

Until now real processes were killed, frozen and wiped only. coord/failpoint lets tests lose messages and have a disk stall or refuse writes; no program sets it.

--- /dev/null
+++ b/cmd/reachspread/control_processes_test.go
@@ -0,0 +1,373 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"reachspread/internal/system/status"
+)
+
+const (
+	operators     = 3
+	operatorPause = 30 * time.Millisecond // between two calls of one
+	orderFor      = 20 * time.Second      // then an order's outcome counts as unknown
+	callFor       = 1500 * time.Millisecond
+	judgeFor      = 30 * time.Second
+	versionStep   = 10 // versions on top of one version: each operator has its own
+)
+
+// configurationCall is one call of an operator, as a checker of histories has it.
+type configurationCall struct {
+	write         bool
+	on, next      int // of a write: the version it builds on, and its own
+	began, ended  time.Duration
+	version       int // of a read: what was read
+	taken, refuse bool
+	operator      int
+}
+
+// configurationModel is what operators of one register may see, whose state is the version in force.
+var configurationModel = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, input, _ any) (bool, any) {
+		version, c := state.(int), input.(*configurationCall)
+		switch {
+		case !c.write:
+			return c.version == version, version
+		case c.taken:
+			return c.on == version, c.next
+		}
+		return c.on != version, version
+	},
+}
+
+// configurationHistory is what all operators saw.
+type configurationHistory struct {
+	begun time.Time
+	mu    sync.Mutex
+	calls []*configurationCall
+	acked int // the newest version that was acknowledged
+}
+
+func (h *configurationHistory) add(c *configurationCall) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls = append(h.calls, c)
+	if c.taken {
+		h.acked = max(h.acked, c.next)
+	}
+}
+
+// newest is the newest version that was acknowledged.
+func (h *configurationHistory) newest() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.acked
+}
+
+// linearizable tells whether there is an order of all calls that one register would have. A write without an answer was taken where its
+// version was seen by anybody, and else is left out.
+func (h *configurationHistory) linearizable() porcupine.CheckResult {
+	seen := map[int]bool{}
+	for _, c := range h.calls {
+		if c.write {
+			seen[c.on] = true
+		} else {
+			seen[c.version] = true
+		}
+	}
+	var all []porcupine.Operation
+	for _, c := range h.calls {
+		ended := int64(c.ended)
+		if c.write && !c.taken && !c.refuse {
+			if !seen[c.next] {
+				continue
+			}
+			c.taken, ended = true, math.MaxInt64
+		}
+		all = append(all, porcupine.Operation{ClientId: c.operator, Input: c, Call: int64(c.began), Return: ended})
+	}
+	return porcupine.CheckOperationsTimeout(configurationModel, all, judgeFor)
+}
+
+// operate calls as one operator until ctx ends: it reads, and writes on top of what it read.
+func (f *processes) operate(ctx context.Context, h *configurationHistory, operator int) {
+	rng := rand.New(rand.NewPCG(uint64(operator), 1))
+	for {
+		read := f.read(ctx, h, operator, rng)
+		if read != nil {
+			h.add(read)
+			if write := f.write(ctx, h, operator, read.version, rng); write != nil {
+				h.add(write)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(operatorPause):
+		}
+	}
+}
+
+// read reads the version in force, nil without a clear answer.
+func (f *processes) read(ctx context.Context, h *configurationHistory, operator int, rng *rand.Rand) *configurationCall {
+	c := &configurationCall{operator: operator, began: time.Since(h.begun)}
+	code, text := f.callControl(ctx, rng.IntN(len(f.all)), http.MethodGet, "", -1)
+	c.ended = time.Since(h.begun)
+	if code != http.StatusOK {
+		return nil
+	}
+	var in struct {
+		Version int `json:"version"`
+	}
+	if json.Unmarshal(text, &in) != nil {
+		return nil
+	}
+	c.version = in.Version
+	return c
+}
+
+// write sends one order again and again until it has a clear answer.
+func (f *processes) write(ctx context.Context, h *configurationHistory, operator, on int, rng *rand.Rand) *configurationCall {
+	next := (on/versionStep+1)*versionStep + operator
+	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","pathPrefix":"/","kind":"safe","timeoutMs":%d,"service":"s"}],"services":[{"name":"s"}]}`, next, 1000+next)
+	c := &configurationCall{write: true, operator: operator, on: on, next: next, began: time.Since(h.begun)}
+	for until := time.Now().Add(orderFor); time.Now().Before(until) && ctx.Err() == nil; {
+		code, _ := f.callControl(ctx, rng.IntN(len(f.all)), http.MethodPut, body, on)
+		switch code {
+		case http.StatusOK:
+			c.taken = true
+		case http.StatusPreconditionFailed:
+			c.refuse = true
+		default:
+			continue
+		}
+		break
+	}
+	c.ended = time.Since(h.begun)
+	return c
+}
+
+// callControl makes one call; the code is 0 without an answer.
+func (f *processes) callControl(ctx context.Context, i int, method, body string, on int) (code int, text []byte) {
+	within, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	r, err := http.NewRequestWithContext(within, method, fmt.Sprintf("http://%s:%d/configuration", f.all[i].ip, controlPort), strings.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	if on >= 0 {
+		r.Header.Set("If-Match", strconv.Itoa(on))
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	if text, err = io.ReadAll(resp.Body); err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, text
+}
+
+// untilWhole waits until a process that may act for the register says that so many machines of the chain are healthy and not behind.
+func (f *processes) untilWhole(machines int) {
+	f.t.Helper()
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for until := time.Now().Add(playPatience); time.Now().Before(until); <-tick.C {
+		for i, p := range f.all {
+			if p.disk && f.wholeChain(i) == machines {
+				return
+			}
+		}
+	}
+	f.t.Fatalf("the chain never has %d healthy machines", machines)
+}
+
+// wholeChain is how many healthy machines the chain has by one that a majority has confirmed of late, 0 by any other one.
+func (f *processes) wholeChain(i int) (healthy int) {
+	client := http.Client{Timeout: callFor, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", f.all[i].ip, readyPort, status.Path))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	s, err := status.Read(resp.Body)
+	if err != nil || s.Register.Replica == nil || s.Register.Replica.ConfirmedS == nil {
+		return 0
+	}
+	for _, m := range s.Register.Machines {
+		if m.Place > 0 && m.Healthy && m.Behind == 0 {
+			healthy++
+		}
+	}
+	return healthy
+}
+
+// A control plane of real processes, of which one at a time is killed, stands still, loses its disk, is cut off one way or both, or has a
+// disk that stalls or is full, and at last all end at once: operators that read and write meanwhile see one register, and at the end it
+// has what was acknowledged last.
+func TestControlPlaneOnProcesses(t *testing.T) {
+	f := startProcesses(t, 5, 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h := &configurationHistory{begun: time.Now()}
+	f.untilWhole(3)
+	begun := &configurationCall{write: true, next: 1, ended: time.Since(h.begun), taken: true}
+	f.beginWith(ctx, begun)
+	h.add(begun)
+	var group sync.WaitGroup
+	for operator := range operators {
+		group.Go(func() { f.operate(ctx, h, operator+1) })
+	}
+	for _, trouble := range f.troubles() {
+		before := h.newest()
+		t.Logf("%v %s, version %d", time.Since(h.begun).Round(time.Millisecond), trouble.name, before)
+		trouble.begin()
+		f.untilWhole(trouble.leaves)
+		f.untilAcknowledged(h, h.newest())
+		trouble.end()
+		f.untilWhole(3)
+		f.untilAcknowledged(h, before)
+	}
+	for i := range f.all {
+		f.kill(i)
+	}
+	for i := range f.all {
+		f.start(i)
+	}
+	f.untilWhole(3)
+	f.untilAcknowledged(h, h.newest())
+	cancel()
+	group.Wait()
+	f.judge(h)
+}
+
+// trouble is one thing that goes wrong for a while.
+type trouble struct {
+	name       string
+	leaves     int // healthy machines of the chain
+	begin, end func()
+}
+
+// troubles are all kinds, at machines of the register by turns and at a router that is none.
+func (f *processes) troubles() []trouble {
+	return []trouble{
+		{"machine 0 is killed", 2, func() { f.kill(0) }, func() { f.start(0) }},
+		{"machine 1 stands still", 2, func() { f.freeze(1) }, func() { f.thaw(1) }},
+		{"machine 2 loses its disk", 2, func() { f.wipe(2) }, func() { f.start(2) }},
+		{"machine 0 is cut off", 2, func() { f.cutOff(0, true) }, f.heal},
+		{"nobody hears machine 1", 2, func() { f.cutOff(1, false) }, f.heal},
+		{"machine 2 is cut off", 2, func() { f.cutOff(2, true) }, f.heal},
+		{"the disk of machine 0 stalls", 2, func() { f.fail(0, processFailures{stall: true}) }, f.heal},
+		{"the disk of machine 1 is full", 2, func() { f.fail(1, processFailures{full: true}) }, f.heal},
+		{"router 3 is cut off", 3, func() { f.cutOff(3, true) }, f.heal},
+		{"router 4 is killed", 3, func() { f.kill(4) }, func() { f.start(4) }},
+	}
+}
+
+// beginWith sends the first configuration until it is taken.
+func (f *processes) beginWith(ctx context.Context, first *configurationCall) {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"version":%d,"services":[{"name":"s"}]}`, first.next)
+	for until := time.Now().Add(playPatience); time.Now().Before(until); {
+		if code, _ := f.callControl(ctx, 0, http.MethodPut, body, 0); code == http.StatusOK {
+			return
+		}
+	}
+	f.t.Fatal("the first configuration is never taken")
+}
+
+// untilAcknowledged waits until a version after one is acknowledged.
+func (f *processes) untilAcknowledged(h *configurationHistory, after int) {
+	f.t.Helper()
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for until := time.Now().Add(playPatience); time.Now().Before(until); <-tick.C {
+		if h.newest() > after {
+			return
+		}
+	}
+	f.t.Fatalf("nothing after version %d is acknowledged", after)
+}
+
+// judge reads the register's last word, and has all that was seen checked.
+func (f *processes) judge(h *configurationHistory) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), playPatience)
+	defer cancel()
+	rng := rand.New(rand.NewPCG(0, 1))
+	var last *configurationCall
+	for last == nil && ctx.Err() == nil {
+		last = f.read(ctx, h, 0, rng)
+	}
+	if last == nil {
+		f.t.Fatal("the configuration can not be read at the end")
+	}
+	h.add(last)
+	if last.version < h.newest() {
+		f.t.Errorf("version %d is read at the end; %d was acknowledged", last.version, h.newest())
+	}
+	if result := h.linearizable(); result != porcupine.Ok {
+		f.t.Errorf("%d calls are not those of one register: %s", len(h.calls), result)
+	}
+	taken, refused, unknown := 0, 0, 0
+	for _, c := range h.calls {
+		switch {
+		case c.taken && c.ended > 0:
+			taken++
+		case c.refuse:
+			refused++
+		case c.write:
+			unknown++
+		}
+	}
+	f.t.Logf("%d calls: %d writes taken, %d refused, %d unknown", len(h.calls), taken, refused, unknown)
+	if taken < len(f.troubles()) {
+		f.t.Error("too few writes to tell")
+	}
+}
+
+// Histories that no one register has are found.
+func TestConfigurationChecker(t *testing.T) {
+	write := func(on, next int, began, ended time.Duration, taken bool) *configurationCall {
+		return &configurationCall{write: true, on: on, next: next, began: began, ended: ended, taken: taken, refuse: !taken}
+	}
+	read := func(version int, began, ended time.Duration) *configurationCall {
+		return &configurationCall{version: version, began: began, ended: ended}
+	}
+	for _, c := range []struct {
+		name  string
+		calls []*configurationCall
+		right bool
+	}{
+		{"one after the other", []*configurationCall{write(0, 1, 1, 2, true), read(1, 3, 4), write(1, 10, 5, 6, true)}, true},
+		{"a stale read", []*configurationCall{write(0, 1, 1, 2, true), read(0, 3, 4)}, false},
+		{"two on one version", []*configurationCall{write(0, 1, 1, 2, true), write(0, 2, 1, 2, true)}, false},
+		{"refused on the version in force", []*configurationCall{write(0, 1, 1, 2, false)}, false},
+		{"lost", []*configurationCall{write(0, 1, 1, 2, true), write(1, 10, 3, 4, true), read(1, 5, 6)}, false},
+		{"unknown, and seen", []*configurationCall{{write: true, on: 0, next: 1, began: 1}, read(0, 2, 3), read(1, 4, 5)}, true},
+		{"unknown, and gone again", []*configurationCall{{write: true, on: 0, next: 1, began: 1}, read(1, 2, 3), read(0, 4, 5)}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := &configurationHistory{calls: c.calls}
+			if got := h.linearizable() == porcupine.Ok; got != c.right {
+				t.Errorf("linearizable: %v", got)
+			}
+		})
+	}
+}
--- a/cmd/reachspread/processes_test.go
+++ b/cmd/reachspread/processes_test.go
@@ -22,6 +22,9 @@
 	if os.Getenv(asRouter) == "" {
 		os.Exit(m.Run())
 	}
+	if path := os.Getenv(failuresFile); path != "" {
+		failAsTold(path)
+	}
 	main()
 }
 
@@ -133,7 +136,7 @@
 	f.t.Helper()
 	p := f.all[i]
 	p.cmd = exec.Command(os.Args[0], "router")
-	p.cmd.Env = append(os.Environ(), asRouter+"=1", "REACHSPREAD_CONFIG="+f.settings(i))
+	p.cmd.Env = append(os.Environ(), asRouter+"=1", "REACHSPREAD_CONFIG="+f.settings(i), failuresFile+"="+f.failuresPath(i))
 	p.first = false
 	log, err := os.OpenFile(filepath.Join(f.folder, fmt.Sprintf("log-%d", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -228,7 +231,7 @@
 }
 
 // Real processes: pins are honoured on live traffic while processes are killed, stand still for longer than a change of the pins takes, lose
-// their disks, and all lose their lives at once.
+// their disks, are cut off, have a disk that stalls, and all lose their lives at once.
 func TestPinsOnProcesses(t *testing.T) {
 	f := startProcesses(t, 5, 3)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*playPatience)
@@ -259,6 +262,20 @@
 	f.start(2)
 	change(1)
 	f.untilReady(2)
+	f.cutOff(4, true) // without a disk: it refuses what it can't know
+	change(2)
+	change(1)
+	f.heal()
+	f.untilReady(4)
+	f.untilWhole(3)
+	f.cutOff(0, true) // of the register
+	change(2)
+	f.heal()
+	f.untilWhole(3)
+	f.fail(1, processFailures{stall: true})
+	change(1)
+	f.heal()
+	f.untilWhole(3)
 	for i := range f.all {
 		f.kill(i)
 	}
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"reachspread/coord/failpoint"
 )
 
 const (
@@ -169,7 +171,7 @@
 
 // Send leaves a message for an address. It waits for nobody.
 func (l *Link) Send(to string, kind Kind, data []byte) {
-	if len(data) > MostMessage {
+	if len(data) > MostMessage || failpoint.Lost(to) {
 		l.lost.Add(1)
 		return
 	}
--- a/coord/storage/folder.go
+++ b/coord/storage/folder.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+
+	"reachspread/coord/failpoint"
 )
 
 // Folder is Files in a folder of the operating system. Open files stay open.
@@ -24,6 +26,9 @@
 
 // WriteAt implements Files.
 func (f *Folder) WriteAt(name string, data []byte, offset int64) error {
+	if err := failpoint.Write(); err != nil {
+		return err
+	}
 	file, err := f.file(name)
 	if err != nil {
 		return err
@@ -34,6 +39,9 @@
 
 // Sync implements Files.
 func (f *Folder) Sync(name string) error {
+	if err := failpoint.Write(); err != nil {
+		return err
+	}
 	file, err := f.file(name)
 	if err != nil {
 		return err
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -22,6 +22,7 @@
 
 	"reachspread/coord/chain"
 	"reachspread/coord/coordpb"
+	"reachspread/coord/failpoint"
 	"reachspread/coord/link"
 	"reachspread/coord/register"
 	"reachspread/coord/storage"
@@ -279,7 +280,11 @@
 	boot := rand.Uint32() | 1
 	n.members, err = peering.NewView(members.Config{Name: s.IPAddress, Zone: zoneMark(s.Zone), Version: version, Addr: n.self.address, Boot: boot,
 		Seeds: s.Seeds(), Seed: rand.Uint64()},
-		func(to netip.AddrPort, data []byte) { udp.WriteToUDPAddrPort(data, to) },
+		func(to netip.AddrPort, data []byte) {
+			if !failpoint.Lost(to.String()) {
+				udp.WriteToUDPAddrPort(data, to)
+			}
+		},
 		func(v *members.View, _ *members.Changed) { n.hub.call(func() { n.hub.viewFleet(v) }) }, n.log)
 	n.self.zone = zoneMark(s.Zone)
 	n.hub.alone()
