--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -1,7 +1,10 @@
 // Package budget bounds how often requests are repeated by how many there are: a retry budget. It is pure.
 package budget
 
-import "sync"
+import (
+	"math"
+	"sync"
+)
 
 // Bucket holds repeats that may be made. Each first try adds a part of one, up to a bound; each repeat takes one. So in any span of time
 // there are at most as many repeats as the first tries in it added, and the bound. A new one is empty, so that a process that is started
@@ -49,3 +52,13 @@
 	b.tokens--
 	return true
 }
+
+// Left is how many repeats may be made now.
+func (b *Bucket) Left() float64 {
+	if b == nil {
+		return math.Inf(1)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
--- a/internal/system/dataplane/intake.go
+++ b/internal/system/dataplane/intake.go
@@ -149,6 +149,9 @@
 		Ended: func(end routing.Answer) {
 			units.ended(end)
 			hold.ended(end)
+			if again := end.Verdict == routing.Refused && !end.Ran && hold.outdated.Load(); !again { // it is planned anew
+				p.ends.add(keyOf(a), outcomeOf(end))
+			}
 		},
 	}, nil
 }
@@ -375,9 +378,6 @@
 	}
 }
 
-// Count implements transport.Intake.
-func (p *Plane) Count(*fasthttp.RequestCtx, transport.Rejection) { p.counts.Rejected.Add(1) }
-
 // MaxBody implements transport.Intake.
 func (p *Plane) MaxBody() int {
 	if state := p.state.Load(); state != nil && state.Typed.Limits.MaxBodyBytes > 0 {
--- /dev/null
+++ b/internal/system/dataplane/outcomes_test.go
@@ -0,0 +1,61 @@
+package dataplane
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"reachspread/internal/routing"
+)
+
+// Requests are counted by kind, tenant and end, by many at once; beyond a bound of names they are counted together.
+func TestEnds(t *testing.T) {
+	is := is.New(t)
+	var e ends
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for i := range mostCounted + 100 {
+				e.add(requestKey{"safe", fmt.Sprint("t", i)}, OutcomeServed)
+			}
+		})
+	}
+	group.Wait()
+	e.add(requestKey{"unsafe", "late"}, OutcomeFailed)
+	total := uint64(0)
+	for _, c := range e.counts() {
+		total += c.Count
+	}
+	is.Equal(total, uint64(8*(mostCounted+100)+1))
+	is.True(len(e.all) <= mostCounted+1)
+	first := e.counts()[0]
+	is.Equal(first, RequestCount{Tenant: otherTenant, Outcome: OutcomeServed, Count: 8 * 100})
+}
+
+func TestOutcomes(t *testing.T) {
+	stream := &routing.Stream{}
+	for _, c := range []struct {
+		end  routing.Answer
+		want Outcome
+	}{
+		{routing.Answer{Verdict: routing.Served, Stream: stream}, OutcomeServed},
+		{routing.Answer{}, OutcomeAbandoned}, // its client left before an answer
+		{routing.Answer{Verdict: routing.Refused}, OutcomeRefused},
+		{routing.Answer{Verdict: routing.Failed}, OutcomeFailed},
+		{routing.Answer{Verdict: routing.Unfit}, OutcomeFailed},
+		{routing.Answer{Verdict: routing.Nobody}, OutcomeAbandoned},
+	} {
+		if got := outcomeOf(c.end); got != c.want {
+			t.Errorf("%+v: %v, want %v", c.end, got, c.want)
+		}
+	}
+	for code, want := range map[int]Outcome{http.StatusTooManyRequests: OutcomeOverQuota, http.StatusServiceUnavailable: OutcomeRefused,
+		http.StatusUnauthorized: OutcomeNoKey, http.StatusNotFound: OutcomeNoRoute, http.StatusBadRequest: OutcomeMalformed, http.StatusRequestEntityTooLarge: OutcomeMalformed} {
+		if got := outcomeOfCode(code); got != want {
+			t.Errorf("%d: %v, want %v", code, got, want)
+		}
+	}
+}
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -66,6 +66,7 @@
 
 	pools   atomic.Pointer[map[string]*service] // replaced, never changed
 	counts  Counts
+	ends    ends
 	changes changes
 	pins    *pinned
 }
@@ -241,11 +242,19 @@
 	return false
 }
 
+// ServiceFigures are those of one service.
+type ServiceFigures struct {
+	Open    int64   // requests that were taken and have not ended
+	Retries float64 // further attempts that the budget allows now
+	Avoided int64   // hosts out of rotation for their failures
+}
+
 // Figures are those of all services, by name.
-func (p *Plane) Figures() map[string]routing.Figures {
-	all := map[string]routing.Figures{}
+func (p *Plane) Figures() map[string]ServiceFigures {
+	all := map[string]ServiceFigures{}
 	for name, s := range *p.pools.Load() {
-		all[name] = s.router.Figures()
+		f := s.router.Figures()
+		all[name] = ServiceFigures{Open: f.Open, Retries: s.retries.Left(), Avoided: f.Avoided}
 	}
 	return all
 }
--- /dev/null
+++ b/internal/system/metrics/metrics.go
@@ -0,0 +1,210 @@
+// Package metrics writes a router's status as figures in the text format that Prometheus and its likes scrape. It has no I/O but the
+// writer, and costs nothing until somebody scrapes. The figures' names, units and meanings are in their help texts; docs/operators/control.md
+// lists them.
+package metrics
+
+import (
+	"io"
+	"strconv"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"google.golang.org/protobuf/proto"
+
+	"reachspread/internal/system/status"
+)
+
+// Path is where a router tells its figures, on its readiness address.
+const Path = "/metrics"
+
+// ContentType is that of the text.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// prefix is in front of all names.
+const prefix = "reachspread_"
+
+// label is a name and its value.
+type label struct{ name, value string }
+
+// families are figures by their names, in order.
+type families struct{ all []*dto.MetricFamily }
+
+// family is one figure, with a sample for each set of labels.
+type family struct {
+	out  *dto.MetricFamily
+	kind dto.MetricType
+}
+
+func (f *families) add(name, help string, kind dto.MetricType) *family {
+	out := &dto.MetricFamily{Name: proto.String(prefix + name), Help: proto.String(help), Type: kind.Enum()}
+	f.all = append(f.all, out)
+	return &family{out, kind}
+}
+
+// counter is a figure that only grows while the process lives; its name ends with _total.
+func (f *families) counter(name, help string) *family {
+	return f.add(name, help, dto.MetricType_COUNTER)
+}
+
+// gauge is a figure that goes up and down.
+func (f *families) gauge(name, help string) *family { return f.add(name, help, dto.MetricType_GAUGE) }
+
+// sample adds a value.
+func (f *family) sample(value float64, labels ...label) {
+	m := &dto.Metric{}
+	for _, l := range labels {
+		m.Label = append(m.Label, &dto.LabelPair{Name: proto.String(l.name), Value: proto.String(l.value)})
+	}
+	if f.kind == dto.MetricType_COUNTER {
+		m.Counter = &dto.Counter{Value: &value}
+	} else {
+		m.Gauge = &dto.Gauge{Value: &value}
+	}
+	f.out.Metric = append(f.out.Metric, m)
+}
+
+// age adds a time in seconds, where there is one.
+func (f *family) age(seconds *float64, labels ...label) {
+	if seconds != nil {
+		f.sample(*seconds, labels...)
+	}
+}
+
+// Write writes the figures of a router.
+func Write(w io.Writer, s *status.Router) error {
+	f := &families{}
+	f.router(s)
+	f.requests(&s.Requests)
+	f.services(s.Services)
+	f.members(s.Members)
+	f.configuration(&s.Configuration)
+	f.register(&s.Register)
+	f.link(&s.Link)
+	f.pins(&s.Pins)
+	for _, family := range f.all {
+		if len(family.Metric) == 0 {
+			continue
+		}
+		if _, err := expfmt.MetricFamilyToText(w, family); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *families) router(s *status.Router) {
+	f.gauge("up_seconds", "Time since the process began.").sample(s.UpS)
+	f.gauge("ready", "1 while clients may be sent here.").sample(truth(s.Ready))
+	f.gauge("leaving", "1 while the process ends in order.").sample(truth(s.Leaving))
+}
+
+func (f *families) requests(r *status.Requests) {
+	f.counter("requests_taken_total", "Heads of requests that came.").sample(float64(r.Taken))
+	ended := f.counter("requests_total", "Requests by the kind of their route, their tenant, and how they ended.")
+	for _, e := range r.Ended {
+		ended.sample(float64(e.Count), label{"kind", e.Kind}, label{"tenant", e.Tenant}, label{"outcome", e.Outcome})
+	}
+}
+
+func (f *families) services(all []status.Service) {
+	open := f.gauge("requests_open", "Requests that were taken and have not ended.")
+	retries := f.gauge("retry_budget", "Further attempts that the budget allows now.")
+	avoided := f.gauge("hosts_avoided", "Hosts that get no requests for their failures.")
+	hosts := f.gauge("hosts", "Hosts by the state that they tell.")
+	for _, s := range all {
+		service := label{"service", s.Name}
+		open.sample(float64(s.Open), service)
+		retries.sample(s.Retries, service)
+		avoided.sample(float64(s.Avoided), service)
+		states := map[string]int{"ready": 0, "draining": 0}
+		for _, h := range s.Hosts {
+			states[h.State]++
+		}
+		for _, state := range []string{"ready", "draining"} {
+			hosts.sample(float64(states[state]), service, label{"state", state})
+		}
+	}
+}
+
+func (f *families) members(all []status.Member) {
+	states := map[string]int{}
+	var order []string
+	for _, m := range all {
+		if states[m.State] == 0 {
+			order = append(order, m.State)
+		}
+		states[m.State]++
+	}
+	members := f.gauge("members", "Routers of the fleet by their state, as this one sees them.")
+	for _, state := range order {
+		members.sample(float64(states[state]), label{"state", state})
+	}
+}
+
+func (f *families) configuration(c *status.Configuration) {
+	f.gauge("configuration_version", "Version of the configuration in force; 0 for none.").sample(float64(c.Version))
+	f.gauge("configuration_confirmed_age_seconds", "Time since it was the newest for certain: the lag of distribution.").age(c.ConfirmedS)
+	f.gauge("configuration_fresh", "1 while it is young enough to honour keys by it.").sample(truth(c.Fresh))
+	f.gauge("configuration_routes", "Routes of it.").sample(float64(c.Routes))
+	f.gauge("configuration_tenants", "Tenants of it.").sample(float64(c.Tenants))
+}
+
+func (f *families) register(r *status.Register) {
+	f.gauge("register_epoch", "Epoch of the register's view; 0 for none yet.").sample(float64(r.Epoch))
+	chain, behind := 0, f.gauge("register_behind", "Changes that a machine of the register lacks of what this one knows.")
+	for _, m := range r.Machines {
+		if m.Place > 0 {
+			chain++
+		}
+		if m.Heard != nil {
+			behind.sample(float64(m.Behind), label{"machine", m.Address})
+		}
+	}
+	f.gauge("register_chain", "Machines of the chain.").sample(float64(chain))
+	if r.Replica == nil {
+		return
+	}
+	f.gauge("register_sequence", "The last change that this machine has.").sample(float64(r.Replica.Sequence))
+	f.gauge("storage_healthy", "1 while what this machine writes gets to its disk in time.").sample(truth(r.Replica.Healthy))
+	f.gauge("register_confirmed_age_seconds", "Time since a majority confirmed the epoch.").age(r.Replica.ConfirmedS)
+	f.gauge("quota_shards", "Shards of the tenants' limits that this machine owns.").sample(float64(r.Replica.Shards))
+}
+
+func (f *families) link(l *status.Link) {
+	messages := f.counter("link_messages_total", "Messages between routers, but for the membership's datagrams.")
+	bytes := f.counter("link_bytes_total", "Bytes of them.")
+	out, in := label{"direction", "sent"}, label{"direction", "received"}
+	messages.sample(float64(l.Sent), out)
+	messages.sample(float64(l.Received), in)
+	messages.sample(float64(l.Lost), label{"direction", "lost"})
+	bytes.sample(float64(l.SentBytes), out)
+	bytes.sample(float64(l.ReceivedBytes), in)
+}
+
+func (f *families) pins(p *status.Pins) {
+	f.gauge("pins_revision", "Revision of the version pins in force; 0 for none ever.").sample(float64(p.Revision))
+	requests := f.counter("pin_requests_total", "Requests in the scope of a pin since it came in force here, by their ends.")
+	hosts := f.gauge("pin_hosts", "Hosts that are ready and have the pin's version.")
+	for _, pin := range p.Pins {
+		of := []label{{"pin", pin.Name}, {"version", strconv.FormatInt(pin.Version, 10)}}
+		answered := uint64(0)
+		for _, count := range pin.Answered {
+			answered += count
+		}
+		for _, end := range []struct {
+			outcome string
+			count   uint64
+		}{{"answered", answered}, {"wrong", pin.Wrong}, {"refused", pin.Refused}, {"failed", pin.Failed}} {
+			requests.sample(float64(end.count), append(of[:len(of):len(of)], label{"outcome", end.outcome})...)
+		}
+		hosts.sample(float64(pin.Hosts), of...)
+	}
+}
+
+// truth is 1 for yes.
+func truth(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- a/internal/system/node/serve.go
+++ b/internal/system/node/serve.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"reachspread/internal/system/message"
+	"reachspread/internal/system/metrics"
 	"reachspread/internal/system/status"
 )
 
@@ -51,6 +52,7 @@
 		w.WriteHeader(http.StatusOK)
 	}).Methods(http.MethodGet)
 	m.HandleFunc(status.Path, n.tellStatus).Methods(http.MethodGet)
+	m.HandleFunc(metrics.Path, n.tellMetrics).Methods(http.MethodGet)
 	return m
 }
 
--- a/internal/system/node/status.go
+++ b/internal/system/node/status.go
@@ -15,6 +15,7 @@
 	"reachspread/internal/members"
 	"reachspread/internal/system/instances"
 	"reachspread/internal/system/message"
+	"reachspread/internal/system/metrics"
 	"reachspread/internal/system/status"
 )
 
@@ -34,11 +35,28 @@
 	json.NewEncoder(w).Encode(s)
 }
 
+// tellMetrics answers the same as figures, for a scraper.
+func (n *Node) tellMetrics(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), statusIn)
+	defer cancel()
+	s, ok := n.Status(ctx)
+	if !ok {
+		http.Error(w, "the router is too busy to tell", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", metrics.ContentType)
+	metrics.Write(w, s)
+}
+
 // Status gathers how this router stands; ok is false where it did not come in time.
 func (n *Node) Status(ctx context.Context) (s *status.Router, ok bool) {
 	in := n.settings()
 	s = &status.Router{Name: in.NodeName, Address: n.self.internal(), Zone: in.Zone, Core: n.self.core, Ready: n.Ready(), Leaving: n.front.Leaving()}
 	s.Requests.Taken, s.Requests.Rejected = n.plane.Requests()
+	for _, c := range n.plane.Outcomes() {
+		s.Requests.Ended = append(s.Requests.Ended, status.RequestEnd{Kind: c.Kind, Tenant: c.Tenant, Outcome: c.Outcome.String(), Count: c.Count})
+	}
+	s.Link = status.Link(n.link.Figures())
 	s.Members = memberStatus(n.members.Now())
 	s.Pins = n.pinStatus()
 	if !n.hub.ask(ctx, func() { n.hub.fillStatus(s) }) {
@@ -61,8 +79,12 @@
 	s.Configuration = h.configurationStatus()
 	s.Register.Epoch = h.view.view.GetEpoch()
 	s.Register.Machines = machineStatus(h.view.view)
+	figures := h.node.plane.Figures()
 	for _, name := range h.services() {
-		s.Services = append(s.Services, serviceStatus(name, h.registry.Of(name), h.now()))
+		service := serviceStatus(name, h.registry.Of(name), h.now())
+		f := figures[name]
+		service.Open, service.Retries, service.Avoided = f.Open, f.Retries, f.Avoided
+		s.Services = append(s.Services, service)
 	}
 }
 
--- a/internal/system/node/status_test.go
+++ b/internal/system/node/status_test.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"reachspread/internal/system/metrics"
 	"reachspread/internal/system/status"
 )
 
@@ -25,6 +28,17 @@
 	return s
 }
 
+// metrics reads a router's figures at its readiness address; empty where it does not answer.
+func (f *testFleet) metrics(i int) string {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d%s", f.nodes[i].ip, f.ports.ready, metrics.Path))
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return string(text)
+}
+
 // Each router tells how it stands: the routers it sees, the register's chain with who is behind, the configuration in force, and the hosts.
 func TestStatus(t *testing.T) {
 	is := is.New(t)
@@ -49,6 +63,16 @@
 	is.Equal(bare.Register.Replica, nil) // it has no part in the register
 	is.True(bare.Configuration.From != "")
 
+	for id, key := range map[string]string{"q1": "k", "q2": "k", "q3": "nobody's"} {
+		f.request(0, "/a", id, key)
+	}
+	f.eventually("the requests are in the figures", func() bool {
+		text := f.metrics(0)
+		return strings.Contains(text, `reachspread_requests_total{kind="safe",tenant="x",outcome="served"} 2`) &&
+			strings.Contains(text, `reachspread_requests_total{kind="",tenant="",outcome="no_key"} 1`)
+	})
+	is.True(strings.Contains(f.metrics(0), "reachspread_register_chain 3\n"))
+
 	f.crash(1)
 	f.eventually("the register's other machines see that one is lost", func() bool {
 		s := f.status(0)
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -21,6 +21,7 @@
 	Ready         bool          `json:"ready"`
 	Leaving       bool          `json:"leaving"`
 	Requests      Requests      `json:"requests"`
+	Link          Link          `json:"link"`
 	Configuration Configuration `json:"configuration"`
 	Members       []Member      `json:"members"` // of the fleet, this one among them
 	Register      Register      `json:"register"`
@@ -53,8 +54,26 @@
 
 // Requests are counts since the start.
 type Requests struct {
-	Taken    uint64 `json:"taken"`
-	Rejected uint64 `json:"rejected"` // before a host was looked for
+	Taken    uint64       `json:"taken"`
+	Rejected uint64       `json:"rejected"` // before a host was looked for
+	Ended    []RequestEnd `json:"ended"`
+}
+
+// RequestEnd is how many requests of a kind and a tenant ended in one way.
+type RequestEnd struct {
+	Kind    string `json:"kind"`   // of the route; empty where none was found
+	Tenant  string `json:"tenant"` // empty where none was found
+	Outcome string `json:"outcome"`
+	Count   uint64 `json:"count"`
+}
+
+// Link is what went over the link to other routers since the start; datagrams of the membership are not in it.
+type Link struct {
+	Sent          uint64 `json:"sent"`
+	SentBytes     uint64 `json:"sentBytes"`
+	Received      uint64 `json:"received"`
+	ReceivedBytes uint64 `json:"receivedBytes"`
+	Lost          uint64 `json:"lost"` // found no room, or no connection
 }
 
 // Configuration is the one in force.
@@ -106,8 +125,11 @@
 
 // Service is the hosts of one service.
 type Service struct {
-	Name  string `json:"name"`
-	Hosts []Host `json:"hosts"`
+	Name    string  `json:"name"`
+	Hosts   []Host  `json:"hosts"`
+	Open    int64   `json:"open"`    // requests that were taken and have not ended
+	Retries float64 `json:"retries"` // further attempts that the budget allows now
+	Avoided int64   `json:"avoided"` // hosts out of rotation for their failures
 }
 
 // Host is one, as this router knows it.
