--- /dev/null
+++ b/cmd/reachspread/configuration.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/message"
+	"reachspread/internal/system/status"
+)
+
+const (
+	configurationPath = "/configuration"
+	mostNames         = 5 // items of a list that a table names
+	standardInput     = "-"
+)
+
+// configurationCommand shows which configuration is in force where; its subcommands read and change it.
+func configurationCommand() *cobra.Command {
+	c := routerStatusCommand("configuration", "Ask routers of the fleet which configuration is in force, and how old their knowledge of it is", printConfiguration)
+	history := routerStatusCommand("history", "Ask a router of the fleet which configurations were in force on it of late, and what each changed", printHistory)
+	c.AddCommand(configurationGetCommand(), configurationOrderCommand("put FILE", "Put a whole configuration in force", http.MethodPut),
+		configurationOrderCommand("patch FILE", "Change named items of the configuration in force", http.MethodPatch), configurationDiffCommand(), history)
+	return c
+}
+
+func configurationGetCommand() *cobra.Command {
+	c := &cobra.Command{Use: "get", Short: "Print the newest configuration, whole", Args: cobra.NoArgs}
+	to := controlFlag(c)
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		text, err := to.call(cmd.Context(), http.MethodGet, configurationPath, "", nil)
+		if err != nil {
+			return err
+		}
+		encoder := json.NewEncoder(cmd.OutOrStdout())
+		encoder.SetIndent("", "  ")
+		encoder.SetEscapeHTML(false)
+		return encoder.Encode(json.RawMessage(text))
+	}
+	return c
+}
+
+// inForce is the newest configuration.
+func (t *control) inForce(cmd *cobra.Command) (*configuration.Document, error) {
+	text, err := t.call(cmd.Context(), http.MethodGet, configurationPath, "", nil)
+	if err != nil {
+		return nil, err
+	}
+	return configuration.Parse(text)
+}
+
+// configurationOrderCommand brings an order of a file. It is checked here first, with the code that the register checks it with.
+func configurationOrderCommand(use, short, method string) *cobra.Command {
+	c := &cobra.Command{Use: use, Short: short + "; FILE may be - for standard input", Args: cobra.ExactArgs(1)}
+	to := controlFlag(c)
+	base := c.Flags().Int64("if-match", -1, "the `version` that it builds on, 0 for the first; by itself the newest")
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		text, err := readOrder(cmd, args[0])
+		if err != nil {
+			return err
+		}
+		if err := checkOrder(method, text); err != nil {
+			return err
+		}
+		if *base < 0 {
+			d, err := to.inForce(cmd)
+			if err != nil {
+				return fmt.Errorf("--if-match is not set, and the newest version is not known: %w", err)
+			}
+			*base = d.Version
+		}
+		answer, err := to.call(cmd.Context(), method, configurationPath, fmt.Sprint(*base), json.RawMessage(text))
+		if err != nil {
+			return err
+		}
+		var outcome struct {
+			Version int64 `json:"version"`
+		}
+		if err := json.Unmarshal(answer, &outcome); err != nil {
+			return err
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "version %d is acknowledged, on top of version %d\n", outcome.Version, *base)
+		return nil
+	}
+	return c
+}
+
+// readOrder reads a file, or standard input.
+func readOrder(cmd *cobra.Command, file string) ([]byte, error) {
+	if file == standardInput {
+		return io.ReadAll(cmd.InOrStdin())
+	}
+	return os.ReadFile(file)
+}
+
+// checkOrder finds what the control API would refuse, whatever is in force.
+func checkOrder(method string, text []byte) error {
+	if method == http.MethodPatch {
+		_, err := configuration.ParsePatch(text)
+		return err
+	}
+	_, err := configuration.Next(nil, &message.Order{Kind: message.Order_PUT, Body: text})
+	return err
+}
+
+func configurationDiffCommand() *cobra.Command {
+	c := &cobra.Command{Use: "diff FILE", Short: "Print what a whole configuration would change of the newest one; FILE may be - for standard input", Args: cobra.ExactArgs(1)}
+	to := controlFlag(c)
+	asPatch := c.Flags().Bool("patch", false, "print the patch that makes the one of the other, for fleet configuration patch")
+	asJSON := c.Flags().Bool("json", false, "print a line of JSON")
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		text, err := readOrder(cmd, args[0])
+		if err != nil {
+			return err
+		}
+		after, err := configuration.Parse(text)
+		if err != nil {
+			return err
+		}
+		before, err := to.inForce(cmd)
+		if err != nil {
+			return err
+		}
+		if *asPatch {
+			patch, ok := configuration.Difference(before, after)
+			if !ok {
+				return errors.New("no patch makes the one of the other: a field went, or items changed places; put it whole")
+			}
+			_, err := cmd.OutOrStdout().Write(patch)
+			return err
+		}
+		changes := configuration.Changes(before, after)
+		if *asJSON {
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(changes)
+		}
+		printChanges(cmd.OutOrStdout(), before.Version, after.Version, changes)
+		return nil
+	}
+	return c
+}
+
+func printChanges(w io.Writer, before, after int64, changes []configuration.ListChange) {
+	fmt.Fprintf(w, "version %d to version %d\n", before, after)
+	table(w, "list|item|change", func(row func(...any)) {
+		for _, c := range changes {
+			for _, group := range []struct {
+				change string
+				names  []string
+			}{{"added", c.Added}, {"changed", c.Changed}, {"removed", c.Removed}} {
+				for _, name := range group.names {
+					row(c.List, name, group.change)
+				}
+			}
+		}
+	})
+}
+
+func printHistory(w io.Writer, answers []told) {
+	eachStatus(answers, func(a told, s *status.Router) {
+		fmt.Fprintf(w, "%s at %s\n", s.Name, a.At)
+		table(w, "version|came in force|changes", func(row func(...any)) {
+			for _, r := range s.Configuration.History {
+				since := r.SinceS
+				row(r.Version, seconds(&since)+" ago", changesText(r.Changes))
+			}
+		})
+	})
+}
+
+// changesText is what changed, in a line; a dash where the configuration before is not known.
+func changesText(all []configuration.ListChange) string {
+	if len(all) == 0 {
+		return noneMark
+	}
+	var parts []string
+	for _, c := range all {
+		part := c.List + ":"
+		part += namesText(" +", c.Added) + namesText(" ~", c.Changed) + namesText(" -", c.Removed)
+		parts = append(parts, part)
+	}
+	return strings.Join(parts, "; ")
+}
+
+// namesText is names behind a mark, the first few of them.
+func namesText(mark string, names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	if len(names) > mostNames {
+		return fmt.Sprintf("%s%s and %d more", mark, strings.Join(names[:mostNames], ","), len(names)-mostNames)
+	}
+	return mark + strings.Join(names, ",")
+}
--- /dev/null
+++ b/internal/system/configuration/changes.go
@@ -0,0 +1,78 @@
+package configuration
+
+import "slices"
+
+// ListChange is what is different in one list of two documents, by the names of its items. A field that is no list has its own name as the
+// only item.
+type ListChange struct {
+	List    string   `json:"list"`
+	Added   []string `json:"added,omitempty"`
+	Changed []string `json:"changed,omitempty"`
+	Removed []string `json:"removed,omitempty"`
+}
+
+// Changes is what makes one document of another, in the order of the later one's fields; before may be nil. Items that changed places only
+// are not told of.
+func Changes(before, after *Document) (all []ListChange) {
+	if before == nil {
+		before = &Document{}
+	}
+	for i := range after.fields {
+		f := &after.fields[i]
+		if c := listChange(before.find(f.name), f); !c.empty() {
+			all = append(all, c)
+		}
+	}
+	for i := range before.fields {
+		if f := &before.fields[i]; after.find(f.name) == nil {
+			all = append(all, ListChange{List: f.name, Removed: namesOf(f)})
+		}
+	}
+	return all
+}
+
+func (c *ListChange) empty() bool { return len(c.Added)+len(c.Changed)+len(c.Removed) == 0 }
+
+// listChange is what makes one field of another; before may be nil.
+func listChange(before, after *field) ListChange {
+	c := ListChange{List: after.name}
+	switch {
+	case before == nil || before.list != after.list:
+		c.Added = namesOf(after)
+		return c
+	case !after.list:
+		if !sameText(before.value, after.value) {
+			c.Changed = []string{after.name}
+		}
+		return c
+	}
+	old := map[string]item{}
+	for _, it := range before.items {
+		old[it.name] = it
+	}
+	for _, it := range after.items {
+		had, ok := old[it.name]
+		switch {
+		case !ok:
+			c.Added = append(c.Added, it.name)
+		case !sameText(had.raw, it.raw):
+			c.Changed = append(c.Changed, it.name)
+		}
+		delete(old, it.name)
+	}
+	for name := range old {
+		c.Removed = append(c.Removed, name)
+	}
+	slices.Sort(c.Removed)
+	return c
+}
+
+func namesOf(f *field) (all []string) {
+	if !f.list {
+		return []string{f.name}
+	}
+	for _, it := range f.items {
+		all = append(all, it.name)
+	}
+	return all
+}
--- a/internal/system/node/configured.go
+++ b/internal/system/node/configured.go
@@ -26,6 +26,8 @@
 	confirmed time.Duration        // when it was the newest for certain, below 0 for never
 	changed   func(*configuration.State)
 	failed    func(error)
+	now       func() time.Duration
+	since     time.Duration // the present one is in force here
 
 	past     []pastDocument    // before the present one, the oldest first
 	payloads map[uint64]answer // that were worked out for the present state, by the revision that the receiver has
@@ -35,6 +37,7 @@
 type pastDocument struct {
 	sequence uint64
 	document *configuration.Document
+	since    time.Duration // it was in force here
 }
 
 // answer is a payload with the revision on which it builds, 0 for none.
@@ -149,13 +152,23 @@
 		return
 	}
 	if c.state != nil {
-		c.past = append(c.past, pastDocument{c.sequence, c.state.Document})
+		c.past = append(c.past, pastDocument{c.sequence, c.state.Document, c.since})
 		c.past = slices.Delete(c.past, 0, max(len(c.past)-mostPast, 0))
 	}
-	c.sequence, c.state, c.payloads = sequence, state, map[uint64]answer{}
+	c.sequence, c.state, c.payloads, c.since = sequence, state, map[uint64]answer{}, c.now()
 	c.changed(state)
 }
 
+// history is the present document and those before it that are kept, the newest first.
+func (c *configured) history() []pastDocument {
+	if c.state == nil {
+		return nil
+	}
+	all := append(slices.Clone(c.past), pastDocument{c.sequence, c.state.Document, c.since})
+	slices.Reverse(all)
+	return all
+}
+
 // Confirmed implements feed.Topic.
 func (c *configured) Confirmed() (time.Duration, bool) { return c.confirmed, c.confirmed >= 0 }
 
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -69,7 +69,7 @@
 	h.confirmedAt.Store(-1)
 	h.feed = feed.New(n.self.internal(), n.life, 0)
 	h.registry = instances.New(n.settings().HeartbeatInterval())
-	h.config = &configured{confirmed: -1, changed: h.configChanged, failed: func(err error) { n.log.Warn("configuration unreadable", "cause", err) }}
+	h.config = &configured{confirmed: -1, now: h.now, changed: h.configChanged, failed: func(err error) { n.log.Warn("configuration unreadable", "cause", err) }}
 	h.view = &viewed{changed: h.viewChanged}
 	h.feed.Add(configurationTopic, h.config)
 	h.feed.Add(viewTopic, h.view)
--- a/internal/system/node/status.go
+++ b/internal/system/node/status.go
@@ -13,6 +13,7 @@
 	"reachspread/coord/register"
 	"reachspread/coord/view"
 	"reachspread/internal/members"
+	"reachspread/internal/system/configuration"
 	"reachspread/internal/system/instances"
 	"reachspread/internal/system/message"
 	"reachspread/internal/system/metrics"
@@ -96,9 +97,22 @@
 	if at, ok := h.config.Confirmed(); ok {
 		c.ConfirmedS = age(h.now() - at)
 	}
+	c.History = revisions(h.config.history(), h.now())
 	return c
 }
 
+// revisions are configurations, the newest first, each with what it changed of the one before.
+func revisions(history []pastDocument, now time.Duration) (all []status.Revision) {
+	for i, past := range history {
+		r := status.Revision{Version: past.document.Version, SinceS: (now - past.since).Seconds()}
+		if i+1 < len(history) {
+			r.Changes = configuration.Changes(history[i+1].document, past.document)
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
 // pinStatus is the pins in force, with what became of the requests in their scopes.
 func (n *Node) pinStatus() status.Pins {
 	in := n.plane.State().Pinned()
--- a/internal/system/node/status_test.go
+++ b/internal/system/node/status_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -72,6 +73,11 @@
 			strings.Contains(text, `reachspread_requests_total{kind="",tenant="",outcome="no_key"} 1`)
 	})
 	is.True(strings.Contains(f.metrics(0), "reachspread_register_chain 3\n"))
+	is.Equal(f.order(http.MethodPatch, `{"version":4,"remove":{"services":["t"]}}`, 1, 2), 200)
+	f.eventually("a change is in the history of every router", func() bool {
+		history := f.status(3).Configuration.History
+		return len(history) == 2 && history[0].Version == 4 && len(history[0].Changes) == 1 && slices.Equal(history[0].Changes[0].Removed, []string{"t"})
+	})
 
 	f.crash(1)
 	f.eventually("the register's other machines see that one is lost", func() bool {
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+
+	"reachspread/internal/system/configuration"
 )
 
 // Path is where a router tells its status, on its readiness address.
@@ -84,6 +86,15 @@
 	ConfirmedS *float64 `json:"confirmedS"` // it was the newest for certain so long ago; null for never
 	Fresh      bool     `json:"fresh"`      // young enough to honour keys by it
 	From       string   `json:"from"`       // the router that it comes from, empty for the register itself
+
+	History []Revision `json:"history"` // the one in force and those before it that this router keeps, the newest first
+}
+
+// Revision is a configuration that was in force on a router.
+type Revision struct {
+	Version int64                      `json:"version"`
+	SinceS  float64                    `json:"sinceS"`  // it came in force here so long ago
+	Changes []configuration.ListChange `json:"changes"` // against the one before; null where that is not known
 }
 
 // Member is a router of the fleet, as this one sees it.
