--- /dev/null
+++ b/coord/feed/example_test.go
@@ -0,0 +1,51 @@
+package feed_test
+
+import (
+	"fmt"
+	"time"
+
+	"reachspread/coord/coordpb"
+	"reachspread/coord/feed"
+)
+
+// names is a topic: a list that only grows. Its revision is its length.
+type names struct{ all []string }
+
+func (n *names) Revision() uint64                            { return uint64(len(n.all)) }
+func (n *names) Shared() bool                                { return false }
+func (n *names) Confirmed() (time.Duration, bool)            { return 0, false }
+func (n *names) Confirm(time.Duration, *coordpb.Delta)       {}
+func (n *names) Delta(uint64) (payload []byte, since uint64) { return []byte(n.all[len(n.all)-1]), 0 }
+func (n *names) Merge(d *coordpb.Delta)                      { n.all = append(n.all, string(d.Payload)) }
+func (n *names) add(name string)                             { n.all = append(n.all, name) }
+
+// A process subscribes to a topic of another one, and is sent its changes as they come. The owner of each carries messages between them.
+func Example() {
+	nodes, topics := map[string]*feed.Node{}, map[string]*names{}
+	for i, address := range []string{"home", "subscriber"} {
+		topics[address] = &names{}
+		nodes[address] = feed.New(address, uint64(i+1), 0)
+		nodes[address].Add("names", topics[address])
+	}
+	now := time.Duration(0)
+	var carry func(all []feed.Send)
+	carry = func(all []feed.Send) {
+		for _, s := range all {
+			if s.Poll != nil {
+				carry(nodes[s.To].TakePoll(now, s.Poll))
+			}
+			if s.Update != nil {
+				carry(nodes[s.To].TakeUpdate(now, s.Update))
+			}
+		}
+	}
+	carry(nodes["subscriber"].Subscribe(now, []feed.Subscription{{Topic: "names", Candidates: []string{"home"}}}))
+	carry(nodes["subscriber"].Tick(now))
+	for _, name := range []string{"ada", "grace"} {
+		now += time.Millisecond
+		topics["home"].add(name)
+		carry(nodes["home"].Changed(now, "names"))
+	}
+	fmt.Println(topics["subscriber"].all)
+	// Output: [ada grace]
+}
--- a/internal/system/feed/feed.go
+++ b/coord/feed/feed.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"reachspread/internal/system/message"
+	"reachspread/coord/coordpb"
 )
 
 const (
@@ -44,11 +44,11 @@
 	// Delta is what changed after a revision of this process, 0 for all of it; since is the revision on which it builds.
 	Delta(after uint64) (payload []byte, since uint64)
 	// Merge takes in a payload from a source.
-	Merge(n *message.News)
+	Merge(n *coordpb.Delta)
 	// Confirmed is when what is held here was the newest for certain; ok is false for unknown.
 	Confirmed() (at time.Duration, ok bool)
 	// Confirm takes in that what a source had was the newest at a time, up to a revision of that source.
-	Confirm(at time.Duration, n *message.News)
+	Confirm(at time.Duration, n *coordpb.Delta)
 }
 
 // Subscription says where a part of a topic comes from.
@@ -62,8 +62,8 @@
 // Send is a message to an address.
 type Send struct {
 	To     string
-	Poll   *message.Poll
-	Update *message.Update
+	Poll   *coordpb.Poll
+	Update *coordpb.Update
 }
 
 // Node is one router's.
@@ -77,7 +77,7 @@
 
 	flows       map[flowKey]*flow
 	subscribers map[string]*subscriber
-	cursors     map[cursorKey]*message.Cursor
+	cursors     map[cursorKey]*coordpb.Cursor
 	polls       map[uint64]time.Duration // when those under way were sent
 	pollOrder   []uint64
 	nonce       uint64
@@ -114,7 +114,7 @@
 // New returns the Node of a router at an address. A life is drawn anew at each start.
 func New(self string, life uint64, now time.Duration) *Node {
 	return &Node{self: self, life: life, now: now, topics: map[string]Topic{}, flows: map[flowKey]*flow{}, subscribers: map[string]*subscriber{},
-		cursors: map[cursorKey]*message.Cursor{}, polls: map[uint64]time.Duration{}}
+		cursors: map[cursorKey]*coordpb.Cursor{}, polls: map[uint64]time.Duration{}}
 }
 
 // Add has a topic be brought to others.
@@ -202,7 +202,7 @@
 	if n.isBehind() {
 		n.pollAt = n.now + hurriedEvery
 	}
-	asked := map[string]*message.Poll{}
+	asked := map[string]*coordpb.Poll{}
 	for _, f := range n.flows {
 		n.ask(asked, f.Candidates[f.at], f.Topic)
 		if f.at > 0 && n.now >= f.retryAt {
@@ -232,27 +232,27 @@
 }
 
 // ask adds a topic to the poll of a source.
-func (n *Node) ask(polls map[string]*message.Poll, source, topic string) {
+func (n *Node) ask(polls map[string]*coordpb.Poll, source, topic string) {
 	poll := polls[source]
 	if poll == nil {
-		poll = &message.Poll{}
+		poll = &coordpb.Poll{}
 		polls[source] = poll
 	}
-	if slices.ContainsFunc(poll.Cursors, func(c *message.Cursor) bool { return c.Topic == topic }) {
+	if slices.ContainsFunc(poll.Cursors, func(c *coordpb.Cursor) bool { return c.Topic == topic }) {
 		return
 	}
 	poll.Cursors = append(poll.Cursors, n.cursor(topic, source))
 }
 
 // cursor is how far this router has a topic of a source.
-func (n *Node) cursor(topic, source string) *message.Cursor {
+func (n *Node) cursor(topic, source string) *coordpb.Cursor {
 	if t := n.topics[topic]; t.Shared() {
-		return &message.Cursor{Topic: topic, Revision: t.Revision()}
+		return &coordpb.Cursor{Topic: topic, Revision: t.Revision()}
 	}
 	key := cursorKey{topic, source}
 	c := n.cursors[key]
 	if c == nil {
-		c = &message.Cursor{Topic: topic}
+		c = &coordpb.Cursor{Topic: topic}
 		if len(n.cursors) < mostPeers {
 			n.cursors[key] = c
 		}
@@ -269,7 +269,7 @@
 }
 
 // TakePoll answers a subscriber.
-func (n *Node) TakePoll(now time.Duration, p *message.Poll) []Send {
+func (n *Node) TakePoll(now time.Duration, p *coordpb.Poll) []Send {
 	n.begin(now)
 	s := n.subscribers[p.From]
 	if s == nil {
@@ -280,7 +280,7 @@
 		n.subscribers[p.From] = s
 	}
 	s.polled, s.nonce, s.cursors = n.now, p.Nonce, map[string]uint64{}
-	update := &message.Update{From: n.self, Nonce: p.Nonce}
+	update := &coordpb.Update{From: n.self, Nonce: p.Nonce}
 	for _, c := range p.Cursors {
 		topic := n.topics[c.Topic]
 		if topic == nil {
@@ -290,7 +290,7 @@
 		if c.Life != n.life && !topic.Shared() {
 			after = 0
 		}
-		update.News = append(update.News, n.answer(s, c.Topic, topic, after))
+		update.Deltas = append(update.Deltas, n.answer(s, c.Topic, topic, after))
 		s.cursors[c.Topic] = topic.Revision()
 	}
 	n.out = append(n.out, Send{To: p.From, Update: update})
@@ -298,17 +298,17 @@
 }
 
 // answer is what a subscriber is answered that has a revision. While a long payload is on its way it is only told that this process lives.
-func (n *Node) answer(s *subscriber, name string, t Topic, after uint64) *message.News {
+func (n *Node) answer(s *subscriber, name string, t Topic, after uint64) *coordpb.Delta {
 	onItsWay := s.long[name]
 	if after < onItsWay.revision && onItsWay.revision == t.Revision() && n.now < onItsWay.until {
-		return &message.News{Topic: name, Life: n.life, Since: after, Revision: after, AgeUs: -1}
+		return &coordpb.Delta{Topic: name, Life: n.life, Since: after, Revision: after, AgeUs: -1}
 	}
 	return n.news(s, name, t, after)
 }
 
 // news is what a topic has after a revision.
-func (n *Node) news(s *subscriber, name string, t Topic, after uint64) *message.News {
-	news := &message.News{Topic: name, Life: n.life, Since: after, Revision: t.Revision(), AgeUs: -1}
+func (n *Node) news(s *subscriber, name string, t Topic, after uint64) *coordpb.Delta {
+	news := &coordpb.Delta{Topic: name, Life: n.life, Since: after, Revision: t.Revision(), AgeUs: -1}
 	if after != t.Revision() {
 		news.Payload, news.Since = t.Delta(after)
 	}
@@ -334,7 +334,7 @@
 			continue
 		}
 		s.cursors[name] = topic.Revision()
-		n.out = append(n.out, Send{To: address, Update: &message.Update{From: n.self, News: []*message.News{n.news(s, name, topic, after)}}})
+		n.out = append(n.out, Send{To: address, Update: &coordpb.Update{From: n.self, Deltas: []*coordpb.Delta{n.news(s, name, topic, after)}}})
 	}
 	return n.out
 }
@@ -352,7 +352,7 @@
 			continue
 		}
 		s.cursors[name] = topic.Revision()
-		n.out = append(n.out, Send{To: address, Update: &message.Update{From: n.self, Nonce: s.nonce, News: []*message.News{n.news(s, name, topic, after)}}})
+		n.out = append(n.out, Send{To: address, Update: &coordpb.Update{From: n.self, Nonce: s.nonce, Deltas: []*coordpb.Delta{n.news(s, name, topic, after)}}})
 	}
 	return n.out
 }
@@ -369,10 +369,10 @@
 }
 
 // TakeUpdate takes in what a source has sent.
-func (n *Node) TakeUpdate(now time.Duration, u *message.Update) []Send {
+func (n *Node) TakeUpdate(now time.Duration, u *coordpb.Update) []Send {
 	n.begin(now)
 	asked, answered := n.polls[u.Nonce]
-	for _, news := range u.News {
+	for _, news := range u.Deltas {
 		topic := n.topics[news.Topic]
 		if topic == nil {
 			continue
@@ -402,7 +402,7 @@
 }
 
 // buildsOn tells whether news can be taken in where a topic of its source is as far as a cursor says.
-func buildsOn(c *message.Cursor, news *message.News, t Topic) bool {
+func buildsOn(c *coordpb.Cursor, news *coordpb.Delta, t Topic) bool {
 	if t.Shared() {
 		return news.Since == 0 || news.Since == c.Revision || news.Revision <= c.Revision
 	}
--- a/internal/system/feed/feed_test.go
+++ b/coord/feed/feed_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"reachspread/internal/system/message"
+	"reachspread/coord/coordpb"
 )
 
 // number is a topic that holds a number, which only grows.
@@ -31,14 +31,14 @@
 	return append(binary.BigEndian.AppendUint64(nil, n.value), make([]byte, n.padding)...), 0
 }
 
-func (n *number) Merge(news *message.News) {
+func (n *number) Merge(news *coordpb.Delta) {
 	n.merges++
 	n.value = max(n.value, binary.BigEndian.Uint64(news.Payload))
 }
 
 func (n *number) Confirmed() (time.Duration, bool) { return n.confirmed, n.confirmed >= 0 }
 
-func (n *number) Confirm(at time.Duration, news *message.News) {
+func (n *number) Confirm(at time.Duration, news *coordpb.Delta) {
 	if n.value >= news.Revision {
 		n.confirmed = max(n.confirmed, at)
 	}
@@ -91,7 +91,7 @@
 func (w *world) post(from string, all []Send) {
 	for _, s := range all {
 		w.sent++
-		for _, news := range s.Update.GetNews() {
+		for _, news := range s.Update.GetDeltas() {
 			w.bytes += len(news.Payload)
 		}
 		w.queue = append(w.queue, delivery{w.now + trip, from, s})
@@ -228,9 +228,9 @@
 	w.subscribe("leaf", "source")
 	w.run(time.Second, "source")
 	payload := binary.BigEndian.AppendUint64(nil, 9)
-	w.nodes["leaf"].TakeUpdate(w.now, &message.Update{From: "source", News: []*message.News{{Topic: topic, Life: 1, Since: 5, Revision: 9, Payload: payload, AgeUs: -1}}})
+	w.nodes["leaf"].TakeUpdate(w.now, &coordpb.Update{From: "source", Deltas: []*coordpb.Delta{{Topic: topic, Life: 1, Since: 5, Revision: 9, Payload: payload, AgeUs: -1}}})
 	is.Equal(w.nodes["leaf"].topic.value, uint64(0))
-	w.nodes["leaf"].TakeUpdate(w.now, &message.Update{From: "source", News: []*message.News{{Topic: "unknown", Life: 1, Payload: payload}}})
+	w.nodes["leaf"].TakeUpdate(w.now, &coordpb.Update{From: "source", Deltas: []*coordpb.Delta{{Topic: "unknown", Life: 1, Payload: payload}}})
 	w.nodes["source"].topic.value = 9
 	w.run(time.Second, "source")
 	is.Equal(w.nodes["leaf"].topic.value, uint64(9))
@@ -240,7 +240,7 @@
 func TestForeignAnswer(t *testing.T) {
 	is := is.New(t)
 	w := newWorld("source", "leaf")
-	w.nodes["leaf"].TakeUpdate(time.Second, &message.Update{From: "source", Nonce: 12345, News: []*message.News{{Topic: topic, Life: 1, AgeUs: 0}}})
+	w.nodes["leaf"].TakeUpdate(time.Second, &coordpb.Update{From: "source", Nonce: 12345, Deltas: []*coordpb.Delta{{Topic: topic, Life: 1, AgeUs: 0}}})
 	_, ok := w.nodes["leaf"].topic.Confirmed()
 	is.True(!ok)
 }
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -86,7 +86,9 @@
 	if err != nil {
 		return err
 	}
-	l.ctx = ctx
+	l.mu.Lock()
+	l.ctx = ctx // what was sent before is lost
+	l.mu.Unlock()
 	l.closing.Add(1)
 	context.AfterFunc(ctx, func() {
 		defer l.closing.Done()
--- a/internal/members/explore_test.go
+++ b/coord/members/explore_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
+	"reachspread/coord/members"
 	"reachspread/internal/explore"
-	"reachspread/internal/members"
 )
 
 var depth = flag.Int("depth", 4, "of the exploration")
--- /dev/null
+++ b/coord/peer/example_test.go
@@ -0,0 +1,61 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"reachspread/coord/peer"
+)
+
+// note is a state of one text. Writing the same text twice changes nothing, so an order may come again.
+type note struct{ text string }
+
+func (n *note) Decide(order []byte) (change, reply []byte) { return order, []byte("written") }
+func (n *note) Apply(change []byte)                        { n.text = string(change) }
+func (n *note) Snapshot() []byte                           { return []byte(n.text) }
+func (n *note) Restore(snapshot []byte) error              { n.text = string(snapshot); return nil }
+func (n *note) Value() any                                 { return n.text }
+
+// Three processes share a register: what one writes, another reads, also after a third one is gone. Each would be a program of its own.
+func Example() {
+	folder, _ := os.MkdirTemp("", "register")
+	defer os.RemoveAll(folder)
+	var seeds []netip.AddrPort
+	for i := range 3 {
+		seeds = append(seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 66, 0, byte(i + 1)}), 7680))
+	}
+	var peers []*peer.Peer
+	var stops []context.CancelFunc
+	for i, address := range seeds {
+		p, err := peer.New(peer.Options{Address: address, Seeds: seeds, Folder: filepath.Join(folder, fmt.Sprint(i)), First: true, Tolerance: 1, Machine: &note{}})
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go p.Run(ctx)
+		peers, stops = append(peers, p), append(stops, stop)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	reply, err := peers[0].Submit(ctx, []byte("a first note"))
+	fmt.Println(string(reply), err)
+	text, err := peers[1].Read(ctx)
+	fmt.Println(string(text), err)
+
+	stops[2]() // the others go on without it
+	reply, err = peers[1].Submit(ctx, []byte("a second note"))
+	fmt.Println(string(reply), err)
+	text, err = peers[0].Read(ctx)
+	fmt.Println(string(text), err)
+	// Output:
+	// written <nil>
+	// a first note <nil>
+	// written <nil>
+	// a second note <nil>
+}
--- /dev/null
+++ b/coord/peer/peer_test.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const patience = 30 * time.Second
+
+// text is a state of one text.
+type text struct{ now string }
+
+func (x *text) Decide(order []byte) (change, reply []byte) { return order, nil }
+func (x *text) Apply(change []byte)                        { x.now = string(change) }
+func (x *text) Snapshot() []byte                           { return []byte(x.now) }
+func (x *text) Restore(snapshot []byte) error              { x.now = string(snapshot); return nil }
+func (x *text) Value() any                                 { return x.now }
+
+// group is processes of one register on the loopback.
+type group struct {
+	t      *testing.T
+	folder string
+	seeds  []netip.AddrPort
+	peers  []*Peer
+	stops  []func()
+}
+
+func newGroup(t *testing.T, processes int) *group {
+	g := &group{t: t, folder: t.TempDir(), peers: make([]*Peer, processes), stops: make([]func(), processes)}
+	for i := range processes {
+		g.seeds = append(g.seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 67, 0, byte(i + 1)}), 7680))
+	}
+	for i := range processes {
+		g.start(i, true)
+	}
+	t.Cleanup(func() {
+		for _, stop := range g.stops {
+			stop()
+		}
+	})
+	return g
+}
+
+func (g *group) start(i int, first bool) {
+	g.t.Helper()
+	p, err := New(Options{Address: g.seeds[i], Seeds: g.seeds, Folder: filepath.Join(g.folder, g.seeds[i].Addr().String()), First: first, Tolerance: 1, Machine: &text{}})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	g.peers[i] = p
+	g.stops[i] = func() {
+		cancel()
+		if err, ok := <-ended; ok && err != nil {
+			g.t.Error(err)
+		}
+		g.stops[i] = func() {}
+	}
+}
+
+// All processes end at once and come back: what was written is there, with the identities of before.
+func TestReturn(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	_, err := g.peers[2].Submit(ctx, []byte("kept"))
+	is.NoErr(err)
+	var before []uint64
+	for i, p := range g.peers {
+		before = append(before, p.Status().Identity)
+		g.stops[i]()
+	}
+	for i := range g.peers {
+		g.start(i, false)
+	}
+	snapshot, err := g.peers[0].Read(ctx)
+	is.NoErr(err)
+	is.Equal(string(snapshot), "kept")
+	for i, p := range g.peers {
+		is.Equal(p.Status().Identity, before[i])
+	}
+}
+
+// Without a majority nobody acknowledges or answers anything.
+func TestNoMajority(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	_, err := g.peers[0].Submit(ctx, []byte("one"))
+	is.NoErr(err)
+	g.stops[1]()
+	g.stops[2]()
+	short, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	_, err = g.peers[0].Submit(short, []byte("two"))
+	is.True(err != nil)
+	_, err = g.peers[0].Read(short)
+	is.True(err != nil)
+	g.start(1, false)
+	_, err = g.peers[0].Submit(ctx, []byte("three"))
+	is.NoErr(err)
+}
--- /dev/null
+++ b/coord/storage/example_test.go
@@ -0,0 +1,28 @@
+package storage_test
+
+import (
+	"fmt"
+	"os"
+
+	"reachspread/coord/storage"
+)
+
+// A state is saved whole now and then, and the changes since are appended. What Open finds is what was told of last.
+func Example() {
+	path, _ := os.MkdirTemp("", "storage")
+	defer os.RemoveAll(path)
+	files, _ := storage.NewFolder(path)
+	store, _, _ := storage.Open(files)
+	fmt.Println(store.Save([]byte("balance 10")))
+	fmt.Println(store.Append([]byte("plus 5"), []byte("minus 2")))
+	files.Close()
+
+	files, _ = storage.NewFolder(path) // in the next life
+	defer files.Close()
+	_, found, err := storage.Open(files)
+	fmt.Println(string(found.State), len(found.Records), string(found.Records[1]), err)
+	// Output:
+	// <nil>
+	// <nil>
+	// balance 10 2 minus 2 <nil>
+}
--- a/internal/peering/duties.go
+++ b/internal/peering/duties.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"reachspread/coord/members"
 	"reachspread/internal/duty"
-	"reachspread/internal/members"
 	"reachspread/internal/quorum"
 	"reachspread/internal/routing"
 )
--- a/internal/peering/duties_test.go
+++ b/internal/peering/duties_test.go
@@ -16,9 +16,9 @@
 	"testing"
 	"time"
 
+	"reachspread/coord/members"
 	"reachspread/internal/durable"
 	"reachspread/internal/duty"
-	"reachspread/internal/members"
 	"reachspread/internal/peers"
 )
 
--- a/internal/peering/gossip.go
+++ b/internal/peering/gossip.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/coord/members"
 	"reachspread/internal/duty"
-	"reachspread/internal/members"
 	"reachspread/internal/protocol"
 	"reachspread/internal/recovery"
 	"reachspread/internal/routing"
--- a/internal/peering/view.go
+++ b/internal/peering/view.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"reachspread/internal/members"
+	"reachspread/coord/members"
 	"reachspread/internal/routing"
 )
 
--- a/internal/peering/view_test.go
+++ b/internal/peering/view_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"reachspread/internal/members"
+	"reachspread/coord/members"
 	"reachspread/internal/peering"
 	"reachspread/internal/peers"
 )
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"reachspread/balance"
+	"reachspread/coord/members"
 	"reachspread/internal/duty"
 	"reachspread/internal/management"
-	"reachspread/internal/members"
 	"reachspread/internal/peering"
 	"reachspread/internal/routing"
 )
--- a/internal/scalerun/hollow.go
+++ b/internal/scalerun/hollow.go
@@ -10,7 +10,7 @@
 	"sync"
 	"sync/atomic"
 
-	"reachspread/internal/members"
+	"reachspread/coord/members"
 	"reachspread/internal/peering"
 )
 
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -7,8 +7,8 @@
 	"regexp"
 	"time"
 
+	"reachspread/coord/members"
 	"reachspread/internal/duty"
-	"reachspread/internal/members"
 )
 
 // Recovery is the block of that name, nil for none: a router keeps what it knows for its next life.
--- a/internal/system/node/configured.go
+++ b/internal/system/node/configured.go
@@ -7,6 +7,7 @@
 	"github.com/klauspost/compress/s2"
 	"google.golang.org/protobuf/proto"
 
+	"reachspread/coord/coordpb"
 	"reachspread/internal/system/configuration"
 	"reachspread/internal/system/message"
 	"reachspread/internal/system/pins"
@@ -102,7 +103,7 @@
 }
 
 // Merge implements feed.Topic.
-func (c *configured) Merge(n *message.News) {
+func (c *configured) Merge(n *coordpb.Delta) {
 	if n.Revision <= c.sequence {
 		return
 	}
@@ -128,7 +129,7 @@
 }
 
 // orderOf gives a payload as an order; nil for one that changes nothing here.
-func (c *configured) orderOf(n *message.News, in *message.Published) (*message.Order, error) {
+func (c *configured) orderOf(n *coordpb.Delta, in *message.Published) (*message.Order, error) {
 	if len(in.Patch) > 0 {
 		if n.Since != c.sequence || c.state == nil {
 			return nil, nil
@@ -173,7 +174,7 @@
 func (c *configured) Confirmed() (time.Duration, bool) { return c.confirmed, c.confirmed >= 0 }
 
 // Confirm implements feed.Topic.
-func (c *configured) Confirm(at time.Duration, n *message.News) { c.confirm(at, n.Revision) }
+func (c *configured) Confirm(at time.Duration, n *coordpb.Delta) { c.confirm(at, n.Revision) }
 
 // confirm takes in that nothing newer than a sequence was committed at a time.
 func (c *configured) confirm(at time.Duration, sequence uint64) {
--- a/internal/system/node/decode_test.go
+++ b/internal/system/node/decode_test.go
@@ -40,9 +40,9 @@
 	host := &message.Instance{Id: "i", Service: "s", Address: "a", State: message.Instance_DRAINING}
 	hosts, _ := proto.Marshal(&message.Instances{Instances: []*message.Instance{host}})
 	for _, m := range []*message.Envelope{
-		{Body: &message.Envelope_Poll{Poll: &message.Poll{From: "127.0.0.1:2", Nonce: 1, Cursors: []*message.Cursor{{Topic: "hosts/s"}, {Topic: configurationTopic}}}}},
-		{Body: &message.Envelope_Update{Update: &message.Update{From: "127.0.0.1:2", News: []*message.News{{Topic: "hosts/s", Revision: 3, Payload: hosts}}}}},
-		{Body: &message.Envelope_Update{Update: &message.Update{News: []*message.News{{Topic: configurationTopic, Revision: 3, Payload: []byte{0x22, 0x01, 0x00}}}}}},
+		{Body: &message.Envelope_Poll{Poll: &coordpb.Poll{From: "127.0.0.1:2", Nonce: 1, Cursors: []*coordpb.Cursor{{Topic: "hosts/s"}, {Topic: configurationTopic}}}}},
+		{Body: &message.Envelope_Update{Update: &coordpb.Update{From: "127.0.0.1:2", Deltas: []*coordpb.Delta{{Topic: "hosts/s", Revision: 3, Payload: hosts}}}}},
+		{Body: &message.Envelope_Update{Update: &coordpb.Update{Deltas: []*coordpb.Delta{{Topic: configurationTopic, Revision: 3, Payload: []byte{0x22, 0x01, 0x00}}}}}},
 		{Body: &message.Envelope_Handoff{Handoff: &message.Handoff{From: "127.0.0.1:2", Instances: []*message.Instance{host}}}},
 		{Body: &message.Envelope_QuotaAsk{QuotaAsk: &message.QuotaAsk{From: "127.0.0.1:2", Tenant: "x", Need: 5, Relay: true}}},
 		{Body: &message.Envelope_QuotaAnswer{QuotaAnswer: &message.QuotaAnswer{Owner: true, Granted: 5}}},
--- a/internal/system/node/fleet.go
+++ b/internal/system/node/fleet.go
@@ -7,9 +7,9 @@
 	"strings"
 
 	"reachspread/coord/coordpb"
-	"reachspread/internal/members"
+	"reachspread/coord/feed"
+	"reachspread/coord/members"
 	"reachspread/internal/rendezvous"
-	"reachspread/internal/system/feed"
 )
 
 // Flags of a router, in the version field of its membership card.
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -10,10 +10,10 @@
 
 	"reachspread/coord/chain"
 	"reachspread/coord/coordpb"
+	"reachspread/coord/feed"
+	"reachspread/coord/members"
 	"reachspread/coord/register"
-	"reachspread/internal/members"
 	"reachspread/internal/system/configuration"
-	"reachspread/internal/system/feed"
 	"reachspread/internal/system/instances"
 	"reachspread/internal/system/message"
 )
@@ -205,7 +205,7 @@
 }
 
 // addTopics has the topics of services be known that others ask for.
-func (h *hub) addTopics(p *message.Poll) {
+func (h *hub) addTopics(p *coordpb.Poll) {
 	for _, c := range p.Cursors {
 		if len(c.Topic) > len(hostsTopic) && c.Topic[:len(hostsTopic)] == hostsTopic {
 			h.addService(c.Topic[len(hostsTopic):])
--- a/internal/system/node/pins_schedules_test.go
+++ b/internal/system/node/pins_schedules_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"reachspread/coord/feed"
 	"reachspread/internal/system/configuration"
-	"reachspread/internal/system/feed"
 	"reachspread/internal/system/message"
 	"reachspread/internal/system/pinplay"
 	"reachspread/internal/system/pins"
@@ -96,7 +96,7 @@
 func (w *pinWorld) begin(i int) {
 	r := w.routers[i]
 	r.feed = feed.New(routerName(i), w.rng.Uint64(), w.now)
-	r.config = &configured{confirmed: -1, failed: func(err error) { w.fault = err }}
+	r.config = &configured{confirmed: -1, now: func() time.Duration { return w.now }, failed: func(err error) { w.fault = err }}
 	r.config.changed = func(*configuration.State) { w.post(i, r.feed.Changed(w.now, configurationTopic)) }
 	r.feed.Add(configurationTopic, r.config)
 	r.young, r.frozen, r.waiting = false, 0, nil
--- a/internal/system/node/status.go
+++ b/internal/system/node/status.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"reachspread/coord/coordpb"
+	"reachspread/coord/members"
 	"reachspread/coord/register"
 	"reachspread/coord/view"
-	"reachspread/internal/members"
 	"reachspread/internal/system/configuration"
 	"reachspread/internal/system/instances"
 	"reachspread/internal/system/message"
--- a/internal/system/node/topics.go
+++ b/internal/system/node/topics.go
@@ -36,7 +36,7 @@
 }
 
 // Merge implements feed.Topic.
-func (v *viewed) Merge(n *message.News) {
+func (v *viewed) Merge(n *coordpb.Delta) {
 	in := &coordpb.View{}
 	if proto.Unmarshal(n.Payload, in) == nil {
 		v.take(in)
@@ -56,7 +56,7 @@
 func (v *viewed) Confirmed() (time.Duration, bool) { return 0, false }
 
 // Confirm implements feed.Topic.
-func (v *viewed) Confirm(time.Duration, *message.News) {}
+func (v *viewed) Confirm(time.Duration, *coordpb.Delta) {}
 
 // hosts is the topic of one service's hosts.
 type hosts struct {
@@ -79,7 +79,7 @@
 }
 
 // Merge implements feed.Topic.
-func (h *hosts) Merge(n *message.News) {
+func (h *hosts) Merge(n *coordpb.Delta) {
 	in := &message.Instances{}
 	if proto.Unmarshal(n.Payload, in) != nil {
 		return
@@ -93,4 +93,4 @@
 func (h *hosts) Confirmed() (time.Duration, bool) { return 0, false }
 
 // Confirm implements feed.Topic.
-func (h *hosts) Confirm(time.Duration, *message.News) {}
+func (h *hosts) Confirm(time.Duration, *coordpb.Delta) {}
--- a/internal/viewlab/measure_test.go
+++ b/internal/viewlab/measure_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"reachspread/coord/members"
 	"reachspread/internal/faults"
-	"reachspread/internal/members"
 )
 
 // The measurements run when asked: docs/measurements/members.md has the commands and what came of them.
--- a/internal/viewlab/viewlab.go
+++ b/internal/viewlab/viewlab.go
@@ -11,10 +11,10 @@
 	"slices"
 	"time"
 
+	"reachspread/coord/members"
 	"reachspread/internal/faults"
 	"reachspread/internal/history"
 	"reachspread/internal/lab"
-	"reachspread/internal/members"
 )
 
 // Spec is a play.
--- a/internal/viewlab/viewlab_test.go
+++ b/internal/viewlab/viewlab_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"reachspread/coord/members"
 	"reachspread/internal/faults"
-	"reachspread/internal/members"
 )
 
 const (
