--- a/internal/system/pinplay/host.go
+++ b/internal/system/pinplay/host.go
@@ -28,6 +28,8 @@
 	Registered atomic.Int64 // that it tells of
 
 	listener net.Listener
+	server   *http.Server
+	closed   atomic.Bool
 	sequence atomic.Int64
 	mu       sync.Mutex
 	ran      map[string]int // by request
@@ -42,12 +44,16 @@
 	h := &Host{ID: id, listener: listener, ran: map[string]int{}}
 	h.Version.Store(version)
 	h.Registered.Store(version)
-	go http.Serve(listener, h)
+	h.server = &http.Server{Handler: h}
+	go h.server.Serve(listener)
 	return h, nil
 }
 
-// Close ends the host.
-func (h *Host) Close() { h.listener.Close() }
+// Close ends the host and its connections.
+func (h *Host) Close() {
+	h.closed.Store(true)
+	h.server.Close()
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/system/pinplay/story.go
+++ b/internal/system/pinplay/story.go
@@ -87,6 +87,29 @@
 	return nil
 }
 
+// Heartbeats has the hosts that are up call again and again until ctx ends. A call that nobody takes is passed over.
+func (s *Story) Heartbeats(ctx context.Context, every time.Duration) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.stop:
+			return
+		case <-tick.C:
+		}
+		for i, h := range s.Hosts {
+			if !h.closed.Load() {
+				s.callOne(ctx, i%len(s.Controls), http.MethodPut, "/instances/"+h.ID, "", h.registration("z0"))
+			}
+		}
+	}
+}
+
+// Requests are those of the clients, once they have stopped.
+func (s *Story) Requests() []Asked { return s.asked }
+
 // call calls the control planes by turns until one answers for certain, as operators and hosts do.
 func (s *Story) call(ctx context.Context, method, path, ifMatch string, body []byte) (text []byte, err error) {
 	for try := 0; ; try++ {
--- /dev/null
+++ b/internal/system/role/role.go
@@ -0,0 +1,53 @@
+// Package role runs a router of the fleet as the process that it is in: settings from the file that the environment names, until a
+// signal ends it. The programs that can be a router share it.
+package role
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"reachspread/internal/logging"
+	"reachspread/internal/system/node"
+	"reachspread/internal/system/settings"
+)
+
+// Run serves as a router until SIGTERM, or until ctx ends. SIGHUP has the settings read anew.
+func Run(ctx context.Context) error {
+	s, err := settings.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	log := logging.New(os.Stderr, logging.Text)
+	reload := make(chan *settings.Settings)
+	go readAgain(ctx, hup, reload, log)
+	node.Limit(s.Limits)
+	return node.New(s, log).Run(ctx, reload)
+}
+
+// readAgain reads the settings file at each signal until ctx ends. A file that can't be used changes nothing.
+func readAgain(ctx context.Context, signals <-chan os.Signal, read chan<- *settings.Settings, log *logging.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		s, err := settings.Load(os.Getenv)
+		if err != nil {
+			log.Warn("settings unusable", "cause", err)
+			continue
+		}
+		select {
+		case read <- s:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
