--- a/internal/system/node/pins.go
+++ b/internal/system/node/pins.go
@@ -43,6 +43,7 @@
 	if p.known = append(p.known, pinRevision{revision, now}); len(p.known) > mostRevisions {
 		p.known = p.known[1:]
 	}
+	p.node.log.Info("pins in force", "revision", revision)
 }
 
 // committed is a time by which a revision was committed: the first at which this process knew of it, or of a later one.
--- a/internal/system/node/pins_schedules_test.go
+++ b/internal/system/node/pins_schedules_test.go
@@ -48,6 +48,7 @@
 	served  int
 	refused int
 	fault   error
+	strike  func(m drawnMessage) (lost bool) // called before each message arrives, nil for nothing
 }
 
 // drawnChange is a change of the pins: the number of its revision is its place, from 1 on.
@@ -72,7 +73,10 @@
 	send feed.Send
 }
 
-func newPinWorld(t *testing.T, seed uint64, plant pinPlant) *pinWorld {
+// drawnRouters is how many routers a drawn schedule has.
+const drawnRouters = 8
+
+func newPinWorld(t *testing.T, routers int, seed uint64, plant pinPlant) *pinWorld {
 	document, err := configuration.Parse([]byte(pinplay.Configuration))
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +86,7 @@
 		t.Fatal(err)
 	}
 	w := &pinWorld{rng: rand.New(rand.NewPCG(seed, 0)), plant: plant, cut: map[[2]int]bool{}, state: state}
-	for i := range 8 {
+	for i := range routers {
 		w.routers = append(w.routers, &drawnRouter{world: w, number: i})
 		w.begin(i)
 	}
@@ -138,7 +142,7 @@
 	for len(w.queue) > 0 && w.queue[0].at <= w.now {
 		m := w.queue[0]
 		w.queue = w.queue[1:]
-		if w.cut[[2]int{m.from, m.to}] {
+		if w.cut[[2]int{m.from, m.to}] || w.strike != nil && w.strike(m) {
 			continue
 		}
 		r := w.routers[m.to]
@@ -222,22 +226,30 @@
 }
 
 func (w *pinWorld) play() {
-	for ; w.now < drawnLength && w.fault == nil; w.now += drawnTick {
-		w.tail().config.confirm(w.now, w.tail().config.sequence)
-		for i, r := range w.routers {
-			r.do(func() { w.post(i, r.feed.Tick(w.now)) })
-		}
-		w.deliver()
-		if w.rng.IntN(60) == 0 {
-			w.change()
-		}
-		if w.rng.IntN(30) == 0 {
-			w.trouble()
-		}
-		for _, r := range w.routers {
-			r.request()
-		}
+	for w.now < drawnLength && w.fault == nil {
+		w.step(func() {
+			if w.rng.IntN(60) == 0 {
+				w.change()
+			}
+			if w.rng.IntN(30) == 0 {
+				w.trouble()
+			}
+		})
+	}
+}
+
+// step has a tick pass. What happens besides does so before the clients ask.
+func (w *pinWorld) step(besides func()) {
+	w.tail().config.confirm(w.now, w.tail().config.sequence)
+	for i, r := range w.routers {
+		r.do(func() { w.post(i, r.feed.Tick(w.now)) })
+	}
+	w.deliver()
+	besides()
+	for _, r := range w.routers {
+		r.request()
 	}
+	w.now += drawnTick
 }
 
 // Whatever is drawn of cuts, standstills and new lives of routers, each request that arrives after a change of the pins was acknowledged is
@@ -245,7 +257,7 @@
 func TestDrawnPins(t *testing.T) {
 	served, refused := 0, 0
 	for seed := range uint64(*pinSchedules) {
-		w := newPinWorld(t, seed, noPlant)
+		w := newPinWorld(t, drawnRouters, seed, noPlant)
 		w.play()
 		if w.fault != nil {
 			t.Errorf("seed %d: %v", seed, w.fault)
@@ -263,7 +275,7 @@
 	for name, plant := range map[string]pinPlant{"acknowledged too early": ackedTooEarly, "stale after a thaw": staleAfterThaw, "never runs out": neverRunsOut} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(*pinSchedules) {
-				w := newPinWorld(t, seed, plant)
+				w := newPinWorld(t, drawnRouters, seed, plant)
 				w.play()
 				if w.fault != nil {
 					t.Logf("seed %d: %v", seed, w.fault)
