Distribution: words on hosts are brought to others every 40 ms at most; no poll for what needs no confirmation

While no configuration is known, each word on a host made each subscriber poll at once; each word was sent by itself, and each had all hosts of its service sorted for the decisions. Now words are collected for 40 ms after a first one, payloads are worked out once for all subscribers that are as far, a service's revision is kept.

--- a/coord/feed/feed.go
+++ b/coord/feed/feed.go
@@ -231,6 +231,16 @@
 	return false
 }
 
+// hasToBeConfirmed tells whether what comes of a topic has to be confirmed as the newest.
+func (n *Node) hasToBeConfirmed(topic string) bool {
+	for key, f := range n.flows {
+		if key.topic == topic && f.Confirmed {
+			return true
+		}
+	}
+	return false
+}
+
 // ask adds a topic to the poll of a source.
 func (n *Node) ask(polls map[string]*coordpb.Poll, source, topic string) {
 	poll := polls[source]
@@ -306,19 +316,30 @@
 	return n.news(s, name, t, after)
 }
 
-// news is what a topic has after a revision.
+// news is what a topic has for a subscriber after a revision.
 func (n *Node) news(s *subscriber, name string, t Topic, after uint64) *coordpb.Delta {
-	news := &coordpb.Delta{Topic: name, Life: n.life, Since: after, Revision: t.Revision(), AgeUs: -1}
-	if after != t.Revision() {
-		news.Payload, news.Since = t.Delta(after)
-	}
-	if len(news.Payload) >= longPayload {
-		s.long[name] = sent{news.Revision, n.now + resendAfter + time.Duration(len(news.Payload))*resendPerByte}
+	d := n.delta(name, t, after)
+	n.noteLong(s, name, d)
+	return d
+}
+
+// delta is what a topic has after a revision.
+func (n *Node) delta(name string, t Topic, after uint64) *coordpb.Delta {
+	d := &coordpb.Delta{Topic: name, Life: n.life, Since: after, Revision: t.Revision(), AgeUs: -1}
+	if after != d.Revision {
+		d.Payload, d.Since = t.Delta(after)
 	}
 	if at, ok := t.Confirmed(); ok {
-		news.AgeUs = (n.now - at).Microseconds()
+		d.AgeUs = (n.now - at).Microseconds()
+	}
+	return d
+}
+
+// noteLong notes a long payload that a subscriber is sent.
+func (n *Node) noteLong(s *subscriber, name string, d *coordpb.Delta) {
+	if len(d.Payload) >= longPayload {
+		s.long[name] = sent{d.Revision, n.now + resendAfter + time.Duration(len(d.Payload))*resendPerByte}
 	}
-	return news
 }
 
 // Changed brings what is new in a topic to its subscribers.
@@ -328,13 +349,19 @@
 	if topic == nil {
 		return nil
 	}
+	revision := topic.Revision()
+	worked := map[uint64]*coordpb.Delta{} // most subscribers are as far as each other
 	for address, s := range n.subscribers {
 		after, ok := s.cursors[name]
-		if !ok || after == topic.Revision() || n.now-s.polled >= subscribed {
+		if !ok || after == revision || n.now-s.polled >= subscribed {
 			continue
 		}
-		s.cursors[name] = topic.Revision()
-		n.out = append(n.out, Send{To: address, Update: &coordpb.Update{From: n.self, Deltas: []*coordpb.Delta{n.news(s, name, topic, after)}}})
+		s.cursors[name] = revision
+		if worked[after] == nil {
+			worked[after] = n.delta(name, topic, after)
+		}
+		n.noteLong(s, name, worked[after])
+		n.out = append(n.out, Send{To: address, Update: &coordpb.Update{From: n.self, Deltas: []*coordpb.Delta{worked[after]}}})
 	}
 	return n.out
 }
@@ -385,8 +412,8 @@
 			topic.Merge(news)
 		}
 		cursor.Life, cursor.Revision = news.Life, news.Revision // a shared topic counts by itself
-		if !answered && n.isBehind() {
-			n.pollAt = n.now // what came has to be confirmed
+		if !answered && n.hasToBeConfirmed(news.Topic) && n.isBehind() {
+			n.pollAt = n.now
 		}
 		if answered {
 			confirmed := neverStarted
--- a/internal/system/instances/instances.go
+++ b/internal/system/instances/instances.go
@@ -23,6 +23,8 @@
 	// lostBeats is the number of heartbeats that may be missing before a host counts as lost.
 	lostBeats = 3.5
 	sweepFrom = 256 // records, below which nothing is forgotten
+	// sweepEvery is the time between two looks for what may be forgotten.
+	sweepEvery = 10 * time.Second
 )
 
 // Record is one host as this router knows it. It is not to be changed.
@@ -41,11 +43,13 @@
 	revision  uint64
 	records   map[string]*Record
 	byService map[string]map[string]*Record
+	last      map[string]uint64 // the revision of each service
+	sweepAt   time.Duration
 }
 
 // New returns a registry that knows nobody. Revisions begin at 1.
 func New(interval time.Duration) *Registry {
-	return &Registry{interval: interval, revision: 1, records: map[string]*Record{}, byService: map[string]map[string]*Record{}}
+	return &Registry{interval: interval, revision: 1, records: map[string]*Record{}, byService: map[string]map[string]*Record{}, last: map[string]uint64{}}
 }
 
 // Revision grows with each change.
@@ -104,15 +108,17 @@
 		r.byService[in.Service] = service
 	}
 	service[in.Id] = rec
+	r.last[in.Service] = r.revision
 	r.forget()
 	return rec
 }
 
 // forget drops hosts that have been gone for long.
 func (r *Registry) forget() {
-	if len(r.records) < sweepFrom {
+	if len(r.records) < sweepFrom || r.now < r.sweepAt {
 		return
 	}
+	r.sweepAt = r.now + sweepEvery
 	for id, rec := range r.records {
 		if rec.State == message.Instance_GONE && r.now-rec.since >= keepGone {
 			delete(r.records, id)
@@ -224,10 +230,4 @@
 }
 
 // ServiceRevision grows with each change of a service's hosts.
-func (r *Registry) ServiceRevision(service string) uint64 {
-	last := uint64(0)
-	for _, rec := range r.byService[service] {
-		last = max(last, rec.revision)
-	}
-	return last
-}
+func (r *Registry) ServiceRevision(service string) uint64 { return r.last[service] }
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -26,6 +26,9 @@
 	handoffMost = 30 * time.Second       // then it is given up
 	mostHints   = 4096
 	freshFor    = time.Second // a confirmation that is younger is worth telling
+	// bringEvery is the least time between two times that words on hosts are brought to the decisions and to others. Hundreds of hosts may
+	// tell of themselves at once, and each word by itself would cost as much as all of them.
+	bringEvery = 40 * time.Millisecond
 )
 
 // hub owns what this router knows of the fleet: its routers, the hosts, the configuration and where all that comes from. One goroutine
@@ -45,6 +48,9 @@
 	nonce    uint64
 	homeOf   map[homeKey]bool // services and zones that this router is the home of
 	loseAt   time.Duration
+	unsaid   map[string]bool // services with words on hosts that were not brought to others yet
+	bringAt  time.Duration   // the earliest time for that
+	bring    *time.Timer     // runs while there are any
 	wasYoung bool
 	wasFresh bool // the configuration was confirmed of late
 
@@ -65,7 +71,9 @@
 }
 
 func newHub(n *Node) *hub {
-	h := &hub{node: n, start: time.Now(), calls: make(chan func(), mostCalls), hints: map[uint64]*hint{}, homeOf: map[homeKey]bool{}}
+	h := &hub{node: n, start: time.Now(), calls: make(chan func(), mostCalls), hints: map[uint64]*hint{}, homeOf: map[homeKey]bool{}, unsaid: map[string]bool{},
+		bring: time.NewTimer(0)}
+	h.bring.Stop()
 	h.confirmedAt.Store(-1)
 	h.feed = feed.New(n.self.internal(), n.life, 0)
 	h.registry = instances.New(n.settings().HeartbeatInterval())
@@ -129,6 +137,8 @@
 			f()
 		case <-tick.C:
 			h.tick()
+		case <-h.bring.C:
+			h.bringHosts()
 		}
 		h.confirmedAt.Store(int64(h.config.confirmed))
 	}
@@ -373,17 +383,32 @@
 	}
 }
 
-// changed brings words on hosts that are new here to the decisions and to others.
+// changed has words on hosts that are new here be brought to the decisions and to others: now, or soon where others just were.
 func (h *hub) changed(all []*instances.Record) {
-	services := map[string]bool{}
+	if len(all) == 0 {
+		return
+	}
+	waiting := len(h.unsaid) > 0
 	for _, r := range all {
-		services[r.Service] = true
+		h.unsaid[r.Service] = true
+	}
+	switch now := h.now(); {
+	case now >= h.bringAt:
+		h.bringHosts()
+	case !waiting:
+		h.bring.Reset(h.bringAt - now)
 	}
-	for name := range services {
+}
+
+// bringHosts brings what is new of hosts to the decisions and to others.
+func (h *hub) bringHosts() {
+	h.bringAt = h.now() + bringEvery
+	for name := range h.unsaid {
 		h.addService(name)
 		h.showHosts(name)
 		h.send(h.feed.Changed(h.now(), hostsTopic+name))
 	}
+	clear(h.unsaid)
 }
 
 // showHosts tells the decisions which hosts a service has.
