--- a/coord/feed/feed_test.go
+++ b/coord/feed/feed_test.go
@@ -372,3 +372,27 @@
 	is.Equal(w.nodes["leaf"].topic.value, uint64(5))
 	is.True(w.age("leaf") < staleAfter)
 }
+
+// A router that lacks a confirmation asks for it in a hurry, but not once more for each word on a topic that needs none.
+func TestNoPollForPlainTopics(t *testing.T) {
+	is := is.New(t)
+	n := New("a", 1, 0)
+	n.Add("confirmed", &number{confirmed: -1, shared: true})
+	n.Add("plain", &number{confirmed: -1})
+	n.Subscribe(0, []Subscription{{Topic: "confirmed", Candidates: []string{"b"}, Confirmed: true}, {Topic: "plain", Candidates: []string{"b"}}})
+	polls := func(topic string) (count int) {
+		from := n.now
+		for i := range 100 {
+			value := uint64(i + 1)
+			u := &coordpb.Update{From: "b", Deltas: []*coordpb.Delta{{Topic: topic, Life: 9, Revision: value, Payload: binary.BigEndian.AppendUint64(nil, value), AgeUs: -1}}}
+			for _, s := range n.TakeUpdate(from+time.Duration(i)*time.Millisecond, u) {
+				if s.Poll != nil {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	is.True(polls("plain") <= 2)
+	is.True(polls("confirmed") >= 90)
+}
--- a/internal/system/node/node_test.go
+++ b/internal/system/node/node_test.go
@@ -408,3 +408,42 @@
 	is.Equal(status, 200)
 	is.True(strings.Contains(text, `"s"`))
 }
+
+// Hundreds of hosts that tell of themselves at once are known to all routers, by some messages and not by one for each host and router.
+func TestManyHostsAtOnce(t *testing.T) {
+	is := is.New(t)
+	const many = 300
+	f := newFleet(t, 4, 3)
+	is.Equal(f.order(http.MethodPut, first, 0, 0), 200)
+	address := f.host("one")
+	f.eventually("all routers know each other", func() bool {
+		for i := range f.nodes {
+			if f.nodes[i].plane.Routers() != len(f.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+	// At the home of the service in their zone, as hosts do after their first call.
+	home := slices.IndexFunc(f.nodes, func(n *running) bool {
+		var at router
+		n.hub.ask(t.Context(), func() { at = n.hub.home("s", "z0") })
+		return at.address == n.self.address
+	})
+	before := f.nodes[home].link.Figures().Sent
+	var group sync.WaitGroup
+	for i := range many {
+		group.Go(func() { f.beat(home, fmt.Sprint("i-", i), "s", address, "ready", 1) })
+	}
+	group.Wait()
+	for i := range f.nodes {
+		f.eventually(fmt.Sprint("router ", i, " knows all hosts"), func() bool {
+			known := 0
+			f.nodes[i].hub.ask(t.Context(), func() { known = len(f.nodes[i].hub.registry.Of("s")) })
+			return known == many
+		})
+	}
+	sent := f.nodes[home].link.Figures().Sent - before
+	t.Logf("%d messages for %d hosts", sent, many)
+	is.True(sent < many)
+}
