A fleet of processes on the loopback is one package, for the demo and for the tests

processes_test.go and the demo had the same settings file, start and readiness twice. The tests' assertions are as they were; both packages passed with the race detector (67 s, 17 s).

--- a/cmd/reachlab/fleetdemo.go
+++ b/cmd/reachlab/fleetdemo.go
@@ -16,7 +16,7 @@
 
 const (
 	demoRouters = 6
-	demoNetwork = 1
+	demoNetwork = "127.79.1"
 )
 
 func fleetDemoCommand() *cobra.Command {
--- a/cmd/reachspread/control_processes_test.go
+++ b/cmd/reachspread/control_processes_test.go
@@ -124,7 +124,7 @@
 // read reads the version in force, nil without a clear answer.
 func (f *processes) read(ctx context.Context, h *configurationHistory, operator int, rng *rand.Rand) *configurationCall {
 	c := &configurationCall{operator: operator, began: time.Since(h.begun)}
-	code, text := f.callControl(ctx, rng.IntN(len(f.all)), http.MethodGet, "", -1)
+	code, text := f.callControl(ctx, rng.IntN(f.Len()), http.MethodGet, "", -1)
 	c.ended = time.Since(h.begun)
 	if code != http.StatusOK {
 		return nil
@@ -145,7 +145,7 @@
 	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","pathPrefix":"/","kind":"safe","timeoutMs":%d,"service":"s"}],"services":[{"name":"s"}]}`, next, 1000+next)
 	c := &configurationCall{write: true, operator: operator, on: on, next: next, began: time.Since(h.begun)}
 	for until := time.Now().Add(orderFor); time.Now().Before(until) && ctx.Err() == nil; {
-		code, _ := f.callControl(ctx, rng.IntN(len(f.all)), http.MethodPut, body, on)
+		code, _ := f.callControl(ctx, rng.IntN(f.Len()), http.MethodPut, body, on)
 		switch code {
 		case http.StatusOK:
 			c.taken = true
@@ -164,7 +164,7 @@
 func (f *processes) callControl(ctx context.Context, i int, method, body string, on int) (code int, text []byte) {
 	within, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
-	r, err := http.NewRequestWithContext(within, method, fmt.Sprintf("http://%s:%d/configuration", f.all[i].ip, controlPort), strings.NewReader(body))
+	r, err := http.NewRequestWithContext(within, method, "http://"+f.Control(i)+"/configuration", strings.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -189,8 +189,8 @@
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	for until := time.Now().Add(playPatience); time.Now().Before(until); <-tick.C {
-		for i, p := range f.all {
-			if p.disk && f.wholeChain(i) == machines {
+		for i := range f.Len() {
+			if f.HasDisk(i) && f.wholeChain(i) == machines {
 				return
 			}
 		}
@@ -201,7 +201,7 @@
 // wholeChain is how many healthy machines the chain has by one that a majority has confirmed of late, 0 by any other one.
 func (f *processes) wholeChain(i int) (healthy int) {
 	client := http.Client{Timeout: callFor, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", f.all[i].ip, readyPort, status.Path))
+	resp, err := client.Get("http://" + f.Readiness(i) + status.Path)
 	if err != nil {
 		return 0
 	}
@@ -244,12 +244,8 @@
 		f.untilWhole(3)
 		f.untilAcknowledged(h, before)
 	}
-	for i := range f.all {
-		f.kill(i)
-	}
-	for i := range f.all {
-		f.start(i)
-	}
+	f.End()
+	f.must(f.StartAll())
 	f.untilWhole(3)
 	f.untilAcknowledged(h, h.newest())
 	cancel()
@@ -267,8 +263,8 @@
 // troubles are all kinds, at machines of the register by turns and at a router that is none.
 func (f *processes) troubles() []trouble {
 	return []trouble{
-		{"machine 0 is killed", 2, func() { f.kill(0) }, func() { f.start(0) }},
-		{"machine 1 stands still", 2, func() { f.freeze(1) }, func() { f.thaw(1) }},
+		{"machine 0 is killed", 2, func() { f.Kill(0) }, func() { f.start(0) }},
+		{"machine 1 stands still", 2, func() { f.Freeze(1) }, func() { f.Thaw(1) }},
 		{"machine 2 loses its disk", 2, func() { f.wipe(2) }, func() { f.start(2) }},
 		{"machine 0 is cut off", 2, func() { f.cutOff(0, true) }, f.heal},
 		{"nobody hears machine 1", 2, func() { f.cutOff(1, false) }, f.heal},
@@ -276,7 +272,7 @@
 		{"the disk of machine 0 stalls", 2, func() { f.fail(0, processFailures{stall: true}) }, f.heal},
 		{"the disk of machine 1 is full", 2, func() { f.fail(1, processFailures{full: true}) }, f.heal},
 		{"router 3 is cut off", 3, func() { f.cutOff(3, true) }, f.heal},
-		{"router 4 is killed", 3, func() { f.kill(4) }, func() { f.start(4) }},
+		{"router 4 is killed", 3, func() { f.Kill(4) }, func() { f.start(4) }},
 	}
 }
 
--- a/cmd/reachspread/failures_test.go
+++ b/cmd/reachspread/failures_test.go
@@ -95,7 +95,7 @@
 
 // failuresPath is the file of a process's failures.
 func (f *processes) failuresPath(i int) string {
-	return filepath.Join(f.folder, "failures-"+f.all[i].ip)
+	return filepath.Join(f.folder, "failures-"+f.IP(i))
 }
 
 // fail has things fail in a process, in place of those before.
@@ -114,13 +114,13 @@
 func (f *processes) cutOff(i int, bothWays bool) {
 	f.t.Helper()
 	var others []string
-	for j, p := range f.all {
+	for j := range f.Len() {
 		if j == i {
 			continue
 		}
-		others = append(others, p.ip)
+		others = append(others, f.IP(j))
 		if bothWays {
-			f.fail(j, processFailures{lose: []string{f.all[i].ip}})
+			f.fail(j, processFailures{lose: []string{f.IP(i)}})
 		}
 	}
 	f.fail(i, processFailures{lose: others})
@@ -129,7 +129,7 @@
 // heal ends all that fails.
 func (f *processes) heal() {
 	f.t.Helper()
-	for i := range f.all {
+	for i := range f.Len() {
 		f.fail(i, processFailures{})
 	}
 }
--- a/cmd/reachspread/processes_test.go
+++ b/cmd/reachspread/processes_test.go
@@ -3,15 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"syscall"
 	"testing"
 	"time"
 
+	"reachspread/internal/system/localfleet"
 	"reachspread/internal/system/pinplay"
 )
 
@@ -28,189 +24,62 @@
 	main()
 }
 
-// processes is a fleet of router processes on addresses of the loopback, of which the first three have disks.
-type processes struct {
-	t      *testing.T
-	folder string
-	all    []*process
-}
-
-// process is one of them.
-type process struct {
-	ip    string
-	disk  bool
-	first bool // it was never started
-	cmd   *exec.Cmd
-	ended chan struct{}
-}
-
 const (
-	internalPort = 7680
-	frontPort    = 8662
-	readyPort    = 8663
-	controlPort  = 8665
 	// boundMs is the bound on the age of what keys are honoured by: each change of the pins takes so long.
 	boundMs      = 2000
+	heartbeatMs  = 60_000
 	playPatience = 60 * time.Second
 )
 
+// processes is a fleet of router processes of which what fails can be told.
+type processes struct {
+	*localfleet.Fleet
+	t      *testing.T
+	folder string
+}
+
 func startProcesses(t *testing.T, count, disks int) *processes {
 	t.Helper()
 	f := &processes{t: t, folder: t.TempDir()}
-	for i := range count {
-		f.all = append(f.all, &process{ip: fmt.Sprintf("127.78.0.%d", i+1), disk: i < disks, first: true})
-	}
-	t.Cleanup(func() {
-		for i := range f.all {
-			f.kill(i)
-		}
-	})
-	for i := range f.all {
-		f.start(i)
-	}
+	f.Fleet = localfleet.New(localfleet.Options{Folder: f.folder, Network: "127.78.0", Routers: count, Disks: disks, Executable: []string{os.Args[0], "router"},
+		Environment: func(i int) []string { return []string{asRouter + "=1", failuresFile + "=" + f.failuresPath(i)} },
+		HeartbeatMs: heartbeatMs, RevocationMs: boundMs})
+	t.Cleanup(f.End)
+	f.must(f.StartAll())
 	return f
 }
 
-// settings writes a process's settings file.
-func (f *processes) settings(i int) (path string) {
+func (f *processes) must(err error) {
 	f.t.Helper()
-	p := f.all[i]
-	text := fmt.Sprintf(`nodeName = "n%d"
-role = "router"
-machineClass = "frontend"
-serves = ["frontend","control_plane"]
-ipAddress = "%s"
-zone = "z%d"
-region = "r"
-internalPortRange = [%d,%d]
-seedNodes = ["127.78.0.1:%d","127.78.0.2:%d","127.78.0.3:%d"]
-firstStart = %v
-countsForQuorum = %v
-dataDirectory = "%s"
-discovery = "registration"
-heartbeatIntervalMs = 60000
-[zones]
-z0 = "r"
-z1 = "r"
-z2 = "r"
-[listenAddresses]
-frontend = "%s:%d"
-readiness = "%s:%d"
-controlPlane = "%s:%d"
-[limits]
-cpuShare = 1.0
-cpuCores = 1
-memoryMb = 128
-fileDescriptors = 2000
-linkMbps = 1000.0
-[faultTolerance]
-machines = 1
-[bounds]
-graceS = 3
-revocationClosed = true
-revocationMs = %d
-retryBudgetRatio = 1.0
-retryWindowS = 10
-retryBudgetSlack = 64
-quotaWindowS = 8
-quotaOvershoot = 0.1
-`, i, p.ip, i%3, internalPort, internalPort, controlPort, controlPort, controlPort, p.first, p.disk, f.data(i),
-		p.ip, frontPort, p.ip, readyPort, p.ip, controlPort, boundMs)
-	path = filepath.Join(f.folder, fmt.Sprintf("settings-%d.toml", i))
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err != nil {
 		f.t.Fatal(err)
 	}
-	return path
-}
-
-// data is the folder of a process's disk, empty for none.
-func (f *processes) data(i int) string {
-	if !f.all[i].disk {
-		return ""
-	}
-	return filepath.Join(f.folder, fmt.Sprint("data-", i))
 }
 
 // start begins a life of a process.
 func (f *processes) start(i int) {
 	f.t.Helper()
-	p := f.all[i]
-	p.cmd = exec.Command(os.Args[0], "router")
-	p.cmd.Env = append(os.Environ(), asRouter+"=1", "REACHSPREAD_CONFIG="+f.settings(i), failuresFile+"="+f.failuresPath(i))
-	p.first = false
-	log, err := os.OpenFile(filepath.Join(f.folder, fmt.Sprintf("log-%d", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	p.cmd.Stderr, p.cmd.Stdout = log, log
-	if err := p.cmd.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	ended, cmd := make(chan struct{}), p.cmd
-	p.ended = ended
-	go func() {
-		cmd.Wait()
-		log.Close()
-		close(ended)
-	}()
-}
-
-// kill ends a process at once.
-func (f *processes) kill(i int) {
-	p := f.all[i]
-	p.cmd.Process.Kill()
-	<-p.ended
+	f.must(f.Start(i))
 }
 
 // wipe ends a process and takes its disk.
 func (f *processes) wipe(i int) {
 	f.t.Helper()
-	f.kill(i)
-	if err := os.RemoveAll(f.data(i)); err != nil {
-		f.t.Fatal(err)
-	}
-}
-
-// freeze has a process stand still until thaw.
-func (f *processes) freeze(i int) { f.all[i].cmd.Process.Signal(syscall.SIGSTOP) }
-
-func (f *processes) thaw(i int) { f.all[i].cmd.Process.Signal(syscall.SIGCONT) }
-
-// ready tells whether a process says that clients may come.
-func (f *processes) ready(i int) bool {
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d/readiness", f.all[i].ip, readyPort))
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	f.must(f.Wipe(i))
 }
 
 // untilReady waits until processes say that clients may come.
 func (f *processes) untilReady(which ...int) {
 	f.t.Helper()
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
-	until := time.Now().Add(playPatience)
-	for _, i := range which {
-		for !f.ready(i) {
-			if time.Now().After(until) {
-				text, _ := os.ReadFile(filepath.Join(f.folder, fmt.Sprintf("log-%d", i)))
-				f.t.Fatalf("process %d is never ready; its log:\n%s", i, text)
-			}
-			<-tick.C
-		}
-	}
+	f.must(f.UntilReady(f.t.Context(), which...))
 }
 
 // story is clients on the processes, and hosts of two versions.
 func (f *processes) story(ctx context.Context) *pinplay.Story {
 	f.t.Helper()
 	var fronts, controls []string
-	for _, p := range f.all {
-		fronts = append(fronts, net.JoinHostPort(p.ip, fmt.Sprint(frontPort)))
-		controls = append(controls, net.JoinHostPort(p.ip, fmt.Sprint(controlPort)))
+	for i := range f.Len() {
+		fronts, controls = append(fronts, f.Front(i)), append(controls, f.Control(i))
 	}
 	var hosts []*pinplay.Host
 	for i, version := range []int64{1, 1, 2, 2} {
@@ -246,17 +115,17 @@
 	}
 	s.Traffic()
 	change(1)
-	f.freeze(3) // without a disk: it learns of nothing
+	f.Freeze(3) // without a disk: it learns of nothing
 	change(2)
 	change(1)
-	f.thaw(3)
-	f.kill(4)
+	f.Thaw(3)
+	f.Kill(4)
 	change(2)
 	f.start(4)
-	f.freeze(1) // of the register
+	f.Freeze(1) // of the register
 	change(1)
 	change(2)
-	f.thaw(1)
+	f.Thaw(1)
 	f.untilReady(1, 3, 4)
 	f.wipe(2)
 	f.start(2)
@@ -276,12 +145,8 @@
 	change(1)
 	f.heal()
 	f.untilWhole(3)
-	for i := range f.all {
-		f.kill(i)
-	}
-	for i := range f.all {
-		f.start(i)
-	}
+	f.End()
+	f.must(f.StartAll())
 	f.untilReady(0, 1, 2, 3, 4)
 	change(2)
 	change(0)
--- a/internal/system/fleetdemo/fleetdemo.go
+++ b/internal/system/fleetdemo/fleetdemo.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"reachspread/internal/system/localfleet"
 	"reachspread/internal/system/pinplay"
 )
 
@@ -19,7 +20,7 @@
 	Routers    int           // three of them keep the register
 	Length     time.Duration // of the load
 	Executable []string      // runs a router, as the settings file in the environment says
-	Network    byte          // the third byte of the routers' loopback addresses
+	Network    string        // the first three bytes of the routers' loopback addresses
 	Page       string        // where the chart goes; empty for none
 }
 
@@ -32,12 +33,12 @@
 
 // demo is one under way.
 type demo struct {
-	o       Options
-	routers []*router
-	hosts   []*pinplay.Host
-	story   *pinplay.Story
-	begun   time.Time
-	events  []event
+	o      Options
+	fleet  *localfleet.Fleet
+	hosts  []*pinplay.Host
+	story  *pinplay.Story
+	begun  time.Time
+	events []event
 }
 
 // event is what happened, for the chart.
@@ -53,7 +54,8 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	d := &demo{o: o, routers: newRouters(folder, o.Network, o.Routers, o.Executable)}
+	d := &demo{o: o, fleet: localfleet.New(localfleet.Options{Folder: folder, Network: o.Network, Routers: o.Routers, Disks: coreMachines,
+		Executable: o.Executable, HeartbeatMs: int(heartbeatEvery / time.Millisecond), RevocationMs: revocationMs})}
 	defer d.end()
 	if err := d.start(ctx); err != nil {
 		return err
@@ -66,12 +68,13 @@
 
 // start brings up routers, hosts and the configuration.
 func (d *demo) start(ctx context.Context) error {
+	if err := d.fleet.StartAll(); err != nil {
+		return err
+	}
 	var fronts, controls []string
-	for _, r := range d.routers {
-		if err := r.start(); err != nil {
-			return err
-		}
-		fronts, controls = append(fronts, r.address(frontPort)), append(controls, r.address(controlPort))
+	var all []int
+	for i := range d.fleet.Len() {
+		fronts, controls, all = append(fronts, d.fleet.Front(i)), append(controls, d.fleet.Control(i)), append(all, i)
 	}
 	for i, version := range []int64{1, 1, 2, 2} {
 		h, err := pinplay.NewHost(fmt.Sprint("host-", i+1), version)
@@ -87,30 +90,36 @@
 		}
 	}
 	go d.story.Heartbeats(ctx, heartbeatEvery)
-	for _, r := range d.routers {
-		if err := r.untilReady(ctx); err != nil {
-			return err
-		}
+	if err := d.fleet.UntilReady(ctx, all...); err != nil {
+		return err
 	}
-	fmt.Fprintf(d.o.Out, "%d routers are ready, %d of them keep the register, before %d hosts\n", len(d.routers), coreMachines, len(d.hosts))
+	fmt.Fprintf(d.o.Out, "%d routers are ready, %d of them keep the register, before %d hosts\n", d.fleet.Len(), coreMachines, len(d.hosts))
 	return nil
 }
 
-const heartbeatEvery = time.Second
+const (
+	coreMachines   = 3
+	heartbeatEvery = time.Second
+	revocationMs   = 2000
+)
 
 // happenings are what goes on, in parts of the length.
 func (d *demo) happenings() []happening {
-	core, other, host := d.routers[1], d.routers[len(d.routers)-1], d.hosts[0]
-	kill := func(r *router) func(context.Context) error {
-		return func(context.Context) error { r.kill(); return nil }
+	core, other, host := 1, d.fleet.Len()-1, d.hosts[0]
+	coreName, otherName := d.fleet.Name(core), d.fleet.Name(other)
+	kill := func(i int) func(context.Context) error {
+		return func(context.Context) error { d.fleet.Kill(i); return nil }
+	}
+	start := func(i int) func(context.Context) error {
+		return func(context.Context) error { return d.fleet.Start(i) }
 	}
 	return []happening{
 		{0.10, "the operator pins tenant x to version 2", func(ctx context.Context) error { return d.story.Change(ctx, 2) }},
-		{0.25, other.Name + " is killed", kill(other)},
-		{0.35, other.Name + " comes back", func(context.Context) error { return other.start() }},
-		{0.45, core.Name + " of the register is killed", kill(core)},
+		{0.25, otherName + " is killed", kill(other)},
+		{0.35, otherName + " comes back", start(other)},
+		{0.45, coreName + " of the register is killed", kill(core)},
 		{0.55, "the operator pins tenant x to version 1, without it", func(ctx context.Context) error { return d.story.Change(ctx, 1) }},
-		{0.65, core.Name + " comes back", func(context.Context) error { return core.start() }},
+		{0.65, coreName + " comes back", start(core)},
 		{0.75, host.ID + " is killed", func(context.Context) error { host.Close(); return nil }},
 		{0.85, "the operator lifts the pin", func(ctx context.Context) error { return d.story.Change(ctx, 0) }},
 	}
@@ -151,9 +160,7 @@
 	for _, h := range d.hosts {
 		h.Close()
 	}
-	for _, r := range d.routers {
-		r.kill()
-	}
+	d.fleet.End()
 }
 
 // tally counts requests by their ends.
--- a/internal/system/fleetdemo/fleetdemo_test.go
+++ b/internal/system/fleetdemo/fleetdemo_test.go
@@ -35,7 +35,7 @@
 	is := is.New(t)
 	var out bytes.Buffer
 	page := filepath.Join(t.TempDir(), "page.html")
-	is.NoErr(Run(t.Context(), Options{Out: &out, Routers: 4, Length: 10 * time.Second, Executable: []string{os.Args[0]}, Network: 2, Page: page}))
+	is.NoErr(Run(t.Context(), Options{Out: &out, Routers: 4, Length: 10 * time.Second, Executable: []string{os.Args[0]}, Network: "127.79.2", Page: page}))
 	text := out.String()
 	for _, want := range []string{"4 routers are ready", "router-4 is killed", "router-2 of the register is killed", "host-1 is killed", "lifts the pin",
 		"3 changes of the pin; answers that were not as promised: 0"} {
@@ -58,6 +58,6 @@
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 	defer cancel()
-	err := Run(ctx, Options{Out: &bytes.Buffer{}, Routers: 3, Length: time.Minute, Executable: []string{os.Args[0]}, Network: 3})
+	err := Run(ctx, Options{Out: &bytes.Buffer{}, Routers: 3, Length: time.Minute, Executable: []string{os.Args[0]}, Network: "127.79.3"})
 	is.True(errors.Is(err, context.DeadlineExceeded))
 }
--- a/internal/system/fleetdemo/show.go
+++ b/internal/system/fleetdemo/show.go
@@ -43,15 +43,15 @@
 }
 
 func (d *demo) printRouters(asked []pinplay.Asked) {
-	tallies := make([]tally, len(d.routers))
+	tallies := make([]tally, d.fleet.Len())
 	for _, a := range asked {
 		tallies[a.Router].add(a)
 	}
 	t := tabwriter.NewWriter(d.o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	defer t.Flush()
 	fmt.Fprintln(t, "router\tserved\trefused\tfailed\t")
-	for i, r := range d.routers {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t\n", r.Name, tallies[i].served, tallies[i].refused, tallies[i].failed)
+	for i, tally := range tallies {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t\n", d.fleet.Name(i), tally.served, tally.refused, tally.failed)
 	}
 }
 
