Node: a status that was given up on no longer ends the router

Cause: Status had the hub fill in a result that became nil when the caller gave up (a router that stands still for over a second), and the hub came to it later: nil pointer.

Ruled out: a process that SIGCONT does not wake; a chain that does not take a machine back.

Change: ask brings the answer over a channel and shares nothing. The keeper does not write 'no hosts' where the hub did not answer. TestAskedInVain ends the process on the code before, passes now (race detector). The test of processes prints the register's status where it fails.

--- a/cmd/reachspread/control_processes_test.go
+++ b/cmd/reachspread/control_processes_test.go
@@ -195,22 +195,44 @@
 			}
 		}
 	}
-	f.t.Fatalf("the chain never has %d healthy machines", machines)
+	f.t.Fatalf("the chain never has %d healthy machines:\n%s", machines, f.registerStatus())
 }
 
-// wholeChain is how many healthy machines the chain has by one that a majority has confirmed of late, 0 by any other one.
-func (f *processes) wholeChain(i int) (healthy int) {
+// registerStatus is the register as each of its machines tells of it, a line each.
+func (f *processes) registerStatus() string {
+	var all strings.Builder
+	for i := range f.Len() {
+		if !f.HasDisk(i) {
+			continue
+		}
+		text, err := json.Marshal(f.register(i))
+		fmt.Fprintln(&all, i, string(text), err)
+	}
+	return all.String()
+}
+
+// register is the register as a process tells of it, nil where it does not answer.
+func (f *processes) register(i int) *status.Register {
 	client := http.Client{Timeout: callFor, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + f.Readiness(i) + status.Path)
 	if err != nil {
-		return 0
+		return nil
 	}
 	defer resp.Body.Close()
 	s, err := status.Read(resp.Body)
-	if err != nil || s.Register.Replica == nil || s.Register.Replica.ConfirmedS == nil {
+	if err != nil {
+		return nil
+	}
+	return &s.Register
+}
+
+// wholeChain is how many healthy machines the chain has by one that a majority has confirmed of late, 0 by any other one.
+func (f *processes) wholeChain(i int) (healthy int) {
+	r := f.register(i)
+	if r == nil || r.Replica == nil || r.Replica.ConfirmedS == nil {
 		return 0
 	}
-	for _, m := range s.Register.Machines {
+	for _, m := range r.Machines {
 		if m.Place > 0 && m.Healthy && m.Behind == 0 {
 			healthy++
 		}
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -117,19 +117,20 @@
 	}
 }
 
-// ask has the hub do something and waits until it is done.
-func (h *hub) ask(ctx context.Context, f func()) bool {
-	done := make(chan struct{})
+// ask has the hub work something out and waits for it; ok is false where ctx ended first. The hub may come to it after that, so f must
+// use nothing that the caller goes on to change.
+func ask[T any](ctx context.Context, h *hub, f func() T) (answer T, ok bool) {
+	done := make(chan T, 1)
 	select {
-	case h.calls <- func() { f(); close(done) }:
+	case h.calls <- func() { done <- f() }:
 	case <-ctx.Done():
-		return false
+		return answer, false
 	}
 	select {
-	case <-done:
-		return true
+	case answer = <-done:
+		return answer, true
 	case <-ctx.Done():
-		return false
+		return answer, false
 	}
 }
 
--- a/internal/system/node/keep.go
+++ b/internal/system/node/keep.go
@@ -70,6 +70,9 @@
 		}
 		keptAt = time.Now()
 		text, err := k.marshal(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil && bytes.Equal(text, last) {
 			continue
 		}
@@ -87,8 +90,11 @@
 
 // marshal writes what is to be kept. The same knowledge gives the same bytes.
 func (k *keeper) marshal(ctx context.Context) ([]byte, error) {
-	kept := &message.Kept{}
-	k.node.hub.ask(ctx, func() { kept.Instances = k.node.hub.registry.Living() })
+	living, ok := ask(ctx, k.node.hub, k.node.hub.registry.Living)
+	if !ok {
+		return nil, ctx.Err()
+	}
+	kept := &message.Kept{Instances: living}
 	quotas := k.node.quotas
 	quotas.mu.Lock()
 	kept.Usage = quotas.owning.keep(quotas.now())
--- a/internal/system/node/many_measure_test.go
+++ b/internal/system/node/many_measure_test.go
@@ -42,9 +42,8 @@
 	group.Wait()
 	for i := range f.nodes {
 		f.eventually(fmt.Sprint("router ", i, " knows all hosts"), func() bool {
-			known := 0
-			f.nodes[i].hub.ask(t.Context(), func() { known = f.nodes[i].hub.registry.Len() })
-			return known == *manyHosts
+			known, ok := ask(t.Context(), f.nodes[i].hub, f.nodes[i].hub.registry.Len)
+			return ok && known == *manyHosts
 		})
 	}
 }
--- a/internal/system/node/node_test.go
+++ b/internal/system/node/node_test.go
@@ -427,22 +427,22 @@
 	})
 	// At the home of the service in their zone, as hosts do after their first call.
 	home := slices.IndexFunc(f.nodes, func(n *running) bool {
-		var at router
-		n.hub.ask(t.Context(), func() { at = n.hub.home("s", "z0") })
-		return at.address == n.self.address
+		at, ok := ask(t.Context(), n.hub, func() router { return n.hub.home("s", "z0") })
+		return ok && at.address == n.self.address
 	})
 	before := f.nodes[home].link.Figures().Sent
 	hub := f.nodes[home].hub
-	hub.ask(t.Context(), func() { // all of them before anything else, however slow the machine is
+	_, ok := ask(t.Context(), hub, func() bool { // all of them before anything else, however slow the machine is
 		for i := range many {
 			hub.beat(&message.Instance{Id: fmt.Sprint("i-", i), Service: "s", Address: address, Zone: "z0", Sequence: 1}, func(string) {})
 		}
+		return true
 	})
+	is.True(ok)
 	for i := range f.nodes {
 		f.eventually(fmt.Sprint("router ", i, " knows all hosts"), func() bool {
-			known := 0
-			f.nodes[i].hub.ask(t.Context(), func() { known = len(f.nodes[i].hub.registry.Of("s")) })
-			return known == many
+			known, ok := ask(t.Context(), f.nodes[i].hub, func() int { return len(f.nodes[i].hub.registry.Of("s")) })
+			return ok && known == many
 		})
 	}
 	sent := f.nodes[home].link.Figures().Sent - before
--- a/internal/system/node/status.go
+++ b/internal/system/node/status.go
@@ -60,9 +60,11 @@
 	s.Link = status.Link(n.link.Figures())
 	s.Members = memberStatus(n.members.Now())
 	s.Pins = n.pinStatus()
-	if !n.hub.ask(ctx, func() { n.hub.fillStatus(s) }) {
+	fromHub, ok := ask(ctx, n.hub, n.hub.status)
+	if !ok {
 		return nil, false
 	}
+	s.UpS, s.Configuration, s.Register, s.Services = fromHub.upS, fromHub.configuration, fromHub.register, fromHub.services
 	if n.replica == nil {
 		return s, true
 	}
@@ -74,19 +76,26 @@
 	return s, true
 }
 
-// fillStatus fills in what the hub owns.
-func (h *hub) fillStatus(s *status.Router) {
-	s.UpS = h.now().Seconds()
-	s.Configuration = h.configurationStatus()
-	s.Register.Epoch = h.view.view.GetEpoch()
-	s.Register.Machines = machineStatus(h.view.view)
+// hubStatus is what the hub owns of a router's status.
+type hubStatus struct {
+	upS           float64
+	configuration status.Configuration
+	register      status.Register
+	services      []status.Service
+}
+
+// status tells how what the hub owns stands.
+func (h *hub) status() hubStatus {
+	s := hubStatus{upS: h.now().Seconds(), configuration: h.configurationStatus()}
+	s.register = status.Register{Epoch: h.view.view.GetEpoch(), Machines: machineStatus(h.view.view)}
 	figures := h.node.plane.Figures()
 	for _, name := range h.services() {
 		service := serviceStatus(name, h.registry.Of(name), h.now())
 		f := figures[name]
 		service.Open, service.Retries, service.Avoided = f.Open, f.Retries, f.Avoided
-		s.Services = append(s.Services, service)
+		s.services = append(s.services, service)
 	}
+	return s
 }
 
 func (h *hub) configurationStatus() status.Configuration {
--- a/internal/system/node/status_test.go
+++ b/internal/system/node/status_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -90,6 +91,36 @@
 	}
 }
 
+// A router whose hub stands still goes on after those that asked it meanwhile have given up: the hub comes to what they asked later, when
+// nobody waits for it, and what is kept on the disk is not taken for empty.
+func TestAskedInVain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 1)
+	is.Equal(f.order(http.MethodPut, first, 0, 0), 200)
+	n := f.nodes[0]
+	for _, c := range []struct {
+		name string
+		ask  func(ctx context.Context) (answered bool)
+	}{
+		{"status", func(ctx context.Context) bool { _, ok := n.Status(ctx); return ok }},
+		{"what is kept", func(ctx context.Context) bool { _, err := n.keeper().marshal(ctx); return err == nil }},
+	} {
+		release := make(chan struct{})
+		standing := make(chan struct{})
+		n.hub.call(func() { close(standing); <-release })
+		<-standing
+		ctx, cancel := context.WithCancel(t.Context())
+		answered := make(chan bool)
+		waiting := len(n.hub.calls)
+		go func() { answered <- c.ask(ctx) }()
+		f.eventually(c.name+" waits for the hub", func() bool { return len(n.hub.calls) > waiting })
+		cancel()
+		is.Equal(<-answered, false)
+		close(release)
+		is.True(c.ask(t.Context())) // the hub has come to the call before it by now
+	}
+}
+
 func hasHost(s *status.Router, service, id string) bool {
 	for _, of := range s.Services {
 		for _, h := range of.Hosts {
