Status: which machines of the register are complete, in fleet register and the figures

Cause: TestControlPlaneOnProcesses waited for machines that are behind by no change. Heartbeats tell that every 0.2 s, so under steady writes it held by luck, from 1 s to over 10 s, and a machine that stood still for a moment could pass for two healthy ones.

Change: a machine is complete where it has all of before the present view; the test waits for that.

--- a/cmd/reachspread/control_processes_test.go
+++ b/cmd/reachspread/control_processes_test.go
@@ -183,7 +183,7 @@
 	return resp.StatusCode, text
 }
 
-// untilWhole waits until a process that may act for the register says that so many machines of the chain are healthy and not behind.
+// untilWhole waits until a process that may act for the register says that so many machines of the chain are healthy and complete.
 func (f *processes) untilWhole(machines int) {
 	f.t.Helper()
 	tick := time.NewTicker(50 * time.Millisecond)
@@ -233,7 +233,7 @@
 		return 0
 	}
 	for _, m := range r.Machines {
-		if m.Place > 0 && m.Healthy && m.Behind == 0 {
+		if m.Place > 0 && m.Healthy && m.Complete {
 			healthy++
 		}
 	}
--- a/cmd/reachspread/fleetstatus.go
+++ b/cmd/reachspread/fleetstatus.go
@@ -242,9 +242,9 @@
 		if r := s.Register.Replica; r != nil {
 			fmt.Fprintf(w, "  replica %s at change %d, disk in time: %s, epoch confirmed: %s, shards of the duties: %d\n", r.Identity, r.Sequence, yes(r.Healthy), seconds(r.ConfirmedS), r.Shards)
 		}
-		table(w, "address|identity|votes|chain|heard|change|behind|disk|leaving", func(row func(...any)) {
+		table(w, "address|identity|votes|chain|heard|change|behind|complete|disk|leaving", func(row func(...any)) {
 			for _, m := range s.Register.Machines {
-				row(m.Address, m.Identity, yes(m.Member), chainText(m, s.Register.Machines), seconds(m.Heard), m.Sequence, m.Behind, diskText(m), yes(m.Leaving))
+				row(m.Address, m.Identity, yes(m.Member), chainText(m, s.Register.Machines), seconds(m.Heard), m.Sequence, m.Behind, yes(m.Complete), diskText(m), yes(m.Leaving))
 			}
 		})
 	})
--- a/cmd/reachspread/fleetstatus_test.go
+++ b/cmd/reachspread/fleetstatus_test.go
@@ -44,7 +44,7 @@
 		Configuration: status.Configuration{Version: 7, Routes: 2, ConfirmedS: &age, Fresh: true, From: "10.0.0.2:7680"},
 		Members:       []status.Member{{Address: "127.0.0.1:7680", Zone: "z0", State: "alive", Core: true}},
 		Register: status.Register{Epoch: 4, Replica: &status.Replica{Identity: "aa", Sequence: 12, Healthy: true, Shards: 16},
-			Machines: []status.Machine{{Address: "10.0.0.1:7680", Identity: "aa", Member: true, Place: 1, Heard: &age, Sequence: 12, Healthy: true},
+			Machines: []status.Machine{{Address: "10.0.0.1:7680", Identity: "aa", Member: true, Place: 1, Heard: &age, Sequence: 12, Complete: true, Healthy: true},
 				{Address: "10.0.0.2:7680", Identity: "bb", Member: true, Place: 2, Heard: &age, Sequence: 11, Behind: 1},
 				{Address: "10.0.0.3:7680", Identity: "cc", Member: true}}},
 		Services: []status.Service{{Name: "s", Hosts: []status.Host{{ID: "i-1", Address: "10.0.1.1:80", Zone: "z1", State: "ready", Slots: 8, Models: []status.Model{{Name: "m", Version: 3}}}}}},
@@ -60,7 +60,7 @@
 	}{
 		{"status", []string{"n0 " + at + " z0 1m30s yes 7 250ms 1"}},
 		{"members", []string{"sees 1 routers", "127.0.0.1:7680 z0 alive yes"}},
-		{"register", []string{"view 4", "at change 12", "10.0.0.1:7680 aa yes 1 head 250ms 12 0 in time no", "10.0.0.2:7680 bb yes 2 tail 250ms 11 1 in trouble no", "10.0.0.3:7680 cc yes outside - 0 0 - no"}},
+		{"register", []string{"view 4", "at change 12", "10.0.0.1:7680 aa yes 1 head 250ms 12 0 yes in time no", "10.0.0.2:7680 bb yes 2 tail 250ms 11 1 no in trouble no", "10.0.0.3:7680 cc yes outside - 0 0 no - no"}},
 		{"configuration", []string{"7 yes 2 0 250ms yes 10.0.0.2:7680"}},
 		{"hosts", []string{"s i-1 10.0.1.1:80 z1 ready 8 0s m:3"}},
 	} {
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -152,12 +152,14 @@
 func (f *families) register(r *status.Register) {
 	f.gauge("register_epoch", "Epoch of the register's view; 0 for none yet.").sample(float64(r.Epoch))
 	chain, behind := 0, f.gauge("register_behind", "Changes that a machine of the register lacks of what this one knows.")
+	complete := f.gauge("register_complete", "1 where a machine of the register has all that was acknowledged before the present view.")
 	for _, m := range r.Machines {
 		if m.Place > 0 {
 			chain++
 		}
 		if m.Heard != nil {
 			behind.sample(float64(m.Behind), label{"machine", m.Address})
+			complete.sample(truth(m.Complete), label{"machine", m.Address})
 		}
 	}
 	f.gauge("register_chain", "Machines of the chain.").sample(float64(chain))
--- a/internal/system/metrics/metrics_test.go
+++ b/internal/system/metrics/metrics_test.go
@@ -22,7 +22,7 @@
 		Members:       []status.Member{{State: "alive"}, {State: "alive"}, {State: "dead"}},
 		Configuration: status.Configuration{Version: 9, ConfirmedS: &age, Fresh: true},
 		Register: status.Register{Epoch: 4, Replica: &status.Replica{Sequence: 12, Healthy: true, Shards: 3},
-			Machines: []status.Machine{{Address: "10.1.0.1:7680", Place: 1, Heard: &age, Behind: 2}, {Address: "10.1.0.2:7680"}}},
+			Machines: []status.Machine{{Address: "10.1.0.1:7680", Place: 1, Heard: &age, Behind: 2, Complete: true}, {Address: "10.1.0.2:7680"}}},
 		Services: []status.Service{{Name: "s", Open: 1, Retries: 2.5, Hosts: []status.Host{{State: "ready"}}}},
 		Pins:     status.Pins{Revision: 1, Pins: []status.Pin{{Name: "p", Version: 6, Answered: map[int64]uint64{6: 4}, Hosts: 1}}},
 	}
@@ -43,6 +43,7 @@
 		`reachspread_members{state="alive"} 2`,
 		`reachspread_configuration_confirmed_age_seconds 0.25`,
 		`reachspread_register_behind{machine="10.1.0.1:7680"} 2`,
+		`reachspread_register_complete{machine="10.1.0.1:7680"} 1`,
 		`reachspread_register_chain 1`,
 		`reachspread_storage_healthy 1`,
 		`reachspread_hosts{service="s",state="ready"} 1`,
--- a/internal/system/node/status.go
+++ b/internal/system/node/status.go
@@ -176,6 +176,7 @@
 	for _, p := range peers {
 		m := machineOf(s, p)
 		m.Sequence, m.Behind = p.Position.GetSequence(), newest-p.Position.GetSequence()
+		m.Complete = p.Position.GetStateEpoch() == s.Epoch
 		m.Healthy, m.Leaving = p.Healthy, p.Leaving
 		if p.HeardAge != nil {
 			m.Heard = age(*p.HeardAge)
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -129,7 +129,8 @@
 	Place    int      `json:"place"`  // in the chain, from 1 at the head; 0 for outside
 	Heard    *float64 `json:"heardS"` // the last word of it is so old; null where this router does not listen or heard none
 	Sequence uint64   `json:"sequence"`
-	Behind   uint64   `json:"behind"` // changes that it lacks of what is known
+	Complete bool     `json:"complete"` // it has all that was acknowledged before the present view
+	Behind   uint64   `json:"behind"`   // changes that it lacks of what is known here; its last word may be older than the newest
 	Healthy  bool     `json:"healthy"`
 	Leaving  bool     `json:"leaving"`
 }
