--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -877,7 +877,7 @@
 	}
 }
 
-// A list that doubles at once, an empty one, and a fleet of hundreds are ordinary news.
+// A list that doubles at once, an empty one, and a fleet of hundreds are ordinary updates.
 func TestLargeAndChangingFleets(t *testing.T) {
 	var names []string
 	for i := 0; i < 600; i++ {
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -9,7 +9,7 @@
 )
 
 // BenchmarkRequestAtSixtyHosts is the module's cost of one request with its events, at 60 hosts of three zones and 80
-// routers; the others are at the size of the standing fleet test, and at a thousand of each, with news and alone.
+// routers; the others are at the size of the standing fleet test, and at a thousand of each, with peer reports and alone.
 func BenchmarkRequestAtSixtyHosts(b *testing.B)          { benchmarkRequest(b, 60, 80) }
 func BenchmarkRequestAtAHundredHosts(b *testing.B)       { benchmarkRequest(b, 100, 300) }
 func BenchmarkRequestAtAThousandHosts(b *testing.B)      { benchmarkRequest(b, 1000, 1000) }
@@ -23,7 +23,7 @@
 	cfg := testConfig()
 	cfg.Zone = "z0"
 	cfg.Gateways = routers
-	heard := Heard{From: 1, Zone: mark("z0"), News: []News{{Tag: 1, Tokens: 100}}}
+	heard := Heard{From: 1, Zone: mark("z0"), Reports: []PeerReport{{Tag: 1, Tokens: 100}}}
 	m, err := New(cfg, 1)
 	if err != nil {
 		b.Fatal(err)
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -135,5 +135,5 @@
 	if r.cold {
 		to = r.sharers // a view may be wrong, and a budget that is spent unheard is spent twice
 	}
-	b.tell(to, News{Tag: tag(r), Tokens: told, Prefix: q.prefixTag()})
+	b.tell(to, PeerReport{Tag: tag(r), Tokens: told, Prefix: q.prefixTag()})
 }
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -125,7 +125,7 @@
 func (b *Balancer) observe(r *replica, took, expected float64) {
 	usual, ratio := b.slowness(r)*expected, took/expected
 	if math.Abs(took-usual) > offBy && (took > surprise*usual || took*surprise < usual) {
-		b.tell(r.hearers, News{Tag: tag(r), Slow: ratio})
+		b.tell(r.hearers, PeerReport{Tag: tag(r), Slow: ratio})
 	}
 	r.slow.See(b.now, min(max(ratio, 0.2), 20), 2*learn)
 }
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -79,14 +79,14 @@
 		for _, r := range g.b.order {
 			r.read.Add(1000, 0.5) // so that 1,000 tokens are half of the aim
 		}
-		var news []News
+		var reports []PeerReport
 		for _, r := range g.b.order {
-			news = append(news, News{Tag: tag(r), Tokens: 4000})
+			reports = append(reports, PeerReport{Tag: tag(r), Tokens: 4000})
 		}
 		sent := 0
 		for range 20 {
 			if behind {
-				g.step(Heard{From: 1, Zone: mark("here"), News: news})
+				g.step(Heard{From: 1, Zone: mark("here"), Reports: reports})
 			}
 			q := g.request("safe")
 			q.Prompt = 1500
@@ -101,13 +101,13 @@
 	}
 }
 
-// News of a gateway that is gone is of prompts that are gone, too: what all told of is less by its part, once the view has held.
+// What a gateway reported that is gone is of prompts that are gone, too: what all told of is less by its part, once the view has held.
 func TestNewsOfTheGoneIsDropped(t *testing.T) {
 	for _, gone := range []bool{false, true} {
 		g := talking(t, members("a")...)
 		a := g.b.replicas["a"]
 		tokens := 0.5 * mostTold / a.read.slope()
-		g.step(Heard{From: 1, Zone: mark("here"), News: []News{{Tag: tag(a), Tokens: tokens}}}, Fleet{Version: 1, Living: living(0, 1, 2)})
+		g.step(Heard{From: 1, Zone: mark("here"), Reports: []PeerReport{{Tag: tag(a), Tokens: tokens}}}, Fleet{Version: 1, Living: living(0, 1, 2)})
 		want := tokens
 		if gone {
 			g.step(Fleet{Version: 2, Living: living(0, 2)})
@@ -200,7 +200,7 @@
 					case Tell:
 						for _, to := range a.To {
 							if to%parts == i%parts {
-								all[to].Step(now, []Event{Heard{From: i, Zone: a.Zone, News: a.News}})
+								all[to].Step(now, []Event{Heard{From: i, Zone: a.Zone, Reports: a.Reports}})
 							}
 						}
 					}
@@ -328,7 +328,7 @@
 						for _, to := range a.To {
 							if to != i {
 								words = append(words, func() {
-									all[to].Step(all[to].clock+now+tick, []Event{Heard{From: i, Zone: a.Zone, News: a.News}})
+									all[to].Step(all[to].clock+now+tick, []Event{Heard{From: i, Zone: a.Zone, Reports: a.Reports}})
 								})
 							}
 						}
--- a/balance/members.go
+++ b/balance/members.go
@@ -1,6 +1,6 @@
 package balance
 
-// The list of replicas, this gateway's share of it, and the news that gateways tell each other.
+// The list of replicas, this gateway's share of it, and the reports that gateways tell each other.
 
 import (
 	"cmp"
@@ -101,10 +101,10 @@
 	}
 }
 
-// tell gives news to other gateways.
-func (b *Balancer) tell(to []int, news ...News) {
+// tell gives reports to other gateways.
+func (b *Balancer) tell(to []int, reports ...PeerReport) {
 	if to = slices.DeleteFunc(slices.Clone(to), func(i int) bool { return i == b.cfg.Me }); len(to) > 0 {
-		b.do(Tell{To: to, Zone: mark(b.cfg.Zone), News: news})
+		b.do(Tell{To: to, Zone: mark(b.cfg.Zone), Reports: reports})
 	}
 }
 
@@ -113,7 +113,7 @@
 	if !b.fleet.Heard(ev.From, ev.Zone) {
 		return
 	}
-	for _, n := range ev.News {
+	for _, n := range ev.Reports {
 		switch r := b.tags[n.Tag]; {
 		case r == nil:
 		case n.Tokens > 0:
--- a/balance/news_test.go
+++ b/balance/peerreport_test.go
@@ -38,7 +38,7 @@
 		q := g.request("safe")
 		q.Prompt = tokens
 		for _, tell := range of[Tell](g.step(q)) {
-			words, sum = words+1, sum+tell.News[0].Tokens
+			words, sum = words+1, sum+tell.Reports[0].Tokens
 		}
 		g.after(ms, Outcome{ID: q.ID, Result: NotSent, Final: true}) // which teaches nothing
 	}
@@ -50,7 +50,7 @@
 	cold.serve(long(cold.request("safe")), 50*ms, 0)
 	cold.step(Members{Version: 9, Members: []Member{{Replica: "a", Zone: "here", Kind: "k", State: Draining}}})
 	q := cold.request("safe")
-	if tells := of[Tell](cold.step(q)); len(tells) != 1 || tells[0].News[0].Tokens != q.Prompt {
+	if tells := of[Tell](cold.step(q)); len(tells) != 1 || tells[0].Reports[0].Tokens != q.Prompt {
 		t.Errorf("told of a cold replica: %v", tells)
 	}
 }
@@ -59,7 +59,7 @@
 func TestPromptSentIsTold(t *testing.T) {
 	g := talking(t, members("a")...)
 	out := g.step(long(g.request("safe")))
-	want := []Tell{{To: []int{1, 2}, Zone: mark("here"), News: []News{{Tag: tag(g.b.replicas["a"]), Tokens: 4000}}}}
+	want := []Tell{{To: []int{1, 2}, Zone: mark("here"), Reports: []PeerReport{{Tag: tag(g.b.replicas["a"]), Tokens: 4000}}}}
 	if diff := cmp.Diff(want, of[Tell](out)); diff != "" {
 		t.Error(diff)
 	}
@@ -100,7 +100,7 @@
 		g.step(Outcome{ID: "q1", Result: OK, Final: true})
 		q := g.request("safe")
 		q.ID, q.Session = "q1", "" // the same homes in the same order
-		g.step(Heard{From: 1, Zone: mark("here"), News: []News{{Tag: tag(g.b.replicas[best]), Tokens: 20000}}})
+		g.step(Heard{From: 1, Zone: mark("here"), Reports: []PeerReport{{Tag: tag(g.b.replicas[best]), Tokens: 20000}}})
 		for range test.after {
 			g.after(sec)
 		}
@@ -115,14 +115,14 @@
 	g := talking(t, members("a")...)
 	g.step(g.request("safe"))
 	tells := of[Tell](g.after(900*ms, FirstToken{ID: "q1"}))
-	if len(tells) != 1 || tells[0].News[0].Slow < surprise {
+	if len(tells) != 1 || tells[0].Reports[0].Slow < surprise {
 		t.Fatalf("want the slow first token told, got %v", tells)
 	}
 
 	h := talking(t, members("a", "b")...)
 	a := h.b.replicas["a"]
 	for range 3 {
-		h.step(Heard{From: 1, Zone: mark("here"), News: tells[0].News})
+		h.step(Heard{From: 1, Zone: mark("here"), Reports: tells[0].Reports})
 	}
 	if s := h.b.slowness(a); s < surprise {
 		t.Errorf("slowness %.2f after three words of it", s)
@@ -140,7 +140,7 @@
 	g.serve(g.request("safe"), 60*ms, 0)
 	own := g.b.slowness(a)
 	for range 100 {
-		g.step(Heard{From: 1, Zone: mark("here"), News: []News{{Tag: tag(a), Slow: 20}}})
+		g.step(Heard{From: 1, Zone: mark("here"), Reports: []PeerReport{{Tag: tag(a), Slow: 20}}})
 	}
 	if s := g.b.slowness(a); s > own*1.01 {
 		t.Errorf("slowness %.2f where %.2f was just seen", s, own)
@@ -150,7 +150,7 @@
 // Words on a replica that no list has named do nothing, and none makes it one to send to.
 func TestUnlistedReplicaIsNeverSentTo(t *testing.T) {
 	g := talking(t, members("a")...)
-	g.step(Heard{From: 1, News: []News{{Tag: tag(&replica{name: rendezvous.Hash("elsewhere")}), Tokens: 1}}})
+	g.step(Heard{From: 1, Reports: []PeerReport{{Tag: tag(&replica{name: rendezvous.Hash("elsewhere")}), Tokens: 1}}})
 	if len(g.b.replicas) != 1 || g.b.replicas["a"].told != 0 {
 		t.Errorf("%d replicas, %v tokens told of for the one listed; want 1 and none", len(g.b.replicas), g.b.replicas["a"].told)
 	}
@@ -202,7 +202,7 @@
 		for range 60 {
 			q := g.request("safe")
 			if others {
-				g.step(Heard{From: 1, Zone: mark("here"), News: []News{{Tag: tag(cold), Tokens: 1}}})
+				g.step(Heard{From: 1, Zone: mark("here"), Reports: []PeerReport{{Tag: tag(cold), Tokens: 1}}})
 			}
 			g.step(q)
 			if next := (&request{Arrival: q, class: g.b.classes["safe"]}); g.b.coldRoom(next, cold, 1) {
@@ -260,13 +260,13 @@
 					words = append(words, rapid.SampledFrom(said).Draw(rt, "which"))
 					continue
 				}
-				n := News{Tag: rapid.SampledFrom(tags).Draw(rt, "tag")}
+				n := PeerReport{Tag: rapid.SampledFrom(tags).Draw(rt, "tag")}
 				if rapid.Bool().Draw(rt, "slow") {
 					n.Slow = rapid.Float64Range(0, 1000).Draw(rt, "times")
 				} else {
 					n.Tokens = rapid.Float64Range(0, 1e6).Draw(rt, "tokens")
 				}
-				h := Heard{From: rapid.IntRange(-1, manyGateways).Draw(rt, "from"), Zone: mark(rapid.SampledFrom([]string{"here", "there"}).Draw(rt, "zone")), News: []News{n}}
+				h := Heard{From: rapid.IntRange(-1, manyGateways).Draw(rt, "from"), Zone: mark(rapid.SampledFrom([]string{"here", "there"}).Draw(rt, "zone")), Reports: []PeerReport{n}}
 				said, words = append(said, h), append(words, h)
 			}
 			q := g.request("safe")
@@ -299,13 +299,13 @@
 	q := long(g.request("safe"))
 	q.Prefix, q.Shared = "long beginning", 3000
 	told := of[Tell](g.step(q))
-	if len(told) != 1 || told[0].News[0].Prefix == 0 {
+	if len(told) != 1 || told[0].Reports[0].Prefix == 0 {
 		t.Fatalf("told %v", told)
 	}
 	other := talking(t, members("a", "b")...)
-	other.step(Heard{From: 1, Zone: mark("here"), News: told[0].News})
+	other.step(Heard{From: 1, Zone: mark("here"), Reports: told[0].Reports})
 	other.after(10 * sec) // it has been read
-	tagged := other.b.tags[told[0].News[0].Tag]
+	tagged := other.b.tags[told[0].Reports[0].Tag]
 	reads := func(prefix string, r *replica) float64 {
 		a := q
 		a.Prefix = prefix
--- a/balance/types.go
+++ b/balance/types.go
@@ -108,7 +108,7 @@
 // Event is something that happened to this gateway: one of the types below.
 type Event interface{ isEvent() }
 
-// Members is news from discovery. Failed means that an asked-for list did not come.
+// Members is an update from discovery. Failed means that an asked-for list did not come.
 type Members struct {
 	Version int64
 	Whole   bool // replaces the list held; what is not in it is gone
@@ -178,8 +178,8 @@
 	Load    *Load
 }
 
-// News is a word on a replica, from one gateway to others. One of its figures is set.
-type News struct {
+// PeerReport is a word on a replica, from one gateway to others. One of its figures is set.
+type PeerReport struct {
 	Tag    uint32  // the replica's, of 24 bits
 	Tokens float64 // to be read of a prompt just sent to it
 	Prefix uint16  // of that prompt: a mark of its prefix, which the replica keeps from then on; 0 for none
@@ -188,9 +188,9 @@
 
 // Heard is what another gateway told.
 type Heard struct {
-	From int   // its number
-	Zone uint8 // a mark of its zone
-	News []News
+	From    int   // its number
+	Zone    uint8 // a mark of its zone
+	Reports []PeerReport
 }
 
 // Fleet is which gateways live, in the view of this one, which is among them. Until the first, all of Config.Gateways do. It may be
@@ -238,11 +238,11 @@
 // Probe asks a replica for its load.
 type Probe struct{ Replica string }
 
-// Tell has other gateways hear News. It may come late, out of order, twice or not at all.
+// Tell has other gateways hear reports. It may come late, out of order, twice or not at all.
 type Tell struct {
-	To   []int // their numbers
-	Zone uint8 // a mark of the own zone
-	News []News
+	To      []int // their numbers
+	Zone    uint8 // a mark of the own zone
+	Reports []PeerReport
 }
 
 // SetTimer asks for a Wake.
--- a/cmd/reachspread/door.go
+++ b/cmd/reachspread/admission.go
@@ -13,21 +13,21 @@
 	"reachspread/internal/program"
 )
 
-func doorCommand() *cobra.Command {
-	c := &cobra.Command{Use: "door", Short: "Ask about the door: who gets in, who holds what"}
+func admissionCommand() *cobra.Command {
+	c := &cobra.Command{Use: "admission", Aliases: []string{"door"}, Short: "Ask which clients get in, and who holds what"}
 	c.AddCommand(statusCommand("Ask the running router for its level, its ledger, refusals by cause and who holds the most",
-		program.DoorTopic, func(w io.Writer, text []byte) error {
-			var s program.DoorStatus
+		program.AdmissionTopic, func(w io.Writer, text []byte) error {
+			var s program.AdmissionStatus
 			if err := json.Unmarshal(text, &s); err != nil {
 				return err
 			}
-			printDoor(w, &s)
+			printAdmission(w, &s)
 			return nil
 		}))
 	return c
 }
 
-func printDoor(w io.Writer, s *program.DoorStatus) {
+func printAdmission(w io.Writer, s *program.AdmissionStatus) {
 	fmt.Fprintf(w, "door: %s, %d places, %d of them for known clients, %d lent\n", s.Level, s.Places, s.Reserve, s.Lent)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	defer t.Flush()
--- a/cmd/reachspread/fleet.go
+++ b/cmd/reachspread/fleet.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"reachspread/internal/duty"
 	"reachspread/internal/program"
@@ -28,21 +29,30 @@
 	return c
 }
 
-// doorFlag is the flag that says which router is asked.
-func doorFlag(c *cobra.Command) *string {
-	return c.Flags().String("door", "", "the `address` of the router's operators' door; by itself ROUTER_MANAGEMENT, or what ROUTER_CONFIG says")
+// formerManagementFlag is what --management was called before; it stays as its other name.
+const formerManagementFlag = "door"
+
+// managementFlag is the flag that says which router is asked.
+func managementFlag(c *cobra.Command) *string {
+	c.Flags().SetNormalizeFunc(func(_ *pflag.FlagSet, name string) pflag.NormalizedName {
+		if name == formerManagementFlag {
+			name = "management"
+		}
+		return pflag.NormalizedName(name)
+	})
+	return c.Flags().String("management", "", "the management `address` of the router; by itself ROUTER_MANAGEMENT, or what ROUTER_CONFIG says")
 }
 
-func doorOf(flag string) (string, error) {
+func managementOf(flag string) (string, error) {
 	if flag != "" {
 		return flag, nil
 	}
 	cfg, err := program.Load(os.Getenv)
 	if err != nil {
-		return "", fmt.Errorf("--door is not set: %w", err)
+		return "", fmt.Errorf("--management is not set: %w", err)
 	}
 	if cfg.Management == "" {
-		return "", errors.New("--door is not set, and the configuration has no management")
+		return "", errors.New("--management is not set, and the configuration has no management")
 	}
 	return cfg.Management, nil
 }
@@ -50,11 +60,11 @@
 // shows is a command that prints the answer to a call of its name, once or over and over.
 func shows(call, short string, print func(io.Writer, []program.Line)) *cobra.Command {
 	c := &cobra.Command{Use: call, Short: short, Args: cobra.NoArgs}
-	door := doorFlag(c)
+	management := managementFlag(c)
 	asJSON := c.Flags().Bool("json", false, "print a line of JSON")
 	watch := c.Flags().Duration("watch", 0, "ask again and again, with this `time` in between, until Ctrl-C")
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
-		addr, err := doorOf(*door)
+		addr, err := managementOf(*management)
 		if err != nil {
 			return err
 		}
@@ -88,17 +98,17 @@
 	return c
 }
 
-// doorFor is how long the door has to answer.
-const doorFor = 2 * time.Second
+// managementTimeout is how long a router has to answer.
+const managementTimeout = 2 * time.Second
 
 // ask makes a call and returns the whole answer.
 func ask(addr, call string) (string, error) {
-	c, err := net.DialTimeout("tcp", addr, doorFor)
+	c, err := net.DialTimeout("tcp", addr, managementTimeout)
 	if err != nil {
 		return "", err
 	}
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(doorFor))
+	c.SetDeadline(time.Now().Add(managementTimeout))
 	if _, err := io.WriteString(c, call+"\n"); err != nil {
 		return "", err
 	}
@@ -153,23 +163,23 @@
 func fleetDutiesCommand() *cobra.Command {
 	c := shows("duties", "Ask a running router who holds what only so many may do at a time", printDuties)
 	over := &cobra.Command{Use: "hand-over DUTY ROUTER", Short: "Have the holder of a duty give it to another router, once its work has ended", Args: cobra.ExactArgs(2)}
-	door, token := doorFlag(over), tokenFlag(over)
-	over.RunE = func(_ *cobra.Command, args []string) error { return give(*door, args[0], args[1], *token) }
+	management, token := managementFlag(over), tokenFlag(over)
+	over.RunE = func(_ *cobra.Command, args []string) error { return give(*management, args[0], args[1], *token) }
 	yield := &cobra.Command{Use: "yield DUTY", Short: "Have the holder of a duty give it to whoever waits", Args: cobra.ExactArgs(1)}
-	yieldDoor, yieldToken := doorFlag(yield), tokenFlag(yield)
+	yieldAt, yieldToken := managementFlag(yield), tokenFlag(yield)
 	yield.RunE = func(_ *cobra.Command, args []string) error {
-		return give(*yieldDoor, args[0], duty.Anybody, *yieldToken)
+		return give(*yieldAt, args[0], duty.Anybody, *yieldToken)
 	}
 	rebuild := &cobra.Command{Use: "rebuild", Short: "Found duties anew where a majority of the voters' disks is gone", Args: cobra.NoArgs,
 		Long: "Founds duties anew, with this router for the first voter and tokens above all that any router that can be reached has seen.\n" +
 			"What is given up: who held what, and who waited. Should a voter that was named with --gone come back with its disk all the same,\n" +
 			"it joins the new group; while it is cut off, it must not be in a majority with others of the old one: two could act until a\n" +
 			"receiver refuses the older token. It is refused while a majority may live."}
-	rebuildDoor := doorFlag(rebuild)
+	rebuildAt := managementFlag(rebuild)
 	gone := rebuild.Flags().StringSlice("gone", nil, "the `routers` whose disks will not come back")
 	yes := rebuild.Flags().Bool("yes", false, "do not ask")
 	rebuild.RunE = func(cmd *cobra.Command, _ []string) error {
-		addr, err := doorOf(*rebuildDoor)
+		addr, err := managementOf(*rebuildAt)
 		if err != nil {
 			return err
 		}
@@ -191,8 +201,8 @@
 	return c.Flags().Uint64("token", 0, "that of the holder who is to give it, where a duty has several; 0 for the first")
 }
 
-func give(door, name, to string, token uint64) error {
-	addr, err := doorOf(door)
+func give(management, name, to string, token uint64) error {
+	addr, err := managementOf(management)
 	if err != nil {
 		return err
 	}
--- a/cmd/reachspread/main.go
+++ b/cmd/reachspread/main.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), routerCommand(), checkCommand(), shadowCommand(), doorCommand(), fleetCommand(), snapshotCommand(), versionCommand())
+	root.AddCommand(serveCommand(), routerCommand(), checkCommand(), shadowCommand(), admissionCommand(), fleetCommand(), snapshotCommand(), versionCommand())
 	root.SetContext(context.Background())
 	return root
 }
--- a/coord/feed/feed.go
+++ b/coord/feed/feed.go
@@ -75,19 +75,19 @@
 	topics map[string]Topic
 	names  []string // of topics, in order
 
-	flows       map[flowKey]*flow
-	subscribers map[string]*subscriber
-	cursors     map[cursorKey]*coordpb.Cursor
-	polls       map[uint64]time.Duration // when those under way were sent
-	pollOrder   []uint64
-	nonce       uint64
-	pollAt      time.Duration
+	subscriptions map[subscriptionKey]*subscription
+	subscribers   map[string]*subscriber
+	cursors       map[cursorKey]*coordpb.Cursor
+	polls         map[uint64]time.Duration // when those under way were sent
+	pollOrder     []uint64
+	nonce         uint64
+	pollAt        time.Duration
 }
 
-type flowKey struct{ topic, group string }
+type subscriptionKey struct{ topic, group string }
 
-// flow is a subscription of this router.
-type flow struct {
+// subscription is a subscription of this router.
+type subscription struct {
 	Subscription
 	at      int           // of the candidate in use
 	since   time.Duration // it is in use
@@ -113,7 +113,7 @@
 
 // New returns the Node of a router at an address. A life is drawn anew at each start.
 func New(self string, life uint64, now time.Duration) *Node {
-	return &Node{self: self, life: life, now: now, topics: map[string]Topic{}, flows: map[flowKey]*flow{}, subscribers: map[string]*subscriber{},
+	return &Node{self: self, life: life, now: now, topics: map[string]Topic{}, subscriptions: map[subscriptionKey]*subscription{}, subscribers: map[string]*subscriber{},
 		cursors: map[cursorKey]*coordpb.Cursor{}, polls: map[uint64]time.Duration{}}
 }
 
@@ -131,24 +131,24 @@
 // Subscribe replaces all subscriptions. One whose source is still among its candidates keeps it.
 func (n *Node) Subscribe(now time.Duration, all []Subscription) []Send {
 	n.begin(now)
-	old := n.flows
-	n.flows = map[flowKey]*flow{}
+	old := n.subscriptions
+	n.subscriptions = map[subscriptionKey]*subscription{}
 	for _, s := range all {
 		s.Candidates = slices.DeleteFunc(slices.Clone(s.Candidates), func(a string) bool { return a == n.self })
 		if len(s.Candidates) == 0 || n.topics[s.Topic] == nil {
 			continue
 		}
-		key := flowKey{s.Topic, s.Group}
+		key := subscriptionKey{s.Topic, s.Group}
 		f := old[key]
 		if f == nil {
-			f = &flow{since: n.now, fresh: neverStarted}
+			f = &subscription{since: n.now, fresh: neverStarted}
 			n.pollAt = n.now
 		} else if at := slices.Index(s.Candidates, f.Candidates[f.at]); at != f.at {
 			f.at, f.since = max(at, 0), n.now
 			n.pollAt = n.now
 		}
 		f.Subscription = s
-		n.flows[key] = f
+		n.subscriptions[key] = f
 	}
 	n.due()
 	return n.out
@@ -168,7 +168,7 @@
 
 // due turns to other candidates where a source brings nothing fresh, and polls.
 func (n *Node) due() {
-	for _, f := range n.flows {
+	for _, f := range n.subscriptions {
 		n.turn(f)
 	}
 	if n.now >= n.pollAt {
@@ -181,8 +181,8 @@
 	}
 }
 
-// turn has a flow use its next candidate once the one in use has brought nothing fresh for too long.
-func (n *Node) turn(f *flow) {
+// turn has a subscription use its next candidate once the one in use has brought nothing fresh for too long.
+func (n *Node) turn(f *subscription) {
 	if f.Confirmed {
 		if at, ok := n.topics[f.Topic].Confirmed(); ok {
 			f.fresh = max(f.fresh, at)
@@ -196,14 +196,14 @@
 	n.pollAt = n.now
 }
 
-// poll asks all sources in use for what is new, and now and then the first candidates of flows that use others.
+// poll asks all sources in use for what is new, and now and then the first candidates of subscriptions that use others.
 func (n *Node) poll() {
 	n.pollAt = n.now + PollEvery
 	if n.isBehind() {
 		n.pollAt = n.now + hurriedEvery
 	}
 	asked := map[string]*coordpb.Poll{}
-	for _, f := range n.flows {
+	for _, f := range n.subscriptions {
 		n.ask(asked, f.Candidates[f.at], f.Topic)
 		if f.at > 0 && n.now >= f.retryAt {
 			f.retryAt = n.now + retryFirst
@@ -220,7 +220,7 @@
 
 // isBehind tells whether something that has to be confirmed as the newest has not been for too long.
 func (n *Node) isBehind() bool {
-	for _, f := range n.flows {
+	for _, f := range n.subscriptions {
 		if !f.Confirmed {
 			continue
 		}
@@ -233,7 +233,7 @@
 
 // hasToBeConfirmed tells whether what comes of a topic has to be confirmed as the newest.
 func (n *Node) hasToBeConfirmed(topic string) bool {
-	for key, f := range n.flows {
+	for key, f := range n.subscriptions {
 		if key.topic == topic && f.Confirmed {
 			return true
 		}
@@ -313,11 +313,11 @@
 	if after < onItsWay.revision && onItsWay.revision == t.Revision() && n.now < onItsWay.until {
 		return &coordpb.Delta{Topic: name, Life: n.life, Since: after, Revision: after, AgeUs: -1}
 	}
-	return n.news(s, name, t, after)
+	return n.deltaFor(s, name, t, after)
 }
 
-// news is what a topic has for a subscriber after a revision.
-func (n *Node) news(s *subscriber, name string, t Topic, after uint64) *coordpb.Delta {
+// deltaFor is what a topic has for a subscriber after a revision, noted as on its way where it is long.
+func (n *Node) deltaFor(s *subscriber, name string, t Topic, after uint64) *coordpb.Delta {
 	d := n.delta(name, t, after)
 	n.noteLong(s, name, d)
 	return d
@@ -379,7 +379,7 @@
 			continue
 		}
 		s.cursors[name] = topic.Revision()
-		n.out = append(n.out, Send{To: address, Update: &coordpb.Update{From: n.self, Nonce: s.nonce, Deltas: []*coordpb.Delta{n.news(s, name, topic, after)}}})
+		n.out = append(n.out, Send{To: address, Update: &coordpb.Update{From: n.self, Nonce: s.nonce, Deltas: []*coordpb.Delta{n.deltaFor(s, name, topic, after)}}})
 	}
 	return n.out
 }
@@ -399,47 +399,47 @@
 func (n *Node) TakeUpdate(now time.Duration, u *coordpb.Update) []Send {
 	n.begin(now)
 	asked, answered := n.polls[u.Nonce]
-	for _, news := range u.Deltas {
-		topic := n.topics[news.Topic]
+	for _, delta := range u.Deltas {
+		topic := n.topics[delta.Topic]
 		if topic == nil {
 			continue
 		}
-		cursor := n.cursor(news.Topic, u.From)
-		if !buildsOn(cursor, news, topic) {
+		cursor := n.cursor(delta.Topic, u.From)
+		if !buildsOn(cursor, delta, topic) {
 			continue // on what has not come: the next poll asks for all since
 		}
-		if len(news.Payload) > 0 {
-			topic.Merge(news)
+		if len(delta.Payload) > 0 {
+			topic.Merge(delta)
 		}
-		cursor.Life, cursor.Revision = news.Life, news.Revision // a shared topic counts by itself
-		if !answered && n.hasToBeConfirmed(news.Topic) && n.isBehind() {
+		cursor.Life, cursor.Revision = delta.Life, delta.Revision // a shared topic counts by itself
+		if !answered && n.hasToBeConfirmed(delta.Topic) && n.isBehind() {
 			n.pollAt = n.now
 		}
 		if answered {
 			confirmed := neverStarted
-			if news.AgeUs >= 0 {
-				confirmed = asked - time.Duration(news.AgeUs)*time.Microsecond
-				topic.Confirm(confirmed, news)
+			if delta.AgeUs >= 0 {
+				confirmed = asked - time.Duration(delta.AgeUs)*time.Microsecond
+				topic.Confirm(confirmed, delta)
 			}
-			n.freshen(news.Topic, u.From, confirmed)
+			n.freshen(delta.Topic, u.From, confirmed)
 		}
 	}
 	n.due()
 	return n.out
 }
 
-// buildsOn tells whether news can be taken in where a topic of its source is as far as a cursor says.
-func buildsOn(c *coordpb.Cursor, news *coordpb.Delta, t Topic) bool {
+// buildsOn tells whether a delta can be taken in where a topic of its source is as far as a cursor says.
+func buildsOn(c *coordpb.Cursor, delta *coordpb.Delta, t Topic) bool {
 	if t.Shared() {
-		return news.Since == 0 || news.Since == c.Revision || news.Revision <= c.Revision
+		return delta.Since == 0 || delta.Since == c.Revision || delta.Revision <= c.Revision
 	}
-	return news.Since == 0 || news.Life == c.Life && news.Since == c.Revision
+	return delta.Since == 0 || delta.Life == c.Life && delta.Since == c.Revision
 }
 
 // freshen notes that a source has answered with what was the newest at a time, and turns back to it where it is the first candidate of a
-// flow that uses another.
+// subscription that uses another.
 func (n *Node) freshen(topic, source string, confirmed time.Duration) {
-	for _, f := range n.flows {
+	for _, f := range n.subscriptions {
 		at := slices.Index(f.Candidates, source)
 		if f.Topic != topic || at != f.at && at != 0 {
 			continue
@@ -457,7 +457,7 @@
 
 // Source is the address that a part of a topic comes from at present, empty for none.
 func (n *Node) Source(topic, group string) string {
-	if f := n.flows[flowKey{topic, group}]; f != nil {
+	if f := n.subscriptions[subscriptionKey{topic, group}]; f != nil {
 		return f.Candidates[f.at]
 	}
 	return ""
--- a/coord/feed/feed_test.go
+++ b/coord/feed/feed_test.go
@@ -31,15 +31,15 @@
 	return append(binary.BigEndian.AppendUint64(nil, n.value), make([]byte, n.padding)...), 0
 }
 
-func (n *number) Merge(news *coordpb.Delta) {
+func (n *number) Merge(delta *coordpb.Delta) {
 	n.merges++
-	n.value = max(n.value, binary.BigEndian.Uint64(news.Payload))
+	n.value = max(n.value, binary.BigEndian.Uint64(delta.Payload))
 }
 
 func (n *number) Confirmed() (time.Duration, bool) { return n.confirmed, n.confirmed >= 0 }
 
-func (n *number) Confirm(at time.Duration, news *coordpb.Delta) {
-	if n.value >= news.Revision {
+func (n *number) Confirm(at time.Duration, delta *coordpb.Delta) {
+	if n.value >= delta.Revision {
 		n.confirmed = max(n.confirmed, at)
 	}
 }
@@ -91,8 +91,8 @@
 func (w *world) post(from string, all []Send) {
 	for _, s := range all {
 		w.sent++
-		for _, news := range s.Update.GetDeltas() {
-			w.bytes += len(news.Payload)
+		for _, delta := range s.Update.GetDeltas() {
+			w.bytes += len(delta.Payload)
 		}
 		w.queue = append(w.queue, delivery{w.now + trip, from, s})
 	}
@@ -221,7 +221,7 @@
 	is.Equal(w.nodes["leaf"].topic.merges, merges) // nothing new, nothing sent
 }
 
-// News that builds on what never came is passed over; the next poll brings all of it.
+// A delta that builds on what never came is passed over; the next poll brings all of it.
 func TestGap(t *testing.T) {
 	is := is.New(t)
 	w := newWorld("source", "leaf")
--- a/coord/members/wire.go
+++ b/coord/members/wire.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// version is the high half of a datagram's first byte. News between routers have 1.
+// version is the high half of a datagram's first byte. Peer reports have 1.
 const version = 2
 
 type kind uint8
--- a/deploy/settings.hcl
+++ b/deploy/settings.hcl
@@ -11,7 +11,7 @@
   folder = "/tmp/reachspread"
 }
 
-# Who gets in when places are short: docs/operators/door.md.
+# Who gets in when places are short: docs/operators/admission.md.
 door {
   identity_header = "X-Client"
   identities      = ["order-tool"]
--- a/internal/door/door.go
+++ b/internal/admission/controller.go
@@ -1,4 +1,4 @@
-package door
+package admission
 
 import (
 	"cmp"
@@ -28,7 +28,7 @@
 	step        // beyond the places: to be read and refused, unless its identity lets it in
 )
 
-// conn is one connection. The names of connections are their places in Door.conns.
+// conn is one connection. The names of connections are their places in Controller.conns.
 type conn struct {
 	id        int32
 	place     place
@@ -43,12 +43,12 @@
 	owner     *holder // the address, or the identity of a known client
 	code      int     // on the step: what it is to be told
 	cause     Cause
-	silence   links[conn] // in owner.silent, or in Door.steps
-	waiting   links[conn] // in one of Door.waits
+	silence   links[conn] // in owner.silent, or in Controller.steps
+	waiting   links[conn] // in one of Controller.waits
 }
 
-// Door decides for one listener.
-type Door struct {
+// Controller decides for one listener.
+type Controller struct {
 	c     Config
 	rng   *rand.Rand
 	now   time.Duration
@@ -69,15 +69,15 @@
 	count                               Counts
 }
 
-// New returns a Door without connections.
-func New(c Config, seed uint64) *Door {
-	d := &Door{rng: rand.New(rand.NewPCG(seed, 1)), table: newTable(), identities: map[string]*holder{},
+// New returns a Controller without connections.
+func New(c Config, seed uint64) *Controller {
+	d := &Controller{rng: rand.New(rand.NewPCG(seed, 1)), table: newTable(), identities: map[string]*holder{},
 		steps: list[conn]{of: silence}, waits: [2]list[conn]{{of: waiting}, {of: waiting}}}
 	d.tune(c)
 	return d
 }
 
-func (d *Door) tune(c Config) {
+func (d *Controller) tune(c Config) {
 	d.c, d.table.most = c, max(c.Addresses, 1)
 	d.c.Lengths = c.Lengths.orUsual()
 	for name := range c.Identities {
@@ -93,7 +93,7 @@
 }
 
 // Step takes in one event and returns what is to be done.
-func (d *Door) Step(now time.Duration, e Event) []Action {
+func (d *Controller) Step(now time.Duration, e Event) []Action {
 	d.now, d.act = max(now, d.now), d.act[:0]
 	switch e.Kind {
 	case Opened:
@@ -134,17 +134,17 @@
 	return d.act
 }
 
-func (d *Door) conn(id int32) *conn {
+func (d *Controller) conn(id int32) *conn {
 	if id < 0 || int(id) >= len(d.conns) || d.conns[id].place == free {
 		return nil
 	}
 	return d.conns[id]
 }
 
-func (d *Door) do(a Action) { d.act = append(d.act, a) }
+func (d *Controller) do(a Action) { d.act = append(d.act, a) }
 
 // admit gives a connection its name and place.
-func (d *Door) admit(e *Event, a, n *holder, at place, owner *holder) *conn {
+func (d *Controller) admit(e *Event, a, n *holder, at place, owner *holder) *conn {
 	var c *conn
 	if k := len(d.spare); k > 0 {
 		c = d.conns[d.spare[k-1]]
@@ -172,7 +172,7 @@
 }
 
 // enter counts a connection in or out of its place.
-func (d *Door) enter(c *conn, by int) {
+func (d *Controller) enter(c *conn, by int) {
 	switch c.place {
 	case lobby:
 		d.lobbies += by
@@ -187,7 +187,7 @@
 }
 
 // quiet puts a connection among the silent ones, at the end; loud takes it out.
-func (d *Door) quiet(c *conn) {
+func (d *Controller) quiet(c *conn) {
 	if c.place == step {
 		d.steps.push(c)
 	} else {
@@ -201,7 +201,7 @@
 	}
 }
 
-func (d *Door) loud(c *conn) {
+func (d *Controller) loud(c *conn) {
 	if c.place == step {
 		d.steps.remove(c)
 	} else {
@@ -218,13 +218,13 @@
 }
 
 // oldEnough tells that whom makeRoom would shut has had the time to say something.
-func (d *Door) oldEnough(among int) bool {
+func (d *Controller) oldEnough(among int) bool {
 	c := d.next(among)
 	return c != nil && d.now-c.since >= young
 }
 
 // next returns who is to make room, nil if nobody is silent.
-func (d *Door) next(among int) *conn {
+func (d *Controller) next(among int) *conn {
 	if !d.c.Fair && among == 0 {
 		var oldest *conn
 		for _, l := range d.waits {
@@ -246,7 +246,7 @@
 
 // makeRoom shuts a silent connection of the unknown (0) or the known (1): where it is to be fair, the oldest of whoever
 // has the most.
-func (d *Door) makeRoom(among int) bool {
+func (d *Controller) makeRoom(among int) bool {
 	c := d.next(among)
 	if c == nil {
 		return false
@@ -256,7 +256,7 @@
 }
 
 // shut gives up a silent connection. Its place is free at once: the host closes it before anything else.
-func (d *Door) shut(c *conn, cause Cause) {
+func (d *Controller) shut(c *conn, cause Cause) {
 	d.count.Shut[cause]++
 	d.do(Action{Kind: Shut, Conn: c.id, Cause: cause})
 	d.leave(c)
@@ -264,7 +264,7 @@
 }
 
 // leave takes a connection out of all counts; its name stays in use until Closed.
-func (d *Door) leave(c *conn) {
+func (d *Controller) leave(c *conn) {
 	if c.place == free || c.shut {
 		return
 	}
@@ -283,14 +283,14 @@
 	d.table.put(c.net)
 }
 
-func (d *Door) closed(c *conn) {
+func (d *Controller) closed(c *conn) {
 	d.leave(c)
 	c.place = free
 	c.addr, c.net, c.owner = nil, nil, nil
 	d.spare = append(d.spare, c.id)
 }
 
-func (d *Door) openBy(c *conn, by int) {
+func (d *Controller) openBy(c *conn, by int) {
 	d.open += by
 	c.addr.open += by
 	c.net.open += by
@@ -300,7 +300,7 @@
 }
 
 // asked serves or refuses a request whose head was read. A known identity lets its connection in.
-func (d *Door) asked(c *conn, identity string) {
+func (d *Controller) asked(c *conn, identity string) {
 	if c.busy || c.refused || c.shut {
 		return
 	}
@@ -333,7 +333,7 @@
 }
 
 // promote makes a connection one of a known client. It returns the code of a refusal, 0 for none.
-func (d *Door) promote(c *conn, h *holder) (code int, cause Cause) {
+func (d *Controller) promote(c *conn, h *holder) (code int, cause Cause) {
 	if c.owner == h {
 		return 0, NoCause
 	}
@@ -353,25 +353,25 @@
 }
 
 // move changes the place and the owner of a connection that is in no list.
-func (d *Door) move(c *conn, to place, owner *holder) {
+func (d *Controller) move(c *conn, to place, owner *holder) {
 	d.enter(c, -1)
 	c.place, c.owner = to, owner
 	d.enter(c, 1)
 }
 
 // refuse answers a request. The time told is spread, so that the refused don't come back at once.
-func (d *Door) refuse(c *conn, code int, cause Cause) {
+func (d *Controller) refuse(c *conn, code int, cause Cause) {
 	c.refused = true
 	d.refusal(c.id, code, cause)
 }
 
-func (d *Door) refusal(conn int32, code int, cause Cause) {
+func (d *Controller) refusal(conn int32, code int, cause Cause) {
 	d.count.Refused[cause]++
 	d.do(Action{Kind: Refuse, Conn: conn, Code: code, Cause: cause, Away: d.c.Away + time.Duration(d.rng.Float64()*float64(d.c.Away))})
 }
 
 // done makes a connection silent again.
-func (d *Door) done(c *conn) {
+func (d *Controller) done(c *conn) {
 	if !c.busy || c.shut {
 		return
 	}
@@ -381,7 +381,7 @@
 }
 
 // shrink makes the silent leave until the bounds hold again.
-func (d *Door) shrink() {
+func (d *Controller) shrink() {
 	for d.total() > d.c.Places+d.lent || d.unknown > d.c.Places-d.c.Reserve {
 		if !d.makeRoom(0) && (d.unknown > d.c.Places-d.c.Reserve || !d.makeRoom(1)) {
 			return
@@ -390,7 +390,7 @@
 }
 
 // empty hurries all who have been silent for so long, known or not. One whose request has begun has its own time.
-func (d *Door) empty(silent time.Duration) {
+func (d *Controller) empty(silent time.Duration) {
 	for _, c := range d.conns {
 		if c.place != free && !c.busy && !c.sending && !c.ready && !c.refused && !c.shut && d.now-c.since >= silent {
 			if !c.sentAway {
@@ -403,7 +403,7 @@
 }
 
 // judge finds the level. Each ends lower than it begins, so that it does not flap.
-func (d *Door) judge() {
+func (d *Controller) judge() {
 	use := float64(d.total()+d.step) / float64(max(d.c.Places, 1))
 	if d.now < d.short {
 		use = 1
@@ -417,7 +417,7 @@
 }
 
 // hurry finds the connections of unknown clients that were silent, or at sending a request, for too long.
-func (d *Door) hurry() {
+func (d *Controller) hurry() {
 	for i, most := range [2]time.Duration{d.c.Patience[d.level], d.c.Sending[d.level]} {
 		l := &d.waits[i]
 		for c := l.head; most > 0 && c != nil && d.now-c.since >= most; c = l.head {
@@ -429,24 +429,24 @@
 }
 
 // Counts returns the counters and the state.
-func (d *Door) Counts() Counts {
+func (d *Controller) Counts() Counts {
 	c := d.count
 	c.Level, c.Places, c.Reserve, c.Lent = d.level, d.c.Places, d.c.Reserve, d.lent
 	c.Known, c.Unknown, c.Lobby, c.Step, c.Open, c.Addresses = d.known, d.unknown, d.lobbies, d.step, d.open, len(d.table.holders)
 	return c
 }
 
-// Reading returns how long a client may take for what one write sent, 0 for no bound of the door's.
-func (d *Door) Reading() time.Duration { return d.c.Reading[d.level] }
+// Reading returns how long a client may take for what one write sent, 0 for no bound of admission's.
+func (d *Controller) Reading() time.Duration { return d.c.Reading[d.level] }
 
 // Level returns the level.
-func (d *Door) Level() Level { return d.level }
+func (d *Controller) Level() Level { return d.level }
 
 // Use returns the share of the places that is taken; lent ones count beyond 1.
-func (d *Door) Use() float64 { return float64(d.total()) / float64(max(d.c.Places, 1)) }
+func (d *Controller) Use() float64 { return float64(d.total()) / float64(max(d.c.Places, 1)) }
 
 // Holdings returns the addresses and identities that hold the most connections. It looks at all of them.
-func (d *Door) Holdings(most int) []Holding {
+func (d *Controller) Holdings(most int) []Holding {
 	var all []Holding
 	for key, h := range d.table.holders {
 		if own, _ := d.c.Lengths.keys(key.Addr()); own == key && h.conns > 0 {
--- a/internal/door/door_test.go
+++ b/internal/admission/controller_test.go
@@ -1,4 +1,4 @@
-package door
+package admission
 
 import (
 	"net/netip"
@@ -21,7 +21,7 @@
 // world plays the host and checks the promises; it counts by itself.
 type world struct {
 	t       *rapid.T
-	d       *Door
+	d       *Controller
 	c       Config
 	now     time.Duration
 	place   map[int32]string // lobby, guest, known or step, of those that are in
@@ -40,7 +40,7 @@
 	return n
 }
 
-// step gives the door one event and returns the action that answers it.
+// step gives admission one event and returns the action that answers it.
 func (w *world) step(e Event) (answer Action, answered int) {
 	lobbies := 0 // of whom nothing is due: a request that was refused ends its connection, one that is there is asked next
 	for id, p := range w.place {
--- a/internal/door/find.go
+++ b/internal/admission/find.go
@@ -1,4 +1,4 @@
-package door
+package admission
 
 import (
 	"net/netip"
@@ -9,7 +9,7 @@
 // due returns when the next connection of a holder would be due after this one, and whether this one may come: a leaky
 // bucket kept as one time (the generic cell rate algorithm of ATM Forum TM 4.0), where a limiter of a library would be an
 // allocation with a lock for each holder.
-func (d *Door) due(h *holder, perSecond float64) (time.Duration, bool) {
+func (d *Controller) due(h *holder, perSecond float64) (time.Duration, bool) {
 	if perSecond <= 0 {
 		return h.tat, true
 	}
@@ -19,13 +19,13 @@
 }
 
 // full tells that an unknown client finds no free place.
-func (d *Door) full() bool {
+func (d *Controller) full() bool {
 	return d.total() >= d.c.Places || d.unknown >= d.c.Places-d.c.Reserve
 }
 
 // crowded tells that no place is free and that nobody, here or on the step, was silent for long enough to make room.
 // That passes in moments: the silent grow older, and who stands on the step is answered at once.
-func (d *Door) crowded() bool {
+func (d *Controller) crowded() bool {
 	switch {
 	case !d.full() || d.oldEnough(0):
 		return false
@@ -36,12 +36,12 @@
 }
 
 // stepGivesWay tells that somebody on the step has been silent for long enough to leave it to another.
-func (d *Door) stepGivesWay() bool {
+func (d *Controller) stepGivesWay() bool {
 	return d.steps.head != nil && d.now-d.steps.head.since >= young
 }
 
 // identity returns the known client of that name, nil if there is none.
-func (d *Door) identity(name string) *holder {
+func (d *Controller) identity(name string) *holder {
 	if name == "" || !d.c.Identities[name] {
 		return nil
 	}
@@ -49,7 +49,7 @@
 }
 
 // opened finds a place for a new connection.
-func (d *Door) opened(e *Event) {
+func (d *Controller) opened(e *Event) {
 	address, net := d.c.Lengths.keys(e.Addr)
 	a, n := d.table.get(address), d.table.get(net)
 	a.pinned, n.pinned = true, true // whoever makes room may be their last connection
@@ -65,7 +65,7 @@
 
 // welcome lets in a known client whose request is there already. Bounds on addresses are not for it: others may be gone
 // mad behind its own.
-func (d *Door) welcome(e *Event, a, n, h *holder) {
+func (d *Controller) welcome(e *Event, a, n, h *holder) {
 	if code, cause := d.fits(h, true); code != 0 {
 		d.refusal(Nobody, code, cause)
 		return
@@ -75,11 +75,11 @@
 	d.count.Promoted++
 }
 
-func (d *Door) vouch(a *holder) { a.vouch, a.known = d.now+vouchFor, true }
+func (d *Controller) vouch(a *holder) { a.vouch, a.known = d.now+vouchFor, true }
 
 // fits tells whether a known client may have one more connection, and makes a place free if it needs one. It returns
 // the code of a refusal, 0 for none.
-func (d *Door) fits(h *holder, needs bool) (code int, cause Cause) {
+func (d *Controller) fits(h *holder, needs bool) (code int, cause Cause) {
 	due, ok := d.due(h, d.c.Identity.PerSecond)
 	switch {
 	case !ok:
@@ -94,7 +94,7 @@
 }
 
 // find lets in a client that is not known by its word, if its address may and there is a place.
-func (d *Door) find(e *Event, a, n *holder) {
+func (d *Controller) find(e *Event, a, n *holder) {
 	in := slices.ContainsFunc(d.c.Ranges, func(p netip.Prefix) bool { return p.Contains(e.Addr.Unmap()) })
 	vouched := in || d.now < a.vouch
 	bound, around := d.c.Address, d.c.Net
@@ -137,16 +137,16 @@
 
 func over(n, most int) bool { return most > 0 && n >= most }
 
-func (d *Door) total() int { return d.known + d.unknown }
+func (d *Controller) total() int { return d.known + d.unknown }
 
-func (d *Door) turn(cause Cause) {
+func (d *Controller) turn(cause Cause) {
 	d.count.Turned[cause]++
 	d.do(Action{Kind: Turn, Cause: cause})
 }
 
 // deny keeps a connection out. What it has said is answered; if it said nothing, it may stand on the step until it does,
 // unless it came too often. If the step is full, whoever has stood there silent for longest makes room.
-func (d *Door) deny(e *Event, a, n *holder, code int, cause Cause) {
+func (d *Controller) deny(e *Event, a, n *holder, code int, cause Cause) {
 	switch {
 	case e.Left:
 		d.turn(Left)
--- a/internal/door/ledger.go
+++ b/internal/admission/ledger.go
@@ -1,4 +1,4 @@
-package door
+package admission
 
 // Owner is whoever holds descriptors.
 type Owner string
@@ -10,12 +10,12 @@
 	KnownOnes  Owner = "known clients"
 	Unknown    Owner = "unknown clients"
 	StepOnes   Owner = "clients on the step"
-	Servers    Owner = "real servers" // operators read this name in door status
+	Servers    Owner = "real servers" // operators read this name in admission status
 	Copies     Owner = "copies"
 	Discovery  Owner = "discovery"
 	StatusOnes Owner = "status"
 	Files      Owner = "files"
-	Operators  Owner = "operators" // their door
+	Operators  Owner = "operators" // their management address
 	Float      Owner = "run-time"  // standard streams, the poller, probes, connections that end just now
 )
 
--- a/internal/door/table.go
+++ b/internal/admission/table.go
@@ -1,4 +1,4 @@
-package door
+package admission
 
 import (
 	"cmp"
--- a/internal/door/types.go
+++ b/internal/admission/types.go
@@ -1,16 +1,16 @@
-// Package door decides who gets in: which connection is accepted, which waits in the lobby until its first request,
+// Package admission decides who gets in: which connection is accepted, which waits in the lobby until its first request,
 // which one makes room for another, which request is refused at once and with what word, and how long anyone may be
 // slow. It keeps the ledger of descriptors.
 //
-// This file is the interface; door.go has the decisions, find.go those on a new connection, and table.go the table of
-// addresses. A Door is a state machine without I/O, clock or goroutine. Its host calls Step with the time and one event
+// This file is the interface; controller.go has the decisions, find.go those on a new connection, and table.go the table of
+// addresses. A Controller is a state machine without I/O, clock or goroutine. Its host calls Step with the time and one event
 // and carries out the actions before the next call; the slice that it gets is used again. The host owes it one caller at
 // a time, a clock that never goes back, and one Closed for each connection that was admitted. It may expect that the
 // limits are never passed, that the reserve is never used by the unknown, that no connection with an open request is
 // shut for another's sake, and that a request that was asked, or seen as its connection opened, gets one Serve or one
 // Refuse. Its memory is bounded for any sequence of addresses, and an address that it knows costs no allocation. It
 // imports nothing of ours.
-package door
+package admission
 
 import (
 	"net/netip"
@@ -24,7 +24,7 @@
 	PerSecond float64 // new connections; as many may come at once
 }
 
-// Config is the settings of a Door. Its zero value, but for Places, accepts as many as there is room for.
+// Config is the settings of a Controller. Its zero value, but for Places, accepts as many as there is room for.
 type Config struct {
 	Places  int // client connections that may be served
 	Reserve int // of these, for known clients alone
@@ -41,8 +41,8 @@
 	Identities map[string]bool // that are known; nil for none
 
 	Addresses int              // that are remembered without a connection, known and unknown each
-	Patience  [3]time.Duration // with a silent connection of an unknown client, by level; 0 for no bound of the door's
-	Sending   [3]time.Duration // with a request that an unknown client has begun, by level; 0 for no bound of the door's
+	Patience  [3]time.Duration // with a silent connection of an unknown client, by level; 0 for no bound of admission's
+	Sending   [3]time.Duration // with a request that an unknown client has begun, by level; 0 for no bound of admission's
 	Reading   [3]time.Duration // a client may take for what one write sent, by level; the host sees to it; 0 for no bound
 	Fair      bool             // whoever holds the most makes room; otherwise whoever was silent for longest
 	Last      bool             // at Critical, an unknown client's answer ends its connection
@@ -150,7 +150,7 @@
 	Last  bool
 }
 
-// Counts is what a Door has done so far, and its state.
+// Counts is what a Controller has done so far, and its state.
 type Counts struct {
 	Level                             Level
 	Places, Reserve, Lent             int
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -190,7 +190,7 @@
 	s       *stage
 	lines   int // drawn last, to be drawn over
 	seconds []second
-	news    string
+	notice  string
 }
 
 type second struct{ Good, Other float64 }
@@ -242,7 +242,7 @@
 }
 
 func (w *show) tell(text string) {
-	w.news = text
+	w.notice = text
 	if !w.o.Live {
 		fmt.Fprintln(w.o.Out, text)
 	}
@@ -279,7 +279,7 @@
 	}
 	table := &strings.Builder{}
 	if w.o.Live || whole {
-		fmt.Fprintf(table, "%v  %s\n%-14s %6s %6s %6s %8s %7s %7s %8s %8s\n", after.Round(time.Second), w.news, "class", "asked", "good", "late", "refused", "failed", "broken", "p50 ms", "p99 ms")
+		fmt.Fprintf(table, "%v  %s\n%-14s %6s %6s %6s %8s %7s %7s %8s %8s\n", after.Round(time.Second), w.notice, "class", "asked", "good", "late", "refused", "failed", "broken", "p50 ms", "p99 ms")
 		for _, t := range w.clients.Tallies() {
 			fmt.Fprintf(table, "%-14s %6d %6d %6d %8d %7d %7d %8.0f %8.0f\n", t.Class, t.Asked, t.Good, t.Late, t.Refused, t.Failed, t.BrokenOff,
 				float64(t.First.ValueAtQuantile(50))/1000, float64(t.First.ValueAtQuantile(99))/1000)
--- a/internal/duty/wire.go
+++ b/internal/duty/wire.go
@@ -6,7 +6,7 @@
 	"hash/crc32"
 )
 
-// Datagrams between routers and voters. The high half of the first byte is version; news have 1, the fleet view 2. All numbers
+// Datagrams between routers and voters. The high half of the first byte is version; peer reports have 1, the fleet view 2. All numbers
 // are varints, names have their length before them, and a sum stands behind.
 //
 //	request:  kind, number, command kind, duty, who (name, boot, zone), token, renewals, to
--- a/internal/experiment/measure_test.go
+++ b/internal/experiment/measure_test.go
@@ -12,7 +12,7 @@
 
 var measure = flags.Bool("measure", false, "run the measurements")
 
-// TestMeasurePowerLoss plays deploy/lab/powerloss.hcl at three sizes, with routers that tell each other news and without, and prints what was served of what was
+// TestMeasurePowerLoss plays deploy/lab/powerloss.hcl at three sizes, with routers that tell each other reports and without, and prints what was served of what was
 // asked for in the 30 s after the return, against the bound of package lab.
 func TestMeasurePowerLoss(t *testing.T) {
 	if !*measure {
@@ -29,7 +29,7 @@
 				t.Fatal(err)
 			}
 			for v := range x.Variants {
-				t.Run(fmt.Sprintf("%d routers, news %v, %s", routers, peers != "", x.Variants[v].Name), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%d routers, peer reports %v, %s", routers, peers != "", x.Variants[v].Name), func(t *testing.T) {
 					t.Parallel()
 					for _, seed := range x.Seeds {
 						w, err := lab.New(x.Virtual(v, seed))
@@ -40,7 +40,7 @@
 						if err != nil {
 							t.Error(err)
 						}
-						t.Logf("%d routers, news %v, %s: %s", routers, peers != "", x.Variants[v].Name, afterReturn(r, 29, 30))
+						t.Logf("%d routers, peer reports %v, %s: %s", routers, peers != "", x.Variants[v].Name, afterReturn(r, 29, 30))
 					}
 				})
 			}
--- a/internal/experiment/schedule.go
+++ b/internal/experiment/schedule.go
@@ -31,7 +31,7 @@
 
 	// Manners of clients, as shares of the requests.
 	Pieces, Silent, Leave float64
-	Scrape                time.Duration // between two calls of vars at each door; 0 for none
+	Scrape                time.Duration // between two calls of vars at each management address; 0 for none
 }
 
 // usualRig is what a file without the block has.
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -283,10 +283,10 @@
 // key tells this state from others.
 func (r *run[M]) key() uint64 {
 	h := xxhash.New()
-	var room [8]byte
+	var word [8]byte
 	put := func(v uint64) {
-		binary.LittleEndian.PutUint64(room[:], v)
-		h.Write(room[:])
+		binary.LittleEndian.PutUint64(word[:], v)
+		h.Write(word[:])
 	}
 	for i, n := range r.nodes {
 		put(uint64(r.now[i]))
--- a/internal/faults/kinds.go
+++ b/internal/faults/kinds.go
@@ -81,7 +81,7 @@
 	{FullDisk, "no file of the process can grow", routers, nil, nil, Rig},
 	{NoWrite, "the durable folder is no folder, and is again as it ends", routers, nil, nil, Rig},
 	{Reload, "SIGHUP with the same file", routers, nil, nil, Rig},
-	{Withhold, "the operators' door sends clients away, and takes them again as it ends", routers, nil, nil, Rig},
+	{Withhold, "the management address sends clients away, and takes them again as it ends", routers, nil, nil, Rig},
 
 	{Stall, "streams say nothing, and go on as it ends", hosts, nil, nil, Rig | Hosts},
 	{Reset, "connections are reset, over and over; the process stands", hosts, nil, nil, Rig | Hosts},
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -49,7 +49,7 @@
 	Exit    What = "exit"    // it has ended: Status, or Text for a signal
 	Usage   What = "usage"   // what it holds: Memory, Descriptors, CPU
 	Caught  What = "caught"  // it answers nobody, and nothing that was done to it explains that: Text is where the evidence is
-	Call    What = "call"    // a call at its operators' door: ID, Text
+	Call    What = "call"    // a call at its management address: ID, Text
 	Return  What = "return"  // the answer: ID, Text; empty for none in time
 
 	Fault What = "fault" // begins: N in the schedule, Text its kind, Routers, Hosts, Links
--- a/internal/judge/drain.go
+++ b/internal/judge/drain.go
@@ -7,7 +7,7 @@
 	"reachspread/internal/history"
 )
 
-// drainSlack is how long after the news a host may still be sent something new, with the platform's slack on sockets.
+// drainSlack is how long after it was told a host may still be sent something new, with the platform's slack on sockets.
 const drainSlack = 550 * time.Millisecond
 
 // drain finds attempts that reach a host after its router was told that it drains or is gone. One whose router or whose
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -38,7 +38,7 @@
 // Checkers has all of them, in the order in which they are told.
 var Checkers = []Checker{
 	{"crash", "no process ends or fails to start by itself", crash},
-	{"hang", "a process answers its operators' door or its clients, unless something was done to it", hang},
+	{"hang", "a process answers its management address or its clients, unless something was done to it", hang},
 	{"answer", "each request gets one final answer before its client gives up", answer},
 	{"attempt", "never two attempts of one request out", attempt},
 	{"drain", "nothing new to a draining or gone host 500 ms after the list has said so", drain},
--- a/internal/lab/bound.go
+++ b/internal/lab/bound.go
@@ -15,7 +15,7 @@
 type need struct{ n, unread, out, prompt float64 }
 
 // needs counts a request that is asked for now.
-func (w *World) needs(f *flow) {
+func (w *World) needs(f *request) {
 	s := f.session
 	unread := f.prompt - s.shared
 	if s.known > 0 && s.askedAt >= w.emptied {
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -105,8 +105,8 @@
 
 func (l Length) mean() float64 { return l.Median * math.Exp(l.Sigma*l.Sigma/2) }
 
-// flow is a client's request over all its tries.
-type flow struct {
+// request is a client's request over all its tries.
+type request struct {
 	session *session
 	n       int
 	began   time.Duration
@@ -135,8 +135,8 @@
 		return // the conversation is too long to go on
 	}
 	more = min(more, max(c.MaxContext-s.context-out, 1))
-	w.flows++
-	f := &flow{session: s, n: w.flows, began: w.now, prompt: s.context + more, out: out, rng: w.stream(forTry, uint64(w.flows))}
+	w.requests++
+	f := &request{session: s, n: w.requests, began: w.now, prompt: s.context + more, out: out, rng: w.stream(forTry, uint64(w.requests))}
 	s.context = f.prompt + out
 	if !last {
 		w.at(w.now+think, event{do: turnComes, p: s})
@@ -145,7 +145,7 @@
 }
 
 // asks has a client ask for the first time.
-func (w *World) asks(f *flow) {
+func (w *World) asks(f *request) {
 	s := f.session
 	if w.planning {
 		w.plan = append(w.plan, Planned{At: w.now, ID: "f" + strconv.Itoa(f.n), Class: s.load.n, Session: s.name, Prefix: s.prefix, Shared: s.shared,
@@ -168,9 +168,9 @@
 	if n+1 < len(w.s.Captured) {
 		w.at(w.s.Captured[n+1].At, event{do: capturedComes, n: n + 1})
 	}
-	w.flows++
-	w.asks(&flow{session: &session{load: w.classes[p.Class], name: p.Session, prefix: p.Prefix, shared: p.Shared}, n: w.flows, began: w.now,
-		prompt: p.Prompt, out: p.Out, rng: w.stream(forTry, uint64(w.flows))})
+	w.requests++
+	w.asks(&request{session: &session{load: w.classes[p.Class], name: p.Session, prefix: p.Prefix, shared: p.Shared}, n: w.requests, began: w.now,
+		prompt: p.Prompt, out: p.Out, rng: w.stream(forTry, uint64(w.requests))})
 }
 
 // Planned is a request that a client will make, whatever comes of those before it.
@@ -207,9 +207,9 @@
 	return w.plan, nil
 }
 
-// try is one of a flow's tries, at one router.
+// try is one of a request's tries, at one router.
 type try struct {
-	f        *flow
+	f        *request
 	id       string
 	router   *router
 	gen      int
@@ -221,14 +221,14 @@
 	answered bool
 }
 
-// patience is the whole time that a flow's client waits.
-func (f *flow) patience() time.Duration {
+// patience is the whole time that a request's client waits.
+func (f *request) patience() time.Duration {
 	c := &f.session.load.c.Class
 	return c.Deadline + 2*time.Duration(float64(f.prompt)/1000*float64(c.AimPer1000))
 }
 
-// try sends a flow to a router, if the front knows of any.
-func (w *World) try(f *flow) {
+// try sends a request to a router, if the front knows of any.
+func (w *World) try(f *request) {
 	f.tries++
 	left := f.began + f.patience() - w.now
 	if share := f.session.load.c.Patience; share > 0 {
@@ -305,8 +305,8 @@
 
 var hows = map[ending]history.How{served: history.Whole, refused: history.Refused, failed: history.Failed, brokenOff: history.Broken}
 
-// again has a flow's client come back, or give up.
-func (w *World) again(f *flow, away time.Duration, how ending) {
+// again has a request's client come back, or give up.
+func (w *World) again(f *request, away time.Duration, how ending) {
 	wait := w.s.Retries.After + time.Duration(f.rng.Float64()*float64(w.s.Retries.After))
 	if w.s.Retries.Heed {
 		wait = max(wait, away)
--- a/internal/lab/hosts.go
+++ b/internal/lab/hosts.go
@@ -42,8 +42,8 @@
 	missed  bool
 }
 
-// news is a list on its way to a router.
-type news struct {
+// listUpdate is a list on its way to a router.
+type listUpdate struct {
 	members balance.Members
 	hosts   []int
 }
@@ -312,8 +312,8 @@
 }
 
 // whole is the list as discovery has it.
-func (w *World) whole() *news {
-	x := &news{members: balance.Members{Version: w.list.version, Whole: true}}
+func (w *World) whole() *listUpdate {
+	x := &listUpdate{members: balance.Members{Version: w.list.version, Whole: true}}
 	for _, h := range w.hosts {
 		if !h.gone {
 			x.members.Members = append(x.members.Members, w.member(h, h.state))
@@ -330,7 +330,7 @@
 		w.list.missed = true
 		return
 	}
-	x := &news{members: balance.Members{Version: w.list.version, Members: []balance.Member{w.member(h, h.state)}}, hosts: []int{h.n}}
+	x := &listUpdate{members: balance.Members{Version: w.list.version, Members: []balance.Member{w.member(h, h.state)}}, hosts: []int{h.n}}
 	for _, r := range w.routers {
 		w.send(r, x)
 	}
@@ -343,7 +343,7 @@
 	}
 }
 
-func (w *World) send(r *router, x *news) {
+func (w *World) send(r *router, x *listUpdate) {
 	if !r.alive {
 		return
 	}
@@ -352,7 +352,7 @@
 }
 
 // told takes a list, for the checkers and the module.
-func (r *router) told(x *news) {
+func (r *router) told(x *listUpdate) {
 	w := r.w
 	w.res.Lines += uint64(len(x.members.Members))
 	for len(r.known) < len(w.hosts) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -154,7 +154,7 @@
 		t.Fatal(err)
 	}
 	h, r := w.hosts[0], w.routers[0]
-	f := &flow{session: &session{load: w.classes[0], name: "s"}, prompt: 10, out: 5}
+	f := &request{session: &session{load: w.classes[0], name: "s"}, prompt: 10, out: 5}
 	send := func(id string) *attempt {
 		a := &attempt{t: &try{f: f, id: id, router: r, gen: r.gen}, fresh: true, conn: &conn{}}
 		a.t.out = a
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -6,7 +6,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// ending is how a flow, or a try, came out.
+// ending is how a request, or a try, came out.
 type ending string
 
 const (
@@ -35,7 +35,7 @@
 	Worth, Asked              float64
 }
 
-// ClassResult is one class's part. Counts are of flows, over all their tries.
+// ClassResult is one class's part. Counts are of requests, over all their tries.
 type ClassResult struct {
 	Name                             string
 	Asked, Good, Late, Slow          uint64 // Slow are served too late, or at too slow a pace, for any worth
@@ -103,8 +103,8 @@
 	}
 }
 
-// over ends a flow. Began and ended are those of its stream.
-func (w *World) over(f *flow, how ending, began, ended time.Duration, made int) {
+// over ends a request. Began and ended are those of its stream.
+func (w *World) over(f *request, how ending, began, ended time.Duration, made int) {
 	w.open--
 	c := &f.session.load.c.Class
 	r := &w.res.Classes[f.session.load.n]
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -27,7 +27,7 @@
 
 	byID   map[string]int // hosts that its list has named
 	known  []knowledge    // of hosts, by number
-	heard  time.Duration  // when the last news comes
+	heard  time.Duration  // when the last update comes
 	pools  []pool         // by host
 	probes int
 	down   int // faults that have killed it
@@ -328,10 +328,10 @@
 	r.open, r.tries, r.pools = nil, nil, nil
 }
 
-// tell sends news to other routers, each copy on its own: late, or not at all.
+// tell sends reports to other routers, each copy on its own: late, or not at all.
 func (r *router) tell(a balance.Tell) {
 	w := r.w
-	heard := balance.Heard{From: r.n, Zone: a.Zone, News: a.News}
+	heard := balance.Heard{From: r.n, Zone: a.Zone, Reports: a.Reports}
 	for _, to := range a.To {
 		if w.net.Float64() >= w.s.Peers.Lost {
 			late := w.s.Peers.Least + time.Duration(w.net.Float64()*float64(w.s.Peers.Most-w.s.Peers.Least))
--- a/internal/lab/rules.go
+++ b/internal/lab/rules.go
@@ -9,7 +9,7 @@
 const (
 	// answerSlack is how long after a client's patience an answer may still come.
 	answerSlack = 20 * time.Millisecond
-	// drainSlack is how long after the news a host may still be sent something new.
+	// drainSlack is how long after it was told a host may still be sent something new.
 	drainSlack = 500 * time.Millisecond
 )
 
--- a/internal/lab/spec.go
+++ b/internal/lab/spec.go
@@ -93,7 +93,7 @@
 	Silent      time.Duration // after which a router ends a stream that says nothing; 0 for never
 }
 
-// List is how news of hosts travels to routers.
+// List is how updates on hosts travel to routers.
 type List struct {
 	Delay, Spread time.Duration // the least, and up to how much more
 }
@@ -137,7 +137,7 @@
 	Replace     TroubleKind = "replace"        // Part of the hosts go for good, and cold ones of other names come
 	Release     TroubleKind = "release"        // all hosts are drained and started anew, a Part at a time, within Length
 	LostZone    TroubleKind = "lost_zone"      // the hosts of Zone are cut off
-	ListLost    TroubleKind = "list_lost"      // no news of hosts
+	ListLost    TroubleKind = "list_lost"      // no updates on hosts
 )
 
 // Trouble is something that goes wrong for a while.
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -17,25 +17,25 @@
 
 // World is one experiment at one moment.
 type World struct {
-	s       Spec
-	queue   queue
-	now     time.Duration // since the beginning
-	net     *rand.Rand    // delays on the network
-	chance  *rand.Rand    // troubles and the front
-	classes []*load
-	zones   []string
-	hosts   []*host
-	routers []*router
-	front   []int // the routers that the front believes in
-	list    list
-	open    int // flows that are not over
-	flows   int
-	burst   float64
-	tail    []tail
-	struck  []struck
-	faults  schedule
-	need    []need        // in this second, by class
-	emptied time.Duration // the last moment at which no host was alive
+	s        Spec
+	queue    queue
+	now      time.Duration // since the beginning
+	net      *rand.Rand    // delays on the network
+	chance   *rand.Rand    // troubles and the front
+	classes  []*load
+	zones    []string
+	hosts    []*host
+	routers  []*router
+	front    []int // the routers that the front believes in
+	list     list
+	open     int // requests that are not over
+	requests int
+	burst    float64
+	tail     []tail
+	struck   []struck
+	faults   schedule
+	need     []need        // in this second, by class
+	emptied  time.Duration // the last moment at which no host was alive
 
 	planning bool // requests are only written down
 	plan     []Planned
@@ -194,7 +194,7 @@
 	case capturedComes:
 		w.captured(e.n)
 	case retryComes:
-		w.try(e.p.(*flow))
+		w.try(e.p.(*request))
 	case tryReaches:
 		w.reach(e.p.(*try))
 	case tryOverdue:
@@ -214,7 +214,7 @@
 		}
 	case listReaches:
 		if r := w.routers[e.n]; r.alive && r.gen == e.gen {
-			r.told(e.p.(*news))
+			r.told(e.p.(*listUpdate))
 		}
 	case routerStarts:
 		if err := w.startRouter(e.n); err != nil {
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -1,4 +1,4 @@
-// Package management is the operators' door without its socket: the calls that it knows, the figures that it tells, and
+// Package management is the operators' management API without its socket: the calls that it knows, the figures that it tells, and
 // the answer to one line. Its two tables are the only place where calls and figures are named; the output and the
 // operators' page are made from them. It is pure, and imports nothing of ours.
 package management
@@ -14,7 +14,7 @@
 // MostLine is the longest line that is a call.
 const MostLine = 256
 
-// Router is what the door asks and tells. No method may wait for anything: a caller has a second, however busy the
+// Router is what the management API asks and tells. No method may wait for anything: a caller has a second, however busy the
 // router is.
 type Router interface {
 	// Takes tells whether this process takes clients, and names the phase that it is in.
@@ -81,7 +81,7 @@
 	Abandoned, Moved              uint64
 }
 
-// Call is one line that the door answers.
+// Call is one line that the management API answers.
 type Call struct {
 	Name, Meaning string
 	answer        func(Router) string
--- a/internal/peering/dutycalls.go
+++ b/internal/peering/dutycalls.go
@@ -84,7 +84,7 @@
 	return f
 }
 
-// question has the voter take an event for the door.
+// question has the voter take an event for the operators.
 func (d *Duties) question(ctx context.Context, e quorum.Event) (string, error) {
 	if !d.votes.Load() {
 		return "", ErrNoVoter
--- a/internal/peering/dutyvoter.go
+++ b/internal/peering/dutyvoter.go
@@ -120,10 +120,10 @@
 	}
 }
 
-// showEvery is how old what the door shows may be.
+// showEvery is how old what the management API shows may be.
 const showEvery = 200 * time.Millisecond
 
-// asking is a question of the door to the voter.
+// asking is a question of the operators to the voter.
 type asking struct {
 	event quorum.Event
 	said  string
--- a/internal/peering/gossip.go
+++ b/internal/peering/gossip.go
@@ -1,4 +1,4 @@
-// Package peering drives what goes between routers: the socket for datagrams, the news of the module, and the fleet view of
+// Package peering drives what goes between routers: the socket for datagrams, the module's reports on replicas, and the fleet view of
 // package members. It decides nothing.
 package peering
 
@@ -126,12 +126,12 @@
 			g.drop(from, errStranger)
 			continue
 		}
-		zone, news, err := protocol.ParseNews(buf[:n])
+		zone, reports, err := protocol.ParsePeerReports(buf[:n])
 		if err != nil {
 			g.drop(from, err)
 			continue
 		}
-		hear(balance.Heard{From: i, Zone: zone, News: news})
+		hear(balance.Heard{From: i, Zone: zone, Reports: reports})
 	}
 }
 
@@ -144,15 +144,15 @@
 	}
 }
 
-// Tell sends news to the routers of the numbers given. It waits for nobody: what can't be sent now is lost.
+// Tell sends reports to the routers of the numbers given. It waits for nobody: what can't be sent now is lost.
 func (g *Gossip) Tell(t balance.Tell) {
 	conn := g.conn.Load()
 	if conn == nil {
 		g.unsent.Add(1)
 		return
 	}
-	var room [mostDatagram]byte
-	text := protocol.AppendNews(room[:0], t.Zone, t.News)
+	var buffer [mostDatagram]byte
+	text := protocol.AppendPeerReports(buffer[:0], t.Zone, t.Reports)
 	for _, i := range t.To {
 		if i < 0 || i >= len(g.peers) {
 			continue
--- a/internal/peering/gossip_test.go
+++ b/internal/peering/gossip_test.go
@@ -40,8 +40,8 @@
 	heard := make(chan balance.Heard, 10)
 	go g.Run(ctx, func(h balance.Heard) { heard <- h })
 
-	news := []balance.News{{Tag: 7, Tokens: 1024}}
-	good := protocol.AppendNews(nil, 3, news)
+	reports := []balance.PeerReport{{Tag: 7, Tokens: 1024}}
+	good := protocol.AppendPeerReports(nil, 3, reports)
 	to := net.UDPAddrFromAddrPort(mustAddr(t, own))
 	send := func(c *net.UDPConn, text []byte) {
 		t.Helper()
@@ -55,7 +55,7 @@
 	send(peer, make([]byte, 300))
 	send(peer, nil)
 	send(peer, good)
-	if diff := cmp.Diff(balance.Heard{From: 1, Zone: 3, News: news}, peers.Next(t, heard, "news")); diff != "" {
+	if diff := cmp.Diff(balance.Heard{From: 1, Zone: 3, Reports: reports}, peers.Next(t, heard, "reports")); diff != "" {
 		t.Error(diff)
 	}
 	if line := peers.Next(t, lines, "a line"); !strings.HasPrefix(line, "datagram dropped") || len(lines) > 0 {
@@ -65,7 +65,7 @@
 		t.Errorf("%d dropped and counted, want 5", unread)
 	}
 
-	g.Tell(balance.Tell{To: []int{1, 9, -1}, Zone: 3, News: news})
+	g.Tell(balance.Tell{To: []int{1, 9, -1}, Zone: 3, Reports: reports})
 	buf := make([]byte, 300)
 	n, _, err := peer.ReadFromUDP(buf)
 	if err != nil || !cmp.Equal(buf[:n], good) {
@@ -115,7 +115,7 @@
 	free.Close()
 	to, _ := net.ResolveUDPAddr("udp4", own)
 	for end := time.Now().Add(peers.Patience); ; time.Sleep(5 * time.Millisecond) {
-		peer.WriteToUDP(protocol.AppendNews(nil, 7, nil), to)
+		peer.WriteToUDP(protocol.AppendPeerReports(nil, 7, nil), to)
 		if len(heard) > 0 {
 			if got := <-heard; got.From != 1 || got.Zone != 7 {
 				t.Errorf("heard %+v", got)
--- a/internal/peering/view.go
+++ b/internal/peering/view.go
@@ -29,7 +29,7 @@
 	in      chan datagram
 	leave   chan leaving
 	seeds   chan []netip.AddrPort
-	room    sync.Pool
+	buffers sync.Pool
 
 	view    atomic.Pointer[members.View]
 	figures atomic.Pointer[members.Figures]
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	v := &View{d: d, send: send, changed: changed, log: log, start: time.Now(), in: make(chan datagram, mostWaiting), leave: make(chan leaving), seeds: make(chan []netip.AddrPort),
-		room: sync.Pool{New: func() any { return new([members.MostDatagram]byte) }}}
+		buffers: sync.Pool{New: func() any { return new([members.MostDatagram]byte) }}}
 	v.publish()
 	return v, nil
 }
@@ -68,12 +68,12 @@
 		v.lost.Add(1)
 		return
 	}
-	room := v.room.Get().(*[members.MostDatagram]byte)
+	buffer := v.buffers.Get().(*[members.MostDatagram]byte)
 	select {
-	case v.in <- datagram{from, copy(room[:], data), room}:
+	case v.in <- datagram{from, copy(buffer[:], data), buffer}:
 	default:
 		v.lost.Add(1)
-		v.room.Put(room)
+		v.buffers.Put(buffer)
 	}
 }
 
@@ -87,7 +87,7 @@
 			return
 		case x := <-v.in:
 			v.step(members.Received{From: x.from, Data: x.data[:x.n]})
-			v.room.Put(x.data)
+			v.buffers.Put(x.data)
 		case l := <-v.leave:
 			v.step(members.Leave{Replaced: l.replaced})
 			close(l.done)
--- /dev/null
+++ b/internal/program/admission.go
@@ -0,0 +1,193 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"reachspread/internal/admission"
+	"reachspread/internal/transport"
+)
+
+const (
+	usualStep = 8 // connections beyond the places that are read and refused, without settings
+	// doorEvery is how often admission hears of the time and of what others lend it.
+	admissionEvery = 25 * time.Millisecond
+	// reloadLook is how often it is looked whether that has become of use.
+	reloadLook = time.Second
+	// shortAgain is the least time between two lines of a lack of descriptors: one for each episode, whoever makes it.
+	shortAgain = time.Minute
+	topTen     = 10
+	// listenerSockets are the listener's two descriptors and the one held back.
+	listenerSockets = 3
+	// DoorTopic is the path of admission's state on the status socket.
+	AdmissionTopic = "/door"
+)
+
+// frontLimits is what clients may take up.
+func (p *Program) frontLimits(r processLimits) transport.FrontLimits {
+	l := transport.FrontLimits{Bodies: r.bodies, Seed: p.cfg.seed, Admission: p.cfg.admission(r.clients), Short: p.short()}
+	if p.cfg.set != nil && p.cfg.set.Admission != nil {
+		l.Identity = p.cfg.set.Admission.Identity
+	}
+	return l
+}
+
+// admission returns admission's settings: those of the operators, or as many places as fit and nothing more.
+func (c *Config) admission(clients int) admission.Config {
+	if c.set == nil || c.set.Admission == nil {
+		return admission.Config{Places: clients, Step: usualStep, Away: min(c.balance.MaxAway, time.Second)}
+	}
+	d := c.set.Admission.Config
+	d.Places = clients
+	d.Reserve = int(c.set.Admission.Reserve * float64(clients))
+	return d
+}
+
+// admission returns admission's settings by what is in force.
+func (p *Program) admission(clients int) admission.Config { return p.force.Load().admission(clients) }
+
+// short returns what the listener calls when the process has no descriptor left.
+func (p *Program) short() func() {
+	var mu sync.Mutex
+	var last time.Time
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Since(last) < shortAgain {
+			return
+		}
+		last = time.Now()
+		fields := []any{}
+		ledger := p.ledger()
+		for _, line := range ledger.Lines {
+			fields = append(fields, line.Owner, line.Used)
+		}
+		p.log.Warn("descriptors exhausted", fields...)
+	}
+}
+
+// tendAdmission lets admission know of the time and of what copies lend it, until ctx ends. Without a block "door" and without pools there is nothing
+// of either; then it looks once a second whether a reload has brought any.
+func (p *Program) tendAdmission(ctx context.Context) {
+	timer := time.NewTimer(admissionEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if set := p.force.Load().set; (set == nil || set.Admission == nil) && p.cfg.copies() == 0 {
+			timer.Reset(reloadLook)
+			continue
+		}
+		p.front.Lend(admission.Lendable(p.cfg.copies(), p.mirror.Sockets()))
+		timer.Reset(admissionEvery)
+	}
+}
+
+// copies returns how many descriptors are set aside for copies.
+func (c *Config) copies() (n int) {
+	if c.set == nil {
+		return 0
+	}
+	for _, pool := range c.set.Shadow.Pools {
+		n += pool.Sockets
+	}
+	return n
+}
+
+// shares is the ledger as the configuration divides it, before anybody has a descriptor.
+func (c *Config) shares(r processLimits) admission.Ledger {
+	clients, reserve, step := r.clients, c.admission(r.clients).Reserve, c.admission(r.clients).Step
+	return admission.Ledger{Limit: c.Limits.Sockets, Lines: []admission.Line{
+		{Owner: admission.Listeners, Share: listenerSockets},
+		{Owner: admission.KnownOnes, Share: reserve},
+		{Owner: admission.Unknown, Share: clients - reserve},
+		{Owner: admission.StepOnes, Share: step},
+		{Owner: admission.Servers, Share: r.servers},
+		{Owner: admission.Discovery, Share: 1},
+		{Owner: admission.Copies, Share: c.copies()},
+		{Owner: admission.StatusOnes, Share: c.aside() - c.copies()}, // with the files of the records
+		{Owner: admission.Operators, Share: transport.ManagementSockets},
+		{Owner: admission.Float, Share: otherSockets - listenerSockets - transport.ManagementSockets - 1 - step},
+	}}
+}
+
+// ledger is who may have and who has the descriptors of the process.
+func (p *Program) ledger() admission.Ledger {
+	counts, _ := p.front.AdmissionStatus(0)
+	used := map[admission.Owner]int{admission.Listeners: 3, admission.Discovery: 1, admission.KnownOnes: counts.Known, admission.Unknown: counts.Unknown,
+		admission.StepOnes: counts.Step, admission.Servers: p.servers.Open(),
+		admission.Float: max(p.front.Alive()-counts.Known-counts.Unknown-counts.Step, 0)}
+	if p.mirror != nil {
+		used[admission.Copies] = p.mirror.Sockets()
+	}
+	if p.status != nil {
+		used[admission.StatusOnes] = 1
+	}
+	l := p.cfg.shares(*p.processLimits.Load())
+	for i := range l.Lines {
+		l.Lines[i].Used = used[l.Lines[i].Owner]
+	}
+	if open, err := os.ReadDir("/proc/self/fd"); err == nil {
+		l.Open = len(open) - 1 // without the one that reads it
+	}
+	return l
+}
+
+// AdmissionStatus is the state of admission, as `admission` prints it.
+type AdmissionStatus struct {
+	Level    string              `json:"level"`
+	Places   int                 `json:"places"`
+	Reserve  int                 `json:"reserve"`
+	Lent     int                 `json:"lent"`
+	Known    int                 `json:"known"`
+	Unknown  int                 `json:"unknown"`
+	Lobby    int                 `json:"lobby"`
+	Step     int                 `json:"step"`
+	Open     int                 `json:"open_requests"`
+	Admitted uint64              `json:"admitted"`
+	Promoted uint64              `json:"promoted"`
+	Served   uint64              `json:"served"`
+	Refused  map[string]uint64   `json:"refused"` // requests that were answered
+	Turned   map[string]uint64   `json:"turned"`  // connections closed before a byte was read
+	Shut     map[string]uint64   `json:"shut"`    // silent connections
+	Shorts   uint64              `json:"shorts"`
+	Holdings []admission.Holding `json:"holdings"`
+	Ledger   admission.Ledger    `json:"ledger"`
+}
+
+func (p *Program) admissionStatus() (any, error) {
+	c, top := p.front.AdmissionStatus(topTen)
+	s := AdmissionStatus{Level: c.Level.String(), Places: c.Places, Reserve: c.Reserve, Lent: c.Lent, Known: c.Known, Unknown: c.Unknown,
+		Lobby: c.Lobby, Step: c.Step, Open: c.Open, Admitted: c.Admitted, Promoted: c.Promoted, Served: c.Served,
+		Refused: map[string]uint64{}, Turned: map[string]uint64{}, Shut: map[string]uint64{}, Shorts: c.Shorts, Holdings: top, Ledger: p.ledger()}
+	byCause(s.Refused, c.Refused[:])
+	byCause(s.Turned, c.Turned[:])
+	byCause(s.Shut, c.Shut[:])
+	return s, nil
+}
+
+// byCause names what was counted.
+func byCause(to map[string]uint64, counts []uint64) {
+	for i, n := range counts {
+		if n > 0 {
+			to[admission.Cause(i).String()] = n
+		}
+	}
+}
+
+// reloadAdmission takes up admission's settings anew. Whether there are any counts from the start.
+func (p *Program) reloadAdmission(cfg *Config) error {
+	if (p.cfg.set.Admission == nil) != (cfg.set.Admission == nil) {
+		return fmt.Errorf("%s: the block \"door\" counts from the next start", p.file)
+	}
+	if cfg.set.Admission != nil && cfg.set.Admission.Identity != p.cfg.set.Admission.Identity {
+		return fmt.Errorf("%s: identity_header counts from the next start", p.file)
+	}
+	return nil
+}
--- a/internal/program/door_test.go
+++ b/internal/program/admission_test.go
@@ -21,16 +21,16 @@
 // houseSockets is the limit of descriptors of the next house by its configuration.
 var houseSockets = 256
 
-// house is a router process with a door that can be asked for its state.
+// house is a router process with admission control that can be asked for its state.
 type house struct {
 	*process
 	dir, path, binary string
 	hosts             []*peers.Model
 }
 
-// doored starts a router process with a door: 256 descriptors by the configuration, and limit by the system. Without
+// startWithAdmission starts a router process with admission control: 256 descriptors by the configuration, and limit by the system. Without
 // hosts it gets two that answer at once.
-func doored(t *testing.T, limit int, settings string, hosts ...*peers.Model) *house {
+func startWithAdmission(t *testing.T, limit int, settings string, hosts ...*peers.Model) *house {
 	t.Helper()
 	h := &house{dir: t.TempDir(), hosts: hosts}
 	if len(hosts) == 0 {
@@ -61,13 +61,13 @@
 	h.process = startRouterAt(t, h.addr, h.binary, h.hosts, "--settings", h.path)
 }
 
-func (h *house) status() (s DoorStatus) {
+func (h *house) status() (s AdmissionStatus) {
 	h.t.Helper()
 	socket, err := transport.StatusSocket(h.dir, "")
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	text, err := transport.AskStatus(socket, DoorTopic)
+	text, err := transport.AskStatus(socket, AdmissionTopic)
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -78,7 +78,7 @@
 }
 
 // wait asks for the state until it is as wanted.
-func (h *house) wait(what string, ok func(*DoorStatus) bool) DoorStatus {
+func (h *house) wait(what string, ok func(*AdmissionStatus) bool) AdmissionStatus {
 	h.t.Helper()
 	for end := time.Now().Add(peers.Patience); ; time.Sleep(10 * time.Millisecond) {
 		s := h.status()
@@ -116,7 +116,7 @@
 	return string(text)
 }
 
-const doorBlock = `
+const admissionBlock = `
 door {
   identity_header = "X-Client"
   identities = ["tool-1"]
@@ -141,7 +141,7 @@
 // Known clients get in through floods that take all places; who is refused has an answer, and afterwards no descriptor
 // is lost.
 func TestKnownClientsGetThroughFloods(t *testing.T) {
-	h := doored(t, 256, doorBlock)
+	h := startWithAdmission(t, 256, admissionBlock)
 	if n := askOften(h.process, "before", 5); n != 5 {
 		t.Fatalf("%d of 5 served without a flood", n)
 	}
@@ -165,7 +165,7 @@
 			t.Errorf("%s: %d of 40 served; the flood: %s", f.name, served, flood.Summary())
 		}
 	}
-	s := h.wait("end of the floods", func(s *DoorStatus) bool { return s.Known+s.Unknown+s.Step == 0 && s.Ledger.Float() == 0 })
+	s := h.wait("end of the floods", func(s *AdmissionStatus) bool { return s.Known+s.Unknown+s.Step == 0 && s.Ledger.Float() == 0 })
 	// What the ledger counts is what the process has; probes, the poller and the standard streams stand in the float.
 	if s.Ledger.Used() > s.Ledger.Open || s.Ledger.Open-s.Ledger.Used() > 20 {
 		t.Errorf("the ledger has %d of %d open descriptors: %+v", s.Ledger.Used(), s.Ledger.Open, s.Ledger)
@@ -180,15 +180,15 @@
 func TestFullHouseAnswers(t *testing.T) {
 	houseSockets = 130 // few places, so that all is done before a stream has been silent for too long
 	defer func() { houseSockets = 256 }()
-	for _, settings := range []string{"", doorBlock + "\n"} {
+	for _, settings := range []string{"", admissionBlock + "\n"} {
 		hold := make(chan bool)
-		h := doored(t, 256, strings.Replace(settings, "}", " patience {\n critical = \"2s\"\n }\n address {\n connections = 0\n open = 0\n per_second = 0\n }\n net {\n connections = 0\n open = 0\n per_second = 0\n }\n}", 1),
+		h := startWithAdmission(t, 256, strings.Replace(settings, "}", " patience {\n critical = \"2s\"\n }\n address {\n connections = 0\n open = 0\n per_second = 0\n }\n net {\n connections = 0\n open = 0\n per_second = 0\n }\n}", 1),
 			peers.NewModel(t, peers.Manner{Hold: hold, Events: 2}))
 		places := h.status().Places - h.status().Reserve
 		for i := range places {
 			h.dial(peers.AskText(fmt.Sprint("q", i), ""))
 		}
-		h.wait("full house", func(s *DoorStatus) bool { return s.Open == places })
+		h.wait("full house", func(s *AdmissionStatus) bool { return s.Open == places })
 		for i := range 10 {
 			// Three requests in one go have one answer: what follows on a connection that ends was not taken.
 			text := peers.AskText(fmt.Sprint("x", i), "") + peers.AskText(fmt.Sprint("y", i), "") + peers.AskText(fmt.Sprint("z", i), "")
@@ -202,16 +202,16 @@
 		}
 		if settings != "" {
 			c := h.dial(peers.AskText("known", "X-Client: tool-1\r\n"))
-			h.wait("known client", func(s *DoorStatus) bool { return s.Known == 1 && s.Open == places+1 })
+			h.wait("known client", func(s *AdmissionStatus) bool { return s.Known == 1 && s.Open == places+1 })
 			// One whose word comes later stands on the step until it does.
 			late := h.dial("")
-			h.wait("client on the step", func(s *DoorStatus) bool { return s.Step == 1 })
+			h.wait("client on the step", func(s *AdmissionStatus) bool { return s.Step == 1 })
 			io.WriteString(late, peers.AskText("late", "X-Client: tool-1\r\n"))
-			h.wait("known client from the step", func(s *DoorStatus) bool { return s.Known == 2 && s.Step == 0 && s.Open == places+2 })
+			h.wait("known client from the step", func(s *AdmissionStatus) bool { return s.Known == 2 && s.Step == 0 && s.Open == places+2 })
 			c.Close()
 		}
 		close(hold)
-		h.wait("end", func(s *DoorStatus) bool { return s.Open == 0 })
+		h.wait("end", func(s *AdmissionStatus) bool { return s.Open == 0 })
 	}
 }
 
@@ -219,13 +219,13 @@
 // in before there is room.
 func TestLoweredByReload(t *testing.T) {
 	hold := make(chan bool)
-	h := doored(t, 256, doorBlock, peers.NewModel(t, peers.Manner{Hold: hold, Events: 2}))
+	h := startWithAdmission(t, 256, admissionBlock, peers.NewModel(t, peers.Manner{Hold: hold, Events: 2}))
 	var asked []net.Conn
 	for i := range 12 {
 		asked = append(asked, h.dial(peers.AskText(fmt.Sprint("q", i), "")))
 	}
-	h.wait("open requests", func(s *DoorStatus) bool { return s.Open == 12 })
-	h.set(t, strings.Replace(doorBlock, "}", " address {\n connections = 3\n per_second = 0\n }\n reserve = 0.9\n}", 1))
+	h.wait("open requests", func(s *AdmissionStatus) bool { return s.Open == 12 })
+	h.set(t, strings.Replace(admissionBlock, "}", " address {\n connections = 3\n per_second = 0\n }\n reserve = 0.9\n}", 1))
 	h.cmd.Process.Signal(syscall.SIGHUP)
 	h.until("reloaded")
 	if got := read(t, h.dial(peers.AskText("more", ""))); !strings.HasPrefix(got, "HTTP/1.1 429 ") {
@@ -242,7 +242,7 @@
 		}
 		c.Close()
 	}
-	h.wait("room", func(s *DoorStatus) bool { return s.Unknown < 3 })
+	h.wait("room", func(s *AdmissionStatus) bool { return s.Unknown < 3 })
 	if got, _ := askOnce(h.addr, "after", time.Now()); got != 200 {
 		t.Errorf("after the rest was answered: %d", got)
 	}
@@ -252,12 +252,12 @@
 // clients though the flood is there before it.
 func TestRestartInAFlood(t *testing.T) {
 	hold := make(chan bool)
-	h := doored(t, 256, doorBlock, peers.NewModel(t, peers.Manner{Events: 2, Hold: hold}))
+	h := startWithAdmission(t, 256, admissionBlock, peers.NewModel(t, peers.Manner{Events: 2, Hold: hold}))
 	open := h.dial(peers.AskText("open", "X-Client: tool-1\r\n"))
-	h.wait("open request", func(s *DoorStatus) bool { return s.Known == 1 && s.Open == 1 })
+	h.wait("open request", func(s *AdmissionStatus) bool { return s.Known == 1 && s.Open == 1 })
 	flood := peers.NewFlood(h.addr, 100, peers.Asking, manyAddresses, time.Minute)
 	defer flood.Stop()
-	h.wait("flood", func(s *DoorStatus) bool { return s.Admitted > 20 })
+	h.wait("flood", func(s *AdmissionStatus) bool { return s.Admitted > 20 })
 	h.cmd.Process.Signal(syscall.SIGTERM)
 	close(hold)
 	if got := read(t, open); !strings.HasPrefix(got, "HTTP/1.1 200 ") || !strings.HasSuffix(got, "0\r\n\r\n") {
@@ -274,7 +274,7 @@
 
 // Who sends a body a byte at a time, and who reads nothing, has a bound of its own; known clients have those of the front.
 func TestSlowClients(t *testing.T) {
-	h := doored(t, 256, strings.Replace(doorBlock, "}", ` sending {
+	h := startWithAdmission(t, 256, strings.Replace(admissionBlock, "}", ` sending {
   calm = "300ms"
  }
  reading {
@@ -282,7 +282,7 @@
  }
 }`, 1), peers.NewModel(t, peers.Manner{Events: 100000}))
 	deaf := h.dial(peers.AskText("deaf", ""))
-	h.wait("open request", func(s *DoorStatus) bool { return s.Open == 1 })
+	h.wait("open request", func(s *AdmissionStatus) bool { return s.Open == 1 })
 	slow := h.dial("POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nContent-Length: 100\r\n\r\n")
 	go func() {
 		for i := 0; i < 100 && slow != nil; i++ {
@@ -296,7 +296,7 @@
 	if _, err := io.ReadFull(slow, answer); err != nil || string(answer) != "HTTP/1.1 408" {
 		t.Errorf("a trickled body got %q, %v", answer, err)
 	}
-	h.wait("end of the request that nobody reads", func(s *DoorStatus) bool { return s.Open == 0 })
+	h.wait("end of the request that nobody reads", func(s *AdmissionStatus) bool { return s.Open == 0 })
 	if text, err := io.ReadAll(deaf); err == nil && strings.HasSuffix(string(text), "0\r\n\r\n") {
 		t.Error("an answer that nobody read is said whole")
 	}
@@ -308,7 +308,7 @@
 // With no descriptor left at all, the one held back refuses clients in turn, on-call gets one line with the owners,
 // and service comes back by itself.
 func TestDescriptorsExhausted(t *testing.T) {
-	h := doored(t, 40, "")
+	h := startWithAdmission(t, 40, "")
 	p := h.process
 	var held []net.Conn
 	for range 60 {
@@ -319,10 +319,10 @@
 		held = append(held, c)
 	}
 	p.until("descriptors exhausted")
-	// The operators' door has one held back, too: a call is answered in time all the same.
+	// The management address has one held back, too: a call is answered in time all the same.
 	for range 3 {
 		begun := time.Now()
-		if got := callDoor(t, p.door, "check"); got != "+OK\n" || time.Since(begun) > time.Second {
+		if got := callManagement(t, p.management, "check"); got != "+OK\n" || time.Since(begun) > time.Second {
 			t.Errorf("check without a descriptor: %q after %v", got, time.Since(begun))
 		}
 	}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -22,7 +22,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
-	// Management is the address of the operators' door, empty for none.
+	// Management is the address of the management address, empty for none.
 	Management string        `json:"management"`
 	Seed       string        `json:"seed"`
 	Limits     Limits        `json:"limits"`
--- a/internal/program/duties.go
+++ b/internal/program/duties.go
@@ -229,7 +229,7 @@
 	return p.duties.Wish(ctx, name, to, token)
 }
 
-// rebuildWithin is how long the door waits for voters.
+// rebuildWithin is how long admission waits for voters.
 const rebuildWithin = 800 * time.Millisecond
 
 // RebuildDuties implements management.Router.
--- a/internal/program/exchange_test.go
+++ b/internal/program/exchange_test.go
@@ -32,11 +32,11 @@
 
 // one is a process of the router.
 type one struct {
-	t     *testing.T
-	cmd   *exec.Cmd
-	door  string
-	log   chan string
-	ended chan bool
+	t          *testing.T
+	cmd        *exec.Cmd
+	management string
+	log        chan string
+	ended      chan bool
 }
 
 func newPlatform(t *testing.T, hosts ...*peers.Model) *platformOf {
@@ -64,15 +64,15 @@
 // start starts a process with the listener as descriptor 5, and does not wait for it.
 func (p *platformOf) start(env ...string) *one {
 	p.t.Helper()
-	door, err := net.Listen("tcp", "127.0.0.1:0")
+	management, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	o := &one{t: p.t, door: door.Addr().String(), log: make(chan string, 1000), ended: make(chan bool)}
-	door.Close()
+	o := &one{t: p.t, management: management.Addr().String(), log: make(chan string, 1000), ended: make(chan bool)}
+	management.Close()
 	o.cmd = exec.Command(p.binary, "serve")
 	o.cmd.Env = append(append(os.Environ(), "ROUTER_CONFIG="+p.config, "ROUTER_LISTEN="+p.addr, "ROUTER_ACCEPT_FD=5",
-		"ROUTER_MANAGEMENT="+o.door, "TMPDIR="+p.folder), env...)
+		"ROUTER_MANAGEMENT="+o.management, "TMPDIR="+p.folder), env...)
 	null, err := os.Open(os.DevNull)
 	if err != nil {
 		p.t.Fatal(err)
@@ -102,7 +102,7 @@
 func (o *one) yes() *one {
 	o.t.Helper()
 	for end := time.Now().Add(peers.Patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		c, err := net.Dial("tcp", o.door)
+		c, err := net.Dial("tcp", o.management)
 		if err != nil {
 			continue
 		}
@@ -341,7 +341,7 @@
 }
 
 // With 256 descriptors and 32 MB, in a crowd of silent and asking connections and of callers that say nothing or read
-// nothing, the operators' door answers each call in time, and a replacement keeps both limits for the two together.
+// nothing, the management address answers each call in time, and a replacement keeps both limits for the two together.
 func TestCrowdsAtSmallLimits(t *testing.T) {
 	host := peers.NewModel(t, peers.Manner{Events: 3})
 	p := newPlatform(t, host)
@@ -353,7 +353,7 @@
 	asking := peers.NewFlood(p.addr, 20, peers.Asking, from, time.Minute)
 	defer asking.Stop()
 	for i := range 2 * transport.MostCallers {
-		c, err := net.Dial("tcp", first.door)
+		c, err := net.Dial("tcp", first.management)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -363,7 +363,7 @@
 	scrape := func(o *one) {
 		t.Helper()
 		begun := time.Now()
-		c, err := net.Dial("tcp", o.door)
+		c, err := net.Dial("tcp", o.management)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -444,14 +444,14 @@
 	third.leaves()
 }
 
-// call makes one call at the process's door.
+// call makes one call at the process's management address.
 func (o *one) call(line string) string {
 	o.t.Helper()
-	return callDoor(o.t, o.door, line)
+	return callManagement(o.t, o.management, line)
 }
 
-// callDoor makes one call at an operators' door and returns the whole answer.
-func callDoor(t *testing.T, addr, line string) string {
+// callManagement makes one call at an management address and returns the whole answer.
+func callManagement(t *testing.T, addr, line string) string {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
--- a/internal/program/measure_test.go
+++ b/internal/program/measure_test.go
@@ -39,11 +39,11 @@
 
 // process is a router under measurement.
 type process struct {
-	t    *testing.T
-	cmd  *exec.Cmd
-	addr string
-	door string // the operators'
-	log  chan string
+	t          *testing.T
+	cmd        *exec.Cmd
+	addr       string
+	management string // the operators'
+	log        chan string
 }
 
 // sockets is the limit of descriptors of the next router.
@@ -97,14 +97,14 @@
 	d := peers.NewDiscovery(t, peers.List(1, true, entries...))
 	env := configFile(t, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets),
 		`"connectTimeoutNs":50000000`, fmt.Sprintf(`"connectTimeoutNs":%d`, connectFor.Nanoseconds()))
-	door, err := net.Listen("tcp", "127.0.0.1:0")
+	management, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, addr: addr, door: door.Addr().String(), log: make(chan string, 1000)}
-	door.Close()
+	p := &process{t: t, addr: addr, management: management.Addr().String(), log: make(chan string, 1000)}
+	management.Close()
 	p.cmd = exec.Command(binary, append([]string{"serve"}, args...)...)
-	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+env("ROUTER_CONFIG"), "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+d.Addr, "ROUTER_MANAGEMENT="+p.door)
+	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+env("ROUTER_CONFIG"), "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+d.Addr, "ROUTER_MANAGEMENT="+p.management)
 	errs, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -374,7 +374,7 @@
 	}
 }
 
-// floods are what TestMeasureDoor plays: how many bad clients, what they do and from where.
+// floods are what TestMeasureAdmission plays: how many bad clients, what they do and from where.
 var floods = []struct {
 	name    string
 	clients int
@@ -393,9 +393,9 @@
 func oneAddress(int) string      { return "127.0.0.2" }
 func manyAddresses(i int) string { return fmt.Sprintf("127.1.%d.%d", i/250, 1+i%250) }
 
-// TestMeasureDoor measures what floods do to known clients: 40 new connections a second with one request each, at 256
-// descriptors, before a host that answers in 30 ms. -door names a settings file, and -binaries other programs.
-func TestMeasureDoor(t *testing.T) {
+// TestMeasureAdmission measures what floods do to known clients: 40 new connections a second with one request each, at 256
+// descriptors, before a host that answers in 30 ms. -settings names a settings file, and -binaries other programs.
+func TestMeasureAdmission(t *testing.T) {
 	if !*measure {
 		t.Skip("a measurement; see docs/measurements/")
 	}
@@ -413,8 +413,8 @@
 			}
 			live := models(t, 4, peers.Manner{First: 30 * time.Millisecond, Events: 2})
 			var args []string
-			if *doorFile != "" {
-				args = []string{"--settings", *doorFile}
+			if *admissionFile != "" {
+				args = []string{"--settings", *admissionFile}
 			}
 			sockets = 256
 			p := startRouter(t, binary, live, args...)
@@ -473,7 +473,7 @@
 func TestFloodProcess(t *testing.T) {
 	words := strings.Fields(os.Getenv("FLOOD"))
 	if len(words) != 2 {
-		t.Skip("a part of the measurement of the door")
+		t.Skip("a part of the measurement of admission")
 	}
 	which, err := strconv.Atoi(words[1])
 	if err != nil {
@@ -493,7 +493,7 @@
 		t.Skip("a measurement; see docs/measurements/")
 	}
 	live := models(t, 4, peers.Manner{Events: 2})
-	p := startRouter(t, buildRouter(t), live, "--settings", *doorFile)
+	p := startRouter(t, buildRouter(t), live, "--settings", *admissionFile)
 	ask := func(times int, more string, want int) time.Duration {
 		before, _ := p.used()
 		var all sync.WaitGroup
@@ -604,4 +604,4 @@
 
 var floodName = flag.String("flood", "", "a part of the name of the floods to measure")
 
-var doorFile = flag.String("door", "", "settings file of the measurement of the door")
+var admissionFile = flag.String("door", "", "settings file of the measurement of admission")
--- a/internal/program/room.go
+++ b/internal/program/processlimits.go
@@ -8,8 +8,8 @@
 	"reachspread/internal/beside"
 )
 
-// room is what this process may take up by now, of what its router may.
-type room struct {
+// processLimits is what this process may take up by now, of what its router may.
+type processLimits struct {
 	clients, servers int   // connections
 	bodies           int   // bytes
 	heap             int64 // bytes
@@ -32,12 +32,12 @@
 	besideEvery = 50 * time.Millisecond
 )
 
-// room divides the limits, with what the operators' settings need set aside first. Each client may need a second
+// processLimits divides the limits, with what the operators' settings need set aside first. Each client may need a second
 // connection to a server.
-func (c *Config) room(o beside.Others) room {
+func (c *Config) processLimits(o beside.Others) processLimits {
 	memory := int64(c.Limits.MemoryMB) << 20
 	beside := heapShare * float64(memory-programBytes)
-	r := room{bodies: int(memory / 4), heap: int64(min(memoryShare*float64(memory), beside))}
+	r := processLimits{bodies: int(memory / 4), heap: int64(min(memoryShare*float64(memory), beside))}
 	free := c.Limits.Sockets - c.aside() - otherSockets
 	switch {
 	case o.Processes > 0:
@@ -56,7 +56,7 @@
 }
 
 // clients returns how many client connections fit a process that is alone.
-func (c *Config) clients() int { return c.room(beside.Others{}).clients }
+func (c *Config) clients() int { return c.processLimits(beside.Others{}).clients }
 
 // join finds out whether another process of this router runs, as one does while it is being replaced.
 func (p *Program) join() (o beside.Others) {
@@ -79,7 +79,7 @@
 	for {
 		moved := p.carried()
 		o.Descriptors += 2 * moved
-		p.take(p.cfg.room(o))
+		p.take(p.cfg.processLimits(o))
 		if o.Processes == 0 && moved == 0 {
 			return
 		}
@@ -92,20 +92,20 @@
 	}
 }
 
-// take has every part keep to the room.
-func (p *Program) take(r room) {
-	if old := p.room.Swap(&r); old != nil && *old == r {
+// take has every part keep to the limits.
+func (p *Program) take(r processLimits) {
+	if old := p.processLimits.Swap(&r); old != nil && *old == r {
 		return
 	}
 	debug.SetMemoryLimit(r.heap)
 	p.front.SetBodies(r.bodies)
 	p.servers.Limit(r.servers)
-	p.front.Retune(p.door(r.clients))
+	p.front.Retune(p.admission(r.clients))
 }
 
-// yield leaves room to the process that takes over.
+// yield leaves half of the limits to the process that takes over.
 func (p *Program) yield() {
-	half := p.cfg.room(beside.Others{Processes: 1, Unseen: true})
+	half := p.cfg.processLimits(beside.Others{Processes: 1, Unseen: true})
 	debug.SetMemoryLimit(half.heap)
 	p.servers.Limit(half.servers)
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -50,20 +50,20 @@
 	front    *transport.Front
 	ln       net.Listener
 
-	management  *transport.Management  // the operators' door, nil without an address
-	inherited   bool                   // ln is also others'
-	place       *beside.Place          // among the processes of this router, nil where there is but one
-	receiver    *transport.Receiver    // of another process's connections, nil without a folder to share
-	mover       *transport.Mover       // of this one's, nil while it stays
-	room        atomic.Pointer[room]   // that this process takes up
-	force       atomic.Pointer[Config] // the last good file
-	served      chan error             // how accepting ended
-	said        chan Phase             // phases whose lines are due
-	listVersion atomic.Int64           // of the list that was told last
-	zone        string                 // this router's, as the fleet view has it
-	copied      uint64                 // the token of another's record that is kept; Duties asks for one at a time
-	accepted    atomic.Uint64          // files taken at SIGHUP
-	invalid     atomic.Uint64          // files refused
+	management    *transport.Management         // the management address, nil without an address
+	inherited     bool                          // ln is also others'
+	place         *beside.Place                 // among the processes of this router, nil where there is but one
+	receiver      *transport.Receiver           // of another process's connections, nil without a folder to share
+	mover         *transport.Mover              // of this one's, nil while it stays
+	processLimits atomic.Pointer[processLimits] // that this process takes up
+	force         atomic.Pointer[Config]        // the last good file
+	served        chan error                    // how accepting ended
+	said          chan Phase                    // phases whose lines are due
+	listVersion   atomic.Int64                  // of the list that was told last
+	zone          string                        // this router's, as the fleet view has it
+	copied        uint64                        // the token of another's record that is kept; Duties asks for one at a time
+	accepted      atomic.Uint64                 // files taken at SIGHUP
+	invalid       atomic.Uint64                 // files refused
 
 	mu        sync.Mutex
 	phase     Phase
@@ -96,7 +96,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	alone := p.cfg.room(beside.Others{})
+	alone := p.cfg.processLimits(beside.Others{})
 	servers := transport.NewServers(transport.ServerLimits{Connect: p.cfg.connectFor(),
 		Keepalive:   time.Duration(p.cfg.Settings.Limits.KeepaliveNs),
 		Silent:      silentFor,
@@ -119,7 +119,7 @@
 			return err
 		}
 	}
-	p.take(p.cfg.room(others))
+	p.take(p.cfg.processLimits(others))
 	if p.cfg.Limits.MemoryMB <= smallMemory {
 		releasePages()
 	}
@@ -145,7 +145,7 @@
 	}
 	go p.router.Run(work)
 	if p.mirror != nil {
-		go p.tendDoor(work)
+		go p.tendAdmission(work)
 	}
 	if others.Processes > 0 {
 		go p.fit(work, others)
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -14,8 +14,8 @@
 
 	"pgregory.net/rapid"
 
+	"reachspread/internal/admission"
 	"reachspread/internal/beside"
-	"reachspread/internal/door"
 	"reachspread/internal/peers"
 	"reachspread/internal/protocol"
 )
@@ -100,8 +100,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := c.clients(); 2*n+otherSockets > c.Limits.Sockets || 4*c.room(beside.Others{}).bodies > c.Limits.MemoryMB<<20 {
-		t.Errorf("%d clients with %d bytes do not fit %+v", n, c.room(beside.Others{}).bodies, c.Limits)
+	if n := c.clients(); 2*n+otherSockets > c.Limits.Sockets || 4*c.processLimits(beside.Others{}).bodies > c.Limits.MemoryMB<<20 {
+		t.Errorf("%d clients with %d bytes do not fit %+v", n, c.processLimits(beside.Others{}).bodies, c.Limits)
 	}
 }
 
@@ -136,12 +136,12 @@
 			}
 			return // they do not fit, and it is said
 		}
-		ledger := c.shares(c.room(beside.Others{}))
+		ledger := c.shares(c.processLimits(beside.Others{}))
 		if ledger.Shares() > ledger.Limit || ledger.Limit != c.Limits.Sockets {
 			t.Errorf("shares of %d under a limit of %d: %+v", ledger.Shares(), ledger.Limit, ledger)
 		}
 		for _, line := range ledger.Lines {
-			needs := line.Owner == door.Unknown || line.Owner == door.StepOnes || line.Owner == door.Servers || line.Owner == door.Float
+			needs := line.Owner == admission.Unknown || line.Owner == admission.StepOnes || line.Owner == admission.Servers || line.Owner == admission.Float
 			if line.Share < 0 || needs && line.Share == 0 {
 				t.Errorf("%s has a share of %d under a limit of %d", line.Owner, line.Share, ledger.Limit)
 			}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -111,7 +111,7 @@
 	p.force.Store(c)
 	p.router.Retune(c.balance)
 	p.servers.Retime(c.connectFor(), time.Duration(c.Settings.Limits.KeepaliveNs))
-	p.front.Retune(p.door(p.room.Load().clients))
+	p.front.Retune(p.admission(p.processLimits.Load().clients))
 	if p.mirror != nil {
 		p.mirror.Retune(c.balance)
 	}
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -7,7 +7,7 @@
 	"reachspread/internal/transport"
 )
 
-// startManagement opens the operators' door, if there is to be one.
+// startManagement opens the management address, if there is to be one.
 func (p *Program) startManagement() (err error) {
 	if p.cfg.Management == "" {
 		return nil
@@ -20,7 +20,7 @@
 	return nil
 }
 
-// stopManagement closes the operators' door.
+// stopManagement closes the management address.
 func (p *Program) stopManagement() {
 	if p.management != nil {
 		p.management.Close()
--- a/internal/program/service_test.go
+++ b/internal/program/service_test.go
@@ -19,7 +19,7 @@
 	"reachspread/internal/transport"
 )
 
-// served is a program with an operators' door, and all that a story about one day needs.
+// served is a program with an management address, and all that a story about one day needs.
 type served struct {
 	*Program
 	t      *testing.T
@@ -84,7 +84,7 @@
 // addr is where clients connect, from the phase listing on.
 func (s *served) addr() string { return s.ln.Addr().String() }
 
-// dial connects to the operators' door.
+// dial connects to the management address.
 func (s *served) dial(text string) net.Conn {
 	s.t.Helper()
 	c, err := net.DialTimeout("tcp", s.management.Addr().String(), peers.Patience)
@@ -100,7 +100,7 @@
 // call makes one call and returns the whole answer.
 func (s *served) call(line string) string {
 	s.t.Helper()
-	return callDoor(s.t, s.management.Addr().String(), line)
+	return callManagement(s.t, s.management.Addr().String(), line)
 }
 
 // figures waits until the figures named are as wanted.
@@ -129,8 +129,8 @@
 	return status
 }
 
-// The door answers while callers that say nothing, half a line, or read nothing hold every place that it has.
-func TestManagementDoor(t *testing.T) {
+// Admission answers while callers that say nothing, half a line, or read nothing hold every place that it has.
+func TestManagementUnderSilentCallers(t *testing.T) {
 	s := startServed(t, nil)
 	s.until("phase name=listing")
 	if got := s.call("check"); got != "-ERR listing\n" {
--- a/internal/program/shadow.go
+++ b/internal/program/shadow.go
@@ -33,7 +33,7 @@
 		}
 		var err error
 		if p.status, err = transport.NewStatus(dir, p.cfg.Name, settings.StatusClients,
-			map[string]func() (any, error){ShadowTopic: p.mirror.Status, DoorTopic: p.doorStatus}); err != nil {
+			map[string]func() (any, error){ShadowTopic: p.mirror.Status, AdmissionTopic: p.admissionStatus}); err != nil {
 			return fmt.Errorf("status: %w", err)
 		}
 	}
@@ -68,7 +68,7 @@
 	if got, most := cfg.aside(), p.cfg.aside(); got > most {
 		return fmt.Errorf("%s: shadow and status may use %d descriptors; %d were set aside at the start", p.file, got, most)
 	}
-	if err := p.reloadDoor(cfg); err != nil {
+	if err := p.reloadAdmission(cfg); err != nil {
 		return err
 	}
 	if err := p.reloadCopiers(cfg); err != nil {
--- a/internal/protocol/news.go
+++ b/internal/protocol/peerreport.go
@@ -18,14 +18,14 @@
 //
 // The price is by bytes delivered, so a figure has 7 bits: tokens within 5%, slowness within 3%.
 const (
-	newsVersion  = 1
-	withPrefixes = 5 // those between are the fleet view's, duties' and recovery's
-	newsHead     = 2
-	newsItem     = 4
-	newsPrefix   = 2 // more, with a prefix
+	peerReportVersion = 1
+	withPrefixes      = 5 // those between are the fleet view's, duties' and recovery's
+	peerReportHead    = 2
+	peerReportSize    = 4
+	peerReportPrefix  = 2 // more, with a prefix
 
 	// MostNews is how many words a datagram has at most.
-	MostNews = 15
+	MostPeerReports = 15
 
 	tokenSteps = 8.0  // to a doubling, from 1 on
 	slowSteps  = 16.0 // to a doubling, from slowLeast on
@@ -35,14 +35,14 @@
 )
 
 // AppendNews writes a datagram to the end of b. Words beyond MostNews are left out: they are but hints.
-func AppendNews(b []byte, zone uint8, news []balance.News) []byte {
-	news = news[:min(len(news), MostNews)]
-	version := newsVersion
-	if slices.ContainsFunc(news, func(n balance.News) bool { return n.Prefix > 0 }) {
+func AppendPeerReports(b []byte, zone uint8, reports []balance.PeerReport) []byte {
+	reports = reports[:min(len(reports), MostPeerReports)]
+	version := peerReportVersion
+	if slices.ContainsFunc(reports, func(n balance.PeerReport) bool { return n.Prefix > 0 }) {
 		version = withPrefixes
 	}
-	b = append(b, byte(version<<4|len(news)), zone)
-	for _, n := range news {
+	b = append(b, byte(version<<4|len(reports)), zone)
+	for _, n := range reports {
 		says := step(n.Tokens, tokenSteps)
 		if n.Slow > 0 {
 			says = saysSlow | step(n.Slow/slowLeast, slowSteps)
@@ -56,35 +56,35 @@
 }
 
 // ParseNews reads a datagram whole or not at all.
-func ParseNews(b []byte) (zone uint8, news []balance.News, err error) {
-	if len(b) < newsHead {
-		return 0, nil, fmt.Errorf("news: %d bytes, fewer than a head has", len(b))
+func ParsePeerReports(b []byte) (zone uint8, reports []balance.PeerReport, err error) {
+	if len(b) < peerReportHead {
+		return 0, nil, fmt.Errorf("peer reports: %d bytes, fewer than a head has", len(b))
 	}
-	item := newsItem
+	item := peerReportSize
 	switch v := b[0] >> 4; v {
-	case newsVersion:
+	case peerReportVersion:
 	case withPrefixes:
-		item += newsPrefix
+		item += peerReportPrefix
 	default:
-		return 0, nil, fmt.Errorf("news: version %d, not %d or %d", v, newsVersion, withPrefixes)
+		return 0, nil, fmt.Errorf("peer reports: version %d, not %d or %d", v, peerReportVersion, withPrefixes)
 	}
 	n := int(b[0] & 0x0f)
-	if want := newsHead + n*item; len(b) != want {
-		return 0, nil, fmt.Errorf("news: %d bytes for %d words, not %d", len(b), n, want)
+	if want := peerReportHead + n*item; len(b) != want {
+		return 0, nil, fmt.Errorf("peer reports: %d bytes for %d words, not %d", len(b), n, want)
 	}
-	for i := newsHead; i < len(b); i += item {
-		word := balance.News{Tag: uint32(b[i])<<16 | uint32(b[i+1])<<8 | uint32(b[i+2])}
+	for i := peerReportHead; i < len(b); i += item {
+		word := balance.PeerReport{Tag: uint32(b[i])<<16 | uint32(b[i+1])<<8 | uint32(b[i+2])}
 		if says := b[i+3]; says&saysSlow != 0 {
 			word.Slow = slowLeast * math.Exp2(float64(says&mostStep)/slowSteps)
 		} else {
 			word.Tokens = math.Exp2(float64(says) / tokenSteps)
 		}
-		if item > newsItem {
+		if item > peerReportSize {
 			word.Prefix = uint16(b[i+4])<<8 | uint16(b[i+5])
 		}
-		news = append(news, word)
+		reports = append(reports, word)
 	}
-	return b[1], news, nil
+	return b[1], reports, nil
 }
 
 // step is the number of the nearest step to a figure.
--- a/internal/protocol/news_test.go
+++ b/internal/protocol/peerreport_test.go
@@ -13,9 +13,9 @@
 func TestNewsThereAndBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		zone := rapid.Byte().Draw(t, "zone")
-		var told []balance.News
-		for range rapid.IntRange(0, MostNews).Draw(t, "words") {
-			n := balance.News{Tag: rapid.Uint32Max(1<<24-1).Draw(t, "tag"), Prefix: rapid.SampledFrom([]uint16{0, 0, 1, 0x1234, 0xffff}).Draw(t, "prefix")}
+		var told []balance.PeerReport
+		for range rapid.IntRange(0, MostPeerReports).Draw(t, "words") {
+			n := balance.PeerReport{Tag: rapid.Uint32Max(1<<24-1).Draw(t, "tag"), Prefix: rapid.SampledFrom([]uint16{0, 0, 1, 0x1234, 0xffff}).Draw(t, "prefix")}
 			if rapid.Bool().Draw(t, "slow") {
 				n.Slow = rapid.Float64Range(0.2, 20).Draw(t, "slowness")
 			} else {
@@ -23,11 +23,11 @@
 			}
 			told = append(told, n)
 		}
-		text := AppendNews(nil, zone, told)
+		text := AppendPeerReports(nil, zone, told)
 		if len(text) > 256 {
 			t.Fatalf("%d bytes", len(text))
 		}
-		got, heard, err := ParseNews(text)
+		got, heard, err := ParsePeerReports(text)
 		if err != nil || got != zone || len(heard) != len(told) {
 			t.Fatalf("got zone %d, %d words, %v", got, len(heard), err)
 		}
@@ -38,15 +38,15 @@
 			}
 		}
 		for n := range text {
-			if _, _, err := ParseNews(text[:n]); err == nil {
+			if _, _, err := ParsePeerReports(text[:n]); err == nil {
 				t.Fatalf("%d of %d bytes were taken for a whole message", n, len(text))
 			}
 		}
-		if _, _, err := ParseNews(append(text, 0)); err == nil {
+		if _, _, err := ParsePeerReports(append(text, 0)); err == nil {
 			t.Fatal("a byte too many was taken")
 		}
 		text[0] ^= 0x60 // 7 or 3
-		if _, _, err := ParseNews(text); err == nil {
+		if _, _, err := ParsePeerReports(text); err == nil {
 			t.Fatal("another version was taken")
 		}
 	})
--- a/internal/recovery/wire.go
+++ b/internal/recovery/wire.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// A datagram is: version in the high half of the first byte (news have 1, the fleet view 2, duties 3) and what it is in the low one, the
+// A datagram is: version in the high half of the first byte (peer reports have 1, the fleet view 2, duties 3) and what it is in the low one, the
 // router's name with its length before it, what follows, and a sum.
 //
 //	word, 0, and one that asks, 1: varints of boot, time up in milliseconds, the list's version, the stage, and microseconds of the two
--- a/internal/rig/layout.go
+++ b/internal/rig/layout.go
@@ -18,18 +18,18 @@
 }
 
 const (
-	clientPort = 9000
-	doorPort   = 9001 // and the next ones for further processes of a router
-	peerPort   = 7946
-	listPort   = 8500
-	hostPort   = 10000 // of a router's relay to host 0
-	seenPort   = 20000 // at which a router is reached by the others
-	guardPort  = 9999
-	voterPort  = 7950
-	lineFirst  = 30000 // of a router's relay to the voter of router 0
-	spareFirst = 12000 // of the host that gets copies
-	copyPort   = 9500  // of a router's relay to it
-	firstHost  = 11000
+	clientPort     = 9000
+	managementPort = 9001 // and the next ones for further processes of a router
+	peerPort       = 7946
+	listPort       = 8500
+	hostPort       = 10000 // of a router's relay to host 0
+	seenPort       = 20000 // at which a router is reached by the others
+	guardPort      = 9999
+	voterPort      = 7950
+	lineFirst      = 30000 // of a router's relay to the voter of router 0
+	spareFirst     = 12000 // of the host that gets copies
+	copyPort       = 9500  // of a router's relay to it
+	firstHost      = 11000
 )
 
 func newLayout() (*layout, error) {
@@ -50,8 +50,8 @@
 
 func (l *layout) router(i int) string { return l.ip(10 + i) }
 func (l *layout) client(i int) string { return l.router(i) + ":" + strconv.Itoa(clientPort) }
-func (l *layout) door(i, process int) string {
-	return l.router(i) + ":" + strconv.Itoa(doorPort+process)
+func (l *layout) management(i, process int) string {
+	return l.router(i) + ":" + strconv.Itoa(managementPort+process)
 }
 func (l *layout) list(i int) string      { return l.router(i) + ":" + strconv.Itoa(listPort) }
 func (l *layout) hostOf(i, n int) string { return l.router(i) + ":" + strconv.Itoa(hostPort+n) }
@@ -96,7 +96,7 @@
 	return "r" + strconv.Itoa(int(ip[3])-10)
 }
 
-// What a play holds for each router beside its sockets: pipes of its log, its listener, its door and its /-/ready.
+// What a play holds for each router beside its sockets: pipes of its log, its listener, its management address and its /-/ready.
 const perRouter, perLink, atAll = 24, 6, 200
 
 // enoughDescriptors refuses a play that this process could not hold.
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -80,14 +80,14 @@
 
 // process is one process of a router.
 type process struct {
-	name  string
-	r     *router
-	cmd   *exec.Cmd
-	door  string
-	done  chan bool // closed once it has ended and all it wrote is read
-	twin  bool
-	spoke bool // it has named a phase: its door is open
-	quiet bool // what it writes from now on goes to its file alone
+	name       string
+	r          *router
+	cmd        *exec.Cmd
+	management string
+	done       chan bool // closed once it has ended and all it wrote is read
+	twin       bool
+	spoke      bool // it has named a phase: its management address answers
+	quiet      bool // what it writes from now on goes to its file alone
 }
 
 func (r *router) name() string { return "r" + strconv.Itoa(r.n) }
@@ -175,7 +175,7 @@
 			return nil, err
 		}
 	}
-	x := &process{name: r.name(), r: r, done: make(chan bool), door: r.p.layout.door(r.n, (r.count-1)%10), twin: why == twinStart}
+	x := &process{name: r.name(), r: r, done: make(chan bool), management: r.p.layout.management(r.n, (r.count-1)%10), twin: why == twinStart}
 	if r.count > 1 {
 		x.name += "/" + strconv.Itoa(r.count)
 	}
@@ -188,7 +188,7 @@
 	}
 	x.cmd = exec.Command(r.p.o.Program, args...)
 	x.cmd.Dir = r.folder
-	x.cmd.Env = []string{"ROUTER_CONFIG=" + filepath.Join(r.folder, "config.json"), "ROUTER_MANAGEMENT=" + x.door, "TMPDIR=" + r.tmp(),
+	x.cmd.Env = []string{"ROUTER_CONFIG=" + filepath.Join(r.folder, "config.json"), "ROUTER_MANAGEMENT=" + x.management, "TMPDIR=" + r.tmp(),
 		"PATH=" + os.Getenv("PATH"), "GOTRACEBACK=all"}
 	if r.held != nil {
 		x.cmd.ExtraFiles = []*os.File{r.held}
@@ -278,10 +278,10 @@
 	x.cmd.Process.Signal(syscall.SIGTERM)
 }
 
-// call makes a call at a process's operators' door.
+// call makes a call at a process's management address.
 func (x *process) call(ctx context.Context, what string, within time.Duration) (string, error) {
 	d := net.Dialer{Timeout: within}
-	c, err := d.DialContext(ctx, "tcp4", x.door)
+	c, err := d.DialContext(ctx, "tcp4", x.management)
 	if err != nil {
 		return "", err
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -330,14 +330,14 @@
 	if err != nil {
 		os.Exit(1)
 	}
-	door, err := net.Listen("tcp", os.Getenv("ROUTER_MANAGEMENT"))
+	management, err := net.Listen("tcp", os.Getenv("ROUTER_MANAGEMENT"))
 	if err != nil {
 		os.Exit(1)
 	}
 	answers := make(chan bool)
 	go func() {
 		for {
-			c, err := door.Accept()
+			c, err := management.Accept()
 			if err != nil {
 				return
 			}
--- a/internal/rig/view_test.go
+++ b/internal/rig/view_test.go
@@ -188,8 +188,8 @@
 	}
 }
 
-// Without the block nothing of the view is on the wire: nine routers send each other news and nothing else. With it, as
-// many news beside.
+// Without the block nothing of the view is on the wire: nine routers send each other reports and nothing else. With it, as
+// many reports beside.
 func TestViewOff(t *testing.T) {
 	t.Parallel()
 	binary := routerBinary(t)
--- a/internal/rig/work_test.go
+++ b/internal/rig/work_test.go
@@ -44,6 +44,6 @@
 		}
 	}
 	if len(views) < 8 || r.Datagrams[1] == 0 || r.Datagrams[2] == 0 {
-		t.Errorf("views told by %d routers, %v datagrams by kind: want those of the view and of news", len(views), r.Datagrams)
+		t.Errorf("views told by %d routers, %v datagrams by kind: want those of the view and of peer reports", len(views), r.Datagrams)
 	}
 }
--- a/internal/routing/entries.go
+++ b/internal/routing/entries.go
@@ -8,9 +8,9 @@
 	state balance.State
 }
 
-// Told applies news from discovery: at once to what may be sent to, and as an event to the decisions. It returns
-// when both are done, so that the next call to discovery finds them applied. News comes in its order, and each
-// discovery counts versions of its own, so the decisions are told the number of the news as its version: by the
+// Told applies an update from discovery: at once to what may be sent to, and as an event to the decisions. It returns
+// when both are done, so that the next call to discovery finds them applied. Updates come in their order, and each
+// discovery counts versions of its own, so the decisions are told the number of the update as its version: by the
 // count of a new discovery that begins lower they would pass all of it over.
 func (r *Router) Told(ev balance.Members, addrs map[string]string) {
 	var moved []string // whose idle connections lead nowhere any more
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -98,7 +98,7 @@
 	since    time.Time       // the first of them came
 	late     time.Duration   // the longest wait for the deciding goroutine since the last Load
 	entries  map[string]entry
-	told     int64 // news from discovery so far
+	told     int64 // updates from discovery so far
 	requests map[string]*Request
 	ended    []*Request    // to be forgotten once the events before are decided on
 	wake     chan struct{} // holds one token while events are pending
--- a/internal/scalerun/process.go
+++ b/internal/scalerun/process.go
@@ -25,7 +25,7 @@
 type process struct {
 	name, zone string
 	addr       netip.AddrPort // of its datagrams
-	door       string         // of its operators' calls
+	management string         // of its operators' calls
 	cmd        *exec.Cmd
 	done       chan struct{} // closed once it has ended
 	asked      *atomic.Bool  // whether it is asked what it sees: to answer costs more than the membership
@@ -68,7 +68,7 @@
 	}
 	defer log.Close() // the process has its own
 	x.cmd = exec.CommandContext(ctx, program, "serve", "--settings", filepath.Join(folder, "settings.hcl"))
-	x.cmd.Env = []string{"ROUTER_CONFIG=" + filepath.Join(folder, "config.json"), "ROUTER_MANAGEMENT=" + x.door, "TMPDIR=" + folder, "PATH=" + os.Getenv("PATH")}
+	x.cmd.Env = []string{"ROUTER_CONFIG=" + filepath.Join(folder, "config.json"), "ROUTER_MANAGEMENT=" + x.management, "TMPDIR=" + folder, "PATH=" + os.Getenv("PATH")}
 	x.cmd.Stderr = log
 	if err := x.cmd.Start(); err != nil {
 		return err
@@ -109,9 +109,9 @@
 	x.polling.Wait()
 }
 
-// figures asks the operators' door for the figures without labels, by their names without the prefix.
+// figures asks the management address for the figures without labels, by their names without the prefix.
 func (x *process) figures() (map[string]float64, error) {
-	conn, err := net.DialTimeout("tcp", x.door, answerIn)
+	conn, err := net.DialTimeout("tcp", x.management, answerIn)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -92,11 +92,11 @@
 		if err != nil {
 			return err
 		}
-		door, err := freeAddress("tcp4")
+		management, err := freeAddress("tcp4")
 		if err != nil {
 			return err
 		}
-		f.real = append(f.real, &process{name: fmt.Sprint("r", n), zone: f.plan.zone(n), addr: addr, door: door.String(), asked: &f.asked})
+		f.real = append(f.real, &process{name: fmt.Sprint("r", n), zone: f.plan.zone(n), addr: addr, management: management.String(), asked: &f.asked})
 	}
 	return nil
 }
--- a/internal/settings/door.go
+++ b/internal/settings/admission.go
@@ -5,26 +5,26 @@
 	"slices"
 	"time"
 
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 )
 
-// Door is the block of that name. Places and the step's own room come from the limits.
-type Door struct {
-	Config   door.Config
+// Admission is the block "door". Places and those of the step come from the limits.
+type Admission struct {
+	Config   admission.Config
 	Reserve  float64 // share of the places
 	Identity string  // header
 }
 
-func (c *checker) door(b *doorBlock) *Door {
-	d := &Door{Identity: b.Header, Reserve: c.number(b.Body, "reserve", b.Reserve, 0.25, 0, 0.9)}
-	d.Config = door.Config{
+func (c *checker) admission(b *admissionBlock) *Admission {
+	d := &Admission{Identity: b.Header, Reserve: c.number(b.Body, "reserve", b.Reserve, 0.25, 0, 0.9)}
+	d.Config = admission.Config{
 		Step:      c.count(b.Body, "step", b.Step, 16, 20), // more would not fit what is set aside for them
 		Addresses: c.count(b.Body, "addresses", b.Addresses, 4096, 1<<20),
 		Away:      c.duration(b.Body, "away", b.Away, time.Second),
-		Address:   c.cap(b.Address.cap(), door.Cap{Conns: 16, Open: 16, PerSecond: 20}),
-		Net:       c.cap(b.Net.cap(), door.Cap{Conns: 64, Open: 64, PerSecond: 100}),
-		Known:     c.cap(b.Known, door.Cap{}),
-		Identity:  c.cap(b.Identity, door.Cap{}),
+		Address:   c.cap(b.Address.cap(), admission.Cap{Conns: 16, Open: 16, PerSecond: 20}),
+		Net:       c.cap(b.Net.cap(), admission.Cap{Conns: 64, Open: 64, PerSecond: 100}),
+		Known:     c.cap(b.Known, admission.Cap{}),
+		Identity:  c.cap(b.Identity, admission.Cap{}),
 		Fair:      true,
 		Last:      true,
 	}
@@ -68,8 +68,8 @@
 }
 
 // lengths reads how long the prefixes are that count as one address and as one net.
-func (c *checker) lengths(b *doorBlock) door.Lengths {
-	l := door.Lengths{Address4: 32, Net4: 24, Address6: 64, Net6: 48}
+func (c *checker) lengths(b *admissionBlock) admission.Lengths {
+	l := admission.Lengths{Address4: 32, Net4: 24, Address6: 64, Net6: 48}
 	read := func(b *netBlock, field string, length *int, to *int, most int) {
 		if length == nil {
 			return
@@ -106,7 +106,7 @@
 }
 
 // cap reads the bounds of one holder; 0 is no bound.
-func (c *checker) cap(b *capBlock, usual door.Cap) door.Cap {
+func (c *checker) cap(b *capBlock, usual admission.Cap) admission.Cap {
 	if b == nil {
 		return usual
 	}
@@ -119,7 +119,7 @@
 		}
 		return *n
 	}
-	bound := door.Cap{Conns: whole("connections", b.Conns, usual.Conns), Open: whole("open", b.Open, usual.Open),
+	bound := admission.Cap{Conns: whole("connections", b.Conns, usual.Conns), Open: whole("open", b.Open, usual.Open),
 		PerSecond: c.number(b.Body, "per_second", b.PerSecond, usual.PerSecond, 0, 1e6)}
 	if bound.Conns > 0 && bound.Open > bound.Conns && b.Open != nil {
 		c.fault(b.Body, "open", "is %d; one connection carries one request, and connections is %d", bound.Open, bound.Conns)
--- a/internal/settings/blocks.go
+++ b/internal/settings/blocks.go
@@ -4,14 +4,14 @@
 
 // The file as HCL has it. Durations and sizes are words such as "250ms" and "1MiB".
 type file struct {
-	Body    hcl.Body      `hcl:",body"`
-	Log     *logBlock     `hcl:"log,block"`
-	Status  *statusBlock  `hcl:"status,block"`
-	Shadow  *shadowBlock  `hcl:"shadow,block"`
-	Door    *doorBlock    `hcl:"door,block"`
-	Capture *captureBlock `hcl:"capture,block"`
-	Fleet   *fleetBlock   `hcl:"fleet,block"`
-	Duties  *dutiesBlock  `hcl:"duties,block"`
+	Body      hcl.Body        `hcl:",body"`
+	Log       *logBlock       `hcl:"log,block"`
+	Status    *statusBlock    `hcl:"status,block"`
+	Shadow    *shadowBlock    `hcl:"shadow,block"`
+	Admission *admissionBlock `hcl:"door,block"`
+	Capture   *captureBlock   `hcl:"capture,block"`
+	Fleet     *fleetBlock     `hcl:"fleet,block"`
+	Duties    *dutiesBlock    `hcl:"duties,block"`
 
 	Recovery *recoveryBlock `hcl:"recovery,block"`
 }
@@ -55,7 +55,7 @@
 	Bytes string   `hcl:"bytes,optional"`
 }
 
-type doorBlock struct {
+type admissionBlock struct {
 	Body       hcl.Body       `hcl:",body"`
 	Header     string         `hcl:"identity_header,optional"`
 	Identities []string       `hcl:"identities,optional"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,7 +18,7 @@
 	LogFormat logging.Format
 	StatusDir string // folder of the status socket, empty for none
 	Shadow    Shadow
-	Door      *Door // nil for none
+	Admission *Admission // nil for none
 	Capture   Capture
 	Fleet     *Fleet // nil for none
 	Duties    *Duties
@@ -112,8 +112,8 @@
 	if f.Shadow != nil {
 		s.Shadow = c.shadow(f.Shadow)
 	}
-	if f.Door != nil {
-		s.Door = c.door(f.Door)
+	if f.Admission != nil {
+		s.Admission = c.admission(f.Admission)
 	}
 	if b := f.Capture; b != nil {
 		if s.Capture = (Capture{File: b.File, Bytes: c.size(b.Body, "bytes", b.Bytes, 8<<20, 4<<10)}); b.File == "" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/logging"
 	"reachspread/internal/shadow"
 )
@@ -124,7 +124,7 @@
 	}
 }
 
-const goodDoor = `door {
+const goodAdmission = `door {
   identity_header = "X-Client"
   identities = ["tool-1"]
   ranges = ["10.20.0.0/16", "2001:db8::/32"]
@@ -155,26 +155,26 @@
 }
 `
 
-func TestGoodDoor(t *testing.T) {
-	s, err := Parse([]byte(goodDoor), "f.hcl")
+func TestGoodAdmission(t *testing.T) {
+	s, err := Parse([]byte(goodAdmission), "f.hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ms := time.Millisecond
-	want := &Door{Identity: "X-Client", Reserve: 0.5, Config: door.Config{Step: 8, Away: 2 * time.Second, Addresses: 4096,
-		Address: door.Cap{Conns: 4, Open: 2, PerSecond: 20}, Net: door.Cap{Conns: 64, Open: 64, PerSecond: 7.5},
-		Identity: door.Cap{Conns: 30}, Lengths: door.Lengths{Address4: 31, Net4: 24, Address6: 56, Net6: 48},
+	want := &Admission{Identity: "X-Client", Reserve: 0.5, Config: admission.Config{Step: 8, Away: 2 * time.Second, Addresses: 4096,
+		Address: admission.Cap{Conns: 4, Open: 2, PerSecond: 20}, Net: admission.Cap{Conns: 64, Open: 64, PerSecond: 7.5},
+		Identity: admission.Cap{Conns: 30}, Lengths: admission.Lengths{Address4: 31, Net4: 24, Address6: 56, Net6: 48},
 		Ranges:     []netip.Prefix{netip.MustParsePrefix("10.20.0.0/16"), netip.MustParsePrefix("2001:db8::/32")},
 		Identities: map[string]bool{"tool-1": true}, Fair: true, Last: true,
 		Patience: [3]time.Duration{2000 * ms, 300 * ms, 100 * ms}, Sending: [3]time.Duration{2000 * ms, 1000 * ms, 200 * ms},
 		Reading: [3]time.Duration{4000 * ms, 5000 * ms, 2000 * ms}}}
-	if diff := cmp.Diff(want, s.Door, cmp.Comparer(func(a, b netip.Prefix) bool { return a == b })); diff != "" {
+	if diff := cmp.Diff(want, s.Admission, cmp.Comparer(func(a, b netip.Prefix) bool { return a == b })); diff != "" {
 		t.Error(diff)
 	}
 }
 
-func TestBadDoors(t *testing.T) {
-	badFiles(t, goodDoor, []bad{
+func TestBadAdmission(t *testing.T) {
+	badFiles(t, goodAdmission, []bad{
 		{`reserve = 0.5`, `reserve = 1.5`, "f.hcl:5: reserve is 1.5; it must be from 0 to 0.9"},
 		{`reserve = 0.5`, `reserve = -1`, "f.hcl:5: reserve is -1"},
 		{`step = 8`, `step = 0`, "f.hcl:6: step is 0; it must be from 1 to 20"},
@@ -215,7 +215,7 @@
 // Whatever a file holds, reading it ends in settings or in one line.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(good))
-	f.Add([]byte(goodDoor))
+	f.Add([]byte(goodAdmission))
 	text, err := os.ReadFile("../../deploy/settings.hcl")
 	if err != nil {
 		f.Fatal(err)
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -165,7 +165,7 @@
 	Servers []Entry `json:"servers"`
 }
 
-// answerOf is an answer without news.
+// answerOf is an answer without an update.
 func answerOf(version int64) answer { return answer{Version: version, Servers: []Entry{}} }
 
 // since returns what changed after a version, or all that there is after none. The lock is held.
--- a/internal/system/dataplane/plane_test.go
+++ b/internal/system/dataplane/plane_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/matryer/is"
 
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/protocol"
 	"reachspread/internal/system/configuration"
 	"reachspread/internal/system/instances"
@@ -204,7 +204,7 @@
 	servers := transport.NewServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute, Silent: time.Second, Connections: 50,
 		Dialect: protocol.Fleet{}}, lines{})
 	f.plane = New(ctx, Options{Settings: func() *settings.Settings { return s }, Servers: servers, Quotas: f.quotas, Fresh: func() bool { return f.fresh.Load() }, Log: &f.log, Began: began})
-	f.front = transport.NewIntakeFront(f.plane, transport.FrontLimits{Bodies: 1 << 20, Door: door.Config{Places: 100, Step: 8}})
+	f.front = transport.NewIntakeFront(f.plane, transport.FrontLimits{Bodies: 1 << 20, Admission: admission.Config{Places: 100, Step: 8}})
 	f.front.SetKeeps(true)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -27,7 +27,7 @@
 	"reachspread/coord/members"
 	"reachspread/coord/register"
 	"reachspread/coord/storage"
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/peering"
 	"reachspread/internal/protocol"
 	"reachspread/internal/system/configuration"
@@ -189,7 +189,7 @@
 	n.plane = dataplane.New(ctx, dataplane.Options{Settings: n.settings, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64(), Began: time.Now()})
 	n.front = transport.NewIntakeFront(n.plane, transport.FrontLimits{
 		Bodies: int(bodyPart * float64(s.Limits.MemoryMb) * (1 << 20)), Head: headBytes, Patience: n.patience, Seed: rand.Uint64(),
-		Door: door.Config{Places: free / 2, Step: stepClients, Away: time.Second},
+		Admission: admission.Config{Places: free / 2, Step: stepClients, Away: time.Second},
 	})
 	n.front.SetKeeps(true)
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/protocol"
 )
 
@@ -22,7 +22,7 @@
 	lingerBytes = 4 << 20
 )
 
-// stuckFor is how long a client may take to read what one write sent, where the door has no bound of its own.
+// stuckFor is how long a client may take to read what one write sent, where admission has no bound of its own.
 const stuckFor = 10 * time.Second
 
 // clientConn is a client's connection. Of requests that come together it reads just the first: what was read of others would be
@@ -31,7 +31,7 @@
 type clientConn struct {
 	net.Conn
 	listener *listener
-	name     int32  // at the door
+	name     int32  // at admission
 	ahead    []byte // read elsewhere, due to the next calls of Read
 	due      int    // bytes of the request that is read and have not come, where its head tells; 0 for unknown
 	used     bool   // something was read
@@ -103,7 +103,7 @@
 	}
 	c.due = max(c.due-bytes, 0)
 	// It is not idle any more; later bytes gain a slow sender no time.
-	c.listener.tell(door.Event{Kind: door.Began, Conn: c.name})
+	c.listener.tell(admission.Event{Kind: admission.Began, Conn: c.name})
 	c.unhurry()
 }
 
@@ -170,7 +170,7 @@
 		return
 	}
 	c.open, c.begun = false, false
-	c.listener.tell(door.Event{Kind: door.Done, Conn: c.name})
+	c.listener.tell(admission.Event{Kind: admission.Done, Conn: c.name})
 }
 
 // lastLook is for a silent connection whose time is over. If another process takes over, it goes there, with whatever
@@ -338,7 +338,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.unread && tcp.CloseWrite() == nil {
 		linger := lingerFor
 		switch {
-		case l.level() > door.Calm:
+		case l.level() > admission.Calm:
 			linger = lingerShort
 		case l.strict:
 			linger = lingerLess
@@ -350,7 +350,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.alive--
-	actions := l.door.Step(l.now(), door.Event{Kind: door.Closed, Conn: c.name})
+	actions := l.admission.Step(l.now(), admission.Event{Kind: admission.Closed, Conn: c.name})
 	l.conns[c.name] = nil
 	for _, a := range actions {
 		l.carryOut(a)
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"reachspread/balance"
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
 )
@@ -44,13 +44,13 @@
 
 // FrontLimits bounds what clients may take up.
 type FrontLimits struct {
-	Bodies   int         // bytes, of all requests together
-	Door     door.Config // who gets in
-	Seed     uint64      // of the door
-	Identity string      // the header that names a client, empty for none
-	Head     int         // bytes of a request's head, 0 for the usual
-	Patience Patience    // with clients; nil for the usual
-	Short    func()      // told that the process had no descriptor left; nil for nobody
+	Bodies    int              // bytes, of all requests together
+	Admission admission.Config // who gets in
+	Seed      uint64           // of admission
+	Identity  string           // the header that names a client, empty for none
+	Head      int              // bytes of a request's head, 0 for the usual
+	Patience  Patience         // with clients; nil for the usual
+	Short     func()           // told that the process had no descriptor left; nil for nobody
 }
 
 // Patience is how long a client may be silent, before a request has begun or within one.
@@ -138,7 +138,7 @@
 
 // Empty closes the connections that have been silent for so long. One whose next request has come by then is served.
 func (f *Front) Empty(silent time.Duration) {
-	f.listener.tell(door.Event{Kind: door.Empty, Silent: silent})
+	f.listener.tell(admission.Event{Kind: admission.Empty, Silent: silent})
 }
 
 // StopAccepting ends Serve. Connections stay, and so does an inherited listener for whoever else has it.
@@ -269,14 +269,14 @@
 	return -1
 }
 
-// ask has the door decide on a request that was read, and answers it if it is refused.
+// ask has admission decide on a request that was read, and answers it if it is refused.
 func (f *Front) ask(ctx *fasthttp.RequestCtx, conn *clientConn) bool {
 	identity := ""
 	if f.limits.Identity != "" {
 		identity = string(ctx.Request.Header.Peek(f.limits.Identity))
 	}
-	answer := f.listener.tell(door.Event{Kind: door.Asked, Conn: conn.name, Identity: identity})
-	if answer.Kind == door.Serve {
+	answer := f.listener.tell(admission.Event{Kind: admission.Asked, Conn: conn.name, Identity: identity})
+	if answer.Kind == admission.Serve {
 		if answer.Last {
 			ctx.SetConnectionClose()
 		}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/protocol"
 )
 
@@ -30,10 +30,10 @@
 	restFor  = 200 * time.Microsecond
 	holdFor  = time.Millisecond     // where nobody can make room yet
 	shortNap = 2 * time.Millisecond // for a request to come that is refused without a descriptor of its own
-	deferFor = time.Second          // that the system waits for a client's first word, where the door looks at it
+	deferFor = time.Second          // that the system waits for a client's first word, where admission looks at it
 )
 
-// listener carries out what package door decides on client connections.
+// listener carries out what package admission decides on client connections.
 type listener struct {
 	net.Listener
 	socket *os.File // the listener's, as a listener itself lets nobody at its descriptor
@@ -49,13 +49,13 @@
 	mover   atomic.Pointer[Mover] // to a process that takes over, nil without one
 	parting atomic.Bool           // connections end with their answers, also those whose answers could not tell
 
-	mu    sync.Mutex
-	door  *door.Door
-	conns []*clientConn // by their names at the door
-	ended bool          // nothing is accepted any more
-	alive int           // given to the HTTP server and not closed by it
-	most  int           // of alive
-	room  *sync.Cond    // alive went down
+	mu        sync.Mutex
+	admission *admission.Controller
+	conns     []*clientConn // by their names at admission
+	ended     bool          // nothing is accepted any more
+	alive     int           // given to the HTTP server and not closed by it
+	most      int           // of alive
+	room      *sync.Cond    // alive went down
 
 	// Accept's alone:
 	idle  int           // connections that came to nothing since the last rest
@@ -66,14 +66,14 @@
 }
 
 func newListener(limits *FrontLimits) *listener {
-	c := limits.Door
-	l := &listener{start: time.Now(), door: door.New(c, limits.Seed), most: c.Places + c.Step + ending, log: limits.Short,
+	c := limits.Admission
+	l := &listener{start: time.Now(), admission: admission.New(c, limits.Seed), most: c.Places + c.Step + ending, log: limits.Short,
 		strict: c.Patience != [3]time.Duration{}, header: limits.Identity, turn: turnOf, waits: limits.Patience}
 	l.room = sync.NewCond(&l.mu)
 	return l
 }
 
-// now is the door's clock. It begins at a second, as 0 is never.
+// now is admission's clock. It begins at a second, as 0 is never.
 func (l *listener) now() time.Duration { return time.Second + time.Since(l.start) }
 
 // listen has l listen on ln, which must be a socket of the system's.
@@ -218,10 +218,10 @@
 	}
 }
 
-// look reads what a client has said by now, if the door wants to know. It returns the door's event and how many bytes
+// look reads what a client has said by now, if admission wants to know. It returns admission's event and how many bytes
 // are in l.ahead.
-func (l *listener) look(fd int, from netip.Addr) (e door.Event, got int) {
-	e = door.Event{Kind: door.Opened, Addr: from}
+func (l *listener) look(fd int, from netip.Addr) (e admission.Event, got int) {
+	e = admission.Event{Kind: admission.Opened, Addr: from}
 	if !l.strict {
 		return e, 0
 	}
@@ -237,7 +237,7 @@
 	return e, max(got, 0)
 }
 
-// opened asks the door, and waits while too many connections are still on their way out.
+// opened asks admission, and waits while too many connections are still on their way out.
 func (l *listener) opened(fd int, from netip.Addr) (c *clientConn) {
 	e, got := l.look(fd, from)
 	l.mu.Lock()
@@ -246,14 +246,14 @@
 	for l.alive >= l.most {
 		l.room.Wait()
 	}
-	for _, a := range l.door.Step(l.now(), e) {
+	for _, a := range l.admission.Step(l.now(), e) {
 		switch a.Kind {
-		case door.Admit:
+		case admission.Admit:
 			nc, err := made(fd)
 			if err != nil { // it is gone already, or there is no descriptor for the moment that this takes two
-				l.door.Step(l.now(), door.Event{Kind: door.Closed, Conn: a.Conn})
+				l.admission.Step(l.now(), admission.Event{Kind: admission.Closed, Conn: a.Conn})
 				if short(err) {
-					l.door.Step(l.now(), door.Event{Kind: door.Short})
+					l.admission.Step(l.now(), admission.Event{Kind: admission.Short})
 					l.idle = mostTurn // a rest, and then whoever is next
 					go l.log()        // asks for the counts, which the lock guards
 				}
@@ -261,22 +261,22 @@
 			}
 			c = l.admit(a.Conn, nc)
 			c.ahead = bytes.Clone(l.ahead[:got])
-		case door.Turn:
+		case admission.Turn:
 			l.idle++
 			if !e.Left { // no request was read whole, so nothing is owed
 				syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
 			}
 			syscall.Close(fd)
-		case door.Refuse:
+		case admission.Refuse:
 			l.idle++
 			l.refuse(fd, e.Whole && got < len(l.ahead), a)
-		case door.Hold:
+		case admission.Hold:
 			l.mu.Unlock()
 			time.Sleep(holdFor)
 			l.mu.Lock()
 			goto again
 		default:
-			if a.Kind == door.Shut {
+			if a.Kind == admission.Shut {
 				l.idle++
 			}
 			l.carryOut(a)
@@ -297,7 +297,7 @@
 }
 
 // refuse answers a request that was read as its connection was accepted, whole or not. The lock is held.
-func (l *listener) refuse(fd int, whole bool, a door.Action) {
+func (l *listener) refuse(fd int, whole bool, a admission.Action) {
 	l.text = protocol.AppendRefusal(l.text[:0], a.Code, a.Away, refusalLine(a))
 	// All of it goes out, in one packet with the end, or the client is gone.
 	syscall.SendmsgN(fd, l.text, nil, nil, syscall.MSG_MORE|syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL)
@@ -322,9 +322,9 @@
 }
 
 // refusalLine is the text of a refusal.
-func refusalLine(a door.Action) string {
+func refusalLine(a admission.Action) string {
 	switch {
-	case a.Code == http.StatusTooManyRequests && a.Cause == door.OverRate:
+	case a.Code == http.StatusTooManyRequests && a.Cause == admission.OverRate:
 		return "too many new connections of this client; trying again is harmless"
 	case a.Code == http.StatusTooManyRequests:
 		return "too many " + a.Cause.String() + " of this client; trying again is harmless"
@@ -332,23 +332,23 @@
 	return "no place for this request; trying again is harmless"
 }
 
-// carryOut does what the door wants of a connection. The lock is held.
-func (l *listener) carryOut(a door.Action) {
+// carryOut does what admission wants of a connection. The lock is held.
+func (l *listener) carryOut(a admission.Action) {
 	switch a.Kind {
-	case door.Shut:
+	case admission.Shut:
 		l.conns[a.Conn].Conn.Close()
-	case door.Hurry:
+	case admission.Hurry:
 		l.conns[a.Conn].hurried = true
 		l.conns[a.Conn].Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
-// tell has the door know of something that concerns one connection, or none.
-func (l *listener) tell(e door.Event) (answer door.Action) {
+// tell has admission know of something that concerns one connection, or none.
+func (l *listener) tell(e admission.Event) (answer admission.Action) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range l.door.Step(l.now(), e) {
-		if a.Kind == door.Serve || a.Kind == door.Refuse {
+	for _, a := range l.admission.Step(l.now(), e) {
+		if a.Kind == admission.Serve || a.Kind == admission.Refuse {
 			answer = a
 			continue
 		}
@@ -359,7 +359,7 @@
 
 // refuseShort spends the descriptor held back to tell one client that there is no other, and takes a new one.
 func (l *listener) refuseShort() {
-	l.tell(door.Event{Kind: door.Short})
+	l.tell(admission.Event{Kind: admission.Short})
 	l.log()
 	if l.spare == nil {
 		time.Sleep(shortNap)
@@ -380,11 +380,11 @@
 // refusedShort is the answer of a process without descriptors.
 const refusedShort = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-// level returns the door's level.
-func (l *listener) level() door.Level {
+// level returns admission's level.
+func (l *listener) level() admission.Level {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.Level()
+	return l.admission.Level()
 }
 
 // reading returns how long a client may take for what one write sent.
@@ -394,12 +394,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return cmp.Or(l.door.Reading(), stuckFor)
+	return cmp.Or(l.admission.Reading(), stuckFor)
 }
 
 // use returns the share of the places that is taken.
 func (l *listener) use() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.Use()
+	return l.admission.Use()
 }
--- a/internal/transport/management.go
+++ b/internal/transport/management.go
@@ -14,17 +14,17 @@
 )
 
 const (
-	// MostCallers bounds the callers of the operators' door that are connected at one time. One more takes the place of
+	// MostCallers bounds the callers of the operators' management address that are connected at one time. One more takes the place of
 	// the one that has been there for longest, so that callers that say nothing keep nobody out.
 	MostCallers = 16
-	// ManagementSockets are the descriptors that the door may use: callers, the listener, and one held back for when the
+	// ManagementSockets are the descriptors that admission may use: callers, the listener, and one held back for when the
 	// process has no other.
 	ManagementSockets = MostCallers + 2
 	// callerFor is how long a caller may take for all of its call.
 	callerFor = 10 * time.Second
 )
 
-// Management is the operators' door: a connection carries one line and gets one answer.
+// Management is the operators' management address: a connection carries one line and gets one answer.
 type Management struct {
 	ln     net.Listener
 	answer func(line string) string
--- a/internal/transport/move.go
+++ b/internal/transport/move.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
 )
@@ -365,12 +365,12 @@
 	if l.alive >= l.most {
 		return nil
 	}
-	for _, a := range l.door.Step(l.now(), door.Event{Kind: door.Opened, Addr: from.Addr().Unmap()}) {
+	for _, a := range l.admission.Step(l.now(), admission.Event{Kind: admission.Opened, Addr: from.Addr().Unmap()}) {
 		switch a.Kind {
-		case door.Admit:
+		case admission.Admit:
 			c = l.admit(a.Conn, nc)
 			c.ahead = ahead
-		case door.Shut, door.Hurry:
+		case admission.Shut, admission.Hurry:
 			l.carryOut(a)
 		}
 	}
@@ -381,7 +381,7 @@
 func (l *listener) places() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.Counts().Places
+	return l.admission.Counts().Places
 }
 
 // MoveTo has silent connections, and from the next read on all streams, go to another process.
--- a/internal/transport/move_test.go
+++ b/internal/transport/move_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"reachspread/balance"
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/peers"
 	"reachspread/internal/routing"
 	"reachspread/internal/transport"
@@ -34,7 +34,7 @@
 	}
 	h := &half{servers: transport.NewServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute, Connections: 10, Silent: silent}, lines)}
 	h.core = routing.New(b, h.servers, lines, time.Second)
-	h.front = transport.NewFront(h.core, transport.FrontLimits{Door: door.Config{Places: 100, Step: 8}, Bodies: 1 << 20}, nil)
+	h.front = transport.NewFront(h.core, transport.FrontLimits{Admission: admission.Config{Places: 100, Step: 8}, Bodies: 1 << 20}, nil)
 	r, err := transport.NewReceiver(path, h.front, h.servers, lines)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/stories_test.go
+++ b/internal/transport/stories_test.go
@@ -14,7 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"reachspread/balance"
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/peers"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
@@ -43,7 +43,7 @@
 	network := transport.NewServers(transport.ServerLimits{Connect: time.Second, Keepalive: time.Minute,
 		Connections: 10, Silent: 300 * time.Millisecond}, log)
 	r := &router{core: routing.New(b, network, log, time.Second)}
-	r.front = transport.NewFront(r.core, transport.FrontLimits{Door: door.Config{Places: 100, Step: 8}, Bodies: 1 << 20}, nil)
+	r.front = transport.NewFront(r.core, transport.FrontLimits{Admission: admission.Config{Places: 100, Step: 8}, Bodies: 1 << 20}, nil)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/tap.go
+++ b/internal/transport/tap.go
@@ -7,7 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"reachspread/balance"
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/routing"
 )
 
@@ -90,11 +90,11 @@
 	return err
 }
 
-// DoorStatus returns what the door has done, its state, and who holds the most.
-func (f *Front) DoorStatus(most int) (door.Counts, []door.Holding) {
+// AdmissionStatus returns what admission has done, its state, and who holds the most.
+func (f *Front) AdmissionStatus(most int) (admission.Counts, []admission.Holding) {
 	f.listener.mu.Lock()
 	defer f.listener.mu.Unlock()
-	return f.listener.door.Counts(), f.listener.door.Holdings(most)
+	return f.listener.admission.Counts(), f.listener.admission.Holdings(most)
 }
 
 // Alive returns the connections that the HTTP server has, those on their way out among them.
@@ -104,11 +104,13 @@
 	return f.listener.alive
 }
 
-// Door tells the door that time has passed, and how many places others lend it by now.
-func (f *Front) Door(lent int) { f.listener.tell(door.Event{Kind: door.Lent, N: lent}) }
+// Lend tells admission that time has passed, and how many places others lend it by now.
+func (f *Front) Lend(lent int) { f.listener.tell(admission.Event{Kind: admission.Lent, N: lent}) }
 
-// Retune gives the door other settings.
-func (f *Front) Retune(c door.Config) { f.listener.tell(door.Event{Kind: door.Retune, Config: &c}) }
+// Retune gives admission other settings.
+func (f *Front) Retune(c admission.Config) {
+	f.listener.tell(admission.Event{Kind: admission.Retune, Config: &c})
+}
 
 // FrontLoad is how full the front is, in shares of its limits.
 type FrontLoad struct{ Bodies, Connections float64 }
--- a/internal/transport/unsent_test.go
+++ b/internal/transport/unsent_test.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"reachspread/balance"
-	"reachspread/internal/door"
+	"reachspread/internal/admission"
 	"reachspread/internal/peers"
 	"reachspread/internal/routing"
 )
@@ -85,7 +85,7 @@
 // others with it that were read and not answered. The watch reads a byte, and still notices that the client leaves.
 func TestFurtherRequestsStayUnread(t *testing.T) {
 	client, accepted := pair(t)
-	conn := &clientConn{Conn: accepted, listener: newListener(&FrontLimits{Door: door.Config{Places: 1, Step: 1}})}
+	conn := &clientConn{Conn: accepted, listener: newListener(&FrontLimits{Admission: admission.Config{Places: 1, Step: 1}})}
 	first, second, third := peers.AskText("1", ""), peers.AskText("2", ""), peers.AskText("3", "")
 	if _, err := client.Write([]byte(first + second + third)); err != nil {
 		t.Fatal(err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -91,7 +91,7 @@
 	Gain        float64 `json:"gain"`
 }
 
-// PeersKnown is news from discovery.
+// PeersKnown is an update from discovery.
 type PeersKnown struct {
 	I       int     `json:"i"`
 	Mode    string  `json:"mode"`
@@ -276,11 +276,11 @@
 	if err != nil {
 		return nil
 	}
-	zone, news, err := protocol.ParseNews(text)
+	zone, reports, err := protocol.ParsePeerReports(text)
 	if err != nil {
 		return nil
 	}
-	return balance.Heard{From: d.From, Zone: zone, News: news}
+	return balance.Heard{From: d.From, Zone: zone, Reports: reports}
 }
 
 func (p *PeersKnown) event() (balance.Event, error) {
@@ -378,7 +378,7 @@
 	if !ok {
 		return []any{action(i, a)}
 	}
-	body := base64.RawStdEncoding.EncodeToString(protocol.AppendNews(nil, t.Zone, t.News))
+	body := base64.RawStdEncoding.EncodeToString(protocol.AppendPeerReports(nil, t.Zone, t.Reports))
 	var all []any
 	for _, dest := range t.To {
 		all = append(all, named{"post": post{i, dest, body}})
