Logging: a fleet's router writes at most ten lines of one event in ten seconds

Ruled out: zerolog's BurstSampler, which is one bound for all events, so that a storm hides the rest, and tells nothing of what was left out.

--- /dev/null
+++ b/internal/logging/limit_test.go
@@ -0,0 +1,62 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Of a storm of one event the first lines of a period are written, the next period's first line tells how many were not, and another
+// event's lines are not among them.
+func TestLimit(t *testing.T) {
+	type line struct {
+		at    time.Duration
+		event string
+	}
+	storm := func(from time.Duration, n int) (lines []line) {
+		for range n {
+			lines = append(lines, line{from, "storm"})
+		}
+		return lines
+	}
+	for _, c := range []struct {
+		name  string
+		lines []line
+		want  string
+	}{
+		{"few", storm(0, 2), "storm,storm"},
+		{"a storm", storm(0, 9), "storm,storm"},
+		{"its next period", append(storm(0, 9), line{10 * time.Second, "storm"}, line{11 * time.Second, "storm"}), "storm,storm,storm left_out=7,storm"},
+		{"another event in it", append(storm(0, 9), line{time.Second, "calm"}), "storm,storm,calm"},
+		{"few in each period", append(storm(0, 2), storm(10*time.Second, 2)...), "storm,storm,storm,storm"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			var now time.Time
+			l := Limit(New(&out, Text), 2, 10*time.Second, func() time.Time { return now })
+			for _, x := range c.lines {
+				now = time.Unix(1, 0).Add(x.at)
+				l.Warn(x.event)
+			}
+			got := strings.ReplaceAll(strings.TrimSpace(strings.ReplaceAll(out.String(), "WRN ", "")), "\n", ",")
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// Events without end, as where an event's name had an address in it, take no memory without end.
+func TestLimitIsBounded(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := Limit(New(&out, Text), 1, time.Second, time.Now)
+	for i := range 2 * mostEvents {
+		l.Info(fmt.Sprint("event ", i))
+	}
+	is.Equal(len(l.events), mostEvents)
+	is.Equal(strings.Count(out.String(), "\n"), 2*mostEvents)
+}
--- a/internal/system/role/role.go
+++ b/internal/system/role/role.go
@@ -7,12 +7,19 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"reachspread/internal/logging"
 	"reachspread/internal/system/node"
 	"reachspread/internal/system/settings"
 )
 
+// Of one event at most so many lines are written in a period.
+const (
+	mostLines   = 10
+	linesPeriod = 10 * time.Second
+)
+
 // Run serves as a router until SIGTERM, or until ctx ends. SIGHUP has the settings read anew.
 func Run(ctx context.Context) error {
 	s, err := settings.Load(os.Getenv)
@@ -24,7 +31,7 @@
 	defer signal.Stop(hup)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := logging.New(os.Stderr, logging.Text)
+	log := logging.Limit(logging.New(os.Stderr, logging.Text), mostLines, linesPeriod, time.Now)
 	reload := make(chan *settings.Settings)
 	go readAgain(ctx, hup, reload, log)
 	node.Limit(s.Limits)
@@ -32,7 +39,7 @@
 }
 
 // readAgain reads the settings file at each signal until ctx ends. A file that can't be used changes nothing.
-func readAgain(ctx context.Context, signals <-chan os.Signal, read chan<- *settings.Settings, log *logging.Logger) {
+func readAgain(ctx context.Context, signals <-chan os.Signal, read chan<- *settings.Settings, log logging.Lines) {
 	for {
 		select {
 		case <-ctx.Done():
