Sets of the control plane are golang-set's

Sets that were maps of bool in node, configuration, link and the commands; a set's Add tells whether it was new, which several of them looked up first.

--- a/cmd/reachspread/fleet.go
+++ b/cmd/reachspread/fleet.go
@@ -13,6 +13,7 @@
 	"text/tabwriter"
 	"time"
 
+	mapset "github.com/deckarep/golang-set/v2"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
@@ -216,10 +217,9 @@
 func printDuties(w io.Writer, lines []program.Line) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	defer t.Flush()
-	said := map[string]bool{}
+	said := mapset.NewThreadUnsafeSet[string]()
 	head := func(what, columns string) {
-		if !said[what] {
-			said[what] = true
+		if said.Add(what) {
 			fmt.Fprintln(t, columns)
 		}
 	}
--- a/cmd/reachspread/fleetstatus.go
+++ b/cmd/reachspread/fleetstatus.go
@@ -15,6 +15,7 @@
 	"text/tabwriter"
 	"time"
 
+	mapset "github.com/deckarep/golang-set/v2"
 	"github.com/spf13/cobra"
 
 	"reachspread/internal/system/status"
@@ -96,10 +97,7 @@
 	if !all {
 		return answers, nil
 	}
-	known := map[string]bool{}
-	for _, address := range at {
-		known[address] = true
-	}
+	known := mapset.NewThreadUnsafeSet(at...)
 	var more []string
 	for _, a := range answers {
 		others, err := othersOf(a)
@@ -107,8 +105,7 @@
 			return nil, err
 		}
 		for _, address := range others {
-			if !known[address] {
-				known[address] = true
+			if known.Add(address) {
 				more = append(more, address)
 			}
 		}
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	mapset "github.com/deckarep/golang-set/v2"
 	"golang.org/x/sys/unix"
 
 	"reachspread/coord/failpoint"
@@ -60,7 +61,7 @@
 
 	mu      sync.Mutex
 	lines   map[string]*line
-	inbound map[net.Conn]bool
+	inbound mapset.Set[net.Conn]
 
 	closing sync.WaitGroup
 
@@ -76,7 +77,7 @@
 
 // New returns a link that will listen at an address.
 func New(listen netip.AddrPort, handle Handler) *Link {
-	return &Link{listen: listen, handle: handle, lines: map[string]*line{}, inbound: map[net.Conn]bool{}}
+	return &Link{listen: listen, handle: handle, lines: map[string]*line{}, inbound: mapset.NewThreadUnsafeSet[net.Conn]()}
 }
 
 // Start listens and carries messages until ctx ends.
@@ -95,7 +96,7 @@
 		ln.Close()
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		for c := range l.inbound {
+		for c := range mapset.Elements(l.inbound) {
 			c.Close()
 		}
 	})
@@ -122,9 +123,9 @@
 			continue
 		}
 		l.mu.Lock()
-		full := len(l.inbound) >= mostAccepted || l.ctx.Err() != nil
+		full := l.inbound.Cardinality() >= mostAccepted || l.ctx.Err() != nil
 		if !full {
-			l.inbound[c] = true
+			l.inbound.Add(c)
 		}
 		l.mu.Unlock()
 		if full {
@@ -147,7 +148,7 @@
 	defer func() {
 		c.Close()
 		l.mu.Lock()
-		delete(l.inbound, c)
+		l.inbound.Remove(c)
 		l.mu.Unlock()
 	}()
 	in := bufio.NewReaderSize(c, buffer)
--- a/internal/system/configuration/compile.go
+++ b/internal/system/configuration/compile.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	mapset "github.com/deckarep/golang-set/v2"
 	"github.com/go-playground/validator/v10"
 )
 
@@ -253,11 +254,10 @@
 		added, removed = lacking(c.Routes, before.Routes), lacking(before.Routes, c.Routes)
 		c.hosts = maps.Clone(before.hosts)
 	}
-	touched := map[string]bool{}
+	touched := mapset.NewThreadUnsafeSet[string]()
 	at := func(r *Route) *prefixes {
 		host := strings.ToLower(r.Host)
-		if !touched[host] {
-			touched[host] = true
+		if touched.Add(host) {
 			c.hosts[host] = c.hosts[host].clone()
 		}
 		return c.hosts[host]
--- a/internal/system/configuration/document.go
+++ b/internal/system/configuration/document.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	mapset "github.com/deckarep/golang-set/v2"
 )
 
 // Document is a configuration as the operator wrote it. It is not to be changed once it was made.
@@ -126,7 +128,7 @@
 func readItems(list string, raws []json.RawMessage, before *field) ([]item, error) {
 	known := before.byText()
 	items := make([]item, 0, len(raws))
-	seen := make(map[string]bool, len(raws))
+	seen := mapset.NewThreadUnsafeSetWithSize[string](len(raws))
 	for i, raw := range raws {
 		it, ok := known[string(raw)]
 		if !ok {
@@ -135,10 +137,9 @@
 				return nil, err
 			}
 		}
-		if seen[it.name] {
+		if !seen.Add(it.name) {
 			return nil, &SyntaxError{fmt.Sprintf("%s[%d].name", list, i), fmt.Sprintf("%q is there twice", it.name)}
 		}
-		seen[it.name] = true
 		items = append(items, it)
 	}
 	return items, nil
--- a/internal/system/configuration/patch.go
+++ b/internal/system/configuration/patch.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+
+	mapset "github.com/deckarep/golang-set/v2"
 )
 
 // Patch is a change of named items.
@@ -93,11 +95,8 @@
 		if f == nil || !f.list {
 			continue // what is not there is gone already
 		}
-		gone := make(map[string]bool, len(r.names))
-		for _, name := range r.names {
-			gone[name] = true
-		}
-		f.items = slices.DeleteFunc(f.items, func(it item) bool { return gone[it.name] })
+		gone := mapset.NewThreadUnsafeSet(r.names...)
+		f.items = slices.DeleteFunc(f.items, func(it item) bool { return gone.ContainsOne(it.name) })
 	}
 	for _, u := range p.upsert {
 		f := next.find(u.name)
--- a/internal/system/node/hub.go
+++ b/internal/system/node/hub.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	mapset "github.com/deckarep/golang-set/v2"
 	"google.golang.org/protobuf/proto"
 
 	"reachspread/coord/chain"
@@ -48,11 +49,11 @@
 	fleet    *fleet // these, and what is taken to live beside them
 	hints    map[uint64]*hint
 	nonce    uint64
-	homeOf   map[homeKey]bool // services and zones that this router is the home of
+	homeOf   mapset.Set[homeKey] // services and zones that this router is the home of
 	loseAt   time.Duration
-	unsaid   map[string]bool // services with words on hosts that were not brought to others yet
-	bringAt  time.Duration   // the earliest time for that
-	bring    *time.Timer     // runs while there are any
+	unsaid   mapset.Set[string] // services with words on hosts that were not brought to others yet
+	bringAt  time.Duration      // the earliest time for that
+	bring    *time.Timer        // runs while there are any
 	wasYoung bool
 	wasFresh bool // the configuration was confirmed of late
 
@@ -80,7 +81,7 @@
 }
 
 func newHub(n *Node) *hub {
-	h := &hub{node: n, start: time.Now(), calls: make(chan func(), mostCalls), hints: map[uint64]*hint{}, homeOf: map[homeKey]bool{}, unsaid: map[string]bool{},
+	h := &hub{node: n, start: time.Now(), calls: make(chan func(), mostCalls), hints: map[uint64]*hint{}, homeOf: mapset.NewThreadUnsafeSet[homeKey](), unsaid: mapset.NewThreadUnsafeSet[string](),
 		bring: time.NewTimer(0)}
 	h.bring.Stop()
 	h.confirmedAt.Store(-1)
@@ -245,11 +246,10 @@
 
 // services are those of the configuration and those that have hosts.
 func (h *hub) services() []string {
-	seen := map[string]bool{}
+	seen := mapset.NewThreadUnsafeSet[string]()
 	var all []string
 	add := func(name string) {
-		if !seen[name] {
-			seen[name] = true
+		if seen.Add(name) {
 			all = append(all, name)
 		}
 	}
@@ -307,17 +307,17 @@
 	}
 	h.send(h.feed.Subscribe(h.now(), h.fleet.subscriptions(services, h.registerAddresses())))
 	before := h.homeOf
-	h.homeOf = map[homeKey]bool{}
+	h.homeOf = mapset.NewThreadUnsafeSet[homeKey]()
 	for _, name := range services {
 		for _, zone := range h.zones() {
 			if h.home(name, zone).address == h.node.self.address {
-				h.homeOf[homeKey{name, zone}] = true
+				h.homeOf.Add(homeKey{name, zone})
 			}
 		}
 	}
 	h.registry.Adopt(h.now(), func(r *instances.Record) bool {
 		key := homeKey{r.Service, zoneMark(r.Zone)}
-		return h.homeOf[key] && !before[key]
+		return h.homeOf.ContainsOne(key) && !before.ContainsOne(key)
 	})
 }
 
@@ -408,9 +408,9 @@
 	if len(all) == 0 {
 		return
 	}
-	waiting := len(h.unsaid) > 0
+	waiting := !h.unsaid.IsEmpty()
 	for _, r := range all {
-		h.unsaid[r.Service] = true
+		h.unsaid.Add(r.Service)
 	}
 	switch now := h.now(); {
 	case now >= h.bringAt:
@@ -423,12 +423,12 @@
 // bringHosts brings what is new of hosts to the decisions and to others.
 func (h *hub) bringHosts() {
 	h.bringAt = h.now() + bringEvery + time.Duration(h.registry.Len())*bringPerHost
-	for name := range h.unsaid {
+	for name := range mapset.Elements(h.unsaid) {
 		h.addService(name)
 		h.showHosts(name)
 		h.send(h.feed.Changed(h.now(), hostsTopic+name))
 	}
-	clear(h.unsaid)
+	h.unsaid.Clear()
 }
 
 // showHosts tells the decisions which hosts a service has.
--- a/internal/system/node/owning.go
+++ b/internal/system/node/owning.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	mapset "github.com/deckarep/golang-set/v2"
+
 	"reachspread/coord/coordpb"
 	"reachspread/coord/quota"
 	"reachspread/coord/view"
@@ -94,7 +96,7 @@
 func (o *owning) takeOver(now time.Duration, i int, duty *coordpb.Duty) *shard {
 	complete := o.gapAt
 	known := map[string]*quota.Usage{}
-	seen := map[uint64]bool{}
+	seen := mapset.NewThreadUnsafeSet[uint64]()
 	for _, p := range o.past {
 		if i >= len(p.view.Duties) {
 			continue
@@ -103,10 +105,9 @@
 		if !o.inChain(p.view) {
 			complete = max(complete, p.until) // its owner did not wait until this router knew of a grant
 		}
-		if seen[owner] {
+		if !seen.Add(owner) {
 			continue
 		}
-		seen[owner] = true
 		keys, from := o.tracker.Known(now, owner)
 		complete = max(complete, from)
 		for key, usage := range keys {
