--- a/cmd/reachlab/fleetdemo.go
+++ b/cmd/reachlab/fleetdemo.go
@@ -8,7 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"reachspread/internal/system/fleetdemo"
-	"reachspread/internal/system/role"
+	"reachspread/internal/system/roles"
 )
 
 // asRouter is the hidden command by which the demo's processes are routers.
@@ -39,5 +39,5 @@
 }
 
 func asRouterCommand() *cobra.Command {
-	return &cobra.Command{Use: asRouter, Hidden: true, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error { return role.Run(cmd.Context()) }}
+	return &cobra.Command{Use: asRouter, Hidden: true, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error { return roles.Run(cmd.Context()) }}
 }
--- a/cmd/reachspread/check.go
+++ b/cmd/reachspread/check.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 	"reachspread/internal/system/message"
 	systemsettings "reachspread/internal/system/settings"
 )
--- a/cmd/reachspread/configuration.go
+++ b/cmd/reachspread/configuration.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 	"reachspread/internal/system/message"
 	"reachspread/internal/system/status"
 )
--- a/cmd/reachspread/configuration_test.go
+++ b/cmd/reachspread/configuration_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 	"reachspread/internal/system/status"
 )
 
--- a/cmd/reachspread/router.go
+++ b/cmd/reachspread/router.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"reachspread/internal/system/role"
+	"reachspread/internal/system/roles"
 	"reachspread/internal/system/settings"
 )
 
@@ -13,6 +13,6 @@
 		Use:   "router",
 		Short: "Serve as a router of the fleet, as the settings file in " + settings.PathVariable + " says, until SIGTERM",
 		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return role.Run(cmd.Context()) },
+		RunE:  func(cmd *cobra.Command, _ []string) error { return roles.Run(cmd.Context()) },
 	}
 }
--- a/internal/system/controlapi/api.go
+++ b/internal/system/controlapi/api.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"reachspread/coord/coordpb"
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 	"reachspread/internal/system/message"
 )
 
--- a/internal/system/controlapi/pins.go
+++ b/internal/system/controlapi/pins.go
@@ -11,8 +11,8 @@
 	"github.com/gorilla/mux"
 	"google.golang.org/protobuf/proto"
 
+	"reachspread/internal/system/deciders/pins"
 	"reachspread/internal/system/message"
-	"reachspread/internal/system/pins"
 )
 
 const (
--- a/internal/system/dataplane/classes.go
+++ b/internal/system/dataplane/classes.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"reachspread/balance"
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 )
 
 const (
--- a/internal/system/dataplane/intake.go
+++ b/internal/system/dataplane/intake.go
@@ -16,7 +16,7 @@
 	"reachspread/balance"
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 	"reachspread/internal/transport"
 )
 
--- a/internal/system/dataplane/pinned.go
+++ b/internal/system/dataplane/pinned.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"reachspread/internal/routing"
+	"reachspread/internal/system/deciders/pins"
 	"reachspread/internal/system/message"
-	"reachspread/internal/system/pins"
 	"reachspread/internal/transport"
 )
 
--- a/internal/system/dataplane/pinned_test.go
+++ b/internal/system/dataplane/pinned_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/matryer/is"
 
-	"reachspread/internal/system/configuration"
-	"reachspread/internal/system/instances"
+	"reachspread/internal/system/deciders/configuration"
+	"reachspread/internal/system/deciders/instances"
+	"reachspread/internal/system/deciders/pins"
 	"reachspread/internal/system/message"
-	"reachspread/internal/system/pins"
 )
 
 const (
--- a/internal/system/dataplane/plane_test.go
+++ b/internal/system/dataplane/plane_test.go
@@ -19,8 +19,8 @@
 
 	"reachspread/internal/admission"
 	"reachspread/internal/protocol"
-	"reachspread/internal/system/configuration"
-	"reachspread/internal/system/instances"
+	"reachspread/internal/system/deciders/configuration"
+	"reachspread/internal/system/deciders/instances"
 	"reachspread/internal/system/message"
 	"reachspread/internal/system/settings"
 	"reachspread/internal/transport"
--- a/internal/system/configuration/pinned.go
+++ b/internal/system/deciders/configuration/pinned.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"reachspread/internal/system/deciders/pins"
 	"reachspread/internal/system/message"
-	"reachspread/internal/system/pins"
 )
 
 // isPinOrder tells whether an order changes pins, and not the configuration.
--- a/internal/system/configuration/pinned_test.go
+++ b/internal/system/deciders/configuration/pinned_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"reachspread/internal/system/deciders/pins"
 	"reachspread/internal/system/message"
-	"reachspread/internal/system/pins"
 )
 
 const pinnable = `{"version":1,"routes":[
--- a/internal/system/configuration/store.go
+++ b/internal/system/deciders/configuration/store.go
@@ -10,8 +10,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"reachspread/internal/system/deciders/pins"
 	"reachspread/internal/system/message"
-	"reachspread/internal/system/pins"
 )
 
 const (
--- a/internal/system/fleetdemo/fleetdemo_test.go
+++ b/internal/system/fleetdemo/fleetdemo_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/matryer/is"
 
-	"reachspread/internal/system/role"
+	"reachspread/internal/system/roles"
 )
 
 // isRouter has the test's own program be a router.
@@ -26,7 +26,7 @@
 		os.Setenv(isRouter, "1") // for the processes that the tests start
 		os.Exit(m.Run())
 	}
-	if err := role.Run(context.Background()); err != nil {
+	if err := roles.Run(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/system/node/configured.go
+++ b/internal/system/roles/node/configured.go
@@ -8,9 +8,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"reachspread/coord/coordpb"
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
+	"reachspread/internal/system/deciders/pins"
 	"reachspread/internal/system/message"
-	"reachspread/internal/system/pins"
 )
 
 const (
--- a/internal/system/node/hub.go
+++ b/internal/system/roles/node/hub.go
@@ -14,8 +14,8 @@
 	"reachspread/coord/feed"
 	"reachspread/coord/members"
 	"reachspread/coord/register"
-	"reachspread/internal/system/configuration"
-	"reachspread/internal/system/instances"
+	"reachspread/internal/system/deciders/configuration"
+	"reachspread/internal/system/deciders/instances"
 	"reachspread/internal/system/message"
 )
 
--- a/internal/system/node/measure_test.go
+++ b/internal/system/roles/node/measure_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 )
 
 var measure = flag.Bool("measure", false, "run the measurements")
--- a/internal/system/node/pins_schedules_test.go
+++ b/internal/system/roles/node/pins_schedules_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"reachspread/coord/feed"
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
+	"reachspread/internal/system/deciders/pins"
 	"reachspread/internal/system/message"
 	"reachspread/internal/system/pinplay"
-	"reachspread/internal/system/pins"
 )
 
 // pinSchedules is how many drawn schedules are played. Each takes 20 ms, and ten times that under the race detector.
--- a/internal/system/node/quotas.go
+++ b/internal/system/roles/node/quotas.go
@@ -9,7 +9,7 @@
 	"reachspread/coord/coordpb"
 	"reachspread/coord/quota"
 	"reachspread/coord/view"
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 	"reachspread/internal/system/message"
 	"reachspread/internal/system/settings"
 )
--- a/internal/system/node/topics.go
+++ b/internal/system/roles/node/topics.go
@@ -6,7 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"reachspread/coord/coordpb"
-	"reachspread/internal/system/instances"
+	"reachspread/internal/system/deciders/instances"
 	"reachspread/internal/system/message"
 )
 
--- a/internal/system/role/role.go
+++ b/internal/system/roles/roles.go
@@ -1,6 +1,6 @@
-// Package role runs a router of the fleet as the process that it is in: settings from the file that the environment names, until a
+// Package roles runs a router of the fleet as the process that it is in: settings from the file that the environment names, until a
 // signal ends it. The programs that can be a router share it.
-package role
+package roles
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"time"
 
 	"reachspread/internal/logging"
-	"reachspread/internal/system/node"
+	"reachspread/internal/system/roles/node"
 	"reachspread/internal/system/settings"
 )
 
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"io"
 
-	"reachspread/internal/system/configuration"
+	"reachspread/internal/system/deciders/configuration"
 )
 
 // Path is where a router tells its status, on its readiness address.
