--- a/cmd/reachspread/fleetstatus.go
+++ b/cmd/reachspread/fleetstatus.go
@@ -41,6 +41,7 @@
 		routerStatusCommand("status", "Ask routers of the fleet how they stand: ready, configuration in force, requests", printStatus),
 		routerStatusCommand("members", "Ask a router of the fleet which routers live, as it sees it", printMembers),
 		routerStatusCommand("register", "Ask a router of the fleet for the register's view: the chain, who is behind, whose disk is in trouble", printRegister),
+		shardsCommand(),
 		configurationCommand(),
 		routerStatusCommand("hosts", "Ask a router of the fleet which hosts each service has", printHosts),
 	}
--- a/internal/system/roles/node/status.go
+++ b/internal/system/roles/node/status.go
@@ -87,7 +87,7 @@
 // status tells how what the hub owns stands.
 func (h *hub) status() hubStatus {
 	s := hubStatus{upS: h.now().Seconds(), configuration: h.configurationStatus()}
-	s.register = status.Register{Epoch: h.view.view.GetEpoch(), Machines: machineStatus(h.view.view)}
+	s.register = status.Register{Epoch: h.view.view.GetEpoch(), Machines: machineStatus(h.view.view), Shards: shardStatus(h.view.view)}
 	figures := h.node.plane.Figures()
 	for _, name := range h.services() {
 		service := serviceStatus(name, h.registry.Of(name), h.now())
@@ -158,6 +158,15 @@
 	return all
 }
 
+// shardStatus is who owns the duties by a view.
+func shardStatus(v *coordpb.View) (all []status.Shard) {
+	for i, duty := range v.GetDuties() {
+		owner := view.MemberOf(v, duty.Owner)
+		all = append(all, status.Shard{Number: i, Owner: identityText(duty.Owner), Address: owner.GetAddress(), Token: duty.Since})
+	}
+	return all
+}
+
 // fillReplica fills in what a replica knows: how it stands, and what it heard of the other machines.
 func fillReplica(s *status.Register, in register.Inspection) {
 	self := &status.Replica{Identity: identityText(in.Identity), Sequence: in.Position.GetSequence(), Healthy: in.Healthy, Shards: in.Shards}
@@ -166,7 +175,7 @@
 	}
 	s.Replica = self
 	s.Epoch = in.View.GetEpoch()
-	s.Machines = machineStatus(in.View)
+	s.Machines, s.Shards = machineStatus(in.View), shardStatus(in.View)
 	now := time.Duration(0)
 	peers := append([]view.Peer{{Member: &coordpb.Member{Address: in.Address, Identity: in.Identity}, Position: in.Position, Healthy: in.Healthy, HeardAge: &now}}, in.Peers...)
 	newest := uint64(0)
--- a/internal/system/roles/node/status_test.go
+++ b/internal/system/roles/node/status_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"reachspread/coord/view"
 	"reachspread/internal/system/metrics"
 	"reachspread/internal/system/status"
 )
@@ -60,7 +61,12 @@
 	is.Equal(s.Configuration.Tenants, 1)
 	is.True(s.Register.Replica != nil)
 	is.True(s.Register.Replica.Healthy)
+	is.Equal(len(s.Register.Shards), view.Shards)
+	for _, shard := range s.Register.Shards {
+		is.True(slices.ContainsFunc(s.Register.Machines, func(m status.Machine) bool { return m.Address == shard.Address && m.Place > 0 }))
+	}
 	bare := f.status(3)
+	is.Equal(len(bare.Register.Shards), view.Shards) // known from the view, also where there is no disk
 	is.True(!bare.Core)
 	is.Equal(bare.Register.Replica, nil) // it has no part in the register
 	is.True(bare.Configuration.From != "")
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -110,6 +110,15 @@
 	Epoch    uint64    `json:"epoch"` // of the view, 0 for none yet
 	Replica  *Replica  `json:"replica"`
 	Machines []Machine `json:"machines"` // the chain from the head to the tail, then the other members and those that stand by
+	Shards   []Shard   `json:"shards"`   // of the duties, in their order; none before the first view
+}
+
+// Shard is a part of the duties, such as counting the limits of the tenants that it has, with the machine that owns it.
+type Shard struct {
+	Number  int    `json:"number"` // from 0
+	Owner   string `json:"owner"`  // identity
+	Address string `json:"address"`
+	Token   uint64 `json:"token"` // the epoch in which the owner was dealt it: what an older owner says counts for nothing
 }
 
 // Replica is how this router stands as a member of the register; null where it can't be one.
