Balance: streams beside a prompt and crossings weigh more, old reports less

Cause: at the second organisation hosts have 8 to 31 slots and tight paces. A stream was taken to slow the others by 0.6% of a stream's time; measured there and at the first site (time from first token to end by streams on the host) it is 1.4 to 2.5%, and as much is lost by the streams beside. Reports of unread tokens are some hundred ms old and sent all gateways to one host; a share in use says little of streams.

--- /dev/null
+++ b/balance/crowding_test.go
@@ -0,0 +1,71 @@
+package balance
+
+import "testing"
+
+// What streams beside a prompt cost is weighed against what it would have to read, and against a crossing: each row has the streams of
+// this gateway on two replicas, of which the first keeps so many tokens of the prompt, and says which of the two is better.
+func TestStreamsBesideAgainstReadingAndCrossing(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		streams     [2]int // own, with their first token
+		kept        float64
+		far         bool // the second replica is in another zone
+		others      float64
+		oneHome     bool
+		wantsSecond bool
+	}{
+		{name: "a kept prefix beside few streams", streams: [2]int{1, 0}, kept: 1000},
+		{name: "a kept prefix beside many", streams: [2]int{6, 0}, kept: 1000, wantsSecond: true},
+		{name: "as many on both", streams: [2]int{6, 6}, kept: 1000},
+		{name: "those of other gateways count as well", streams: [2]int{0, 0}, kept: 1000, others: 6, wantsSecond: true},
+		{name: "where a prefix has one home", streams: [2]int{6, 0}, kept: 1000, oneHome: true},
+		{name: "nothing kept, one stream more near by", streams: [2]int{1, 0}, far: true},
+		{name: "nothing kept, several more near by", streams: [2]int{4, 0}, far: true, wantsSecond: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			list := members("a", "b")
+			if tt.far {
+				list[1].Zone = "there"
+			}
+			cfg := testConfig()
+			cfg.OneHome = tt.oneHome
+			g := newGateway(t, cfg, list...)
+			q := &request{Arrival: g.request("safe"), class: g.b.classes["safe"], aim: sec, prefix: "p"}
+			q.Prefix, q.Shared = "p", tt.kept
+			first, second := g.b.replicas["a"], g.b.replicas["b"]
+			first.streams, second.streams, first.others = tt.streams[0], tt.streams[1], tt.others
+			g.after(ms)
+			first.kept.Put(q.prefix, g.b.now, tt.kept)
+			best := g.b.better(q, []*replica{first, second})
+			if (best == second) != tt.wantsSecond {
+				t.Errorf("%s is better, at %.3f s and %.3f s", best.Replica, g.b.estimate(q, first), g.b.estimate(q, second))
+			}
+		})
+	}
+}
+
+// What reports say of others' unread tokens is some hundred milliseconds old, and all gateways hear the same: it moves no prompt, or all of
+// them would go to one replica at once. The number of streams does.
+func TestReportsOfUnreadTokensMoveNoPrompt(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		load        Load
+		wantsSecond bool
+	}{
+		{"unread tokens", Load{Streams: -1, Busy: -1, Unread: 50_000}, false},
+		{"streams", Load{Streams: 12, Busy: -1, Unread: -1}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGateway(t, testConfig(), members("a", "b")...)
+			q := &request{Arrival: g.request("safe"), class: g.b.classes["safe"], aim: sec, prefix: "p"}
+			q.Shared = 500
+			first, second := g.b.replicas["a"], g.b.replicas["b"]
+			g.after(ms)
+			first.kept.Put(q.prefix, g.b.now, q.Shared)
+			g.b.report(first, &tt.load)
+			if best := g.b.better(q, []*replica{first, second}); (best == second) != tt.wantsSecond {
+				t.Errorf("%s is better", best.Replica)
+			}
+		})
+	}
+}
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	streamShare = 0.006 // what one stream adds to the time of the others, as a share
+	streamShare = 0.006 // of a replica's time that a stream takes
+	crowding    = 0.04  // of a stream's time: what one beside costs, half to itself and half to the other
+	crossBeside = 1.5   // streams beside that a crossing is worth, lest small differences send prompts far
 	crossScale  = 4.0   // a crossing counts as this many times its price in missed aims
 	learn       = 0.1   // weight of a sample in a moving average
 	slowRead    = 1e-4  // seconds to read a token, before any was seen
@@ -21,11 +23,15 @@
 
 // estimate, in seconds, adds to the first token the streams that share the steps and the price of crossing.
 func (b *Balancer) estimate(q *request, r *replica) float64 {
-	t := b.firstToken(q, r) + q.class.decode*streamShare*(float64(r.streams)+r.others)*b.slowness(r)
+	t, beside := b.firstToken(q, r), float64(r.streams)+r.others
 	if r.Zone != b.cfg.Zone {
-		t += b.crossTime(q)
+		t, beside = t+b.crossTime(q), beside+crossBeside
 	}
-	return t
+	share := crowding
+	if b.cfg.OneHome { // to leave a home has the prefix read once more, and kept in two places
+		share = streamShare * b.slowness(r)
+	}
+	return t + q.class.decode*share*beside
 }
 
 // firstToken estimates the seconds to the first token of q on r, or of a prompt with nothing to read for nil.
@@ -62,7 +68,7 @@
 		r.others *= math.Exp(-passed / streamLife)
 		r.toldAt = b.now
 	}
-	sum := r.unread + r.told
+	sum := r.told
 	for _, a := range r.waiting {
 		sum += a.unread
 	}
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -4,7 +4,7 @@
 
 import "slices"
 
-const slots = 40.0 // streams that a full replica is taken to have, where only the share in use is reported
+const slots = 6.0 // streams of others on a full replica, where only the share in use is reported: a guess
 
 func (b *Balancer) takeFirst(a *attempt) {
 	q, r := a.req, a.rep
@@ -82,10 +82,7 @@
 	} else if l.Busy >= 0 {
 		r.others = max(l.Busy*slots-float64(r.streams), 0)
 	}
-	if l.Unread >= 0 {
-		b.sighted = true
-		r.unread = max(l.Unread-(b.backlog(r)-r.unread), 0)
-	}
+	b.sighted = b.sighted || l.Unread >= 0 // the number is old: by it all gateways would go to one replica
 }
 
 func (b *Balancer) takeProbed(r *replica, ev Probed) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -89,7 +89,6 @@
 	streams int            // own
 	waiting []*attempt     // own, without first token
 	others  float64        // streams of other gateways, by its last report
-	unread  float64        // and their unread tokens
 	probing bool
 	heard   time.Duration // last report
 
