Node: the test of documented events finds the page and all packages after the move

Cause: the packages moved a folder down; the test's relative paths did not. It reads the same files as before, and those of roles and deciders.

--- a/internal/system/roles/node/decode_test.go
+++ b/internal/system/roles/node/decode_test.go
@@ -76,12 +76,12 @@
 
 // The page for on-call staff has each event that the fleet's code logs.
 func TestEventsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/oncall.md")
+	page, err := os.ReadFile("../../../../docs/oncall.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var files []string
-	for _, pattern := range []string{"../*/*.go", "../../../coord/*/*.go", "../../../cmd/reachspread/*.go"} {
+	for _, pattern := range []string{"../../*/*.go", "../../*/*/*.go", "../../../../coord/*/*.go", "../../../../cmd/reachspread/*.go"} {
 		found, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
