--- a/cmd/reachspread/readme_test.go
+++ b/cmd/reachspread/readme_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -66,3 +69,44 @@
 		}
 	}
 }
+
+// The README's table of packages has each package once, and no other.
+func TestReadmePackages(t *testing.T) {
+	text, err := os.ReadFile("../../README.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := map[string]int{}
+	for line := range strings.Lines(string(text)) {
+		if cells := strings.Split(line, "|"); len(cells) == 4 {
+			for _, name := range regexp.MustCompile("`([a-z/0-9]+)`").FindAllStringSubmatch(cells[1], -1) {
+				listed[name[1]]++
+			}
+		}
+	}
+	for _, top := range []string{"balance", "cmd", "coord", "internal"} {
+		err := filepath.WalkDir("../../"+top, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || !d.IsDir() {
+				return err
+			}
+			name := strings.TrimPrefix(path, "../../")
+			files, err := filepath.Glob(path + "/*.go")
+			if len(files) > 0 && listed[name] != 1 {
+				t.Errorf("README: the table has %s %d times", name, listed[name])
+			}
+			if len(files) == 0 && listed[name] > 0 {
+				t.Errorf("README: %s is no package", name)
+			}
+			delete(listed, name)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name := range listed {
+		if strings.HasPrefix(name, "internal/") || strings.HasPrefix(name, "coord/") || strings.HasPrefix(name, "cmd/") {
+			t.Errorf("README: there is no %s", name)
+		}
+	}
+}
