--- a/internal/peering/view_test.go
+++ b/internal/peering/view_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"reachspread/coord/members"
 	"reachspread/internal/peering"
@@ -66,6 +68,10 @@
 	for _, x := range all[:2] {
 		sees(x, 2)
 	}
+	// The figures are published right after the view of the same step.
+	for until := time.Now().Add(peers.Patience); all[0].Figures().Alive != 2 && time.Now().Before(until); {
+		runtime.Gosched()
+	}
 	if f := all[0].Figures(); f.Deaths != 0 || f.Alive != 2 {
 		t.Errorf("after a leaving: %+v", f)
 	}
