Faultplan: the explorers of the register and of the pins share one search

Ruled out: internal/explore, which takes all orders of messages of one decider; these place faults in one drawn order.

--- a/coord/register/explore_test.go
+++ b/coord/register/explore_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"flag"
-	"fmt"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"reachspread/coord/faultplan"
 )
 
 // deviations is how many faults an explored schedule has at most.
@@ -44,23 +44,17 @@
 	return [...]string{"lose", "hold", "crash receiver", "wipe receiver", "freeze receiver", "crash sender", "wipe sender"}[s]
 }
 
-// placed is a fault at the point of a number.
-type placed struct {
-	at   int
-	kind strike
-}
-
 // exploration is one schedule.
 type exploration struct {
 	w      *world
-	plan   []placed
+	plan   faultplan.Plan[strike]
 	points int           // so far
 	last   time.Duration // of the last fault that struck
 	wiped  int
 }
 
 // explore plays a plan, and returns how many points there were at which one more fault may be placed. The first one strikes within a time.
-func explore(plan []placed, p plant, firstIn time.Duration, trace func(string, ...any)) (points int, w *world) {
+func explore(plan faultplan.Plan[strike], p plant, firstIn time.Duration, trace func(string, ...any)) (points int, w *world) {
 	w = newWorld(1, 3, 1)
 	w.plant = p
 	if trace != nil {
@@ -101,10 +95,10 @@
 	}
 	e.points++
 	for _, f := range e.plan {
-		if f.at == e.points {
+		if f.At == e.points {
 			e.last = e.w.now
-			e.w.trace("%v %v at point %d", e.w.now, f.kind, f.at)
-			return e.apply(f.kind, at)
+			e.w.trace("%v %v at point %d", e.w.now, f.Kind, f.At)
+			return e.apply(f.Kind, at)
 		}
 	}
 	return false
@@ -154,76 +148,22 @@
 	e.w.after(stall, func() { p.slow = 0 })
 }
 
-// plans are all plans with one fault more, given the points of the present one.
-func plans(before []placed, points int) (all [][]placed) {
-	first := 1
-	if len(before) > 0 {
-		first = before[len(before)-1].at + 1
-	}
-	for at := first; at <= points; at++ {
-		for kind := range strikes {
-			all = append(all, append(before[:len(before):len(before)], placed{at, kind}))
-		}
-	}
-	return all
-}
-
-// explorer plays all plans with so many faults, until one finds something that does not hold.
-type explorer struct {
-	plant   plant
-	faults  int
-	firstIn time.Duration // for the first fault
-
-	played atomic.Int64
-	broken atomic.Pointer[broken]
-}
-
-// broken is a plan with which something did not hold.
-type broken struct {
-	plan  []placed
-	fault error
-}
-
-// exploreAll plays all plans with so many faults; the result is nil where all holds.
-func exploreAll(p plant, faults int, firstIn time.Duration) (played int64, found *broken) {
-	e := &explorer{plant: p, faults: faults, firstIn: firstIn}
-	first := e.try(nil)
-	forEach(len(first), func(i int) { e.from(first[i]) })
-	return e.played.Load(), e.broken.Load()
-}
-
-// from plays a plan, and all that begin with it.
-func (e *explorer) from(plan []placed) {
-	for _, next := range e.try(plan) {
-		e.from(next)
-	}
-}
-
-// try plays a plan, and returns those with one more fault that are to be played.
-func (e *explorer) try(plan []placed) (next [][]placed) {
-	if e.broken.Load() != nil {
-		return nil
-	}
-	e.played.Add(1)
-	points, w := explore(plan, e.plant, e.firstIn, nil)
-	if w.fault != nil {
-		e.broken.CompareAndSwap(nil, &broken{plan, w.fault})
-		return nil
-	}
-	if len(plan) == e.faults {
-		return nil
-	}
-	return plans(plan, points)
+// search is of all plans with so many faults. The first fault strikes within a time.
+func search(p plant, faults int, firstIn time.Duration) faultplan.Search[strike] {
+	return faultplan.Search[strike]{Kinds: strikes, Faults: faults, Play: func(plan faultplan.Plan[strike]) faultplan.Played {
+		points, w := explore(plan, p, firstIn, nil)
+		return faultplan.Played{Points: points, Broken: w.fault}
+	}}
 }
 
 // Wherever a fault strikes, whatever is promised holds, and orders go on afterwards.
 func TestExplore(t *testing.T) {
-	played, found := exploreAll(none, *deviations, someOrders)
-	if found != nil {
-		t.Errorf("%v: %v", found.plan, found.fault)
+	found := search(none, *deviations, someOrders).Run()
+	if found.Broken != nil {
+		t.Errorf("%v: %v", found.Plan, found.Broken)
 		return
 	}
-	t.Logf("%d schedules with at most %d faults", played, *deviations)
+	t.Logf("%d schedules with at most %d faults", found.Plays, *deviations)
 }
 
 // The explorer finds faults that are planted. It begins behind a first fault, so that this takes some dozens of schedules and not thousands.
@@ -231,18 +171,16 @@
 	for _, c := range []struct {
 		name  string
 		plant plant
-		begin []placed
+		begin faultplan.Plan[strike]
 	}{
 		{"acknowledged before the tail", earlyAck, nil},
-		{"written before the disk has it", earlyWrite, []placed{{1, freezeReceiver}}},
+		{"written before the disk has it", earlyWrite, faultplan.Plan[strike]{{At: 1, Kind: freezeReceiver}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			e := &explorer{plant: c.plant, faults: len(c.begin) + 1, firstIn: moreOrders}
-			e.from(c.begin)
-			found := e.broken.Load()
-			is.True(found != nil)
-			t.Log(fmt.Sprint(e.played.Load(), " schedules; ", found.plan, ": ", found.fault))
+			found := search(c.plant, len(c.begin)+1, moreOrders).RunFrom(c.begin)
+			is.True(found.Broken != nil)
+			t.Logf("%d schedules; %v: %v", found.Plays, found.Plan, found.Broken)
 		})
 	}
 }
--- a/coord/register/schedules_test.go
+++ b/coord/register/schedules_test.go
@@ -3,14 +3,14 @@
 import (
 	"flag"
 	"fmt"
-	"runtime"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
+
+	"reachspread/coord/faultplan"
 )
 
 var (
@@ -251,21 +251,7 @@
 
 // playAll plays seeds on all cores.
 func playAll(n int, play func(seed uint64)) {
-	forEach(n, func(i int) { play(*from + uint64(i)) })
-}
-
-// forEach calls a function for each number below n, on all cores.
-func forEach(n int, do func(i int)) {
-	var group sync.WaitGroup
-	next := atomic.Int64{}
-	for range runtime.GOMAXPROCS(0) {
-		group.Go(func() {
-			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
-				do(i)
-			}
-		})
-	}
-	group.Wait()
+	faultplan.Parallel(n, func(i int) { play(*from + uint64(i)) })
 }
 
 // Each planted fault is found by the checks within some schedules.
--- a/internal/system/roles/node/pins_explore_test.go
+++ b/internal/system/roles/node/pins_explore_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"flag"
-	"runtime"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"reachspread/coord/faultplan"
 )
 
 // pinFaults is how many faults an explored schedule of pins has at most. With 2 there are some ten thousand schedules.
@@ -50,16 +50,10 @@
 	longStop  = drawnBound + time.Second
 )
 
-// placedFault is a fault at the point of a number.
-type placedFault struct {
-	at   int
-	kind pinFault
-}
-
 // pinExploration is one schedule.
 type pinExploration struct {
 	*pinWorld
-	plan   []placedFault
+	plan   faultplan.Plan[pinFault]
 	points int
 	heals  []heal
 }
@@ -71,7 +65,7 @@
 }
 
 // explorePins plays a plan, and returns how many points there were for one more fault.
-func explorePins(t *testing.T, plan []placedFault, plant pinPlant) (points int, w *pinWorld) {
+func explorePins(t *testing.T, plan faultplan.Plan[pinFault], plant pinPlant) (points int, w *pinWorld) {
 	e := &pinExploration{pinWorld: newPinWorld(t, exploredRouters, exploredSeed, plant), plan: plan}
 	e.strike = e.place
 	for e.now < exploredLength && e.fault == nil {
@@ -92,8 +86,8 @@
 	}
 	e.points++
 	for _, f := range e.plan {
-		if f.at == e.points {
-			lost = e.apply(f.kind, m) || lost
+		if f.At == e.points {
+			lost = e.apply(f.Kind, m) || lost
 		}
 	}
 	return lost
@@ -153,71 +147,25 @@
 	}
 }
 
-// nextPlans are all plans with one fault more behind those of a plan.
-func nextPlans(plan []placedFault, points int) (all [][]placedFault) {
-	first := 1
-	if len(plan) > 0 {
-		first = plan[len(plan)-1].at + 1
-	}
-	for at := first; at <= points; at++ {
-		for kind := range pinFaultKinds {
-			all = append(all, append(plan[:len(plan):len(plan)], placedFault{at, kind}))
-		}
-	}
-	return all
-}
-
-// exploreAllPins plays all plans with so many faults on all cores, until one finds something that does not hold.
-func exploreAllPins(t *testing.T, faults int, plant pinPlant) (played, served int64, found []placedFault, fault error) {
-	var count, answered atomic.Int64
-	var broken atomic.Pointer[pinExploration]
-	var try func(plan []placedFault)
-	try = func(plan []placedFault) {
-		if broken.Load() != nil {
-			return
-		}
+// exploreAllPins plays all plans with so many faults, until one finds something that does not hold.
+func exploreAllPins(t *testing.T, faults int, plant pinPlant) (found faultplan.Result[pinFault], served int64) {
+	var answered atomic.Int64
+	found = faultplan.Search[pinFault]{Kinds: pinFaultKinds, Faults: faults, Play: func(plan faultplan.Plan[pinFault]) faultplan.Played {
 		points, w := explorePins(t, plan, plant)
-		count.Add(1)
 		answered.Add(int64(w.served))
-		if w.fault != nil {
-			broken.CompareAndSwap(nil, &pinExploration{pinWorld: w, plan: plan})
-			return
-		}
-		if len(plan) < faults {
-			for _, next := range nextPlans(plan, points) {
-				try(next)
-			}
-		}
-	}
-	points, w := explorePins(t, nil, plant)
-	if w.fault != nil {
-		return 1, int64(w.served), nil, w.fault
-	}
-	first := nextPlans(nil, points)
-	var next atomic.Int64
-	var group sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		group.Go(func() {
-			for i := int(next.Add(1)) - 1; i < len(first); i = int(next.Add(1)) - 1 {
-				try(first[i])
-			}
-		})
-	}
-	group.Wait()
-	if b := broken.Load(); b != nil {
-		return count.Load(), answered.Load(), b.plan, b.fault
-	}
-	return count.Load(), answered.Load(), nil, nil
+		return faultplan.Played{Points: points, Broken: w.fault}
+	}}.Run()
+	return found, answered.Load()
 }
 
 // Wherever a fault strikes around a change of the pins, each request that arrives after a change was acknowledged is served by it, or refused.
 func TestExplorePins(t *testing.T) {
-	played, served, plan, fault := exploreAllPins(t, *pinFaults, noPlant)
-	if fault != nil {
-		t.Fatalf("%v: %v", plan, fault)
+	found, served := exploreAllPins(t, *pinFaults, noPlant)
+	if found.Broken != nil {
+		t.Fatalf("%v: %v", found.Plan, found.Broken)
 	}
-	t.Logf("%d schedules with at most %d faults, %d requests served", played, *pinFaults, served)
-	if played < 100 || served/played < 1000 {
+	t.Logf("%d schedules with at most %d faults, %d requests served", found.Plays, *pinFaults, served)
+	if found.Plays < 100 || served/found.Plays < 1000 {
 		t.Error("too little is played to tell")
 	}
 }
@@ -226,11 +174,11 @@
 func TestExplorePlantedPins(t *testing.T) {
 	for name, plant := range map[string]pinPlant{"acknowledged too early": ackedTooEarly, "stale after a thaw": staleAfterThaw, "never runs out": neverRunsOut} {
 		t.Run(name, func(t *testing.T) {
-			played, _, plan, fault := exploreAllPins(t, 1, plant)
-			if fault == nil {
+			found, _ := exploreAllPins(t, 1, plant)
+			if found.Broken == nil {
 				t.Fatal("not found")
 			}
-			t.Logf("%d schedules; %v: %v", played, plan, fault)
+			t.Logf("%d schedules; %v: %v", found.Plays, found.Plan, found.Broken)
 		})
 	}
 }
