--- /dev/null
+++ b/balance/broadcast_test.go
@@ -0,0 +1,102 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// broadcasting is the configuration of a gateway that has no number, and whose reports all others hear; prefixes have one home, as in the
+// router fleet.
+func broadcasting() Config {
+	cfg := testConfig()
+	cfg.Broadcast, cfg.OneHome = true, true
+	return cfg
+}
+
+// Each prompt is told as it is, however small, to all that there are: whoever carries the reports thins them out.
+func TestBroadcastOfEachPrompt(t *testing.T) {
+	g := newGateway(t, broadcasting(), members("a")...)
+	for _, tokens := range []float64{20, 500, 4000} {
+		q := g.request("safe")
+		q.Prompt = tokens
+		want := []Tell{{Zone: mark("here"), Reports: []PeerReport{{Tag: tag(g.b.replicas["a"]), Tokens: tokens}}}}
+		if diff := cmp.Diff(want, of[Tell](g.step(q))); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
+// The list of replicas is no reason to tell anybody anything.
+func TestBroadcastOfNothing(t *testing.T) {
+	g := newGateway(t, broadcasting())
+	list := members("a")
+	if tells := of[Tell](g.step(Members{Version: 1, Members: list})); len(tells) != 0 {
+		t.Errorf("told %v", tells)
+	}
+}
+
+// What others have sent to a replica is in front of the next prompt there, until it has had the time to be read.
+func TestHeardPromptsMoveTheNextOne(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		broadcast   bool
+		tokens      float64 // that others have sent to the first replica
+		ago         int     // milliseconds
+		wantsSecond bool
+	}{
+		{name: "nothing heard", broadcast: true},
+		{name: "a long prompt", broadcast: true, tokens: 8000, ago: 10, wantsSecond: true},
+		{name: "a long prompt that was read since", broadcast: true, tokens: 8000, ago: 1500},
+		{name: "less than what it would read again elsewhere", broadcast: true, tokens: 300, ago: 10},
+		{name: "where nobody is to be heard", tokens: 8000, ago: 10},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := broadcasting()
+			cfg.Broadcast = tt.broadcast
+			g := newGateway(t, cfg, members("a", "b")...)
+			first, second := g.b.replicas["a"], g.b.replicas["b"]
+			q := &request{Arrival: g.request("safe"), class: g.b.classes["safe"], aim: sec, prefix: "p"}
+			q.Shared = 500
+			first.kept.Put(q.prefix, g.b.now, q.Shared)
+			if tt.tokens > 0 {
+				g.step(Heard{From: -1, Reports: []PeerReport{{Tag: tag(first), Tokens: tt.tokens}}})
+			}
+			for range tt.ago {
+				g.after(ms)
+			}
+			if best := g.b.better(q, []*replica{first, second}); (best == second) != tt.wantsSecond {
+				t.Errorf("%s is better, at %.3f s and %.3f s", best.Replica, g.b.estimate(q, first), g.b.estimate(q, second))
+			}
+		})
+	}
+}
+
+// A replica to which another gateway has sent a prompt keeps the beginning of it from then on.
+func TestHeardPrefixIsKept(t *testing.T) {
+	g := newGateway(t, broadcasting(), members("a")...)
+	a := g.b.replicas["a"]
+	q := &request{Arrival: g.request("safe"), class: g.b.classes["safe"], keys: [2]uint64{0xabcd << 48}}
+	q.Prefix, q.Shared, q.Prompt = "p", 800, 1000
+	q.prefix = prefixKey(q.prefixTag())
+	before := g.b.unreadOn(q, a)
+	g.step(Heard{Reports: []PeerReport{{Tag: tag(a), Tokens: 10, Prefix: q.prefixTag()}}})
+	if after := g.b.unreadOn(q, a); before != 1000 || after != 200 {
+		t.Errorf("%v unread tokens before, %v after", before, after)
+	}
+}
+
+// Gateways without numbers do not know how many there are: each has a credit of its own for a cold replica, from which others take nothing.
+func TestHeardPromptsSpendNoCredit(t *testing.T) {
+	list := members("a", "cold")
+	list[1].Born = 99 * sec
+	g := newGateway(t, broadcasting(), list...)
+	cold := g.b.replicas["cold"]
+	g.b.meanWork = 1
+	g.b.spend(cold, 0.5)
+	credit := cold.credit
+	g.step(Heard{Reports: []PeerReport{{Tag: tag(cold), Tokens: 8000}}})
+	if cold.credit < credit {
+		t.Errorf("a credit of %v s is %v s", credit, cold.credit)
+	}
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -125,7 +125,7 @@
 	r.kept.Put(q.Session, b.now, q.Prompt)
 	b.do(Send{ID: q.ID, Replica: r.Replica})
 	told := a.unread
-	if least := inPart * b.brief / r.read.slope(); told < least && !r.cold {
+	if least := inPart * b.brief / r.read.slope(); told < least && !r.cold && !b.cfg.Broadcast {
 		if told < least*b.rng.Float64() {
 			return
 		}
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -63,7 +63,7 @@
 
 // backlog is the unread tokens in front of a new prompt. What others told of is taken to be read steadily.
 func (b *Balancer) backlog(r *replica) float64 {
-	if passed := (b.now - r.toldAt).Seconds(); passed > 0 && !b.fleet.Alone() {
+	if passed := (b.now - r.toldAt).Seconds(); passed > 0 && (b.cfg.Broadcast || !b.fleet.Alone()) {
 		r.told = max(r.told-passed/(r.read.slope()*b.slowness(r)), 0)
 		r.others *= math.Exp(-passed / streamLife)
 		r.toldAt = b.now
--- a/balance/members.go
+++ b/balance/members.go
@@ -103,14 +103,15 @@
 
 // tell gives reports to other gateways.
 func (b *Balancer) tell(to []int, reports ...PeerReport) {
-	if to = slices.DeleteFunc(slices.Clone(to), func(i int) bool { return i == b.cfg.Me }); len(to) > 0 {
+	to = slices.DeleteFunc(slices.Clone(to), func(i int) bool { return i == b.cfg.Me })
+	if len(to) > 0 || b.cfg.Broadcast && len(reports) > 0 {
 		b.do(Tell{To: to, Zone: mark(b.cfg.Zone), Reports: reports})
 	}
 }
 
 // takeHeard takes in what another gateway tells: a prompt in front of the own ones, or an opinion.
 func (b *Balancer) takeHeard(ev Heard) {
-	if !b.fleet.Heard(ev.From, ev.Zone) {
+	if !b.cfg.Broadcast && !b.fleet.Heard(ev.From, ev.Zone) {
 		return
 	}
 	for _, n := range ev.Reports {
@@ -120,7 +121,7 @@
 			b.backlog(r) // of before
 			r.told, r.others = min(r.told+n.Tokens, mostTold/r.read.slope()), r.others+1
 			r.kept.Put(prefixKey(n.Prefix), b.now, math.Inf(1))
-			b.spend(r, b.meanWork)
+			b.spend(r, b.meanWork*min(b.living, 1)) // each that is alone has a credit of its own
 		case n.Slow > 0:
 			r.slow.Hear(b.now, min(max(n.Slow, 0.2), 20), believe)
 		}
--- a/balance/types.go
+++ b/balance/types.go
@@ -75,6 +75,7 @@
 	Retries        *budget.Bucket // of further attempts, nil for no bound
 	Gateways       int            // how many there are, this one included, where they may Tell; 0 where not
 	Me             int            // the own number among them, from 0
+	Broadcast      bool           // what this one tells reaches others that have no numbers, and theirs reaches this one
 }
 
 // State is what discovery says of a replica.
@@ -188,7 +189,7 @@
 
 // Heard is what another gateway told.
 type Heard struct {
-	From    int   // its number
+	From    int   // its number, of no meaning where Config.Broadcast is set
 	Zone    uint8 // a mark of its zone
 	Reports []PeerReport
 }
@@ -240,7 +241,7 @@
 
 // Tell has other gateways hear reports. It may come late, out of order, twice or not at all.
 type Tell struct {
-	To      []int // their numbers
+	To      []int // their numbers; none where Config.Broadcast is set, for all that there are
 	Zone    uint8 // a mark of the own zone
 	Reports []PeerReport
 }
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -47,6 +47,8 @@
 	Quotas   Quotas
 	// Fresh tells whether what is known of the configuration is young enough to honour keys by it.
 	Fresh func() bool
+	// Tell tells other routers of prompts that were sent to hosts of a service; nil for nobody. It must not block.
+	Tell  func(service string, reports []balance.PeerReport)
 	Log   routing.Logger
 	Seed  uint64
 	Began time.Time // when the router did
@@ -144,6 +146,9 @@
 		return err
 	}
 	s.router = routing.New(b, p.o.Servers, p.o.Log, probeFor)
+	if p.o.Tell != nil {
+		s.router.Tells(func(t balance.Tell) { p.o.Tell(name, t.Reports) })
+	}
 	ctx, stop := context.WithCancel(p.ctx)
 	s.stop = stop
 	go s.router.Run(ctx)
@@ -185,7 +190,7 @@
 // config is what the decisions of a service are told.
 func (p *Plane) config(s *service, classes []balance.Class) balance.Config {
 	return balance.Config{Zone: p.o.Settings().Zone, Classes: classes, MaxAttempts: mostAttempts, StartCapacity: 0.5, ColdTime: time.Second,
-		OverloadFactor: 4, OverloadWindow: time.Second, Tick: tick, CrossZonePrice: crossZonePrice, MaxAway: mostAway, OneHome: true, Retries: s.retries}
+		OverloadFactor: 4, OverloadWindow: time.Second, Tick: tick, CrossZonePrice: crossZonePrice, MaxAway: mostAway, OneHome: true, Broadcast: p.o.Tell != nil, Retries: s.retries}
 }
 
 // crossZonePrice is what crossing zones counts in the decisions, in parts of what there is to earn.
@@ -229,6 +234,13 @@
 	p.pins.lost(s)
 }
 
+// Heard takes in what another router tells of the prompts that it sent to hosts of a service.
+func (p *Plane) Heard(name string, heard balance.Heard) {
+	if s := (*p.pools.Load())[name]; s != nil {
+		s.router.Heard(heard)
+	}
+}
+
 // Serving tells whether there is a configuration, and a host for at least one service of it.
 func (p *Plane) Serving() bool {
 	if p.state.Load() == nil {
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -80,6 +80,7 @@
 	f.configuration(&s.Configuration)
 	f.register(&s.Register)
 	f.link(&s.Link)
+	f.promptReports(&s.PromptReports)
 	f.pins(&s.Pins)
 	for _, family := range f.all {
 		if len(family.Metric) == 0 {
@@ -183,6 +184,13 @@
 	bytes.sample(float64(l.ReceivedBytes), in)
 }
 
+func (f *families) promptReports(p *status.PromptReports) {
+	reports := f.counter("prompt_reports_total", "Datagrams by which routers tell each other of prompts that they sent to hosts.")
+	reports.sample(float64(p.Sent), label{"direction", "sent"})
+	reports.sample(float64(p.Received), label{"direction", "received"})
+	reports.sample(float64(p.Dropped), label{"direction", "dropped"})
+}
+
 func (f *families) pins(p *status.Pins) {
 	f.gauge("pins_revision", "Revision of the version pins in force; 0 for none ever.").sample(float64(p.Revision))
 	requests := f.counter("pin_requests_total", "Requests in the scope of a pin since it came in force here, by their ends.")
--- a/internal/system/metrics/metrics_test.go
+++ b/internal/system/metrics/metrics_test.go
@@ -23,8 +23,9 @@
 		Configuration: status.Configuration{Version: 9, ConfirmedS: &age, Fresh: true},
 		Register: status.Register{Epoch: 4, Replica: &status.Replica{Sequence: 12, Healthy: true, Shards: 3},
 			Machines: []status.Machine{{Address: "10.1.0.1:7680", Place: 1, Heard: &age, Behind: 2, Complete: true}, {Address: "10.1.0.2:7680"}}},
-		Services: []status.Service{{Name: "s", Open: 1, Retries: 2.5, Hosts: []status.Host{{State: "ready"}}}},
-		Pins:     status.Pins{Revision: 1, Pins: []status.Pin{{Name: "p", Version: 6, Answered: map[int64]uint64{6: 4}, Hosts: 1}}},
+		Services:      []status.Service{{Name: "s", Open: 1, Retries: 2.5, Hosts: []status.Host{{State: "ready"}}}},
+		PromptReports: status.PromptReports{Sent: 8, Received: 6, Dropped: 1},
+		Pins:          status.Pins{Revision: 1, Pins: []status.Pin{{Name: "p", Version: 6, Answered: map[int64]uint64{6: 4}, Hosts: 1}}},
 	}
 }
 
@@ -49,6 +50,8 @@
 		`reachspread_hosts{service="s",state="ready"} 1`,
 		`reachspread_hosts{service="s",state="draining"} 0`,
 		`reachspread_retry_budget{service="s"} 2.5`,
+		`reachspread_prompt_reports_total{direction="sent"} 8`,
+		`reachspread_prompt_reports_total{direction="dropped"} 1`,
 		`reachspread_pin_requests_total{pin="p",version="6",outcome="answered"} 4`,
 		`reachspread_pin_requests_total{pin="p",version="6",outcome="wrong"} 0`,
 	} {
--- a/internal/system/roles/node/hub.go
+++ b/internal/system/roles/node/hub.go
@@ -360,6 +360,7 @@
 	near := h.members.neighbours()
 	h.neighbours.Store(&near)
 	h.node.plane.SetRouters(len(h.members.routers))
+	h.node.prompts.viewed(h.members.routers)
 	h.node.client.Know(h.registerAddresses())
 	if h.node.replica != nil {
 		h.node.replica.Know(h.members.core())
--- a/internal/system/roles/node/node.go
+++ b/internal/system/roles/node/node.go
@@ -79,6 +79,7 @@
 	servers *transport.Servers
 	hub     *hub
 	quotas  *quotas
+	prompts *prompts
 	pins    *pinCalls
 	abort   context.CancelFunc // ends all at once, as a crash does
 	closing sync.WaitGroup     // what has to be closed before Run returns
@@ -120,6 +121,7 @@
 	self := &coordpb.Member{Address: n.self.internal(), Identity: rand.Uint64(), Label: zoneMark(s.Zone)}
 	n.client = register.NewClient(self, n.sendRegister)
 	n.quotas = newQuotas(n)
+	n.prompts = newPrompts(n)
 	n.makePlane(work)
 	n.hub = newHub(n)
 	if err := n.openRegister(self); err != nil {
@@ -142,6 +144,7 @@
 	}
 	go n.hub.run(work)
 	go n.quotas.run(work)
+	go n.prompts.run(work)
 	n.atEnd(work, func() { n.udp.Close() })
 	go n.readDatagrams()
 	go n.members.Run(work)
@@ -186,7 +189,7 @@
 	free := max(s.Limits.FileDescriptors-setAside, s.Limits.FileDescriptors/2)
 	n.servers = transport.NewServers(transport.ServerLimits{Connect: connectFor, Keepalive: keepIdleFor, Silent: silentFor,
 		Connections: free / 2, Dialect: protocol.Fleet{}}, n.log)
-	n.plane = dataplane.New(ctx, dataplane.Options{Settings: n.settings, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Log: n.log, Seed: rand.Uint64(), Began: time.Now()})
+	n.plane = dataplane.New(ctx, dataplane.Options{Settings: n.settings, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Tell: n.prompts.tell, Log: n.log, Seed: rand.Uint64(), Began: time.Now()})
 	n.front = transport.NewIntakeFront(n.plane, transport.FrontLimits{
 		Bodies: int(bodyPart * float64(s.Limits.MemoryMb) * (1 << 20)), Head: headBytes, Patience: n.patience, Seed: rand.Uint64(),
 		Admission: admission.Config{Places: free / 2, Step: stepClients, Away: time.Second},
@@ -306,8 +309,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err == nil && members.IsOurs(buf[:count]) {
-			n.members.Take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:count])
+		if err != nil {
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if !n.prompts.receive(from, buf[:count]) && members.IsOurs(buf[:count]) {
+			n.members.Take(from, buf[:count])
 		}
 	}
 }
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -24,6 +24,7 @@
 	Leaving       bool          `json:"leaving"`
 	Requests      Requests      `json:"requests"`
 	Link          Link          `json:"link"`
+	PromptReports PromptReports `json:"promptReports"`
 	Configuration Configuration `json:"configuration"`
 	Members       []Member      `json:"members"` // of the fleet, this one among them
 	Register      Register      `json:"register"`
@@ -69,6 +70,13 @@
 	Count   uint64 `json:"count"`
 }
 
+// PromptReports counts the datagrams by which routers tell each other of prompts that they sent to hosts.
+type PromptReports struct {
+	Sent     uint64 `json:"sent"`
+	Received uint64 `json:"received"`
+	Dropped  uint64 `json:"dropped"` // found no room to wait in, came from nobody that lives, or can't be read
+}
+
 // Link is what went over the link to other routers since the start; datagrams of the membership are not in it.
 type Link struct {
 	Sent          uint64 `json:"sent"`
