--- a/internal/system/deciders/sampling/sampling_test.go
+++ b/internal/system/deciders/sampling/sampling_test.go
@@ -1,7 +1,6 @@
 package sampling
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -51,7 +50,7 @@
 			rate := float64(messages) / length.Seconds()
 			is.True(rate <= perSecond*1.1)       // the average of the last seconds is not that of all
 			is.True(math.Abs(told/sent-1) < 0.1) // the sum stays right
-			t.Log(fmt.Sprintf("%.0f messages a second, %.2f of the tokens told", rate, told/sent))
+			t.Logf("%.0f messages a second, %.2f of the tokens told", rate, told/sent)
 		})
 	}
 }
