Storage: what a life before wrote and did not sync is synced before anything rests on it

Cause: a process that was killed between a write and its sync leaves bytes that the next one reads as if they were on the disk. The next one acted on them (a promise, an entry), and overwrote the other slot, which was the only certain one. A loss of power after that lost what had been told to be kept. Ruled out: the order of writes within one life, which TestPowerLoss has. Change: Store.Secure syncs the slot in force, the log and the folder; Append and Save do it first, and Unsynced tells whether it is due.

--- a/coord/storage/storage.go
+++ b/coord/storage/storage.go
@@ -54,6 +54,7 @@
 	end        int64  // of the log
 	index      uint32 // of the next record
 	broken     bool
+	unsynced   bool // what was found may not survive a loss of power
 }
 
 // Found is what a Store has from before.
@@ -62,7 +63,8 @@
 	Records [][]byte // appended since, in order
 }
 
-// Open reads what is there.
+// Open reads what is there. A life before may have ended between a write and its sync, so none of it is certain to outlive a loss of power
+// until Secure, Append or Save has succeeded.
 func Open(files Files) (*Store, *Found, error) {
 	s := &Store{files: files}
 	found := &Found{}
@@ -92,6 +94,7 @@
 		found.Records, s.end, s.index = nil, 0, 0
 		s.broken = true // a first Save is due
 	}
+	s.unsynced = s.generation > 0
 	return s, found, nil
 }
 
@@ -109,11 +112,35 @@
 // Broken tells that only a Save can be next.
 func (s *Store) Broken() bool { return s.broken }
 
+// Unsynced tells that what was found may not survive a loss of power.
+func (s *Store) Unsynced() bool { return s.unsynced }
+
+// Secure syncs what was found. Without it a slot in force that was never synced would be the only whole one while the other is
+// overwritten.
+func (s *Store) Secure() error {
+	if !s.unsynced {
+		return nil
+	}
+	for _, name := range []string{slotFiles[1-s.slot], logFile} {
+		if err := s.files.Sync(name); err != nil {
+			return s.fail(name, err)
+		}
+	}
+	if err := s.files.SyncFolder(); err != nil {
+		return s.fail(logFile, err)
+	}
+	s.unsynced = false
+	return nil
+}
+
 // Append adds records to the log and syncs them.
 func (s *Store) Append(records ...[]byte) error {
 	if s.broken {
 		return ErrBroken
 	}
+	if err := s.Secure(); err != nil {
+		return err
+	}
 	var out []byte
 	index := s.index
 	for _, r := range records {
@@ -135,6 +162,9 @@
 
 // Save writes the whole state to the slot whose turn it is. The log begins anew.
 func (s *Store) Save(state []byte) error {
+	if err := s.Secure(); err != nil {
+		return err
+	}
 	name := slotFiles[s.slot]
 	s.generation++ // never used again, whatever becomes of this one
 	if err := s.files.WriteAt(name, appendSlot(nil, s.generation, state), 0); err != nil {
--- a/coord/storage/storage_test.go
+++ b/coord/storage/storage_test.go
@@ -215,6 +215,37 @@
 	}
 }
 
+// A process is killed before every step in turn, which leaves what it wrote unsynced; the next one reads that and acts on it once the store
+// says that it is secure. The power is cut some steps later: whatever was read is there then, as is what was kept since.
+func TestKillThenPowerLoss(t *testing.T) {
+	is := is.New(t)
+	const numbers = 14
+	for killed := 3; killed < 36; killed++ {
+		for later := range 16 {
+			rng := rand.New(rand.NewPCG(uint64(killed), uint64(later)))
+			d := newDisk()
+			d.cutAt = killed
+			o, err := open(d)
+			is.NoErr(err)
+			play(d, o, numbers)
+			d.cutAt = 0
+			o, err = open(d)
+			is.NoErr(err)
+			kept := 0
+			d.steps = 0
+			if d.cutAt = later; o.store.Secure() == nil {
+				o.kept = len(o.list)
+				kept = play(d, o, numbers)
+			}
+			o, err = open(d.afterCut(rng))
+			is.NoErr(err)
+			if err := check(o.list, kept); err != nil {
+				t.Fatalf("killed at step %d, cut %d steps later: %v", killed, later, err)
+			}
+		}
+	}
+}
+
 // Without a slot nothing can be appended: records that follow no state could not be told from leftovers.
 func TestFirstSave(t *testing.T) {
 	is := is.New(t)
