Configuration: an order on a version to come is not refused for good

Cause: an order that builds on a version which is not in force yet was refused with 412. A copy of the same order that was still on its way to the head could be decided once that version was in force, and be taken: a configuration in force that had been refused. Ruled out: stale orders (versions only rise, so they can never be taken later), and invalid ones (decided on the version that they name). Change: 503 in place of 412 where If-Match is above the version in force, for pins as well; the sender may send it again.

--- a/internal/system/deciders/configuration/pinned.go
+++ b/internal/system/deciders/configuration/pinned.go
@@ -36,7 +36,7 @@
 func (s *Store) decidePin(order *message.Order) (change, reply []byte) {
 	in := s.state.Pinned()
 	if order.IfMatch != in.Revision {
-		return nil, s.pinReply(http.StatusPreconditionFailed, fmt.Sprintf("revision %d of the pins is in force, not %d", in.Revision, order.IfMatch))
+		return nil, s.pinReply(refusal(order.IfMatch, in.Revision), fmt.Sprintf("revision %d of the pins is in force, not %d", in.Revision, order.IfMatch))
 	}
 	next, _, err := s.nextPins(order)
 	if err != nil {
--- a/internal/system/deciders/configuration/store.go
+++ b/internal/system/deciders/configuration/store.go
@@ -88,7 +88,8 @@
 		return s.decidePin(order)
 	}
 	if order.IfMatch != s.state.Version() {
-		return nil, s.reply(http.StatusPreconditionFailed, fmt.Sprintf("version %d is in force, not %d", s.state.Version(), order.IfMatch))
+		text := fmt.Sprintf("version %d is in force, not %d", s.state.Version(), order.IfMatch)
+		return nil, s.reply(refusal(order.IfMatch, s.state.Version()), text)
 	}
 	next, err := s.next(order)
 	if err != nil {
@@ -101,6 +102,16 @@
 	return change, marshalReply(&message.OrderReply{Status: http.StatusOK, Version: next.Version()})
 }
 
+// refusal is the status of an order that does not build on what is in force. Versions only rise, so one that builds on an older version
+// never can be taken. One that builds on a version to come may be, perhaps as a copy of it that is still on its way: it is not refused for
+// good, and its sender may send it again.
+func refusal(base, inForce int64) int {
+	if base > inForce {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusPreconditionFailed
+}
+
 func (s *Store) reply(status int, text string) []byte {
 	return marshalReply(&message.OrderReply{Status: int32(status), Text: text, Version: s.state.Version()})
 }
