--- a/cmd/reachspread/fleetstatus.go
+++ b/cmd/reachspread/fleetstatus.go
@@ -239,6 +239,7 @@
 		fmt.Fprintf(w, "%s at %s: view %d\n", s.Name, a.At, s.Register.Epoch)
 		if r := s.Register.Replica; r != nil {
 			fmt.Fprintf(w, "  replica %s at change %d, disk in time: %s, epoch confirmed: %s, shards of the duties: %d\n", r.Identity, r.Sequence, yes(r.Healthy), seconds(r.ConfirmedS), r.Shards)
+			fmt.Fprintf(w, "  may lose %d of %d machines%s\n", r.Bears, r.Tolerance, shortText(r))
 		}
 		table(w, "address|identity|votes|chain|heard|change|behind|complete|disk|leaving", func(row func(...any)) {
 			for _, m := range s.Register.Machines {
@@ -248,6 +249,14 @@
 	})
 }
 
+// shortText tells for how long fewer machines may be lost than are to be.
+func shortText(r *status.Replica) string {
+	if r.ShortS == nil {
+		return ""
+	}
+	return ", fewer than are to be borne for " + seconds(r.ShortS)
+}
+
 // chainText is a machine's place in the chain.
 func chainText(m status.Machine, all []status.Machine) string {
 	last := 0
--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -11,8 +11,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"reachspread/coord/coordpb"
 	"reachspread/coord/view"
 )
@@ -22,6 +20,10 @@
 	ResendEvery = 200 * time.Millisecond
 	// stuckAfter is how long the chain may take for a change, or to begin an epoch, before another view is called for.
 	stuckAfter = 900 * time.Millisecond
+	// hopTakes is how long one more member may take for a change: a write to a disk, and a pause of the process.
+	hopTakes = 150 * time.Millisecond
+	// slowestLink is how many bytes a second a change may be expected to travel from one member to the next.
+	slowestLink = 1 << 20
 	// restartsIn is the least time between the end of a process and the beginning of the next one on its machine.
 	restartsIn = 250 * time.Millisecond
 	// MostOrders bounds the orders that wait at the head; further ones are not taken.
@@ -105,6 +107,7 @@
 	pending *coordpb.Append // at the head: the change that is on its way; elsewhere the last one passed on
 	pendAt  time.Duration
 
+	catch    catchUp
 	confirm  confirming
 	answered map[string]time.Duration // when this process last confirmed its epoch to an address
 	waiting  []waiting
@@ -128,9 +131,15 @@
 		return false
 	}
 	if !r.synced || !r.downSynced {
-		return r.resumed || r.now-r.began >= stuckAfter
+		return r.resumed || r.now-max(r.began, r.catch.progressAt) >= stuckAfter
 	}
-	return r.isHead() && r.pending != nil && r.pending.Sequence > r.committed && r.now-r.pendAt >= stuckAfter
+	return r.isHead() && r.pending != nil && r.pending.Sequence > r.committed && r.now-r.pendAt >= r.patience()
+}
+
+// patience is how long the chain may take for the change that is on its way.
+func (r *Replica) patience() time.Duration {
+	hops := len(r.view.Chain) - 1
+	return stuckAfter + time.Duration(hops)*hopTakes + time.Duration(hops*len(r.pending.Change))*time.Second/slowestLink
 }
 
 // Readable tells that this process is the tail and has the state of the chain.
@@ -205,6 +214,7 @@
 func (r *Replica) Begin(now time.Duration, v *coordpb.View) []Effect {
 	r.begin(now)
 	r.view, r.sealed, r.resumed, r.synced, r.downSynced, r.began, r.pending = v, false, false, false, false, r.now, nil
+	r.catch.askAt, r.catch.downstream, r.catch.progressAt = 0, 0, 0
 	r.confirm, r.answered = confirming{nonce: r.confirm.nonce, at: -1}, map[string]time.Duration{}
 	r.dismiss()
 	if r.isHead() {
@@ -234,9 +244,9 @@
 // complete notes that the state is complete for the epoch, and has the next member get it.
 func (r *Replica) complete() {
 	r.synced = true
+	r.progressed()
 	if r.position.StateEpoch != r.view.Epoch {
-		r.position = &coordpb.Position{StateEpoch: r.view.Epoch, Sequence: r.position.Sequence, EntryEpoch: r.position.EntryEpoch}
-		r.do(Write{&coordpb.Record{Body: &coordpb.Record_StateEpoch{StateEpoch: r.view.Epoch}}})
+		r.noteStateEpoch(r.view.Epoch)
 	}
 	if r.isTail() {
 		r.allSynced()
@@ -283,6 +293,7 @@
 			r.pass(r.pending)
 		}
 	}
+	r.dueCatchUp()
 	r.dueConfirm()
 	return r.out
 }
@@ -302,6 +313,10 @@
 		r.takeNeed(from, body.Need)
 	case *coordpb.Message_Snapshot:
 		r.takeSnapshot(from, body.Snapshot)
+	case *coordpb.Message_Entries:
+		r.takeEntries(from, body.Entries)
+	case *coordpb.Message_Syncing:
+		r.takeSyncing(from, body.Syncing)
 	case *coordpb.Message_Append:
 		r.takeAppend(from, body.Append)
 	case *coordpb.Message_Commit:
@@ -337,34 +352,12 @@
 	case r.synced && r.downSynced:
 		r.send(from, &coordpb.Message{Body: &coordpb.Message_Synced{Synced: &coordpb.Synced{Epoch: r.view.Epoch}}})
 	case r.synced:
-	case s.Position.Sequence == r.position.Sequence && s.Position.EntryEpoch == r.position.EntryEpoch:
+		r.send(from, &coordpb.Message{Body: &coordpb.Message_Syncing{Syncing: &coordpb.Syncing{Epoch: r.view.Epoch, Progress: r.catch.progress}}})
+	case sameState(s.Position, r.position):
 		r.complete()
-	default:
-		r.send(from, &coordpb.Message{Body: &coordpb.Message_Need{Need: &coordpb.Need{Epoch: r.view.Epoch}}})
-	}
-}
-
-func (r *Replica) takeNeed(from string, n *coordpb.Need) {
-	if !r.in(n.Epoch) || !r.synced || from != r.successor() {
-		return
-	}
-	r.send(from, &coordpb.Message{Body: &coordpb.Message_Snapshot{Snapshot: &coordpb.Snapshot{Epoch: r.view.Epoch, Position: r.position, State: r.machine.Snapshot()}}})
-}
-
-// takeSnapshot puts the state of the member before in place of the own one.
-func (r *Replica) takeSnapshot(from string, s *coordpb.Snapshot) {
-	if !r.in(s.Epoch) || from != r.predecessor() || s.Position == nil {
-		return
-	}
-	if r.synced && s.Position.Sequence <= r.position.Sequence {
-		return
-	}
-	if r.machine.Restore(s.State) != nil {
-		return
+	case r.now >= r.catch.askAt:
+		r.need(from, false)
 	}
-	r.position = proto.Clone(s.Position).(*coordpb.Position)
-	r.do(Write{&coordpb.Record{Body: &coordpb.Record_Installed{Installed: &coordpb.Installed{Position: r.position, State: s.State}}}})
-	r.complete()
 }
 
 // takeSubmit has an order wait for its turn at the head.
@@ -420,16 +413,14 @@
 	case a.Sequence == r.position.Sequence && r.pending != nil && r.pending.Sequence == a.Sequence:
 		r.pass(r.pending) // it was lost further on
 	case a.Sequence > r.position.Sequence:
-		r.send(from, &coordpb.Message{Body: &coordpb.Message_Need{Need: &coordpb.Need{Epoch: r.view.Epoch}}})
+		r.need(from, false)
 	}
 }
 
 // append makes a change here and passes it on.
 func (r *Replica) append(a *coordpb.Append) {
-	r.machine.Apply(a.Change)
-	r.position = &coordpb.Position{StateEpoch: r.view.Epoch, Sequence: a.Sequence, EntryEpoch: a.Epoch}
+	r.apply(&coordpb.Entry{Epoch: a.Epoch, Sequence: a.Sequence, Change: a.Change})
 	r.pending, r.pendAt = a, r.now
-	r.do(Write{&coordpb.Record{Body: &coordpb.Record_Entry{Entry: &coordpb.Entry{Epoch: a.Epoch, Sequence: a.Sequence, Change: a.Change}}}})
 	r.pass(a)
 }
 
--- a/coord/register/core.go
+++ b/coord/register/core.go
@@ -25,8 +25,13 @@
 	Tolerance int      // members that may be lost at once
 	Seed      uint64   // of all chance
 	Kept      *coordpb.Durable
+	Unsynced  bool // what was kept may not survive a loss of power yet: it counts as FoundRecords that are to be written
 }
 
+// FoundRecords is the number that Core.Written is told once what a process found on its disk is certain to survive a loss of power. Nothing
+// that rests on it is said before.
+const FoundRecords = 1
+
 // Core is one process's part in a register. It has no I/O, clock or goroutine.
 type Core struct {
 	c       Config
@@ -70,9 +75,15 @@
 		kept = &coordpb.Durable{}
 	}
 	o := &Core{c: c, machine: m, healthy: true}
+	if c.Unsynced {
+		o.written = FoundRecords
+	}
 	o.view = view.New(view.Config{Self: c.Self, Seeds: c.Seeds, Founder: c.Founder, Core: c.Eligible, Tolerance: c.Tolerance, Seed: c.Seed,
 		View: kept.View, Promised: kept.Promised, AcceptedBallot: kept.AcceptedBallot, AcceptedView: kept.AcceptedView}, now)
 	o.chain = chain.New(c.Self, m, kept.Position, now)
+	if c.Eligible {
+		o.chain.Follow()
+	}
 	if kept.View != nil {
 		// A process that comes back takes no part in the epoch that it left: what it promised or missed meanwhile is unknown. Its
 		// members have to begin another.
@@ -102,6 +113,19 @@
 // Leave tells that the process is about to end.
 func (o *Core) Leave() { o.leaving = true }
 
+// MayEnd tells that the others can do without this process: enough of them have the state on their disks, and its seat went to another
+// where there is one for it.
+func (o *Core) MayEnd() bool {
+	o.status()
+	return o.view.MayEnd()
+}
+
+// Bears is how many members more may be lost at once, as this process knows it.
+func (o *Core) Bears() int {
+	o.status()
+	return o.view.Bears()
+}
+
 // Unwritten takes the records that are to be written next. They count up to the number returned, which Written is to be told once they
 // are there.
 func (o *Core) Unwritten() ([]*coordpb.Record, uint64) {
--- a/coord/register/explore_test.go
+++ b/coord/register/explore_test.go
@@ -1,4 +1,4 @@
-package register
+package register_test
 
 import (
 	"flag"
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"reachspread/coord/faultplan"
+	"reachspread/coord/simulation"
 )
 
 // deviations is how many faults an explored schedule has at most.
@@ -46,7 +47,7 @@
 
 // exploration is one schedule.
 type exploration struct {
-	w      *world
+	w      *simulation.World
 	plan   faultplan.Plan[strike]
 	points int           // so far
 	last   time.Duration // of the last fault that struck
@@ -54,23 +55,17 @@
 }
 
 // explore plays a plan, and returns how many points there were at which one more fault may be placed. The first one strikes within a time.
-func explore(plan faultplan.Plan[strike], p plant, firstIn time.Duration, trace func(string, ...any)) (points int, w *world) {
-	w = newWorld(1, 3, 1)
-	w.plant = p
-	if trace != nil {
-		w.trace = trace
-	}
-	w.startAll()
-	c := w.client("c0")
-	c.waits = true
-	c.loop(40 * time.Millisecond)
-	w.run(exploreFrom)
+func explore(plan faultplan.Plan[strike], p simulation.Plant, firstIn time.Duration, trace func(string, ...any)) (points int, w *simulation.World) {
+	w = simulation.New(simulation.Options{Seed: 1, Machines: 3, Tolerance: 1, Application: simulation.Counter{}, Plant: p, Trace: trace})
+	w.StartAll()
+	w.NewClient(true).Loop(40 * time.Millisecond)
+	w.Run(exploreFrom)
 	e := &exploration{w: w, plan: plan, last: exploreFrom + firstIn - nextFaultIn}
-	w.strike = e.strike
-	w.run(e.last + nextFaultIn)
-	w.run(e.last + nextFaultIn) // a fault may have struck meanwhile
-	w.strike = nil
-	w.run(e.last + nextFaultIn + exploreCalm)
+	w.Strike = e.strike
+	w.Run(e.last + nextFaultIn)
+	w.Run(e.last + nextFaultIn) // a fault may have struck meanwhile
+	w.Strike = nil
+	w.Run(e.last + nextFaultIn + exploreCalm)
 	e.checkEnd()
 	return e.points, w
 }
@@ -81,23 +76,23 @@
 	if e.wiped > 1 {
 		return
 	}
-	if w := e.w; w.fault == nil && w.now-w.history.lastAck > exploreCalm/2 {
-		w.fail("no order was acknowledged since %v", w.history.lastAck)
+	if w := e.w; w.Fault == nil && w.Now-w.History.LastTaken > exploreCalm/2 {
+		w.Fail("no order was acknowledged since %v", w.History.LastTaken)
 	}
-	e.w.checkEnd()
-	e.w.checkHistory()
+	e.w.CheckEnd()
+	e.w.CheckHistory()
 }
 
 // strike is called at each point, and has the plan's faults strike.
-func (e *exploration) strike(at point) (lost bool) {
-	if e.w.now > e.last+nextFaultIn {
+func (e *exploration) strike(at simulation.Point) (lost bool) {
+	if e.w.Now > e.last+nextFaultIn {
 		return false
 	}
 	e.points++
 	for _, f := range e.plan {
 		if f.At == e.points {
-			e.last = e.w.now
-			e.w.trace("%v %v at point %d", e.w.now, f.Kind, f.At)
+			e.last = e.w.Now
+			e.w.Trace("%v %v at point %d", e.w.Now, f.Kind, f.At)
 			return e.apply(f.Kind, at)
 		}
 	}
@@ -105,25 +100,24 @@
 }
 
 // apply has a fault of a kind strike at a point. Of a write, sender and receiver are the one whose disk it is.
-func (e *exploration) apply(kind strike, at point) (lost bool) {
-	sender, receiver := at.from, at.to
+func (e *exploration) apply(kind strike, at simulation.Point) (lost bool) {
+	sender, receiver := at.From, at.To
 	if receiver == nil {
 		receiver = sender
 	}
 	switch kind {
 	case loseMessage:
-		if at.to == nil {
+		if at.To == nil {
 			e.stallDisk(sender)
 			return false
 		}
 		return true
 	case holdLink:
-		pair := [2]string{sender.address, receiver.address}
-		e.w.cut[pair] = true
-		e.w.after(stall, func() { e.w.cut[pair] = false })
-		return at.to != nil
+		cut := e.w.CutOff([]string{sender.Address}, []string{receiver.Address}, true)
+		e.w.After(stall, cut.Heal)
+		return at.To != nil
 	case freezeReceiver:
-		receiver.freeze(stall)
+		receiver.Freeze(stall)
 	case crashReceiver, wipeReceiver:
 		e.end(receiver, kind == wipeReceiver)
 		return true
@@ -133,32 +127,32 @@
 	return false
 }
 
-// end ends a process, with its disk or not, and has the next one begin in a moment.
-func (e *exploration) end(p *process, wipe bool) {
-	p.crash()
+// end has a machine lose power and all that it was writing, with its disk or not, and its next process begin in a moment.
+func (e *exploration) end(p *simulation.Process, wipe bool) {
+	p.LoseUnwritten()
 	if wipe {
-		p.wipe()
+		p.Wipe()
 		e.wiped++
 	}
-	e.w.after(backAfter, p.start)
+	e.w.After(backAfter, p.Start)
 }
 
-func (e *exploration) stallDisk(p *process) {
-	p.slow = stall
-	e.w.after(stall, func() { p.slow = 0 })
+func (e *exploration) stallDisk(p *simulation.Process) {
+	p.SlowDisk(stall)
+	e.w.After(stall, func() { p.SlowDisk(0) })
 }
 
 // search is of all plans with so many faults. The first fault strikes within a time.
-func search(p plant, faults int, firstIn time.Duration) faultplan.Search[strike] {
+func search(p simulation.Plant, faults int, firstIn time.Duration) faultplan.Search[strike] {
 	return faultplan.Search[strike]{Kinds: strikes, Faults: faults, Play: func(plan faultplan.Plan[strike]) faultplan.Played {
 		points, w := explore(plan, p, firstIn, nil)
-		return faultplan.Played{Points: points, Broken: w.fault}
+		return faultplan.Played{Points: points, Broken: w.Fault}
 	}}
 }
 
 // Wherever a fault strikes, whatever is promised holds, and orders go on afterwards.
 func TestExplore(t *testing.T) {
-	found := search(none, *deviations, someOrders).Run()
+	found := search(simulation.None, *deviations, someOrders).Run()
 	if found.Broken != nil {
 		t.Errorf("%v: %v", found.Plan, found.Broken)
 		return
@@ -170,11 +164,11 @@
 func TestExplorePlanted(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		plant plant
+		plant simulation.Plant
 		begin faultplan.Plan[strike]
 	}{
-		{"acknowledged before the tail", earlyAck, nil},
-		{"written before the disk has it", earlyWrite, faultplan.Plan[strike]{{At: 1, Kind: freezeReceiver}}},
+		{"acknowledged before the tail", simulation.EarlyReply, nil},
+		{"written before the disk has it", simulation.EarlyWrite, faultplan.Plan[strike]{{At: 1, Kind: freezeReceiver}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/coord/register/fuzz_test.go
+++ b/coord/register/fuzz_test.go
@@ -1,4 +1,4 @@
-package register
+package register_test
 
 import (
 	"testing"
@@ -7,6 +7,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"reachspread/coord/coordpb"
+	"reachspread/coord/register"
+	"reachspread/coord/simulation"
 )
 
 // Whatever comes from others as messages of the register, in whatever state a replica is, nothing ends the process.
@@ -31,7 +33,7 @@
 		f.Add(first, text, i%2 == 0)
 	}
 	f.Fuzz(func(t *testing.T, first, second []byte, founder bool) {
-		core := NewCore(Config{Self: self, Seeds: []string{"a", "b"}, Founder: founder, Eligible: true, Tolerance: 1}, newCounter(), 0)
+		core := register.NewCore(register.Config{Self: self, Seeds: []string{"a", "b"}, Founder: founder, Eligible: true, Tolerance: 1}, simulation.Counter{}.New(), 0)
 		now := time.Duration(0)
 		for _, text := range [][]byte{first, second, first} {
 			m := &coordpb.Message{}
--- a/coord/register/inspect.go
+++ b/coord/register/inspect.go
@@ -14,6 +14,9 @@
 	Confirmed    bool          // it may act on its duties
 	ConfirmedAge time.Duration // where Confirmed
 	Shards       int           // of the duties that it owns
+	Tolerance    int           // members that are to be borne
+	Short        bool          // fewer may be lost at present
+	ShortFor     time.Duration // where Short
 	Peers        []view.Peer
 }
 
@@ -40,6 +43,10 @@
 		in.ConfirmedAge = r.now() - s.ConfirmedAt
 		in.Confirmed = in.ConfirmedAge < view.Lease
 	}
+	in.Tolerance = r.o.Tolerance
+	if in.Short = s.ShortSince >= 0; in.Short {
+		in.ShortFor = r.now() - s.ShortSince
+	}
 	for _, duty := range s.View.GetDuties() {
 		if duty.Owner == s.Identity {
 			in.Shards++
--- a/coord/register/replica.go
+++ b/coord/register/replica.go
@@ -60,6 +60,10 @@
 	failed    bool
 	unsaved   bool // records were taken that are not on the disk: all of the state has to go there
 
+	bears      int
+	shortSince time.Duration // below 0 for not at present
+	mayEnd     bool
+
 	status atomic.Pointer[Status]
 	lost   atomic.Uint64
 }
@@ -69,6 +73,7 @@
 	upTo    uint64
 	records [][]byte
 	state   []byte // of all, in place of records
+	secure  bool   // nothing but a sync of what was found
 }
 
 // written is what became of it.
@@ -85,6 +90,9 @@
 	Readable    bool
 	Healthy     bool
 	ConfirmedAt time.Duration // since the start; below 0 for never
+	Bears       int           // members more that may be lost at once, as this process knows it
+	ShortSince  time.Duration // since the start: from then on fewer than are to be tolerated; below 0 for not at present
+	MayEnd      bool          // of one that was told to leave: the others can do without it
 }
 
 // Load reads what a disk has of a register into a machine. Nil says that there is nothing.
@@ -113,7 +121,8 @@
 func NewReplica(o Options, store *storage.Store) *Replica {
 	r := &Replica{o: o, start: time.Now(), store: store, in: make(chan *coordpb.Message, mostWaiting), calls: make(chan func(), 16),
 		writes: make(chan batch, 1), wrote: make(chan written, 1)}
-	r.core = NewCore(o.Config, o.Machine, 0)
+	o.Unsynced = store != nil && store.Unsynced()
+	r.core, r.shortSince = NewCore(o.Config, o.Machine, 0), -1
 	r.unsaved = store != nil && store.Broken()
 	r.publish()
 	return r
@@ -182,14 +191,32 @@
 		case <-tick.C:
 			r.judgeDisk()
 			r.carryOut(r.core.Tick(r.now()))
+			r.judgeMembers()
 		}
 		r.write()
 		r.publish()
 	}
 }
 
+// judgeMembers works out what may be lost now, and whether this process may end.
+func (r *Replica) judgeMembers() {
+	before := r.shortSince
+	r.bears = r.core.Bears()
+	short := r.bears < r.o.Tolerance && r.core.View().GetEpoch() > 0
+	switch {
+	case short && before < 0:
+		r.shortSince = r.now()
+		r.o.Log.Info("tolerance short", "bears", r.bears, "tolerance", r.o.Tolerance)
+	case !short && before >= 0:
+		r.shortSince = -1
+		r.o.Log.Info("tolerance full", "short_for", (r.now() - before).Round(time.Millisecond).String())
+	}
+	r.mayEnd = r.core.leaving && r.core.MayEnd()
+}
+
 func (r *Replica) publish() {
-	s := &Status{Identity: r.o.Self.Identity, View: r.core.View(), Position: r.core.Position(), Readable: r.core.Readable(), Healthy: r.core.healthy, ConfirmedAt: -1}
+	s := &Status{Identity: r.o.Self.Identity, View: r.core.View(), Position: r.core.Position(), Readable: r.core.Readable(), Healthy: r.core.healthy, ConfirmedAt: -1,
+		Bears: r.bears, ShortSince: r.shortSince, MayEnd: r.mayEnd}
 	if at, ok := r.core.ConfirmedAt(); ok {
 		s.ConfirmedAt = at
 	}
@@ -234,6 +261,9 @@
 
 // nextBatch is what goes to the disk next: the records since the last one, or all of the state.
 func (r *Replica) nextBatch() (b batch, any bool) {
+	if r.store.Unsynced() && !r.unsaved {
+		return batch{upTo: FoundRecords, secure: true}, true
+	}
 	if r.unsaved || r.store.Full() {
 		d, upTo := r.core.Durable()
 		text, err := proto.Marshal(d)
@@ -266,14 +296,19 @@
 			return
 		case b = <-r.writes:
 		}
-		var err error
-		if b.state != nil {
-			err = r.store.Save(b.state)
-		} else {
-			err = r.store.Append(b.records...)
-		}
-		r.wrote <- written{b.upTo, err}
+		r.wrote <- written{b.upTo, b.write(r.store)}
+	}
+}
+
+// write carries a batch out.
+func (b *batch) write(store *storage.Store) error {
+	switch {
+	case b.secure:
+		return store.Secure()
+	case b.state != nil:
+		return store.Save(b.state)
 	}
+	return store.Append(b.records...)
 }
 
 func (r *Replica) takeWritten(w written) {
--- /dev/null
+++ b/coord/simulation/counter.go
@@ -0,0 +1,123 @@
+package simulation
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"reachspread/coord/chain"
+)
+
+// Counter is an Application of a version alone. What it tells and keeps is text in fields with a space between, as most of the time of a
+// play would go into a richer form.
+type Counter struct{}
+
+// remembered is how many orders a counter tells of, to be quick.
+const remembered = 64
+
+// New implements Application.
+func (Counter) New() chain.Machine { return newCounter() }
+
+// Version implements Application.
+func (Counter) Version(m chain.Machine) int { return m.(*counter).version }
+
+// Order implements Application. A name has no space.
+func (Counter) Order(o Order) []byte { return fmt.Appendf(nil, "%d %d %s", o.On, o.Next, o.Name) }
+
+// NameOf implements Application.
+func (Counter) NameOf(change []byte) string {
+	o, _ := parseOrder(change)
+	return o.Name
+}
+
+// Outcome implements Application.
+func (Counter) Outcome(reply []byte) (Outcome, error) {
+	verdict, version, _ := strings.Cut(string(reply), " ")
+	number, err := strconv.Atoi(version)
+	switch verdict {
+	case takenReply:
+		return Outcome{Taken, number}, err
+	case refusedReply:
+		return Outcome{Refused, number}, err
+	}
+	return Outcome{Unclear, number}, err
+}
+
+const (
+	takenReply   = "taken"
+	refusedReply = "refused"
+	laterReply   = "later" // the version that it builds on is not there yet, and may come
+)
+
+func parseOrder(text []byte) (o Order, err error) {
+	on, rest, _ := strings.Cut(string(text), " ")
+	next, name, _ := strings.Cut(rest, " ")
+	o.Name = name
+	if o.On, err = strconv.Atoi(on); err != nil {
+		return o, err
+	}
+	o.Next, err = strconv.Atoi(next)
+	return o, err
+}
+
+// counter is the machine.
+type counter struct {
+	version int
+	taken   map[string]bool // the last orders
+	names   []string        // of these, the oldest first
+}
+
+func newCounter() *counter { return &counter{taken: map[string]bool{}} }
+
+// Decide implements chain.Machine.
+func (c *counter) Decide(text []byte) (change, reply []byte) {
+	o, err := parseOrder(text)
+	switch {
+	case c.taken[o.Name]:
+		return nil, fmt.Appendf(nil, "%s %d", takenReply, c.version)
+	case err == nil && o.On == c.version:
+		return text, fmt.Appendf(nil, "%s %d", takenReply, o.Next)
+	}
+	verdict := refusedReply
+	if err == nil && o.On > c.version {
+		verdict = laterReply
+	}
+	return nil, fmt.Appendf(nil, "%s %d", verdict, c.version)
+}
+
+// Apply implements chain.Machine.
+func (c *counter) Apply(change []byte) {
+	o, _ := parseOrder(change)
+	c.version = o.Next
+	c.remember(o.Name)
+}
+
+func (c *counter) remember(name string) {
+	c.taken[name] = true
+	if c.names = append(c.names, name); len(c.names) > remembered {
+		delete(c.taken, c.names[0])
+		c.names = c.names[1:]
+	}
+}
+
+// Snapshot implements chain.Machine.
+func (c *counter) Snapshot() []byte {
+	return []byte(strings.Join(append([]string{strconv.Itoa(c.version)}, c.names...), " "))
+}
+
+// Restore implements chain.Machine.
+func (c *counter) Restore(text []byte) (err error) {
+	*c = *newCounter()
+	fields := strings.Fields(string(text))
+	if len(fields) == 0 {
+		return fmt.Errorf("a counter of no fields")
+	}
+	c.version, err = strconv.Atoi(fields[0])
+	for _, name := range fields[1:] {
+		c.remember(name)
+	}
+	return err
+}
+
+// Value implements chain.Machine.
+func (c *counter) Value() any { return c.version }
--- a/coord/view/propose.go
+++ b/coord/view/propose.go
@@ -14,7 +14,7 @@
 type proposal struct {
 	instance uint64
 	ballot   *coordpb.Ballot
-	began    time.Duration
+	began    time.Duration // this half of it
 	enoughAt time.Duration // a majority had promised
 	promises map[string]*promised
 	value    *coordpb.View // that is voted on, nil while promises are collected
@@ -52,9 +52,10 @@
 func (d *Decider) dueProposal() {
 	if p := d.proposal; p != nil {
 		switch {
-		case d.now >= p.began+giveUpAfter:
+		case d.now >= p.began+min(giveUpAfter<<d.inVain, mostGiveUp):
+			d.inVain = min(d.inVain+1, 2)
 			d.abandon()
-		case p.value == nil && p.enoughAt > 0 && (d.now >= p.enoughAt+collectFor || len(p.promises) == len(d.voters())):
+		case p.value == nil && p.enoughAt > 0 && d.collected(p):
 			d.choose()
 		}
 		return
@@ -71,6 +72,19 @@
 	}
 }
 
+// collected tells that no further promises are to be waited for: all have come, or all of those that live and the others had their time.
+func (d *Decider) collected(p *proposal) bool {
+	if len(p.promises) == len(d.voters()) || d.now >= p.enoughAt+collectAtMost {
+		return true
+	}
+	for _, m := range d.view.Members {
+		if p.promises[m.Address] == nil && d.standingOfIdentity(m.Identity) >= leaving {
+			return false
+		}
+	}
+	return d.now >= p.enoughAt+collectFor
+}
+
 // rank is this process's place among the voters that live.
 func (d *Decider) rank() int {
 	rank := 0
@@ -170,6 +184,7 @@
 		d.abandon()
 		return
 	}
+	p.began = d.now // the second half
 	d.toVoters(func() *coordpb.Message {
 		return &coordpb.Message{Body: &coordpb.Message_Accept{Accept: &coordpb.Accept{Instance: p.instance, Ballot: p.ballot, View: p.value}}}
 	})
@@ -191,21 +206,6 @@
 	}
 }
 
-// candidates are the processes that may be members and are fit, this one among them, in the order of their addresses.
-func (d *Decider) candidates() []*coordpb.Member {
-	var all []*coordpb.Member
-	if d.c.Core && d.status.Healthy {
-		all = append(all, d.c.Self)
-	}
-	for _, p := range d.peers {
-		if d.fit(p) && p.eligible {
-			all = append(all, p.member)
-		}
-	}
-	slices.SortFunc(all, func(a, b *coordpb.Member) int { return cmp.Compare(a.Address, b.Address) })
-	return all
-}
-
 // first is the first view: seeds go before others.
 func (d *Decider) first() *coordpb.View {
 	all := d.candidates()
@@ -238,16 +238,15 @@
 	if source == nil {
 		return nil
 	}
-	v := &coordpb.View{Epoch: d.view.Epoch + 1, Members: d.view.Members, MembersSince: d.view.MembersSince}
-	if d.settled(promises) {
-		v.Members = d.members(promises)
-	}
+	v := &coordpb.View{Epoch: d.view.Epoch + 1, MembersSince: d.view.MembersSince}
+	v.Members = d.nextMembers(source.from, func(identity uint64) bool {
+		m := MemberOf(d.view, identity)
+		p := promises[m.GetAddress()]
+		return p != nil && p.from.Identity == identity && p.Position.StateEpoch == d.view.Epoch
+	})
 	if !sameMembers(v.Members, d.view.Members) {
 		v.MembersSince = v.Epoch
 	}
-	if MemberOf(v, source.Identity) == nil {
-		return nil
-	}
 	v.Chain = d.chain(v, source, promises)
 	if len(v.Chain) < LeastChain(len(v.Members), d.c.Tolerance) {
 		return nil
@@ -256,22 +255,10 @@
 	return v
 }
 
-// settled tells that so many have completed the present epoch that one of them is left whatever is tolerated. Only then the members may
-// change: the next ones can tell by it that nothing was committed in an epoch of members whom they can't ask.
-func (d *Decider) settled(promises map[string]*promised) bool {
-	complete := 0
-	for _, m := range promises {
-		if m.Position.StateEpoch == d.view.Epoch && slices.Contains(d.view.Chain, m.from.Identity) {
-			complete++
-		}
-	}
-	return complete >= LeastChain(len(d.view.Members), d.c.Tolerance)
-}
-
 // source is the member whose state is complete: of those that promised the one that is furthest. All epochs after the last one that it
 // completed are of the present members, and had one of those that promised in their chain, so nothing was committed in them. Where there
 // are others between, nothing can be said.
-func (d *Decider) source(promises map[string]*promised) *coordpb.Member {
+func (d *Decider) source(promises map[string]*promised) *promised {
 	var best *promised
 	for _, m := range promises {
 		if best == nil || further(m.Position, best.Position) || !further(best.Position, m.Position) && d.better(m, best) {
@@ -281,20 +268,26 @@
 	if best == nil || best.Position.StateEpoch+1 < d.view.MembersSince {
 		return nil
 	}
-	return best.from
+	return best
 }
 
 // better tells which of two members goes first of those whose states are the same: one that can go on, as it was in the present chain.
 func (d *Decider) better(a, b *promised) bool {
-	if a.Healthy != b.Healthy {
-		return a.Healthy
+	if a.standing() != b.standing() {
+		return a.standing() > b.standing()
 	}
 	return d.order(a.from, b.from) < 0
 }
 
-// further tells whether a state has more in it than another.
-func further(a, b *coordpb.Position) bool {
-	return cmp.Or(cmp.Compare(a.StateEpoch, b.StateEpoch), cmp.Compare(a.Sequence, b.Sequence)) > 0
+// standing is how far who gave a promise can be counted on.
+func (p *promised) standing() standing {
+	switch {
+	case p.Leaving:
+		return leaving
+	case !p.Healthy:
+		return unfit
+	}
+	return fit
 }
 
 // order compares the places of members in a new chain: as it was in the present one, those outside last.
@@ -308,134 +301,57 @@
 	return cmp.Or(cmp.Compare(in(a), in(b)), cmp.Compare(a.Address, b.Address))
 }
 
-// members are those of the next view: the present ones, with those that are gone replaced by processes that stand by.
-func (d *Decider) members(promises map[string]*promised) []*coordpb.Member {
-	members := slices.Clone(d.view.Members)
-	spare := d.standBy()
-	for i, m := range members {
-		if promises[m.Address] != nil || !d.lost(m) {
+// chain is the chain of the next view: the source first, then those that are fit and have the state; where these are too few, also those
+// that are about to end, then those that lack much of the state.
+func (d *Decider) chain(v *coordpb.View, source *promised, promises map[string]*promised) []uint64 {
+	var ready, ending, lacking []*coordpb.Member
+	for _, m := range v.Members {
+		if m.Identity == source.from.Identity {
 			continue
 		}
-		at := slices.IndexFunc(spare, func(s *coordpb.Member) bool { return s.Address == m.Address })
-		if at < 0 && d.replaced(m) && len(spare) > 0 {
-			at = 0
-		}
-		if at >= 0 {
-			members[i] = spare[at]
-			spare = slices.Delete(spare, at, at+1)
+		at, position := d.standingNow(m, promises)
+		inChain := slices.Contains(d.view.Chain, m.Identity)
+		switch {
+		case at == leaving:
+			ending = append(ending, m)
+		case at == fit && (inChain || behind(position, source.Position) == 0):
+			ready = append(ready, m)
+		case at == fit:
+			lacking = append(lacking, m)
 		}
 	}
-	for len(members) < Target(d.c.Tolerance) && len(spare) > 0 {
-		members = append(members, spare[0])
-		spare = spare[1:]
+	lists := [][]uint64{{source.from.Identity}}
+	for _, list := range [][]*coordpb.Member{ready, ending, lacking} {
+		slices.SortStableFunc(list, d.order)
+		lists = append(lists, identities(list))
 	}
-	return members
+	lists[0] = append(lists[0], lists[1]...)
+	return longEnough(LeastChain(len(v.Members), d.c.Tolerance), lists[0], lists[2], lists[3])
 }
 
-// standBy are the processes that may become members: fit for a while, and none yet.
-func (d *Decider) standBy() []*coordpb.Member {
-	var all []*coordpb.Member
-	for _, m := range d.candidates() {
-		if MemberOf(d.view, m.Identity) != nil || m.Identity == d.c.Self.Identity {
-			continue
-		}
-		if p := d.peers[m.Address]; d.now-p.since >= settledAfter {
-			all = append(all, m)
-		}
+func identities(members []*coordpb.Member) (all []uint64) {
+	for _, m := range members {
+		all = append(all, m.Identity)
 	}
 	return all
 }
 
-// lost tells that a member can't be heard of, or that its address has another life by now.
-func (d *Decider) lost(m *coordpb.Member) bool {
-	if m.Identity == d.c.Self.Identity {
-		return false
-	}
-	p := d.peers[m.Address]
-	if p == nil {
-		return d.now-d.began >= suspectAfter
+// standingNow is how far a member of the next view can be counted on, and its position: as it promised, or for one that had no vote as
+// was heard of it. A member that did not promise is left out.
+func (d *Decider) standingNow(m *coordpb.Member, promises map[string]*promised) (standing, *coordpb.Position) {
+	if p := promises[m.Address]; p != nil && p.from.Identity == m.Identity {
+		return p.standing(), p.Position
 	}
-	return p.member.Identity != m.Identity || !d.alive(p)
-}
-
-// replaced tells that a member has been gone for so long that another process may take its place.
-func (d *Decider) replaced(m *coordpb.Member) bool {
-	p := d.peers[m.Address]
-	if p == nil {
-		return d.now-d.began >= replaceAfter
+	if MemberOf(d.view, m.Identity) != nil {
+		return gone, nil
 	}
-	return p.member.Identity != m.Identity || d.now-p.heard >= replaceAfter
-}
-
-// chain is the chain of the next view: the source first, then all others that are fit.
-func (d *Decider) chain(v *coordpb.View, source *coordpb.Member, promises map[string]*promised) []uint64 {
-	rest := slices.DeleteFunc(slices.Clone(v.Members), func(m *coordpb.Member) bool {
-		if m.Identity == source.Identity {
-			return true
-		}
-		if p := promises[m.Address]; p != nil && p.from.Identity == m.Identity {
-			return !p.Healthy
-		}
-		return MemberOf(d.view, m.Identity) != nil || !d.fitIdentity(m.Identity)
-	})
-	slices.SortStableFunc(rest, d.order)
-	chain := []uint64{source.Identity}
-	for _, m := range rest {
-		chain = append(chain, m.Identity)
-	}
-	return chain
+	return d.standingOfIdentity(m.Identity), d.positionOf(m.Identity)
 }
 
 func sameMembers(a, b []*coordpb.Member) bool {
 	return slices.EqualFunc(a, b, func(x, y *coordpb.Member) bool { return x.Identity == y.Identity && x.Address == y.Address })
 }
 
-// wanted tells whether another view is called for.
-func (d *Decider) wanted() bool {
-	if d.view.Epoch == 0 {
-		return d.mayFound()
-	}
-	if d.IsSealed() && d.now >= d.sealedAt+sealedFor || d.status.Stuck {
-		return true
-	}
-	fit := 0
-	settled := true
-	for _, m := range d.view.Members {
-		inChain := slices.Contains(d.view.Chain, m.Identity)
-		if !d.fitIdentity(m.Identity) {
-			settled = settled && !inChain
-			continue
-		}
-		fit++
-		if p := d.peers[m.Address]; !inChain && (p == nil || d.now-p.since >= settledAfter) {
-			settled = false
-		}
-	}
-	if !settled && fit >= LeastChain(len(d.view.Members), d.c.Tolerance) && fit >= Majority(len(d.view.Members)) {
-		return true
-	}
-	return fit >= Majority(len(d.view.Members)) && d.complete() && !sameMembers(d.members(nil), d.view.Members)
-}
-
-// complete tells whether so many are known to have completed the present epoch that the members may change.
-func (d *Decider) complete() bool {
-	complete := 0
-	for _, identity := range d.view.Chain {
-		position := d.status.Position
-		if identity != d.c.Self.Identity {
-			p := d.peerOf(identity)
-			if p == nil || !d.alive(p) {
-				continue
-			}
-			position = p.position
-		}
-		if position.GetStateEpoch() == d.view.Epoch {
-			complete++
-		}
-	}
-	return complete >= LeastChain(len(d.view.Members), d.c.Tolerance)
-}
-
 // mayFound tells whether the first view may be proposed: enough processes are there and nobody new has come for a while, or it has
 // been waited for long enough.
 func (d *Decider) mayFound() bool {
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -28,13 +28,18 @@
 	replaceAfter   = 1500 * time.Millisecond // without a heartbeat a member may be replaced by a process that stands by
 	foundAfter     = 400 * time.Millisecond  // nobody new was heard of for so long
 	foundAtLast    = 3 * time.Second         // then with those that are there
+	replaceUnfit   = 3 * time.Second         // nor can one be counted on whose disk fails for so long
 	staggered      = 250 * time.Millisecond  // a member proposes later by so much for each one before it
 	collectFor     = 80 * time.Millisecond   // for promises beyond a majority
-	giveUpAfter    = 600 * time.Millisecond  // a proposal without an answer
+	collectAtMost  = 140 * time.Millisecond  // for those of members that live
+	giveUpAfter    = 600 * time.Millisecond  // a proposal of which neither half has succeeded; twice as long after each in vain
+	mostGiveUp     = 2400 * time.Millisecond
 	mostBackoff    = 400 * time.Millisecond
 	sealedFor      = 700 * time.Millisecond // sealed without a view to follow: proposes itself
 	fewestMembers  = 3                      // voted for where there are as many
 	leastApart     = 100 * time.Millisecond // between two views, for what is known of the processes to follow
+	joinAgain      = 500 * time.Millisecond // a member may join after a view that did not change the chain; twice as long after each more
+	mostJoinAgain  = 16 * time.Second
 	mostPeers      = 256
 )
 
@@ -99,8 +104,9 @@
 	healthy  bool
 	founder  bool
 	leaving  bool
-	eligible bool // it may be a member
-	hears    bool // it has heard of this process of late
+	eligible bool          // it may be a member
+	hears    bool          // it has heard of this process of late
+	unfit    time.Duration // since then its storage fails, 0 for not at all
 }
 
 // Decider is one process's.
@@ -126,6 +132,8 @@
 	notUntil time.Duration // the next proposal
 	round    uint64        // the greatest seen
 	proposal *proposal
+	inVain   int // proposals of this process since the last view
+	same     int // views since the chain has changed
 }
 
 // New returns the Decider of a process that starts now.
@@ -291,6 +299,12 @@
 		p.since = d.now
 	}
 	p.heard, p.epoch, p.healthy, p.founder, p.leaving, p.eligible = d.now, h.Epoch, h.Healthy, h.Founder, h.Leaving, h.Eligible
+	switch {
+	case h.Healthy:
+		p.unfit = 0
+	case p.unfit == 0:
+		p.unfit = d.now
+	}
 	p.hears = slices.Contains(h.Heard, d.c.Self.Identity)
 	if p.position = h.Position; p.position == nil {
 		p.position = &coordpb.Position{}
@@ -303,47 +317,17 @@
 	}
 }
 
-// alive tells that a peer was heard of in time, and that it hears this process.
-func (d *Decider) alive(p *peer) bool { return p.member != nil && d.now-p.heard < suspectAfter }
-
-// fit tells that a peer may be in a chain: it lives, hears this process, its storage works, and it is not about to end. Whether it hears
-// this process is known some time after the first word of it.
-func (d *Decider) fit(p *peer) bool {
-	hears := p.hears || d.now-p.since < suspectAfter
-	return d.alive(p) && hears && p.healthy && !p.leaving
-}
-
-// peerOf returns the peer with an identity, nil for none.
-func (d *Decider) peerOf(identity uint64) *peer {
-	for _, p := range d.peers {
-		if p.member.Identity == identity {
-			return p
-		}
-	}
-	return nil
-}
-
-// fitIdentity tells whether a process, this one among them, may be in a chain.
-func (d *Decider) fitIdentity(identity uint64) bool {
-	if identity == d.c.Self.Identity {
-		return d.status.Healthy && !d.status.Leaving
-	}
-	p := d.peerOf(identity)
-	if p == nil {
-		m := MemberOf(d.view, identity)
-		known := m != nil && d.peers[m.Address] != nil // in another life
-		return !known && d.now-d.began < suspectAfter
-	}
-	return d.fit(p)
-}
-
 // learn takes up a view that was decided.
 func (d *Decider) learn(v *coordpb.View) {
 	if v == nil || v.Epoch <= d.view.Epoch {
 		return
 	}
+	d.same++
+	if !sameIdentities(v.Chain, d.view.Chain) {
+		d.same = 0
+	}
 	d.view, d.learnedAt = proto.Clone(v).(*coordpb.View), d.now
-	d.promised, d.acceptedBallot, d.acceptedView, d.proposal, d.sealedAt, d.wantAt = nil, nil, nil, nil, 0, 0
+	d.promised, d.acceptedBallot, d.acceptedView, d.proposal, d.sealedAt, d.wantAt, d.inVain = nil, nil, nil, nil, 0, 0, 0
 	d.notUntil = d.now + leastApart
 	d.do(Write{&coordpb.Record{Body: &coordpb.Record_Learned{Learned: d.view}}})
 	d.do(Decided{d.view})
--- a/coord/view/view_test.go
+++ b/coord/view/view_test.go
@@ -208,7 +208,7 @@
 	v.MembersSince = 4
 	d := decider(v)
 	is.True(d.source(promises(map[int]*coordpb.Position{0: position(2, 9), 1: position(1, 3)})) == nil)
-	is.Equal(d.source(promises(map[int]*coordpb.Position{0: position(3, 9), 1: position(1, 3)})).Address, "m0")
+	is.Equal(d.source(promises(map[int]*coordpb.Position{0: position(3, 9), 1: position(1, 3)})).from.Address, "m0")
 }
 
 // A member that is gone for good is replaced by a process that stands by, once enough have completed the epoch; one at the same address, whose
@@ -226,9 +226,9 @@
 		}
 	}
 	run(3*time.Second, 1, 2, 3)
-	is.True(sameMembers(d.members(nil), d.view.Members)) // nobody is gone
+	is.True(sameMembers(d.members(nil, leaving), d.view.Members)) // nobody is gone
 	run(6*time.Second, 1, 3)
-	changed := d.members(nil)
+	changed := d.members(nil, leaving)
 	is.Equal(changed[2].Identity, uint64(103))
 	is.Equal(d.next(promises(map[int]*coordpb.Position{0: position(2, 1), 1: position(2, 1)})).MembersSince, uint64(1)) // not complete
 	next := d.next(promises(map[int]*coordpb.Position{0: position(3, 1), 1: position(3, 1)}))
@@ -241,7 +241,127 @@
 		d.Receive(now, wiped)
 		d.Receive(now, heartbeat(2, 3))
 	}
-	is.Equal(d.members(nil)[1].Identity, uint64(999))
+	is.Equal(d.members(nil, leaving)[1].Identity, uint64(999))
+}
+
+// leavingBeat is a heartbeat of a member that is about to end.
+func leavingBeat(i int, epoch uint64) *coordpb.Message {
+	m := heartbeat(i, epoch)
+	m.GetHeartbeat().Leaving = true
+	return m
+}
+
+// beats gives a decider heartbeats of others for a second, the last of them at now.
+func beats(d *Decider, now time.Duration, all ...*coordpb.Message) {
+	for at := now - time.Second; at <= now; at += 100 * time.Millisecond {
+		for _, m := range all {
+			d.Receive(at, m)
+		}
+	}
+}
+
+// The seat of a member that is about to end goes to one that has the state, while the member still votes and as long as enough others have
+// the state; and the member may end once that is done.
+func TestLeaver(t *testing.T) {
+	lagging := heartbeat(3, 0)
+	lagging.GetHeartbeat().Position = &coordpb.Position{}
+	for name, c := range map[string]struct {
+		beats    []*coordpb.Message
+		promises map[int]*coordpb.Position
+		members  []uint64
+		chain    []uint64
+	}{
+		"a stand-by has the state":       {[]*coordpb.Message{heartbeat(1, 3), leavingBeat(2, 3), heartbeat(3, 3)}, map[int]*coordpb.Position{0: position(3, 9), 1: position(3, 9), 2: position(3, 9)}, []uint64{100, 101, 103}, []uint64{100, 101, 103}},
+		"nobody stands by":               {[]*coordpb.Message{heartbeat(1, 3), leavingBeat(2, 3)}, map[int]*coordpb.Position{0: position(3, 9), 1: position(3, 9), 2: position(3, 9)}, []uint64{100, 101, 102}, []uint64{100, 101}},
+		"another one is gone":            {[]*coordpb.Message{leavingBeat(2, 3), heartbeat(3, 3)}, map[int]*coordpb.Position{0: position(3, 9), 2: position(3, 9)}, []uint64{100, 103, 102}, []uint64{100, 103}},
+		"another one is gone, no spare":  {[]*coordpb.Message{leavingBeat(2, 3)}, map[int]*coordpb.Position{0: position(3, 9), 2: position(3, 9)}, []uint64{100, 101, 102}, []uint64{100, 102}},
+		"it alone has all":               {[]*coordpb.Message{heartbeat(1, 3), leavingBeat(2, 3), heartbeat(3, 3)}, map[int]*coordpb.Position{0: position(3, 8), 1: position(3, 8), 2: position(3, 9)}, []uint64{100, 101, 102}, []uint64{102, 100, 101}},
+		"too few others have completed":  {[]*coordpb.Message{heartbeat(1, 3), leavingBeat(2, 3), heartbeat(3, 3)}, map[int]*coordpb.Position{0: position(3, 9), 1: position(2, 8), 2: position(3, 9)}, []uint64{100, 101, 102}, []uint64{100, 101}},
+		"the stand-by lacks the changes": {[]*coordpb.Message{heartbeat(1, 3), leavingBeat(2, 3), lagging}, map[int]*coordpb.Position{0: position(3, 900), 1: position(3, 900), 2: position(3, 900)}, []uint64{100, 101, 102}, []uint64{100, 101}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := decider(viewOf(3, 3))
+			d.SetStatus(Status{Position: c.promises[0], Healthy: true})
+			beats(d, 4*time.Second, c.beats...)
+			all := promises(c.promises)
+			all[member(2).Address].Leaving, all[member(2).Address].Healthy = true, false
+			next := d.next(all)
+			is.Equal(identities(next.GetMembers()), c.members)
+			is.Equal(next.GetChain(), c.chain)
+		})
+	}
+}
+
+// A process that is told to end may do so once enough others have the state, and none stands by that could take its seat.
+func TestMayEnd(t *testing.T) {
+	behindOne := heartbeat(2, 2)
+	for name, c := range map[string]struct {
+		members int // of the view
+		self    int
+		beats   []*coordpb.Message
+		may     bool
+	}{
+		"the others have all":            {3, 0, []*coordpb.Message{heartbeat(1, 3), heartbeat(2, 3)}, true},
+		"one of them does not":           {3, 0, []*coordpb.Message{heartbeat(1, 3), behindOne}, false},
+		"one of them is gone":            {3, 0, []*coordpb.Message{heartbeat(1, 3)}, false},
+		"its seat is still its own":      {3, 0, []*coordpb.Message{heartbeat(1, 3), heartbeat(2, 3), heartbeat(3, 3)}, false},
+		"its seat was taken":             {3, 3, []*coordpb.Message{heartbeat(0, 3), heartbeat(1, 3), heartbeat(2, 3)}, true},
+		"its seat was taken, not synced": {3, 3, []*coordpb.Message{heartbeat(0, 3), behindOne}, false},
+		"all end":                        {3, 0, []*coordpb.Message{leavingBeat(1, 2), leavingBeat(2, 2)}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := New(Config{Self: member(c.self), Seeds: seeds, Core: true, Tolerance: 1, View: viewOf(3, c.members)}, 0)
+			d.SetStatus(Status{Position: position(3, 0), Healthy: true, Leaving: true})
+			beats(d, 4*time.Second, c.beats...)
+			is.Equal(d.MayEnd(), c.may)
+		})
+	}
+}
+
+// As many members may be lost as leave a majority and a whole copy.
+func TestBears(t *testing.T) {
+	for name, c := range map[string]struct {
+		beats []*coordpb.Message
+		want  int
+	}{
+		"all are well":         {[]*coordpb.Message{heartbeat(1, 3), heartbeat(2, 3)}, 1},
+		"one is gone":          {[]*coordpb.Message{heartbeat(1, 3)}, 0},
+		"one is about to end":  {[]*coordpb.Message{heartbeat(1, 3), leavingBeat(2, 3)}, 0},
+		"one lacks the state":  {[]*coordpb.Message{heartbeat(1, 3), heartbeat(2, 2)}, 1},
+		"only this one has it": {[]*coordpb.Message{heartbeat(1, 2), heartbeat(2, 2)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := decider(viewOf(3, 3))
+			d.SetStatus(Status{Position: position(3, 0), Healthy: true})
+			beats(d, 4*time.Second, c.beats...)
+			is.Equal(d.Bears(), c.want)
+		})
+	}
+}
+
+// A member that seems fit and did not answer in time is asked more and more seldom: each time is another view.
+func TestJoinsAgain(t *testing.T) {
+	is := is.New(t)
+	two := viewOf(3, 3)
+	two.Chain = two.Chain[:2]
+	d := decider(two)
+	now := 4 * time.Second
+	beats(d, now, heartbeat(1, 3), heartbeat(2, 3))
+	is.True(d.mayJoin())
+	for _, wait := range []time.Duration{joinAgain, 2 * joinAgain, 4 * joinAgain} {
+		next := viewOf(d.view.Epoch+1, 3)
+		next.Chain = next.Chain[:2]
+		d.learn(next)
+		d.now += wait - time.Millisecond
+		is.True(!d.mayJoin())
+		d.now += time.Millisecond
+		is.True(d.mayJoin())
+	}
+	d.learn(viewOf(d.view.Epoch+1, 3))
+	is.True(d.mayJoin()) // it has joined
 }
 
 // A shard stays with its owner while that is in the chain; the others go to those with the fewest, who wait until the owner before can't act.
@@ -285,7 +405,7 @@
 // A failover: a member that falls silent is out of the chain within the sum of the periods, which stays under the bounds of the smallest
 // deployments (contact 3 s, acknowledgement 4 s).
 func TestPeriods(t *testing.T) {
-	worst := suspectAfter + HeartbeatEvery + staggered + collectFor
+	worst := suspectAfter + HeartbeatEvery + staggered + collectAtMost
 	if worst > 1500*time.Millisecond {
 		t.Errorf("a failover may take %v", worst)
 	}
--- a/coord/view/vote.go
+++ b/coord/view/vote.go
@@ -27,8 +27,8 @@
 	}
 	d.promise(p.Ballot)
 	d.send(from.Address, &coordpb.Message{Body: &coordpb.Message_Promise{Promise: &coordpb.Promise{Instance: p.Instance, Ballot: p.Ballot,
-		AcceptedBallot: d.acceptedBallot, AcceptedView: d.acceptedView, Position: d.status.Position, Healthy: d.status.Healthy && !d.status.Leaving, Answered: d.status.Answered,
-		IdleMs: uint64(d.status.Idle.Milliseconds())}}})
+		AcceptedBallot: d.acceptedBallot, AcceptedView: d.acceptedView, Position: d.status.Position, Healthy: d.status.Healthy && !d.status.Leaving, Leaving: d.status.Leaving,
+		Answered: d.status.Answered, IdleMs: uint64(d.status.Idle.Milliseconds())}}})
 }
 
 // takeAccept votes for a view.
@@ -49,8 +49,8 @@
 
 // promise takes up a ballot, and seals the present epoch.
 func (d *Decider) promise(b *coordpb.Ballot) {
+	d.sealedAt = d.now // an agreement goes on
 	if d.promised == nil {
-		d.sealedAt = d.now
 		d.do(Sealed{})
 	}
 	if d.promised == nil || less(d.promised, b) {
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -167,6 +167,8 @@
 	if r.Replica == nil {
 		return
 	}
+	f.gauge("register_bears", "Machines of the register more that may be lost at once, as this one knows it.").sample(float64(r.Replica.Bears))
+	f.gauge("register_tolerance_short_seconds", "Time for which fewer machines may be lost than are to be borne; absent where all is well.").age(r.Replica.ShortS)
 	f.gauge("register_sequence", "The last change that this machine has.").sample(float64(r.Replica.Sequence))
 	f.gauge("storage_healthy", "1 while what this machine writes gets to its disk in time.").sample(truth(r.Replica.Healthy))
 	f.gauge("register_confirmed_age_seconds", "Time since a majority confirmed the epoch.").age(r.Replica.ConfirmedS)
--- a/internal/system/roles/node/status.go
+++ b/internal/system/roles/node/status.go
@@ -170,10 +170,14 @@
 
 // fillReplica fills in what a replica knows: how it stands, and what it heard of the other machines.
 func fillReplica(s *status.Register, in register.Inspection) {
-	self := &status.Replica{Identity: identityText(in.Identity), Sequence: in.Position.GetSequence(), Healthy: in.Healthy, Shards: in.Shards}
+	self := &status.Replica{Identity: identityText(in.Identity), Sequence: in.Position.GetSequence(), Healthy: in.Healthy, Shards: in.Shards,
+		Bears: in.Bears, Tolerance: in.Tolerance}
 	if in.Confirmed {
 		self.ConfirmedS = age(in.ConfirmedAge)
 	}
+	if in.Short {
+		self.ShortS = age(in.ShortFor)
+	}
 	s.Replica = self
 	s.Epoch = in.View.GetEpoch()
 	s.Machines, s.Shards = machineStatus(in.View), shardStatus(in.View)
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -136,6 +136,9 @@
 	Healthy    bool     `json:"healthy"`    // what it writes gets to its disk in time
 	ConfirmedS *float64 `json:"confirmedS"` // a majority confirmed its epoch so long ago; null where it may not act
 	Shards     int      `json:"shards"`     // of the duties
+	Bears      int      `json:"bears"`      // machines more that may be lost at once, as this one knows it
+	Tolerance  int      `json:"tolerance"`  // as many as are to be
+	ShortS     *float64 `json:"shortS"`     // for so long fewer may be lost; null where all is well
 }
 
 // Machine is one that may be a member of the register.
