--- a/coord/simulation/history.go
+++ b/coord/simulation/history.go
@@ -41,6 +41,16 @@
 // Acknowledged is the greatest version that was acknowledged.
 func (h *History) Acknowledged() int { return h.acknowledged }
 
+// triedSince is how many orders were begun between two times.
+func (h *History) triedSince(from, until time.Duration) (n int) {
+	for i := len(h.calls) - 1; i >= 0 && h.calls[i].began > from; i-- {
+		if x := h.calls[i]; x.order != nil && x.began <= until {
+			n++
+		}
+	}
+	return n
+}
+
 // Newest is the greatest epoch that any process has learnt of.
 func (h *History) Newest() uint64 {
 	last := uint64(0)
--- /dev/null
+++ b/internal/system/deciders/configuration/replicated_test.go
@@ -0,0 +1,312 @@
+package configuration_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"reachspread/coord/chain"
+	"reachspread/coord/faultplan"
+	"reachspread/coord/simulation"
+	"reachspread/internal/system/deciders/configuration"
+	"reachspread/internal/system/message"
+)
+
+var (
+	replicatedSchedules = flag.Int("replicated", 12, "drawn schedules of the configuration's store that are played of each kind")
+	showReplicated      = flag.Bool("replicated-show", false, "tell what happens")
+)
+
+// replicated is the store of the control plane as a simulation plays it. Each order is a whole configuration, or a change of items.
+type replicated struct {
+	routes int // that each configuration has beside the one that names its order
+}
+
+// New implements simulation.Application.
+func (replicated) New() chain.Machine { return configuration.NewStore() }
+
+// Version implements simulation.Application.
+func (replicated) Version(m chain.Machine) int {
+	state, _ := m.Value().(*configuration.State)
+	return int(state.Version())
+}
+
+// Order implements simulation.Application: a PATCH where the version is odd and there is something to change.
+func (r replicated) Order(o simulation.Order) []byte {
+	order := &message.Order{Kind: message.Order_PUT, IfMatch: int64(o.On), Body: r.document(o)}
+	if o.On > 0 && o.Next%2 == 1 {
+		order.Kind = message.Order_PATCH
+		order.Body = patchOf(o)
+	}
+	text, _ := proto.Marshal(order)
+	return text
+}
+
+const (
+	serviceName = "s"
+	nameMark    = "|"
+)
+
+// patchOf is a change of the route that names its order.
+func patchOf(o simulation.Order) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"upsert":{"routes":[%s]}}`, o.Next, routeOf(o.Name))
+}
+
+// routeOf is the route that carries an order's name.
+func routeOf(name string) string {
+	return fmt.Sprintf(`{"name":"maker","host":"maker.example","pathPrefix":"/%s%s%s/","kind":"safe","timeoutMs":1000,"service":%q,"maxAttempts":1}`,
+		nameMark, name, nameMark, serviceName)
+}
+
+// document is a whole configuration, made by an order.
+func (r replicated) document(o simulation.Order) []byte {
+	routes := []string{routeOf(o.Name)}
+	for i := range r.routes {
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"h%d.example","pathPrefix":"/p%d/","kind":"safe","timeoutMs":1000,"service":%q,"maxAttempts":2}`, i, i, i, serviceName))
+	}
+	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":%q,"healthCheckPath":"/h","connectionLimit":10}],`+
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4096,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, o.Next, strings.Join(routes, ","), serviceName)
+}
+
+// NameOf implements simulation.Application.
+func (replicated) NameOf(change []byte) string {
+	in := &message.Change{}
+	if proto.Unmarshal(change, in) != nil {
+		return ""
+	}
+	parts := strings.SplitN(string(in.Order.GetBody()), nameMark, 3)
+	if len(parts) < 3 {
+		return ""
+	}
+	return parts[1]
+}
+
+// Outcome implements simulation.Application, as the control API tells it to an operator.
+func (replicated) Outcome(reply []byte) (simulation.Outcome, error) {
+	out := &message.OrderReply{}
+	if err := proto.Unmarshal(reply, out); err != nil {
+		return simulation.Outcome{}, err
+	}
+	o := simulation.Outcome{Version: int(out.Version)}
+	switch {
+	case out.Status == http.StatusOK:
+		o.Verdict = simulation.Taken
+	case out.Status == http.StatusPreconditionFailed:
+		o.Verdict = simulation.Refused
+	case out.Status < http.StatusInternalServerError:
+		return o, fmt.Errorf("a proper order is answered %d: %s", out.Status, out.Text)
+	}
+	return o, nil
+}
+
+const (
+	storeFaultsFor = 30 * time.Second
+	storeRecovery  = 17 * time.Second
+	storeCalls     = 150 * time.Millisecond
+	largeCalls     = time.Second // each read of 170 kB takes 0.14 s of the tail's link
+)
+
+// playStore plays the store under drawn faults, on links of a bandwidth.
+func playStore(seed uint64, machines, tolerance, routes, bandwidth int, overlap bool, trace func(string, ...any)) *simulation.World {
+	w := simulation.New(simulation.Options{Seed: seed, Machines: machines, Tolerance: tolerance, Application: replicated{routes}, Bandwidth: bandwidth, Trace: trace})
+	w.StartAll()
+	d := w.Draw(simulation.Kinds(), storeFaultsFor, overlap)
+	for i := range 2 {
+		c := w.NewClient(seed%2 == 0)
+		if seed%2 == 1 && i == 0 {
+			c.BuildAhead()
+		}
+		if bandwidth > 0 {
+			c.Loop(largeCalls)
+		} else {
+			c.Loop(storeCalls)
+		}
+	}
+	w.Run(storeFaultsFor)
+	for w.Fault == nil && w.Now < d.Ends() {
+		w.Run(d.Ends())
+	}
+	w.Run(w.Now + storeRecovery)
+	if w.Fault == nil && w.Now-w.History.LastTaken > storeRecovery/2 {
+		w.Fail("no order was acknowledged since %v", w.History.LastTaken)
+	}
+	w.CheckEnd()
+	w.CheckHistory()
+	return w
+}
+
+// The store of the control plane under whatever is drawn of the kinds of faults that the operators' bench has: whole configurations and
+// changes of items, small ones and some of 170 kB over links of 10 Mbit/s.
+func TestReplicatedStore(t *testing.T) {
+	for _, c := range []struct {
+		name                         string
+		machines, tolerance          int
+		routes, bandwidth, schedules int
+		overlap                      bool
+	}{
+		{"three machines", 3, 1, 2, 0, *replicatedSchedules, false},
+		{"six machines", 6, 2, 2, 0, *replicatedSchedules, false},
+		{"more than tolerated", 3, 1, 2, 0, *replicatedSchedules, true},
+		{"large, 10 Mbit/s", 3, 1, 1200, 10_000_000 / 8, max(*replicatedSchedules/6, 1), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var orders, reads atomic.Int64
+			var trace func(string, ...any)
+			if *showReplicated {
+				trace = t.Logf
+			}
+			faultplan.Parallel(c.schedules, func(i int) {
+				w := playStore(uint64(i+1), c.machines, c.tolerance, c.routes, c.bandwidth, c.overlap, trace)
+				if w.Fault != nil {
+					t.Errorf("seed %d: %v", i+1, w.Fault)
+				}
+				orders.Add(int64(w.History.Orders))
+				reads.Add(int64(w.History.Reads))
+			})
+			t.Logf("%d schedules: %d orders acknowledged, %d reads", c.schedules, orders.Load(), reads.Load())
+			is.True(int(orders.Load()) > 10*c.schedules)
+		})
+	}
+}
+
+// A member that was away during hundreds of changes to a large configuration is back in the chain within the time that the operators give
+// it, over a link of 10 Mbit/s, with a disk that is 30 times slower than usual, and though it is killed in the middle of the snapshot.
+func TestCatchesUp(t *testing.T) {
+	const (
+		routes  = 1200 // 170 kB
+		changes = 300
+		away    = 20 * time.Second
+		inTime  = 4 * time.Second
+	)
+	for _, c := range []struct {
+		name   string
+		faults func(w *simulation.World, back *simulation.Process)
+		within time.Duration
+	}{
+		{"nothing else", func(*simulation.World, *simulation.Process) {}, inTime},
+		{"a slow disk", func(_ *simulation.World, back *simulation.Process) { back.SlowDisk(30*time.Millisecond, time.Minute) }, inTime},
+		{"killed again and again", func(w *simulation.World, back *simulation.Process) {
+			for i := range 3 {
+				w.After(time.Duration(i+1)*150*time.Millisecond, back.Crash)
+				w.After(time.Duration(i+1)*150*time.Millisecond+50*time.Millisecond, back.Start)
+			}
+		}, inTime + time.Second},
+		{"its disk is gone", func(_ *simulation.World, back *simulation.Process) {}, inTime},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := simulation.New(simulation.Options{Seed: 3, Machines: 3, Tolerance: 1, Application: replicated{routes}, Bandwidth: 10_000_000 / 8, Sync: time.Millisecond})
+			w.StartAll()
+			w.NewClient(true).Loop(20 * time.Millisecond)
+			w.Run(3 * time.Second)
+			back := w.Nodes[0]
+			back.Crash()
+			w.Run(3*time.Second + away)
+			for w.Fault == nil && w.History.Orders < changes && w.Now < 5*time.Minute {
+				w.Run(w.Now + time.Second)
+			}
+			is.True(w.History.Orders >= changes)
+			if c.name == "its disk is gone" {
+				back.Wipe()
+			}
+			began := w.Now
+			back.Start()
+			c.faults(w, back)
+			for w.Fault == nil && w.Now < began+2*c.within && !inChain(w.Nodes[1], back) {
+				w.Run(w.Now + 20*time.Millisecond)
+			}
+			is.NoErr(w.Fault)
+			t.Logf("in the chain after %v", w.Now-began)
+			is.True(inChain(w.Nodes[1], back))
+			is.True(w.Now-began <= c.within)
+			w.CheckEnd()
+			is.NoErr(w.Fault)
+		})
+	}
+}
+
+// inChain tells whether a process is in the chain of the last view, by what another one knows, and has completed it.
+func inChain(other, p *simulation.Process) bool {
+	v := other.Core.View()
+	if !p.Up() || p.Core.View().Epoch != v.Epoch {
+		return false
+	}
+	for _, m := range v.Members {
+		if m.Address != p.Address {
+			continue
+		}
+		for _, identity := range v.Chain {
+			if identity == m.Identity {
+				return p.Core.Position().StateEpoch == v.Epoch
+			}
+		}
+	}
+	return false
+}
+
+// orderOn is an order of one operator on a version.
+func orderOn(on, next int64, name string) []byte {
+	text, _ := proto.Marshal(&message.Order{Kind: message.Order_PUT, IfMatch: on,
+		Body: replicated{1}.document(simulation.Order{Name: name, On: int(on), Next: int(next)})})
+	return text
+}
+
+// decide has a store decide on an order, and make the change.
+func decide(t *testing.T, s *configuration.Store, order []byte) *message.OrderReply {
+	t.Helper()
+	change, reply := s.Decide(order)
+	if change != nil {
+		s.Apply(change)
+	}
+	out := &message.OrderReply{}
+	if err := proto.Unmarshal(reply, out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// An order that was taken is acknowledged again after hundreds of later ones, after a snapshot, and up to the bound on what is remembered; two
+// operators who send the same bytes are both told that they were taken; of two different changes on one version one is refused.
+func TestSentAgain(t *testing.T) {
+	is := is.New(t)
+	s := configuration.NewStore()
+	is.Equal(decide(t, s, orderOn(0, 1, "first")).Status, int32(http.StatusOK))
+	is.Equal(decide(t, s, orderOn(0, 1, "first")).Status, int32(http.StatusOK)) // the other operator
+	is.Equal(decide(t, s, orderOn(0, 1, "rival")).Status, int32(http.StatusPreconditionFailed))
+	for v := int64(1); v < 700; v++ {
+		is.Equal(decide(t, s, orderOn(v, v+1, "later")).Status, int32(http.StatusOK))
+	}
+	is.Equal(decide(t, s, orderOn(0, 1, "first")).Status, int32(http.StatusOK))
+	restored := configuration.NewStore()
+	is.NoErr(restored.Restore(s.Snapshot()))
+	is.Equal(decide(t, restored, orderOn(0, 1, "first")).Status, int32(http.StatusOK))
+	is.Equal(decide(t, restored, orderOn(0, 1, "rival")).Status, int32(http.StatusPreconditionFailed))
+	for v := int64(700); v < configuration.MostDigests; v++ {
+		decide(t, restored, orderOn(v, v+1, "later"))
+	}
+	is.Equal(decide(t, restored, orderOn(0, 1, "first")).Status, int32(http.StatusOK))                                                      // the last one that is remembered
+	is.Equal(decide(t, restored, orderOn(configuration.MostDigests, configuration.MostDigests+1, "one more")).Status, int32(http.StatusOK)) // and now it is not
+	is.Equal(decide(t, restored, orderOn(0, 1, "first")).Status, int32(http.StatusPreconditionFailed))                                      // as for any old version
+	is.Equal(decide(t, restored, orderOn(1, 2, "later")).Status, int32(http.StatusOK))                                                      // the next one still is
+	is.True(json.Valid(restored.Value().(*configuration.State).JSON()))
+}
+
+// An order on a version to come is neither taken nor refused for good: a copy of it may still be taken.
+func TestBuildsAhead(t *testing.T) {
+	is := is.New(t)
+	s := configuration.NewStore()
+	decide(t, s, orderOn(0, 3, "first"))
+	is.Equal(decide(t, s, orderOn(5, 7, "second")).Status, int32(http.StatusServiceUnavailable))
+	is.Equal(decide(t, s, orderOn(3, 5, "between")).Status, int32(http.StatusOK))
+	is.Equal(decide(t, s, orderOn(5, 7, "second")).Status, int32(http.StatusOK))
+	is.Equal(decide(t, s, orderOn(3, 5, "rival")).Status, int32(http.StatusPreconditionFailed))
+}
