Freshness: when the configuration was confirmed is passed on as a moment, not as an age

Cause: the hub took the age of the register's last confirmation and subtracted it from its own clock in two steps. A process that stands still between the two (a freeze of 20 s, or a share of a core that is spent) would have taken what it knew for younger by as long, and honoured keys that were taken away. Ruled out: the ages that routers tell each other, which count from the sending of the poll; the lease of the duties, which is looked at when it is used. Change: Replica.Confirmed gives the sequence and the moment from one status.

--- a/coord/register/replica.go
+++ b/coord/register/replica.go
@@ -156,13 +156,14 @@
 // Status returns how the replica stood after its last step.
 func (r *Replica) Status() Status { return *r.status.Load() }
 
-// ConfirmedAge is how long ago the state that was committed was the newest one for certain; ok is false where this process can't say.
-func (r *Replica) ConfirmedAge() (age time.Duration, ok bool) {
+// Confirmed is the sequence of the state that was committed, and when that was the newest one for certain; ok is false where this process
+// can't say. The time is a moment and not an age, so that a pause of the process between this call and its use makes nothing look younger.
+func (r *Replica) Confirmed() (sequence uint64, at time.Time, ok bool) {
 	s := r.status.Load()
 	if s.ConfirmedAt < 0 || !s.Readable {
-		return 0, false
+		return 0, time.Time{}, false
 	}
-	return r.now() - s.ConfirmedAt, true
+	return s.Position.GetSequence(), r.start.Add(s.ConfirmedAt), true
 }
 
 // Holds tells whether this process may act on the duties that the view gives it: a majority has confirmed the epoch of late.
--- a/coord/view/propose.go
+++ b/coord/view/propose.go
@@ -60,6 +60,10 @@
 		}
 		return
 	}
+	if d.now < d.lookAt {
+		return
+	}
+	d.lookAt = d.now + lookEvery
 	if !d.mayVote() || !d.status.Healthy || !d.wanted() {
 		d.wantAt = 0
 		return
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -38,6 +38,7 @@
 	sealedFor      = 700 * time.Millisecond // sealed without a view to follow: proposes itself
 	fewestMembers  = 3                      // voted for where there are as many
 	leastApart     = 100 * time.Millisecond // between two views, for what is known of the processes to follow
+	lookEvery      = 20 * time.Millisecond  // whether another view is called for is looked at so often at most
 	joinAgain      = 500 * time.Millisecond // a member may join after a view that did not change the chain; twice as long after each more
 	mostJoinAgain  = 16 * time.Second
 	mostPeers      = 256
@@ -128,6 +129,7 @@
 	peers    map[string]*peer // by address
 	known    []string         // addresses of processes that may be members, as told by the owner
 	beatAt   time.Duration
+	lookAt   time.Duration // the next look at whether another view is called for
 	wantAt   time.Duration // when the wish for another view came up, 0 for none
 	notUntil time.Duration // the next proposal
 	round    uint64        // the greatest seen
--- a/internal/system/roles/node/hub.go
+++ b/internal/system/roles/node/hub.go
@@ -181,8 +181,8 @@
 	if r == nil {
 		return
 	}
-	if age, ok := r.ConfirmedAge(); ok {
-		h.config.confirm(h.now()-age, r.Status().Position.Sequence)
+	if sequence, at, ok := r.Confirmed(); ok {
+		h.config.confirm(at.Sub(h.start), sequence)
 	}
 }
 
