Callers: drawn plays of clients before hosts in trouble; a host's promise or a nameless success is not passed on

Cause, by reading: a host's own 429, 503 or 408 without Not-Executed was passed on as it came, though the request may have run, which a 429 or 503 to a client denies; and a success that names no request was taken for the answer to whatever request was open on the connection. Two expectations of TestFleetJudge change for that: 429 with a seal is no final word any more, and a success needs the request's name as well as the seal. The judge of the plays is shown on ten wrong histories.

--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -64,14 +64,16 @@
 		return Judgement{Result: balance.NotSent, Unfit: true, Final: true}
 	case get(HeaderNotExecuted) != "":
 		return Judgement{Result: balance.Full}
-	case get(HeaderSeal) == "":
-		return Judgement{Result: balance.Error}
+	case get(HeaderSeal) == "" || status/100 == 2 && get(HeaderRequestID) == "":
+		return Judgement{Result: balance.Error} // no answer of a host's, or not known to be this request's
 	case status/100 == 2:
 		return Judgement{Result: balance.OK, Final: true}
 	case status/100 == 4 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
 		return Judgement{Result: balance.Cancelled, Unfit: true, Final: true}
 	}
-	return Judgement{Result: balance.Error, Final: true}
+	// To a client these would promise that the request has not run, which only Not-Executed says.
+	promise := status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	return Judgement{Result: balance.Error, Final: !promise}
 }
 
 // Load implements Dialect.
--- a/internal/protocol/fleet_test.go
+++ b/internal/protocol/fleet_test.go
@@ -15,7 +15,8 @@
 
 // What the head of a host's answer says: only Not-Executed and 421 say that nothing ran, and only what is sealed is the host's word.
 func TestFleetJudge(t *testing.T) {
-	seal := map[string]string{HeaderSeal: "s"}
+	seal := map[string]string{HeaderSeal: "s", HeaderRequestID: "r"}
+	nameless := map[string]string{HeaderSeal: "s"}
 	refused := map[string]string{HeaderNotExecuted: "1"}
 	for _, c := range []struct {
 		status int
@@ -25,9 +26,13 @@
 		{200, seal, Judgement{Result: balance.OK, Final: true}},
 		{204, seal, Judgement{Result: balance.OK, Final: true}},
 		{200, nil, Judgement{Result: balance.Error}},
+		{200, nameless, Judgement{Result: balance.Error}}, // it may be anybody's
+		{500, nameless, Judgement{Result: balance.Error, Final: true}},
 		{500, seal, Judgement{Result: balance.Error, Final: true}},
 		{504, seal, Judgement{Result: balance.Error, Final: true}},
-		{429, seal, Judgement{Result: balance.Error, Final: true}},
+		{429, seal, Judgement{Result: balance.Error}}, // it has run, and these would promise that it has not
+		{503, seal, Judgement{Result: balance.Error}},
+		{408, seal, Judgement{Result: balance.Error}},
 		{404, seal, Judgement{Result: balance.Cancelled, Unfit: true, Final: true}},
 		{500, nil, Judgement{Result: balance.Error}},
 		{503, refused, Judgement{Result: balance.Full}},
--- /dev/null
+++ b/internal/system/dataplane/callers_test.go
@@ -0,0 +1,456 @@
+package dataplane
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// callerPlays is how many drawn plays there are. Each takes two seconds, most of them waiting, and several run at once.
+var callerPlays = flag.Int("caller-plays", 8, "drawn plays of clients before hosts in trouble")
+
+const (
+	drawnClients  = 6
+	drawnCalls    = 10 // of each client, one after the other or some at once
+	drawnDeadline = 700 * time.Millisecond
+	lateAfter     = 500 * time.Millisecond // a request may reach a host so long after its client has left
+	settleFor     = 900 * time.Millisecond // after the last answer, for what still runs
+)
+
+// trouble is what a host does with one request.
+type trouble int
+
+// The troubles of a host.
+const (
+	well trouble = iota
+	inPieces
+	interim
+	extraAnswer   // the answer again, behind itself
+	earlierAnswer // one that belongs to the request before, in front
+	lateAnswer    // one that belongs to this request, again, while the connection is idle
+	resetUnanswered
+	closedUnanswered
+	cutByClose
+	cutByReset
+	noLength
+	noLengthReset
+	garbage
+	nameless
+	notExecuted
+	misdirected
+	ownError
+	falsePromise // 503 of one that has run it
+	silent
+	closesAfter
+	earlyAnswer // before it has read the body, the rest of which it reads later
+	troubles
+)
+
+// caseOf is one request, as it went.
+type caseOf struct {
+	id       string
+	path     string
+	left     time.Time // its client left, zero for never
+	status   int       // 0 for no whole head
+	body     string
+	whole    bool // the answer was complete
+	seal     string
+	answered string // the id that the answer carries
+}
+
+// ledger is what hosts did and clients saw.
+type ledger struct {
+	mu       sync.Mutex
+	runs     map[string]int // by request: how often a host began work on it
+	arrivals map[string][]time.Time
+	bodies   map[string]string // as they reached a host
+	cases    []*caseOf
+}
+
+func newLedger() *ledger {
+	return &ledger{runs: map[string]int{}, arrivals: map[string][]time.Time{}, bodies: map[string]string{}}
+}
+
+func (l *ledger) arrived(id, body string, runs bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals[id] = append(l.arrivals[id], time.Now())
+	l.bodies[id] = body
+	if runs {
+		l.runs[id]++
+	}
+}
+
+func (l *ledger) add(c *caseOf) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cases = append(l.cases, c)
+}
+
+// once tells that a request may run no more than once.
+func (c *caseOf) once() bool { return strings.HasPrefix(c.path, "/unsafe/") }
+
+// bodyFor is what a host answers to a request.
+func bodyFor(id string) string { return "for " + id + strings.Repeat(" .", 40) }
+
+// requestBody is the body of a request.
+func requestBody(id string) string { return "body of " + id + strings.Repeat("-", 300) }
+
+// promises tells that a status says that a request has not run and never will.
+func promises(status int) bool {
+	return slices.Contains([]int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, status)
+}
+
+// judge tells what must not be.
+func (l *ledger) judge() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	asked := map[string]bool{}
+	for _, c := range l.cases {
+		asked[c.id] = true
+		if err := l.judgeCase(c); err != nil {
+			return fmt.Errorf("%s %s: %w", c.path, c.id, err)
+		}
+	}
+	for id, body := range l.bodies {
+		if !asked[id] {
+			return fmt.Errorf("a host got %s, which nobody sent", id)
+		}
+		if body != requestBody(id) {
+			return fmt.Errorf("a host got %q as the body of %s", body, id)
+		}
+	}
+	return nil
+}
+
+func (l *ledger) judgeCase(c *caseOf) error {
+	runs := l.runs[c.id]
+	switch {
+	case c.once() && runs > 1:
+		return fmt.Errorf("it ran %d times", runs)
+	case c.once() && promises(c.status) && runs > 0:
+		return fmt.Errorf("its client was told %d, and it ran", c.status)
+	case c.answered != "" && c.answered != c.id:
+		return fmt.Errorf("its client got the answer to %s", c.answered)
+	}
+	if c.status/100 == 2 && c.whole && (c.body != bodyFor(c.id) || c.seal == "") {
+		return fmt.Errorf("its client got %q with the seal %q as a complete answer", c.body, c.seal)
+	}
+	if c.left.IsZero() {
+		return nil
+	}
+	for _, at := range l.arrivals[c.id] {
+		if late := at.Sub(c.left); late > lateAfter {
+			return fmt.Errorf("it reached a host %v after its client had left", late)
+		}
+	}
+	return nil
+}
+
+// drawnHost misbehaves as it is drawn.
+type drawnHost struct {
+	id     string
+	ledger *ledger
+	mu     sync.Mutex
+	rng    *rand.Rand
+	before string // the request before, on any connection
+}
+
+func (h *drawnHost) draw(n int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rng.IntN(n)
+}
+
+// listen serves until the test ends.
+func (h *drawnHost) listen(t *testing.T) *host {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go h.serve(c.(*net.TCPConn))
+		}
+	}()
+	return &host{id: h.id, addr: ln.Addr().String()}
+}
+
+// idleTime is how long a host keeps an idle connection.
+const idleTime = 150 * time.Millisecond
+
+func (h *drawnHost) serve(c *net.TCPConn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		c.SetReadDeadline(time.Now().Add(idleTime))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(time.Second))
+		kind := trouble(0)
+		if h.draw(2) == 0 {
+			kind = trouble(h.draw(int(troubles)))
+		}
+		id := r.Header.Get("Request-Id")
+		if kind == earlyAnswer {
+			h.send(c, h.head(id, http.StatusServiceUnavailable, "Not-Executed: 1\r\n", "")) // it turns it away
+		}
+		text, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		runs := kind != notExecuted && kind != misdirected && kind != earlyAnswer
+		h.ledger.arrived(id, string(text), runs)
+		if kind != earlyAnswer && !h.answer(c, id, kind) {
+			return
+		}
+		h.mu.Lock()
+		h.before = id
+		h.mu.Unlock()
+	}
+}
+
+// head is a whole answer.
+func (h *drawnHost) head(id string, status int, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, h.id, extra, len(body), body)
+}
+
+func (h *drawnHost) send(c net.Conn, text string) { io.WriteString(c, text) }
+
+// answer answers a request; it tells whether the connection goes on.
+func (h *drawnHost) answer(c *net.TCPConn, id string, kind trouble) (goesOn bool) {
+	whole := h.head(id, http.StatusOK, "", bodyFor(id))
+	unframed := fmt.Sprintf("HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n\r\n%s", id, h.id, bodyFor(id))
+	h.mu.Lock()
+	before := h.before
+	h.mu.Unlock()
+	switch kind {
+	case inPieces:
+		for len(whole) > 0 {
+			n := 1 + h.draw(len(whole))
+			h.send(c, whole[:n])
+			whole = whole[n:]
+			time.Sleep(time.Duration(h.draw(3)) * time.Millisecond) // so that the pieces travel apart
+		}
+	case interim:
+		h.send(c, "HTTP/1.1 102 Processing\r\n\r\n"+whole)
+	case extraAnswer:
+		h.send(c, whole+whole)
+	case earlierAnswer:
+		if before != "" {
+			h.send(c, h.head(before, http.StatusOK, "", bodyFor(before)))
+		}
+		h.send(c, whole)
+	case lateAnswer:
+		h.send(c, whole)
+		time.Sleep(time.Duration(h.draw(20)) * time.Millisecond)
+		h.send(c, whole)
+	case resetUnanswered:
+		c.SetLinger(0)
+		return false
+	case closedUnanswered:
+		return false
+	case cutByClose, cutByReset:
+		h.send(c, whole[:h.draw(len(whole))])
+		if kind == cutByReset {
+			c.SetLinger(0)
+		}
+		return false
+	case noLength:
+		h.send(c, unframed)
+		return false
+	case noLengthReset:
+		h.send(c, unframed[:len(unframed)-1-h.draw(40)])
+		c.SetLinger(0)
+		return false
+	case garbage:
+		h.send(c, "nothing that is known\r\n\r\n")
+		return false
+	case nameless:
+		h.send(c, "HTTP/1.1 200 X\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nfor")
+		return false
+	case notExecuted:
+		h.send(c, h.head(id, http.StatusServiceUnavailable, "Not-Executed: 1\r\n", ""))
+	case misdirected:
+		h.send(c, h.head(id, http.StatusMisdirectedRequest, "", ""))
+	case ownError:
+		h.send(c, h.head(id, http.StatusInternalServerError, "", "failed"))
+	case falsePromise:
+		h.send(c, h.head(id, http.StatusServiceUnavailable, "", "failed"))
+	case silent:
+		time.Sleep(drawnDeadline + 100*time.Millisecond)
+		return false
+	case closesAfter:
+		h.send(c, h.head(id, http.StatusOK, "Connection: close\r\n", bodyFor(id)))
+		return false
+	default:
+		h.send(c, whole)
+	}
+	return true
+}
+
+// drawnClient sends requests, some of them at once on one connection, and sometimes leaves.
+type drawnClient struct {
+	name   string
+	addr   string
+	rng    *rand.Rand
+	ledger *ledger
+}
+
+func (c *drawnClient) run() {
+	for sent := 0; sent < drawnCalls; {
+		n := 1
+		if c.rng.IntN(3) == 0 {
+			n += c.rng.IntN(3)
+		}
+		var batch []*caseOf
+		for range n {
+			path := []string{"/safe/x", "/unsafe/x", "/unsafe/y"}[c.rng.IntN(3)]
+			batch = append(batch, &caseOf{id: fmt.Sprintf("%s-%d", c.name, sent), path: path})
+			sent++
+		}
+		c.exchange(batch)
+		for _, x := range batch {
+			c.ledger.add(x)
+		}
+	}
+}
+
+// exchange sends requests on one connection, one behind the other, and reads the answers.
+func (c *drawnClient) exchange(batch []*caseOf) {
+	nc, err := net.Dial("tcp", c.addr)
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(patience))
+	var out strings.Builder
+	for _, x := range batch {
+		body := requestBody(x.id)
+		fmt.Fprintf(&out, "POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\nContent-Length: %d\r\n\r\n%s",
+			x.path, x.id, drawnDeadline.Milliseconds(), len(body), body)
+	}
+	io.WriteString(nc, out.String())
+	if c.rng.IntN(8) == 0 {
+		time.Sleep(time.Duration(c.rng.IntN(30)) * time.Millisecond) // the client gives up after a while
+		nc.Close()
+		for _, x := range batch {
+			x.left = time.Now()
+		}
+		return
+	}
+	in := bufio.NewReader(nc)
+	for _, x := range batch {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		text, err := io.ReadAll(resp.Body)
+		x.status, x.body, x.whole = resp.StatusCode, string(text), err == nil && resp.ContentLength >= 0
+		x.seal, x.answered = resp.Header.Get("Response-Seal"), resp.Header.Get("Request-Id")
+		if err != nil || resp.Close {
+			return
+		}
+	}
+}
+
+// playCallers has clients before a router whose hosts are in all kinds of trouble, and judges what came of it.
+func playCallers(t *testing.T, seed uint64) (*ledger, error) {
+	t.Helper()
+	l := newLedger()
+	var hosts []*host
+	for i := range 3 {
+		h := &drawnHost{id: fmt.Sprintf("i-%d", i), ledger: l, rng: rand.New(rand.NewPCG(seed, uint64(100+i)))}
+		hosts = append(hosts, h.listen(t))
+	}
+	f := newFleet(t, "", hosts...)
+	var clients sync.WaitGroup
+	for i := range drawnClients {
+		c := &drawnClient{name: fmt.Sprintf("s%dc%d", seed, i), addr: f.addr, rng: rand.New(rand.NewPCG(seed, uint64(i))), ledger: l}
+		clients.Go(c.run)
+	}
+	clients.Wait()
+	time.Sleep(settleFor) // for requests that would run later than they may
+	return l, l.judge()
+}
+
+// Hosts break off, answer twice, answer early, say nothing, and forget connections, with bytes cut anywhere; clients send several requests
+// at once and leave. Each answer belongs to its request, what may run once does, a promise is kept, no short answer looks complete, and
+// nothing is sent for long after a client has gone.
+func TestCallers(t *testing.T) {
+	var served atomic.Int64
+	for seed := range uint64(*callerPlays) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			l, err := playCallers(t, seed)
+			if err != nil {
+				t.Error(err)
+			}
+			for _, c := range l.cases {
+				if c.status == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	t.Cleanup(func() {
+		if n := served.Load(); n < int64(10**callerPlays) {
+			t.Errorf("%d requests were served", n)
+		}
+	})
+}
+
+// The judge finds what must not be.
+func TestCallersAreJudged(t *testing.T) {
+	now := time.Now()
+	fine := func() (*ledger, *caseOf) {
+		l := newLedger()
+		c := &caseOf{id: "a", path: "/unsafe/x", status: 200, body: bodyFor("a"), whole: true, seal: "s", answered: "a"}
+		l.runs["a"], l.arrivals["a"], l.bodies["a"], l.cases = 1, []time.Time{now}, requestBody("a"), []*caseOf{c}
+		return l, c
+	}
+	for name, spoil := range map[string]func(l *ledger, c *caseOf){
+		"nothing":                      nil,
+		"an unsafe one ran twice":      func(l *ledger, _ *caseOf) { l.runs["a"] = 2 },
+		"503, and it ran":              func(_ *ledger, c *caseOf) { c.status = http.StatusServiceUnavailable },
+		"another's answer":             func(_ *ledger, c *caseOf) { c.answered = "b" },
+		"another's body":               func(_ *ledger, c *caseOf) { c.body = bodyFor("b") },
+		"a short answer looks whole":   func(_ *ledger, c *caseOf) { c.body = c.body[:5] },
+		"no seal":                      func(_ *ledger, c *caseOf) { c.seal = "" },
+		"sent long after it was left":  func(_ *ledger, c *caseOf) { c.left = now.Add(-time.Second) },
+		"a request that nobody sent":   func(l *ledger, _ *caseOf) { l.bodies["b"] = requestBody("b") },
+		"a body that was changed":      func(l *ledger, _ *caseOf) { l.bodies["a"] = "x" },
+		"the body of another's client": func(l *ledger, _ *caseOf) { l.bodies["a"] = requestBody("b") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, c := fine()
+			if spoil == nil {
+				is.NoErr(l.judge())
+				return
+			}
+			spoil(l, c)
+			is.True(l.judge() != nil)
+		})
+	}
+}
