Drain: an acknowledgement needs a router that reaches a majority; one proposer at a time; batches shared

Cause: (1) a router that was cut off acknowledged that a host leaves: at once where it took itself to be alone, or as soon as one that was cut off with it had the word. The end of a host that a router which had just begun did not know was acknowledged as well.

--- a/coord/chain/catchup.go
+++ b/coord/chain/catchup.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"reachspread/coord/coordpb"
+	"reachspread/coord/view"
 )
 
 const (
@@ -153,7 +154,7 @@
 	if !r.in(n.Epoch) || !r.synced || !n.Ahead && from != r.successor() {
 		return
 	}
-	if n.Ahead && !sameState(n.Position, r.position) && !further(r.position, n.Position) {
+	if n.Ahead && !sameState(n.Position, r.position) && !view.Further(r.position, n.Position) {
 		return // it has more than this process
 	}
 	if !n.Ahead {
@@ -290,7 +291,7 @@
 	if !whole {
 		return
 	}
-	if s.Ahead && !further(of, r.position) {
+	if s.Ahead && !view.Further(of, r.position) {
 		r.catch.askAt = r.now + followEvery
 		return
 	}
@@ -342,11 +343,3 @@
 	r.catch.downstream = s.Progress
 	r.progressed()
 }
-
-// further tells whether a state has more in it than another.
-func further(a, b *coordpb.Position) bool {
-	if a.GetStateEpoch() != b.GetStateEpoch() {
-		return a.GetStateEpoch() > b.GetStateEpoch()
-	}
-	return a.GetSequence() > b.GetSequence()
-}
--- a/coord/register/explore_test.go
+++ b/coord/register/explore_test.go
@@ -25,6 +25,8 @@
 	exploreCalm = 4 * time.Second // after the last one, until orders are acknowledged again
 	stall       = 1300 * time.Millisecond
 	backAfter   = 300 * time.Millisecond // a crashed process comes back
+	plantedSync = 250 * time.Millisecond // of a disk, where faults are planted: what is under way is lost more often
+	mostDraws   = 6                      // in which a planted fault has to be found
 )
 
 // strike is a kind of fault at a point.
@@ -45,6 +47,12 @@
 	return [...]string{"lose", "hold", "crash receiver", "wipe receiver", "freeze receiver", "crash sender", "wipe sender"}[s]
 }
 
+// draw is what all schedules of a search have in common.
+type draw struct {
+	seed uint64        // of all chance
+	sync time.Duration // that a disk takes for a write on average, 0 for a drawn one
+}
+
 // exploration is one schedule.
 type exploration struct {
 	w      *simulation.World
@@ -55,8 +63,8 @@
 }
 
 // explore plays a plan, and returns how many points there were at which one more fault may be placed. The first one strikes within a time.
-func explore(plan faultplan.Plan[strike], p simulation.Plant, firstIn time.Duration, trace func(string, ...any)) (points int, w *simulation.World) {
-	w = simulation.New(simulation.Options{Seed: 1, Machines: 3, Tolerance: 1, Application: simulation.Counter{}, Plant: p, Trace: trace})
+func explore(d draw, plan faultplan.Plan[strike], p simulation.Plant, firstIn time.Duration, trace func(string, ...any)) (points int, w *simulation.World) {
+	w = simulation.New(simulation.Options{Seed: d.seed, Sync: d.sync, Machines: 3, Tolerance: 1, Application: simulation.Counter{}, Plant: p, Trace: trace})
 	w.StartAll()
 	w.NewClient(true).Loop(40 * time.Millisecond)
 	w.Run(exploreFrom)
@@ -142,16 +150,16 @@
 }
 
 // search is of all plans with so many faults. The first fault strikes within a time.
-func search(p simulation.Plant, faults int, firstIn time.Duration) faultplan.Search[strike] {
+func search(d draw, p simulation.Plant, faults int, firstIn time.Duration) faultplan.Search[strike] {
 	return faultplan.Search[strike]{Kinds: strikes, Faults: faults, Play: func(plan faultplan.Plan[strike]) faultplan.Played {
-		points, w := explore(plan, p, firstIn, nil)
+		points, w := explore(d, plan, p, firstIn, nil)
 		return faultplan.Played{Points: points, Broken: w.Fault}
 	}}
 }
 
 // Wherever a fault strikes, whatever is promised holds, and orders go on afterwards.
 func TestExplore(t *testing.T) {
-	found := search(simulation.None, *deviations, someOrders).Run()
+	found := search(draw{seed: 1}, simulation.None, *deviations, someOrders).Run()
 	if found.Broken != nil {
 		t.Errorf("%v: %v", found.Plan, found.Broken)
 		return
@@ -159,7 +167,8 @@
 	t.Logf("%d schedules with at most %d faults", found.Plays, *deviations)
 }
 
-// The explorer finds faults that are planted. It begins behind a first fault, so that this takes some dozens of schedules and not thousands.
+// The explorer finds faults that are planted. It begins behind a first fault, so that this takes some hundreds of schedules and not
+// thousands; whether an identity that forgets a promise is seen to break it depends on the order of identities, so some draws are tried.
 func TestExplorePlanted(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -171,9 +180,12 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			found := search(c.plant, len(c.begin)+1, moreOrders).RunFrom(c.begin)
+			var found faultplan.Result[strike]
+			for seed := uint64(1); seed <= mostDraws && found.Broken == nil; seed++ {
+				found = search(draw{seed, plantedSync}, c.plant, len(c.begin)+1, moreOrders).RunFrom(c.begin)
+				t.Logf("draw %d: %d schedules; %v: %v", seed, found.Plays, found.Plan, found.Broken)
+			}
 			is.True(found.Broken != nil)
-			t.Logf("%d schedules; %v: %v", found.Plays, found.Plan, found.Broken)
 		})
 	}
 }
--- a/coord/register/replica.go
+++ b/coord/register/replica.go
@@ -50,7 +50,7 @@
 
 	in     chan *coordpb.Message
 	calls  chan func()
-	writes chan batch
+	writes chan *Batch
 	wrote  chan written
 
 	writing   bool
@@ -68,14 +68,6 @@
 	lost   atomic.Uint64
 }
 
-// batch is what goes to the disk at once.
-type batch struct {
-	upTo    uint64
-	records [][]byte
-	state   []byte // of all, in place of records
-	secure  bool   // nothing but a sync of what was found
-}
-
 // written is what became of it.
 type written struct {
 	upTo uint64
@@ -120,7 +112,7 @@
 // are what Load returned.
 func NewReplica(o Options, store *storage.Store) *Replica {
 	r := &Replica{o: o, start: time.Now(), store: store, in: make(chan *coordpb.Message, mostWaiting), calls: make(chan func(), 16),
-		writes: make(chan batch, 1), wrote: make(chan written, 1)}
+		writes: make(chan *Batch, 1), wrote: make(chan written, 1)}
 	o.Unsynced = store != nil && store.Unsynced()
 	r.core, r.shortSince = NewCore(o.Config, o.Machine, 0), -1
 	r.unsaved = store != nil && store.Broken()
@@ -251,8 +243,8 @@
 		if r.failed && r.now() < r.retryAt {
 			return
 		}
-		b, any := r.nextBatch()
-		if !any {
+		b := r.nextBatch()
+		if b == nil {
 			return
 		}
 		r.writing, r.writeFrom = true, r.now()
@@ -260,56 +252,28 @@
 	}
 }
 
-// nextBatch is what goes to the disk next: the records since the last one, or all of the state.
-func (r *Replica) nextBatch() (b batch, any bool) {
-	if r.store.Unsynced() && !r.unsaved {
-		return batch{upTo: FoundRecords, secure: true}, true
-	}
-	if r.unsaved || r.store.Full() {
-		d, upTo := r.core.Durable()
-		text, err := proto.Marshal(d)
-		if err != nil {
-			r.o.Log.Warn("state unwritable", "cause", err)
-			return b, false
-		}
-		return batch{upTo: upTo, state: text}, true
-	}
-	records, upTo := r.core.Unwritten()
-	for _, record := range records {
-		text, err := proto.Marshal(record)
-		if err != nil {
-			r.o.Log.Warn("record unwritable", "cause", err)
-			r.unsaved = true
-			return r.nextBatch()
-		}
-		b.records = append(b.records, text)
+// nextBatch is what goes to the disk next; nil for nothing.
+func (r *Replica) nextBatch() *Batch {
+	b, err := r.core.NextBatch(r.store, r.unsaved)
+	if err != nil {
+		r.o.Log.Warn("record unwritable", "cause", err)
+		r.unsaved = true
+		return nil
 	}
-	b.upTo = upTo
-	return b, len(records) > 0
+	return b
 }
 
 // writer writes batches until ctx ends. Nothing else waits for the disk.
 func (r *Replica) writer(ctx context.Context) {
 	for {
-		var b batch
+		var b *Batch
 		select {
 		case <-ctx.Done():
 			return
 		case b = <-r.writes:
 		}
-		r.wrote <- written{b.upTo, b.write(r.store)}
-	}
-}
-
-// write carries a batch out.
-func (b *batch) write(store *storage.Store) error {
-	switch {
-	case b.secure:
-		return store.Secure()
-	case b.state != nil:
-		return store.Save(b.state)
+		r.wrote <- written{b.UpTo, b.Write(r.store)}
 	}
-	return store.Append(b.records...)
 }
 
 func (r *Replica) takeWritten(w written) {
--- a/coord/simulation/disk.go
+++ b/coord/simulation/disk.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"google.golang.org/protobuf/proto"
-
 	"reachspread/coord/chain"
 	"reachspread/coord/coordpb"
 	"reachspread/coord/register"
@@ -125,56 +123,9 @@
 	}
 }
 
-// batch is what a process hands to its disk at once.
-type batch struct {
-	upTo    uint64
-	records [][]byte
-	state   []byte // of all, in place of records
-	secure  bool   // nothing but a sync of what was found
-}
-
 // operations is how many steps of a batch are looked at: a batch of records takes two.
 const operations = 3
 
-// write carries a batch out.
-func (b *batch) write(store *storage.Store) error {
-	switch {
-	case b.secure:
-		return store.Secure()
-	case b.state != nil:
-		return store.Save(b.state)
-	}
-	return store.Append(b.records...)
-}
-
-// nextBatch is what a core wants written next; nil for nothing.
-func nextBatch(core *register.Core, store *storage.Store, whole bool) *batch {
-	if store.Unsynced() && !whole {
-		return &batch{upTo: register.FoundRecords, secure: true}
-	}
-	if whole {
-		state, upTo := core.Durable()
-		return &batch{upTo: upTo, state: mustMarshal(state)}
-	}
-	records, upTo := core.Unwritten()
-	if len(records) == 0 {
-		return nil
-	}
-	b := &batch{upTo: upTo}
-	for _, r := range records {
-		b.records = append(b.records, mustMarshal(r))
-	}
-	return b
-}
-
-func mustMarshal(m proto.Message) []byte {
-	text, err := proto.Marshal(m)
-	if err != nil {
-		panic(err)
-	}
-	return text
-}
-
 // load reads what a disk has of a register into a machine; nil says that there is nothing.
 func (d *disk) load(m chain.Machine) (*storage.Store, *coordpb.Durable, error) {
 	d.steps = -1
--- a/coord/simulation/faults.go
+++ b/coord/simulation/faults.go
@@ -93,12 +93,12 @@
 		NodeSlow:       func(d *Drawer) bool { return d.pauses(500*time.Millisecond, 400*time.Millisecond) },
 		CPUQuota:       func(d *Drawer) bool { return d.pausesAll(100*time.Millisecond, 70*time.Millisecond) },
 		ResetConns:     (*Drawer).reset,
-		HerdKill:       func(d *Drawer) bool { return d.all(Survives, 0) },
-		HerdKillOff:    func(d *Drawer) bool { return d.all(PowerOff, d.span()) },
-		HerdKillTaken:  func(d *Drawer) bool { return d.allAfterAck(PowerOff, 0) },
-		PowerOffAll:    func(d *Drawer) bool { return d.allAfterAck(PowerOff, 0) },
-		KillAll:        func(d *Drawer) bool { return d.allAfterAck(Survives, 0) },
-		WipeAfterAck:   func(d *Drawer) bool { return d.allAfterAck(PowerOff, d.w.Tolerance) },
+		HerdKill:       func(d *Drawer) bool { return d.all(survives, 0) },
+		HerdKillOff:    func(d *Drawer) bool { return d.all(powerOff, d.span()) },
+		HerdKillTaken:  func(d *Drawer) bool { return d.allAfterAck(powerOff, 0) },
+		PowerOffAll:    func(d *Drawer) bool { return d.allAfterAck(powerOff, 0) },
+		KillAll:        func(d *Drawer) bool { return d.allAfterAck(survives, 0) },
+		WipeAfterAck:   func(d *Drawer) bool { return d.allAfterAck(powerOff, d.w.Tolerance) },
 	}
 }
 
@@ -545,31 +545,35 @@
 	return true
 }
 
-// Ending is what becomes of what a process has not synced.
-type Ending int
+// ending is what becomes of what a process has not synced.
+type ending int
 
 // The endings.
 const (
-	Survives Ending = iota // the process is killed
-	PowerOff
+	survives ending = iota // the process is killed
+	powerOff
 )
 
 // all has all processes end at once.
-func (d *Drawer) all(ending Ending, down time.Duration) bool {
+func (d *Drawer) all(of ending, down time.Duration) bool {
 	if !d.overlap && d.anyLost() {
 		return false
 	}
+	d.endAll(of, down)
+	return true
+}
+
+func (d *Drawer) endAll(of ending, down time.Duration) {
 	d.w.Trace("%v all end", d.w.Now)
 	d.loseAll(down + time.Second)
 	for _, p := range slices.Clone(d.w.Nodes) {
-		d.endOne(p, ending)
+		d.endOne(p, of)
 		d.later(down+d.restartIn(), p.Start)
 	}
-	return true
 }
 
-func (d *Drawer) endOne(p *Process, ending Ending) {
-	if ending == PowerOff {
+func (d *Drawer) endOne(p *Process, of ending) {
+	if of == powerOff {
 		p.LosePower()
 	} else {
 		p.Crash()
@@ -577,7 +581,7 @@
 }
 
 // allAfterAck has all processes end within moments of an acknowledgement, some of them with their disks.
-func (d *Drawer) allAfterAck(ending Ending, wiped int) bool {
+func (d *Drawer) allAfterAck(of ending, wiped int) bool {
 	if d.anyLost() || wiped > 0 && !d.mayLoseDisk() {
 		return false
 	}
@@ -585,7 +589,7 @@
 	d.loseAll(5 * time.Second)
 	d.w.afterTaken(func() {
 		d.w.After(in, func() {
-			d.all(ending, 0)
+			d.endAll(of, 0)
 			for _, p := range d.some(min(wiped, len(d.w.Nodes))) {
 				d.w.Trace("%v %s loses its disk", d.w.Now, p.Address)
 				d.loseDisk(p)
--- a/coord/simulation/history.go
+++ b/coord/simulation/history.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"time"
@@ -10,6 +9,7 @@
 
 	"reachspread/coord/chain"
 	"reachspread/coord/coordpb"
+	"reachspread/coord/view"
 )
 
 // History is what clients and processes saw, and what must hold of it.
@@ -78,30 +78,22 @@
 	switch body := m.Body.(type) {
 	case *coordpb.Message_Promise:
 		g := of(body.Promise.Instance)
-		if less(body.Promise.Ballot, g.promised) {
+		if view.Less(body.Promise.Ballot, g.promised) {
 			w.Fail("%s promises %v for view %d; it has promised %v", m.From.Address, body.Promise.Ballot, body.Promise.Instance, g.promised)
 		}
-		if less(body.Promise.AcceptedBallot, g.accepted) {
+		if view.Less(body.Promise.AcceptedBallot, g.accepted) {
 			w.Fail("%s promises for view %d and tells of %v; it has accepted %v", m.From.Address, body.Promise.Instance, body.Promise.AcceptedBallot, g.accepted)
 		}
 		g.promised = body.Promise.Ballot
 	case *coordpb.Message_Accepted:
 		g := of(body.Accepted.Instance)
-		if less(body.Accepted.Ballot, g.promised) {
+		if view.Less(body.Accepted.Ballot, g.promised) {
 			w.Fail("%s accepts %v for view %d; it has promised %v", m.From.Address, body.Accepted.Ballot, body.Accepted.Instance, g.promised)
 		}
 		g.promised, g.accepted = body.Accepted.Ballot, body.Accepted.Ballot
 	}
 }
 
-// less compares ballots; nil is the least.
-func less(a, b *coordpb.Ballot) bool {
-	if a == nil || b == nil {
-		return a == nil && b != nil
-	}
-	return cmp.Or(cmp.Compare(a.Round, b.Round), cmp.Compare(a.Proposer, b.Proposer)) < 0
-}
-
 // replied takes in what a client was answered.
 func (h *History) replied(w *World, x *call, r *coordpb.Reply) {
 	if x.order == nil {
--- a/coord/simulation/process.go
+++ b/coord/simulation/process.go
@@ -38,9 +38,9 @@
 	machine *tracked
 	disk    *disk
 	store   *storage.Store
-	whole   bool          // the next write has to be of all of the state
-	writing *batch        // under way
-	retryAt time.Duration // a write has failed; the next one begins then
+	whole   bool            // the next write has to be of all of the state
+	writing *register.Batch // under way
+	retryAt time.Duration   // a write has failed; the next one begins then
 	self    *coordpb.Member
 	holder  map[int]time.Duration // shards, since when it may act on them
 }
@@ -119,14 +119,17 @@
 	if p.writing != nil || !p.up || p.world.Now < p.retryAt {
 		return
 	}
-	b := nextBatch(p.Core, p.store, p.whole || p.store.Full())
+	b, err := p.Core.NextBatch(p.store, p.whole)
+	if err != nil {
+		p.world.Fail("%s: %v", p.Address, err)
+	}
 	if b == nil {
 		return
 	}
 	w, life := p.world, p.life
 	p.writing = b
 	if w.Plant == EarlyWrite {
-		p.carryOut(p.Core.Written(b.upTo, p.clock()))
+		p.carryOut(p.Core.Written(b.UpTo, p.clock()))
 	}
 	took := w.Sync/2 + time.Duration(w.rng.Int64N(int64(w.Sync))) + min(p.slow, max(p.slowEnd-w.Now, 0))
 	w.After(took, func() {
@@ -143,12 +146,12 @@
 		return
 	}
 	b := p.writing
-	if err := b.write(p.store); err != nil {
+	if err := b.Write(p.store); err != nil {
 		p.writing, p.whole, p.retryAt = nil, true, w.Now+retryDisk
 		return
 	}
 	p.writing, p.whole = nil, false
-	p.do(func() { p.carryOut(p.Core.Written(b.upTo, p.clock())) })
+	p.do(func() { p.carryOut(p.Core.Written(b.UpTo, p.clock())) })
 }
 
 func (p *Process) carryOut(out register.Output) {
@@ -250,7 +253,7 @@
 func (p *Process) crash(steps int) {
 	if p.writing != nil && p.up {
 		p.disk.steps = steps
-		if err := p.writing.write(p.store); err != nil && !errors.Is(err, errStopped) && !errors.Is(err, errFull) && !errors.Is(err, storage.ErrBroken) {
+		if err := p.writing.Write(p.store); err != nil && !errors.Is(err, errStopped) && !errors.Is(err, errFull) && !errors.Is(err, storage.ErrBroken) {
 			p.world.Fail("%s: %v", p.Address, err)
 		}
 	}
--- a/coord/view/propose.go
+++ b/coord/view/propose.go
@@ -71,11 +71,21 @@
 	if d.wantAt == 0 {
 		d.wantAt = d.now
 	}
-	if d.now >= d.notUntil && d.now >= d.wantAt+time.Duration(d.rank())*staggered && d.majorityLives() {
+	if d.now >= d.notUntil && d.now >= d.mayPropose() && d.majorityLives() {
 		d.propose()
 	}
 }
 
+// mayPropose is when this process may propose, if another view is wanted by then: one after the other, and not while the proposal of another
+// that it has promised to vote on goes on. Two at once would hinder each other, the more the slower the processes are.
+func (d *Decider) mayPropose() time.Duration {
+	turn := time.Duration(d.rank()) * staggered
+	if d.IsSealed() && d.promised.Proposer != d.c.Self.Identity {
+		return max(d.wantAt, d.sealedAt+sealedFor) + turn
+	}
+	return d.wantAt + turn
+}
+
 // collected tells that no further promises are to be waited for: all have come, or all of those that live and the others had their time.
 func (d *Decider) collected(p *proposal) bool {
 	if len(p.promises) == len(d.voters()) || d.now >= p.enoughAt+collectAtMost {
@@ -148,7 +158,7 @@
 	if r.Promised != nil {
 		d.round = max(d.round, r.Promised.Round)
 	}
-	if d.proposal != nil && r.Instance == d.proposal.instance && less(d.proposal.ballot, r.Promised) {
+	if d.proposal != nil && r.Instance == d.proposal.instance && Less(d.proposal.ballot, r.Promised) {
 		d.abandon()
 	}
 }
@@ -172,7 +182,7 @@
 	p := d.proposal
 	var best *promised
 	for _, m := range p.promises {
-		if m.AcceptedView != nil && (best == nil || less(best.AcceptedBallot, m.AcceptedBallot)) {
+		if m.AcceptedView != nil && (best == nil || Less(best.AcceptedBallot, m.AcceptedBallot)) {
 			best = m
 		}
 	}
@@ -265,7 +275,7 @@
 func (d *Decider) source(promises map[string]*promised) *promised {
 	var best *promised
 	for _, m := range promises {
-		if best == nil || further(m.Position, best.Position) || !further(best.Position, m.Position) && d.better(m, best) {
+		if best == nil || Further(m.Position, best.Position) || !Further(best.Position, m.Position) && d.better(m, best) {
 			best = m
 		}
 	}
--- a/coord/view/standing.go
+++ b/coord/view/standing.go
@@ -116,7 +116,7 @@
 func (d *Decider) newest() *coordpb.Position {
 	newest := d.status.Position
 	for _, p := range d.peers {
-		if further(p.position, newest) {
+		if Further(p.position, newest) {
 			newest = p.position
 		}
 	}
@@ -131,8 +131,8 @@
 	return 0
 }
 
-// further tells whether a state has more in it than another.
-func further(a, b *coordpb.Position) bool {
+// Further tells whether a state has more in it than another.
+func Further(a, b *coordpb.Position) bool {
 	return cmp.Or(cmp.Compare(a.GetStateEpoch(), b.GetStateEpoch()), cmp.Compare(a.GetSequence(), b.GetSequence())) > 0
 }
 
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -357,8 +357,8 @@
 	return nil
 }
 
-// less compares ballots; nil is the least.
-func less(a, b *coordpb.Ballot) bool {
+// Less compares ballots; nil is the least.
+func Less(a, b *coordpb.Ballot) bool {
 	if a == nil || b == nil {
 		return a == nil && b != nil
 	}
--- a/coord/view/vote.go
+++ b/coord/view/vote.go
@@ -21,7 +21,7 @@
 		return
 	}
 	d.round = max(d.round, p.Ballot.Round)
-	if less(p.Ballot, d.promised) {
+	if Less(p.Ballot, d.promised) {
 		d.reject(from, p.Instance)
 		return
 	}
@@ -37,7 +37,7 @@
 		return
 	}
 	d.round = max(d.round, a.Ballot.Round)
-	if less(a.Ballot, d.promised) {
+	if Less(a.Ballot, d.promised) {
 		d.reject(from, a.Instance)
 		return
 	}
@@ -53,7 +53,7 @@
 	if d.promised == nil {
 		d.do(Sealed{})
 	}
-	if d.promised == nil || less(d.promised, b) {
+	if d.promised == nil || Less(d.promised, b) {
 		d.promised = b
 		d.do(Write{&coordpb.Record{Body: &coordpb.Record_Promised{Promised: &coordpb.Promised{Ballot: b}}}})
 	}
--- a/internal/system/roles/node/node_test.go
+++ b/internal/system/roles/node/node_test.go
@@ -294,6 +294,67 @@
 	is.Equal(f.order(http.MethodPut, strings.Replace(first, `"version":1`, `"version":9`, 1), 1, 3), 412)
 }
 
+// A router that reaches no majority of the register acknowledges to no host that it leaves, whether or not it still takes the others to live:
+// what it acknowledged would bind them, and they would not learn of it. Nor does it read or take a configuration. A majority of one is
+// not enough, and one that begins anew does not acknowledge the end of a host that it does not know.
+func TestCutOffAcknowledgesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, 3)
+	is.Equal(f.order(http.MethodPut, first, 0, 3), 200)
+	one := f.host("one")
+	for i, id := range []string{"i-1", "i-2", "i-3"} {
+		f.eventually("a host is taken on", func() bool { status, _ := f.beat(3, id, "s", one, "ready", 1); return status == 200 })
+		f.eventually("it is known at the first router", func() bool { return f.knows(0, id) })
+		if i == 0 {
+			f.eventually("its leaving is acknowledged", func() bool { status, _ := f.beat(3, id, "s", one, "draining", 2); return status == 200 })
+		}
+	}
+	f.crash(1)
+	f.crash(2)
+	f.eventually("those that are left are not connected any more", func() bool { return !f.nodes[0].hub.connected() && !f.nodes[3].hub.connected() })
+	for range 2 {
+		status, _ := f.beat(0, "i-2", "s", one, "draining", 2)
+		is.Equal(status, http.StatusServiceUnavailable)
+		status, _ = f.beat(0, "i-2", "s", one, "draining", 3)
+		is.Equal(status, http.StatusServiceUnavailable) // it is known here by now
+		status, _ = f.call(0, http.MethodDelete, "/instances/i-3", "", nil)
+		is.Equal(status, http.StatusServiceUnavailable)
+		status, _ = f.call(0, http.MethodDelete, "/instances/unknown", "", nil)
+		is.Equal(status, http.StatusServiceUnavailable)
+		status, _ = f.call(0, http.MethodGet, "/configuration", "", nil)
+		is.Equal(status, http.StatusServiceUnavailable)
+		status, _ = f.call(0, http.MethodPut, "/configuration", strings.Replace(first, `"version":1`, `"version":2`, 1), map[string]string{"If-Match": "1"})
+		is.Equal(status, http.StatusServiceUnavailable)
+		status, _ = f.call(0, http.MethodPut, "/configuration", strings.Replace(first, `"version":1`, `"version":2`, 1), map[string]string{"If-Match": "0"})
+		is.Equal(status, http.StatusServiceUnavailable) // not refused either
+		f.eventually("the others count as gone", func() bool { return f.sees(0) == 2 })
+	}
+	f.start(1, filepath.Dir(f.nodes[0].settings().DataDirectory), false)
+	f.eventually("the leaving is acknowledged once a majority is back", func() bool { status, _ := f.beat(0, "i-2", "s", one, "draining", 4); return status == 200 })
+	f.eventually("the end is as well", func() bool {
+		status, _ := f.call(0, http.MethodDelete, "/instances/i-3", "", nil)
+		return status == 200
+	})
+}
+
+// knows tells whether a router knows a host.
+func (f *testFleet) knows(i int, id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	h := f.nodes[i].hub
+	known, _ := ask(ctx, h, func() bool { return h.registry.Get(id) != nil })
+	return known
+}
+
+// sees is how many routers one sees live, itself among them.
+func (f *testFleet) sees(i int) int {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	h := f.nodes[i].hub
+	n, _ := ask(ctx, h, func() int { return len(h.members.routers) })
+	return n
+}
+
 // After all have ended at once, the register's machines have the configuration and the hosts, and all serve again.
 func TestAllEnd(t *testing.T) {
 	is := is.New(t)
@@ -340,6 +401,7 @@
 		close(took)
 		<-let
 		w.Header().Set("Response-Seal", "seal")
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id")) // as each answer of a host has it
 		w.Write([]byte("late"))
 	}))
 	status, _ := f.beat(0, "i-1", "s", ln.Addr().String(), "ready", 1)
