--- a/internal/system/roles/node/node_test.go
+++ b/internal/system/roles/node/node_test.go
@@ -337,6 +337,48 @@
 	})
 }
 
+// Machines of the register that are told to end give their seats to those that stand by before they do, two in a row, and a loss right after
+// each leaves a majority: orders go on, and what was acknowledged is there.
+func TestSeatsMoveBeforeTheEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 6)
+	is.Equal(f.order(http.MethodPut, first, 0, 5), 200)
+	version := int64(1)
+	another := func(at int) {
+		t.Helper()
+		next := strings.Replace(first, `"version":1`, fmt.Sprintf(`"version":%d`, version+1), 1)
+		is.Equal(f.order(http.MethodPut, next, version, at), 200)
+		version++
+	}
+	members := func(at int) (all []string) {
+		for _, m := range f.nodes[at].replica.Status().View.GetMembers() {
+			all = append(all, m.Address)
+		}
+		return all
+	}
+	full := func(at int) func() bool {
+		return func() bool { s := f.nodes[at].replica.Status(); return s.Bears == 1 && s.ShortSince < 0 }
+	}
+	f.eventually("one machine may be lost", full(1))
+	is.Equal(len(members(1)), 3)
+	for _, next := range []struct{ leaver, victim, left int }{{0, 1, 2}, {2, -1, 5}} {
+		leaver := next.leaver
+		f.nodes[leaver].cancel()
+		err := <-f.nodes[leaver].ended
+		f.nodes[leaver].ended <- err // for whoever waits for its end
+		is.NoErr(err)
+		is.True(!slices.Contains(members(next.left), f.nodes[leaver].self.internal())) // by then, not some time later
+		if next.victim >= 0 {
+			f.crash(next.victim)
+		}
+		another(next.left)
+		f.eventually("one machine may be lost again", func() bool { return full(3)() || full(4)() || full(5)() })
+	}
+	status, text := f.call(5, http.MethodGet, "/configuration", "", nil)
+	is.Equal(status, 200)
+	is.True(strings.Contains(text, fmt.Sprintf(`"version":%d`, version)))
+}
+
 // knows tells whether a router knows a host.
 func (f *testFleet) knows(i int, id string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
