--- a/coord/register/schedules_test.go
+++ b/coord/register/schedules_test.go
@@ -31,7 +31,9 @@
 // schedule is how a drawn schedule is played.
 type schedule struct {
 	machines, tolerance int
-	overlap             bool // faults may be more than are tolerated, but for lost disks
+	overlap             bool              // faults may be more than are tolerated, but for lost disks
+	kinds               []simulation.Kind // that are drawn, nil for all
+	sync                time.Duration     // that a disk takes for a write on average, 0 for a drawn one
 }
 
 func (s schedule) String() string {
@@ -48,9 +50,12 @@
 // play plays one drawn schedule.
 func (s schedule) play(seed uint64, plant simulation.Plant, trace func(string, ...any)) *simulation.World {
 	w := simulation.New(simulation.Options{Seed: seed, Machines: s.machines, Tolerance: s.tolerance, Application: simulation.Counter{},
-		Plant: plant, Trace: trace})
+		Plant: plant, Sync: s.sync, Trace: trace})
 	w.StartAll()
-	kinds := simulation.Kinds()
+	kinds := s.kinds
+	if kinds == nil {
+		kinds = simulation.Kinds()
+	}
 	if *only != "" {
 		kinds = []simulation.Kind{simulation.Kind(*only)}
 	}
@@ -117,15 +122,20 @@
 	faultplan.Parallel(n, func(i int) { play(*from + uint64(i)) })
 }
 
-// Each planted fault is found by the checks within some schedules.
+// Each planted fault is found by the checks within some schedules, where need be of the kinds that concern it.
 func TestPlantedFaults(t *testing.T) {
-	for name, p := range map[string]simulation.Plant{
-		"acknowledged before the tail":       simulation.EarlyReply,
-		"written before the disk has it":     simulation.EarlyWrite,
-		"votes again after its disk is gone": simulation.KeepsIdentity,
-		"stale read":                         simulation.UnconfirmedReads,
-		"lease ignored":                      simulation.LeaseIgnored,
-		"refused without asking the members": simulation.StaleRefusals,
+	three := schedules[0]
+	power := schedule{machines: 3, tolerance: 1, sync: plantedSync, kinds: []simulation.Kind{simulation.HerdKillOff, simulation.HerdKillTaken, simulation.PowerOffAll}}
+	for name, c := range map[string]struct {
+		plant simulation.Plant
+		schedule
+	}{
+		"acknowledged before the tail":       {simulation.EarlyReply, three},
+		"written before the disk has it":     {simulation.EarlyWrite, power},
+		"votes again after its disk is gone": {simulation.KeepsIdentity, three},
+		"stale read":                         {simulation.UnconfirmedReads, three},
+		"lease ignored":                      {simulation.LeaseIgnored, three},
+		"refused without asking the members": {simulation.StaleRefusals, three},
 	} {
 		t.Run(name, func(t *testing.T) {
 			found := atomic.Int64{}
@@ -133,7 +143,7 @@
 				if found.Load() > 0 {
 					return
 				}
-				if w := schedules[0].play(seed, p, nil); w.Fault != nil {
+				if w := c.play(seed, c.plant, nil); w.Fault != nil {
 					found.Add(1)
 					t.Logf("seed %d: %v", seed, w.Fault)
 				}
