Peering: the sites of duty tests have addresses of their own

A site gives its ports back until its routers start, and on 127.0.0.1 any other process or test may be given one meanwhile. Each site has a loopback address of its own now.

--- a/internal/peering/duties_test.go
+++ b/internal/peering/duties_test.go
@@ -56,18 +56,23 @@
 	lines  peers.Lines
 }
 
+// sites counts those that there were. Each has a loopback address of its own: a port that a site has given back, to be taken when a router
+// starts, would else go to whoever asks for any port meanwhile, in this process or another.
+var sites atomic.Uint32
+
 func newSite(t *testing.T, routers, may int, lease time.Duration) *site {
 	t.Helper()
 	s := &site{t: t, may: may, lease: lease, duties: []duty.Duty{{Name: "work"}}}
+	ip := net.IPv4(127, 79, 0, byte(sites.Add(1)))
 	for i := range routers {
 		p := &spot{n: i, folder: filepath.Join(t.TempDir(), "disk"), lines: make(peers.Lines, 10_000)}
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		ln, err := net.Listen("tcp4", net.JoinHostPort(ip.String(), "0"))
 		if err != nil {
 			t.Fatal(err)
 		}
 		p.listen = ln.Addr().String()
 		ln.Close()
-		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: ip})
 		if err != nil {
 			t.Fatal(err)
 		}
