--- a/coord/register/schedules_test.go
+++ b/coord/register/schedules_test.go
@@ -112,7 +112,7 @@
 				views.Add(int64(w.History.Newest()))
 			})
 			t.Logf("%d schedules: %d orders acknowledged, %d reads, %d views", *drawn, orders.Load(), reads.Load(), views.Load())
-			is.True(int(orders.Load()) > *drawn*50)
+			is.True(int(orders.Load()) > *drawn*100)
 		})
 	}
 }
