Sight: phases of leaving, processor time, loops that stall, an unconfirmed configuration

Each phase of a process that ends is logged with its connections and processor time; coord/pacing counts steps of a decider's loop whose timer is due again at once; a router says when its configuration has not been confirmed for configurationApplyMs; connections of the link are counted. No decision is changed.

--- a/cmd/reachspread/fleetstatus.go
+++ b/cmd/reachspread/fleetstatus.go
@@ -200,7 +200,7 @@
 }
 
 func printStatus(w io.Writer, answers []told) {
-	table(w, "router|at|zone|up|ready|configuration|confirmed|members|requests|rejected", func(row func(...any)) {
+	table(w, "router|at|zone|up|ready|configuration|confirmed|members|requests|rejected|cpu|stalled", func(row func(...any)) {
 		for _, a := range answers {
 			s := a.Status
 			if s == nil {
@@ -208,13 +208,23 @@
 				continue
 			}
 			row(s.Name, a.At, s.Zone, seconds(&s.UpS), readyText(s), s.Configuration.Version, seconds(s.Configuration.ConfirmedS), len(s.Members),
-				s.Requests.Taken, s.Requests.Rejected)
+				s.Requests.Taken, s.Requests.Rejected, seconds(s.Process.CPUS), stalledSteps(s.Loops))
 		}
 	})
 }
 
+// stalledSteps are the steps of all loops whose timer was due again at once.
+func stalledSteps(all []status.Loop) (stalled uint64) {
+	for _, l := range all {
+		stalled += l.Stalled
+	}
+	return stalled
+}
+
 func readyText(s *status.Router) string {
 	switch {
+	case s.Phase != "":
+		return "leaving: " + s.Phase
 	case s.Leaving:
 		return "leaving"
 	case s.Ready:
--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -51,6 +51,9 @@
 	Sent, SentBytes         uint64
 	Received, ReceivedBytes uint64
 	Lost                    uint64 // found no room, or no connection
+	Connected               uint64 // connections that were opened to others
+	Unreachable             uint64 // tries to open one in vain
+	Broken                  uint64 // that ended while something was sent, or that nothing went through
 }
 
 // Link is one process's.
@@ -67,6 +70,7 @@
 
 	waiting                                        atomic.Int64 // bytes in frames that were left and not written yet
 	sent, sentBytes, received, receivedBytes, lost atomic.Uint64
+	connected, unreachable, broken                 atomic.Uint64
 }
 
 // line is the way to one address.
@@ -109,7 +113,8 @@
 
 // Figures returns the counters.
 func (l *Link) Figures() Figures {
-	return Figures{Sent: l.sent.Load(), SentBytes: l.sentBytes.Load(), Received: l.received.Load(), ReceivedBytes: l.receivedBytes.Load(), Lost: l.lost.Load()}
+	return Figures{Sent: l.sent.Load(), SentBytes: l.sentBytes.Load(), Received: l.received.Load(), ReceivedBytes: l.receivedBytes.Load(), Lost: l.lost.Load(),
+		Connected: l.connected.Load(), Unreachable: l.unreachable.Load(), Broken: l.broken.Load()}
 }
 
 func (l *Link) accept(ln net.Listener) {
@@ -255,6 +260,7 @@
 		if err := l.flush(c, out, ln, frame); err != nil {
 			c.Close()
 			c, again = nil, time.Now().Add(dialAgain)
+			l.broken.Add(1)
 		}
 	}
 }
@@ -295,8 +301,10 @@
 	dialer := net.Dialer{Timeout: dialFor, KeepAlive: -1}
 	c, err := dialer.DialContext(l.ctx, "tcp4", to)
 	if err != nil {
+		l.unreachable.Add(1)
 		return nil
 	}
+	l.connected.Add(1)
 	giveUp(c)
 	go func() { // the other side says nothing; that it has ended is seen here
 		io.Copy(io.Discard, c)
--- a/coord/register/replica.go
+++ b/coord/register/replica.go
@@ -11,6 +11,7 @@
 
 	"reachspread/coord/chain"
 	"reachspread/coord/coordpb"
+	"reachspread/coord/pacing"
 	"reachspread/coord/storage"
 	"reachspread/coord/view"
 )
@@ -66,6 +67,7 @@
 
 	status atomic.Pointer[Status]
 	lost   atomic.Uint64
+	pace   pacing.Meter
 }
 
 // written is what became of it.
@@ -188,9 +190,13 @@
 		}
 		r.write()
 		r.publish()
+		r.pace.Counted()
 	}
 }
 
+// Pace returns the counters of the loop. It waits for nothing.
+func (r *Replica) Pace() pacing.Figures { return r.pace.Figures() }
+
 // judgeMembers works out what may be lost now, and whether this process may end.
 func (r *Replica) judgeMembers() {
 	before := r.shortSince
--- a/internal/peering/view.go
+++ b/internal/peering/view.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"reachspread/coord/members"
+	"reachspread/coord/pacing"
 	"reachspread/internal/routing"
 )
 
@@ -34,6 +35,7 @@
 	view    atomic.Pointer[members.View]
 	figures atomic.Pointer[members.Figures]
 	lost    atomic.Uint64 // datagrams that found no room
+	pace    pacing.Meter
 
 	inc   uint32 // the own incarnation so far
 	wrong bool   // it was told that something does not hold
@@ -82,24 +84,32 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		now, byTimer := time.Duration(0), false
 		select {
 		case <-ctx.Done():
 			return
 		case x := <-v.in:
-			v.step(members.Received{From: x.from, Data: x.data[:x.n]})
+			now = v.step(members.Received{From: x.from, Data: x.data[:x.n]})
 			v.buffers.Put(x.data)
 		case l := <-v.leave:
-			v.step(members.Leave{Replaced: l.replaced})
+			now = v.step(members.Leave{Replaced: l.replaced})
 			close(l.done)
 		case all := <-v.seeds:
-			v.step(members.Seeds{All: all})
+			now = v.step(members.Seeds{All: all})
 		case <-timer.C:
-			v.step(members.Passed{})
+			now, byTimer = v.step(members.Passed{}), true
 		}
-		timer.Reset(max(v.d.Next()-time.Since(v.start), 0))
+		next := v.d.Next()
+		if stalled := v.pace.Stepped(now, next, byTimer); stalled > 0 {
+			v.log.Warn("loop stalls", "loop", "members", "steps", stalled)
+		}
+		timer.Reset(max(next-time.Since(v.start), 0))
 	}
 }
 
+// Pace returns the counters of the loop. It waits for nothing.
+func (v *View) Pace() pacing.Figures { return v.pace.Figures() }
+
 // Leave tells the others that this router ends, unless another process of it takes over. It waits until they are told, or
 // ctx has ended.
 func (v *View) Leave(ctx context.Context, replaced bool) {
@@ -131,8 +141,10 @@
 	v.figures.Store(&f)
 }
 
-func (v *View) step(e members.Event) {
-	for _, a := range v.d.Step(time.Since(v.start), e) {
+// step takes in an event now, and returns that time.
+func (v *View) step(e members.Event) time.Duration {
+	at := time.Since(v.start)
+	for _, a := range v.d.Step(at, e) {
 		switch a := a.(type) {
 		case members.Send:
 			v.send(a.To, a.Data)
@@ -150,6 +162,7 @@
 	f := v.d.Figures()
 	v.figures.Store(&f)
 	v.hold()
+	return at
 }
 
 // hold looks at what must always hold of the own member. A line of it is a fault of this program.
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -97,6 +97,16 @@
 	f.gauge("up_seconds", "Time since the process began.").sample(s.UpS)
 	f.gauge("ready", "1 while clients may be sent here.").sample(truth(s.Ready))
 	f.gauge("leaving", "1 while the process ends in order.").sample(truth(s.Leaving))
+	if s.Phase != "" {
+		f.gauge("leaving_phase", "1 for the phase of its end that the process is in.").sample(1, label{"phase", s.Phase})
+	}
+	f.counter("process_cpu_seconds_total", "Processor time of the process.").age(s.Process.CPUS)
+	steps := f.counter("loop_steps_total", "Steps of a loop that drives a part of the process.")
+	stalled := f.counter("loop_stalled_total", "Steps by a timer that was due again at once: such a loop uses all the processor it gets.")
+	for _, l := range s.Loops {
+		steps.sample(float64(l.Steps), label{"loop", l.Name})
+		stalled.sample(float64(l.Stalled), label{"loop", l.Name})
+	}
 }
 
 func (f *families) requests(r *status.Requests) {
@@ -182,6 +192,10 @@
 	messages.sample(float64(l.Sent), out)
 	messages.sample(float64(l.Received), in)
 	messages.sample(float64(l.Lost), label{"direction", "lost"})
+	connections := f.counter("link_connections_total", "Connections to other routers by what became of them: opened, broken, or not to be had.")
+	connections.sample(float64(l.Connected), label{"outcome", "opened"})
+	connections.sample(float64(l.Broken), label{"outcome", "broken"})
+	connections.sample(float64(l.Unreachable), label{"outcome", "unreachable"})
 	bytes.sample(float64(l.SentBytes), out)
 	bytes.sample(float64(l.ReceivedBytes), in)
 }
--- a/internal/system/roles/node/hub.go
+++ b/internal/system/roles/node/hub.go
@@ -13,10 +13,12 @@
 	"reachspread/coord/coordpb"
 	"reachspread/coord/feed"
 	"reachspread/coord/members"
+	"reachspread/coord/pacing"
 	"reachspread/coord/register"
 	"reachspread/internal/system/deciders/configuration"
 	"reachspread/internal/system/deciders/instances"
 	"reachspread/internal/system/message"
+	"reachspread/internal/system/settings"
 )
 
 const (
@@ -56,11 +58,13 @@
 	bring    *time.Timer        // runs while there are any
 	wasYoung bool
 	wasFresh bool // the configuration was confirmed of late
+	stale    bool // it was told that the configuration may not be the newest
 
 	inForce     atomic.Pointer[knownConfiguration]
 	neighbours  atomic.Pointer[[]string] // routers of the own zone that are not of the register, or of others where there is none
 	confirmedAt atomic.Int64             // of the configuration, on the hub's clock; below 0 for never
 	lost        atomic.Uint64
+	pace        pacing.Meter
 }
 
 // knownConfiguration is the newest configuration that this router has, with the sequence of its state in the register.
@@ -152,6 +156,7 @@
 			h.bringHosts()
 		}
 		h.confirmedAt.Store(int64(h.config.confirmed))
+		h.pace.Counted()
 	}
 }
 
@@ -195,6 +200,24 @@
 		h.send(h.feed.Refreshed(h.now(), configurationTopic))
 	}
 	h.wasFresh = fresh
+	h.tellStale()
+}
+
+// tellStale tells on-call staff when the configuration may be older than it should be, and when it is the newest again.
+func (h *hub) tellStale() {
+	bound := settings.Milliseconds(h.node.settings().Bounds.ConfigurationApplyMs)
+	if h.config.state == nil || bound == 0 {
+		return
+	}
+	age := h.now() - h.config.confirmed
+	switch version := h.config.state.Version(); {
+	case !h.stale && age >= bound:
+		h.stale = true
+		h.node.log.Warn("configuration unconfirmed", "version", version, "from", h.feed.Source(configurationTopic, ""))
+	case h.stale && h.wasFresh:
+		h.stale = false
+		h.node.log.Info("configuration confirmed", "version", version)
+	}
 }
 
 // send carries out what the feed wants sent.
--- a/internal/system/roles/node/node.go
+++ b/internal/system/roles/node/node.go
@@ -84,6 +84,7 @@
 	abort   context.CancelFunc // ends all at once, as a crash does
 	closing sync.WaitGroup     // what has to be closed before Run returns
 	started chan struct{}      // closed once all is served
+	phase   leavingPhase
 }
 
 // Limit has the run-time keep to what the process may use. It counts for the whole process.
@@ -395,59 +396,6 @@
 	return nil
 }
 
-// leaveFor is how long clients may still come after SIGTERM: the platform has to see that the router is not ready.
-const leaveFor = 1200 * time.Millisecond
-
-// leave finishes what was taken, and stays until the other machines of the register can do without this one, within the grace that the
-// platform gives.
-func (n *Node) leave(context.Context) error {
-	n.log.Info("leaving")
-	grace := settings.Seconds(n.settings().Bounds.GraceS) - graceMargin
-	end, cancel := context.WithTimeout(context.Background(), max(grace, leaveFor))
-	defer cancel()
-	n.front.SetKeeps(false)
-	if n.replica != nil {
-		n.replica.Leave()
-	}
-	told, cancelTold := context.WithTimeout(end, leaveFor)
-	n.members.Leave(told, false)
-	cancelTold()
-	time.Sleep(leaveFor)
-	n.front.Part()
-	done := make(chan error, 1)
-	go func() { done <- n.front.Shutdown() }()
-	var err error
-	select {
-	case err = <-done:
-	case <-end.Done():
-	}
-	n.handOver(end)
-	return err
-}
-
-// handOver waits until the other machines of the register can do without this one, or ctx ends.
-func (n *Node) handOver(ctx context.Context) {
-	if n.replica == nil || !n.self.core {
-		return
-	}
-	look := time.NewTicker(handOverLook)
-	defer look.Stop()
-	for !n.replica.Status().MayEnd {
-		select {
-		case <-ctx.Done():
-			n.log.Warn("register not handed over", "bears", n.replica.Status().Bears)
-			return
-		case <-look.C:
-		}
-	}
-}
-
-// handOverLook is the time between two looks at whether the register was handed over.
-const handOverLook = 50 * time.Millisecond
-
-// graceMargin is what is left of the time that a process has to end.
-const graceMargin = 300 * time.Millisecond
-
 // reload takes up what a running process can of settings that were read anew.
 func (n *Node) reload(ctx context.Context, read *settings.Settings) {
 	next, taken, later := n.settings().After(read)
--- a/internal/system/roles/node/status.go
+++ b/internal/system/roles/node/status.go
@@ -58,6 +58,7 @@
 		s.Requests.Ended = append(s.Requests.Ended, status.RequestEnd{Kind: c.Kind, Tenant: c.Tenant, Outcome: c.Outcome.String(), Count: c.Count})
 	}
 	s.Link = status.Link(n.link.Figures())
+	s.Phase, s.Process, s.Loops = n.phase.name(), processStatus(), n.loops()
 	s.PromptReports = n.prompts.figures()
 	s.Members = memberStatus(n.members.Now())
 	s.Pins = n.pinStatus()
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -22,6 +22,9 @@
 	UpS           float64       `json:"upS"`
 	Ready         bool          `json:"ready"`
 	Leaving       bool          `json:"leaving"`
+	Phase         string        `json:"phase"` // of leaving; empty for none
+	Process       Process       `json:"process"`
+	Loops         []Loop        `json:"loops"`
 	Requests      Requests      `json:"requests"`
 	Link          Link          `json:"link"`
 	PromptReports PromptReports `json:"promptReports"`
@@ -32,6 +35,18 @@
 	Pins          Pins          `json:"pins"`
 }
 
+// Process is what the process has used since its start.
+type Process struct {
+	CPUS *float64 `json:"cpuS"` // processor time; null where the system does not tell
+}
+
+// Loop is a loop of the process that drives one part of it.
+type Loop struct {
+	Name    string `json:"name"`
+	Steps   uint64 `json:"steps"`   // since the start
+	Stalled uint64 `json:"stalled"` // of these, by a timer that was due again at once
+}
+
 // Pins are the version pins in force on a router.
 type Pins struct {
 	Revision int64 `json:"revision"`
@@ -83,7 +98,10 @@
 	SentBytes     uint64 `json:"sentBytes"`
 	Received      uint64 `json:"received"`
 	ReceivedBytes uint64 `json:"receivedBytes"`
-	Lost          uint64 `json:"lost"` // found no room, or no connection
+	Lost          uint64 `json:"lost"`        // found no room, or no connection
+	Connected     uint64 `json:"connected"`   // connections that were opened to others
+	Unreachable   uint64 `json:"unreachable"` // tries to open one in vain
+	Broken        uint64 `json:"broken"`      // that ended while something was sent, or that nothing went through
 }
 
 // Configuration is the one in force.
