Link: receivers say that bytes arrive; a connection that delivers nothing is replaced

Cause of CONFIG: after a one-way cut the connections of others to a machine of the register were still open. What was written to them went into buffers and no further until a write did not fit, 5.6 and 5.9 s after the cut had healed in a play with each connection printed; the system's timeout for unacknowledged bytes did not end them. Meanwhile the machine could be heard and heard nothing. Ruled out: that it is asked too seldom (it is back 0.1 s after the first new connection), that its process stood still (it answered requests within 7 ms).

A receiver says on the connection that bytes arrive, within 0.2 s and in the middle of a long message; the sender replaces a connection of which it heard nothing for 1.5 s after a write, twice as long after each that was silent from its beginning (receivers of the version before say nothing). Class: a write that succeeds taken for a delivery.

--- a/coord/link/link.go
+++ b/coord/link/link.go
@@ -1,6 +1,6 @@
 // Package link carries messages between processes: frames over TCP, one connection to each address that something is sent to. Nothing is
-// acknowledged and nothing is sent twice; what can't be sent soon is lost, as on any network. Messages of one sender to one address that
-// arrive do so in their order.
+// sent twice; what can't be sent soon is lost, as on any network. Messages of one sender to one address that arrive over one connection do so
+// in their order. A receiver says that bytes arrive, and no more: a connection through which nothing does is replaced (delivery.go).
 package link
 
 import (
@@ -156,10 +156,9 @@
 		l.inbound.Remove(c)
 		l.mu.Unlock()
 	}()
-	in := bufio.NewReaderSize(c, buffer)
+	in := bufio.NewReaderSize(&acknowledging{Conn: c}, buffer)
 	var head [frameHead]byte
 	for {
-		c.SetReadDeadline(time.Now().Add(2 * idleFor))
 		if _, err := io.ReadFull(in, head[:]); err != nil {
 			return
 		}
@@ -220,9 +219,16 @@
 
 // write sends what is left for one address, over one connection at a time, until nothing came for long.
 func (l *Link) write(to string, ln *line) {
-	var c net.Conn
+	var c *outbound
 	var out *bufio.Writer
 	var again time.Time
+	patience := undelivered
+	drop := func() {
+		c.Close()
+		patience = c.nextPatience()
+		c = nil
+		l.broken.Add(1)
+	}
 	idle := time.NewTimer(idleFor)
 	defer idle.Stop()
 	defer func() {
@@ -243,13 +249,16 @@
 			}
 			continue
 		}
+		if c != nil && !c.delivers(time.Now()) {
+			drop()
+		}
 		if c == nil {
 			if time.Now().Before(again) {
 				l.done(ln, frame)
 				l.lost.Add(1)
 				continue
 			}
-			if c = l.dial(to); c == nil {
+			if c = l.dial(to, patience); c == nil {
 				again = time.Now().Add(dialAgain)
 				l.done(ln, frame)
 				l.lost.Add(1)
@@ -258,9 +267,8 @@
 			out = bufio.NewWriterSize(c, buffer)
 		}
 		if err := l.flush(c, out, ln, frame); err != nil {
-			c.Close()
-			c, again = nil, time.Now().Add(dialAgain)
-			l.broken.Add(1)
+			drop()
+			again = time.Now().Add(dialAgain)
 		}
 	}
 }
@@ -277,8 +285,10 @@
 }
 
 // flush writes a frame and those that wait behind it.
-func (l *Link) flush(c net.Conn, out *bufio.Writer, ln *line, frame []byte) error {
-	c.SetWriteDeadline(time.Now().Add(writeFor))
+func (l *Link) flush(c *outbound, out *bufio.Writer, ln *line, frame []byte) error {
+	now := time.Now()
+	c.SetWriteDeadline(now.Add(writeFor))
+	c.wrote(now)
 	for {
 		_, err := out.Write(frame)
 		l.done(ln, frame)
@@ -297,7 +307,7 @@
 }
 
 // dial connects to an address, nil where it does not answer soon.
-func (l *Link) dial(to string) net.Conn {
+func (l *Link) dial(to string, patience time.Duration) *outbound {
 	dialer := net.Dialer{Timeout: dialFor, KeepAlive: -1}
 	c, err := dialer.DialContext(l.ctx, "tcp4", to)
 	if err != nil {
@@ -306,11 +316,9 @@
 	}
 	l.connected.Add(1)
 	giveUp(c)
-	go func() { // the other side says nothing; that it has ended is seen here
-		io.Copy(io.Discard, c)
-		c.Close()
-	}()
-	return c
+	o := &outbound{Conn: c, patience: patience}
+	go o.listen()
+	return o
 }
 
 // giveUp has the system end a connection whose other side acknowledges nothing.
--- a/coord/link/link_test.go
+++ b/coord/link/link_test.go
@@ -192,3 +192,98 @@
 	}
 	t.Fatal("nothing came")
 }
+
+// slowly listens in front of an address and passes bytes on at a pace.
+func slowly(t *testing.T, to string, bytesAStep int, step time.Duration) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.(*net.TCPConn).SetReadBuffer(bytesAStep)
+			go passOn(&pacedConn{c, bytesAStep, step}, to)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// pacedConn is read so many bytes a step.
+type pacedConn struct {
+	net.Conn
+	bytes int
+	step  time.Duration
+}
+
+func (p *pacedConn) Read(b []byte) (int, error) {
+	time.Sleep(p.step)
+	return p.Conn.Read(b[:min(len(b), p.bytes)])
+}
+
+// A message that takes longer than nothing may be heard of a connection arrives over it: what has come of it is told on the way. A connection
+// that is silent for as long is kept as well.
+func TestLongMessageOverASlowWay(t *testing.T) {
+	is := is.New(t)
+	a, _, _ := started(t)
+	_, to, came := started(t)
+	by := slowly(t, to, 16<<10, 40*time.Millisecond)
+	long := bytes.Repeat([]byte("x"), 1<<20)
+	for _, size := range []int{len(long), 1} {
+		a.Send(by, 1, long[:size])
+		is.Equal(len(next(t, came).data), size)
+	}
+	idle := time.NewTimer(undelivered + acknowledgeEvery)
+	defer idle.Stop()
+	<-idle.C
+	a.Send(by, 1, []byte("after a pause"))
+	is.Equal(next(t, came).data, "after a pause")
+	is.Equal(a.Figures().Connected, uint64(1))
+	is.Equal(a.Figures().Broken, uint64(0))
+}
+
+// A receiver that never says what arrives, as one of an older version, gets the messages all the same, over connections that are replaced more
+// and more seldom.
+func TestSilentReceiver(t *testing.T) {
+	is := is.New(t)
+	a, _, _ := started(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	came := make(chan byte, 1000)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				frame := make([]byte, frameHead+1)
+				for {
+					if _, err := io.ReadFull(c, frame); err != nil {
+						return
+					}
+					came <- frame[frameHead]
+				}
+			}()
+		}
+	}()
+	for number := byte(0); a.Figures().Connected < 3; number++ {
+		a.Send(ln.Addr().String(), 1, []byte{number})
+		select {
+		case got := <-came:
+			is.Equal(got, number)
+		case <-time.After(patience):
+			t.Fatal("nothing came")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(a.Figures().Lost, uint64(0))
+	is.Equal((&outbound{patience: undelivered}).nextPatience(), 2*undelivered)
+	is.Equal((&outbound{patience: mostUndelivered}).nextPatience(), mostUndelivered)
+}
