Data plane: nothing is refused for good by a configuration that may be old

What was seen: 401 and 404 as an older version says, by a router in touch. Whatever keeps news from a router, these refusals were its own: a key was refused as long as the configuration had been confirmed within revocationMs (5 s), a route whatever its age, though a change is to be in force within configurationApplyMs (2 s). Class: an answer for good given on knowledge that is not known to be current; the register's side had that right (503), the data plane had not. Now both are 503 with Retry-After until the configuration is confirmed; requests that wait while a router starts wait for that as well. What the configuration allows is served as before.

--- a/internal/system/dataplane/intake.go
+++ b/internal/system/dataplane/intake.go
@@ -48,20 +48,19 @@
 // Head implements transport.Intake: routes, keys and what is known decide whether a body is worth reading.
 func (p *Plane) Head(ctx *fasthttp.RequestCtx) *transport.Rejection {
 	p.counts.Taken.Add(1)
-	if !p.knows() && p.starting() {
-		return nil // it is read, and admitted once the router knows
-	}
 	a, no := p.admit(ctx)
-	if no == nil {
+	switch {
+	case no == nil:
 		ctx.SetUserValue(admittedKey, a)
+	case isUnsure(no) && p.starting():
+		return nil // it is read, and admitted once the router knows
 	}
 	return no
 }
 
-// knows tells whether a configuration is known by which requests can be admitted.
-func (p *Plane) knows() bool {
-	state := p.state.Load()
-	return state != nil && (!state.Typed.Keyed() || p.o.Fresh())
+// isUnsure tells whether a request is turned away only because too little is known here.
+func isUnsure(no *transport.Rejection) bool {
+	return no != nil && no.Code == http.StatusServiceUnavailable
 }
 
 // admit looks up the route of a request and who sends it.
@@ -72,7 +71,7 @@
 	}
 	a := &admitted{state: state, route: state.Typed.Route(hostOf(ctx), pathOf(ctx))}
 	if a.route == nil {
-		return nil, &transport.Rejection{Code: http.StatusNotFound, Line: "no such route"}
+		return nil, p.deny(http.StatusNotFound, "no such route")
 	}
 	if state.Typed.Keyed() && !a.route.Public {
 		if !p.o.Fresh() {
@@ -80,19 +79,33 @@
 		}
 		key := protocol.BearerKey(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
 		if a.tenant = state.Typed.Tenant(key); a.tenant == nil {
-			return nil, &transport.Rejection{Code: http.StatusUnauthorized, Line: "no such key"}
+			return nil, p.deny(http.StatusUnauthorized, "no such key")
 		}
 	}
 	return a, nil
 }
 
+// deny refuses a request that the configuration does not allow. By one that may not be the newest nothing is refused for good: a route or a key
+// may have come since, whatever kept the news from this router.
+func (p *Plane) deny(code int, line string) *transport.Rejection {
+	if !p.o.Newest() {
+		return &transport.Rejection{Code: http.StatusServiceUnavailable, Line: "the configuration may not be the newest", Wait: comeBack()}
+	}
+	return &transport.Rejection{Code: code, Line: line}
+}
+
 // admitted is what admit found for a request when its head came, or finds now, once the router knows enough.
 func (p *Plane) admitted(ctx *fasthttp.RequestCtx) (*admitted, *transport.Rejection) {
 	if a, ok := ctx.UserValue(admittedKey).(*admitted); ok {
 		return a, nil
 	}
-	p.await(ctx, p.knows)
-	return p.admit(ctx)
+	var a *admitted
+	var no *transport.Rejection
+	p.await(ctx, func() bool {
+		a, no = p.admit(ctx)
+		return !isUnsure(no)
+	})
+	return a, no
 }
 
 // comeBack is when a client should come back to a router that can't serve anything yet. It differs from client to client.
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -47,6 +47,8 @@
 	Quotas   Quotas
 	// Fresh tells whether what is known of the configuration is young enough to honour keys by it.
 	Fresh func() bool
+	// Newest tells whether it was the newest for certain so short a time ago that a refusal by it is right.
+	Newest func() bool
 	// Tell tells other routers of prompts that were sent to hosts of a service; nil for nobody. It must not block.
 	Tell  func(service string, reports []balance.PeerReport)
 	Log   routing.Logger
--- a/internal/system/roles/node/node.go
+++ b/internal/system/roles/node/node.go
@@ -190,7 +190,7 @@
 	free := max(s.Limits.FileDescriptors-setAside, s.Limits.FileDescriptors/2)
 	n.servers = transport.NewServers(transport.ServerLimits{Connect: connectFor, Keepalive: keepIdleFor, Silent: silentFor,
 		Connections: free / 2, Dialect: protocol.Fleet{}}, n.log)
-	n.plane = dataplane.New(ctx, dataplane.Options{Settings: n.settings, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Tell: n.prompts.tell, Log: n.log, Seed: rand.Uint64(), Began: time.Now()})
+	n.plane = dataplane.New(ctx, dataplane.Options{Settings: n.settings, Servers: n.servers, Quotas: n.quotas, Fresh: n.fresh, Newest: n.newest, Tell: n.prompts.tell, Log: n.log, Seed: rand.Uint64(), Began: time.Now()})
 	n.front = transport.NewIntakeFront(n.plane, transport.FrontLimits{
 		Bodies: int(bodyPart * float64(s.Limits.MemoryMb) * (1 << 20)), Head: headBytes, Patience: n.patience, Seed: rand.Uint64(),
 		Admission: admission.Config{Places: free / 2, Step: stepClients, Away: time.Second},
@@ -228,6 +228,12 @@
 	return n.hub.fresh(settings.Milliseconds(bounds.RevocationMs) - freshMargin)
 }
 
+// newest tells whether the configuration was the newest for certain so short a time ago that no change may have to be in force that it lacks.
+func (n *Node) newest() bool {
+	bound := settings.Milliseconds(n.settings().Bounds.ConfigurationApplyMs)
+	return bound == 0 || n.hub.fresh(bound)
+}
+
 // openRegister reads what the disk has of the register, where this router may be a member.
 func (n *Node) openRegister(self *coordpb.Member) error {
 	if !n.self.core && !n.isSeed() {
