--- a/internal/system/localfleet/localfleet.go
+++ b/internal/system/localfleet/localfleet.go
@@ -3,6 +3,7 @@
 package localfleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,6 +31,7 @@
 	seeds       = 3 // the first routers
 	zones       = 3 // which the routers are in by turns
 	readyWithin = time.Minute
+	usualGraceS = 3
 	readyFor    = time.Second // one call
 	askAgain    = 20 * time.Millisecond
 )
@@ -46,6 +48,7 @@
 	HeartbeatMs int // between two calls of a host
 	// RevocationMs bounds the age of what keys are honoured by: each change of the version pins takes so long.
 	RevocationMs int
+	GraceS       int // that a process has to end in; 0 for 3
 }
 
 // Fleet is one. Its methods are for one goroutine, but for those that only tell addresses.
@@ -63,6 +66,7 @@
 	Ports          struct{ Internal, Front, Ready, Control int }
 	Heartbeat      int
 	Revocation     int
+	Grace          int
 
 	cmd   *exec.Cmd // nil while it is down
 	ended chan struct{}
@@ -105,7 +109,8 @@
 machines = 1
 
 [bounds]
-graceS = 3
+graceS = {{.Grace}}
+configurationApplyMs = 2000
 revocationClosed = true
 revocationMs = {{.Revocation}}
 retryBudgetRatio = 1.0
@@ -121,7 +126,7 @@
 	var all []string
 	for i := range o.Routers {
 		p := &process{Name: fmt.Sprint("router-", i+1), IP: fmt.Sprintf("%s.%d", o.Network, i+1), Zone: i % zones, Core: i < o.Disks, First: true,
-			Heartbeat: o.HeartbeatMs, Revocation: o.RevocationMs}
+			Heartbeat: o.HeartbeatMs, Revocation: o.RevocationMs, Grace: cmp.Or(o.GraceS, usualGraceS)}
 		p.Ports.Internal, p.Ports.Front, p.Ports.Ready, p.Ports.Control = internalPort, frontPort, readyPort, controlPort
 		if p.Core {
 			p.Data = filepath.Join(o.Folder, p.Name)
@@ -166,12 +171,7 @@
 // Start begins a life of a router.
 func (f *Fleet) Start(i int) error {
 	p := f.all[i]
-	path := filepath.Join(f.o.Folder, p.Name+".toml")
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	if err := errors.Join(settingsText.Execute(file, p), file.Close()); err != nil {
+	if err := f.writeSettings(p); err != nil {
 		return err
 	}
 	p.First = false
@@ -181,7 +181,7 @@
 	}
 	defer log.Close()
 	p.cmd = exec.Command(f.o.Executable[0], f.o.Executable[1:]...)
-	p.cmd.Env = append(os.Environ(), settings.PathVariable+"="+path)
+	p.cmd.Env = append(os.Environ(), settings.PathVariable+"="+f.settingsPath(p))
 	if f.o.Environment != nil {
 		p.cmd.Env = append(p.cmd.Env, f.o.Environment(i)...)
 	}
@@ -199,6 +199,66 @@
 	return nil
 }
 
+func (f *Fleet) settingsPath(p *process) string { return filepath.Join(f.o.Folder, p.Name+".toml") }
+
+func (f *Fleet) writeSettings(p *process) error {
+	file, err := os.Create(f.settingsPath(p))
+	if err != nil {
+		return err
+	}
+	return errors.Join(settingsText.Execute(file, p), file.Close())
+}
+
+// Reload writes a router's settings anew, with its seeds in another order, and tells the process.
+func (f *Fleet) Reload(i int) error {
+	p := f.all[i]
+	p.Seeds = append(p.Seeds[1:len(p.Seeds):len(p.Seeds)], p.Seeds[0])
+	if err := f.writeSettings(p); err != nil {
+		return err
+	}
+	return p.signal(syscall.SIGHUP)
+}
+
+// Terminate tells a router to end, and does not wait for it.
+func (f *Fleet) Terminate(i int) error { return f.all[i].signal(syscall.SIGTERM) }
+
+func (p *process) signal(s syscall.Signal) error {
+	if p.cmd == nil {
+		return errDown
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// errDown says that a router has no process.
+var errDown = errors.New("the router is down")
+
+// Ended is how a process's life ended.
+type Ended struct {
+	Status int           // -1 where a signal ended it
+	CPU    time.Duration // that it used
+}
+
+// AwaitEnd waits until a router's process has ended; ok is false where ctx ended first. The router is down then.
+func (f *Fleet) AwaitEnd(ctx context.Context, i int) (e Ended, ok bool) {
+	p := f.all[i]
+	select {
+	case <-p.ended:
+	case <-ctx.Done():
+		return Ended{}, false
+	}
+	state := p.cmd.ProcessState
+	p.cmd = nil
+	return Ended{Status: state.ExitCode(), CPU: state.UserTime() + state.SystemTime()}, true
+}
+
+// Process is the id of a router's process, 0 while it is down.
+func (f *Fleet) Process(i int) int {
+	if cmd := f.all[i].cmd; cmd != nil {
+		return cmd.Process.Pid
+	}
+	return 0
+}
+
 // StartAll begins a life of each router.
 func (f *Fleet) StartAll() error {
 	for i := range f.all {
--- a/internal/system/roles/roles.go
+++ b/internal/system/roles/roles.go
@@ -22,15 +22,16 @@
 
 // Run serves as a router until SIGTERM, or until ctx ends. SIGHUP has the settings read anew.
 func Run(ctx context.Context) error {
-	s, err := settings.Load(os.Getenv)
-	if err != nil {
-		return err
-	}
+	// Before all else: a signal that finds nobody ends the process at once, SIGHUP as well.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	s, err := settings.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
 	log := logging.Limit(logging.New(os.Stderr, logging.Text), mostLines, linesPeriod, time.Now)
 	reload := make(chan *settings.Settings)
 	go readAgain(ctx, hup, reload, log)
