--- a/internal/dutylab/router.go
+++ b/internal/dutylab/router.go
@@ -64,9 +64,12 @@
 	case wakes:
 		if r.voter != nil && now >= r.voter.Next() {
 			w.voted(r, r.voter.Step(now, quorum.Passed{}))
+			w.moved(r, "voter", r.voter != nil && r.voter.Next() <= now)
 		}
 		if next := r.agent.Next(); r.lives && next != 0 && now >= next {
 			w.asked(r, r.agent.Passed(now))
+			after := r.agent.Next()
+			w.moved(r, "agent", after != 0 && after <= now)
 		}
 	case acts:
 		w.act(r, e.duty)
@@ -76,6 +79,13 @@
 	w.wake(r)
 }
 
+// moved looks at a decider that was stepped at the time that it named: one that names no later time has its loop turn without pause.
+func (w *World) moved(r *router, decider string, stalls bool) {
+	if stalls && w.Broken == nil {
+		w.Broken = fmt.Errorf("at %v the %s of %s was stepped at the time that it named, and names no later one", w.now, decider, r.name)
+	}
+}
+
 func (w *World) wake(r *router) {
 	if !r.lives {
 		return
--- a/internal/peering/duties.go
+++ b/internal/peering/duties.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"reachspread/coord/members"
+	"reachspread/coord/pacing"
 	"reachspread/internal/duty"
 	"reachspread/internal/quorum"
 	"reachspread/internal/routing"
@@ -58,6 +59,7 @@
 	votes    atomic.Bool   // its store is open, and has not failed
 	voter    *quorum.Voter // its goroutine's alone, as is the store
 	store    *store
+	pace     pacing.Meter // of the voter's loop
 	lines    *lines
 	in       chan any
 	standing atomic.Pointer[Standing]
--- a/internal/peering/dutyvoter.go
+++ b/internal/peering/dutyvoter.go
@@ -94,6 +94,7 @@
 		}
 		var e quorum.Event = quorum.Passed{}
 		var ask *asking
+		byTimer := false
 		select {
 		case <-ctx.Done():
 			return nil
@@ -105,10 +106,15 @@
 				e = x
 			}
 		case <-timer.C:
+			byTimer = true
 		}
-		if err := d.carryOut(d.voter.Step(d.now(), e), ask, last); err != nil {
+		now := d.now()
+		if err := d.carryOut(d.voter.Step(now, e), ask, last); err != nil {
 			return err
 		}
+		if stalled := d.pace.Stepped(now, d.voter.Next(), byTimer); stalled > 0 {
+			d.log.Warn("loop stalls", "loop", "voter", "steps", stalled)
+		}
 		if now := time.Now(); ask != nil || now.Sub(shown) >= showEvery {
 			shown = now
 			d.show(last)
