Soak: each router ends on a tenth of a core under clients that stay; acknowledgements of the link each 0.4 s at most

A receiver says that bytes arrive each 0.4 s in place of 0.2 s: half the writes, and the sender's 1.5 s leave room for it.

--- a/coord/link/delivery.go
+++ b/coord/link/delivery.go
@@ -10,7 +10,7 @@
 
 const (
 	// acknowledgeEvery is the most often that a receiver says on a connection that bytes arrive.
-	acknowledgeEvery = 200 * time.Millisecond
+	acknowledgeEvery = 400 * time.Millisecond
 	// undelivered is how long after a write nothing may be heard of what arrives. Each write may succeed meanwhile: what is written goes into
 	// buffers, and after a way back that was cut the system may wait as long again as the cut lasted before it sends any of it.
 	undelivered = 1500 * time.Millisecond
--- a/internal/system/soak/conductor.go
+++ b/internal/system/soak/conductor.go
@@ -35,13 +35,15 @@
 	group sync.WaitGroup
 
 	mu       sync.Mutex
+	quota    float64       // the part of the processes that end on a processor quota
+	runs     time.Duration // of each quotaPeriod, such a process
 	busy     map[int]bool
 	logged   map[int]int64 // by routers, before their present lives
 	coreBusy bool
 }
 
 func newConductor(p *play) *conductor {
-	return &conductor{play: p, rng: p.rng(3), busy: map[int]bool{}, logged: map[int]int64{}}
+	return &conductor{play: p, rng: p.rng(3), quota: quotaPart, runs: quotaRuns, busy: map[int]bool{}, logged: map[int]int64{}}
 }
 
 // event is one kind, with its weight among all.
@@ -192,8 +194,8 @@
 	}
 	whole, over := context.WithTimeout(context.WithoutCancel(ctx), graceS*time.Second+graceSlack)
 	defer over()
-	if rng.Float64() < quotaPart {
-		go throttle(whole, pid)
+	if rng.Float64() < c.quota {
+		go throttle(whole, pid, c.runs)
 	}
 	if rng.IntN(4) == 0 {
 		pause(whole, time.Duration(rng.IntN(1500))*time.Millisecond)
@@ -226,11 +228,11 @@
 }
 
 // throttle lets a process run for a part of each period until it has ended or ctx has.
-func throttle(ctx context.Context, pid int) {
+func throttle(ctx context.Context, pid int, runs time.Duration) {
 	for syscall.Kill(pid, syscall.SIGSTOP) == nil {
-		pause(ctx, quotaPeriod-quotaRuns)
+		pause(ctx, quotaPeriod-runs)
 		syscall.Kill(pid, syscall.SIGCONT)
-		if !pause(ctx, quotaRuns) || !lives(pid) {
+		if !pause(ctx, runs) || !lives(pid) {
 			return
 		}
 	}
--- a/internal/system/soak/soak.go
+++ b/internal/system/soak/soak.go
@@ -83,6 +83,11 @@
 
 // Run plays until the length is over or ctx ends, and judges what was seen.
 func Run(ctx context.Context, o Options) (*Report, error) {
+	return runWith(ctx, o, func(ctx context.Context, p *play) { newConductor(p).run(ctx) })
+}
+
+// runWith is Run with another schedule.
+func runWith(ctx context.Context, o Options, schedule func(context.Context, *play)) (*Report, error) {
 	folder, err := os.MkdirTemp("", "reachspread-soak")
 	if err != nil {
 		return nil, err
@@ -102,7 +107,7 @@
 	if err := p.bringUp(work); err != nil {
 		return nil, err
 	}
-	p.playAll(work, stop)
+	p.playAll(work, stop, schedule)
 	p.readLogs()
 	slices.SortFunc(p.report.Findings, func(a, b Finding) int { return int(a.At - b.At) })
 	return &p.report, ctx.Err()
@@ -133,7 +138,7 @@
 func ctx0(ctx context.Context) context.Context { return context.WithoutCancel(ctx) }
 
 // playAll has clients, operators and the schedule work beside each other, and judges once all have ended.
-func (p *play) playAll(ctx context.Context, stop context.CancelFunc) {
+func (p *play) playAll(ctx context.Context, stop context.CancelFunc, schedule func(context.Context, *play)) {
 	var clients, others sync.WaitGroup
 	asked := make([][]asked, p.o.Clients)
 	for i := range p.o.Clients {
@@ -142,8 +147,7 @@
 	}
 	operator := newOperator(p)
 	others.Go(func() { operator.work(ctx) })
-	conductor := newConductor(p)
-	conductor.run(ctx)
+	schedule(ctx, p)
 	stop()
 	clients.Wait()
 	others.Wait()
--- a/internal/system/soak/soak_test.go
+++ b/internal/system/soak/soak_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// Each router is told to end while its clients use their connections to the end and have long answers under way, on a tenth of a core: what it
+// has taken is answered whole or refused before it ran, and it ends by itself within its grace.
+func TestEndOnAQuota(t *testing.T) {
+	is := is.New(t)
+	report, err := runWith(t.Context(), Options{Network: "127.80.1", Executable: []string{os.Args[0]}, Seed: 1, Routers: 4, Disks: 3, Hosts: 2, Clients: 24},
+		func(ctx context.Context, p *play) {
+			c := newConductor(p)
+			c.quota, c.runs = 1, quotaPeriod/10
+			for i := range p.fleet.Len() {
+				c.restart(ctx, c.rng, i)
+			}
+		})
+	is.NoErr(err)
+	t.Logf("%+v", *report)
+	for _, f := range report.Findings {
+		t.Error(f)
+	}
+	is.Equal(report.Ends, 4)
+	is.True(report.Requests[Whole] > 200)
+}
+
 // Each wrong end of a request is found, and each end that may be is passed over.
 func TestJudgeRequest(t *testing.T) {
 	for _, c := range []struct {
