--- a/internal/peering/dutyvoter.go
+++ b/internal/peering/dutyvoter.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -45,12 +44,8 @@
 		case errors.Is(err, durable.ErrLocked):
 			pause = takeOverEvery
 		case err == nil:
-			if d.lines.ln == nil {
-				if err = d.lines.listen(d.c.Listen); err == nil {
-					others := maps.Clone(d.c.Routers)
-					delete(others, d.c.Self.Name)
-					go d.lines.run(running, others)
-				}
+			if !d.lines.listening() {
+				err = d.lines.listen(running, d.c.Listen)
 			}
 			if err == nil {
 				told = ""
