--- a/internal/system/roles/node/node.go
+++ b/internal/system/roles/node/node.go
@@ -45,7 +45,7 @@
 )
 
 const (
-	connectFor    = 500 * time.Millisecond
+	connectFor    = 200 * time.Millisecond
 	keepIdleFor   = 40 * time.Second // to a host that does not say
 	silentFor     = 5 * time.Second
 	heapPart      = 0.6 // of the memory limit
