Balance: a further attempt is free of the retry budget while none has arrived at a host

The rule counts arrivals at a service beyond the first of a request, and an attempt without a connection is none.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,31 +1,14 @@
 package balance
 
-// The interface of this module is types.go. This file takes events and gives actions.
-//
-// Mechanism: a gateway holds prompts. When a replica has room under the cap that this gateway has learned
-// for it, the held prompt with the highest response ratio, 1 + wait / estimated run time, leaves for the
-// better of two sampled replicas with room, compared by local estimate. Nothing is recalled once sent, and
-// nothing waits while a replica has room.
-//
-// Exceptions, each at the function named:
-//   - homes: the two samples are of the first few in the rendezvous order of the prompt's prefix;
-//   - choose: homes in the own zone take part where crossing costs more than reading a prefix again, and
-//     where no report tells others' unread tokens; replicas beyond the own share only where that has no room;
-//   - ask: a prompt is held for some ms while samples are probed whose last reports are old;
-//   - weigh: where the sample would miss an aim, all of the share with room and two others are compared;
-//   - hopeless, spent: a prompt that would miss its aim is refused, or held if others yield to it;
-//   - yields: a prompt is held where it would take much of the time that a class of more worth has;
-//   - coldRoom: a replica that has just started gets a budget, and no heavy prompt;
-//   - room, fail: a failing replica is ejected, then tried with one prompt at a time.
+// This file takes events and gives actions; types.go says what is decided, and by what exceptions.
 
 import (
 	"cmp"
 	"math"
 	"math/rand/v2"
-	"time"
-
 	"reachspread/internal/decayed"
 	"reachspread/internal/shares"
+	"time"
 )
 
 const (
--- /dev/null
+++ b/balance/budget_test.go
@@ -0,0 +1,31 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"reachspread/internal/budget"
+)
+
+// A further attempt is free while none has arrived; after one that did it takes from the budget.
+func TestBudgetOfAttemptsThatArrived(t *testing.T) {
+	for _, tt := range []struct {
+		result Result
+		again  bool
+	}{
+		{NoConnection, true}, {NotSent, true}, {Full, false}, {Reset, false}, {Error, false},
+	} {
+		t.Run(fmt.Sprint(tt.result), func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Retries = budget.New(0, 0)
+			g := newGateway(t, cfg, members("a", "b")...)
+			q := g.request("safe")
+			if len(of[Send](g.step(q))) != 1 {
+				t.Fatal("not sent")
+			}
+			if again := len(of[Send](g.step(Outcome{ID: q.ID, Result: tt.result}))) == 1; again != tt.again {
+				t.Errorf("sent again: %v, want %v", again, tt.again)
+			}
+		})
+	}
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -7,8 +7,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"reachspread/internal/rendezvous"
 )
 
 const (
@@ -62,11 +60,6 @@
 	return ranked(q.keys[1], ranked(q.keys[0], pool, homes), 2)
 }
 
-// ranked returns the first n of pool in the rendezvous order of key.
-func ranked(key uint64, pool []*replica, n int) []*replica {
-	return rendezvous.First(key, pool, n, func(r *replica) uint64 { return r.name })
-}
-
 // strangers returns two replicas with room beyond the own share.
 func (b *Balancer) strangers(q *request) (sample []*replica) {
 	for _, r := range b.order {
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -4,8 +4,6 @@
 
 import (
 	"math"
-
-	"reachspread/internal/decayed"
 )
 
 const (
@@ -136,14 +134,5 @@
 	r.slow.See(b.now, min(max(ratio, 0.2), 20), 2*learn)
 }
 
-// fit is the seconds of reading by tokens.
-type fit struct{ decayed.Line }
-
-// slope returns the seconds to read a token.
-func (f *fit) slope() float64 { return f.Slope(slowRead) }
-
-// at returns the seconds to a first token behind so many unread tokens.
-func (f *fit) at(tokens float64) float64 { return slowFirst + tokens*f.slope() }
-
 // slowness is what r took over what was expected, fading to 1. Hearsay counts more the older the own view is.
 func (b *Balancer) slowness(r *replica) float64 { return r.slow.At(b.now) }
--- a/balance/figures.go
+++ b/balance/figures.go
@@ -12,3 +12,12 @@
 
 // Classes returns the classes that are in force.
 func (b *Balancer) Classes() []Class { return b.cfg.Classes }
+
+// find returns an attempt by the name of its request and its number, nil for none.
+func (b *Balancer) find(id string, n int) *attempt {
+	q := b.requests[id]
+	if q == nil || n < 0 || n >= len(q.attempts) {
+		return nil
+	}
+	return q.attempts[n]
+}
--- a/balance/learned.go
+++ b/balance/learned.go
@@ -100,3 +100,12 @@
 		}
 	}
 }
+
+// fit is the seconds of reading by tokens.
+type fit struct{ decayed.Line }
+
+// slope returns the seconds to read a token.
+func (f *fit) slope() float64 { return f.Slope(slowRead) }
+
+// at returns the seconds to a first token behind so many unread tokens.
+func (f *fit) at(tokens float64) float64 { return slowFirst + tokens*f.slope() }
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -27,7 +27,8 @@
 func (b *Balancer) takeOutcome(a *attempt, ev Outcome) {
 	q, r := a.req, a.rep
 	a.over = true
-	a.ran = ev.Result != Full && ev.Result != NoConnection && ev.Result != NotSent
+	a.arrived = ev.Result != NoConnection && ev.Result != NotSent
+	a.ran = a.arrived && ev.Result != Full
 	q.out--
 	r.streams--
 	r.stopWaiting(a)
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -139,11 +139,3 @@
 		delete(b.requests, q.ID)
 	}
 }
-
-func (b *Balancer) find(id string, n int) *attempt {
-	q := b.requests[id]
-	if q == nil || n < 0 || n >= len(q.attempts) {
-		return nil
-	}
-	return q.attempts[n]
-}
--- a/balance/repeats.go
+++ b/balance/repeats.go
@@ -41,9 +41,11 @@
 		(q.class.Scope != ScopeCell || r.Cell == first.rep.Cell)
 }
 
-// mayRepeat tells whether the settings and the budget leave q a further attempt. It spends from the budget.
+// mayRepeat tells whether the settings and the budget leave q a further attempt. It spends from the budget,
+// unless none has arrived yet.
 func (b *Balancer) mayRepeat(q *request) bool {
-	return len(q.attempts) < b.cfg.MaxAttempts && q.mayRun() && b.cfg.Retries.Take()
+	arrived := slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.arrived })
+	return len(q.attempts) < b.cfg.MaxAttempts && q.mayRun() && (!arrived || b.cfg.Retries.Take())
 }
 
 // anyUse tells whether a further attempt may go anywhere.
--- a/balance/state.go
+++ b/balance/state.go
@@ -77,6 +77,7 @@
 	ahead    float64       // unread tokens in front of its first token, its own included
 	expected float64       // seconds to the first token
 	over     bool
+	arrived  bool // at the replica, which may have turned it away
 	ran      bool // may have run
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -4,6 +4,23 @@
 // host calls Step with what has happened and carries out the actions that come back, in order. The host owes
 // it one caller at a time, a clock that never goes back, and every event that concerns this gateway. It may
 // expect that the same seed, settings and events always give the same actions.
+//
+// Mechanism: a gateway holds prompts. When a replica has room under the cap that this gateway has learned
+// for it, the held prompt with the highest response ratio, 1 + wait / estimated run time, leaves for the
+// better of two sampled replicas with room, compared by local estimate. Nothing is recalled once sent, and
+// nothing waits while a replica has room.
+//
+// Exceptions, each at the function named:
+//
+//   - homes: the two samples are of the first few in the rendezvous order of the prompt's prefix;
+//   - choose: homes in the own zone take part where crossing costs more than reading a prefix again, and
+//     where no report tells others' unread tokens; replicas beyond the own share only where that has no room;
+//   - ask: a prompt is held for some ms while samples are probed whose last reports are old;
+//   - weigh: where the sample would miss an aim, all of the share with room and two others are compared;
+//   - hopeless, spent: a prompt that would miss its aim is refused, or held if others yield to it;
+//   - yields: a prompt is held where it would take much of the time that a class of more worth has;
+//   - coldRoom: a replica that has just started gets a budget, and no heavy prompt;
+//   - room, fail: a failing replica is ejected, then tried with one prompt at a time.
 package balance
 
 import (
@@ -289,6 +306,11 @@
 // mark is the short name of a zone.
 func mark(zone string) uint8 { return uint8(rendezvous.Hash(zone)) }
 
+// ranked returns the first n of pool in the rendezvous order of key.
+func ranked(key uint64, pool []*replica, n int) []*replica {
+	return rendezvous.First(key, pool, n, func(r *replica) uint64 { return r.name })
+}
+
 // place is what shares are dealt by.
 func place(r *replica) (name uint64, zone uint8) { return r.name, mark(r.Zone) }
 
