--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -11,6 +11,7 @@
 	crowding    = 0.04  // of a stream's time: what one beside costs, half to itself and half to the other
 	crossBeside = 1.5   // streams beside that a crossing is worth, lest small differences send prompts far
 	crossScale  = 4.0   // a crossing counts as this many times its price in missed aims
+	readAgain   = 3.0   // times its reading that a prefix which is read once more costs others
 	learn       = 0.1   // weight of a sample in a moving average
 	slowRead    = 1e-4  // seconds to read a token, before any was seen
 	slowFirst   = 0.05  // seconds to a first token with nothing to read
@@ -28,6 +29,7 @@
 	share := crowding
 	if b.cfg.OneHome { // to leave a home has the prefix read once more, and kept in two places
 		share = streamShare * b.slowness(r)
+		t += readAgain * max(b.unreadOn(q, r)-(q.Prompt-q.Shared), 0) * r.read.slope()
 	}
 	return t + q.class.decode*share*beside
 }
