Hosts that two routers saw fail are avoided by all for a moment: failures are told like prompts

Change: a failure (and silence beyond five times the expected and 0.6 s) goes to all routers in one datagram, while it is news. Two witnesses within 2 s have a host avoided for 1 s, up to 4 s where it fails again soon; where more than half of the hosts with room are doubted, nobody is. internal/suspicion has the judgement, pure; its words are bounded to 85 messages a second, 425 at once.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -7,6 +7,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"reachspread/internal/suspicion"
 )
 
 const (
@@ -30,6 +32,7 @@
 			}
 		}
 	}
+	pool, near = suspicion.Trusted(pool, b.doubted), suspicion.Trusted(near, b.doubted)
 	sharing := cmp.Or(len(near), len(pool))
 	shut := func(r *replica) bool { return !b.coldRoom(q, r, sharing) }
 	pool, near = slices.DeleteFunc(pool, shut), slices.DeleteFunc(near, shut)
--- /dev/null
+++ b/balance/doubts_test.go
@@ -0,0 +1,109 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// failure is what another gateway tells of a replica that it saw fail.
+func failure(r *replica, witness int) Heard {
+	return Heard{From: witness, Reports: []PeerReport{{Tag: tag(r), Failed: true}}}
+}
+
+// A replica that two gateways saw fail gets nothing for a moment, one that a single gateway did goes on. Where most are doubted, all go on.
+func TestDoubtedByTwo(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		seen    map[string][]int // replica to witnesses
+		waited  int              // seconds
+		avoided string
+	}{
+		{name: "by one", seen: map[string][]int{"a": {1}}},
+		{name: "by one, twice", seen: map[string][]int{"a": {1, 1}}},
+		{name: "by two", seen: map[string][]int{"a": {1, 2}}, avoided: "a"},
+		{name: "by two, a while ago", seen: map[string][]int{"a": {1, 2}}, waited: 2},
+		{name: "most of them", seen: map[string][]int{"a": {1, 2}, "b": {1, 2}, "c": {1, 2}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGateway(t, broadcasting(), members("a", "b", "c", "d")...)
+			for name, witnesses := range tt.seen {
+				for _, w := range witnesses {
+					g.step(failure(g.b.replicas[name], w))
+				}
+			}
+			g.now += time.Duration(tt.waited) * sec
+			sent := map[string]bool{}
+			for i := range 40 {
+				q := g.request("safe")
+				q.Prefix = fmt.Sprint("p", i)
+				for _, s := range of[Send](g.step(q)) {
+					sent[s.Replica] = true
+				}
+			}
+			for _, name := range []string{"a", "b", "c", "d"} {
+				if want := name != tt.avoided; sent[name] != want {
+					t.Errorf("prompts for %s: %v, want %v", name, sent[name], want)
+				}
+			}
+		})
+	}
+}
+
+// A failure is told to all, once; while a replica is doubted already it is no news.
+func TestFailuresAreTold(t *testing.T) {
+	g := newGateway(t, broadcasting(), members("a")...)
+	told := func(out []Action) (n int) {
+		for _, tell := range of[Tell](out) {
+			for _, r := range tell.Reports {
+				if r.Failed {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	fail := func() []Action {
+		q := g.request("safe")
+		g.step(q)
+		return g.step(Outcome{ID: q.ID, Result: Reset})
+	}
+	if n := told(fail()); n != 1 {
+		t.Errorf("a failure was told %d times", n)
+	}
+	g.step(failure(g.b.replicas["a"], 7))
+	if !g.b.doubted(g.b.replicas["a"]) {
+		t.Fatal("with the word of another one it is not doubted")
+	}
+	if n := told(fail()); n != 0 {
+		t.Errorf("a failure of one that is doubted was told %d times", n)
+	}
+}
+
+// A replica that says nothing for long, by what was expected, is told of as one that fails, once for each prompt.
+func TestSilenceIsTold(t *testing.T) {
+	g := newGateway(t, broadcasting(), members("a")...)
+	g.step(g.request("safe"))
+	n := 0
+	for range 30 {
+		for _, tell := range of[Tell](g.after(100 * ms)) {
+			if tell.Reports[0].Failed {
+				n++
+			}
+		}
+	}
+	if n != 1 {
+		t.Errorf("told %d times", n)
+	}
+}
+
+// A gateway that is alone doubts nobody: its own failures are what ejection is for.
+func TestAloneNobodyIsDoubted(t *testing.T) {
+	g := newGateway(t, testConfig(), members("a", "b")...)
+	for range 5 {
+		g.b.fail(g.b.replicas["a"], Reset)
+	}
+	if g.b.doubted(g.b.replicas["a"]) {
+		t.Error("doubted by its own word alone")
+	}
+}
--- a/balance/health.go
+++ b/balance/health.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"reachspread/internal/suspicion"
 )
 
 const (
@@ -54,6 +56,7 @@
 // fail counts a failure of r. A refused connection ejects at once, others from the second in a row on: single
 // ones break under processes that go on. Each further one doubles the time until the next trial.
 func (b *Balancer) fail(r *replica, how Result) {
+	b.sawFail(r)
 	r.fails++
 	refused := how == NoConnection
 	r.died = r.died || refused && r.fails > 1
@@ -66,3 +69,24 @@
 	r.penalty = min(max(2*r.penalty, firstEject), longEject)
 	r.ejected, b.counted = b.now+r.penalty, false
 }
+
+// sawFail notes that r was seen to fail, and tells others while that is news.
+func (b *Balancer) sawFail(r *replica) {
+	if b.cfg.Broadcast && !r.doubts.At(b.now) {
+		b.tell(nil, PeerReport{Tag: tag(r), Failed: true})
+	}
+	r.doubts.Failed(suspicion.Own, b.now)
+}
+
+// lookOverdue takes silence beyond what was expected for a failure.
+func (b *Balancer) lookOverdue() {
+	for _, r := range b.order {
+		for _, a := range r.waiting {
+			if a.silence.Overdue((b.now - a.sent).Seconds(), a.expected) {
+				b.sawFail(r)
+			}
+		}
+	}
+}
+
+func (b *Balancer) doubted(r *replica) bool { return r.doubts.At(b.now) }
--- a/balance/members.go
+++ b/balance/members.go
@@ -122,6 +122,8 @@
 			r.told, r.others = min(r.told+n.Tokens, mostTold/r.read.slope()), r.others+1
 			r.kept.Put(prefixKey(n.Prefix), b.now, math.Inf(1))
 			b.spend(r, b.meanWork*min(b.living, 1)) // each that is alone has a credit of its own
+		case n.Failed:
+			r.doubts.Failed(ev.From, b.now)
 		case n.Slow > 0:
 			r.slow.Hear(b.now, min(max(n.Slow, 0.2), 20), believe)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -8,6 +8,7 @@
 
 	"reachspread/internal/decayed"
 	"reachspread/internal/shares"
+	"reachspread/internal/suspicion"
 )
 
 // Balancer holds what one gateway knows. It is not safe for concurrent use.
@@ -76,9 +77,10 @@
 	unread   float64       // tokens that it was expected to read
 	ahead    float64       // unread tokens in front of its first token, its own included
 	expected float64       // seconds to the first token
+	silence  suspicion.Silence
 	over     bool
-	arrived  bool // at the replica, which may have turned it away
 	ran      bool // may have run
+	arrived  bool // at the replica, which may have turned it away
 }
 
 type replica struct {
@@ -96,13 +98,14 @@
 	cap   float64
 	cutAt time.Duration // attempts sent earlier cut no more
 
-	slow    decayed.Opinion // observed over expected time to the first token, fading to 1
-	toldAt  time.Duration   // when others' prompts were last reckoned off
-	sharers []int           // gateways that have it in their shares
-	hearers []int           // of these, those that are not gone by the view
-	mine    bool            // in the own one
-	told    float64         // tokens of others' prompts that they told of, not yet read
-	fails   int             // in a row
+	slow    decayed.Opinion  // observed over expected time to the first token, fading to 1
+	toldAt  time.Duration    // when others' prompts were last reckoned off
+	sharers []int            // gateways that have it in their shares
+	hearers []int            // of these, those that are not gone by the view
+	mine    bool             // in the own one
+	told    float64          // tokens of others' prompts that they told of, not yet read
+	doubts  suspicion.Server // of this and other gateways
+	fails   int              // in a row
 	died    bool
 	ejected time.Duration // until then, 0 for not
 	penalty time.Duration
--- a/balance/types.go
+++ b/balance/types.go
@@ -20,7 +20,8 @@
 //   - hopeless, spent: a prompt that would miss its aim is refused, or held if others yield to it;
 //   - yields: a prompt is held where it would take much of the time that a class of more worth has;
 //   - coldRoom: a replica that has just started gets a budget, and no heavy prompt;
-//   - room, fail: a failing replica is ejected, then tried with one prompt at a time.
+//   - room, fail: a failing replica is ejected, then tried with one prompt at a time;
+//   - doubted: one that several gateways of a fleet saw fail is avoided by all for a moment, unless most are.
 package balance
 
 import (
@@ -202,11 +203,12 @@
 	Tokens float64 // to be read of a prompt just sent to it
 	Prefix uint16  // of that prompt: a mark of its prefix, which the replica keeps from then on; 0 for none
 	Slow   float64 // times the expected that a first token took
+	Failed bool    // the replica was seen to fail
 }
 
 // Heard is what another gateway told.
 type Heard struct {
-	From    int   // its number, of no meaning where Config.Broadcast is set
+	From    int   // its number; where Config.Broadcast is set, any that tells it from the others
 	Zone    uint8 // a mark of its zone
 	Reports []PeerReport
 }
--- /dev/null
+++ b/internal/suspicion/suspicion.go
@@ -0,0 +1,80 @@
+// Package suspicion judges from what several callers saw of one server whether all of them had better avoid it for a while. It is pure: its
+// user brings the sightings of failures, its own and those that others tell, and says what time it is, which must not go back.
+//
+// One witness is not enough, as its own path to the server may be at fault. What two saw within a short time counts, for a time that doubles
+// with each suspicion that follows soon after the one before. Then the server is taken back, and the next two failures end that again.
+package suspicion
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// together is the longest time between the sightings of two witnesses that count together.
+	together = 2 * time.Second
+	// first and most bound how long a server is avoided.
+	first = time.Second
+	most  = 4 * time.Second
+	// soon is how long after a suspicion another one is taken to have the same cause.
+	soon = 4 * time.Second
+	// overdueTimes the time that a first word was expected to take, and overdueLeast at the least, is how long a server may say nothing.
+	overdueTimes = 5
+	overdueLeast = 600 * time.Millisecond
+)
+
+// Own is the witness that a caller is to itself. Others have other numbers.
+const Own = -1
+
+// Server is what is suspected of one server. Its zero value is trusted.
+type Server struct {
+	seen, began bool
+	witness     int           // who saw it fail last
+	at          time.Duration // when
+	until       time.Duration // it is avoided
+	span        time.Duration // for which it was, the last time
+}
+
+// Failed takes in that a witness saw the server fail.
+func (s *Server) Failed(witness int, now time.Duration) {
+	if s.At(now) {
+		return // of tries that were under way
+	}
+	second := s.seen && s.witness != witness && now-s.at <= together
+	s.seen, s.witness, s.at = true, witness, now
+	if !second {
+		return
+	}
+	if again := s.began && now-s.until <= soon; again {
+		s.span = min(2*s.span, most)
+	} else {
+		s.span = first
+	}
+	s.began, s.until, s.seen = true, now+s.span, false
+}
+
+// At tells whether the server is to be avoided.
+func (s *Server) At(now time.Duration) bool { return s.began && now < s.until }
+
+// Silence is that of a server toward one try. The zero value is of one that has just begun.
+type Silence struct{ noted bool }
+
+// Overdue tells, once, that a server which has said nothing for so long, of what its first word was expected to take, is seen to fail. Both are
+// in seconds.
+func (s *Silence) Overdue(silent, expected float64) bool {
+	if s.noted || silent <= max(overdueTimes*expected, overdueLeast.Seconds()) {
+		return false
+	}
+	s.noted = true
+	return true
+}
+
+// Trusted returns the servers that are not suspected. Where most are, it returns all: the fault is elsewhere then, and the few that are left
+// could not bear the load of all.
+func Trusted[S any](all []S, suspected func(S) bool) []S {
+	trusted := slices.DeleteFunc(slices.Clone(all), suspected)
+	if 2*len(trusted) < len(all) {
+		return all
+	}
+	return trusted
+}
--- /dev/null
+++ b/internal/system/deciders/sampling/allowance_test.go
@@ -0,0 +1,25 @@
+package sampling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Of messages that are asked for all the time as many are sent as the rate allows, and those that were saved up.
+func TestAllowance(t *testing.T) {
+	is := is.New(t)
+	a := NewAllowance(100, 300)
+	sent := 0
+	for now := time.Duration(0); now <= 10*time.Second; now += time.Millisecond {
+		if a.Take(now, 71) {
+			sent += 71
+		}
+	}
+	is.True(sent <= 1300)
+	is.True(sent > 1300-2*71)
+	is.True(!a.Take(10*time.Second, 71))
+	is.True(a.Take(20*time.Second, 300)) // no more than the most is saved up
+	is.True(!a.Take(20*time.Second, 1))
+}
--- a/internal/system/roles/node/prompts.go
+++ b/internal/system/roles/node/prompts.go
@@ -24,12 +24,15 @@
 	// promptMessages is how many datagrams a second a router sends to tell others of its prompts, on average. At some 50 bytes each with their
 	// headers that is 4.3 kB a second, whatever the number of routers.
 	promptMessages = 85
+	// failureMessages is the same for failures of hosts, of which failuresAtOnce may be told at once.
+	failureMessages = 85
+	failuresAtOnce  = 5 * failureMessages
 	// mostPromptsWaiting bounds what waits to be sent. What comes beyond it is not told.
 	mostPromptsWaiting = 64
 )
 
-// prompts tells other routers of the prompts that this one sends to hosts, and takes in theirs: each router sees a part of what the hosts
-// have to read, and reports of hosts are old. What is lost is missed for a moment only.
+// prompts tells other routers of the prompts that this one sends to hosts and of hosts that it sees fail, and takes in their words: each router
+// sees a part of what the hosts have to read and of what becomes of it, and reports of hosts are old. What is lost is missed for a moment only.
 type prompts struct {
 	node    *Node
 	start   time.Time
@@ -38,8 +41,9 @@
 
 	sent, received, dropped atomic.Uint64 // datagrams
 
-	mu      sync.Mutex
-	sampler *sampling.Sampler
+	mu       sync.Mutex
+	sampler  *sampling.Sampler
+	failures *sampling.Allowance
 }
 
 // otherRouters are those that live, without this one.
@@ -49,7 +53,8 @@
 }
 
 func newPrompts(n *Node) *prompts {
-	p := &prompts{node: n, start: time.Now(), waiting: make(chan *message.SentPrompts, mostPromptsWaiting), sampler: sampling.New(promptMessages)}
+	p := &prompts{node: n, start: time.Now(), waiting: make(chan *message.SentPrompts, mostPromptsWaiting), sampler: sampling.New(promptMessages),
+		failures: sampling.NewAllowance(failureMessages, failuresAtOnce)}
 	p.viewed(nil)
 	return p
 }
@@ -66,11 +71,14 @@
 	p.others.Store(others)
 }
 
-// tell has others be told of prompts that were sent to hosts of a service. It waits for nobody.
+// tell has others be told of prompts that were sent to hosts of a service, and of hosts that failed. It waits for nobody.
 func (p *prompts) tell(service string, reports []balance.PeerReport) {
 	m := &message.SentPrompts{Service: service}
 	for _, r := range reports {
-		if p.pick(r.Tokens) {
+		switch {
+		case r.Failed && p.mayTellFailure():
+			m.Prompts = append(m.Prompts, &message.SentPrompt{Host: r.Tag, Failed: true})
+		case p.pick(r.Tokens):
 			m.Prompts = append(m.Prompts, &message.SentPrompt{Host: r.Tag, Tokens: uint32(r.Tokens), Prefix: uint32(r.Prefix)})
 		}
 	}
@@ -91,6 +99,13 @@
 	return p.sampler.Pick(time.Since(p.start), tokens, len(p.others.Load().all), rand.Float64())
 }
 
+// mayTellFailure tells whether others may be told of one more failure of a host.
+func (p *prompts) mayTellFailure() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failures.Take(time.Since(p.start), len(p.others.Load().all))
+}
+
 // run sends what waits until ctx ends.
 func (p *prompts) run(ctx context.Context) {
 	for {
@@ -128,14 +143,17 @@
 		return true
 	}
 	p.received.Add(1)
-	heard := balance.Heard{Reports: make([]balance.PeerReport, 0, len(m.Prompts))}
+	heard := balance.Heard{From: witness(from), Reports: make([]balance.PeerReport, 0, len(m.Prompts))}
 	for _, sent := range m.Prompts {
-		heard.Reports = append(heard.Reports, balance.PeerReport{Tag: sent.Host, Tokens: float64(sent.Tokens), Prefix: uint16(sent.Prefix)})
+		heard.Reports = append(heard.Reports, balance.PeerReport{Tag: sent.Host, Tokens: float64(sent.Tokens), Prefix: uint16(sent.Prefix), Failed: sent.Failed})
 	}
 	p.node.plane.Heard(m.Service, heard)
 	return true
 }
 
+// witness is a number that tells a router from others.
+func witness(from netip.AddrPort) int { return int(hashText(from.String()) >> 1) }
+
 // figures are the datagrams since the start.
 func (p *prompts) figures() status.PromptReports {
 	return status.PromptReports{Sent: p.sent.Load(), Received: p.received.Load(), Dropped: p.dropped.Load()}
