Balance: a prompt that would be late on both homes of its prefix goes on to further ones

So long as a prefix is one of many nothing changes: the next home of eight is looked at only where the ones before are past the aim.

--- a/balance/home_test.go
+++ b/balance/home_test.go
@@ -1,6 +1,14 @@
 package balance
 
-import "testing"
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"reachspread/internal/rendezvous"
+)
 
 // What its home keeps is not read a second time elsewhere for a little less waiting.
 func TestReadingAgainIsDear(t *testing.T) {
@@ -26,3 +34,50 @@
 		})
 	}
 }
+
+// A prompt goes beyond the two homes of its prefix where it would be late on both, and no further than to one where it keeps its aim.
+func TestFurtherHomes(t *testing.T) {
+	const late = 60_000.0 // tokens in front, which take longer than the aim
+	for _, tt := range []struct {
+		name string
+		full []int // of the homes, by their order
+		want int   // the home that is chosen
+	}{
+		{"room at home", nil, 0},
+		{"the first is full", []int{0}, 1},
+		{"both are full", []int{0, 1}, 2},
+		{"three are full", []int{0, 1, 2}, 3},
+		{"only the third is full", []int{2}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var names []string
+			for i := range 12 {
+				names = append(names, fmt.Sprint("host", i))
+			}
+			g := newGateway(t, broadcasting(), members(names...)...)
+			q := g.request("safe")
+			q.Prefix, q.Shared, q.Hint = "p", 600, 0
+			probe := &request{Arrival: q, class: g.b.classes["safe"], aim: sec, since: g.now, keys: [2]uint64{rendezvous.Hash("p")}}
+			order := ranked(probe.keys[0], slices.Clone(g.b.order), mostHomes)
+			for _, i := range tt.full {
+				g.step(Heard{From: 3, Reports: []PeerReport{{Tag: tag(order[i]), Tokens: late}}})
+			}
+			sent := of[Send](g.step(q))
+			is.Equal(len(sent), 1)
+			is.Equal(sent[0].Replica, order[tt.want].Replica)
+		})
+	}
+}
+
+// Where all homes are full one of them is chosen all the same.
+func TestAllHomesFull(t *testing.T) {
+	is := is.New(t)
+	g := newGateway(t, broadcasting(), members("a", "b", "c")...)
+	for _, r := range g.b.order {
+		g.step(Heard{From: 3, Reports: []PeerReport{{Tag: tag(r), Tokens: 60_000}}})
+	}
+	q := g.request("safe")
+	q.Prefix = "p"
+	is.Equal(len(of[Send](g.step(q))), 1)
+}
--- a/balance/learned.go
+++ b/balance/learned.go
@@ -109,3 +109,11 @@
 
 // at returns the seconds to a first token behind so many unread tokens.
 func (f *fit) at(tokens float64) float64 { return slowFirst + tokens*f.slope() }
+
+// took takes in how long an answer took from its first token to its end.
+func (c *class) took(d time.Duration) {
+	if decode := min(d.Seconds(), 5*c.decode); decode > 0 {
+		c.seen++
+		c.decode += (decode - c.decode) * max(learn/4, 1/c.seen)
+	}
+}
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -61,15 +61,11 @@
 }
 
 func (b *Balancer) takeServed(a *attempt) {
-	c := a.req.class
 	b.countWork(a.req, a.rep)
-	if !c.Streamed {
+	if !a.req.class.Streamed {
 		b.judge(a)
 	}
-	if decode := min((b.now - max(a.began, a.sent)).Seconds(), 5*c.decode); decode > 0 {
-		c.seen++
-		c.decode += (decode - c.decode) * max(learn/4, 1/c.seen)
-	}
+	a.req.class.took(b.now - max(a.began, a.sent))
 }
 
 // report takes in what a replica says of its load; what is not this gateway's own is the others'.
