Hosts that take longer than expected are told of to all routers

Cause: the module told such surprises, and the fleet's node dropped them; with 72 routers before 112 hosts each router has one answer of a host in ten seconds, so a host that was slow for 6 s was never learned of. Change: carried like failures, within the same 85 messages a second.

--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -130,7 +130,11 @@
 // observe takes in that a first token took so long, of what was expected. What surprises is told.
 func (b *Balancer) observe(r *replica, took, expected float64) {
 	usual, ratio := b.slowness(r)*expected, took/expected
-	if math.Abs(took-usual) > offBy && (took > surprise*usual || took*surprise < usual) {
+	off := offBy
+	if b.cfg.Broadcast {
+		off = inPart * b.brief
+	}
+	if math.Abs(took-usual) > off && (took > surprise*usual || took*surprise < usual) {
 		b.tell(r.hearers, PeerReport{Tag: tag(r), Slow: ratio})
 	}
 	r.slow.See(b.now, min(max(ratio, 0.2), 20), 2*learn)
--- a/internal/system/roles/node/prompts.go
+++ b/internal/system/roles/node/prompts.go
@@ -24,9 +24,11 @@
 	// promptMessages is how many datagrams a second a router sends to tell others of its prompts, on average. At some 50 bytes each with their
 	// headers that is 4.3 kB a second, whatever the number of routers.
 	promptMessages = 85
-	// failureMessages is the same for failures of hosts, of which failuresAtOnce may be told at once.
-	failureMessages = 85
-	failuresAtOnce  = 5 * failureMessages
+	// hostMessages is the same for failures and slowness of hosts, of which hostMessagesAtOnce may be told at once.
+	hostMessages       = 85
+	hostMessagesAtOnce = 5 * hostMessages
+	// hundredths is the unit of a host's slowness.
+	hundredths = 100
 	// mostPromptsWaiting bounds what waits to be sent. What comes beyond it is not told.
 	mostPromptsWaiting = 64
 )
@@ -41,9 +43,9 @@
 
 	sent, received, dropped atomic.Uint64 // datagrams
 
-	mu       sync.Mutex
-	sampler  *sampling.Sampler
-	failures *sampling.Allowance
+	mu      sync.Mutex
+	sampler *sampling.Sampler
+	ofHosts *sampling.Allowance
 }
 
 // otherRouters are those that live, without this one.
@@ -54,7 +56,7 @@
 
 func newPrompts(n *Node) *prompts {
 	p := &prompts{node: n, start: time.Now(), waiting: make(chan *message.SentPrompts, mostPromptsWaiting), sampler: sampling.New(promptMessages),
-		failures: sampling.NewAllowance(failureMessages, failuresAtOnce)}
+		ofHosts: sampling.NewAllowance(hostMessages, hostMessagesAtOnce)}
 	p.viewed(nil)
 	return p
 }
@@ -71,13 +73,15 @@
 	p.others.Store(others)
 }
 
-// tell has others be told of prompts that were sent to hosts of a service, and of hosts that failed. It waits for nobody.
+// tell has others be told of prompts that were sent to hosts of a service, and of hosts that failed or were slow. It waits for nobody.
 func (p *prompts) tell(service string, reports []balance.PeerReport) {
 	m := &message.SentPrompts{Service: service}
 	for _, r := range reports {
 		switch {
-		case r.Failed && p.mayTellFailure():
+		case r.Failed && p.mayTellOfHost():
 			m.Prompts = append(m.Prompts, &message.SentPrompt{Host: r.Tag, Failed: true})
+		case r.Slow > 0 && p.mayTellOfHost():
+			m.Prompts = append(m.Prompts, &message.SentPrompt{Host: r.Tag, Slow: uint32(hundredths * r.Slow)})
 		case p.pick(r.Tokens):
 			m.Prompts = append(m.Prompts, &message.SentPrompt{Host: r.Tag, Tokens: uint32(r.Tokens), Prefix: uint32(r.Prefix)})
 		}
@@ -99,11 +103,11 @@
 	return p.sampler.Pick(time.Since(p.start), tokens, len(p.others.Load().all), rand.Float64())
 }
 
-// mayTellFailure tells whether others may be told of one more failure of a host.
-func (p *prompts) mayTellFailure() bool {
+// mayTellOfHost tells whether others may be told once more how a host fares.
+func (p *prompts) mayTellOfHost() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.failures.Take(time.Since(p.start), len(p.others.Load().all))
+	return p.ofHosts.Take(time.Since(p.start), len(p.others.Load().all))
 }
 
 // run sends what waits until ctx ends.
@@ -145,7 +149,8 @@
 	p.received.Add(1)
 	heard := balance.Heard{From: witness(from), Reports: make([]balance.PeerReport, 0, len(m.Prompts))}
 	for _, sent := range m.Prompts {
-		heard.Reports = append(heard.Reports, balance.PeerReport{Tag: sent.Host, Tokens: float64(sent.Tokens), Prefix: uint16(sent.Prefix), Failed: sent.Failed})
+		heard.Reports = append(heard.Reports, balance.PeerReport{Tag: sent.Host, Tokens: float64(sent.Tokens), Prefix: uint16(sent.Prefix), Failed: sent.Failed,
+			Slow: float64(sent.Slow) / hundredths})
 	}
 	p.node.plane.Heard(m.Service, heard)
 	return true
--- a/internal/system/roles/node/prompts_test.go
+++ b/internal/system/roles/node/prompts_test.go
@@ -101,20 +101,20 @@
 	is.Equal(len(p.waiting), mostPromptsWaiting)
 }
 
-// Failures of hosts are told within a bound of their own, whatever the prompts have used up.
-func TestFailuresAreToldWithinBounds(t *testing.T) {
+// Failures and slowness of hosts are told within a bound of their own, whatever the prompts have used up.
+func TestWordsOnHostsAreBounded(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 2, 1)
 	f.eventually("both know of each other", func() bool { return len(f.nodes[0].prompts.others.Load().all) == 1 })
 	first := f.nodes[0].prompts
 	told := 0
-	for range 2 * failuresAtOnce {
-		if first.mayTellFailure() {
+	for range 2 * hostMessagesAtOnce {
+		if first.mayTellOfHost() {
 			told++
 		}
 	}
-	is.True(told >= failuresAtOnce)
-	is.True(told < 2*failuresAtOnce)
+	is.True(told >= hostMessagesAtOnce)
+	is.True(told < 2*hostMessagesAtOnce)
 	before := first.figures().Sent
 	f.nodes[1].prompts.tell("chat", []balance.PeerReport{{Tag: 7, Failed: true}})
 	f.eventually("a failure is told", func() bool { return first.figures().Received > 0 })
