--- a/balance/choose.go
+++ b/balance/choose.go
@@ -45,8 +45,8 @@
 	return b.better(q, b.ask(q, sample))
 }
 
-// homes returns samples of pool, alike for all gateways: of a prefix the first in its rendezvous order, as many
-// as its share of the prompts asks for. Of these a session has two; without a prefix it has two of all.
+// homes returns samples of pool, alike for all gateways: of a prefix the first in its rendezvous order, as
+// many as its share of the prompts asks for. Of these a session has two; without a prefix it has two of all.
 func (b *Balancer) homes(q *request, pool []*replica) []*replica {
 	if q.Prefix == "" {
 		return ranked(q.keys[1], pool, 2)
