--- a/balance/choose.go
+++ b/balance/choose.go
@@ -60,7 +60,7 @@
 }
 
 // nearHome returns the first homes, two at least, up to one where q keeps its aim: as those of a prefix that
-// is much asked for fill up, further ones come to keep it. Where none has room, it is not read in all of them.
+// is much asked for fill up, further ones come to keep it. Where none has room it is not read in all.
 func (b *Balancer) nearHome(q *request, all []*replica) []*replica {
 	q.home = all[0]
 	left := (q.since + q.aim - b.now).Seconds()
