--- a/balance/choose.go
+++ b/balance/choose.go
@@ -12,13 +12,12 @@
 )
 
 const (
-	spread    = 1.5                   // times the homes a prefix would need if all were alike and evenly in use
-	unseen    = 10.0                  // prompts of other prefixes are taken as seen at the start
-	stale     = time.Second           // a report older than this tells nothing
-	askWait   = 25 * time.Millisecond // for probes, before a prompt leaves
-	mostHomes = 8                     // of a prefix that has one while that has room
-	inPart    = 0.25                  // of the shortest aim: prompts that are read sooner are not all told
-	tryAgain  = time.Second           // at the soonest, against its estimate, an idle replica
+	spread   = 1.5                   // times the homes a prefix would need if all were alike and evenly in use
+	unseen   = 10.0                  // prompts of other prefixes are taken as seen at the start
+	stale    = time.Second           // a report older than this tells nothing
+	askWait  = 25 * time.Millisecond // for probes, before a prompt leaves
+	inPart   = 0.25                  // of the shortest aim: prompts that are read sooner are not all told
+	tryAgain = time.Second           // at the soonest, against its estimate, an idle replica
 )
 
 // choose returns the better of two sampled replicas with room, or nil if none has any.
@@ -33,7 +32,7 @@
 			}
 		}
 	}
-	pool, near = suspicion.Trusted(pool, b.doubted), suspicion.Trusted(near, b.doubted)
+	pool, near = suspicion.Trusted(pool, doubts, b.now), suspicion.Trusted(near, doubts, b.now)
 	sharing := cmp.Or(len(near), len(pool))
 	shut := func(r *replica) bool { return !b.coldRoom(q, r, sharing) }
 	pool, near = slices.DeleteFunc(pool, shut), slices.DeleteFunc(near, shut)
@@ -45,27 +44,20 @@
 	return b.better(q, b.ask(q, sample))
 }
 
-// homes returns samples of pool, alike for all gateways: of a prefix the first in its rendezvous order, as
-// many as its share of the prompts asks for. Of these a session has two; without a prefix it has two of all.
+// homes returns samples of pool, alike for all gateways. The homes of a prefix are the first in its
+// rendezvous order, as many as its share of the prompts asks for, so it is kept in few places yet overruns
+// none. A session has two of these, or two of all. Where a prefix has one home all are sampled: mostly two.
 func (b *Balancer) homes(q *request, pool []*replica) []*replica {
 	if q.Prefix == "" {
 		return ranked(q.keys[1], pool, 2)
 	}
-	if b.cfg.OneHome && len(pool) > 0 {
-		return b.nearHome(q, ranked(q.keys[0], pool, mostHomes))
+	part := b.prompts.Share(q.prefix, unseen)
+	homes := ranked(q.keys[0], pool, max(int(math.Ceil(spread*part*float64(len(pool)))), 2))
+	if b.cfg.OneHome && len(homes) > 0 {
+		q.home = homes[0]
+		return homes
 	}
-	part := b.prompts.Share(q.Prefix, unseen)
-	homes := max(int(math.Ceil(spread*part*float64(len(pool)))), 2)
-	return ranked(q.keys[1], ranked(q.keys[0], pool, homes), 2)
-}
-
-// nearHome returns the first homes, two at least, up to one where q keeps its aim: as those of a prefix that
-// is much asked for fill up, further ones come to keep it. Where none has room it is not read in all.
-func (b *Balancer) nearHome(q *request, all []*replica) []*replica {
-	q.home = all[0]
-	left := (q.since + q.aim - b.now).Seconds()
-	n := 1 + slices.IndexFunc(all, func(r *replica) bool { return b.firstToken(q, r) <= left })
-	return all[:min(max(n, 2), len(all))]
+	return ranked(q.keys[1], homes, 2)
 }
 
 // strangers returns two replicas with room beyond the own share.
--- a/balance/health.go
+++ b/balance/health.go
@@ -89,4 +89,4 @@
 	}
 }
 
-func (b *Balancer) doubted(r *replica) bool { return r.doubts.At(b.now) }
+func doubts(r *replica) *suspicion.Server { return &r.doubts }
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -38,7 +38,7 @@
 	q.prefix = prefixKey(q.prefixTag())
 	b.requests[ev.ID] = q
 	b.cfg.Retries.First(ev.Again)
-	b.prompts.Add(q.Prefix)
+	b.prompts.Add(q.prefix)
 	b.hold(q)
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -21,7 +21,8 @@
 //   - yields: a prompt is held where it would take much of the time that a class of more worth has;
 //   - coldRoom: a replica that has just started gets a budget, and no heavy prompt;
 //   - room, fail: a failing replica is ejected, then tried with one prompt at a time;
-//   - doubted: one that several gateways of a fleet saw fail is avoided by all for a moment, unless most are.
+//   - choose, doubts: one that several gateways of a fleet saw fail is avoided by all for a moment, but for
+//     a third of all at most.
 package balance
 
 import (
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -6,6 +6,7 @@
 package suspicion
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -18,6 +19,8 @@
 	most  = 4 * time.Second
 	// soon is how long after a suspicion another one is taken to have the same cause.
 	soon = 4 * time.Second
+	// mostSuspected is the part of all servers that may be avoided at once: one in so many.
+	mostSuspected = 3
 	// overdueTimes the time that a first word was expected to take, and overdueLeast at the least, is how long a server may say nothing.
 	overdueTimes = 5
 	overdueLeast = 600 * time.Millisecond
@@ -69,12 +72,16 @@
 	return true
 }
 
-// Trusted returns the servers that are not suspected. Where most are, it returns all: the fault is elsewhere then, and the few that are left
-// could not bear the load of all.
-func Trusted[S any](all []S, suspected func(S) bool) []S {
-	trusted := slices.DeleteFunc(slices.Clone(all), suspected)
-	if 2*len(trusted) < len(all) {
+// Trusted returns the servers that are not to be avoided. Where many are suspected only a part is avoided, those first that were for long, as
+// they failed again and again: the others could not bear the load of all, and would be late and suspected in turn.
+func Trusted[S any](all []S, of func(S) *Server, now time.Duration) []S {
+	avoided := slices.DeleteFunc(slices.Clone(all), func(s S) bool { return !of(s).At(now) })
+	if len(avoided) == 0 {
 		return all
 	}
-	return trusted
+	slices.SortStableFunc(avoided, func(a, b S) int { return cmp.Compare(of(b).span, of(a).span) })
+	avoided = avoided[:min(len(avoided), len(all)/mostSuspected)]
+	return slices.DeleteFunc(slices.Clone(all), func(s S) bool {
+		return slices.ContainsFunc(avoided, func(o S) bool { return of(o) == of(s) })
+	})
 }
