--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,7 +61,6 @@
 	}
 	b.deal()
 	b.countWarm()
-	b.lookOverdue()
 	if len(b.held) > 0 {
 		b.dispatch()
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -78,15 +78,4 @@
 	r.doubts.Failed(suspicion.Own, b.now)
 }
 
-// lookOverdue takes silence beyond what was expected for a failure.
-func (b *Balancer) lookOverdue() {
-	for _, r := range b.order {
-		for _, a := range r.waiting {
-			if a.silence.Overdue((b.now - a.sent).Seconds(), a.expected) {
-				b.sawFail(r)
-			}
-		}
-	}
-}
-
 func doubts(r *replica) *suspicion.Server { return &r.doubts }
--- a/balance/state.go
+++ b/balance/state.go
@@ -77,7 +77,6 @@
 	unread   float64       // tokens that it was expected to read
 	ahead    float64       // unread tokens in front of its first token, its own included
 	expected float64       // seconds to the first token
-	silence  suspicion.Silence
 	over     bool
 	ran      bool // may have run
 	arrived  bool // at the replica, which may have turned it away
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -21,9 +21,6 @@
 	soon = 4 * time.Second
 	// mostSuspected is the part of all servers that may be avoided at once: one in so many.
 	mostSuspected = 3
-	// overdueTimes the time that a first word was expected to take, and overdueLeast at the least, is how long a server may say nothing.
-	overdueTimes = 5
-	overdueLeast = 600 * time.Millisecond
 )
 
 // Own is the witness that a caller is to itself. Others have other numbers.
@@ -59,19 +56,6 @@
 // At tells whether the server is to be avoided.
 func (s *Server) At(now time.Duration) bool { return s.began && now < s.until }
 
-// Silence is that of a server toward one try. The zero value is of one that has just begun.
-type Silence struct{ noted bool }
-
-// Overdue tells, once, that a server which has said nothing for so long, of what its first word was expected to take, is seen to fail. Both are
-// in seconds.
-func (s *Silence) Overdue(silent, expected float64) bool {
-	if s.noted || silent <= max(overdueTimes*expected, overdueLeast.Seconds()) {
-		return false
-	}
-	s.noted = true
-	return true
-}
-
 // Trusted returns the servers that are not to be avoided. Where many are suspected only a part is avoided, those first that were for long, as
 // they failed again and again: the others could not bear the load of all, and would be late and suspected in turn.
 func Trusted[S any](all []S, of func(S) *Server, now time.Duration) []S {
