--- a/cmd/reachlab/account.go
+++ b/cmd/reachlab/account.go
@@ -38,6 +38,27 @@
 	return c
 }
 
+// requestsCommand prints why requests were late or not served.
+func requestsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "requests LOG",
+		Short: "Print why requests of a played day were late or not served, from the log of a build of the trial (docs/measurements/deciding.md)",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			file, err := os.Open(args[0])
+			if err != nil {
+				return err
+			}
+			defer file.Close()
+			r, err := account.ReadRequests(file)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			return r.Print(cmd.OutOrStdout())
+		},
+	}
+}
+
 // readAccount reads a file, or the journal entry of an id.
 func readAccount(journal, name string) (*account.Account, error) {
 	file, err := os.Open(name)
--- a/cmd/reachlab/main.go
+++ b/cmd/reachlab/main.go
@@ -33,7 +33,7 @@
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "reachlab", Short: "Plays experiments on a model of the fleet", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(runCommand(), checkCommand(), replayCommand(), compareCommand(), chartCommand(), scaleCommand(), demoCommand(), fleetDemoCommand(), soakCommand(), asRouterCommand(), serveFleetCommand(), loadCommand(),
-		rigCommand(), judgeCommand(), returnsCommand(), faultsCommand(), membershipCommand(), capacityCommand(), accountCommand(), pairsCommand())
+		rigCommand(), judgeCommand(), returnsCommand(), faultsCommand(), membershipCommand(), capacityCommand(), accountCommand(), requestsCommand(), pairsCommand())
 	return root
 }
 
