One client of the control plane's API; hosts of the soak end with their play

The call stood in the operators' commands and in the soak. The soak's hosts went on calling after their play, as their context had lost its end with its deadline.

--- a/cmd/reachspread/control.go
+++ b/cmd/reachspread/control.go
@@ -1,19 +1,16 @@
 package main
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"reachspread/internal/system/controlclient"
 	"time"
 
 	"github.com/spf13/cobra"
-
-	"reachspread/internal/system/status"
 )
 
 const (
@@ -68,28 +65,16 @@
 	if err != nil {
 		return nil, err
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(text))
-	if err != nil {
-		return nil, err
-	}
-	if ifMatch != "" {
-		request.Header.Set("If-Match", ifMatch)
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("%w from %s: %w", errUnclear, address, err)
-	}
-	defer answer.Body.Close()
-	text, err = io.ReadAll(io.LimitReader(answer.Body, status.MostBytes))
+	answer, err := controlclient.Do(ctx, controlclient.Call{Address: address, Method: method, Path: path, IfMatch: ifMatch, Body: text})
 	switch {
 	case err != nil:
 		return nil, fmt.Errorf("%w from %s: %w", errUnclear, address, err)
-	case answer.StatusCode == http.StatusOK:
-		return text, nil
-	case answer.StatusCode == http.StatusAccepted, answer.StatusCode/100 == 5:
+	case answer.Code == http.StatusOK:
+		return answer.Text, nil
+	case answer.Code == http.StatusAccepted, answer.Code/100 == 5:
 		return nil, fmt.Errorf("%w from %s: %s", errUnclear, address, answer.Status)
 	}
-	return nil, refusal(answer.Status, text)
+	return nil, refusal(answer.Status, answer.Text)
 }
 
 // refusal is the error of a call that was refused.
--- a/internal/system/soak/operator.go
+++ b/internal/system/soak/operator.go
@@ -5,9 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"reachspread/internal/system/controlclient"
 	"strconv"
 	"sync"
 	"time"
@@ -294,21 +294,9 @@
 func callControl(ctx context.Context, address, method, path string, body []byte, ifMatch string) (code int, text []byte) {
 	within, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
-	r, err := http.NewRequestWithContext(within, method, "http://"+address+path, bytes.NewReader(body))
+	answer, err := controlclient.Do(within, controlclient.Call{Address: address, Method: method, Path: path, IfMatch: ifMatch, Body: body})
 	if err != nil {
 		return 0, nil
 	}
-	if ifMatch != "" {
-		r.Header.Set("If-Match", ifMatch)
-	}
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(r)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	if text, err = io.ReadAll(resp.Body); err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, text
+	return answer.Code, answer.Text
 }
--- a/internal/system/soak/soak.go
+++ b/internal/system/soak/soak.go
@@ -104,7 +104,9 @@
 	defer stop()
 	p.hosts = newHosts(p)
 	defer p.hosts.close()
-	if err := p.bringUp(work); err != nil {
+	beating, silence := context.WithCancel(context.WithoutCancel(ctx)) // hosts call on until clients have ended
+	defer silence()
+	if err := p.bringUp(work, beating); err != nil {
 		return nil, err
 	}
 	p.playAll(work, stop, schedule)
@@ -113,8 +115,8 @@
 	return &p.report, ctx.Err()
 }
 
-// bringUp waits until all routers serve.
-func (p *play) bringUp(ctx context.Context) error {
+// bringUp waits until all routers serve. Hosts call until beating ends.
+func (p *play) bringUp(ctx, beating context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*settleFor)
 	defer cancel()
 	op := newOperator(p)
@@ -126,7 +128,7 @@
 			return err
 		}
 	}
-	go p.hosts.heartbeats(ctx0(ctx))
+	go p.hosts.heartbeats(beating)
 	var all []int
 	for i := range p.fleet.Len() {
 		all = append(all, i)
@@ -134,9 +136,6 @@
 	return p.fleet.UntilReady(ctx, all...)
 }
 
-// ctx0 is a context without the deadline of another.
-func ctx0(ctx context.Context) context.Context { return context.WithoutCancel(ctx) }
-
 // playAll has clients, operators and the schedule work beside each other, and judges once all have ended.
 func (p *play) playAll(ctx context.Context, stop context.CancelFunc, schedule func(context.Context, *play)) {
 	var clients, others sync.WaitGroup
