--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,6 +16,7 @@
 	lookAgain    = 100 * time.Millisecond // at what is held: a cold or ejected replica may have room by then
 	manyGateways = 8                      // from which on they tell each other
 	settling     = 2 * time.Second        // a view holds so long before shares and budgets follow it
+	noAim        = time.Second            // what a class without an aim counts as among the aims
 )
 
 // New returns a Balancer for one gateway, or an error that names the setting at fault.
@@ -45,7 +46,7 @@
 		old := cmp.Or(b.classes[c.Name], &class{decode: 1})
 		classes[c.Name] = &class{Class: c, decode: old.decode, seen: old.seen}
 		b.most, b.least = max(b.most, c.Worth), min(b.least, c.Worth)
-		b.brief = min(b.brief, max(c.Aim, time.Millisecond).Seconds())
+		b.brief = min(b.brief, max(cmp.Or(c.Aim, noAim), time.Millisecond).Seconds())
 	}
 	cfg.Zone, cfg.Gateways, cfg.Me, cfg.AskForList = b.cfg.Zone, b.cfg.Gateways, b.cfg.Me, b.cfg.AskForList
 	cfg.MaxAttempts = max(cfg.MaxAttempts, 1)
--- a/balance/slow_test.go
+++ b/balance/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -23,3 +24,24 @@
 		})
 	}
 }
+
+// A class without an aim makes no trifle a surprise: it counts as one of a second.
+func TestShortestAim(t *testing.T) {
+	for _, tt := range []struct {
+		aims []time.Duration
+		want float64
+	}{
+		{[]time.Duration{400 * ms, 800 * ms}, 0.4},
+		{[]time.Duration{0, 800 * ms}, 0.8},
+		{[]time.Duration{0}, 1},
+		{[]time.Duration{2 * sec, 0}, 1},
+	} {
+		is := is.New(t)
+		cfg := broadcasting()
+		cfg.Classes = nil
+		for i, aim := range tt.aims {
+			cfg.Classes = append(cfg.Classes, Class{Name: fmt.Sprint(i), Aim: aim, Deadline: sec})
+		}
+		is.Equal(newGateway(t, cfg).b.brief, tt.want)
+	}
+}
