--- a/balance/members.go
+++ b/balance/members.go
@@ -121,7 +121,9 @@
 			b.backlog(r) // of before
 			r.told, r.others = min(r.told+n.Tokens, mostTold/r.read.slope()), r.others+1
 			r.kept.Put(prefixKey(n.Prefix), b.now, math.Inf(1))
-			b.prompts.Add(prefixKey(n.Prefix))
+			if b.cfg.OneHome {
+				b.prompts.Add(prefixKey(n.Prefix))
+			}
 			b.spend(r, b.meanWork*min(b.living, 1)) // each that is alone has a credit of its own
 		case n.Failed:
 			r.doubts.Failed(ev.From, b.now)
