admission: a draining router leaves new connections 300 ms for their first request

Cause: a router that drains closed every connection on which nothing was open, also one that it had accepted a moment ago and on which the first request was on its way (traced beside load: accepted, closed 152 to 164 ms later in lastRead, draining, nothing read; the client then wrote and found the connection closed). Change: CloseIdle leaves a connection on which no request has begun open until it is 300 ms old. Others are closed as before.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -39,6 +39,7 @@
 	rejected     bool // its request was: it only waits for Closed
 	evicted      bool // it only waits for Closed
 	drainExpired bool // it was expired as the router is draining
+	used         bool // a request has begun on it
 	since        time.Duration
 	addr, net    *client
 	owner        *client // the address, or the identity of a known client
@@ -104,7 +105,7 @@
 	case RequestBegan:
 		if c := d.conn(e.Conn); c != nil && !c.requestOpen && !c.rejected && !c.evicted && !c.requestReady {
 			d.setActive(c)
-			c.since, c.requestBegun, c.drainExpired = d.now, true, false
+			c.since, c.requestBegun, c.used, c.drainExpired = d.now, true, true, false
 			d.setIdle(c)
 		}
 	case RequestRead:
@@ -158,7 +159,7 @@
 		c = &conn{id: int32(len(d.conns))}
 		d.conns = append(d.conns, c)
 	}
-	*c = conn{id: c.id, state: state, since: d.now, addr: address, net: network, owner: owner, requestBegun: event.HeadComplete, requestReady: event.RequestComplete}
+	*c = conn{id: c.id, state: state, since: d.now, addr: address, net: network, owner: owner, requestBegun: event.HeadComplete, requestReady: event.RequestComplete, used: event.HeadComplete}
 	address.conns++
 	network.conns++
 	if owner != address {
@@ -338,7 +339,7 @@
 	case c.state == awaitingRequest:
 		d.changeState(c, unknownClient, c.addr)
 	}
-	c.requestOpen = true
+	c.requestOpen, c.used = true, true
 	d.countOpen(c, 1)
 	d.counts.Served++
 	d.emit(Action{Kind: Serve, Conn: c.id, CloseAfterAnswer: d.config.CloseAfterAnswer && d.level == Critical && c.state != knownClient})
@@ -403,18 +404,38 @@
 	}
 }
 
+// firstRequestTime is how long a new connection is left open for its first request by a router that
+// is draining: the time to send it across a region, and once more where it is lost.
+const firstRequestTime = 300 * time.Millisecond
+
 // expireAll expires all connections that are idle for so long, of known clients as well. One whose
-// request has begun has its own timeout.
+// request has begun has its own timeout, and a new one is given firstRequestTime.
 func (d *Controller) expireAll(idleTime time.Duration) {
 	for _, c := range d.conns {
-		if c.state != unusedConn && !c.requestOpen && !c.requestBegun && !c.requestReady && !c.rejected && !c.evicted && d.now-c.since >= idleTime {
-			if !c.drainExpired {
-				c.drainExpired = true
-				d.counts.Closed[RouterDraining]++
-			}
-			d.emit(Action{Kind: Expire, Conn: c.id, Cause: RouterDraining})
+		if !c.isIdle() || d.now-c.since < c.minIdleTime(idleTime) {
+			continue
 		}
+		if !c.drainExpired {
+			c.drainExpired = true
+			d.counts.Closed[RouterDraining]++
+		}
+		d.emit(Action{Kind: Expire, Conn: c.id, Cause: RouterDraining})
+	}
+}
+
+// isIdle reports whether a connection is open and nothing of a request has come on it since the
+// last answer.
+func (c *conn) isIdle() bool {
+	return c.state != unusedConn && !c.requestOpen && !c.requestBegun && !c.requestReady && !c.rejected && !c.evicted
+}
+
+// minIdleTime returns how long a connection must have been idle to be closed where others must have
+// been for idleTime.
+func (c *conn) minIdleTime(idleTime time.Duration) time.Duration {
+	if c.used {
+		return idleTime
 	}
+	return max(idleTime, firstRequestTime)
 }
 
 // updateLevel updates the level. Each ends lower than it begins, so that it does not flap.
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -492,3 +492,40 @@
 	}
 	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
 }
+
+// A router that is draining closes connections that were used as soon as they are idle, and gives a
+// new one the time for its first request.
+func TestDrainingLeavesTimeForFirstRequest(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		used     bool
+		idleTime time.Duration
+		age      time.Duration
+		closed   bool
+	}{
+		{"new", false, 0, firstRequestTime - 1, false},
+		{"new for long enough", false, 0, firstRequestTime, true},
+		{"new, where others must be idle for longer", false, 2 * firstRequestTime, firstRequestTime, false},
+		{"used", true, 0, 0, true},
+		{"used, not idle for long enough", true, 100 * ms, 99 * ms, false},
+		{"used, idle for long enough", true, 100 * ms, 100 * ms, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := New(config(), 1)
+			opened := d.Step(time.Second, Event{Kind: Opened, Addr: addr("10.0.0.1")})
+			if len(opened) != 1 || opened[0].Kind != Admit {
+				t.Fatalf("%+v", opened)
+			}
+			id := opened[0].Conn
+			if c.used {
+				d.Step(time.Second, Event{Kind: RequestBegan, Conn: id})
+				d.Step(time.Second, Event{Kind: RequestRead, Conn: id})
+				d.Step(time.Second, Event{Kind: RequestDone, Conn: id})
+			}
+			got := d.Step(time.Second+c.age, Event{Kind: CloseIdle, IdleTime: c.idleTime})
+			if closed := len(got) == 1 && got[0].Kind == Expire && got[0].Cause == RouterDraining; closed != c.closed {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
