chaos: clients know what the router had read; withheld processors excuse lateness alone

Known red: TestViewHardCases (a connection that ended without an answer) and TestRecovery (late answers, late sends). Brought about with 24 to 44 busy processes beside the plays on 8 cores, traced with times at the router's close and the client's write. The router closed kept connections that had been idle for 2.2 s with nothing unread (clientConn.lastRead, not draining, no head read); the clients wrote 5 to 121 ms after that close and saw it 102 to 261 ms after their writing, as the test process lacked a processor. The platform allows that close, and its clients send again what was not read; ours guessed 'not read' from 100 ms on their own clock. Change: a client asks its system as a connection ends. Bytes that the router's process left unread, or that came after its close, reset the connection; what was read does not. This is stricter too: a request that was read and cut off within 100 ms was sent again in silence before. Late answers: of those traced in TestRecovery beside 40 busy processes the router had its answer 0 to 700 ms after the deadline and the client noticed it 200 to 1,900 ms later still. Now a stall is measured by requests to a server of the test's own process and has a length, and the history has for how long each router's threads waited for a processor (the kernel's count). What is late by no more than both together is excused; an answer that never comes, a connection that ends, a broken stream, two attempts are not, however busy the machine.

--- a/internal/testbed/chaos/run.go
+++ b/internal/testbed/chaos/run.go
@@ -30,8 +30,10 @@
 	backgroundCtx, endBackground := context.WithCancel(context.Background())
 	defer background.Wait()
 	defer endBackground()
-	p.stalls = &stalls{rec: p.recorder}
-	background.Go(func() { p.stalls.watch(backgroundCtx) })
+	p.stalls = &stalls{recorder: p.recorder}
+	if err := p.stalls.watch(backgroundCtx); err != nil {
+		return nil, err
+	}
 
 	if err := p.openNetwork(); err != nil {
 		return nil, err
--- a/internal/testbed/chaos/watch.go
+++ b/internal/testbed/chaos/watch.go
@@ -106,51 +106,6 @@
 	return f.p.layout.client(up[n%uint64(len(up))])
 }
 
-// stalls notices that the machine let the rig itself stand still: then nothing that others did late
-// counts against them.
-type stalls struct {
-	rec *recorder
-	mu  sync.Mutex
-	n   int
-}
-
-const (
-	stallLook = 10 * time.Millisecond
-	// stallOf is what counts: less than half of the least slack of a rule.
-	stallOf = 200 * time.Millisecond
-	// stallNumber is that of the fault that the history has for it, beyond those of a schedule.
-	stallNumber = 1 << 16
-)
-
-func (s *stalls) watch(ctx context.Context) {
-	ticker := time.NewTicker(stallLook)
-	defer ticker.Stop()
-	last := time.Now()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		now := time.Now()
-		if d := now.Sub(last); d > stallOf {
-			s.mu.Lock()
-			s.n++
-			n := stallNumber + s.n
-			s.mu.Unlock()
-			s.rec.add(history.Event{What: history.Fault, N: n, Text: "machine", ID: d.String()})
-			s.rec.add(history.Event{What: history.Heal, N: n, Text: "machine"})
-		}
-		last = now
-	}
-}
-
-func (s *stalls) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.n
-}
-
 // watch looks at processes: what they hold, and whether they answer.
 type watch struct {
 	p *play
@@ -192,14 +147,14 @@
 			if x.twin {
 				continue
 			}
-			stalls := w.p.stalls.count()
+			stalls, withheld := w.p.stalls.count(), withheldFrom(x.pid())
 			_, err := x.call(ctx, "check", answerIn)
 			select {
 			case <-x.done:
 				continue
 			default:
 			}
-			if err == nil || ctx.Err() != nil || !r.runs() || w.p.stalls.count() != stalls || !x.hasSpoken() {
+			if err == nil || ctx.Err() != nil || !r.runs() || w.p.stalls.count() != stalls || withheldFrom(x.pid())-withheld > stallOf || !x.hasSpoken() {
 				idle[x] = 0
 				continue
 			}
@@ -226,7 +181,8 @@
 	w.p.recorder.add(u)
 }
 
-// usageOf reads a process's most memory so far, its descriptors and its CPU time.
+// usageOf reads a process's most memory so far, its descriptors, its CPU time and how long it waited
+// for a processor.
 func usageOf(pid int) (e history.Event, err error) {
 	dir := "/proc/" + strconv.Itoa(pid)
 	status, err := os.ReadFile(dir + "/status")
@@ -248,9 +204,30 @@
 		return e, err
 	}
 	e.CPU = cpuOf(string(stat)).Nanoseconds()
+	e.Withheld = withheldFrom(pid).Nanoseconds()
 	return e, nil
 }
 
+// withheldFrom returns for how long the threads of a process have been ready to run without a
+// processor so far; 0 where the system does not tell.
+func withheldFrom(pid int) (total time.Duration) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return 0
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		var ran, waited int64 // nanoseconds
+		if _, err := fmt.Sscan(string(text), &ran, &waited); err == nil {
+			total += time.Duration(waited)
+		}
+	}
+	return total
+}
+
 // cpuOf reads user and system time, in hundredths of a second, from a line of /proc/PID/stat.
 func cpuOf(stat string) (cpu time.Duration) {
 	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
--- a/internal/testbed/checker/answer.go
+++ b/internal/testbed/checker/answer.go
@@ -40,26 +40,46 @@
 	if c.excused(r, a.T) {
 		return
 	}
-	late := a.T - r.Ask.Until - c.Play.Slack
+	late := a.T - r.Ask.Until
 	if r.First >= 0 { // the deadline stops running with the first event
-		late = r.First - r.Ask.Until - c.Play.Slack
+		late = r.First - r.Ask.Until
 	}
+	withheld := c.Withheld(r.Ask.Who, r.Ask.T, a.T)
+	tooLate := late > c.Play.Slack+withheld.Nanoseconds()
 	switch a.How {
 	case history.None:
-		wrong(r.Ask.Until, "no final answer in time")
+		if tooLate {
+			wrong(r.Ask.Until, "no final answer in time%s", describeWithheld(withheld))
+		}
 	case history.Interrupted:
-		wrong(a.T, "the connection ended without an answer")
+		wrong(a.T, "the connection ended without an answer%s", describeCause(a.Text))
 	case history.Broken:
 		if !c.brokenBy(r, a.T) && !c.killedInTurn(r, a.T) {
 			wrong(a.T, "the stream broke, and nothing was done to its host or the way to it")
 		}
 	case history.Complete, history.Refused, history.Failed:
-		if late > 0 {
-			wrong(a.T, "answered %v after its client gave up", time.Duration(late+c.Play.Slack).Round(time.Millisecond))
+		if tooLate {
+			wrong(a.T, "answered %v after its client gave up%s", time.Duration(late).Round(time.Millisecond), describeWithheld(withheld))
 		}
 	}
 }
 
+// describeCause appends what the client saw, if it said so.
+func describeCause(cause string) string {
+	if cause == "" {
+		return ""
+	}
+	return ": " + cause
+}
+
+// describeWithheld says for how long the machine withheld processors, if it did for long.
+func describeWithheld(withheld time.Duration) string {
+	if withheld <= noticeableStall {
+		return ""
+	}
+	return fmt.Sprintf("; the machine withheld processors for %v", withheld.Round(time.Millisecond))
+}
+
 // excused reports whether a fault of the router that has a request excuses any end of it.
 func (c *Case) excused(r *Request, to int64) bool {
 	return c.FaultDuring(append(processEnds, processStalls...), r.Ask.T, to, affectsRouter(r.Ask.Who))
--- a/internal/testbed/checker/checker.go
+++ b/internal/testbed/checker/checker.go
@@ -77,8 +77,9 @@
 	Faults []Fault
 	End    int64 // of the history
 
-	requests map[string]*Request
-	ids      []string // of requests, in the order of their asking
+	requests    map[string]*Request
+	ids         []string // of requests, in the order of their asking
+	withholding withholding
 }
 
 // Fault is a fault as it was injected.
@@ -110,7 +111,7 @@
 // NewCase indexes a history. Events of requests that were never asked are left to the checkers that
 // look for them.
 func NewCase(events []history.Event) *Case {
-	c := &Case{Events: events, requests: map[string]*Request{}}
+	c := &Case{Events: events, requests: map[string]*Request{}, withholding: newWithholding()}
 	if len(events) == 0 {
 		return c
 	}
@@ -158,6 +159,7 @@
 
 func (x *indexer) add(e *history.Event) {
 	c := x.c
+	c.withholding.add(e)
 	switch e.What {
 	case history.Fault:
 		x.openFaults[e.N] = len(c.Faults)
@@ -213,7 +215,7 @@
 const faultAftermath = 2 * time.Second
 
 // machineStall is the kind in a history for a time in which the machine did not schedule the test
-// itself.
+// itself. ID is its length, and T its end.
 const machineStall = "machine"
 
 // Kinds of faults that excuse something.
@@ -236,10 +238,10 @@
 	return false
 }
 
-// affectsRouter fits faults of a router itself, or of the machine.
+// affectsRouter fits faults of a router itself.
 func affectsRouter(name string) func(*Fault) bool {
 	n := NumberOf(name)
-	return func(s *Fault) bool { return s.Kind == machineStall || slices.Contains(s.Routers, n) }
+	return func(s *Fault) bool { return slices.Contains(s.Routers, n) }
 }
 
 // affectsHost fits faults of a host itself.
--- a/internal/testbed/checker/returned.go
+++ b/internal/testbed/checker/returned.go
@@ -25,48 +25,82 @@
 	if from >= c.End {
 		return nil // it had no time for it
 	}
-	first := c.Faults[0].From
-	ready := map[int]bool{}
+	found = c.unready(from)
+	before, then := c.servedShares(from)
+	if before.requests >= minRequests && then.requests >= minRequests && then.fraction() < minServedFraction*before.fraction() {
+		found = append(found, Violation{"return", from, "", "", fmt.Sprintf("%.0f%% of %d requests are served whole from %v after the last fault on; before the first one it were %.0f%% of %d",
+			100*then.fraction(), then.requests, time.Duration(c.Play.Settle), 100*before.fraction(), before.requests)})
+	}
+	return found
+}
+
+// unready finds routers that are not ready at a time, later by what the machine withheld from them
+// since the last fault.
+func (c *Case) unready(from int64) (found []Violation) {
+	if c.Play.World != "rig" {
+		return nil
+	}
+	for n := range c.Play.Routers {
+		router := fmt.Sprint("r", n)
+		due := from + c.Withheld(router, c.LastHeal(), from).Nanoseconds()
+		if due < c.End && !c.readyAt(n, due) {
+			found = append(found, Violation{"return", from, router, "", fmt.Sprintf("not ready %v after the last fault", time.Duration(c.Play.Settle))})
+		}
+	}
+	return found
+}
+
+// readyAt reports whether a router was ready at a time.
+func (c *Case) readyAt(router int, at int64) (ready bool) {
 	for i := range c.Events {
 		e := &c.Events[i]
-		if e.T > from {
+		if e.T > at {
 			break
 		}
-		switch e.What {
-		case history.Ready:
-			ready[NumberOf(e.Who)] = true
-		case history.Unready:
-			ready[NumberOf(e.Who)] = false
+		if (e.What == history.Ready || e.What == history.Unready) && NumberOf(e.Who) == router {
+			ready = e.What == history.Ready
 		}
 	}
-	for n := range c.Play.Routers {
-		if !ready[n] && c.Play.World == "rig" {
-			found = append(found, Violation{"return", from, fmt.Sprint("r", n), "", fmt.Sprintf("not ready %v after the last fault", time.Duration(c.Play.Settle))})
-		}
-	}
-	var before, beforeComplete, then, afterComplete int
+	return ready
+}
+
+// servedShare is how many of some requests were served whole.
+type servedShare struct {
+	requests, complete int
+}
+
+func (s servedShare) fraction() float64 { return float64(s.complete) / float64(s.requests) }
+
+// servedShares counts the requests that ended before the first fault, and those that were asked
+// after a time. Requests for which the machine withheld processors are not counted.
+func (c *Case) servedShares(from int64) (before, then servedShare) {
+	first := c.firstFault()
 	for _, id := range c.ids {
 		r := c.requests[id]
-		if r.Ask == nil || len(r.Answers) != 1 || r.Answers[0].How == history.Left {
+		if r.Ask == nil || len(r.Answers) != 1 || r.Answers[0].How == history.Left || c.stalled(r.Ask.Who, r.Ask.T, r.Answers[0].T) {
 			continue
 		}
-		complete := 0
-		if r.Answers[0].How == history.Complete {
-			complete = 1
-		}
+		share := &servedShare{}
 		switch {
 		case r.Ask.T < first && r.Answers[0].T < first:
-			before, beforeComplete = before+1, beforeComplete+complete
+			share = &before
 		case r.Ask.T >= from:
-			then, afterComplete = then+1, afterComplete+complete
+			share = &then
+		}
+		share.requests++
+		if r.Answers[0].How == history.Complete {
+			share.complete++
 		}
 	}
-	if before >= minRequests && then >= minRequests {
-		b, t := float64(beforeComplete)/float64(before), float64(afterComplete)/float64(then)
-		if t < minServedFraction*b {
-			found = append(found, Violation{"return", from, "", "", fmt.Sprintf("%.0f%% of %d requests are served whole from %v after the last fault on; before the first one it were %.0f%% of %d",
-				100*t, then, time.Duration(c.Play.Settle), 100*b, before)})
+	return before, then
+}
+
+// firstFault returns when the first fault of the schedule began.
+func (c *Case) firstFault() int64 {
+	for i := range c.Faults {
+		if c.Faults[i].Kind != machineStall {
+			return c.Faults[i].From
 		}
 	}
-	return found
+	return c.End
 }
--- /dev/null
+++ b/internal/testbed/checker/withheld.go
@@ -0,0 +1,81 @@
+package checker
+
+import (
+	"sort"
+	"time"
+
+	"reachspread/internal/testbed/history"
+)
+
+// withholding is what a history says of the processor time that the machine withheld: when the test
+// itself was late, and how long the threads of each process have waited for a processor so far.
+type withholding struct {
+	stalls  []Fault
+	samples map[string][]waitSample // by process
+}
+
+// waitSample is how long the threads of a process had waited by a time.
+type waitSample struct {
+	at, waited int64
+}
+
+func newWithholding() withholding {
+	return withholding{samples: map[string][]waitSample{}}
+}
+
+// add takes in an event.
+func (w *withholding) add(e *history.Event) {
+	switch {
+	case e.What == history.Fault && e.Text == machineStall:
+		length, _ := time.ParseDuration(e.ID)
+		w.stalls = append(w.stalls, Fault{Kind: machineStall, N: e.N, From: e.T - length.Nanoseconds(), To: e.T})
+	case e.What == history.Usage:
+		w.samples[e.Who] = append(w.samples[e.Who], waitSample{at: e.T, waited: e.Withheld})
+	}
+}
+
+// Withheld returns for how long, between two times, the machine withheld processors from a router's
+// processes and from the test itself. What is late by no more than that says nothing of the router.
+// It excuses lateness alone: a busy machine loses no answer and closes no connection.
+func (c *Case) Withheld(router string, from, to int64) time.Duration {
+	total := int64(0)
+	for i := range c.withholding.stalls {
+		s := &c.withholding.stalls[i]
+		total += max(min(s.To, to)-max(s.From, from), 0)
+	}
+	number := NumberOf(router)
+	for process, samples := range c.withholding.samples {
+		if NumberOf(process) == number {
+			total += waitedBetween(samples, from, to)
+		}
+	}
+	return time.Duration(total)
+}
+
+// waitedBetween returns how long a process waited for processors from its last sample before a time,
+// or its start, to the first one after another. It is no more than the time between the two.
+func waitedBetween(samples []waitSample, from, to int64) int64 {
+	if len(samples) == 0 {
+		return 0
+	}
+	before := waitSample{at: from}
+	if first := indexAfter(samples, from); first > 0 {
+		before = samples[first-1]
+	}
+	after := samples[min(indexAfter(samples, to), len(samples)-1)]
+	return max(min(after.waited-before.waited, after.at-before.at), 0)
+}
+
+// indexAfter returns the index of the first sample after a time.
+func indexAfter(samples []waitSample, t int64) int {
+	return sort.Search(len(samples), func(i int) bool { return samples[i].at > t })
+}
+
+// noticeableStall is how long the machine may withhold processors from what a request needs until
+// it is not judged by how well it was served.
+const noticeableStall = 200 * time.Millisecond
+
+// stalled reports whether the machine withheld processors for long between two times.
+func (c *Case) stalled(router string, from, to int64) bool {
+	return c.Withheld(router, from, to) > noticeableStall
+}
--- /dev/null
+++ b/internal/testbed/checker/withheld_test.go
@@ -0,0 +1,68 @@
+package checker
+
+import (
+	"testing"
+	"time"
+
+	"reachspread/internal/testbed/history"
+)
+
+// withheldHistory is the history of a play on a machine that withheld processors: 300 ms from the
+// test itself up to 9.4 s, and 200 ms from r0 between 9 s and 9.5 s.
+func withheldHistory() []history.Event {
+	return append(well(),
+		history.Event{T: 9000 * ms, What: history.Usage, Who: "r0", Withheld: 50 * ms},
+		history.Event{T: 9400 * ms, What: history.Fault, N: 1 << 16, Text: machineStall, ID: "300ms"},
+		history.Event{T: 9400 * ms, What: history.Heal, N: 1 << 16, Text: machineStall},
+		history.Event{T: 9500 * ms, What: history.Usage, Who: "r0", Withheld: 250 * ms},
+		history.Event{T: 9500 * ms, What: history.Usage, Who: "r1", Withheld: 1})
+}
+
+// What the machine withheld counts as far as it lies between the two times: stalls to the
+// nanosecond, waits of a process by the samples around.
+func TestWithheld(t *testing.T) {
+	c := NewCase(withheldHistory())
+	for _, x := range []struct {
+		router   string
+		from, to int64
+		want     time.Duration
+	}{
+		{"r0", 9100 * ms, 9450 * ms, 500 * ms},
+		{"r0", 9300 * ms, 9450 * ms, 300 * ms},
+		{"r0", 9500 * ms, 9600 * ms, 0},
+		{"r0", 8000 * ms, 8900 * ms, 50 * ms},
+		{"r1", 9100 * ms, 9450 * ms, 300*ms + 1},
+		{"r2", 9400 * ms, 9450 * ms, 0},
+	} {
+		if got := c.Withheld(x.router, x.from, x.to); got != x.want {
+			t.Errorf("%s from %v to %v: %v, not %v", x.router, time.Duration(x.from), time.Duration(x.to), got, x.want)
+		}
+	}
+}
+
+// Withheld processors excuse lateness up to their time, and nothing else.
+func TestWithheldExcusesLatenessAlone(t *testing.T) {
+	const asked, until = 9100 * ms, 9110 * ms
+	for _, x := range []struct {
+		name  string
+		who   string
+		at    int64
+		how   history.How
+		found int
+	}{
+		{"late by what was withheld", "r0", 9450 * ms, history.Refused, 0},
+		{"later than that", "r0", until + 50*ms + 500*ms + 1, history.Refused, 1},
+		{"late at a router from which nothing was withheld", "r2", until + 50*ms + 300*ms + 1, history.Refused, 1},
+		{"none in that time", "r0", 9450 * ms, history.None, 0},
+		{"a connection that ended", "r0", 9450 * ms, history.Interrupted, 1},
+		{"a stream that broke", "r0", 9450 * ms, history.Broken, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			events := append(withheldHistory(), history.Event{T: asked, What: history.Ask, ID: "z", Who: x.who, Until: until},
+				history.Event{T: x.at, What: history.Answer, ID: "z", How: x.how})
+			if found := answer(NewCase(events)); len(found) != x.found {
+				t.Errorf("found %v", found)
+			}
+		})
+	}
+}
--- a/internal/testbed/fakes/attempt.go
+++ b/internal/testbed/fakes/attempt.go
@@ -20,11 +20,6 @@
 	"reachspread/internal/testbed/simulator"
 )
 
-// crossedCloseWindow is how soon after a request was written the end of its connection may be a
-// close that the router began between two requests. The platform's clients then send once more, on
-// a new connection.
-const crossedCloseWindow = 100 * time.Millisecond
-
 // maxPromptLength bounds the text of a prompt, in tokens: hosts read its length from a field of its
 // own.
 const maxPromptLength = 60000
@@ -45,6 +40,7 @@
 	how         history.How
 	status      int
 	retryAfter  time.Duration // that the answer asked to wait
+	cause       string        // of an attempt that ended before an answer
 }
 
 // retryable reports whether a client may send the request again: no answer of it was begun.
@@ -72,6 +68,10 @@
 	content    io.Reader // how the body is written
 	due, until time.Time
 	gaveUp     *time.Timer // ends the attempt unless the answer has begun
+
+	conn    atomic.Pointer[clientConn] // the last one that it was sent on
+	kept    atomic.Bool                // conn was kept since another request, or opened for one that did not need it
+	written atomic.Pointer[time.Time]  // when its last byte was given to the system on conn
 }
 
 // attempt sends a request once and observes its beginning and end.
@@ -101,7 +101,7 @@
 	if outcome.how != history.Complete && a.abandoned(ctx) {
 		outcome.how = history.Left
 	}
-	c.observe(history.Event{What: history.Answer, ID: id, How: outcome.how, Status: outcome.status}, until)
+	c.observe(history.Event{What: history.Answer, ID: id, How: outcome.how, Status: outcome.status, Text: outcome.cause}, until)
 	return outcome
 }
 
@@ -148,7 +148,7 @@
 func (a *attempt) exchange(ctx context.Context, r *http.Request) attemptOutcome {
 	resp, err := a.send(ctx, r)
 	if err != nil {
-		return attemptOutcome{how: a.classifySendError(ctx, err)}
+		return attemptOutcome{how: a.classifySendError(ctx, err), cause: a.describeSendError(err)}
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -157,31 +157,60 @@
 	return a.readStream(resp)
 }
 
-// send sends a request, and a second time on a new connection if the close of an idle connection
-// may have crossed it.
+// send sends a request, and a second time on a new connection if the close of its connection
+// crossed it.
 func (a *attempt) send(ctx context.Context, r *http.Request) (*http.Response, error) {
-	var reused atomic.Bool
-	var written atomic.Pointer[time.Time]
-	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) },
-		WroteRequest: func(httptrace.WroteRequestInfo) {
-			now := time.Now()
-			written.Store(&now)
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			conn, ok := i.Conn.(*clientConn)
+			if !ok {
+				return
+			}
+			conn.beginRequest()
+			a.conn.Store(conn)
+			a.kept.Store(i.Reused || i.WasIdle)
+			a.written.Store(nil)
 		},
-	}))
-	resp, err := a.clients.client.Do(r)
-	if err == nil || ctx.Err() != nil || !reused.Load() {
-		return resp, err
-	}
-	if at := written.Load(); at != nil && time.Since(*at) >= crossedCloseWindow {
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if now := time.Now(); i.Err == nil {
+				a.written.Store(&now)
+			}
+		},
+	})
+	resp, err := a.clients.client.Do(r.WithContext(traced))
+	if err == nil || ctx.Err() != nil || !a.closeCrossed() {
 		return resp, err
 	}
 	a.clients.observe(history.Event{What: history.Note, ID: a.id, Who: a.router, Text: CloseCrossed}, a.until)
-	r = r.Clone(ctx)
+	r = r.Clone(traced)
 	r.Body = io.NopCloser(strings.NewReader(a.body))
 	return a.clients.oneShot.Do(r)
 }
 
+// closeCrossed reports whether the attempt failed as the router closed its connection before it had
+// read the request.
+func (a *attempt) closeCrossed() bool {
+	conn := a.conn.Load()
+	return conn != nil && (a.written.Load() == nil || conn.closedUnread())
+}
+
+// describeSendError says on what connection an attempt ended before an answer, how long after it was
+// written, and whether the router had read it.
+func (a *attempt) describeSendError(err error) string {
+	connection, read := "a new connection", "read"
+	if a.kept.Load() {
+		connection = "a kept connection"
+	}
+	if a.closeCrossed() {
+		read = "not read"
+	}
+	written := "not written to its end"
+	if at := a.written.Load(); at != nil {
+		written = fmt.Sprint(time.Since(*at).Round(time.Millisecond), " after it was written")
+	}
+	return fmt.Sprintf("%s, %s, %s by the router: %v", connection, written, read, err)
+}
+
 // classifySendError names the outcome of an attempt that ended before an answer.
 func (a *attempt) classifySendError(ctx context.Context, err error) history.How {
 	if context.Cause(ctx) == errGaveUp {
--- /dev/null
+++ b/internal/testbed/fakes/clientconn_test.go
@@ -0,0 +1,109 @@
+package fakes
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"reachspread/internal/testbed/history"
+	"reachspread/internal/testbed/simulator"
+)
+
+// A request on a kept connection that the router closes is sent again if the router had not read
+// it, however late the client sees the close. One that was read is lost, however early it does.
+func TestClientSendsAgainOnlyWhatRouterHasNotRead(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		close     func(*testing.T, net.Conn, *bufio.Reader)
+		want      history.How
+		sentAgain bool
+	}{
+		{"closed with the request unread", awaitUnread, history.Complete, true},
+		{"closed with the rest of the request unread", readOneByte, history.Complete, true},
+		{"closed once the request was read", readRequest, history.Interrupted, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			router := startClosingRouter(t, c.close)
+			clients, sentAgain := newObservedClients(router)
+			first := &simulator.Planned{ID: "first", Prompt: 1, Out: 1, MaxOut: 1}
+			second := &simulator.Planned{ID: "second", Prompt: 1, Out: 1, MaxOut: 1}
+			due := time.Now()
+			if got := clients.attempt(t.Context(), first, "first", false, due, due.Add(time.Minute)); got.how != history.Complete {
+				t.Fatalf("the first request: %+v", got)
+			}
+			got := clients.attempt(t.Context(), second, "second", false, due, due.Add(time.Minute))
+			if got.how != c.want || *sentAgain != c.sentAgain {
+				t.Errorf("%+v, sent again: %v", got, *sentAgain)
+			}
+		})
+	}
+}
+
+// newObservedClients returns clients of a router, and whether one of them has sent a request again.
+func newObservedClients(router string) (*Clients, *bool) {
+	spec := &simulator.Spec{Classes: []simulator.Class{{}}}
+	spec.Classes[0].Class.Name = "chat"
+	clients, sentAgain := NewClients(router, spec), new(bool)
+	clients.Observe = func(e ClientEvent) { *sentAgain = *sentAgain || e.Text == CloseCrossed }
+	return clients, sentAgain
+}
+
+// startClosingRouter starts a router that answers the first request of each connection, and closes
+// the connection upon the second one. It returns its address.
+func startClosingRouter(t *testing.T, closeSecond func(*testing.T, net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReaderSize(conn, 16)
+				readRequest(t, conn, reader)
+				conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\ndata: [DONE]\n\n"))
+				closeSecond(t, conn, reader)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRequest reads a request to its end.
+func readRequest(t *testing.T, _ net.Conn, reader *bufio.Reader) {
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return // the client has closed
+	}
+	if _, err := reader.Discard(int(r.ContentLength)); err != nil {
+		t.Error(err)
+	}
+}
+
+// readOneByte reads the first byte of a request.
+func readOneByte(_ *testing.T, conn net.Conn, _ *bufio.Reader) {
+	conn.Read(make([]byte, 1))
+}
+
+// awaitUnread waits until a request has come, and reads nothing of it.
+func awaitUnread(t *testing.T, conn net.Conn, _ *bufio.Reader) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN
+	})
+}
--- a/internal/testbed/fakes/clients.go
+++ b/internal/testbed/fakes/clients.go
@@ -55,8 +55,8 @@
 	c := &Clients{
 		RouterFor: func(*simulator.Planned) string { return addr },
 		spec:      spec,
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}},
-		oneShot:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		client:    &http.Client{Transport: &http.Transport{DialContext: dialClient, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}},
+		oneShot:   &http.Client{Transport: &http.Transport{DialContext: dialClient, DisableKeepAlives: true, DisableCompression: true}},
 	}
 	for _, class := range spec.Classes {
 		firstToken := hdrhistogram.New(1, maxFirstTokenUs, firstTokenDigits)
--- a/internal/testbed/history/history.go
+++ b/internal/testbed/history/history.go
@@ -50,7 +50,7 @@
 	Log          What = "log"     // any other line that it wrote: Text
 	Term         What = "term"    // it was told to end
 	Exit         What = "exit"    // it has ended: Status, or Text for a signal
-	Usage        What = "usage"   // what it uses: Memory, Descriptors, CPU
+	Usage        What = "usage"   // what it uses: Memory, Descriptors, CPU, Withheld
 	Unresponsive What = "caught"  // it does not answer, and no fault excuses that: Text is where the evidence is
 	Call         What = "call"    // a call at its management address: ID, Text
 	Return       What = "return"  // the answer: ID, Text; empty for none in time
@@ -111,7 +111,8 @@
 
 	Memory      int64 `json:"memory,omitempty"` // bytes, most so far
 	Descriptors int   `json:"descriptors,omitempty"`
-	CPU         int64 `json:"cpu,omitempty"` // nanoseconds so far
+	CPU         int64 `json:"cpu,omitempty"`      // nanoseconds so far
+	Withheld    int64 `json:"withheld,omitempty"` // nanoseconds so far in which its threads were ready to run and had no processor
 
 	Routers []int    `json:"routers,omitempty"`
 	Hosts   []int    `json:"hosts,omitempty"`
--- a/internal/testbed/history/stored_test.go
+++ b/internal/testbed/history/stored_test.go
@@ -35,7 +35,19 @@
 func TestGoldenHistory(t *testing.T) {
 	want := goldenEvents()
 	golden.Complete(t, want[0].Play)
-	golden.Complete(t, want[1], "Event.Play")
+	golden.Complete(t, want[1], "Event.Play", "Event.Withheld")
+	sameHistory(t, "history.ndjson", want)
+}
+
+// So is one with a field that came later.
+func TestGoldenHistoryWithWithheld(t *testing.T) {
+	usage := Event{T: 123456789, What: Usage, Who: "r0/2", Memory: 1 << 20, Descriptors: 40, CPU: 5e6, Withheld: 7e6}
+	sameHistory(t, "history-withheld.ndjson", append(goldenEvents()[:1], usage))
+}
+
+// sameHistory checks that events are written as a golden file has them, and read from it.
+func sameHistory(t *testing.T, file string, want []Event) {
+	t.Helper()
 	var made bytes.Buffer
 	w := NewWriter(&made)
 	for i := range want {
@@ -43,8 +55,8 @@
 			t.Fatal(err)
 		}
 	}
-	golden.Same(t, "history.ndjson", made.Bytes())
-	got, err := Read(bytes.NewReader(golden.File(t, "history.ndjson", made.Bytes())))
+	golden.Same(t, file, made.Bytes())
+	got, err := Read(bytes.NewReader(golden.File(t, file, made.Bytes())))
 	if diff := cmp.Diff(want, got); err != nil || diff != "" {
 		t.Errorf("%v\n%s", err, diff)
 	}
