peering: TestRebuildAfterALostMajority waits as long as operators do for a reply

Known red: its calls of Rebuild gave up after 1 s, and a voter whose loop is held up for longer answers later. The program's callers have 10 s (transport/management.go, callTimeout), and the test has them now. What the replies must say is as it was.

--- a/internal/router/peering/roles_test.go
+++ b/internal/router/peering/roles_test.go
@@ -385,7 +385,7 @@
 	_, before := s.holder(-1)
 	s.leader()
 	ask := func(n int, gone ...string) error {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), scripted.EventTimeout) // as long as operators wait
 		defer cancel()
 		return s.routers[n].d.Rebuild(ctx, gone)
 	}
