--- a/internal/testbed/chaos/process.go
+++ b/internal/testbed/chaos/process.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,8 +88,9 @@
 	management string
 	done       chan bool // closed once it has ended and all it wrote is read
 	twin       bool
-	spoke      bool // it has named a phase: its management address answers
-	quiet      bool // what it writes from now on goes to its file alone
+	terminated atomic.Bool // it was sent SIGTERM
+	spoke      bool        // it has named a phase: its management address answers
+	quiet      bool        // what it writes from now on goes to its file alone
 }
 
 func (r *router) name() string { return "r" + strconv.Itoa(r.n) }
@@ -275,6 +277,7 @@
 
 // term tells a process to end.
 func (x *process) term() {
+	x.terminated.Store(true)
 	x.r.p.recorder.add(history.Event{What: history.Term, Who: x.name})
 	x.cmd.Process.Signal(syscall.SIGTERM)
 }
