--- a/coord/register/golden_test.go
+++ b/coord/register/golden_test.go
@@ -1,7 +1,6 @@
 package register_test
 
 import (
-	"bytes"
 	"flag"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 	"reachspread/coord/coordpb"
 	"reachspread/coord/register"
 	"reachspread/coord/storage"
+	"reachspread/internal/testbed/golden"
 )
 
 // The folders below testdata/golden were written by the code of commit 5bfcc27:
@@ -96,7 +96,7 @@
 	}
 	today := t.TempDir()
 	write(today)
-	compareFolders(t, filepath.Join(goldenPath, everyRecord), today)
+	golden.SameFolders(t, filepath.Join(goldenPath, everyRecord), today)
 
 	state := &lines{}
 	_, persisted := loadGolden(t, everyRecord, state)
@@ -306,7 +306,7 @@
 	playGolden(is, today)
 	const state = "one\ntwo\nthree\nfour\nfive"
 	for i, name := range []string{"a", "b", "c"} {
-		compareFolders(t, filepath.Join(goldenPath, name), filepath.Join(today, name))
+		golden.SameFolders(t, filepath.Join(goldenPath, name), filepath.Join(today, name))
 		machine := &lines{}
 		_, persisted := loadGolden(t, name, machine)
 		is.Equal(persisted.Identity, 1097+uint64(i))
@@ -348,26 +348,3 @@
 	}
 }
 
-// compareFolders reports files that differ.
-func compareFolders(t *testing.T, want, got string) {
-	t.Helper()
-	is := is.New(t)
-	names := func(path string) (all []string) {
-		entries, err := os.ReadDir(path)
-		is.NoErr(err)
-		for _, e := range entries {
-			all = append(all, e.Name())
-		}
-		return all
-	}
-	is.Equal(names(got), names(want))
-	for _, name := range names(want) {
-		wanted, err := os.ReadFile(filepath.Join(want, name))
-		is.NoErr(err)
-		text, err := os.ReadFile(filepath.Join(got, name))
-		is.NoErr(err)
-		if !bytes.Equal(text, wanted) {
-			t.Errorf("%s is\n%x\nand was\n%x", name, text, wanted)
-		}
-	}
-}
--- a/coord/storage/golden_test.go
+++ b/coord/storage/golden_test.go
@@ -1,7 +1,6 @@
 package storage_test
 
 import (
-	"bytes"
 	"flag"
 	"io/fs"
 	"os"
@@ -11,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"reachspread/coord/storage"
+	"reachspread/internal/testbed/golden"
 )
 
 // The folders below testdata/golden were written by the code of commit 5bfcc27:
@@ -129,46 +129,22 @@
 func TestGoldenFolders(t *testing.T) {
 	for _, g := range goldenFolders() {
 		t.Run(g.name, func(t *testing.T) {
-			golden := filepath.Join(goldenPath, g.name)
+			written := filepath.Join(goldenPath, g.name)
 			if *writeGolden {
-				g.fill(t, golden)
+				g.fill(t, written)
 				return
 			}
 			is := is.New(t)
 			today := t.TempDir()
 			g.fill(t, today)
-			compareFolders(t, golden, today)
+			golden.SameFolders(t, written, today)
 			path := t.TempDir()
-			is.NoErr(os.CopyFS(path, os.DirFS(golden)))
+			is.NoErr(os.CopyFS(path, os.DirFS(written)))
 			g.check(t, path)
 		})
 	}
 }
 
-// compareFolders reports files that differ.
-func compareFolders(t *testing.T, want, got string) {
-	t.Helper()
-	is := is.New(t)
-	names := func(path string) (all []string) {
-		entries, err := os.ReadDir(path)
-		is.NoErr(err)
-		for _, e := range entries {
-			all = append(all, e.Name())
-		}
-		return all
-	}
-	is.Equal(names(got), names(want))
-	for _, name := range names(want) {
-		wanted, err := os.ReadFile(filepath.Join(want, name))
-		is.NoErr(err)
-		text, err := os.ReadFile(filepath.Join(got, name))
-		is.NoErr(err)
-		if !bytes.Equal(text, wanted) {
-			t.Errorf("%s is\n%x\nand was\n%x", name, text, wanted)
-		}
-	}
-}
-
 // A folder without files, and one that is not there, have no state; a first Save is due.
 func TestEmptyFolder(t *testing.T) {
 	for _, path := range []string{t.TempDir(), filepath.Join(t.TempDir(), "none", "yet")} {
