--- a/coord/register/golden_test.go
+++ b/coord/register/golden_test.go
@@ -347,4 +347,3 @@
 		is.True(p.core.View().Epoch >= 3)
 	}
 }
-
--- a/internal/testbed/golden/folders.go
+++ b/internal/testbed/golden/folders.go
@@ -13,14 +13,14 @@
 // has folders in it.
 func SameFolders(t testing.TB, want, got string) {
 	t.Helper()
-	wantedFiles, files := readFolder(t, want), readFolder(t, got)
-	wantedNames, names := slices.Sorted(maps.Keys(wantedFiles)), slices.Sorted(maps.Keys(files))
-	if !slices.Equal(names, wantedNames) {
-		t.Fatalf("%s has %q, not %q", got, names, wantedNames)
+	expectedFiles, files := readFolder(t, want), readFolder(t, got)
+	expectedNames, names := slices.Sorted(maps.Keys(expectedFiles)), slices.Sorted(maps.Keys(files))
+	if !slices.Equal(names, expectedNames) {
+		t.Fatalf("%s has %q, not %q", got, names, expectedNames)
 	}
 	for _, name := range names {
-		if !bytes.Equal(files[name], wantedFiles[name]) {
-			t.Errorf("%s is\n%x\nand was\n%x", name, files[name], wantedFiles[name])
+		if !bytes.Equal(files[name], expectedFiles[name]) {
+			t.Errorf("%s is\n%x\nand was\n%x", name, files[name], expectedFiles[name])
 		}
 	}
 }
