--- a/internal/router/program/shadow_test.go
+++ b/internal/router/program/shadow_test.go
@@ -387,6 +387,8 @@
 	s.served("q0")
 	scripted.Receive(t, c0.Started, "a copy")
 	d.Send(t, scripted.List(2, false, scripted.ListEntry("c0", c0.Addr, "Terminating"), scripted.ListEntry("c1", c1.Addr, "Ready")))
+	for !strings.Contains(scripted.Receive(t, d.Calls, "the call after the list was taken in"), "index=2") {
+	}
 	// Both are told at once, so one serves before and after: what is sent must tell them apart.
 	for i := 1; c1.Attempts(fmt.Sprintf("q%d~next~%d", i-1, i)) == 0 && i < 50; i++ {
 		s.served(fmt.Sprint("q", i))
