faultproxy: a link without a plug is restored; TestDisks with a second between two disks

TestDisks: r0 copies r1's disk when it comes back, 200 ms before r1's is truncated; a test that was later than that copied what was truncated. r1 is down for 1.4 s now; what is checked is as it was.

--- a/internal/testbed/chaos/chaos_test.go
+++ b/internal/testbed/chaos/chaos_test.go
@@ -276,7 +276,7 @@
 	var folder string
 	o := Options{Experiment: x, Seed: 1, Program: routerBinary(t), Drawn: true, Faults: []faults.Fault{
 		{Kind: faults.Kill, At: time.Second, Length: 200 * time.Millisecond, Routers: faults.Selection{Numbers: []int{0}}, Disk: faults.DiskOther},
-		{Kind: faults.Kill, At: time.Second, Length: 400 * time.Millisecond, Routers: faults.Selection{Numbers: []int{1}}, Disk: faults.DiskTruncated, RemainingFraction: 0.5, File: "*.x"},
+		{Kind: faults.Kill, At: time.Second, Length: 1400 * time.Millisecond, Routers: faults.Selection{Numbers: []int{1}}, Disk: faults.DiskTruncated, RemainingFraction: 0.5, File: "*.x"},
 		{Kind: faults.Kill, At: time.Second, Length: 600 * time.Millisecond, Routers: faults.Selection{Numbers: []int{2}}, Disk: faults.DiskEmpty},
 		{Kind: faults.NoWrite, At: 500 * time.Millisecond, Length: 300 * time.Millisecond, Routers: faults.Selection{Numbers: []int{2}}},
 		{Kind: faults.FullDisk, At: 500 * time.Millisecond, Length: 300 * time.Millisecond, Routers: faults.Selection{Numbers: []int{1}}}}}
--- a/internal/testbed/faultproxy/faultproxy_test.go
+++ b/internal/testbed/faultproxy/faultproxy_test.go
@@ -392,3 +392,27 @@
 	show("datagram", round(r.conns[1].LocalAddr().(*net.UDPAddr).AddrPort()))
 	show("datagram through the mesh", round(r.addr(1)))
 }
+
+// A link whose listener's one place another connection has taken, so that the plug found none, is
+// restored like any other.
+func TestLinkWithoutPlugIsRestored(t *testing.T) {
+	r, err := NewConnProxy("127.0.0.1:0", "127.0.0.1:1", 1, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	if err := r.Set(faults.Condition{Blackholed: true}, faults.Condition{}); err != nil {
+		t.Fatal(err)
+	}
+	r.mu.Lock()
+	r.closePlug()
+	r.mu.Unlock()
+	if err := r.Set(faults.Condition{}, faults.Condition{}); err != nil {
+		t.Error(err)
+	}
+	c, err := net.Dial("tcp4", r.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+}
--- a/internal/testbed/faultproxy/tcp.go
+++ b/internal/testbed/faultproxy/tcp.go
@@ -100,9 +100,7 @@
 	}
 	r.refusing = on
 	if on {
-		if r.blackholed {
-			r.plug.Close()
-		}
+		r.closePlug()
 		return r.listener.Close()
 	}
 	if err := r.listen(); err != nil {
@@ -152,6 +150,10 @@
 		return err
 	}
 	plug, err := net.DialTimeout("tcp4", r.Addr(), dialTimeout)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return nil // another connection has taken the one place, and the kernel answers no further SYN
+	}
 	if err != nil {
 		return err
 	}
@@ -159,6 +161,14 @@
 	return nil
 }
 
+// closePlug closes the plug, if there is one. The lock is held.
+func (r *ConnProxy) closePlug() {
+	if r.plug != nil {
+		r.plug.Close()
+		r.plug = nil
+	}
+}
+
 // restore ends a blackhole. Connections in the queue are reset: they may have come before it or
 // during it. The lock is held.
 func (r *ConnProxy) restore() error {
@@ -166,7 +176,7 @@
 	if r.refusing {
 		return nil
 	}
-	r.plug.Close()
+	r.closePlug()
 	r.listener.SetDeadline(time.Now().Add(time.Millisecond))
 	for {
 		c, err := r.listener.AcceptTCP()
@@ -366,7 +376,7 @@
 		if r.blackholed {
 			close(r.restored)
 			if !r.refusing {
-				r.plug.Close()
+				r.closePlug()
 			}
 		}
 		for c := range r.conns {
