--- a/internal/testbed/chaos/recovery_test.go
+++ b/internal/testbed/chaos/recovery_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"reachspread/internal/testbed/checker"
 	"reachspread/internal/testbed/experiment"
 	"reachspread/internal/testbed/history"
 )
@@ -301,9 +300,8 @@
 				}
 			}
 			for what, between := range x.within {
-				got, is := at[what]
-				if latest := between[1] + withheldBefore(r.Events, what, between[1]); !is || got < between[0] || got > latest {
-					t.Errorf("%s at %.1f s (seen: %v), not between %v and %v", what, got, is, between[0], latest)
+				if got, is := at[what]; !is || got < between[0] || got > between[1] {
+					t.Errorf("%s at %.1f s (seen: %v), not between %v and %v", what, got, is, between[0], between[1])
 				}
 			}
 			if t.Failed() {
@@ -312,16 +310,3 @@
 		})
 	}
 }
-
-// withheldBefore returns for how many seconds, from the process's start to a time, the machine
-// withheld processors from the process that a line of a returnCase begins with.
-func withheldBefore(events []history.Event, what string, second float64) float64 {
-	process, _, _ := strings.Cut(what, " ")
-	started := int64(0)
-	for _, e := range events {
-		if e.What == history.Start && e.Who == process {
-			started = e.T
-		}
-	}
-	return checker.NewCase(events).Withheld(process, started, int64(second*float64(time.Second))).Seconds()
-}
--- a/internal/testbed/checker/drain.go
+++ b/internal/testbed/checker/drain.go
@@ -26,7 +26,7 @@
 			}
 		case history.Attempt:
 			notified, draining := since[e.From+" "+e.Who]
-			late := e.T - notified - (drainSlack + c.Withheld(e.From, notified, e.T)).Nanoseconds()
+			late := e.T - notified - drainSlack.Nanoseconds()
 			if !draining || late <= 0 || c.FaultDuring(append(processEnds, processStalls...), notified, e.T, affectsRouter(e.From)) ||
 				c.FaultDuring(linkFaults, notified, e.T, affectsLink(e.From, "list")) || c.FaultDuring(linkFaults, notified, e.T, affectsLink(e.From, "hosts")) {
 				continue
--- a/internal/testbed/checker/limits.go
+++ b/internal/testbed/checker/limits.go
@@ -44,8 +44,7 @@
 	}
 	termed := map[string]int64{}
 	late := func(who string, t, end int64) {
-		allowed := c.Play.Leave + c.Play.Slack + c.Withheld(who, t, end).Nanoseconds()
-		if over := end - t; over > allowed && !c.FaultDuring(append(processEnds, processStalls...), t, end, affectsRouter(who)) {
+		if over := end - t; over > c.Play.Leave+c.Play.Slack && !c.FaultDuring(append(processEnds, processStalls...), t, end, affectsRouter(who)) {
 			found = append(found, Violation{"leave", end, who, "", fmt.Sprintf("%v after SIGTERM; %v are allowed", time.Duration(over).Round(time.Millisecond),
 				time.Duration(c.Play.Leave))})
 		}
--- a/internal/testbed/checker/returned.go
+++ b/internal/testbed/checker/returned.go
@@ -34,16 +34,14 @@
 	return found
 }
 
-// unready finds routers that are not ready at a time, later by what the machine withheld from them
-// since the last fault.
+// unready finds routers that are not ready at a time.
 func (c *Case) unready(from int64) (found []Violation) {
 	if c.Play.World != "rig" {
 		return nil
 	}
 	for n := range c.Play.Routers {
 		router := fmt.Sprint("r", n)
-		due := from + c.Withheld(router, c.LastHeal(), from).Nanoseconds()
-		if due < c.End && !c.readyAt(n, due) {
+		if !c.readyAt(n, from) {
 			found = append(found, Violation{"return", from, router, "", fmt.Sprintf("not ready %v after the last fault", time.Duration(c.Play.Settle))})
 		}
 	}
@@ -72,12 +70,12 @@
 func (s servedShare) fraction() float64 { return float64(s.complete) / float64(s.requests) }
 
 // servedShares counts the requests that ended before the first fault, and those that were asked
-// after a time. Requests for which the machine withheld processors are not counted.
+// after a time.
 func (c *Case) servedShares(from int64) (before, then servedShare) {
 	first := c.firstFault()
 	for _, id := range c.ids {
 		r := c.requests[id]
-		if r.Ask == nil || len(r.Answers) != 1 || r.Answers[0].How == history.Left || c.stalled(r.Ask.Who, r.Ask.T, r.Answers[0].T) {
+		if r.Ask == nil || len(r.Answers) != 1 || r.Answers[0].How == history.Left {
 			continue
 		}
 		share := &servedShare{}
--- a/internal/testbed/checker/views.go
+++ b/internal/testbed/checker/views.go
@@ -84,9 +84,9 @@
 // remembered reports whether a process of another router lived from before one time to after
 // another, with nothing between it and the router: it knew the router's last incarnation.
 func (c *Case) remembered(n int, from, to int64) bool {
-	if c.FaultDuring(linkFaults, from, to, func(*Fault) bool { return true }) ||
-		c.FaultDuring(processStalls, to-int64(time.Second), to, func(*Fault) bool { return true }) ||
-		c.stalled(fmt.Sprint("r", n), to-int64(time.Second), to) {
+	if c.FaultDuring(linkFaults, from, to, func(*Fault) bool { return true }) || c.FaultDuring(append(processEnds, processStalls...), to-int64(time.Second), to, func(s *Fault) bool {
+		return s.Kind == machineStall || s.Kind != "kill" && s.Kind != "power"
+	}) {
 		return false
 	}
 	started := map[string]int64{}
--- a/internal/testbed/checker/withheld.go
+++ b/internal/testbed/checker/withheld.go
@@ -36,7 +36,7 @@
 
 // Withheld returns for how long, between two times, the machine withheld processors from a router's
 // processes and from the test itself. What is late by no more than that says nothing of the router.
-// It excuses lateness alone: a busy machine loses no answer and closes no connection.
+// It excuses late answers alone: a busy machine loses no answer and closes no connection.
 func (c *Case) Withheld(router string, from, to int64) time.Duration {
 	total := int64(0)
 	for i := range c.withholding.stalls {
@@ -81,11 +81,5 @@
 	return sort.Search(len(samples), func(i int) bool { return samples[i].at > t })
 }
 
-// noticeableStall is how long the machine may withhold processors from what a request needs until
-// it is not judged by how well it was served.
+// noticeableStall is how long the machine may withhold processors until a violation tells of it.
 const noticeableStall = 200 * time.Millisecond
-
-// stalled reports whether the machine withheld processors for long between two times.
-func (c *Case) stalled(router string, from, to int64) bool {
-	return c.Withheld(router, from, to) > noticeableStall
-}
