--- a/internal/router/program/phases.go
+++ b/internal/router/program/phases.go
@@ -54,8 +54,6 @@
 }
 
 const (
-	// shutdownGrace is how long new clients are accepted after SIGTERM.
-	shutdownGrace = 700 * time.Millisecond
 	// closeIdleDelay gives clients the time to go by themselves, with an answer that ends their
 	// connection. A close from this side may cross a request.
 	closeIdleDelay = 500 * time.Millisecond
--- a/internal/router/program/program.go
+++ b/internal/router/program/program.go
@@ -177,23 +177,6 @@
 	go p.watchDiscovery(work, reload)
 }
 
-// shutdown goes through the phases from SIGTERM to the last answer.
-func (p *Program) shutdown() error {
-	p.prepareShutdown()
-	p.advance(terminated)
-	if p.inherited {
-		p.yieldLimits()
-	}
-	time.Sleep(shutdownGrace)
-	p.advance(graceElapsed)
-	if err := p.front.Shutdown(); err != nil {
-		return fmt.Errorf("shutdown: %w", err)
-	}
-	p.stopComponents(true)
-	p.advance(requestsDone)
-	return nil
-}
-
 // listen opens the clients' listener, or takes the inherited one.
 func (p *Program) listen(ctx context.Context) (err error) {
 	if p.inherited = p.cfg.acceptFD > 0; p.inherited {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -28,6 +28,7 @@
 	sendReports  func(balance.SendReports)                  // must not block
 	onLearned    func(now time.Duration, l balance.Learned) // nil for nobody
 	toRestore    atomic.Pointer[balance.Learned]            // for the next decision, nil for nothing
+	closing      atomic.Pointer[closingAnswer]              // what open requests are answered with; nil until AnswerOpen
 	rejected     atomic.Uint64                              // requests so far
 	counters     counters
 
@@ -108,6 +109,7 @@
 			events = append(events, expired)
 		}
 		r.decide(now, events, &timer)
+		r.answerOpen()
 		if r.onLearned != nil {
 			r.balancer.RestoreReplicas()
 			if now >= learnedAt+learnedInterval {
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -257,3 +257,11 @@
 	}
 	return all
 }
+
+// AnswerOpen gives all requests without an answer their final one, as the process is about to be
+// killed.
+func (p *Plane) AnswerOpen() {
+	for _, s := range *p.serviceMap.Load() {
+		s.router.AnswerOpen(maxRetryAfter)
+	}
+}
--- a/internal/system/roles/node/draining.go
+++ b/internal/system/roles/node/draining.go
@@ -14,6 +14,9 @@
 	lameDuckDuration = 1200 * time.Millisecond
 	// graceMargin is what is left of the platform's grace when draining is given up.
 	graceMargin = 300 * time.Millisecond
+	// finalAnswersTimeout is how much of that the answers to the requests that are open by then may
+	// take.
+	finalAnswersTimeout = 150 * time.Millisecond
 	// handOverPollInterval is the time between two questions whether the register was handed over.
 	handOverPollInterval = 50 * time.Millisecond
 )
@@ -85,7 +88,7 @@
 }
 
 // finishRequests waits until the requests in flight are answered, or ctx ends. Then those that are
-// left, and the goroutine that waits for them, end with the process.
+// left are answered at once; streams, and the goroutine that waits for them, end with the process.
 func (n *Node) finishRequests(ctx context.Context) error {
 	n.front.CloseAfterAnswers()
 	done := make(chan error, 1)
@@ -94,6 +97,12 @@
 	case err := <-done:
 		return err
 	case <-ctx.Done():
+	}
+	n.plane.AnswerOpen()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(finalAnswersTimeout):
 		return nil
 	}
 }
