peering: a process that takes over joins once it has the routers' address

The new process waits for the old one's UDP address, but its membership ran meanwhile: nobody heard its questions, and after 1.5 s it took itself to be the first of its fleet. ViewDriver.RunOn begins with the address. TestReplacedProcessJoinsOnceItHasTheAddress failed before ("joined as 1"), passes now.

--- a/internal/router/peering/gossip.go
+++ b/internal/router/peering/gossip.go
@@ -26,6 +26,7 @@
 type Gossip struct {
 	listen      *net.UDPAddr
 	conn        atomic.Pointer[net.UDPConn] // nil while the address is another's
+	opened      chan struct{}               // closed once conn is set
 	peers       []netip.AddrPort
 	peerNumbers map[netip.AddrPort]int
 	log         routing.Logger
@@ -44,7 +45,7 @@
 // numbers. TakesOver says that a process which is being replaced may still have the address: that
 // is no error, and Run takes the address over.
 func NewGossip(listen string, peers []string, takesOver bool, log routing.Logger) (*Gossip, error) {
-	g := &Gossip{peerNumbers: map[netip.AddrPort]int{}, log: log}
+	g := &Gossip{peerNumbers: map[netip.AddrPort]int{}, opened: make(chan struct{}), log: log}
 	for i, p := range peers {
 		addr, err := netip.ParseAddrPort(p)
 		if err != nil {
@@ -67,10 +68,14 @@
 	conn, err := net.ListenUDP("udp4", g.listen)
 	if err == nil {
 		g.conn.Store(conn)
+		close(g.opened)
 	}
 	return err
 }
 
+// Opened is closed once the address is this process's. Until then nothing is sent or heard.
+func (g *Gossip) Opened() <-chan struct{} { return g.opened }
+
 const (
 	takeOverInterval = 50 * time.Millisecond
 	takeOverTimeout  = 10 * time.Second // a process that is replaced has ended by then
--- a/internal/router/peering/view_driver.go
+++ b/internal/router/peering/view_driver.go
@@ -57,14 +57,14 @@
 	done     chan bool
 }
 
-// NewViewDriver returns the driver of a router that starts now. Changed is called with each change,
+// NewViewDriver returns the driver of a router that starts with Run. Changed is called with each change,
 // in order.
 func NewViewDriver(c members.Config, send func(netip.AddrPort, []byte), changed func(*members.View, *members.Changed), log routing.Logger) (*ViewDriver, error) {
 	d, err := members.New(c, 0)
 	if err != nil {
 		return nil, err
 	}
-	v := &ViewDriver{decider: d, send: send, changed: changed, log: log, start: time.Now(),
+	v := &ViewDriver{decider: d, send: send, changed: changed, log: log,
 		datagrams: make(chan datagram, maxQueuedDatagrams), leaveRequests: make(chan leaveRequest), seeds: make(chan []netip.AddrPort),
 		buffers: sync.Pool{New: func() any { return new([members.MaxDatagramLen]byte) }}}
 	v.publish()
@@ -86,8 +86,20 @@
 	}
 }
 
-// Run steps the decider until ctx ends.
+// RunOn is Run from when the gossip has its address on. A process that takes over waits for the one
+// before to give the address up; a member that joined meanwhile would find nobody who knows its
+// earlier incarnation, and begin with the first.
+func (v *ViewDriver) RunOn(ctx context.Context, g *Gossip) {
+	select {
+	case <-g.Opened():
+		v.Run(ctx)
+	case <-ctx.Done():
+	}
+}
+
+// Run steps the decider until ctx ends. The decider's time begins with it.
 func (v *ViewDriver) Run(ctx context.Context) {
+	v.start = time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/internal/router/peering/view_driver_test.go
+++ b/internal/router/peering/view_driver_test.go
@@ -15,59 +15,107 @@
 	"reachspread/internal/testbed/scripted"
 )
 
-// Three drivers on sockets find each other; one that leaves is removed, one that ends without
-// leaving is lost, with a log line.
-func TestMembershipOnSockets(t *testing.T) {
-	var addrs []string
-	for range 3 {
+// driver is the membership of one process on a socket.
+type driver struct {
+	*peering.ViewDriver
+	end     context.CancelFunc
+	lines   scripted.LogLines
+	changes chan *members.Changed
+}
+
+// freeAddresses returns addresses that nobody has.
+func freeAddresses(t *testing.T, n int) (addrs []string) {
+	t.Helper()
+	for range n {
 		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
 			t.Fatal(err)
 		}
+		defer c.Close()
 		addrs = append(addrs, c.LocalAddr().String())
-		c.Close()
 	}
-	type driver struct {
-		*peering.ViewDriver
-		end     context.CancelFunc
-		lines   scripted.LogLines
-		changes chan *members.Changed
+	return addrs
+}
+
+// startDriver starts the membership of a process of router i, of those at the addresses.
+func startDriver(t *testing.T, addrs []string, i int, boot uint32, takesOver bool) *driver {
+	t.Helper()
+	x := &driver{lines: make(scripted.LogLines, 100), changes: make(chan *members.Changed, 100)}
+	g, err := peering.NewGossip(addrs[i], addrs, takesOver, x.lines)
+	if err != nil {
+		t.Fatal(err)
 	}
-	var all []*driver
-	for i, a := range addrs {
-		x := &driver{lines: make(scripted.LogLines, 100), changes: make(chan *members.Changed, 100)}
-		g, err := peering.NewGossip(a, addrs, false, x.lines)
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := members.Config{Name: fmt.Sprint("r", i), Zone: "z", Version: "1", Addr: netip.MustParseAddrPort(a), Boot: uint32(i + 1), RandomSeed: uint64(i)}
-		for _, s := range addrs {
-			c.Seeds = append(c.Seeds, netip.MustParseAddrPort(s))
-		}
-		if x.ViewDriver, err = peering.NewViewDriver(c, g.Send, func(v *members.View, ch *members.Changed) { x.changes <- ch }, x.lines); err != nil {
-			t.Fatal(err)
-		}
-		g.OnMembersDatagram(x.HandleDatagram)
-		ctx, end := context.WithCancel(context.Background())
-		x.end = end
-		defer end()
-		go g.Run(ctx, nil)
-		go x.Run(ctx)
-		all = append(all, x)
+	c := members.Config{Name: fmt.Sprint("r", i), Zone: "z", Version: "1", Addr: netip.MustParseAddrPort(addrs[i]), Boot: boot, RandomSeed: uint64(boot)}
+	for _, s := range addrs {
+		c.Seeds = append(c.Seeds, netip.MustParseAddrPort(s))
 	}
-	sees := func(x *driver, n int) {
-		t.Helper()
-		for len(x.Now().Members) != n {
-			scripted.Receive(t, x.changes, fmt.Sprintf("a view of %d", n))
+	if x.ViewDriver, err = peering.NewViewDriver(c, g.Send, func(_ *members.View, ch *members.Changed) { x.changes <- ch }, x.lines); err != nil {
+		t.Fatal(err)
+	}
+	g.OnMembersDatagram(x.HandleDatagram)
+	ctx, end := context.WithCancel(context.Background())
+	x.end = end
+	t.Cleanup(end)
+	go g.Run(ctx, nil)
+	go x.RunOn(ctx, g)
+	return x
+}
+
+// sees waits until a driver's view has so many members.
+func (x *driver) sees(t *testing.T, n int) {
+	t.Helper()
+	for len(x.Now().Members) != n {
+		scripted.Receive(t, x.changes, fmt.Sprintf("a view of %d", n))
+	}
+}
+
+// incarnationOf is a router's in a driver's view, 0 where it has none.
+func (x *driver) incarnationOf(name string) uint32 {
+	for _, m := range x.Now().Members {
+		if m.Name == name {
+			return m.Incarnation
 		}
 	}
+	return 0
+}
+
+// Guards against a router whose incarnation falls when its process is replaced: the new one waits
+// for the address for longer than a join takes, and joins only then.
+func TestReplacedProcessJoinsOnceItHasTheAddress(t *testing.T) {
+	const longerThanAJoin = 2 * time.Second
+	addrs := freeAddresses(t, 2)
+	other, old := startDriver(t, addrs, 0, 1, false), startDriver(t, addrs, 1, 2, false)
+	other.sees(t, 2)
+	old.sees(t, 2)
+	before := other.incarnationOf("r1")
+	next := startDriver(t, addrs, 1, 3, true)
+	time.Sleep(longerThanAJoin)
+	if got := next.incarnationOf("r1"); got != 0 {
+		t.Errorf("it joined as %d without the address", got)
+	}
+	old.Leave(t.Context(), true)
+	old.end()
+	next.sees(t, 2)
+	if got := next.incarnationOf("r1"); got <= before {
+		t.Errorf("its incarnation is %d, was %d", got, before)
+	}
+}
+
+// Three drivers on sockets find each other; one that leaves is removed, one that ends without
+// leaving is lost, with a log line.
+func TestMembershipOnSockets(t *testing.T) {
+	addrs := freeAddresses(t, 3)
+	var all []*driver
+	for i := range addrs {
+		all = append(all, startDriver(t, addrs, i, uint32(i+1), false))
+	}
 	for _, x := range all {
-		sees(x, 3)
+		x.sees(t, 3)
 	}
 	all[2].Leave(t.Context(), false)
 	all[2].end()
 	for _, x := range all[:2] {
-		sees(x, 2)
+		x.sees(t, 2)
 	}
 	// The figures are published right after the view of the same step.
 	for until := time.Now().Add(scripted.EventTimeout); all[0].Stats().Alive != 2 && time.Now().Before(until); {
@@ -77,7 +125,7 @@
 		t.Errorf("after a leaving: %+v", f)
 	}
 	all[1].end()
-	sees(all[0], 1)
+	all[0].sees(t, 1)
 	if line := scripted.Receive(t, all[0].lines, "a line"); !strings.HasPrefix(line, "routers lost why=crashed count=1 names=r1") {
 		t.Errorf("got %q", line)
 	}
--- a/internal/router/program/membership.go
+++ b/internal/router/program/membership.go
@@ -109,7 +109,7 @@
 			return fmt.Errorf("fleet: %w", err)
 		}
 		gossip.OnMembersDatagram(p.view.HandleDatagram)
-		go p.view.Run(work)
+		go p.view.RunOn(work, gossip)
 	}
 	if p.cfg.balance.Routers > 1 {
 		p.router.SendReportsBy(gossip.SendReports)
