discovery: a patient attempt beside the hasty ones hears a slow discovery

Now an attempt of 3 s goes on beside the hasty ones once one has timed out; the first answer counts. The 250 ms stay, as a discovery that comes back has to be heard within 500 ms.

--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -1,17 +1,13 @@
 package transport
 
 import (
-	"bufio"
+	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"reachspread/internal/protocol"
 	"reachspread/internal/routing"
 )
@@ -29,8 +25,8 @@
 	StartSpread    time.Duration // the first call goes out within this, if a list is known
 	First, Longest time.Duration
 	// Answer is the timeout of a connection attempt, and of an answer that waits for nothing to
-	// begin; 0 counts as answerTimeout. After maxHastyFailures in a row it is answerTimeout:
-	// otherwise a slower discovery would never be heard.
+	// begin; 0 counts as answerTimeout. A slower discovery is heard by an attempt with
+	// patientTimeout, which goes on beside the others once one has timed out.
 	Answer time.Duration
 }
 
@@ -40,15 +36,11 @@
 // next attempt have to end within that.
 var Pushed = Pace{First: 20 * time.Millisecond, Longest: 80 * time.Millisecond, Answer: 250 * time.Millisecond}
 
-const maxHastyFailures = 100 // failures in a row, over half a minute
+// patientTimeout is the timeout of the attempt that goes on beside hasty ones.
+const patientTimeout = 3 * time.Second
 
-// within returns how long a call that waits for nothing may take after so many failures in a row.
-func (p Pace) within(failed int) time.Duration {
-	if p.Answer == 0 || failed >= maxHastyFailures {
-		return answerTimeout
-	}
-	return p.Answer
-}
+// answerTimeout returns how long a call that waits for nothing may take.
+func (p Pace) answerTimeout() time.Duration { return cmp.Or(p.Answer, answerTimeout) }
 
 // callCost is the time of a discovery that one call is assumed to take.
 const callCost = 100 * time.Millisecond
@@ -79,6 +71,7 @@
 	onList func(*protocol.List)
 	down   bool  // the loss was logged
 	since  int64 // version of the last list, below 0 if only a full list will do
+	failed int   // attempts since the last list
 }
 
 // Wait returns how long to wait after a failure that so many came before, one after the other.
@@ -115,97 +108,59 @@
 // Run watches until ctx ends. Whatever fails, the last good list stays in force and a new watch
 // begins.
 func (d *Discovery) Run(ctx context.Context) {
+	wait := time.Duration(0)
 	if d.since >= 0 && d.pace.StartSpread > 0 {
-		select {
-		case <-time.After(rand.N(d.pace.StartSpread)):
-		case <-ctx.Done():
-		}
+		wait = rand.N(d.pace.StartSpread)
 	}
-	failed := 0
-	for ctx.Err() == nil {
-		good, err := d.watch(ctx, d.pace.within(failed))
-		if ctx.Err() != nil {
+	for {
+		w, ok := d.reach(ctx, wait)
+		if !ok {
 			return
 		}
-		if !d.down {
-			d.down = true
-			d.log.Warn("discovery lost", "cause", err)
-		}
-		if good {
-			failed = 0
+		err := d.follow(ctx, w)
+		if ctx.Err() != nil {
+			return
 		}
-		wait := d.pace.Wait(failed)
-		if good && errors.Is(err, os.ErrDeadlineExceeded) {
+		d.recordLoss(err)
+		wait = d.pace.Wait(0)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			wait = d.pace.WaitAfterTimeout()
 		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-		}
-		failed++
+		d.failed = 1
 	}
 }
 
-// watch asks for the full list, then again and again for what is newer, on one connection. It
-// returns the first error, and whether any list came before.
-func (d *Discovery) watch(ctx context.Context, within time.Duration) (good bool, err error) {
-	dialer := net.Dialer{Timeout: within}
-	c, err := dialer.DialContext(ctx, "tcp", d.addr)
-	if err != nil {
-		return false, err
+// recordLoss logs once that discovery is lost.
+func (d *Discovery) recordLoss(cause error) {
+	if !d.down {
+		d.down = true
+		d.log.Warn("discovery lost", "cause", cause)
 	}
-	defer c.Close()
-	defer context.AfterFunc(ctx, func() { c.Close() })()
-	in := bufio.NewReader(c)
-	path, wait := protocol.ListPath, time.Duration(0)
+}
+
+// apply hands on a list, and logs that discovery is back if it was lost.
+func (d *Discovery) apply(list *protocol.List) {
+	d.onList(list)
 	if d.since >= 0 {
-		path, wait = protocol.WatchPath(d.since, watchTimeout), watchTimeout
+		d.since = list.Version
 	}
-	for ; ; wait = watchTimeout {
-		if wait > 0 {
-			within = wait + answerTimeout
-		}
-		list, err := d.call(c, in, path, within)
-		if err != nil {
-			return good, err
-		}
-		d.onList(list)
-		good = true
-		if d.since >= 0 {
-			d.since = list.Version
-		}
-		if d.down {
-			d.down = false
-			d.log.Info("discovery back", "version", list.Version)
-		}
-		path = protocol.WatchPath(list.Version, watchTimeout)
+	if d.down {
+		d.down = false
+		d.log.Info("discovery back", "version", list.Version)
 	}
 }
 
-// call makes one call, whose answer must begin within a time.
-func (d *Discovery) call(c net.Conn, in *bufio.Reader, path string, within time.Duration) (*protocol.List, error) {
-	if err := c.SetDeadline(time.Now().Add(within)); err != nil {
-		return nil, err
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetRequestURI(path)
-	req.Header.SetHost(d.addr)
-	if _, err := req.WriteTo(c); err != nil {
-		return nil, err
-	}
-	if _, err := in.Peek(1); err != nil { // an answer that has begun may take longer
-		return nil, err
-	}
-	if err := c.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return nil, err
-	}
-	if err := resp.ReadLimitBody(in, maxList); err != nil {
-		return nil, err
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, fmt.Errorf("status %d", resp.StatusCode())
+// follow asks for what is newer than the first list of a watch, again and again on its connection,
+// and returns the first error.
+func (d *Discovery) follow(ctx context.Context, w *watch) error {
+	defer w.conn.Close()
+	defer context.AfterFunc(ctx, func() { w.conn.Close() })()
+	for list := w.first; ; {
+		d.apply(list)
+		next, err := w.call(protocol.WatchPath(list.Version, watchTimeout), watchTimeout+answerTimeout)
+		if err != nil {
+			return err
+		}
+		list = next
 	}
-	return protocol.ParseList(resp.Body())
 }
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -4,8 +4,11 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -124,6 +127,27 @@
 	}
 }
 
+// Guards against a router that never hears a discovery which takes longer for each answer than an
+// attempt may take, as on a busy machine: it was not ready for half a minute.
+func TestSlowDiscoveryIsHeard(t *testing.T) {
+	const slow = 3 * 250 * time.Millisecond // an answer of three times Pushed's timeout
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(slow):
+			io.WriteString(w, scripted.List(7, true, scripted.ListEntry("s0", "127.0.0.1:1", "Ready")))
+		case <-r.Context().Done():
+		}
+	}))
+	defer server.Close()
+	lines, lists := make(chan string, 100), make(chan *protocol.List, 10)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go transport.NewDiscovery(server.Listener.Addr().String(), transport.Pushed, transport.FullList, scripted.LogLines(lines), func(l *protocol.List) { lists <- l }).Run(ctx)
+	if l := scripted.Receive(t, lists, "a list"); l.Version != 7 {
+		t.Errorf("version %d", l.Version)
+	}
+}
+
 type call struct {
 	at     time.Duration
 	failed int
