transport: a listener that closes accepts its backlog first

The close resets whoever waits in the backlog, and the platform counts a request as taken once it is written to a connection that the machine accepted. Now the system drops new connections by a filter on the socket, the backlog is accepted, and the socket closes then; Shutdown waits for it. Both routers' listeners are plain TCP: Go's are Multipath TCP by default, and those take no filter.

--- a/internal/router/program/program.go
+++ b/internal/router/program/program.go
@@ -185,9 +185,7 @@
 		}
 		return nil
 	}
-	// Keep-alive of TCP finds no client that the front's own bounds don't.
-	listen := net.ListenConfig{KeepAlive: -1}
-	if p.ln, err = listen.Listen(ctx, "tcp", p.cfg.Listen); err != nil {
+	if p.ln, err = transport.Listen(ctx, "tcp", p.cfg.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
--- a/internal/system/roles/node/http.go
+++ b/internal/system/roles/node/http.go
@@ -17,6 +17,7 @@
 	"reachspread/internal/system/metrics"
 	"reachspread/internal/system/settings"
 	"reachspread/internal/system/status"
+	"reachspread/internal/transport"
 )
 
 const (
@@ -59,15 +60,10 @@
 	})
 }
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAlive: -1}
-	return config.Listen(ctx, "tcp4", address)
-}
-
 // listenHTTP serves a handler on an address until ctx ends. What goes wrong on a caller's
 // connection is not logged.
 func (n *Node) listenHTTP(ctx context.Context, address string, handler http.Handler, failed chan<- error) error {
-	ln, err := listen(ctx, address)
+	ln, err := transport.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return err
 	}
@@ -89,7 +85,7 @@
 
 // listenFrontend serves clients on an address until ctx ends.
 func (n *Node) listenFrontend(ctx context.Context, address string, failed chan<- error) error {
-	ln, err := listen(ctx, address)
+	ln, err := transport.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -40,6 +40,7 @@
 	capture  Capture    // nil for none
 	memory   byteBudget // of all bodies of requests that are under way
 	ready    atomic.Bool
+	served   chan struct{} // closed once Serve has accepted the last client
 }
 
 // FrontLimits bounds what clients may use.
@@ -72,7 +73,7 @@
 
 // newFront returns a front end without an intake.
 func newFront(limits FrontLimits) *Front {
-	f := &Front{limits: limits}
+	f := &Front{limits: limits, served: make(chan struct{})}
 	f.SetBodyBytes(limits.BodyBytes)
 	if limits.OnDescriptorShortage == nil {
 		limits.OnDescriptorShortage = func() {}
@@ -108,6 +109,7 @@
 	if err := f.listener.listen(ln, shared); err != nil || f.listener.socket == nil {
 		return err
 	}
+	defer close(f.served)
 	return f.server.Serve(f.listener)
 }
 
@@ -145,14 +147,17 @@
 	f.listener.notifyAdmission(admission.Event{Kind: admission.CloseIdle, IdleTime: idleTime})
 }
 
-// StopAccepting ends Serve. Connections stay, and so does an inherited listener for the other
-// processes that have it.
+// StopAccepting ends Serve, once clients that have connected by now are accepted. Connections stay,
+// and so does an inherited listener for the other processes that have it.
 func (f *Front) StopAccepting() { f.listener.Close() }
 
 // Shutdown waits until all accepted requests are answered. Each idle connection is read once more
 // before it is closed, which the HTTP server does not do.
 func (f *Front) Shutdown() error {
 	f.StopAccepting()
+	if f.listener.exclusive() {
+		<-f.served
+	}
 	f.listener.closeUntilEmpty(func() { f.CloseIdle(0) })
 	return f.server.Shutdown()
 }
--- a/internal/transport/inherit.go
+++ b/internal/transport/inherit.go
@@ -1,12 +1,22 @@
 package transport
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
 	"syscall"
 )
 
+// Listen opens a listener for clients, on the network "tcp" or "tcp4".
+func Listen(ctx context.Context, network, address string) (net.Listener, error) {
+	// Keep-alive of TCP finds no client that the front's own bounds don't. A socket of Multipath TCP
+	// would take no filter as it closes.
+	config := net.ListenConfig{KeepAlive: -1}
+	config.SetMultipathTCP(false)
+	return config.Listen(ctx, network, address)
+}
+
 // Inherit returns the listener that this process has as a descriptor from its parent. Closing it
 // leaves the socket, with its backlog, to the other processes that have it.
 func Inherit(fd int) (net.Listener, error) {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -105,7 +105,8 @@
 	return errors.Join(failed, err)
 }
 
-// Close ends the listener, also one that is about to listen; connections stay.
+// Close ends the listener, also one that is about to listen; connections stay. One that no other
+// process has goes on accepting for a moment: Accept fails once it is closed.
 func (l *listener) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -114,12 +115,23 @@
 		return nil
 	}
 	l.ended = true
-	err := l.Listener.Close()
-	if l.shared { // made to block by another process, it would block the close, too, until one more client comes
-		go l.socket.Close()
-		return err
+	if !l.shared {
+		go l.closeAfterBacklog()
+		return nil
 	}
-	return errors.Join(err, l.socket.Close())
+	err := l.Listener.Close()
+	go l.socket.Close() // made to block by another process, it would block the close, too, until one more client comes
+	return err
+}
+
+// closeSockets closes both descriptors of a listening socket.
+func (l *listener) closeSockets() error { return errors.Join(l.Listener.Close(), l.socket.Close()) }
+
+// exclusive reports whether the listener has listened on a socket that no other process has.
+func (l *listener) exclusive() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.socket != nil && !l.shared
 }
 
 // drainCheckInterval is how often the last connections are closed if they are idle.
--- /dev/null
+++ b/internal/transport/listenerclose.go
@@ -0,0 +1,62 @@
+package transport
+
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// handshakeTime is how long a handshake that has begun may take to end as the listener closes.
+	handshakeTime = 5 * time.Millisecond
+	// backlogTimeout bounds how long the backlog of a listener that closes is accepted.
+	backlogTimeout = 500 * time.Millisecond
+	// backlogInterval is between two looks at it.
+	backlogInterval = time.Millisecond
+)
+
+// closeAfterBacklog closes a listener that no other process has, once all clients that have
+// connected are accepted: a close would reset those that wait in the backlog, with requests that
+// they may have written by then. New clients are kept out meanwhile, and refused afterwards.
+func (l *listener) closeAfterBacklog() error {
+	l.raw.Control(func(fd uintptr) { dropNewConnections(int(fd)) })
+	time.Sleep(handshakeTime)
+	for end := time.Now().Add(backlogTimeout); l.hasBacklog() && time.Now().Before(end); {
+		time.Sleep(backlogInterval)
+	}
+	return l.closeSockets()
+}
+
+// hasBacklog reports whether a client waits to be accepted.
+func (l *listener) hasBacklog() (waiting bool) {
+	l.raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(look, 0)
+		waiting = err == nil && n > 0
+	})
+	return waiting
+}
+
+// The flags of a TCP header, which the system's filter of a socket sees from its first byte on.
+const (
+	tcpFlagsOffset = 13
+	tcpSyn         = 0x02
+	tcpAck         = 0x10
+	passPacket     = 0xffffffff
+	dropPacket     = 0
+)
+
+// dropNewConnections has the system drop what would begin a connection to a listening socket. Where
+// it can't, clients that connect in the last moment are reset.
+func dropNewConnections(fd int) {
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: tcpSyn | tcpAck},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: tcpSyn},
+		{Code: unix.BPF_RET | unix.BPF_K, K: dropPacket},
+		{Code: unix.BPF_RET | unix.BPF_K, K: passPacket},
+	}
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	unix.SetsockoptSockFprog(fd, syscall.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+}
