transport: a request after a health check on its connection has its own time

A client that asked /-/ready and then, on the same connection, a request got 503 where more time had passed between the two than the request may take: what the router answers by itself left the connection with a request begun, so the next one counted from there. Such a connection was not idle either: it did not move to the next process and stayed open while draining. TestRequestAfterHealthCheckHasItsOwnTime: 503 before, 200 now.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -385,13 +385,20 @@
 	d.emit(Action{Kind: Reject, Conn: conn, Code: code, Cause: cause, RetryAfter: d.config.MinRetryAfter + time.Duration(d.rng.Float64()*float64(d.config.MinRetryAfter))})
 }
 
-// handleDone makes a connection idle again.
+// handleDone makes a connection idle again. Its request may have been answered without a decision
+// on it, as those for the router itself are.
 func (d *Controller) handleDone(c *conn) {
-	if !c.requestOpen || c.evicted {
+	switch {
+	case c.rejected || c.evicted:
+		return
+	case c.requestOpen:
+		d.countOpen(c, -1)
+	case c.requestBegun && !c.requestReady:
+		d.setActive(c)
+	case !c.requestReady:
 		return
 	}
-	c.requestOpen, c.since = false, d.now
-	d.countOpen(c, -1)
+	c.requestOpen, c.requestBegun, c.requestReady, c.since = false, false, false, d.now
 	d.setIdle(c)
 }
 
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -167,6 +167,10 @@
 	defer f.closeIfDraining(ctx)
 	if !f.intake.Local(ctx) {
 		f.serve(ctx)
+		return
+	}
+	if c, ok := ctx.Conn().(*clientConn); ok {
+		c.requestOpen = true // it is answered with the next read
 	}
 }
 
--- a/internal/transport/servers_test.go
+++ b/internal/transport/servers_test.go
@@ -422,3 +422,29 @@
 		}
 	}
 }
+
+// Guards against a request that is taken to be older than it is, as the one before on its connection
+// was for the router itself: it was refused, its time being over before it came.
+func TestRequestAfterHealthCheckHasItsOwnTime(t *testing.T) {
+	const timeLeft = 300 * time.Millisecond
+	r := newRouter(t)
+	s := scripted.NewServer(t, scripted.Answer(scripted.CompleteAnswer()))
+	r.tell(t, scripted.List(1, true, scripted.ListEntry("s0", s.Addr, "Ready")))
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: scripted.EventTimeout}
+	defer client.CloseIdleConnections()
+	check, err := client.Get("http://" + r.addr + "/-/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, check.Body)
+	check.Body.Close()
+	time.Sleep(2 * timeLeft)
+	resp, err := client.Do(scripted.NewRequest(t, r.addr, "q", map[string]string{"X-Time-Left": fmt.Sprintf("%dm", timeLeft.Milliseconds())}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
