--- a/internal/transport/handover.go
+++ b/internal/transport/handover.go
@@ -52,7 +52,7 @@
 
 // DialMover connects to the process that takes over. It fails if nobody listens at the path.
 func DialMover(path string) (*Mover, error) {
-	c, err := net.DialTimeout("unixpacket", path, handoverTimeout)
+	c, err := dialUnix("unixpacket", path, handoverTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -127,18 +127,10 @@
 
 // NewReceiver listens at a path, in place of any process that did before.
 func NewReceiver(path string, front *Front, servers *Servers, log routing.Logger) (*Receiver, error) {
-	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, err
-	}
-	ln, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	ln, err := listenUnix("unixpacket", path)
 	if err != nil {
 		return nil, err
 	}
-	ln.SetUnlinkOnClose(false) // the path may be the next process's by then
-	if err := os.Chmod(path, 0o600); err != nil {
-		ln.Close()
-		return nil, err
-	}
 	servers.tracksStreams = true
 	r := &Receiver{front: front, servers: servers, ln: ln, log: log, hosts: map[net.Conn]bool{}}
 	go r.serve()
--- a/internal/transport/handover_test.go
+++ b/internal/transport/handover_test.go
@@ -1,12 +1,15 @@
 package transport_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -101,3 +104,39 @@
 		})
 	}
 }
+
+// Guards against connections that end with their process as the folder that both processes share has
+// a long path: no Unix socket can be opened by it.
+func TestConnectionMovesUnderLongPath(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), strings.Repeat("long-", 30))
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	lines := make(scripted.LogLines, 100)
+	old, next := newHalf(t, filepath.Join(folder, "old"), time.Second, lines), newHalf(t, filepath.Join(folder, "next"), time.Second, lines)
+	next.front.SetReady(true)
+	c, err := net.Dial("tcp", old.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(scripted.EventTimeout))
+	in := bufio.NewReader(c)
+	ready := func(want int) {
+		t.Helper()
+		io.WriteString(c, "GET /-/ready HTTP/1.1\r\nHost: r\r\n\r\n")
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("got %v, %v, want status %d", resp, err, want)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+	ready(http.StatusServiceUnavailable)
+	mover, err := transport.DialMover(filepath.Join(folder, "next"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.front.MoveTo(mover)
+	old.front.CloseIdle(0)
+	ready(http.StatusOK)
+}
--- a/internal/transport/status.go
+++ b/internal/transport/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -32,21 +31,15 @@
 // an error.
 func NewStatus(folder, name string, clients int, topics map[string]func() (any, error)) (*Status, error) {
 	s := &Status{path: filepath.Join(folder, name+".sock")}
-	if c, err := net.DialTimeout("unix", s.path, statusTimeout); err == nil {
+	if c, err := dialUnix("unix", s.path, statusTimeout); err == nil {
 		c.Close()
 		return nil, fmt.Errorf("%s is another router's", s.path)
 	}
-	if err := os.Remove(s.path); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, err
-	}
-	var err error
-	if s.ln, err = net.Listen("unix", s.path); err != nil {
-		return nil, err
-	}
-	if err := os.Chmod(s.path, 0o600); err != nil {
-		s.ln.Close()
+	ln, err := listenUnix("unix", s.path)
+	if err != nil {
 		return nil, err
 	}
+	s.ln = ln
 	s.server = &fasthttp.Server{
 		Concurrency: clients, IdleTimeout: statusTimeout, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout,
 		DisableKeepalive: true, NoDefaultServerHeader: true, Logger: log.New(io.Discard, "", 0),
@@ -75,12 +68,15 @@
 }
 
 // Close ends it and removes the socket.
-func (s *Status) Close() { s.ln.Close() }
+func (s *Status) Close() {
+	os.Remove(s.path)
+	s.ln.Close()
+}
 
 // AskStatus asks the router on a socket about a topic.
 func AskStatus(socket, topic string) ([]byte, error) {
 	client := fasthttp.Client{
-		Dial:        func(string) (net.Conn, error) { return net.DialTimeout("unix", socket, statusTimeout) },
+		Dial:        func(string) (net.Conn, error) { return dialUnix("unix", socket, statusTimeout) },
 		ReadTimeout: statusTimeout, WriteTimeout: statusTimeout, MaxResponseBodySize: maxStatusAnswer,
 	}
 	code, text, err := client.GetTimeout(nil, "http://status"+topic, statusTimeout)
