fakes: a client states the time left when its connection is there

TestViewHardCases beside 28 busy processes: answers up to 2.1 s after the client gave up. The clients wrote the head's figure before they connected, and their process had stood still since. The figure is set anew once the connection is there. Checks, bounds and the time until which a client waits are as before; the router gets less time than it was told, never more.

--- a/internal/testbed/fakes/attempt.go
+++ b/internal/testbed/fakes/attempt.go
@@ -123,11 +123,10 @@
 	if p.Prefix != "" {
 		facts = fmt.Sprintf("prefix=%s,prefix_len=%d,", p.Prefix, p.Shared) + facts
 	}
-	timeLeft := max(time.Until(a.until).Milliseconds(), 1)
 	r.Header.Set(protocol.HeaderID, a.id)
 	r.Header.Set(protocol.HeaderClass, a.clients.spec.Classes[p.Class].Class.Name)
 	r.Header.Set(protocol.HeaderSession, p.Session)
-	r.Header.Set(protocol.HeaderTimeLeft, fmt.Sprintf("%dm", timeLeft))
+	a.stateTimeLeft(r)
 	r.Header.Set(protocol.HeaderFacts, facts)
 	if isRetry {
 		r.Header.Set("X-Repeat", "1")
@@ -135,6 +134,12 @@
 	return r, nil
 }
 
+// stateTimeLeft has a request say how long its client waits from now on.
+func (a *attempt) stateTimeLeft(r *http.Request) {
+	timeLeft := max(time.Until(a.until).Milliseconds(), 1)
+	r.Header.Set(protocol.HeaderTimeLeft, fmt.Sprintf("%dm", timeLeft))
+}
+
 // abandoned reports whether the client ended the attempt, or never wrote its request to the end.
 func (a *attempt) abandoned(ctx context.Context) bool {
 	if context.Cause(ctx) == errDeparted {
@@ -158,10 +163,11 @@
 }
 
 // send sends a request, and a second time on a new connection if the close of its connection
-// crossed it.
+// crossed it. The time left is that of when the connection is there: connecting may have taken long.
 func (a *attempt) send(ctx context.Context, r *http.Request) (*http.Response, error) {
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
+			a.stateTimeLeft(r)
 			conn, ok := i.Conn.(*clientConn)
 			if !ok {
 				return
