--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -159,7 +159,17 @@
 		c = &conn{id: int32(len(d.conns))}
 		d.conns = append(d.conns, c)
 	}
-	*c = conn{id: c.id, state: state, since: d.now, addr: address, net: network, owner: owner, requestBegun: event.HeadComplete, requestReady: event.RequestComplete, used: event.HeadComplete}
+	*c = conn{
+		id:           c.id,
+		state:        state,
+		since:        d.now,
+		addr:         address,
+		net:          network,
+		owner:        owner,
+		requestBegun: event.HeadComplete,
+		requestReady: event.RequestComplete,
+		used:         event.HeadComplete,
+	}
 	address.conns++
 	network.conns++
 	if owner != address {
@@ -329,11 +339,7 @@
 	case c.state == overflow:
 		d.rejectConn(c, c.rejectCode, c.cause)
 		return
-	case c.state != knownClient && (atLimit(c.addr.open, d.config.PerAddress.OpenRequests) || atLimit(c.net.open, d.config.PerNetwork.OpenRequests)):
-		d.rejectConn(c, tooManyRequests, TooManyOpenRequests)
-		return
-	case c.state == knownClient && c.owner == c.addr && atLimit(c.addr.open, d.config.PerKnownAddress.OpenRequests),
-		c.state == knownClient && c.owner != c.addr && atLimit(c.owner.open, d.config.PerIdentity.OpenRequests):
+	case d.hasTooManyOpen(c):
 		d.rejectConn(c, tooManyRequests, TooManyOpenRequests)
 		return
 	case c.state == awaitingRequest:
@@ -342,7 +348,20 @@
 	c.requestOpen, c.used = true, true
 	d.countOpen(c, 1)
 	d.counts.Served++
-	d.emit(Action{Kind: Serve, Conn: c.id, CloseAfterAnswer: d.config.CloseAfterAnswer && d.level == Critical && c.state != knownClient})
+	closes := d.config.CloseAfterAnswer && d.level == Critical && c.state != knownClient
+	d.emit(Action{Kind: Serve, Conn: c.id, CloseAfterAnswer: closes})
+}
+
+// hasTooManyOpen reports whether the client of a connection has as many open requests as it may.
+func (d *Controller) hasTooManyOpen(c *conn) bool {
+	limits := &d.config
+	switch {
+	case c.state != knownClient:
+		return atLimit(c.addr.open, limits.PerAddress.OpenRequests) || atLimit(c.net.open, limits.PerNetwork.OpenRequests)
+	case c.owner == c.addr:
+		return atLimit(c.addr.open, limits.PerKnownAddress.OpenRequests)
+	}
+	return atLimit(c.owner.open, limits.PerIdentity.OpenRequests)
 }
 
 // promote makes a connection one of a known client. It returns the code of a rejection, 0 for none.
@@ -382,7 +401,9 @@
 // at once.
 func (d *Controller) emitRejection(conn int32, code int, cause Cause) {
 	d.counts.Rejected[cause]++
-	d.emit(Action{Kind: Reject, Conn: conn, Code: code, Cause: cause, RetryAfter: d.config.MinRetryAfter + time.Duration(d.rng.Float64()*float64(d.config.MinRetryAfter))})
+	least := d.config.MinRetryAfter
+	advice := least + time.Duration(d.rng.Float64()*float64(least))
+	d.emit(Action{Kind: Reject, Conn: conn, Code: code, Cause: cause, RetryAfter: advice})
 }
 
 // handleDone makes a connection idle again. Its request may have been answered without a decision
@@ -475,8 +496,10 @@
 // Counts returns the counters and the state.
 func (d *Controller) Counts() Counts {
 	c := d.counts
-	c.Level, c.MaxConnections, c.ReservedForKnown, c.Lent = d.level, d.config.MaxConnections, d.config.ReservedForKnown, d.lent
-	c.Known, c.Unknown, c.AwaitingRequest, c.Overflow, c.Open, c.Addresses = d.known, d.unknown, d.awaitingRequests, d.overflows, d.open, len(d.table.clients)
+	c.Level = d.level
+	c.MaxConnections, c.ReservedForKnown, c.Lent = d.config.MaxConnections, d.config.ReservedForKnown, d.lent
+	c.Known, c.Unknown, c.AwaitingRequest = d.known, d.unknown, d.awaitingRequests
+	c.Overflow, c.Open, c.Addresses = d.overflows, d.open, len(d.table.clients)
 	return c
 }
 
--- a/internal/router/peering/view_driver.go
+++ b/internal/router/peering/view_driver.go
@@ -59,14 +59,22 @@
 
 // NewViewDriver returns the driver of a router that starts with Run. Changed is called with each change,
 // in order.
-func NewViewDriver(c members.Config, send func(netip.AddrPort, []byte), changed func(*members.View, *members.Changed), log routing.Logger) (*ViewDriver, error) {
+func NewViewDriver(c members.Config, send func(netip.AddrPort, []byte), changed func(*members.View, *members.Changed),
+	log routing.Logger) (*ViewDriver, error) {
 	d, err := members.New(c, 0)
 	if err != nil {
 		return nil, err
 	}
-	v := &ViewDriver{decider: d, send: send, changed: changed, log: log,
-		datagrams: make(chan datagram, maxQueuedDatagrams), leaveRequests: make(chan leaveRequest), seeds: make(chan []netip.AddrPort),
-		buffers: sync.Pool{New: func() any { return new([members.MaxDatagramLen]byte) }}}
+	v := &ViewDriver{
+		decider:       d,
+		send:          send,
+		changed:       changed,
+		log:           log,
+		datagrams:     make(chan datagram, maxQueuedDatagrams),
+		leaveRequests: make(chan leaveRequest),
+		seeds:         make(chan []netip.AddrPort),
+		buffers:       sync.Pool{New: func() any { return new([members.MaxDatagramLen]byte) }},
+	}
 	v.publish()
 	return v, nil
 }
--- a/internal/router/program/membership.go
+++ b/internal/router/program/membership.go
@@ -43,7 +43,15 @@
 	if c.boot == 0 {
 		c.boot = rand.Uint32() | 1
 	}
-	m := members.Config{Name: f.Name, Zone: c.balance.Zone, Version: version(), Addr: f.Address, Seeds: f.Seeds, Boot: c.boot, RandomSeed: c.seed}
+	m := members.Config{
+		Name:       f.Name,
+		Zone:       c.balance.Zone,
+		Version:    version(),
+		Addr:       f.Address,
+		Seeds:      f.Seeds,
+		Boot:       c.boot,
+		RandomSeed: c.seed,
+	}
 	if m.Name == "" {
 		m.Name = c.Name
 	}
@@ -180,8 +188,19 @@
 		return nil
 	}
 	f := p.view.Stats()
-	return &management.Fleet{Members: f.Alive, Suspected: f.Suspected, Dead: f.Dead, View: p.router.Metrics().Fleet.Version, Deaths: f.Deaths,
-		Suspicions: f.Suspicions, Refuted: f.Refutations, Pauses: f.Stalls, Sent: f.Sent, SentBytes: f.SentBytes, Dropped: f.Dropped}
+	return &management.Fleet{
+		Members:    f.Alive,
+		Suspected:  f.Suspected,
+		Dead:       f.Dead,
+		View:       p.router.Metrics().Fleet.Version,
+		Deaths:     f.Deaths,
+		Suspicions: f.Suspicions,
+		Refuted:    f.Refutations,
+		Pauses:     f.Stalls,
+		Sent:       f.Sent,
+		SentBytes:  f.SentBytes,
+		Dropped:    f.Dropped,
+	}
 }
 
 // Line is a line of the calls view and duties, apart.
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -23,10 +23,12 @@
 	MaxBody = 256 << 10
 	// A client gets an answer or a close within 3 s of connecting, whatever it holds back.
 	requestReadTimeout       = 2 * time.Second         // for one request, the first one from connecting on
-	strictRequestReadTimeout = 1500 * time.Millisecond // the same where it is accepted up to deferAcceptTime after it connected
-	clientIdleTimeout        = 30 * time.Second        // between requests; where connections run short, admission evicts the longest idle
-	minBodyBuffer            = 8 << 10                 // bytes of a body's buffer, which then doubles
-	defaultMaxHead           = 8 << 10                 // bytes
+	strictRequestReadTimeout = 1500 * time.Millisecond // the same, accepted up to deferAcceptTime after connecting
+	// clientIdleTimeout is between requests. Where connections run short, admission evicts the one
+	// that has been idle longest.
+	clientIdleTimeout = 30 * time.Second
+	minBodyBuffer     = 8 << 10 // bytes of a body's buffer, which then doubles
+	defaultMaxHead    = 8 << 10 // bytes
 )
 
 // Front is the front end: it listens for clients and has their requests routed.
@@ -292,7 +294,8 @@
 	if f.limits.Identity != "" {
 		identity = string(ctx.Request.Header.Peek(f.limits.Identity))
 	}
-	answer := f.listener.notifyAdmission(admission.Event{Kind: admission.RequestRead, Conn: conn.admissionID, Identity: identity})
+	read := admission.Event{Kind: admission.RequestRead, Conn: conn.admissionID, Identity: identity}
+	answer := f.listener.notifyAdmission(read)
 	if answer.Kind == admission.Serve {
 		if answer.CloseAfterAnswer {
 			ctx.SetConnectionClose()
@@ -375,7 +378,8 @@
 	rejection := Rejection{Code: fasthttp.StatusBadRequest, Text: "malformed request"}
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		rejection = Rejection{Code: fasthttp.StatusRequestEntityTooLarge, Text: fmt.Sprintf("the body is longer than %d bytes", f.intake.MaxBody())}
+		text := fmt.Sprintf("the body is longer than %d bytes", f.intake.MaxBody())
+		rejection = Rejection{Code: fasthttp.StatusRequestEntityTooLarge, Text: text}
 	case errors.As(err, &small):
 		rejection = f.intake.LongHead()
 	case errors.Is(err, errBodyMemory):
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -26,12 +26,13 @@
 	// A flood is accepted in bursts: after so many connections that were rejected the listener
 	// rests, so that the poller gets to those that are served. While the backlog grows, its bursts
 	// grow up to maxAcceptBurst: the clients that are served next are in that backlog, too.
-	minAcceptBurst       = 64
-	maxAcceptBurst       = 256
-	acceptRest           = 200 * time.Microsecond
-	acceptRetryDelay     = time.Millisecond     // where no connection can be closed for another yet
-	descriptorRetryDelay = 2 * time.Millisecond // for another descriptor, or a request that is rejected for want of one
-	deferAcceptTime      = time.Second          // that the system waits for a client's first bytes, where admission reads them
+	minAcceptBurst   = 64
+	maxAcceptBurst   = 256
+	acceptRest       = 200 * time.Microsecond
+	acceptRetryDelay = time.Millisecond // where no connection can be closed for another yet
+	// deferAcceptTime is how long the system waits for a client's first bytes, where admission
+	// reads them.
+	deferAcceptTime = time.Second
 )
 
 // listener carries out what package admission decides on client connections.
@@ -48,7 +49,7 @@
 
 	draining            atomic.Bool           // answers say that their connections end
 	mover               atomic.Pointer[Mover] // to a process that takes over, nil for none
-	closingAfterAnswers atomic.Bool           // connections end with their answers, also those whose answers could not say so
+	closingAfterAnswers atomic.Bool           // connections end with their answers, also where those could not say so
 
 	mu           sync.Mutex
 	admission    *admission.Controller
@@ -69,8 +70,16 @@
 // newListener returns a listener that does not listen yet.
 func newListener(limits *FrontLimits) *listener {
 	c := limits.Admission
-	l := &listener{start: time.Now(), admission: admission.New(c, limits.Seed), maxAlive: c.MaxConnections + c.MaxOverflow + maxClosingConns, log: limits.OnDescriptorShortage,
-		strict: c.IdleTimeout != [3]time.Duration{}, header: limits.Identity, burst: minAcceptBurst, patience: limits.Patience}
+	l := &listener{
+		start:     time.Now(),
+		admission: admission.New(c, limits.Seed),
+		maxAlive:  c.MaxConnections + c.MaxOverflow + maxClosingConns,
+		log:       limits.OnDescriptorShortage,
+		strict:    c.IdleTimeout != [3]time.Duration{},
+		header:    limits.Identity,
+		burst:     minAcceptBurst,
+		patience:  limits.Patience,
+	}
 	l.aliveDropped = sync.NewCond(&l.mu)
 	return l
 }
@@ -161,7 +170,8 @@
 			if l.shared {
 				syscall.SetNonblock(int(socket), true)
 			}
-			if fd, sa, failed = syscall.Accept4(int(socket), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); failed != syscall.EINTR {
+			fd, sa, failed = syscall.Accept4(int(socket), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if failed != syscall.EINTR {
 				break
 			}
 		}
@@ -197,18 +207,6 @@
 	return c, err
 }
 
-// isDescriptorShortage reports whether an error is the lack of a descriptor.
-func isDescriptorShortage(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-}
-
-// rejectForShortage rejects a client on its bare descriptor. What it has sent must be read, or the
-// close would take back the answer.
-func rejectForShortage(fd int) {
-	syscall.Read(fd, make([]byte, 4096))
-	syscall.Write(fd, []byte(shortageAnswer))
-}
-
 // Accept returns the next connection that is admitted. Others are rejected here.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
@@ -376,30 +374,6 @@
 	return answer
 }
 
-// rejectNextForShortage uses the reserved descriptor to tell one client that there is no other, and
-// reserves a new one.
-func (l *listener) rejectNextForShortage() {
-	l.notifyAdmission(admission.Event{Kind: admission.DescriptorShortage})
-	l.log()
-	if l.reservedDescriptor == nil {
-		time.Sleep(descriptorRetryDelay)
-		return
-	}
-	l.reservedDescriptor.Close()
-	l.reservedDescriptor = nil
-	fd, _, err := l.accept()
-	if err != nil {
-		time.Sleep(descriptorRetryDelay)
-		return
-	}
-	time.Sleep(descriptorRetryDelay) // for its request to come
-	rejectForShortage(fd)
-	syscall.Close(fd)
-}
-
-// shortageAnswer is the answer of a process without descriptors.
-const shortageAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // level returns admission's level.
 func (l *listener) level() admission.Level {
 	l.mu.Lock()
