--- a/internal/system/roles/node/node_test.go
+++ b/internal/system/roles/node/node_test.go
@@ -265,6 +265,34 @@
 	is.NoErr(err)
 }
 
+// Guards against requests that end with their process: what no host has answered by the end of the
+// grace is answered by the router.
+func TestRequestsOpenAtEndOfGraceAreAnswered(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 1)
+	is.Equal(f.order(http.MethodPut, firstConfiguration, 0, 0), 200)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	took, over := make(chan struct{}), make(chan struct{})
+	defer close(over)
+	go http.Serve(ln, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(took)
+		<-over
+	}))
+	status, _ := f.heartbeat(0, "i-1", "s", ln.Addr().String(), "ready", 1)
+	is.Equal(status, 200)
+	f.eventually("it is ready", func() bool { return f.ready(0) })
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := f.request(0, "/a", "q", "k")
+		answered <- status
+	}()
+	<-took
+	f.nodes[0].cancel()
+	is.Equal(<-answered, http.StatusBadGateway)
+}
+
 // Settings that are read again are applied by the running process: a router whose seeds were all
 // wrong finds the others by new ones.
 func TestReloadAppliesSeedsAndBounds(t *testing.T) {
