--- a/internal/testbed/faultproxy/faultproxy_test.go
+++ b/internal/testbed/faultproxy/faultproxy_test.go
@@ -396,7 +396,12 @@
 // A link whose listener's one place another connection has taken, so that the plug found none, is
 // restored like any other.
 func TestLinkWithoutPlugIsRestored(t *testing.T) {
-	r, err := NewConnProxy("127.0.0.1:0", "127.0.0.1:1", 1, 1, nil)
+	target, err := net.Listen("tcp4", "127.0.0.1:0") // a far side that refuses would have the proxy reset its client
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	r, err := NewConnProxy("127.0.0.1:0", target.Addr().String(), 1, 1, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -414,5 +419,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Close()
+	defer c.Close()
+	far, err := target.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	far.Close()
 }
