routing: an attempt is sent only if its server may still be sent to once it is connected

Cause: the router asked whether a server may be sent to before it took a connection, and not again before the bytes went. Now: Network.Send asks MaySend right before the first byte; an attempt that may not be sent is NotSent, and its connection goes back to the pool. Both routers and copies to shadow pools have it; the copier's own question before is gone with it.

--- a/internal/router/mirror/network.go
+++ b/internal/router/mirror/network.go
@@ -24,7 +24,7 @@
 
 // Send implements routing.Network. An attempt that the decider denies counts as rejected by the
 // host.
-func (n cappedNetwork) Send(ctx context.Context, deadline time.Time, to routing.Server, m routing.Message, written func()) routing.AttemptResult {
+func (n cappedNetwork) Send(ctx context.Context, deadline time.Time, to routing.Server, m routing.Message, hooks routing.SendHooks) routing.AttemptResult {
 	copied := m.(copyMessage)
 	p := n.pool
 	granted := make(chan bool, 1)
@@ -34,24 +34,18 @@
 	}
 	reached := func() { p.post(message{event: shadow.AttemptReached{Copy: copied.copied.id}}) }
 	release := func() { p.post(message{event: shadow.AttemptEnded{Host: to.ID}}) }
-	notSent := func() routing.AttemptResult {
-		reached()
-		release()
-		return routing.AttemptResult{Result: balance.NotSent}
-	}
-	if !p.router.IsServing(to.ID) { // it may have begun to drain while the grant was requested
-		return notSent()
-	}
 	msg := copied.Message
 	if p.singleCopier.Load() {
 		p.unconfirmed.Add(1)
 		defer p.unconfirmed.Add(-1)
 		var ok bool
 		if msg, ok = p.withToken(msg); !ok {
-			return notSent()
+			reached()
+			release()
+			return routing.AttemptResult{Result: balance.NotSent}
 		}
 	}
-	result := n.Servers.Send(ctx, deadline, to, msg, written)
+	result := n.Servers.Send(ctx, deadline, to, msg, hooks)
 	reached()
 	if result.Body == nil {
 		release()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -31,15 +31,24 @@
 type Network interface {
 	// Send sends m to a server once and waits until the deadline for the first event of its answer.
 	// The end of ctx ends all of it, the body too. If it returns no body, the attempt has been
-	// given up by then, so that no two attempts of a request overlap. It calls written after the
-	// last byte of m.
-	Send(ctx context.Context, deadline time.Time, to Server, m Message, written func()) AttemptResult
+	// given up by then, so that no two attempts of a request overlap.
+	Send(ctx context.Context, deadline time.Time, to Server, m Message, hooks SendHooks) AttemptResult
 	// Probe asks a server for its load, until ctx ends.
 	Probe(ctx context.Context, to Server) (balance.Result, *balance.Load)
 	// CloseIdle closes the idle connections to a server.
 	CloseIdle(id string)
 }
 
+// SendHooks are what a Network asks and calls while it sends an attempt.
+type SendHooks struct {
+	// MaySend is asked once the connection is there, right before the first byte is written:
+	// connecting may have taken long. If it returns false nothing is written, and the result is
+	// balance.NotSent.
+	MaySend func() bool
+	// Written is called after the last byte.
+	Written func()
+}
+
 // AttemptResult is how an attempt began, or how it ended if its answer did not begin.
 type AttemptResult struct {
 	Result         balance.Result // OK if there is a body
--- a/internal/routing/send.go
+++ b/internal/routing/send.go
@@ -57,8 +57,11 @@
 // attempt sends an attempt, and answers its request or records how the attempt ended.
 func (r *Router) attempt(a *attempt, to Server) {
 	request := a.request
-	countSent := func() { r.counters.attemptsSent.Add(1) }
-	result := r.network.Send(request.ctx, request.deadline, to, request.message, countSent)
+	hooks := SendHooks{
+		MaySend: func() bool { return r.isServingAt(to) },
+		Written: func() { r.counters.attemptsSent.Add(1) },
+	}
+	result := r.network.Send(request.ctx, request.deadline, to, request.message, hooks)
 	if mayHaveExecuted(result.Result) {
 		request.mayHaveExecuted.Store(true)
 	}
--- a/internal/routing/servers.go
+++ b/internal/routing/servers.go
@@ -58,9 +58,9 @@
 	r.post(balance.ConfigChange{Config: c})
 }
 
-// servingServer returns a server that may be sent to. It is asked again right before a send: the
-// decisions are on events that were taken before, and a server that is draining or removed must get
-// nothing new.
+// servingServer returns a server that may be sent to. It is asked again before a connection is
+// taken: the decisions are on events that were taken before, and a server that is draining or
+// removed must get nothing new.
 func (r *Router) servingServer(id string) (Server, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,10 +68,10 @@
 	return server.Server, ok && server.state == balance.Serving
 }
 
-// IsServing reports whether a server may be sent to now.
-func (r *Router) IsServing(id string) bool {
-	_, ok := r.servingServer(id)
-	return ok
+// isServingAt reports whether a server may be sent to now, and is still at the same address.
+func (r *Router) isServingAt(server Server) bool {
+	listed, ok := r.servingServer(server.ID)
+	return ok && listed == server
 }
 
 // ServingCount returns how many servers may be sent to.
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -38,10 +38,10 @@
 
 // outgoing is a request on its way to a server.
 type outgoing struct {
-	request   *fasthttp.Request
-	deadline  time.Time   // that the server is given, none if zero
-	client    *clientConn // that waits for the answer, nil for none in particular
-	onWritten func()      // is called after the last byte
+	request  *fasthttp.Request
+	deadline time.Time   // that the server is given, none if zero
+	client   *clientConn // that waits for the answer, nil for none in particular
+	hooks    routing.SendHooks
 
 	dialect   protocol.Dialect
 	id        string // answers to requests of other IDs are skipped; empty for none
@@ -50,10 +50,11 @@
 
 // errUnsent says that nothing of a request was written, so that it may be retried as if there had
 // been no attempt.
-var errUnsent = errors.New("nobody waits for the answer any more")
+var errUnsent = errors.New("nobody waits for the answer any more, or the server gets nothing new")
 
-// write writes a request, unless nobody waits for its answer any more. That is checked, and the
-// time left worked out, at the last moment: the connection may have taken a while to come up.
+// write writes a request, unless nobody waits for its answer any more or the server gets nothing
+// new. That is checked, and the time left worked out, at the last moment: the connection may have
+// taken a while to come up.
 func (o *outgoing) write(ctx context.Context, c *conn) error {
 	if !o.fixedHost {
 		o.request.Header.SetHost(c.to.Addr)
@@ -66,7 +67,7 @@
 		f := o.dialect.TimeLeft(left)
 		o.request.Header.Set(f.Name, f.Value)
 	}
-	if ctx.Err() != nil || o.client.clientLeft() {
+	if ctx.Err() != nil || o.client.clientLeft() || !o.hooks.MaySend() {
 		return errUnsent
 	}
 	out := bufio.NewWriterSize(c, readBuffer)
@@ -99,7 +100,7 @@
 		}
 		return nil, ended(ctx, balance.NotSent, balance.NoConnection)
 	}
-	o.onWritten()
+	o.hooks.Written()
 	if err := x.readAnswer(ctx, o.id); err != nil {
 		result := x.failed(ctx, balance.TimedOut)
 		x.close()
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -115,7 +115,7 @@
 
 // Send implements routing.Network. Nothing is ever sent a second time here: retries are decided by
 // package balance.
-func (s *Servers) Send(ctx context.Context, deadline time.Time, to routing.Server, m routing.Message, written func()) routing.AttemptResult {
+func (s *Servers) Send(ctx context.Context, deadline time.Time, to routing.Server, m routing.Message, hooks routing.SendHooks) routing.AttemptResult {
 	msg := m.(*Message)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -124,7 +124,7 @@
 
 	headCtx, cancel := context.WithDeadline(ctx, msg.headDeadline(deadline))
 	defer cancel()
-	x, result := s.exchange(headCtx, to, outgoing{request: req, deadline: deadline, client: msg.client, onWritten: written,
+	x, result := s.exchange(headCtx, to, outgoing{request: req, deadline: deadline, client: msg.client, hooks: hooks,
 		id: string(msg.id), fixedHost: msg.forward != nil})
 	if x == nil {
 		return routing.AttemptResult{Result: result, ClientLeft: result == balance.NotSent && msg.client.clientLeft()}
@@ -210,12 +210,15 @@
 	return head
 }
 
+// probeHooks are those of a health check, which any listed server gets.
+var probeHooks = routing.SendHooks{MaySend: func() bool { return true }, Written: func() {}}
+
 // Probe implements routing.Network.
 func (s *Servers) Probe(ctx context.Context, to routing.Server) (balance.Result, *balance.Load) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetRequestURI(s.dialect.ProbePath())
-	x, result := s.exchange(ctx, to, outgoing{request: req, onWritten: func() {}})
+	x, result := s.exchange(ctx, to, outgoing{request: req, hooks: probeHooks})
 	if x == nil {
 		return result, nil
 	}
--- a/internal/transport/unsent_test.go
+++ b/internal/transport/unsent_test.go
@@ -62,7 +62,7 @@
 			m := &Message{method: []byte("POST"), uri: []byte("/v1/chat/completions"), id: []byte("q"), client: &clientConn{Conn: accepted}}
 			leave(client)
 			awaitPeek(t, m.client)
-			head := servers.Send(context.Background(), time.Now().Add(time.Second), routing.Server{ID: "s", Addr: server.Addr}, m, func() { t.Error("written") })
+			head := servers.Send(context.Background(), time.Now().Add(time.Second), routing.Server{ID: "s", Addr: server.Addr}, m, noSend(t, true))
 			if head.Result != balance.NotSent || !head.ClientLeft {
 				t.Errorf("got %+v, want nothing sent as the client has left", head)
 			}
@@ -73,6 +73,27 @@
 	}
 }
 
+// noSend are hooks that say whether the server may be sent to. The test fails if anything is
+// written.
+func noSend(t *testing.T, maySend bool) routing.SendHooks {
+	return routing.SendHooks{MaySend: func() bool { return maySend }, Written: func() { t.Error("written") }}
+}
+
+// A server that began to drain while the connection to it came up gets nothing, and the connection
+// is as good as before.
+func TestNothingIsSentToServerThatDrainedMeanwhile(t *testing.T) {
+	server := scripted.NewServer(t, scripted.Answer(scripted.CompleteAnswer()))
+	servers := NewServers(ServerLimits{ConnectTimeout: time.Second, Keepalive: time.Minute, Connections: 1, StreamIdleTimeout: time.Second}, make(scripted.LogLines, 1))
+	m := &Message{method: []byte("POST"), uri: []byte("/v1/chat/completions"), id: []byte("q")}
+	got := servers.Send(context.Background(), time.Now().Add(time.Second), routing.Server{ID: "s", Addr: server.Addr}, m, noSend(t, false))
+	if got.Result != balance.NotSent || got.ClientLeft {
+		t.Errorf("got %+v, want nothing sent", got)
+	}
+	if len(server.Requests) > 0 || servers.Open() != 1 || servers.Load() != 0 {
+		t.Errorf("%d requests, %d connections, %v of them in use; want one idle connection", len(server.Requests), servers.Open(), servers.Load())
+	}
+}
+
 // Where the connection took all the time that was left, nothing is sent.
 func TestNothingIsSentOnceTheTimeIsOver(t *testing.T) {
 	o := outgoing{request: fasthttp.AcquireRequest(), deadline: time.Now().Add(-time.Millisecond)}
