recovery: a router without a measure asks the routers that are alive for theirs

Cause: it asks the routers of its saved view, and has none. It heard of a measure only if others asked it in the first second of their own return. Now: it asks three living routers each half second until it has a measure or hosts are warm.

--- a/internal/router/recovery/config.go
+++ b/internal/router/recovery/config.go
@@ -15,7 +15,7 @@
 	MaxNameBytes     = 32   // of a router's name
 	MaxHosts         = 4096 // of a list
 	MaxTags          = 40   // hosts in a datagram
-	maxQueriedPeers  = 3    // routers that are asked about hosts, by turns
+	maxQueriedPeers  = 3    // routers that are asked at a time about hosts, or for their measures
 )
 
 // Periods.
@@ -23,6 +23,7 @@
 	queryInterval = 250 * time.Millisecond // until who has not replied is asked again
 	// savedListQueryInterval is that of queries on hosts while the saved list is in use.
 	savedListQueryInterval = 2 * time.Second
+	measureQueryInterval   = 500 * time.Millisecond // until the next routers are asked for their measures
 )
 
 // Defaults of a Config.
--- a/internal/router/recovery/decider.go
+++ b/internal/router/recovery/decider.go
@@ -1,7 +1,6 @@
 package recovery
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -33,10 +32,14 @@
 	chunks          []tagChunk        // of these, as queries have them
 	nextHostQueryAt time.Duration
 	excluded        map[string]bool // hosts of the saved list
-	measure         Measure         // own, of this process or the last one
-	adopted         bool            // another router's measure was
 	warm            bool
 	votersLed       bool
+
+	// What a warm host does.
+	measure            Measure // own, of this process or the last one
+	adopted            bool    // another router's measure was
+	nextMeasureQueryAt time.Duration
+	measureQueriesSent int // to one router each
 }
 
 // tagChunk is the hosts of one query.
@@ -136,28 +139,6 @@
 	}
 }
 
-// adoptMeasure takes the median of other routers' measures, once, if this router has none of its
-// own.
-func (d *Decider) adoptMeasure() {
-	if d.adopted || d.measure.HostWork > 0 {
-		return
-	}
-	var all []Measure
-	for _, r := range d.announcements {
-		if m := r.announcement.Measure; m.HostWork > 0 && m.RequestWork > 0 {
-			all = append(all, m)
-		}
-	}
-	if len(all) == 0 {
-		return
-	}
-	slices.SortFunc(all, func(a, b Measure) int {
-		return cmp.Or(cmp.Compare(a.HostWork, b.HostWork), cmp.Compare(a.RequestWork, b.RequestWork))
-	})
-	d.adopted = true
-	d.actions = append(d.actions, AdoptMeasure{all[(len(all)-1)/2]})
-}
-
 // Status is what a Decider shows of itself.
 type Status struct {
 	Stage         Stage
--- a/internal/router/recovery/doc.go
+++ b/internal/router/recovery/doc.go
@@ -19,6 +19,9 @@
 // While discovery is silent it goes on asking which hosts of the saved list get no requests:
 // another router's word is enough to exclude a host, and never enough to add one.
 //
+// While it lists and admits, a router that has no measure of what a warm host does asks the routers
+// that are alive for theirs, a few at a time, until one has any.
+//
 // # Promises
 //
 // No stage waits without a bound, but for AwaitingVoters, in which the router already serves. The
--- a/internal/router/recovery/recovery_test.go
+++ b/internal/router/recovery/recovery_test.go
@@ -114,13 +114,15 @@
 		for range rapid.IntRange(1, 30).Draw(t, "events") {
 			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * ms
 			var e Event = Tick{}
-			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0:
 				e = from(rapid.IntRange(0, 5).Draw(t, "who"), time.Duration(rapid.IntRange(0, 60).Draw(t, "up"))*s, int64(rapid.IntRange(0, 8).Draw(t, "version")))
 			case 1:
 				e, listReceived = ListReceived{Version: int64(rapid.IntRange(0, 8).Draw(t, "version"))}, true
 			case 2:
 				e = VotersLed{rapid.Bool().Draw(t, "led")}
+			case 3:
+				e = Membership{saved(rapid.IntRange(0, 5).Draw(t, "alive"), 5).Routers}
 			}
 			for _, a := range d.Step(now, e) {
 				switch a := a.(type) {
@@ -261,6 +263,63 @@
 	}
 }
 
+// Guards against a router that lost its folder and never has a measure: it knows nobody to ask as it
+// starts, and the announcements of others may have come before it could receive them. It asks all
+// that are alive, a few at a time, until one of them has a measure.
+func TestRouterWithoutMeasureAsksLivingRouters(t *testing.T) {
+	const routers = 6
+	membership := Membership{saved(routers, 0).Routers}
+	asked := map[string]int{}
+	d, _ := New(Config{Self: "r0", Discovery: "d:1"}, 0)
+	now, queries := time.Duration(0), 0
+	step := func(e Event) (adopted bool) {
+		for _, a := range d.Step(now, e) {
+			switch a := a.(type) {
+			case Announce:
+				queries++
+				if !a.Announcement.WantsReply || len(a.To) > maxQueriedPeers {
+					t.Errorf("it announces itself to %d routers, wants replies: %v", len(a.To), a.Announcement.WantsReply)
+				}
+				for _, r := range a.To {
+					asked[r.Name]++
+				}
+			case AdoptMeasure:
+				adopted = true
+			}
+		}
+		return adopted
+	}
+	step(Tick{})
+	step(ListReceived{Version: 1})
+	if queries > 0 {
+		t.Errorf("%d queries before anybody is known to be alive", queries)
+	}
+	step(membership)
+	for now < 2*s {
+		now = d.Next()
+		step(Tick{})
+	}
+	if len(asked) != routers-1 || asked["r0"] > 0 || queries > 6 {
+		t.Errorf("%d queries in 2 s, asked: %v", queries, asked)
+	}
+	reply := from(3, 90*s, 0).Announcement
+	if step(AnnouncementReceived{reply}) {
+		t.Error("it adopts a measure that nobody has")
+	}
+	reply.Measure = Measure{7 * s, s}
+	if !step(AnnouncementReceived{reply}) {
+		t.Error("it adopts no measure")
+	}
+	sent := queries
+	for range 5 {
+		now += s
+		step(Tick{})
+	}
+	if queries != sent {
+		t.Errorf("it goes on asking once it has a measure")
+	}
+}
+
 // The operators' page has the tables as they are made here.
 func TestOperatorsPageHasTheTables(t *testing.T) {
 	page, err := os.ReadFile("../../../docs/operators/recovery.md")
--- a/internal/router/recovery/stages.go
+++ b/internal/router/recovery/stages.go
@@ -55,6 +55,7 @@
 	d.classifyOutage()
 	d.queryHosts()
 	d.adoptMeasure()
+	d.queryMeasure()
 }
 
 func (d *Decider) enter(s Stage, reason string) {
@@ -140,7 +141,7 @@
 
 // Next returns when Step is to be called at the latest, 0 for never.
 func (d *Decider) Next() time.Duration {
-	next := earliest(d.nextClassification(), d.nextHostQuery())
+	next := earliest(d.nextClassification(), earliest(d.nextHostQuery(), d.nextMeasureQuery()))
 	switch d.stage {
 	case Querying:
 		return min(d.nextQueryAt, d.stageSince+d.config.QueryTimeout)
