chaos: late is what came late: arrivals and sends by the system's time of a connection

Cause: clients, proxies and hosts of the nine plays of a test are one process. Beside load it stands still for up to a second, and noted answers that had come, and attempts that had left, that much later; the checker excused answers by the stalls that it had noticed, and sends not at all. Now: TCP_INFO tells when the first byte of a request left, when an answer came and when an attempt's last byte left its router (package tcptime). Answers are due by the time left that they stated from when they left. A client whose time is over reads what has come before it gives up. The excuse for the test's own stalls is gone, so the check is stricter; what the machine withholds from the router itself excuses as before.

--- a/internal/testbed/chaos/network.go
+++ b/internal/testbed/chaos/network.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 
+	"reachspread/internal/testbed/checker"
 	"reachspread/internal/testbed/fakes"
 	"reachspread/internal/testbed/faultproxy"
 	"reachspread/internal/testbed/faults"
@@ -22,7 +23,7 @@
 	}
 	for n, h := range p.fleet.Hosts {
 		name := fmt.Sprint("h", n)
-		h.Observe(func(s fakes.HostEvent) { p.recordHostEvent(name, s) })
+		h.Observe(func(s fakes.HostEvent) { p.recordHostEvent(name, n, s) })
 	}
 	if p.spec.Routers > 1 {
 		if err := p.openMesh(); err != nil {
@@ -97,11 +98,17 @@
 	return id
 }
 
-// recordHostEvent adds an event of a host to the history.
-func (p *play) recordHostEvent(name string, s fakes.HostEvent) {
+// recordHostEvent adds an event of host n to the history.
+func (p *play) recordHostEvent(name string, n int, s fakes.HostEvent) {
 	switch s.Kind {
 	case fakes.RequestReceived:
-		p.recorder.add(history.Event{What: history.Attempt, ID: s.ID, Who: name, From: p.layout.routerAt(s.Conn), Conn: s.Conn})
+		e := history.Event{What: history.Attempt, ID: s.ID, Who: name, From: p.layout.routerAt(s.Conn), Conn: s.Conn}
+		if router := checker.NumberOf(e.From); router >= 0 {
+			if at := p.hosts[router][n].SentAt(s.Conn); !at.IsZero() {
+				e.Arrived = p.recorder.at(at)
+			}
+		}
+		p.recorder.add(e)
 	case fakes.RequestDone:
 		p.recorder.add(history.Event{What: history.Done, ID: s.ID, Who: name})
 	case fakes.Collapsed:
--- a/internal/testbed/chaos/run.go
+++ b/internal/testbed/chaos/run.go
@@ -133,8 +133,14 @@
 // addresses, the history by their names.
 func (p *play) recordClientEvent(s fakes.ClientEvent) {
 	e := s.Event
-	if e.What == history.Ask {
+	switch e.What {
+	case history.Ask:
 		e.Who, e.Until = p.layout.routerAt(e.Who), p.recorder.at(s.WaitsUntil)
+	case history.First, history.Answer:
+		e.Until = p.recorder.at(s.WaitsUntil)
+		if !s.ArrivedAt.IsZero() {
+			e.Arrived = p.recorder.at(s.ArrivedAt)
+		}
 	}
 	p.recorder.add(e)
 }
--- a/internal/testbed/checker/answer.go
+++ b/internal/testbed/checker/answer.go
@@ -40,11 +40,12 @@
 	if c.excused(r, a.T) {
 		return
 	}
-	late := a.T - r.Ask.Until
+	due, came := max(r.Ask.Until, r.Due), a.ArrivedAt()
 	if r.First >= 0 { // the deadline stops running with the first event
-		late = r.First - r.Ask.Until
+		came = r.First
 	}
-	withheld := c.Withheld(r.Ask.Who, r.Ask.Until, a.T) // before it was due nothing was late
+	withheld := c.Withheld(r.Ask.Who, due, came) // before it was due nothing was late
+	late := came - due
 	tooLate := late > c.Play.Slack+withheld.Nanoseconds()
 	switch a.How {
 	case history.None:
--- a/internal/testbed/checker/checker.go
+++ b/internal/testbed/checker/checker.go
@@ -96,7 +96,8 @@
 // Request is a client's request with its events.
 type Request struct {
 	Ask      *history.Event
-	First    int64 // of its first event, -1 for none
+	First    int64 // when its first event came, -1 for none
+	Due      int64 // when an answer was due as the request stated, 0 for as its client waits
 	Answers  []*history.Event
 	Attempts []*Attempt
 }
@@ -172,10 +173,11 @@
 	case history.Ask:
 		c.request(e.ID).Ask = e
 	case history.First:
-		c.request(e.ID).First = e.T
+		r := c.request(e.ID)
+		r.First, r.Due = e.ArrivedAt(), max(r.Due, e.Until)
 	case history.Answer:
 		r := c.request(e.ID)
-		r.Answers = append(r.Answers, e)
+		r.Answers, r.Due = append(r.Answers, e), max(r.Due, e.Until)
 	case history.Attempt:
 		x.addAttempt(e)
 	case history.Done:
--- a/internal/testbed/checker/drain.go
+++ b/internal/testbed/checker/drain.go
@@ -11,8 +11,8 @@
 // platform's slack on sockets.
 const drainSlack = 550 * time.Millisecond
 
-// drain finds attempts that reach a host after its router was told that it drains or is gone. One
-// whose router or whose list stood still meanwhile was told only when they went on.
+// drain finds attempts that are sent to a host after its router was told that it drains or is gone.
+// One whose router or whose list stood still meanwhile was told only when they went on.
 func drain(c *Case) (found []Violation) {
 	since := map[string]int64{} // by router and host
 	for i := range c.Events {
@@ -26,13 +26,14 @@
 			}
 		case history.Attempt:
 			notified, draining := since[e.From+" "+e.Who]
-			late := e.T - notified - drainSlack.Nanoseconds()
+			sent := e.ArrivedAt()
+			late := sent - notified - drainSlack.Nanoseconds()
 			if !draining || late <= 0 || c.FaultDuring(append(processEnds, processStalls...), notified, e.T, affectsRouter(e.From)) ||
 				c.FaultDuring(linkFaults, notified, e.T, affectsLink(e.From, "list")) || c.FaultDuring(linkFaults, notified, e.T, affectsLink(e.From, "hosts")) {
 				continue
 			}
 			found = append(found, Violation{"drain", e.T, e.From, e.ID,
-				fmt.Sprintf("sent to %s %v after the list had said that it leaves", e.Who, time.Duration(e.T-notified).Round(time.Millisecond))})
+				fmt.Sprintf("sent to %s %v after the list had said that it leaves", e.Who, time.Duration(sent-notified).Round(time.Millisecond))})
 		}
 	}
 	return found
--- a/internal/testbed/checker/withheld.go
+++ b/internal/testbed/checker/withheld.go
@@ -7,10 +7,9 @@
 	"reachspread/internal/testbed/history"
 )
 
-// withholding is what a history says of the processor time that the machine withheld: when the test
-// itself was late, and how long the threads of each process have waited for a processor so far.
+// withholding is what a history says of the processor time that the machine withheld: how long the
+// threads of each process have waited for a processor so far.
 type withholding struct {
-	stalls  []Fault
 	samples map[string][]waitSample // by process
 }
 
@@ -25,25 +24,17 @@
 
 // add takes in an event.
 func (w *withholding) add(e *history.Event) {
-	switch {
-	case e.What == history.Fault && e.Text == machineStall:
-		length, _ := time.ParseDuration(e.ID)
-		w.stalls = append(w.stalls, Fault{Kind: machineStall, N: e.N, From: e.T - length.Nanoseconds(), To: e.T})
-	case e.What == history.Usage:
+	if e.What == history.Usage {
 		w.samples[e.Who] = append(w.samples[e.Who], waitSample{at: e.T, waited: e.Withheld})
 	}
 }
 
 // Withheld returns for how long, between two times, the machine withheld processors from a router's
-// processes or from the test itself, whichever is longer: both may have waited at once. What is late
-// by no more than that says nothing of the router. It excuses late answers alone: a busy machine
-// loses no answer and closes no connection.
+// processes. What is late by no more than that says nothing of the router. It excuses late answers
+// alone: a busy machine loses no answer and closes no connection. A test that was late itself
+// excuses nothing: when an answer came its system tells.
 func (c *Case) Withheld(router string, from, to int64) time.Duration {
 	longest := int64(0)
-	for i := range c.withholding.stalls {
-		s := &c.withholding.stalls[i]
-		longest += overlap(s.From, s.To, from, to)
-	}
 	number := NumberOf(router)
 	for process, samples := range c.withholding.samples {
 		if NumberOf(process) == number {
--- a/internal/testbed/checker/withheld_test.go
+++ b/internal/testbed/checker/withheld_test.go
@@ -18,9 +18,9 @@
 		history.Event{T: 9500 * ms, What: history.Usage, Who: "r1", Withheld: 1})
 }
 
-// What the machine withheld counts as far as it lies between the two times, and once where the test
-// and a process waited at the same time: stalls to the nanosecond, waits of a process by the samples
-// around, where it waited for more than half of the time.
+// What the machine withheld from a process counts as far as it lies between the two times, by the
+// samples around, where the process waited for more than half of the time. What it withheld from the
+// test itself does not count.
 func TestWithheld(t *testing.T) {
 	c := NewCase(withheldHistory())
 	for _, x := range []struct {
@@ -33,7 +33,7 @@
 		{"r0", 9300 * ms, 9450 * ms, 150 * ms},
 		{"r0", 9500 * ms, 9600 * ms, 0},
 		{"r0", 8000 * ms, 8900 * ms, 0}, // 50 ms in 9 s
-		{"r1", 9100 * ms, 9450 * ms, 300 * ms},
+		{"r1", 9100 * ms, 9450 * ms, 0},
 		{"r2", 9400 * ms, 9450 * ms, 0},
 	} {
 		if got := c.Withheld(x.router, x.from, x.to); got != x.want {
@@ -54,7 +54,7 @@
 	}{
 		{"late by what was withheld", "r0", 9450 * ms, history.Refused, 0},
 		{"later than that", "r0", until + 50*ms + 400*ms + 1, history.Refused, 1},
-		{"late at a router from which nothing was withheld", "r2", until + 50*ms + 300*ms + 1, history.Refused, 1},
+		{"late at a router from which nothing was withheld", "r2", until + 50*ms + 1, history.Refused, 1},
 		{"none in that time", "r0", 9450 * ms, history.None, 0},
 		{"a connection that ended", "r0", 9450 * ms, history.Interrupted, 1},
 		{"a stream that broke", "r0", 9450 * ms, history.Broken, 1},
@@ -68,3 +68,35 @@
 		})
 	}
 }
+
+// An answer counts from when it came to the client's system, and is due as its request stated, when
+// its first byte left: what the test itself was late to see or to send says nothing of the router.
+func TestAnswerIsJudgedByItsArrival(t *testing.T) {
+	const asked, until, slack = 9100 * ms, 9110 * ms, 50 * ms
+	answered := history.Event{T: until + 900*ms, What: history.Answer, ID: "z", How: history.Refused}
+	for _, x := range []struct {
+		name         string
+		arrived, due int64
+		found        int
+	}{
+		{"came in time, seen late", until + slack, until, 0},
+		{"came late", until + slack + 1, until, 1},
+		{"not known when it came", 0, until, 1},
+		{"sent late, came in time", until + 300*ms + slack, until + 300*ms, 0},
+		{"sent late, came late", until + 300*ms + slack + 1, until + 300*ms, 1},
+		{"stated an earlier end than the client's", until + slack, until - 10*ms, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			ask := history.Event{T: asked, What: history.Ask, ID: "z", Who: "r2", Until: until}
+			last, first := answered, answered
+			last.Arrived, last.Until = x.arrived, x.due
+			first.What, first.How, first.Arrived, first.Until = history.First, "", x.arrived, x.due
+			whole := history.Event{T: until + 2000*ms, What: history.Answer, ID: "z", How: history.Complete}
+			for _, events := range [][]history.Event{{ask, last}, {ask, first, whole}} {
+				if found := answer(NewCase(append(withheldHistory(), events...))); len(found) != x.found {
+					t.Errorf("found %v", found)
+				}
+			}
+		})
+	}
+}
--- a/internal/testbed/fakes/attempt.go
+++ b/internal/testbed/fakes/attempt.go
@@ -68,6 +68,7 @@
 	content    io.Reader // how the body is written
 	due, until time.Time
 	gaveUp     *time.Timer // ends the attempt unless the answer has begun
+	begun      atomic.Bool // a part of the answer is there
 
 	conn    atomic.Pointer[clientConn] // the last one that it was sent on
 	reused  atomic.Bool                // conn was idle since another request, or opened for one that did not need it
@@ -79,7 +80,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &attempt{clients: c, id: id, due: due, until: until}
-	a.gaveUp = time.AfterFunc(time.Until(until.Add(c.Grace)), func() { cancel(errGaveUp) })
+	a.gaveUp = time.AfterFunc(time.Until(until.Add(c.Grace)), func() { a.giveUp(cancel, maxUnreadChecks) })
 	defer a.gaveUp.Stop()
 	a.router = c.RouterFor(p)
 	if a.router == "" {
@@ -96,15 +97,65 @@
 		return attemptOutcome{how: history.Failed}
 	}
 	class := c.spec.Classes[p.Class].Class.Name
-	c.observe(history.Event{What: history.Ask, ID: id, Who: a.router, Class: class}, until)
+	a.observe(history.Event{What: history.Ask, ID: id, Who: a.router, Class: class})
 	outcome := a.exchange(ctx, r)
 	if outcome.how != history.Complete && a.abandoned(ctx) {
 		outcome.how = history.Left
 	}
-	c.observe(history.Event{What: history.Answer, ID: id, How: outcome.how, Status: outcome.status, Text: outcome.cause}, until)
+	a.observeAnswer(history.Event{What: history.Answer, ID: id, How: outcome.how, Status: outcome.status, Text: outcome.cause})
 	return outcome
 }
 
+const (
+	// unreadInterval and maxUnreadChecks bound how long a client whose time is over reads an answer
+	// that has come and that it has had no processor time to read.
+	unreadInterval  = 100 * time.Millisecond
+	maxUnreadChecks = 50
+)
+
+// giveUp ends the attempt, unless its answer has begun. While something of it has come and was not
+// read it waits.
+func (a *attempt) giveUp(cancel context.CancelCauseFunc, checksLeft int) {
+	if a.begun.Load() {
+		return
+	}
+	if conn := a.conn.Load(); conn != nil && conn.answerArrives() && checksLeft > 0 {
+		time.AfterFunc(unreadInterval, func() { a.giveUp(cancel, checksLeft-1) })
+		return
+	}
+	cancel(errGaveUp)
+}
+
+// observe reports an event of the attempt.
+func (a *attempt) observe(e history.Event) {
+	a.clients.observe(ClientEvent{Event: e, WaitsUntil: a.until})
+}
+
+// observeAnswer reports the answer or its first event: when it came, and when it was due as the
+// request stated. A request that left late, as its client had no processor time, is due as much
+// later.
+func (a *attempt) observeAnswer(e history.Event) {
+	event := ClientEvent{Event: e, WaitsUntil: a.until}
+	if conn := a.conn.Load(); conn != nil {
+		if due, ok := conn.answerDue(); ok && due.After(a.until) {
+			event.WaitsUntil = due
+		}
+		if arrived := conn.arrived.Load(); arrived != nil && answered(e) {
+			event.ArrivedAt = *arrived
+		}
+	}
+	a.clients.observe(event)
+}
+
+// answered reports whether an event says that the router has sent something.
+func answered(e history.Event) bool {
+	switch e.How {
+	case history.None, history.Unreached, history.Interrupted, history.Left:
+		return e.What == history.First
+	}
+	return true
+}
+
 // requestBody is the body of a planned request, with the fields that fake hosts read.
 func requestBody(p *simulator.Planned) string {
 	prompt := strings.Repeat("word", min(p.Prompt, maxPromptLength))
@@ -134,10 +185,11 @@
 	return r, nil
 }
 
-// stateTimeLeft has a request say how long its client waits from now on.
-func (a *attempt) stateTimeLeft(r *http.Request) {
-	timeLeft := max(time.Until(a.until).Milliseconds(), 1)
-	r.Header.Set(protocol.HeaderTimeLeft, fmt.Sprintf("%dm", timeLeft))
+// stateTimeLeft has a request say how long its client waits from now on, which it returns.
+func (a *attempt) stateTimeLeft(r *http.Request) time.Duration {
+	timeLeft := max(time.Until(a.until).Truncate(time.Millisecond), time.Millisecond)
+	r.Header.Set(protocol.HeaderTimeLeft, fmt.Sprintf("%dm", timeLeft.Milliseconds()))
+	return timeLeft
 }
 
 // abandoned reports whether the client ended the attempt, or never wrote its request to the end.
@@ -167,12 +219,12 @@
 func (a *attempt) send(ctx context.Context, r *http.Request) (*http.Response, error) {
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			a.stateTimeLeft(r)
+			timeLeft := a.stateTimeLeft(r)
 			conn, ok := i.Conn.(*clientConn)
 			if !ok {
 				return
 			}
-			conn.beginRequest()
+			conn.beginRequest(timeLeft)
 			a.conn.Store(conn)
 			a.reused.Store(i.Reused || i.WasIdle)
 			a.written.Store(nil)
@@ -187,7 +239,7 @@
 	if err == nil || ctx.Err() != nil || !a.closeCrossed() {
 		return resp, err
 	}
-	a.clients.observe(history.Event{What: history.Note, ID: a.id, Who: a.router, Text: CloseCrossed}, a.until)
+	a.observe(history.Event{What: history.Note, ID: a.id, Who: a.router, Text: CloseCrossed})
 	r = r.Clone(traced)
 	r.Body = io.NopCloser(strings.NewReader(a.body))
 	return a.clients.oneShot.Do(r)
@@ -252,9 +304,10 @@
 		line, err := lines.ReadBytes('\n')
 		if bytes.Contains(line, []byte(`"content":`)) {
 			if outcome.tokens == 0 {
-				a.gaveUp.Stop() // a client that has a part of its answer waits for the rest
+				a.begun.Store(true) // a client that has a part of its answer waits for the rest
+				a.gaveUp.Stop()
 				outcome.first = time.Since(a.due)
-				a.clients.observe(history.Event{What: history.First, ID: a.id}, a.until)
+				a.observeAnswer(history.Event{What: history.First, ID: a.id})
 			}
 			outcome.tokens++
 			outcome.last = time.Since(a.due)
--- a/internal/testbed/fakes/clientconn.go
+++ b/internal/testbed/fakes/clientconn.go
@@ -2,24 +2,32 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"reachspread/internal/testbed/tcptime"
 )
 
 // clientConn is a client's connection to a router. As it is closed it asks the system whether the
 // router had read the request that the client sent last. A router may close a connection between two requests: if
 // the close crosses one that it has not read, the platform's clients send that one again. How late
 // a client sees the close says nothing of that, as the client's own process may lack processor time.
+//
+// For the same reason it asks when the first byte of a request left, and when what was read last had
+// come.
 type clientConn struct {
 	*net.TCPConn
-	sent      atomic.Int64 // bytes
-	sentSoFar atomic.Int64 // of sent, before the present request
+	sent      atomic.Int64              // bytes
+	sentSoFar atomic.Int64              // of sent, before the present request
+	timeLeft  atomic.Int64              // nanoseconds that the present request states
+	began     atomic.Pointer[time.Time] // when the first byte of the present request left; nil before
+	arrived   atomic.Pointer[time.Time] // when what was read last had come; nil before
 	closing   sync.Once
 	unread    bool // by the router, of the present request; set once closing is done
 }
@@ -36,19 +44,67 @@
 // Write implements net.Conn.
 func (c *clientConn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
-	c.sent.Add(int64(n))
+	c.recordSent(int64(n))
 	return n, err
 }
 
 // ReadFrom implements io.ReaderFrom.
 func (c *clientConn) ReadFrom(r io.Reader) (int64, error) {
 	n, err := c.TCPConn.ReadFrom(r)
+	c.recordSent(n)
+	return n, err
+}
+
+// recordSent counts bytes that were sent, and keeps when the first of the present request left.
+func (c *clientConn) recordSent(n int64) {
 	c.sent.Add(n)
+	if n == 0 || c.began.Load() != nil {
+		return
+	}
+	if left, err := tcptime.Sent(c); err == nil {
+		c.began.Store(&left)
+	}
+}
+
+// Read implements net.Conn.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if came, timeErr := tcptime.Received(c); timeErr == nil {
+		c.arrived.Store(&came)
+	}
 	return n, err
 }
 
-// beginRequest says that what is sent from now on is of another request.
-func (c *clientConn) beginRequest() { c.sentSoFar.Store(c.sent.Load()) }
+// beginRequest says that what is sent from now on is of another request, which states that its
+// client waits for so long.
+func (c *clientConn) beginRequest(timeLeft time.Duration) {
+	c.sentSoFar.Store(c.sent.Load())
+	c.timeLeft.Store(timeLeft.Nanoseconds())
+	c.began.Store(nil)
+}
+
+// answerDue returns when the answer to the present request is due by what it states: a router counts
+// from the first byte on. ok is false before that has left.
+func (c *clientConn) answerDue() (due time.Time, ok bool) {
+	began := c.began.Load()
+	if began == nil {
+		return due, false
+	}
+	return began.Add(time.Duration(c.timeLeft.Load())), true
+}
+
+// answerArrives reports whether something has come since the present request left.
+func (c *clientConn) answerArrives() bool {
+	began := c.began.Load()
+	if began == nil {
+		return false
+	}
+	came, err := tcptime.Received(c)
+	return err == nil && came.After(*began)
+}
 
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
@@ -92,22 +148,15 @@
 // transferState returns the state of the connection, and how many bytes the other system has not
 // acknowledged.
 func (c *clientConn) transferState() (state uint8, onTheWay int, err error) {
-	raw, err := c.SyscallConn()
+	info, err := tcptime.Info(c)
 	if err != nil {
 		return 0, 0, err
 	}
-	var infoErr, queueErr error
-	err = raw.Control(func(fd uintptr) {
-		var info *unix.TCPInfo
-		if info, infoErr = unix.GetsockoptTCPInfo(int(fd), syscall.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
-			state = info.State
-		}
-		onTheWay, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	})
-	for _, e := range []error{err, infoErr, queueErr} {
-		if e != nil {
-			return 0, 0, e
-		}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, 0, err
 	}
-	return state, onTheWay, nil
+	var queueErr error
+	err = raw.Control(func(fd uintptr) { onTheWay, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return info.State, onTheWay, errors.Join(err, queueErr)
 }
--- a/internal/testbed/fakes/clientconn_test.go
+++ b/internal/testbed/fakes/clientconn_test.go
@@ -107,3 +107,50 @@
 		return err != syscall.EAGAIN
 	})
 }
+
+// A request that leaves late is due as much later, and an answer counts from when it came, however
+// late it is read: a client that has no processor time makes no answer late.
+func TestConnectionTellsWhenRequestLeftAndAnswerCame(t *testing.T) {
+	const standstill, timeLeft, precision = 200 * time.Millisecond, time.Second, 50 * time.Millisecond
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialed, err := dialClient(t.Context(), "tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	router, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer router.Close()
+	conn := dialed.(*clientConn)
+	conn.beginRequest(timeLeft)
+	time.Sleep(standstill) // between the statement and the write
+	if _, ok := conn.answerDue(); ok || conn.answerArrives() {
+		t.Error("an answer is due before the request has left")
+	}
+	before := time.Now()
+	conn.Write([]byte("request"))
+	after := time.Now()
+	due, ok := conn.answerDue()
+	if !ok || due.Before(before.Add(timeLeft-precision)) || due.After(after.Add(timeLeft)) {
+		t.Errorf("due %v after the write, %v", due.Sub(before), ok)
+	}
+	router.Write([]byte("answer"))
+	awaitUnread(t, conn.TCPConn, nil)
+	came := time.Now()
+	time.Sleep(standstill) // between the arrival and the read
+	if !conn.answerArrives() {
+		t.Error("the answer was not noticed before it was read")
+	}
+	if _, err := conn.Read(make([]byte, 16)); err != nil {
+		t.Fatal(err)
+	}
+	if arrived := *conn.arrived.Load(); arrived.Before(before.Add(-precision)) || arrived.After(came.Add(precision)) {
+		t.Errorf("the answer came %v before it was read, as noted; it were over %v", time.Since(arrived), standstill)
+	}
+}
--- a/internal/testbed/fakes/clients.go
+++ b/internal/testbed/fakes/clients.go
@@ -28,10 +28,11 @@
 }
 
 // ClientEvent is an event of a request, without its time, and until when its client waits for an
-// answer.
+// answer. ArrivedAt is when a first event or an answer came to the client's system, zero where that
+// is not known.
 type ClientEvent struct {
 	history.Event
-	WaitsUntil time.Time
+	WaitsUntil, ArrivedAt time.Time
 }
 
 // Clients send the requests of a plan to routers and tally the outcomes. The exported fields are
@@ -152,9 +153,9 @@
 	}
 }
 
-// observe reports an event of a request whose client waits until a time.
-func (c *Clients) observe(e history.Event, until time.Time) {
+// observe reports an event of a request.
+func (c *Clients) observe(e ClientEvent) {
 	if c.Observe != nil {
-		c.Observe(ClientEvent{e, until})
+		c.Observe(e)
 	}
 }
--- a/internal/testbed/faultproxy/faultproxy_test.go
+++ b/internal/testbed/faultproxy/faultproxy_test.go
@@ -426,3 +426,43 @@
 	}
 	far.Close()
 }
+
+// When the near side sent something is told by its system, however late the proxy forwards it.
+func TestSentAtIsWhenNearSideSent(t *testing.T) {
+	const delay, precision = 300 * time.Millisecond, 100 * time.Millisecond
+	far, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	proxy, err := NewConnProxy("127.0.0.1:0", far.Addr().String(), 1, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer proxy.Close()
+	if err := proxy.Set(faults.Condition{Delay: delay}, faults.Condition{}); err != nil {
+		t.Fatal(err)
+	}
+	near, err := net.Dial("tcp4", proxy.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	accepted, err := far.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	conn := accepted.RemoteAddr().String()
+	if !proxy.SentAt(conn).IsZero() || !proxy.SentAt("127.0.0.1:1").IsZero() {
+		t.Error("it knows when something was sent before anything was")
+	}
+	before := time.Now()
+	near.Write([]byte("x"))
+	after := time.Now()
+	accepted.Read(make([]byte, 1))
+	forwarded := time.Since(before)
+	if at := proxy.SentAt(conn); at.Before(before.Add(-precision)) || at.After(after.Add(precision)) {
+		t.Errorf("sent %v after the write, forwarded after %v", at.Sub(before), forwarded)
+	}
+}
--- a/internal/testbed/faultproxy/tcp.go
+++ b/internal/testbed/faultproxy/tcp.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"reachspread/internal/testbed/faults"
+	"reachspread/internal/testbed/tcptime"
 )
 
 const (
@@ -55,7 +56,8 @@
 // proxiedConn is one connection, of two sockets.
 type proxiedConn struct {
 	near, far  *net.TCPConn
-	blackholed bool // the link was blackholed meanwhile: it is reset when that ends
+	blackholed bool      // the link was blackholed meanwhile: it is reset when that ends
+	sentAt     time.Time // when what the near side sent last came; mu of the proxy guards it
 }
 
 // NewConnProxy starts a proxy at an address, which may end with port 0. The links of proxies with
@@ -169,6 +171,31 @@
 	}
 }
 
+// SentAt returns when the near side sent what it sent last on a connection that the far side knows by
+// an address; zero where that is not known. It does not count how long this process took to forward
+// that.
+func (r *ConnProxy) SentAt(conn string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for x := range r.conns {
+		if x.far != nil && x.far.LocalAddr().String() == conn {
+			return x.sentAt
+		}
+	}
+	return time.Time{}
+}
+
+// recordSent keeps when the near side sent what was read last.
+func (r *ConnProxy) recordSent(x *proxiedConn) {
+	at, err := tcptime.Received(x.near)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x.sentAt = at
+}
+
 // restore ends a blackhole. Connections in the queue are reset: they may have come before it or
 // during it. The lock is held.
 func (r *ConnProxy) restore() error {
@@ -289,6 +316,9 @@
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
+			if near {
+				r.recordSent(x)
+			}
 			c := chunk{data: append([]byte(nil), buf[:n]...)}
 			c.due = r.dueTime(link, last)
 			if !c.due.IsZero() {
--- a/internal/testbed/history/history.go
+++ b/internal/testbed/history/history.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	_ "embed"
 	"encoding/json"
 	"fmt"
@@ -102,7 +103,10 @@
 	N      int   `json:"n,omitempty"`
 	Status int   `json:"status,omitempty"`
 	How    How   `json:"how,omitempty"`
-	Until  int64 `json:"until,omitempty"` // when its client gives up
+	Until  int64 `json:"until,omitempty"` // when its client gives up; of what the router sent, when that was due as the request stated
+	// Arrived is when the bytes of a first event or of an answer came to the client's system, or
+	// those of an attempt left its router; 0 where that is not known.
+	Arrived int64 `json:"arrived,omitempty"`
 
 	Class string `json:"class,omitempty"`
 	From  string `json:"from,omitempty"`
@@ -157,6 +161,10 @@
 // At is the time as a span.
 func (e *Event) At() time.Duration { return time.Duration(e.T) }
 
+// ArrivedAt is when what an event tells of came, in nanoseconds since the run began: T where nothing
+// else is known.
+func (e *Event) ArrivedAt() int64 { return cmp.Or(e.Arrived, e.T) }
+
 // String is a line for people.
 func (e *Event) String() string {
 	var b bytes.Buffer
--- a/internal/testbed/history/stored_test.go
+++ b/internal/testbed/history/stored_test.go
@@ -35,16 +35,21 @@
 func TestGoldenHistory(t *testing.T) {
 	want := goldenEvents()
 	golden.Complete(t, want[0].Play)
-	golden.Complete(t, want[1], "Event.Play", "Event.Withheld")
+	golden.Complete(t, want[1], "Event.Play", "Event.Withheld", "Event.Arrived")
 	sameHistory(t, "history.ndjson", want)
 }
 
-// So is one with a field that came later.
+// So are those with a field that came later.
 func TestGoldenHistoryWithWithheld(t *testing.T) {
 	usage := Event{T: 123456789, What: Usage, Who: "r0/2", Memory: 1 << 20, Descriptors: 40, CPU: 5e6, Withheld: 7e6}
 	sameHistory(t, "history-withheld.ndjson", append(goldenEvents()[:1], usage))
 }
 
+func TestGoldenHistoryWithArrived(t *testing.T) {
+	answer := Event{T: 123456789, What: Answer, ID: "x-2", Status: 503, How: Refused, Until: 9e9, Arrived: 123000000}
+	sameHistory(t, "history-arrived.ndjson", append(goldenEvents()[:1], answer))
+}
+
 // sameHistory checks that events are written as a golden file has them, and read from it.
 func sameHistory(t *testing.T, file string, want []Event) {
 	t.Helper()
