chaos tests: each play in a process of its own

Cause: a test's nine plays, some fifty routers' clients, hosts, proxies and the judge, were one process. Beside load its clients stood still for 0.2 to 0.8 s again and again and then sent at once what had been due one after another (19 and 22 requests in 0.1 s in place of 6, refused for want of capacity), faults ended up to 1.5 s late (drain-off called at 15.07 s of 13.5), hosts noted requests over a second after they had been written. Now: playOnce starts the test's program with the play's order; checks, bounds, seeds and load are as they were, and the test reads the history and the verdicts.

--- a/internal/testbed/chaos/chaos_test.go
+++ b/internal/testbed/chaos/chaos_test.go
@@ -42,6 +42,16 @@
 		misbehave(string(how))
 	}
 	flag.Parse()
+	if order, ok := os.LookupEnv(playEnvironment); ok {
+		go func() {
+			if err := playOrdered(order); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				os.Exit(1)
+			}
+			os.Exit(0)
+		}()
+		runOnFirstThread()
+	}
 	// Plays wait for most of their time: half as many again at once as there are cores keep the
 	// share of CI under two minutes.
 	if f := flag.Lookup("test.parallel"); f.Value.String() == f.DefValue {
@@ -59,6 +69,11 @@
 		}
 		os.Exit(code)
 	}()
+	runOnFirstThread()
+}
+
+// runOnFirstThread does what is to run on the program's first thread, for ever.
+func runOnFirstThread() {
 	for f := range onFirstThread {
 		f()
 	}
@@ -145,11 +160,11 @@
 	return x
 }
 
-// playOnce plays once, and fails the test for what can't be played.
+// playOnce plays once, in a process of its own, and fails the test for what can't be played.
 func playOnce(t *testing.T, o Options) *Result {
 	t.Helper()
 	o.Folder = filepath.Join(t.TempDir(), "play")
-	r, err := Run(t.Context(), o)
+	r, err := playInProcess(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
