transport: attempts to reach discovery are a type of their own; a moved connection is awaited

reach() carried which attempts are under way in three variables; openAttempts has them, with the same order of attempts and waits. What it must then answer is as it was.

--- a/internal/transport/discoverywatch.go
+++ b/internal/transport/discoverywatch.go
@@ -28,29 +28,19 @@
 }
 
 // reach attempts to open a watch until one is open, the first time after a wait; ok is false if ctx
-// ended before. Where the pace has hasty attempts, the first one is patient, and hasty ones go on
-// beside it: they find a discovery that comes back soon, the patient one hears a slow one.
+// ended before.
 func (d *Discovery) reach(ctx context.Context, wait time.Duration) (w *watch, ok bool) {
 	race, end := context.WithCancel(ctx)
 	defer end()
-	outcomes := make(chan openOutcome)
-	next := time.NewTimer(wait)
-	defer next.Stop()
-	patient, hasty := false, false // whether such an attempt is under way
+	attempts := &openAttempts{discovery: d, race: race, outcomes: make(chan openOutcome), next: time.NewTimer(wait)}
+	defer attempts.next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil, false
-		case <-next.C:
-			if d.pace.Answer > 0 && !patient {
-				patient = true
-				go attemptOpen(race, d.addr, d.firstCall(patientTimeout), true, outcomes)
-				next.Reset(d.pace.Answer)
-				continue
-			}
-			hasty = true
-			go attemptOpen(race, d.addr, d.firstCall(d.pace.answerTimeout()), false, outcomes)
-		case o := <-outcomes:
+		case <-attempts.next.C:
+			attempts.start()
+		case o := <-attempts.outcomes:
 			if ctx.Err() != nil {
 				return nil, false
 			}
@@ -58,15 +48,50 @@
 				return o.watch, true
 			}
 			d.recordLoss(o.err)
-			patient, hasty = patient && !o.patient, hasty && o.patient
-			if !hasty {
-				next.Reset(d.pace.Wait(d.failed))
-				d.failed++
-			}
+			attempts.recordFailure(o.patient)
 		}
 	}
 }
 
+// openAttempts are the attempts to open a watch, one at a time. Where the pace has hasty attempts,
+// the first one is patient, and hasty ones go on beside it: they find a discovery that comes back
+// soon, the patient one hears a slow one.
+type openAttempts struct {
+	discovery      *Discovery
+	race           context.Context // ends all attempts
+	outcomes       chan openOutcome
+	next           *time.Timer // until the next attempt
+	patient, hasty bool        // whether such an attempt is under way
+}
+
+// start begins the attempt that is due.
+func (a *openAttempts) start() {
+	pace := a.discovery.pace
+	if pace.Answer > 0 && !a.patient {
+		a.patient = true
+		go attemptOpen(a.race, a.discovery.addr, a.discovery.firstCall(patientTimeout), true, a.outcomes)
+		a.next.Reset(pace.Answer)
+		return
+	}
+	a.hasty = true
+	go attemptOpen(a.race, a.discovery.addr, a.discovery.firstCall(pace.answerTimeout()), false, a.outcomes)
+}
+
+// recordFailure says that an attempt has failed. Unless a hasty one is under way the next one is due
+// after the pace's wait.
+func (a *openAttempts) recordFailure(patient bool) {
+	if patient {
+		a.patient = false
+	} else {
+		a.hasty = false
+	}
+	if a.hasty {
+		return
+	}
+	a.next.Reset(a.discovery.pace.Wait(a.discovery.failed))
+	a.discovery.failed++
+}
+
 // firstCall is the first call of a watch: for the full list, or for what is newer than the last one.
 // The connection attempt, and the beginning of an answer that waits for nothing, may take so long.
 type firstCall struct {
--- a/internal/transport/handover_test.go
+++ b/internal/transport/handover_test.go
@@ -137,6 +137,9 @@
 		t.Fatal(err)
 	}
 	old.front.MoveTo(mover)
-	old.front.CloseIdle(0)
+	scripted.AwaitCondition(t, "the connection has moved", func() bool {
+		old.front.CloseIdle(0) // passes over a connection whose answer is just being ended
+		return next.front.Alive() > 0
+	})
 	ready(http.StatusOK)
 }
