--- a/internal/system/roles/node/node_test.go
+++ b/internal/system/roles/node/node_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"path/filepath"
 	"slices"
@@ -234,33 +233,13 @@
 func TestDrainingRouterFinishesRequests(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 1, 1)
-	is.Equal(f.order(http.MethodPut, firstConfiguration, 0, 0), 200)
-	let := make(chan struct{})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer ln.Close()
-	took := make(chan struct{})
-	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		close(took)
-		<-let
-		w.Header().Set("Response-Seal", "seal")
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id")) // as each answer of a host has it
-		w.Write([]byte("late"))
-	}))
-	status, _ := f.heartbeat(0, "i-1", "s", ln.Addr().String(), "ready", 1)
-	is.Equal(status, 200)
-	f.eventually("it is ready", func() bool { return f.ready(0) })
-	answered := make(chan string, 1)
-	go func() {
-		_, text := f.request(0, "/a", "q", "k")
-		answered <- text
-	}()
-	<-took
+	host := startHoldingHost(t, f)
+	answered := host.ask(f)
 	f.nodes[0].cancel()
 	f.eventually("it is not ready", func() bool { return !f.ready(0) })
-	close(let)
-	is.Equal(<-answered, "late")
-	err = <-f.nodes[0].ended
+	close(host.answer)
+	is.Equal((<-answered).text, "late")
+	err := <-f.nodes[0].ended
 	f.nodes[0].ended <- err
 	is.NoErr(err)
 }
@@ -270,27 +249,9 @@
 func TestRequestsOpenAtEndOfGraceAreAnswered(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 1, 1)
-	is.Equal(f.order(http.MethodPut, firstConfiguration, 0, 0), 200)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer ln.Close()
-	took, over := make(chan struct{}), make(chan struct{})
-	defer close(over)
-	go http.Serve(ln, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		close(took)
-		<-over
-	}))
-	status, _ := f.heartbeat(0, "i-1", "s", ln.Addr().String(), "ready", 1)
-	is.Equal(status, 200)
-	f.eventually("it is ready", func() bool { return f.ready(0) })
-	answered := make(chan int, 1)
-	go func() {
-		status, _ := f.request(0, "/a", "q", "k")
-		answered <- status
-	}()
-	<-took
+	answered := startHoldingHost(t, f).ask(f)
 	f.nodes[0].cancel()
-	is.Equal(<-answered, http.StatusBadGateway)
+	is.Equal((<-answered).status, http.StatusBadGateway)
 }
 
 // Settings that are read again are applied by the running process: a router whose seeds were all
