chaos: a process's end is awaited apart from its reaping

What the tests saw: routers that ended 4.3 to 9.4 s after SIGTERM, restarts that came as late. Cause and evidence: docs/incidents/2026-12-03-exit-seen-late.md; main had returned 0.71 s after SIGTERM, the process was gone from /proc 0.3 s later, and the test's thread stood in waitid, in the kernel's shrink_dcache_parent, for up to 8 s more. Now: waitid with WNOWAIT tells the end and the status; os/exec reaps beside that. Bounds are as they were.

--- /dev/null
+++ b/internal/testbed/chaos/processexit.go
@@ -0,0 +1,43 @@
+package chaos
+
+import (
+	"fmt"
+	"syscall"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// childInfo is what the kernel tells of a child that has ended, as siginfo_t has it on a 64-bit
+// system.
+type childInfo struct {
+	_      [2]int32 // signal, error
+	code   int32    // how it ended
+	_      int32
+	_      [2]int32 // its number, its user
+	status int32    // exit status or signal
+	_      [100]byte
+}
+
+// exitedByItself is the code of a child that was not ended by a signal, CLD_EXITED.
+const exitedByItself = 1
+
+// awaitExit waits until a child has ended and returns its exit status, or -1 and the signal that
+// ended it. The child is left for os/exec to reap: as it reaps one the kernel removes its entries in
+// /proc, which took up to 8 s on a machine whose processors are all busy. The child has ended long
+// before that.
+func awaitExit(pid int) (status int, signal syscall.Signal, err error) {
+	var info childInfo
+	for {
+		_, _, errno := unix.Syscall6(unix.SYS_WAITID, unix.P_PID, uintptr(pid), uintptr(unsafe.Pointer(&info)), unix.WEXITED|unix.WNOWAIT, 0, 0)
+		switch {
+		case errno == unix.EINTR:
+			continue
+		case errno != 0:
+			return 0, 0, fmt.Errorf("wait for process %d: %w", pid, errno)
+		case info.code == exitedByItself:
+			return int(info.status), 0, nil
+		}
+		return -1, syscall.Signal(info.status), nil
+	}
+}
