transport: Serve returns once the listener's sockets are closed

Cause: a listener is closed by a goroutine of its own since's time; closing wakes Accept before the descriptor is closed, so Serve, and a router's Run, returned while the socket listened.

--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -106,12 +106,13 @@
 }
 
 // Serve answers the clients that connect to ln until Shutdown. Other processes have a shared one,
-// too.
+// too; the address of another is free when Serve returns.
 func (f *Front) Serve(ln net.Listener, shared bool) error {
 	if err := f.listener.listen(ln, shared); err != nil || f.listener.socket == nil {
 		return err
 	}
 	defer close(f.served)
+	defer f.listener.closing.Wait()
 	return f.server.Serve(f.listener)
 }
 
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -53,11 +53,12 @@
 
 	mu           sync.Mutex
 	admission    *admission.Controller
-	conns        []*clientConn // by their IDs at admission
-	ended        bool          // nothing is accepted any more
-	alive        int           // connections that the HTTP server has
-	maxAlive     int           // of alive
-	aliveDropped *sync.Cond    // alive was lowered
+	conns        []*clientConn  // by their IDs at admission
+	ended        bool           // nothing is accepted any more
+	alive        int            // connections that the HTTP server has
+	maxAlive     int            // of alive
+	aliveDropped *sync.Cond     // alive was lowered
+	closing      sync.WaitGroup // until its sockets are closed: Accept may fail before that
 
 	// Accept's alone:
 	rejectedInBurst    int           // connections that were rejected since the last rest
@@ -125,7 +126,7 @@
 	}
 	l.ended = true
 	if !l.shared {
-		go l.closeAfterBacklog()
+		l.closing.Go(func() { l.closeAfterBacklog() })
 		return nil
 	}
 	err := l.Listener.Close()
--- a/internal/transport/listenerclose_test.go
+++ b/internal/transport/listenerclose_test.go
@@ -68,3 +68,32 @@
 		}
 	}
 }
+
+// Guards against an address that is in use by the listener that was just closed: Accept fails a
+// moment before the socket is closed, and a router that starts again in that moment could not listen.
+func TestAddressIsFreeOnceServeReturns(t *testing.T) {
+	const rounds, fleets = 50, 16 // so many at once that some have to wait for a processor
+	var all sync.WaitGroup
+	for range fleets {
+		all.Go(func() {
+			address := "127.0.0.1:0"
+			for range rounds {
+				ln, err := Listen(t.Context(), "tcp", address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				address = ln.Addr().String()
+				front := NewFront(new(routing.Router), FrontLimits{Admission: admission.Config{MaxConnections: 4, MaxOverflow: 4}, BodyBytes: 100 << 10}, nil)
+				served := make(chan error, 1)
+				go func() { served <- front.Serve(ln, false) }()
+				if _, err := askReady(address); err != nil {
+					t.Error(err)
+				}
+				front.StopAccepting()
+				<-served
+			}
+		})
+	}
+	all.Wait()
+}
