--- a/internal/router/recovery/measure.go
+++ b/internal/router/recovery/measure.go
@@ -8,10 +8,11 @@
 	"reachspread/internal/router/snapshot"
 )
 
-// A router without a measure of what a warm host does sends hosts that are warming up single requests
-// at most, until another router tells it theirs. The announcements of routers that return at the same time
-// may come before this router can receive them, and one that has lost its folder knows nobody to
-// ask as it starts, so it asks the routers that are alive until one of them has a measure.
+// A router without a measure of what a warm host does sends hosts that are warming up single
+// requests at most, until another router tells it theirs. The announcements of routers that return
+// at the same time may come before this router can receive them, and one that has lost its folder
+// knows nobody to ask as it starts, so it asks the routers that are alive until one of them has a
+// measure.
 
 // lacksMeasure reports whether there is neither an own measure nor another router's.
 func (d *Decider) lacksMeasure() bool { return d.measure.HostWork == 0 && !d.adopted }
--- a/internal/testbed/chaos/processexit.go
+++ b/internal/testbed/chaos/processexit.go
@@ -24,8 +24,7 @@
 
 // awaitExit waits until a child has ended and returns its exit status, or -1 and the signal that
 // ended it. The child is left for os/exec to reap: as it reaps one the kernel removes its entries in
-// /proc, which took up to 8 s on a machine whose processors are all busy. The child has ended long
-// before that.
+// /proc, which takes long on a busy machine, and the child has ended before that.
 func awaitExit(pid int) (status int, signal syscall.Signal, err error) {
 	var info childInfo
 	for {
