transport: closed client connections are counted by their reason

A close that crossed a request, one that lost it and one that its client made were all the same to operators and to tests, so each trace of a connection without an answer needed a build of its own. Both routers count closes by reason, those with unread bytes, and those with a request begun and nothing of an answer written; the latter are logged with the client's address.

--- a/internal/router/management/figures.go
+++ b/internal/router/management/figures.go
@@ -7,20 +7,22 @@
 	"strings"
 )
 
-// Figure is a value under a name; one that counts by class has a line for each class. One of its
-// functions is set.
+// Figure is a value under a name; one that counts by class, or by the reason of a close, has a line
+// for each. One of its functions is set.
 type Figure struct {
 	Name, Meaning string
 	class         func(*Class) uint64
 	value         func(*Values) int64
+	closed        func(*ClosedConnections) uint64
 	fleet         func(*Fleet) uint64    // only while the router has a view of the fleet
 	roles         func(*Roles) uint64    // only where it has roles
 	recovery      func(*Recovery) uint64 // only where it stores state for its next incarnation
 }
 
 const (
-	prefix = "edge_router_"
-	label  = "priority"
+	prefix      = "edge_router_"
+	label       = "priority"
+	reasonLabel = "reason"
 )
 
 // Figures has every figure, in the order of the output.
@@ -37,6 +39,9 @@
 	{Name: "out_of_rotation", Meaning: "of these, the ones that get nothing new: they drain, or failed of late", value: func(v *Values) int64 { return v.ExcludedHosts }},
 	{Name: "cfg_accepted_total", Meaning: "configuration files taken at SIGHUP", value: func(v *Values) int64 { return int64(v.ConfigsAccepted) }},
 	{Name: "cfg_invalid_total", Meaning: "configuration files turned down at SIGHUP", value: func(v *Values) int64 { return int64(v.ConfigsInvalid) }},
+	{Name: "connections_closed_total", Meaning: "client connections that were closed, by the reason", closed: func(c *ClosedConnections) uint64 { return c.Closed }},
+	{Name: "connections_closed_unread_total", Meaning: "of these, the ones with bytes that were not read", closed: func(c *ClosedConnections) uint64 { return c.Unread }},
+	{Name: "connections_closed_unanswered_total", Meaning: "of these, the ones with a request that was begun and has no answer", closed: func(c *ClosedConnections) uint64 { return c.Unanswered }},
 	{Name: "fleet_members", Meaning: "routers alive in this one's view, itself among them", fleet: func(f *Fleet) uint64 { return uint64(f.Members) }},
 	{Name: "fleet_suspected", Meaning: "of these, the ones that missed a probe and may still answer", fleet: func(f *Fleet) uint64 { return uint64(f.Suspected) }},
 	{Name: "fleet_dead", Meaning: "routers that are held to be dead, and greeted from time to time", fleet: func(f *Fleet) uint64 { return uint64(f.Dead) }},
@@ -79,6 +84,13 @@
 			}
 			continue
 		}
+		if f.closed != nil {
+			for i := range v.ClosedConnections {
+				c := &v.ClosedConnections[i]
+				text = fmt.Appendf(text, "%s%s{%s=%s} %d\n", prefix, f.Name, reasonLabel, quote(c.Reason), f.closed(c))
+			}
+			continue
+		}
 		if n, ok := f.single(&v); ok {
 			text = fmt.Appendf(text, "%s%s %d\n", prefix, f.Name, n)
 		}
--- a/internal/router/management/forms_test.go
+++ b/internal/router/management/forms_test.go
@@ -13,7 +13,7 @@
 	for _, call := range Calls {
 		calls.WriteString(call.Name + "\n")
 	}
-	r := &scripted{phase: "serving", values: Values{Classes: []Class{{Name: "c"}}, Fleet: &Fleet{}, Roles: &Roles{}, Recovery: &Recovery{}}}
+	r := &scripted{phase: "serving", values: Values{Classes: []Class{{Name: "c"}}, ClosedConnections: []ClosedConnections{{Reason: "idle"}}, Fleet: &Fleet{}, Roles: &Roles{}, Recovery: &Recovery{}}}
 	figures.WriteString(Answer("vars", r))
 	formtest.Compare(t, "forms.txt", formtest.Document([2]string{"calls", calls.String()}, [2]string{"figures", figures.String()}))
 }
--- a/internal/router/management/management.go
+++ b/internal/router/management/management.go
@@ -45,11 +45,19 @@
 	ListedHosts                     int64
 	ExcludedHosts                   int64
 	ConfigsAccepted, ConfigsInvalid uint64
+	ClosedConnections               []ClosedConnections
 	Fleet                           *Fleet    // nil where the router has no view of the fleet
 	Roles                           *Roles    // nil where it has none
 	Recovery                        *Recovery // nil where no state is stored for the next incarnation
 }
 
+// ClosedConnections counts the client connections that were closed for one reason.
+type ClosedConnections struct {
+	Reason             string
+	Closed             uint64
+	Unread, Unanswered uint64 // of them: with unread bytes; with a request that was begun and has no answer
+}
+
 // Recovery is the values of the figures of the recovery.
 type Recovery struct {
 	Stage                                      int     // from 0 on
--- a/internal/router/program/admission.go
+++ b/internal/router/program/admission.go
@@ -30,7 +30,8 @@
 
 // frontLimits is what clients may take up.
 func (p *Program) frontLimits(r processLimits) transport.FrontLimits {
-	l := transport.FrontLimits{BodyBytes: r.bodies, Seed: p.cfg.seed, Admission: p.cfg.admission(r.clients), OnDescriptorShortage: p.onShortage()}
+	l := transport.FrontLimits{BodyBytes: r.bodies, Seed: p.cfg.seed, Admission: p.cfg.admission(r.clients), OnDescriptorShortage: p.onShortage(),
+		OnClose: p.logUnanswered}
 	if p.cfg.set != nil && p.cfg.set.Admission != nil {
 		l.Identity = p.cfg.set.Admission.IdentityHeader
 	}
@@ -52,6 +53,14 @@
 // admission returns admission's settings by what is in force.
 func (p *Program) admission(clients int) admission.Config { return p.inForce.Load().admission(clients) }
 
+// logUnanswered logs a client's connection that was closed with a request and without an answer.
+func (p *Program) logUnanswered(closed transport.ConnectionClosed) {
+	if closed.Unanswered {
+		go p.log.Warn("connection closed unanswered", "client", closed.Client, "reason", closed.Reason, "unread", closed.Unread,
+			"after", closed.IdleTime.Round(time.Millisecond))
+	}
+}
+
 // onShortage returns what the listener calls when the process has no descriptor left.
 func (p *Program) onShortage() func() {
 	var mu sync.Mutex
--- a/internal/router/program/management.go
+++ b/internal/router/program/management.go
@@ -60,5 +60,9 @@
 		v.Classes = append(v.Classes, management.Class{Name: name, Accepted: c.Accepted, Fulfilled: c.Served, Throttled: c.Rejected,
 			Faulted: c.Failed, Abandoned: c.Abandoned, Moved: c.HandedOver})
 	}
+	for _, c := range p.front.ClosedConnections() {
+		v.ClosedConnections = append(v.ClosedConnections, management.ClosedConnections{Reason: c.Reason.String(), Closed: c.Closed,
+			Unread: c.Unread, Unanswered: c.Unanswered})
+	}
 	return v
 }
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -22,6 +22,7 @@
 	f := &families{}
 	f.router(s)
 	f.requests(&s.Requests)
+	f.connections(s.Connections)
 	f.services(s.Services)
 	f.members(s.Members)
 	f.configuration(&s.Configuration)
@@ -64,6 +65,18 @@
 	}
 }
 
+func (f *families) connections(all []status.Connections) {
+	closed := f.counter("connections_closed_total", "Client connections that were closed, by the reason.")
+	unread := f.counter("connections_closed_unread_total", "Of these, the ones with bytes that were not read.")
+	unanswered := f.counter("connections_closed_unanswered_total", "Of these, the ones with a request that was begun and has no answer.")
+	for _, c := range all {
+		reason := label{"reason", c.Reason}
+		closed.sample(float64(c.Closed), reason)
+		unread.sample(float64(c.Unread), reason)
+		unanswered.sample(float64(c.Unanswered), reason)
+	}
+}
+
 func (f *families) services(all []status.Service) {
 	open := f.gauge("requests_open", "Requests in flight or queued.")
 	retries := f.gauge("retry_budget", "Retries that the budget allows now.")
--- a/internal/system/roles/node/dataplane.go
+++ b/internal/system/roles/node/dataplane.go
@@ -60,10 +60,19 @@
 		Patience:  n.clientTimeout,
 		Seed:      rand.Uint64(),
 		Admission: admission.Config{MaxConnections: free / 2, MaxOverflow: maxRejectedConnections, MinRetryAfter: sendAwayTime},
+		OnClose:   n.logUnanswered,
 	})
 	n.front.SetKeepAlive(true)
 }
 
+// logUnanswered logs a client's connection that was closed with a request and without an answer.
+func (n *Node) logUnanswered(closed transport.ConnectionClosed) {
+	if closed.Unanswered {
+		go n.log.Warn("connection closed unanswered", "client", closed.Client, "reason", closed.Reason, "unread", closed.Unread,
+			"after", closed.IdleTime.Round(time.Millisecond))
+	}
+}
+
 // The least time-outs of clients; the configuration may set longer ones.
 const (
 	minIdleTimeout   = 10 * time.Second
--- a/internal/system/roles/node/status.go
+++ b/internal/system/roles/node/status.go
@@ -67,6 +67,7 @@
 		Process:       processStatus(),
 		Loops:         n.loopStatus(),
 		Requests:      n.requestStatus(),
+		Connections:   n.connectionStatus(),
 		Link:          status.Link(n.link.Stats()),
 		PromptReports: n.peerReports.figures(),
 		Members:       memberStatus(n.members.Now()),
@@ -89,6 +90,14 @@
 	return s, true
 }
 
+// connectionStatus is the counts of closed client connections.
+func (n *Node) connectionStatus() (all []status.Connections) {
+	for _, c := range n.front.ClosedConnections() {
+		all = append(all, status.Connections{Reason: c.Reason.String(), Closed: c.Closed, Unread: c.Unread, Unanswered: c.Unanswered})
+	}
+	return all
+}
+
 // processorTime is what the process has used since its start; 0 where the system does not say.
 func processorTime() time.Duration {
 	var used unix.Rusage
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -24,6 +24,7 @@
 	Process       Process       `json:"process"`
 	Loops         []Loop        `json:"loops"`
 	Requests      Requests      `json:"requests"`
+	Connections   []Connections `json:"connectionsClosed"` // of clients, by the reason of the close
 	Link          Link          `json:"link"`
 	PromptReports PromptReports `json:"promptReports"`
 	Configuration Configuration `json:"configuration"`
@@ -38,6 +39,14 @@
 	CPUSeconds *float64 `json:"cpuS"` // processor time; null where the system does not say
 }
 
+// Connections counts the client connections that were closed for one reason.
+type Connections struct {
+	Reason     string `json:"reason"`
+	Closed     uint64 `json:"closed"`
+	Unread     uint64 `json:"unread"`     // of these, with bytes that were not read
+	Unanswered uint64 `json:"unanswered"` // of these, with a request that was begun and has no answer
+}
+
 // Loop is a loop of the process that drives one part of it.
 type Loop struct {
 	Name    string `json:"name"`
--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -39,11 +39,18 @@
 	requestBegun  bool   // anything of the next request was read
 	requestUnread bool   // more of a rejected request may come
 	requestOpen   bool   // a request was read to its end and is not answered
+	answerBegun   bool   // something was written since a request began
 	closed        bool
-	hurried       bool // admission has shortened its read deadline; the listener's lock guards it
 
-	readAt  time.Time // when Read last returned bytes
-	beganAt time.Time // when the first byte of the present request came
+	// The listener's lock guards these:
+	hurried       bool            // admission has shortened its read deadline
+	expiryCause   admission.Cause // why it has
+	closeReason   CloseReason
+	unreadAtClose int // bytes
+
+	openedAt time.Time
+	readAt   time.Time // when Read last returned bytes
+	beganAt  time.Time // when the first byte of the present request came
 
 	// Of the watch, for its user alone:
 	onLeave     func()
@@ -65,13 +72,15 @@
 		n, err = c.readBuffered(p)
 		c.remaining = max(c.remaining-n, 0)
 		c.readAt = time.Now()
+		c.recordClientClose(n, err)
 		return n, err
 	case len(c.readAhead) == 0 && c.everRead && c.listener.closingAfterAnswers.Load():
-		n, err = c.lastRead(p, io.EOF)
+		n, err = c.lastRead(p, io.EOF, ClosedDraining)
 	default:
 		n, err = c.readFirst(p)
+		c.recordClientClose(n, err)
 		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
-			n, err = c.lastRead(p, err)
+			n, err = c.lastRead(p, err, c.idleReason())
 		}
 	}
 	if n > 0 {
@@ -101,7 +110,7 @@
 
 // beginRequest says that a request has begun with so many bytes.
 func (c *clientConn) beginRequest(bytes int) {
-	c.everRead, c.requestBegun, c.beganAt = true, true, c.readAt
+	c.everRead, c.requestBegun, c.beganAt, c.answerBegun = true, true, c.readAt, false
 	if c.nextBegun.Swap(false) {
 		c.beganAt = c.nextBegunAt
 	}
@@ -183,9 +192,9 @@
 // connection goes there, with what is on its way. Otherwise a request that has come but was not
 // read, as the router was short of processor time, is read now. Without one the close follows at
 // once, so that hardly any request can cross it.
-func (c *clientConn) lastRead(p []byte, over error) (n int, err error) {
+func (c *clientConn) lastRead(p []byte, over error, reason CloseReason) (n int, err error) {
 	if m := c.listener.mover.Load(); m != nil && m.move(movedConn{}, c.Conn) == nil {
-		c.Conn.Close()
+		c.closeAs(ClosedMoved)
 		return 0, over
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
@@ -198,7 +207,7 @@
 		c.Conn.SetReadDeadline(time.Now().Add(requestReadTimeout))
 		return n, nil
 	}
-	c.Conn.Close()
+	c.closeAs(reason)
 	return 0, over
 }
 
@@ -217,6 +226,7 @@
 // ever.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.Conn.SetWriteDeadline(time.Now().Add(c.listener.writeTimeout()))
+	c.answerBegun = true
 	return c.Conn.Write(p)
 }
 
@@ -360,9 +370,14 @@
 		c.Conn.SetReadDeadline(time.Now().Add(linger))
 		io.CopyN(io.Discard, c.Conn, lingerBytes)
 	}
+	unread := c.unreadBytes()
 	err := c.Conn.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if unread > 0 {
+		c.unreadAtClose = unread
+	}
+	l.recordClose(c)
 	l.alive--
 	actions := l.admission.Step(l.now(), admission.Event{Kind: admission.Closed, Conn: c.admissionID})
 	l.conns[c.admissionID] = nil
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -54,6 +54,8 @@
 	MaxHead              int              // bytes, 0 for the usual
 	Patience             Patience         // with clients; nil for that of the server
 	OnDescriptorShortage func()           // called when the process had no descriptor left; nil for nothing
+	// OnClose is called as a client's connection has ended, and must not block; nil for nothing.
+	OnClose func(ConnectionClosed)
 }
 
 // Patience returns how long a client may send nothing, before a request has begun or within one.
@@ -371,7 +373,7 @@
 	c, ok := ctx.Conn().(*clientConn)
 	if ok && !c.everRead {
 		// There was no request. An answer that crosses the first one would be taken for its answer.
-		c.Conn.Close()
+		c.closeAs(ClosedUnused)
 		return
 	}
 	var small *fasthttp.ErrSmallBuffer
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -17,6 +17,13 @@
 
 // serve starts a front with short times, without a core behind it, and returns its address.
 func serve(t *testing.T, limits FrontLimits) string {
+	t.Helper()
+	_, addr := newServedFront(t, limits)
+	return addr
+}
+
+// newServedFront is serve, and returns the front as well.
+func newServedFront(t *testing.T, limits FrontLimits) (*Front, string) {
 	t.Helper()
 	front := NewFront(new(routing.Router), limits, nil)
 	front.server.ReadTimeout = 200 * time.Millisecond
@@ -27,7 +34,7 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	go front.Serve(ln, false)
-	return ln.Addr().String()
+	return front, ln.Addr().String()
 }
 
 // dial connects and sends a text.
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -45,6 +45,7 @@
 	shared   bool   // other processes have the socket; one that starts may make it block, for all
 	header   string // with a client's identity, empty for none
 	log      func() // called when the process had no descriptor left
+	onClose  func(ConnectionClosed)
 	patience Patience
 
 	draining            atomic.Bool           // answers say that their connections end
@@ -58,6 +59,7 @@
 	alive        int            // connections that the HTTP server has
 	maxAlive     int            // of alive
 	aliveDropped *sync.Cond     // alive was lowered
+	closed       closeCounter   // of client connections
 	closing      sync.WaitGroup // until its sockets are closed: Accept may fail before that
 
 	// Accept's alone:
@@ -76,6 +78,7 @@
 		admission: admission.New(c, limits.Seed),
 		maxAlive:  c.MaxConnections + c.MaxOverflow + maxClosingConns,
 		log:       limits.OnDescriptorShortage,
+		onClose:   limits.OnClose,
 		strict:    c.IdleTimeout != [3]time.Duration{},
 		header:    limits.Identity,
 		burst:     minAcceptBurst,
@@ -304,7 +307,7 @@
 
 // admit adds a connection under its ID at admission. The caller has the lock.
 func (l *listener) admit(name int32, nc net.Conn) *clientConn {
-	c := &clientConn{Conn: nc, listener: l, admissionID: name}
+	c := &clientConn{Conn: nc, listener: l, admissionID: name, openedAt: time.Now()}
 	for int(name) >= len(l.conns) {
 		l.conns = append(l.conns, nil)
 	}
@@ -354,9 +357,9 @@
 func (l *listener) carryOut(a admission.Action) {
 	switch a.Kind {
 	case admission.Evict:
-		l.conns[a.Conn].Conn.Close()
+		l.conns[a.Conn].evict()
 	case admission.Expire:
-		l.conns[a.Conn].hurried = true
+		l.conns[a.Conn].hurried, l.conns[a.Conn].expiryCause = true, a.Cause
 		l.conns[a.Conn].Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
