transport: a request is read to its end, and nothing of the next one

One type finds a request's end in any pieces, and one function takes bytes off the connection, none beyond it.

--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"sync/atomic"
@@ -32,14 +33,15 @@
 type clientConn struct {
 	net.Conn
 	listener      *listener
-	admissionID   int32  // its ID at admission
-	readAhead     []byte // read elsewhere, for the next calls of Read
-	remaining     int    // bytes of the request that is being read which have not come; 0 for unknown
-	everRead      bool   // anything was read
-	requestBegun  bool   // anything of the next request was read
-	requestUnread bool   // more of a rejected request may come
-	requestOpen   bool   // a request was read to its end and is not answered
-	answerBegun   bool   // something was written since a request began
+	admissionID   int32                   // its ID at admission
+	readAhead     []byte                  // read elsewhere, for the next calls of Read
+	framing       protocol.RequestFraming // of the request that is being read
+	everRead      bool                    // anything was read
+	requestBegun  bool                    // anything of the next request was read
+	furtherAhead  bool                    // readAhead had bytes of a further request as the last Read returned
+	requestUnread bool                    // more of a rejected request may come
+	requestOpen   bool                    // a request was read to its end and is not answered
+	answerBegun   bool                    // something was written since a request began
 	closed        bool
 
 	// The listener's lock guards these:
@@ -65,35 +67,28 @@
 func (c *clientConn) Read(p []byte) (n int, err error) {
 	c.requestAnswered()
 	switch {
-	case c.requestBegun:
-		if c.remaining > 0 {
-			p = p[:min(len(p), c.remaining)]
-		}
-		n, err = c.readBuffered(p)
-		c.remaining = max(c.remaining-n, 0)
+	case c.requestBegun && c.framing.BodyRemaining() > 0 && len(c.readAhead) == 0:
+		n, err = c.Conn.Read(p[:min(len(p), c.framing.BodyRemaining())])
+		c.framing.Feed(p[:n])
 		c.readAt = time.Now()
-		c.recordClientClose(n, err)
-		return n, err
-	case len(c.readAhead) == 0 && c.everRead && c.listener.closingAfterAnswers.Load():
-		n, err = c.lastRead(p, io.EOF, ClosedDraining)
+	case !c.requestBegun && len(c.readAhead) == 0 && c.everRead && c.listener.closingAfterAnswers.Load():
+		return c.lastRead(p, io.EOF, ClosedDraining)
 	default:
-		n, err = c.readFirst(p)
-		c.recordClientClose(n, err)
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
-			n, err = c.lastRead(p, err, c.idleReason())
+		n, err = c.readRequest(p)
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() && !c.requestBegun {
+			return c.lastRead(p, err, c.idleReason())
 		}
 	}
-	if n > 0 {
-		c.readAt = time.Now()
-		c.beginRequest(n)
-	}
+	c.recordClientClose(n, err)
 	return n, err
 }
 
 // SetReadDeadline is called by the HTTP server before it reads. A Patience replaces the deadline of
 // the server.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
-	if c.listener.patience != nil && !t.IsZero() {
+	switch {
+	case t.IsZero():
+	case c.listener.patience != nil:
 		t = time.Now().Add(c.listener.patience(c.requestBegun && !c.requestOpen))
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -104,78 +99,94 @@
 func (c *clientConn) requestRead() {
 	c.requestAnswered()
 	if !c.requestBegun {
-		c.beginRequest(0)
+		c.recordRead()
 	}
 }
 
-// beginRequest says that a request has begun with so many bytes.
-func (c *clientConn) beginRequest(bytes int) {
-	c.everRead, c.requestBegun, c.beganAt, c.answerBegun = true, true, c.readAt, false
-	if c.nextBegun.Swap(false) {
-		c.beganAt = c.nextBegunAt
-	}
-	c.remaining = max(c.remaining-bytes, 0)
-	// It is not idle any more; later bytes gain a slow sender no time.
-	c.listener.notifyAdmission(admission.Event{Kind: admission.RequestBegan, Conn: c.admissionID})
-	c.restoreDeadline()
-}
-
-// readBuffered returns what was read elsewhere, or else reads from the connection.
-func (c *clientConn) readBuffered(p []byte) (n int, err error) {
-	if len(c.readAhead) == 0 {
-		return c.Conn.Read(p)
-	}
-	n = copy(p, c.readAhead)
-	c.readAhead = c.readAhead[n:]
-	return n, nil
-}
-
-// readFirst reads the beginning of a request, and nothing of the next one if the head says how long
-// it is.
-func (c *clientConn) readFirst(p []byte) (n int, err error) {
-	if len(c.readAhead) > 1 { // read as the connection was accepted, whatever it is
-		n = c.firstRequestBytes(c.readAhead[:min(len(c.readAhead), len(p))])
-		return c.readBuffered(p[:n])
-	}
+// readRequest reads what has come of a request, nothing of the next one, and waits until something
+// has.
+func (c *clientConn) readRequest(p []byte) (n int, err error) {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return 0, err
 	}
-	taken := copy(p, c.readAhead) // the byte that the watch has read
-	c.readAhead = nil
 	var failed error
-	err = raw.Read(func(fd uintptr) bool {
-		n, _, failed = syscall.Recvfrom(int(fd), p[taken:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if failed == syscall.EAGAIN || failed == syscall.EINTR {
-			n, failed = 0, nil
-			return taken > 0 // what is there is returned; otherwise it is waited for
-		}
-		if failed == nil && n > 0 {
-			n, failed = syscall.Read(int(fd), p[taken:c.firstRequestBytes(p[:taken+n])])
-		}
-		if failed == nil && n == 0 && taken == 0 {
-			failed = io.EOF
-		}
-		return true
-	})
+	if len(c.readAhead) > 0 {
+		err = raw.Control(func(fd uintptr) { n, failed = c.take(int(fd), p) })
+	} else {
+		err = raw.Read(func(fd uintptr) bool {
+			n, failed = c.take(int(fd), p)
+			return failed != syscall.EAGAIN
+		})
+	}
 	if err == nil {
 		err = failed
 	}
-	if taken+max(n, 0) > 0 { // an error comes again with the next call
-		return taken + max(n, 0), nil
+	return n, err
+}
+
+// take reads what has come of a request without waiting for any; the error is EAGAIN for nothing and
+// io.EOF at the end of the connection. What was read elsewhere comes first.
+func (c *clientConn) take(fd int, p []byte) (n int, err error) {
+	ahead := copy(p, c.readAhead)
+	came, _, err := syscall.Recvfrom(fd, p[ahead:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	came = max(came, 0)
+	switch {
+	case ahead > 0:
+	case err == syscall.EINTR:
+		return 0, syscall.EAGAIN
+	case err != nil:
+		return 0, err
+	case came == 0:
+		return 0, io.EOF
+	}
+	if !c.requestBegun {
+		c.framing = protocol.RequestFraming{}
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	n = ahead + came
+	if !c.framing.Complete() { // otherwise the HTTP server sees no end where it is
+		n = c.framing.Feed(p[:ahead+came])
+	}
+	c.readAhead = c.readAhead[min(n, ahead):]
+	c.furtherAhead = len(c.readAhead) > 0
+	if got, err := syscall.Read(fd, p[ahead:n]); got < n-ahead {
+		return 0, cmp.Or(err, io.ErrUnexpectedEOF)
+	}
+	c.readAt = time.Now()
+	c.recordReadLocked()
+	return n, nil
+}
+
+// recordRead records that bytes of a request were read.
+func (c *clientConn) recordRead() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.recordReadLocked()
+}
+
+// recordReadLocked is recordRead for a caller that has the listener's lock. Only the first bytes of a
+// request are for admission: later ones gain a slow sender no time.
+func (c *clientConn) recordReadLocked() {
+	begins := !c.requestBegun
+	if begins {
+		c.beginRequest()
+	}
+	if !begins {
+		return
 	}
-	return 0, err
+	c.listener.step(admission.Event{Kind: admission.RequestBegan, Conn: c.admissionID})
+	c.restoreDeadline()
 }
 
-// firstRequestBytes returns how many of some bytes belong to the request that begins with them, and
-// sets how many of it remain.
-func (c *clientConn) firstRequestBytes(p []byte) int {
-	c.remaining = 0
-	if seen, complete := protocol.ParseRequestHead(p, ""); complete && seen.Length > 0 {
-		c.remaining = seen.Length
-		return min(len(p), seen.Length)
-	}
-	return len(p)
+// beginRequest says that the first bytes of a request were read.
+func (c *clientConn) beginRequest() {
+	c.everRead, c.requestBegun, c.answerBegun = true, true, false
+	c.beganAt = c.readAt
+	if c.nextBegun.Swap(false) {
+		c.beganAt = c.nextBegunAt
+	}
 }
 
 // requestAnswered says that the open request, if there is one, has its final answer. Only the
@@ -201,8 +212,7 @@
 	if err != nil {
 		return 0, over
 	}
-	raw.Control(func(fd uintptr) { n, err = syscall.Read(int(fd), p) })
-	c.remaining = 0
+	raw.Control(func(fd uintptr) { n, err = c.take(int(fd), p) })
 	if n > 0 {
 		c.Conn.SetReadDeadline(time.Now().Add(requestReadTimeout))
 		return n, nil
@@ -212,10 +222,8 @@
 }
 
 // restoreDeadline gives a request that came as its connection's deadline was shortened the time
-// that any has.
+// that any has. The caller has the listener's lock.
 func (c *clientConn) restoreDeadline() {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
 	if c.hurried {
 		c.hurried = false
 		c.Conn.SetReadDeadline(time.Now().Add(requestReadTimeout))
@@ -287,7 +295,7 @@
 
 // hasFurther reports whether anything of a further request has come while one is open.
 func (c *clientConn) hasFurther() bool {
-	if c.nextBegun.Load() {
+	if c.furtherAhead || c.nextBegun.Load() {
 		return true
 	}
 	n, err := c.peek()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -371,7 +371,7 @@
 // rejectUnread answers a request that could not be read.
 func (f *Front) rejectUnread(ctx *fasthttp.RequestCtx, err error) {
 	c, ok := ctx.Conn().(*clientConn)
-	if ok && !c.everRead {
+	if ok && !c.requestBegun {
 		// There was no request. An answer that crosses the first one would be taken for its answer.
 		c.closeAs(ClosedUnused)
 		return
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -368,6 +368,11 @@
 func (l *listener) notifyAdmission(e admission.Event) (answer admission.Action) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.step(e)
+}
+
+// step is notifyAdmission for a caller that has the lock.
+func (l *listener) step(e admission.Event) (answer admission.Action) {
 	for _, a := range l.admission.Step(l.now(), e) {
 		if a.Kind == admission.Serve || a.Kind == admission.Reject {
 			answer = a
