transport, admission: a request that was read is not lost by an eviction

Callers at a router with all places taken could see their connection end without an answer though the router had read the request: admission was told after the read, and took the connection for idle until the request was decided on; 5 ms was the only guard. Reading and telling are one step under the listener's lock now, and a connection whose request has come to its end is not evicted.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -35,7 +35,7 @@
 	state        connState
 	requestOpen  bool // its request is open
 	requestBegun bool // and was not read to its end
-	requestReady bool // its request was complete as it opened, and is not handled yet: it is not evicted
+	requestReady bool // its request is complete, and is not handled yet: it is not evicted
 	rejected     bool // its request was: it only waits for Closed
 	evicted      bool // it only waits for Closed
 	drainExpired bool // it was expired as the router is draining
@@ -104,9 +104,7 @@
 		d.handleOpened(&e)
 	case RequestBegan:
 		if c := d.conn(e.Conn); c != nil && !c.requestOpen && !c.rejected && !c.evicted && !c.requestReady {
-			d.setActive(c)
-			c.since, c.requestBegun, c.used, c.drainExpired = d.now, true, true, false
-			d.setIdle(c)
+			d.handleBegan(c, e.RequestComplete)
 		}
 	case RequestRead:
 		if c := d.conn(e.Conn); c != nil {
@@ -321,6 +319,17 @@
 	}
 }
 
+// handleBegan keeps a connection among the idle ones while its request comes: half a request must not
+// keep others out. One that is complete is not evicted any more, as the router has read it.
+func (d *Controller) handleBegan(c *conn, complete bool) {
+	d.setActive(c)
+	c.since, c.requestBegun, c.used, c.drainExpired = d.now, true, true, false
+	c.requestReady = complete
+	if !complete {
+		d.setIdle(c)
+	}
+}
+
 // handleRequest serves or rejects a request that was read. A known identity makes its connection
 // one of a known client.
 func (d *Controller) handleRequest(c *conn, identity string) {
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -124,7 +124,7 @@
 // The kinds of events, with the fields that they need.
 const (
 	Opened             EventKind = iota // Addr: a connection was accepted; HeadComplete to ClientLeft: what was read by then
-	RequestBegan                        // Conn: the first byte of its next request came
+	RequestBegan                        // Conn, RequestComplete: the first byte of its next request came, or the last one
 	RequestRead                         // Conn, Identity (empty for none): a request was read to its end
 	RequestDone                         // Conn: its request has its final answer
 	Closed                              // Conn: it is closed, by either side
@@ -143,7 +143,7 @@
 	Addr            netip.Addr
 	Identity        string
 	HeadComplete    bool // the head of its first request was read; its identity is Identity
-	RequestComplete bool // and the rest of the request, too: one RequestRead or Closed follows
+	RequestComplete bool // the request has come to its end: one RequestRead, RequestDone or Closed follows
 	ClientLeft      bool // its client has ended it without a request
 	Config          *Config
 	IdleTime        time.Duration
--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -71,6 +71,9 @@
 		n, err = c.Conn.Read(p[:min(len(p), c.framing.BodyRemaining())])
 		c.framing.Feed(p[:n])
 		c.readAt = time.Now()
+		if c.framing.Complete() {
+			c.recordRead()
+		}
 	case !c.requestBegun && len(c.readAhead) == 0 && c.everRead && c.listener.closingAfterAnswers.Load():
 		return c.lastRead(p, io.EOF, ClosedDraining)
 	default:
@@ -126,7 +129,9 @@
 }
 
 // take reads what has come of a request without waiting for any; the error is EAGAIN for nothing and
-// io.EOF at the end of the connection. What was read elsewhere comes first.
+// io.EOF at the end of the connection. What was read elsewhere comes first. That a request has begun,
+// and that it is complete, admission knows in the same step: it would take the connection for an idle
+// one that it may evict, and what was read would be lost.
 func (c *clientConn) take(fd int, p []byte) (n int, err error) {
 	ahead := copy(p, c.readAhead)
 	came, _, err := syscall.Recvfrom(fd, p[ahead:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -145,6 +150,9 @@
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
+	if c.closeReason == ClosedEvicted {
+		return 0, net.ErrClosed
+	}
 	n = ahead + came
 	if !c.framing.Complete() { // otherwise the HTTP server sees no end where it is
 		n = c.framing.Feed(p[:ahead+came])
@@ -166,20 +174,27 @@
 	c.recordReadLocked()
 }
 
-// recordReadLocked is recordRead for a caller that has the listener's lock. Only the first bytes of a
-// request are for admission: later ones gain a slow sender no time.
+// recordReadLocked is recordRead for a caller that has the listener's lock. Admission has to know of
+// a request as it begins and as it is complete; other bytes gain a slow sender no time.
 func (c *clientConn) recordReadLocked() {
 	begins := !c.requestBegun
 	if begins {
 		c.beginRequest()
 	}
-	if !begins {
+	if !begins && !c.framing.Complete() {
 		return
 	}
-	c.listener.step(admission.Event{Kind: admission.RequestBegan, Conn: c.admissionID})
+	c.listener.step(admission.Event{Kind: admission.RequestBegan, Conn: c.admissionID, RequestComplete: c.requestHasCome()})
 	c.restoreDeadline()
 }
 
+// requestHasCome reports whether all of the request has come, also where the end of its body was not
+// read yet.
+func (c *clientConn) requestHasCome() bool {
+	rest := c.framing.BodyRemaining()
+	return c.framing.Complete() || rest > 0 && c.unreadBytes() >= rest
+}
+
 // beginRequest says that the first bytes of a request were read.
 func (c *clientConn) beginRequest() {
 	c.everRead, c.requestBegun, c.answerBegun = true, true, false
--- /dev/null
+++ b/internal/transport/eviction_test.go
@@ -0,0 +1,55 @@
+package transport
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"reachspread/internal/testbed/scripted"
+)
+
+// Guards against a request that was read and got no answer: its goroutine lost its processor, and
+// its connection was evicted as idle meanwhile.
+func TestRequestThatWasReadIsAnsweredDespiteEviction(t *testing.T) {
+	for _, test := range []struct {
+		name, text string
+		pause      func(*Front, *pausedConn, func())
+	}{
+		{"before admission is told that it began", scripted.RequestText("q", ""), func(_ *Front, c *pausedConn, pause func()) {
+			c.afterRead = pause
+		}},
+		{"before admission decides on it", scripted.RequestText("q", ""), func(f *Front, _ *pausedConn, pause func()) {
+			f.intake = &pausedIntake{Intake: f.intake, head: pause}
+		}},
+		{"while the rest of its body is read", longRequest(20 << 10), func(_ *Front, c *pausedConn, pause func()) {
+			c.beforeRest = pause
+		}},
+		{"while the router answers by itself", readyText, func(f *Front, _ *pausedConn, pause func()) {
+			f.intake = &pausedIntake{Intake: f.intake, local: pause}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			front, _ := newRoutedFront(t, oneConnection, scripted.Answer(scripted.CompleteAnswer()))
+			client, accepted := pair(t)
+			conn, point := &pausedConn{TCPConn: accepted}, newPausePoint()
+			test.pause(front, conn, point.pause)
+			client.Write([]byte(test.text))
+			awaitUnread(t, accepted, len(test.text))
+			front.adopt(conn, nil)
+			scripted.Receive(t, point.reached, "the pause")
+			passTime(front.listener, time.Second)
+			_, other := pair(t)
+			front.adopt(other, nil) // it is for admission whether this one gets a place
+			close(point.resume)
+			wantAnswer(t, client)
+		})
+	}
+}
+
+// longRequest is a request whose body has so many spaces behind it.
+func longRequest(spaces int) string {
+	head, body, _ := strings.Cut(scripted.RequestText("q", ""), "\r\n\r\n")
+	length := fmt.Sprint("Content-Length: ", len(body))
+	return strings.Replace(head, length, fmt.Sprint("Content-Length: ", len(body)+spaces), 1) + "\r\n\r\n" + body + strings.Repeat(" ", spaces)
+}
--- a/internal/transport/pausedconn_test.go
+++ b/internal/transport/pausedconn_test.go
@@ -42,8 +42,10 @@
 type pausedConn struct {
 	*net.TCPConn
 	beforeRead, afterRead func() // of a request's first bytes
+	beforeRest            func() // before any read but the first
 	beforeClose           func()
 	afterWrite            func(p []byte)
+	read                  atomic.Bool // the first read was called
 }
 
 func (c *pausedConn) SyscallConn() (syscall.RawConn, error) {
@@ -51,6 +53,11 @@
 	return &pausedRawConn{raw, c}, err
 }
 
+func (c *pausedConn) Read(p []byte) (int, error) {
+	call(c.beforeRest)
+	return c.TCPConn.Read(p)
+}
+
 func (c *pausedConn) Close() error {
 	call(c.beforeClose)
 	return c.TCPConn.Close()
@@ -71,6 +78,9 @@
 
 func (r *pausedRawConn) Read(f func(fd uintptr) bool) error {
 	call(r.conn.beforeRead)
+	if r.conn.read.Swap(true) {
+		call(r.conn.beforeRest)
+	}
 	defer call(r.conn.afterRead)
 	return r.RawConn.Read(f)
 }
--- a/internal/transport/readbounds_test.go
+++ b/internal/transport/readbounds_test.go
@@ -22,6 +22,7 @@
 	}{
 		{"as it comes", []string{request}, nil},
 		{"its head in two pieces", []string{request[:40], request[40:]}, nil},
+		{"its body by itself", []string{request[:len(request)-16], request[len(request)-16:]}, nil},
 		{"a body of chunks", []string{chunked}, nil},
 		{"another path", []string{readyText}, nil},
 		{"a query", []string{strings.Replace(request, "completions", "completions?a=b", 1)}, nil},
