transport: a request counts as answered once something of its answer is written

A request whose answer went to a closed socket, or that had only '100 Continue', was not counted as unanswered, so the figure that is to find lost requests missed them. Front.AnswersDue tells how many requests have come to their ends and have nothing of an answer.

--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -1,7 +1,9 @@
 package transport
 
 import (
+	"bytes"
 	"cmp"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -41,14 +43,15 @@
 	furtherAhead  bool                    // readAhead had bytes of a further request as the last Read returned
 	requestUnread bool                    // more of a rejected request may come
 	requestOpen   bool                    // a request was read to its end and is not answered
-	answerBegun   bool                    // something was written since a request began
+	answerBegun   bool                    // something of the request's final answer was written
 	closed        bool
 
 	// The listener's lock guards these:
 	hurried       bool            // admission has shortened its read deadline
 	expiryCause   admission.Cause // why it has
 	closeReason   CloseReason
-	unreadAtClose int // bytes
+	unreadAtClose int  // bytes
+	answerDue     bool // a request has come to its end, and nothing of its answer was written
 
 	openedAt time.Time
 	readAt   time.Time // when Read last returned bytes
@@ -101,9 +104,12 @@
 // one before, no Read has said that it began.
 func (c *clientConn) requestRead() {
 	c.requestAnswered()
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	if !c.requestBegun {
-		c.recordRead()
+		c.recordReadLocked()
 	}
+	c.setAnswerDue(true)
 }
 
 // readRequest reads what has come of a request, nothing of the next one, and waits until something
@@ -184,6 +190,7 @@
 	if !begins && !c.framing.Complete() {
 		return
 	}
+	c.setAnswerDue(c.framing.Complete())
 	c.listener.step(admission.Event{Kind: admission.RequestBegan, Conn: c.admissionID, RequestComplete: c.requestHasCome()})
 	c.restoreDeadline()
 }
@@ -249,8 +256,39 @@
 // ever.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.Conn.SetWriteDeadline(time.Now().Add(c.listener.writeTimeout()))
+	n, err := c.Conn.Write(p)
+	if n > 0 && !bytes.HasPrefix(p, interimAnswer) {
+		c.beginAnswer()
+	}
+	return n, err
+}
+
+// interimAnswer begins an answer that is followed by another one.
+var interimAnswer = []byte("HTTP/1.1 100 ")
+
+// beginAnswer says that something of the final answer was written.
+func (c *clientConn) beginAnswer() {
+	if c.answerBegun {
+		return
+	}
 	c.answerBegun = true
-	return c.Conn.Write(p)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.setAnswerDue(false)
+}
+
+// setAnswerDue says whether a request has come to its end and nothing of its answer was written. The
+// caller has the listener's lock.
+func (c *clientConn) setAnswerDue(due bool) {
+	if due == c.answerDue {
+		return
+	}
+	c.answerDue = due
+	if due {
+		c.listener.answersDue++
+	} else {
+		c.listener.answersDue--
+	}
 }
 
 // watch calls onLeave if the client ends the connection, or only its sending, before unwatch is
@@ -261,27 +299,33 @@
 	c.onLeave, c.watchDone = onLeave, done
 	go func() {
 		defer close(done)
-		if c.awaitClose() {
-			c.hasLeft.Store(true)
+		if err := c.awaitClose(); err != nil {
+			c.hasLeft.Store(!errors.Is(err, net.ErrClosed))
 			onLeave()
 		}
 	}()
 }
 
-// awaitClose returns true when the client leaves, and false at the end of the watch. It reads the
-// first byte of a further request, and nothing more of it: behind unread bytes the system still
-// reports that the client has ended the connection.
-func (c *clientConn) awaitClose() (left bool) {
+// awaitClose returns an error when the client leaves, net.ErrClosed when this side has closed the
+// connection, and nil at the end of the watch. It reads the first byte of a further request, and
+// nothing more of it: behind unread bytes the system still reports that the client has ended the
+// connection.
+func (c *clientConn) awaitClose() error {
 	var one [1]byte
 	n, err := c.Conn.Read(one[:])
 	if n > 0 {
 		c.readAhead = append(c.readAhead, one[0])
 		c.nextBegunAt = time.Now()
 		c.nextBegun.Store(true)
-		return c.awaitHangUp()
+		if c.awaitHangUp() {
+			return io.EOF
+		}
+		return nil
 	}
-	timeout, ok := err.(net.Error)
-	return !ok || !timeout.Timeout()
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		return nil
+	}
+	return err
 }
 
 // awaitHangUp waits until the client has ended the connection, and returns true, or until the watch
@@ -400,6 +444,7 @@
 	if unread > 0 {
 		c.unreadAtClose = unread
 	}
+	c.setAnswerDue(false)
 	l.recordClose(c)
 	l.alive--
 	actions := l.admission.Step(l.now(), admission.Event{Kind: admission.Closed, Conn: c.admissionID})
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -156,6 +156,13 @@
 // and so does an inherited listener for the other processes that have it.
 func (f *Front) StopAccepting() { f.listener.Close() }
 
+// AnswersDue returns how many requests have come to their ends and have nothing of an answer yet.
+func (f *Front) AnswersDue() int {
+	f.listener.mu.Lock()
+	defer f.listener.mu.Unlock()
+	return f.listener.answersDue
+}
+
 // Shutdown waits until all accepted requests are answered. Each idle connection is read once more
 // before it is closed, which the HTTP server does not do.
 func (f *Front) Shutdown() error {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -60,6 +60,7 @@
 	maxAlive     int            // of alive
 	aliveDropped *sync.Cond     // alive was lowered
 	closed       closeCounter   // of client connections
+	answersDue   int            // requests that have come to their ends, and have nothing of an answer
 	closing      sync.WaitGroup // until its sockets are closed: Accept may fail before that
 
 	// Accept's alone:
