node: a router that ends stays until its last answers are written

Callers of a router of the fleet that was told to end could lose a request that it had read: at the end of its grace it waited 150 ms for the last answers, and ended though one was about to be written by a goroutine without a processor. It waits for Front.AnswersDue to be 0 now; only the platform may end it before.

--- a/internal/system/roles/node/draining.go
+++ b/internal/system/roles/node/draining.go
@@ -14,9 +14,8 @@
 	lameDuckDuration = 1200 * time.Millisecond
 	// graceMargin is what is left of the platform's grace when draining is given up.
 	graceMargin = 300 * time.Millisecond
-	// finalAnswersTimeout is how much of that the answers to the requests that are open by then may
-	// take.
-	finalAnswersTimeout = 150 * time.Millisecond
+	// finalAnswersInterval is the time between two looks at whether these are written.
+	finalAnswersInterval = 10 * time.Millisecond
 	// handOverPollInterval is the time between two questions whether the register was handed over.
 	handOverPollInterval = 50 * time.Millisecond
 )
@@ -88,7 +87,8 @@
 }
 
 // finishRequests waits until the requests in flight are answered, or ctx ends. Then those that are
-// left are answered at once; streams, and the goroutine that waits for them, end with the process.
+// left are answered at once, and it returns when each has something of its answer: only the platform
+// may end the process before. Streams, and the goroutine that waits for them, end with the process.
 func (n *Node) finishRequests(ctx context.Context) error {
 	n.front.CloseAfterAnswers()
 	done := make(chan error, 1)
@@ -99,12 +99,16 @@
 	case <-ctx.Done():
 	}
 	n.plane.AnswerOpen()
-	select {
-	case err := <-done:
-		return err
-	case <-time.After(finalAnswersTimeout):
-		return nil
+	poll := time.NewTicker(finalAnswersInterval)
+	defer poll.Stop()
+	for n.front.AnswersDue() > 0 {
+		select {
+		case err := <-done:
+			return err
+		case <-poll.C:
+		}
 	}
+	return nil
 }
 
 // handOverRegister waits until the other members of the register can do without this one, or ctx
