transport: a used connection stays one in the process that takes it over

Callers' kept connections were closed 2 s after they had moved to a new process, as that took them for ones that were never used, and such a close crosses their next request. The message of a move says whether a request came before, and the new process gives the connection the time of a used one.

--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -44,6 +44,7 @@
 	requestUnread bool                    // more of a rejected request may come
 	requestOpen   bool                    // a request was read to its end and is not answered
 	answerBegun   bool                    // something of the request's final answer was written
+	adoptedIdle   bool                    // of another process, and a request came on it there
 	closed        bool
 
 	// The listener's lock guards these:
@@ -96,6 +97,8 @@
 	case t.IsZero():
 	case c.listener.patience != nil:
 		t = time.Now().Add(c.listener.patience(c.requestBegun && !c.requestOpen))
+	case c.adoptedIdle && !c.everRead:
+		t = time.Now().Add(clientIdleTimeout) // to the server it is a new one
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -226,7 +229,7 @@
 // read, as the router was short of processor time, is read now. Without one the close follows at
 // once, so that hardly any request can cross it.
 func (c *clientConn) lastRead(p []byte, over error, reason CloseReason) (n int, err error) {
-	if m := c.listener.mover.Load(); m != nil && m.move(movedConn{}, c.Conn) == nil {
+	if m := c.listener.mover.Load(); m != nil && m.move(movedConn{Used: c.everRead || c.adoptedIdle}, c.Conn) == nil {
 		c.closeAs(ClosedMoved)
 		return 0, over
 	}
--- a/internal/transport/closereason.go
+++ b/internal/transport/closereason.go
@@ -145,7 +145,7 @@
 		return ClosedDraining
 	case c.hurried:
 		return ClosedExpired
-	case !c.everRead:
+	case !c.everRead && !c.adoptedIdle:
 		return ClosedUnused
 	}
 	return ClosedIdle
--- a/internal/transport/drainread_test.go
+++ b/internal/transport/drainread_test.go
@@ -36,7 +36,7 @@
 				client.Write([]byte(piece))
 				if i == 0 {
 					awaitUnread(t, accepted, len(piece))
-					front.adopt(conn, nil)
+					front.adopt(conn, nil, false)
 					scripted.Receive(t, read, "the first read")
 				}
 			}
--- a/internal/transport/eviction_test.go
+++ b/internal/transport/eviction_test.go
@@ -36,11 +36,11 @@
 			test.pause(front, conn, point.pause)
 			client.Write([]byte(test.text))
 			awaitUnread(t, accepted, len(test.text))
-			front.adopt(conn, nil)
+			front.adopt(conn, nil, false)
 			scripted.Receive(t, point.reached, "the pause")
 			passTime(front.listener, time.Second)
 			_, other := pair(t)
-			front.adopt(other, nil) // it is for admission whether this one gets a place
+			front.adopt(other, nil, false) // it is for admission whether this one gets a place
 			close(point.resume)
 			wantAnswer(t, client)
 		})
--- a/internal/transport/handover.go
+++ b/internal/transport/handover.go
@@ -38,6 +38,7 @@
 	Keep    bool                 `json:"keep,omitempty"`   // the connection to it outlives the stream
 	Idle    time.Duration        `json:"idle,omitempty"`   // or, of a stream, how long its server has sent nothing
 	Class   string               `json:"class,omitempty"`
+	Used    bool                 `json:"used,omitempty"` // of a client's idle connection: a request came on it before
 	Chunks  protocol.ChunkParser `json:"chunks"`
 	Line    []byte               `json:"line,omitempty"` // of the event that is being read
 	Long    bool                 `json:"long,omitempty"`
@@ -230,7 +231,7 @@
 		}
 		return nil
 	case !m.Stream && len(conns) == 1:
-		return r.front.adopt(conns[0], nil)
+		return r.front.adopt(conns[0], nil, m.Used)
 	}
 	return fmt.Errorf("%d sockets", len(conns))
 }
@@ -278,10 +279,8 @@
 	}
 	ended(verdict)
 	r.activeStreams.Add(-1)
-	if next {
-		if r.front.adopt(client, watch.readAhead) == nil {
-			return
-		}
+	if next && r.front.adopt(client, watch.readAhead, true) == nil {
+		return
 	}
 	client.Close()
 }
@@ -341,10 +340,10 @@
 	return routing.Served, true
 }
 
-// adopt serves a client on a connection of another process. What was read of its next request comes
-// first.
-func (f *Front) adopt(c net.Conn, ahead []byte) error {
-	conn := f.listener.adopt(c, ahead)
+// adopt serves a client on a connection of another process, which was used if a request came on it
+// there. What was read of its next request comes first.
+func (f *Front) adopt(c net.Conn, ahead []byte, used bool) error {
+	conn := f.listener.adopt(c, ahead, used)
 	if conn == nil {
 		return errDeclined
 	}
@@ -353,7 +352,7 @@
 }
 
 // adopt admits a connection that was not accepted here.
-func (l *listener) adopt(nc net.Conn, ahead []byte) (c *clientConn) {
+func (l *listener) adopt(nc net.Conn, ahead []byte, used bool) (c *clientConn) {
 	from, _ := netip.ParseAddrPort(nc.RemoteAddr().String())
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -364,7 +363,7 @@
 		switch a.Kind {
 		case admission.Admit:
 			c = l.admit(a.Conn, nc)
-			c.readAhead = ahead
+			c.readAhead, c.adoptedIdle = ahead, used
 		case admission.Evict, admission.Expire:
 			l.carryOut(a)
 		}
--- a/internal/transport/unansweredcount_test.go
+++ b/internal/transport/unansweredcount_test.go
@@ -33,7 +33,7 @@
 			}
 			client.Write([]byte(test.text))
 			awaitUnread(t, accepted, len(test.text))
-			front.adopt(&pausedConn{TCPConn: accepted, afterRead: point.pause}, nil)
+			front.adopt(&pausedConn{TCPConn: accepted, afterRead: point.pause}, nil, false)
 			scripted.Receive(t, point.reached, "the read")
 			client.SetDeadline(time.Now().Add(scripted.EventTimeout))
 			if n, err := io.ReadFull(client, make([]byte, len(test.interim))); err != nil {
