transport: clients of moved streams get an answer to their next request

Where a process was replaced, a request behind a moved stream could be lost: its first byte was read with the stream's end, and its connection closed as there was no room, or its process ended, as the wait for moved streams was over and the front took connections over after its last one. It is rejected with 503 now, the wait covers it, and nothing is taken over once the last connection has gone.

--- a/internal/transport/handover.go
+++ b/internal/transport/handover.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync"
@@ -278,13 +280,27 @@
 		host.Close()
 	}
 	ended(verdict)
-	r.activeStreams.Add(-1)
+	defer r.activeStreams.Add(-1) // the process stays until its client has its next answer, or is another's
 	if next && r.front.adopt(client, watch.readAhead, true) == nil {
 		return
 	}
+	if next && len(watch.readAhead) > 0 {
+		rejectBehindStream(client)
+	}
 	client.Close()
 }
 
+// rejectBehindStream rejects a request whose first byte was read behind a stream, where its connection
+// can't be served here.
+func rejectBehindStream(client net.Conn) {
+	text := protocol.AppendRejection(nil, http.StatusServiceUnavailable, time.Second, "no place for this request; trying again is harmless")
+	client.SetDeadline(time.Now().Add(overloadLingerTimeout))
+	client.Write(text)
+	if tcp, ok := client.(interface{ CloseWrite() error }); ok && tcp.CloseWrite() == nil {
+		io.CopyN(io.Discard, client, lingerBytes) // a close with bytes unread would take back the answer
+	}
+}
+
 // relay forwards the rest of a stream; next reports whether the client may send further requests.
 func (r *Receiver) relay(m *movedConn, client *clientConn, host net.Conn) (end routing.Verdict, next bool) {
 	events := protocol.ResumeStreamReader(m.Line, m.Long)
@@ -351,12 +367,13 @@
 	return nil
 }
 
-// adopt admits a connection that was not accepted here.
+// adopt admits a connection that was not accepted here; nil where there is no room, or where the last
+// connection of a listener that ends has gone.
 func (l *listener) adopt(nc net.Conn, ahead []byte, used bool) (c *clientConn) {
 	from, _ := netip.ParseAddrPort(nc.RemoteAddr().String())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.alive >= l.maxAlive {
+	if l.emptied || l.alive >= l.maxAlive {
 		return nil
 	}
 	for _, a := range l.admission.Step(l.now(), admission.Event{Kind: admission.Opened, Addr: from.Addr().Unmap()}) {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -60,6 +60,7 @@
 	maxAlive     int            // of alive
 	aliveDropped *sync.Cond     // alive was lowered
 	closed       closeCounter   // of client connections
+	emptied      bool           // the last connection of a listener that ends has gone
 	answersDue   int            // requests that have come to their ends, and have nothing of an answer
 	closing      sync.WaitGroup // until its sockets are closed: Accept may fail before that
 
@@ -155,16 +156,21 @@
 func (l *listener) closeUntilEmpty(closeIdle func()) {
 	for {
 		closeIdle()
-		l.mu.Lock()
-		left := l.alive
-		l.mu.Unlock()
-		if left == 0 {
+		if l.isEmpty() {
 			return
 		}
 		time.Sleep(drainCheckInterval)
 	}
 }
 
+// isEmpty reports whether no connection is left. From then on none is taken over from another process.
+func (l *listener) isEmpty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.emptied = l.alive == 0
+	return l.emptied
+}
+
 // accept returns the descriptor of the next connection. A net.Conn is made only of those that are
 // admitted: making one costs as much as all else that is done for a connection.
 func (l *listener) accept() (fd int, from netip.Addr, err error) {
--- a/internal/transport/movedconn_test.go
+++ b/internal/transport/movedconn_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"reachspread/internal/admission"
 	"reachspread/internal/routing"
 	"reachspread/internal/testbed/scripted"
 )
@@ -40,3 +42,36 @@
 		got.WriteByte(b)
 	}
 }
+
+// readNextRequestBehindStream has the write that ends a stream return only once the client's next
+// request has come, and its first byte was read with the stream's end.
+func readNextRequestBehindStream(t *testing.T, conn *pausedConn, request string) {
+	var streamEnded sync.Once
+	conn.afterWrite = func([]byte) {
+		streamEnded.Do(func() { awaitUnread(t, conn.TCPConn, len(request)-1) })
+	}
+}
+
+// Guards against the next request of a client whose stream was moved: its first byte was read with
+// the stream's end, and the connection closed as there was no room for it.
+func TestRequestBehindMovedStreamIsAnswered(t *testing.T) {
+	for name, full := range map[string]bool{"room": false, "no room": true} {
+		t.Run(name, func(t *testing.T) {
+			limits := FrontLimits{Admission: admission.Config{MaxConnections: 1}}
+			front, server := newRoutedFront(t, limits, scripted.GatedAnswer(make(chan bool)))
+			if full {
+				other, accepted := pair(t)
+				front.adopt(accepted, nil, false)
+				io.WriteString(other, scripted.RequestText("other", ""))
+				scripted.Receive(t, server.Requests, "another client's attempt")
+			}
+			_, client, conn, end := movedStream(t, front)
+			request := scripted.RequestText("q", "")
+			readNextRequestBehindStream(t, conn, request)
+			end()
+			awaitStreamEnd(t, client)
+			io.WriteString(client, request)
+			wantAnswer(t, client)
+		})
+	}
+}
--- /dev/null
+++ b/internal/transport/movedlate_test.go
@@ -0,0 +1,20 @@
+package transport
+
+import (
+	"testing"
+
+	"reachspread/internal/testbed/scripted"
+)
+
+// Guards against a connection that a process takes over after it has waited for its last one: the
+// process before takes it to be served.
+func TestNothingIsTakenOverAfterShutdown(t *testing.T) {
+	front, _ := newRoutedFront(t, oneConnection, scripted.Answer(scripted.CompleteAnswer()))
+	if err := front.Shutdown(); err != nil {
+		t.Fatal(err)
+	}
+	_, accepted := pair(t)
+	if err := front.adopt(accepted, nil, false); err == nil {
+		t.Error("taken over; want it declined, so that the process before serves it")
+	}
+}
