transport: who ends only its sending gets 502, no empty 200

A client that ends its sending while it waits counts as gone, and its attempt is given up; it got status 200 with length 0 from the HTTP server, an answer that no model host had made. It gets 502 and the end of the connection.

--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -280,8 +280,9 @@
 	if observer != nil {
 		observer.Refused(ok, answer.Verdict)
 	}
-	if !ok {
-		ctx.SetConnectionClose() // nobody reads it
+	if !ok { // a client that has ended only its sending reads this
+		answerLine(ctx, fasthttp.StatusBadGateway, "given up, as the client ended its sending")
+		ctx.SetConnectionClose()
 		return needed, false
 	}
 	f.intake.Unserved(ctx, answer)
--- /dev/null
+++ b/internal/transport/halfclosed_test.go
@@ -0,0 +1,33 @@
+package transport
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"reachspread/internal/testbed/scripted"
+)
+
+// Guards against an empty answer with status 200 to a client that has ended its sending and still
+// reads: it takes that for what a server made.
+func TestHalfClosedClientIsNotToldOfSuccess(t *testing.T) {
+	front, server := newRoutedFront(t, oneConnection, func(c net.Conn) bool {
+		c.Read(make([]byte, 1))
+		return false
+	})
+	client, accepted := pair(t)
+	front.adopt(accepted, nil, false)
+	client.Write([]byte(scripted.RequestText("q", "")))
+	scripted.Receive(t, server.Requests, "an attempt")
+	client.CloseWrite()
+	client.SetDeadline(time.Now().Add(scripted.EventTimeout))
+	answer, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatalf("%v; want an answer", err)
+	}
+	if answer.StatusCode == http.StatusOK {
+		t.Errorf("got status 200, length %d, for a request that no server has answered", answer.ContentLength)
+	}
+}
