transport: strict admission reads nothing of a request that it drops

A client over its rate, or beyond a full overflow, was reset after the router had read its request, unless that was a plain completion: only those counted. The listener looks at the bytes and leaves them in the socket, so what is dropped stays unread; any request whose head has come is rejected with an answer.

--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -142,7 +142,7 @@
 	Lent            int
 	Addr            netip.Addr
 	Identity        string
-	HeadComplete    bool // the head of its first request was read; its identity is Identity
+	HeadComplete    bool // the head of its first request has come; its identity is Identity
 	RequestComplete bool // the request has come to its end: one RequestRead, RequestDone or Closed follows
 	ClientLeft      bool // its client has ended it without a request
 	Config          *Config
--- a/internal/protocol/requestframing.go
+++ b/internal/protocol/requestframing.go
@@ -59,6 +59,9 @@
 	return used
 }
 
+// HeadComplete reports whether the head has come, and says how the body is framed.
+func (f *RequestFraming) HeadComplete() bool { return f.state != inHead && f.state != unreadable }
+
 // Complete reports whether the whole request has come.
 func (f *RequestFraming) Complete() bool { return f.state == pastEnd }
 
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -68,7 +67,7 @@
 	rejectedInBurst    int           // connections that were rejected since the last rest
 	burst              int           // the number after which a rest is due
 	reservedDescriptor *os.File      // for when there is no other descriptor
-	readAhead          [8 << 10]byte // of a client, before it is admitted
+	readAhead          [8 << 10]byte // what a client has sent before it is admitted
 	text               []byte        // of a rejection
 }
 
@@ -244,19 +243,22 @@
 	}
 }
 
-// readEarly reads what a client has sent by now, if admission is strict. It returns admission's
-// event and how many bytes are in l.readAhead.
+// readEarly looks at what a client has sent by now, if admission is strict. It returns admission's
+// event and how many bytes are in l.readAhead; they stay unread, as the connection may be dropped.
 func (l *listener) readEarly(fd int, from netip.Addr) (e admission.Event, got int) {
 	e = admission.Event{Kind: admission.Opened, Addr: from}
 	if !l.strict {
 		return e, 0
 	}
-	got, err := syscall.Read(fd, l.readAhead[:])
+	got, _, err := syscall.Recvfrom(fd, l.readAhead[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
 	case got > 0:
-		var seen protocol.RequestHead
-		seen, e.HeadComplete = protocol.ParseRequestHead(l.readAhead[:got], l.header)
-		e.Identity, e.RequestComplete = seen.HeaderValue, e.HeadComplete && seen.Length >= 0 && got >= seen.Length
+		var framing protocol.RequestFraming
+		framing.Feed(l.readAhead[:got])
+		e.HeadComplete, e.RequestComplete = framing.HeadComplete(), framing.Complete()
+		if seen, ok := protocol.ParseRequestHead(l.readAhead[:got], l.header); ok {
+			e.Identity = seen.HeaderValue
+		}
 	case err != syscall.EAGAIN && err != syscall.EINTR:
 		e.ClientLeft = true
 	}
@@ -287,7 +289,6 @@
 				return nil
 			}
 			c = l.admit(a.Conn, nc)
-			c.readAhead = bytes.Clone(l.readAhead[:got])
 		case admission.Drop:
 			l.rejectedInBurst++
 			if !e.ClientLeft { // no request was read to its end, so no answer is owed
@@ -296,6 +297,7 @@
 			syscall.Close(fd)
 		case admission.Reject:
 			l.rejectedInBurst++
+			syscall.Read(fd, l.readAhead[:got]) // a close with bytes unread would take back the answer
 			l.reject(fd, e.RequestComplete && got < len(l.readAhead), a)
 		case admission.RetryLater:
 			l.mu.Unlock()
