recovery: the log says whom a router asks for a measure, and who has answered

New event 'measure of others missing' after the rounds 1, 2, 4, 8 ... and at the end: rounds, routers alive, asked, answered, why it ended.

--- a/internal/router/program/recovery.go
+++ b/internal/router/program/recovery.go
@@ -199,8 +199,12 @@
 	case recovery.SendReply:
 		p.sendTo([]snapshot.Router{a.To}, a.Reply.Encode())
 	case recovery.AdoptMeasure:
-		p.log.Info("measure of others taken", "work", a.Measure.HostWork.Round(time.Millisecond), "mean_work", a.Measure.RequestWork.Round(time.Millisecond))
+		p.log.Info("measure of others taken", "work", a.Measure.HostWork.Round(time.Millisecond), "mean_work", a.Measure.RequestWork.Round(time.Millisecond),
+			"from", a.From, "known", a.Known)
 		p.router.Restore(balance.Learned{CompletedWork: a.Measure.HostWork.Seconds(), MeanWork: a.Measure.RequestWork.Seconds()})
+	case recovery.MeasureMissing:
+		p.log.Info("measure of others missing", "rounds", a.Rounds, "alive", a.Alive, "asked", joinNames(a.Asked), "answered", joinNames(a.Answered),
+			"ended", a.Ended)
 	case recovery.OutageClassified:
 		p.log.Info("power lost", "whose", a.Outage, "heard", a.Heard, "asked", a.Asked)
 	case recovery.StageEntered:
@@ -212,6 +216,17 @@
 	}
 }
 
+// maxLoggedNames bounds the routers that a log line names.
+const maxLoggedNames = 8
+
+// joinNames returns names as a field of a log line.
+func joinNames(names []string) string {
+	if len(names) > maxLoggedNames {
+		return strings.Join(names[:maxLoggedNames], ",") + ",..."
+	}
+	return strings.Join(names, ",")
+}
+
 // sendTo sends a datagram to routers, as far as there is a socket.
 func (p *Program) sendTo(to []snapshot.Router, data []byte) {
 	if p.gossip == nil {
--- a/internal/router/program/recovery_test.go
+++ b/internal/router/program/recovery_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"reachspread/internal/router/recovery"
 	"reachspread/internal/router/snapshot"
 	"reachspread/internal/testbed/scripted"
 )
@@ -51,6 +52,21 @@
 	}
 }
 
+// The log says who was asked for a measure and who has answered, eight names of each at most.
+func TestMissingMeasureIsLogged(t *testing.T) {
+	lines := make(scripted.LogLines, 10)
+	p := New(&Config{}, func(string) string { return "" }, "", lines)
+	var asked []string
+	for i := range maxLoggedNames + 1 {
+		asked = append(asked, fmt.Sprint("r", i))
+	}
+	p.carryOutRecovery(nil, nil, recovery.MeasureMissing{Rounds: 3, Alive: 11, Asked: asked, Answered: asked[:2], Ended: "this router has its own"})
+	const want = "measure of others missing rounds=3 alive=11 asked=r0,r1,r2,r3,r4,r5,r6,r7,... answered=r0,r1 ended=this router has its own"
+	if got := scripted.Receive(t, lines, "a line"); got != want {
+		t.Errorf("got %q", got)
+	}
+}
+
 // TestMeasureSnapshots measures what snapshots cost: two routers before the same hosts and a list
 // of 1,000, one of which keeps what it knows, by turns.
 func TestMeasureSnapshots(t *testing.T) {
--- a/internal/router/program/snapshot.go
+++ b/internal/router/program/snapshot.go
@@ -157,11 +157,20 @@
 		if before.SettingsDigest != p.settingsDigest() {
 			settings = "changed"
 		}
-		p.log.Info("snapshot read", "generation", generation, "hosts", hosts, "drained", before.Drained, "unanswered", p.countUnanswered(folder), "settings", settings)
+		p.log.Info("snapshot read", "generation", generation, "hosts", hosts, "drained", before.Drained, "unanswered", p.countUnanswered(folder), "settings", settings,
+			"work", savedMeasure(before).HostWork.Round(time.Millisecond))
 	}
 	return p.prepareRecovery(before, broken)
 }
 
+// savedMeasure is what a warm host did for the previous incarnation, zero where it had no measure.
+func savedMeasure(s *snapshot.State) recovery.Measure {
+	if s.Learned == nil {
+		return recovery.Measure{}
+	}
+	return recovery.MeasureOf(*s.Learned)
+}
+
 // listSource names whose list it is.
 func (p *Program) listSource() string {
 	if name := p.cfg.set.Recovery.Discovery; name != "" {
--- a/internal/router/program/stored_test.go
+++ b/internal/router/program/stored_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,7 +76,8 @@
 	if err := cfg.ReadSettings(path); err != nil {
 		t.Fatal(err)
 	}
-	p := New(cfg, env, path, make(scripted.LogLines, 1000))
+	lines := make(scripted.LogLines, 1000)
+	p := New(cfg, env, path, lines)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- p.Run(ctx, nil) }()
@@ -101,6 +103,11 @@
 	if diff := cmp.Diff(goldenSnapshot(41), p.snapshots.previous); diff != "" {
 		t.Errorf("what was there is read as\n%s", diff)
 	}
+	for line := ""; !strings.HasPrefix(line, "snapshot read"); {
+		if line = scripted.Receive(t, lines, "the line of the snapshot"); strings.HasPrefix(line, "snapshot read") && !strings.HasSuffix(line, " work=1.5s") {
+			t.Errorf("what a warm host did is not in %q", line)
+		}
+	}
 	if n := p.countUnanswered(goldenFolder(t)); n != 7 {
 		t.Errorf("%d requests count as unanswered", n)
 	}
--- a/internal/router/recovery/decider.go
+++ b/internal/router/recovery/decider.go
@@ -36,10 +36,9 @@
 	votersLed       bool
 
 	// What a warm host does.
-	measure            Measure // own, of this process or the last one
-	adopted            bool    // another router's measure was
-	nextMeasureQueryAt time.Duration
-	measureQueriesSent int // to one router each
+	measure      Measure // own, of this process or the last one
+	adopted      bool    // another router's measure was
+	measureQuery measureQuery
 }
 
 // tagChunk is the hosts of one query.
--- a/internal/router/recovery/events.go
+++ b/internal/router/recovery/events.go
@@ -77,8 +77,22 @@
 // ExcludeHosts has further hosts of the saved list get no requests.
 type ExcludeHosts struct{ Hosts []string }
 
-// AdoptMeasure gives package balance the measure of other routers, as this one has none.
-type AdoptMeasure struct{ Measure Measure }
+// AdoptMeasure gives package balance the measure of another router, as this one has none.
+type AdoptMeasure struct {
+	Measure Measure
+	From    string // the router whose it is
+	Known   int    // measures that it is the median of
+}
+
+// MeasureMissing says that routers were asked for their measures, and none of those that answered
+// has any. After the rounds 1, 2, 4, 8 and so on there is one, and another at the end.
+type MeasureMissing struct {
+	Rounds   int      // of queries so far
+	Alive    int      // routers by the membership, without this one
+	Asked    []string // routers so far, sorted,
+	Answered []string // and those of them that have announced themselves since
+	Ended    string   // why nobody is asked any more, empty while the queries go on
+}
 
 // StageEntered says that a stage has begun.
 type StageEntered struct {
@@ -100,5 +114,6 @@
 func (SendReply) action()        {}
 func (ExcludeHosts) action()     {}
 func (AdoptMeasure) action()     {}
+func (MeasureMissing) action()   {}
 func (StageEntered) action()     {}
 func (OutageClassified) action() {}
--- a/internal/router/recovery/recovery_test.go
+++ b/internal/router/recovery/recovery_test.go
@@ -46,6 +46,8 @@
 			lines = append(lines, "exclude "+strings.Join(a.Hosts, " "))
 		case AdoptMeasure:
 			lines = append(lines, fmt.Sprintf("adopt %v", a.Measure.HostWork))
+		case MeasureMissing:
+			lines = append(lines, strings.TrimSpace(fmt.Sprintf("no measure in %d rounds: %d alive, asked %s, answered %s; %s", a.Rounds, a.Alive, strings.Join(a.Asked, " "), strings.Join(a.Answered, " "), a.Ended)))
 		case StageEntered:
 			lines = append(lines, "enter "+a.Stage.String())
 		case OutageClassified:
@@ -320,6 +322,43 @@
 	}
 }
 
+// What is reported of queries for a measure that nobody has: who was asked and who has answered,
+// however late, after the rounds 1, 2, 4 and 8, and at the end; or whose measure is adopted.
+func TestMissingMeasureIsReported(t *testing.T) {
+	answer := func(n int, work time.Duration) AnnouncementReceived {
+		a := from(n, s, 0).Announcement
+		a.Measure = Measure{work, s}
+		return AnnouncementReceived{a}
+	}
+	const first, second, fourth = "no measure in 1 rounds: 5 alive, asked r1 r2 r3, answered r1;", "no measure in 2 rounds: 5 alive, asked r1 r2 r3 r4 r5, answered r1 r2;",
+		"no measure in 4 rounds: 5 alive, asked r1 r2 r3 r4 r5, answered r1 r2 r4;"
+	for name, x := range map[string]struct {
+		ending timedEvent
+		want   string
+	}{
+		"hosts are warm":     {timedEvent{3100 * ms, HostsWarm{true}}, "no measure in 7 rounds: 5 alive, asked r1 r2 r3 r4 r5, answered r1 r2 r4; hosts no longer wait for one"},
+		"own measure":        {timedEvent{3100 * ms, MeasureLearned{Measure{s, s}}}, "no measure in 7 rounds: 5 alive, asked r1 r2 r3 r4 r5, answered r1 r2 r4; this router has its own"},
+		"another's is there": {timedEvent{3100 * ms, answer(4, 9*s)}, "adopt 9s"},
+	} {
+		d, _ := New(Config{Self: "r0", Discovery: "d:1"}, 0)
+		var got []string
+		step := func(at time.Duration, e Event) {
+			for _, line := range describe(d.Step(at, e)) {
+				if strings.HasPrefix(line, "no measure") || strings.HasPrefix(line, "adopt") {
+					got = append(got, line)
+				}
+			}
+		}
+		for _, e := range []timedEvent{{0, ListReceived{Version: 1}}, {0, Membership{saved(6, 0).Routers}}, {100 * ms, answer(1, 0)}, {500 * ms, Tick{}}, {700 * ms, answer(2, 0)},
+			{s, Tick{}}, {1500 * ms, Tick{}}, {1600 * ms, answer(4, 0)}, {2 * s, Tick{}}, {2500 * ms, Tick{}}, {3 * s, Tick{}}, x.ending, {4 * s, Tick{}}, {5 * s, HostsWarm{true}}} {
+			step(e.at, e.event)
+		}
+		if diff := cmp.Diff([]string{first, second, fourth, x.want}, got); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
 // The operators' page has the tables as they are made here.
 func TestOperatorsPageHasTheTables(t *testing.T) {
 	page, err := os.ReadFile("../../../docs/operators/recovery.md")
