router: the first measure of a warm host is saved at once, not after up to ten seconds

What callers saw: a fleet that lost power within 10 s of its start had no measure of a warm host, though routers had one and had disks: hosts that warmed up got single requests.

A first measure was no change, so it was saved only if the view happened to change after it.

Now: the first measure is a change. It is of a few requests, so it is saved again at 1, 2, 4 and 8 s.

Before, TestFirstMeasureIsSavedAtOnce: recovery_test.go:86: 0s after the first measure, what is saved is <nil>, not 1 recovery_test.go:86: 1.05s after the first measure, what is saved is <nil>, not 3 (all nine rows)

--- a/internal/router/program/recovery_test.go
+++ b/internal/router/program/recovery_test.go
@@ -12,7 +12,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"reachspread/balance"
+	"reachspread/internal/protocol"
 	"reachspread/internal/router/recovery"
+	"reachspread/internal/router/settings"
 	"reachspread/internal/router/snapshot"
 	"reachspread/internal/testbed/scripted"
 )
@@ -52,6 +55,53 @@
 	}
 }
 
+// A router that loses power a moment after it has learned for the first time what a warm host does
+// has saved that: its next process, and those that ask it, have no other measure while hosts warm
+// up. The first measure is of a few requests, so it is saved again whenever it is twice as old.
+func TestFirstMeasureIsSavedAtOnce(t *testing.T) {
+	folder := t.TempDir()
+	p := New(&Config{Name: "r0", set: &settings.Settings{Recovery: &settings.Recovery{Folder: folder, Discovery: "d"}}}, func(string) string { return "" }, "", make(scripted.LogLines, 10))
+	p.gate = &recoveryGate{gate: recovery.NewGate(balance.Config{}, nil, 1)}
+	k := &p.snapshots
+	k.enabled, k.startedAt = true, time.Now()
+	k.mergeList(&protocol.List{Version: 1, Full: true})
+	last := p.writeSnapshot(folder, "")
+	if l := savedLearned(t, folder); l != nil {
+		t.Fatalf("%+v is saved before anything is learned", l)
+	}
+	work := 0.0
+	for _, x := range []struct {
+		age  time.Duration // of the first measure
+		want float64       // the mean that is saved
+	}{{0, 1}, {100 * time.Millisecond, 1}, {1050 * time.Millisecond, 3}, {2050 * time.Millisecond, 4}, {3050 * time.Millisecond, 4}, {4050 * time.Millisecond, 6}, {7 * time.Second, 6},
+		{8050 * time.Millisecond, 8}, {time.Hour, 8}} {
+		work++
+		k.usual = recovery.Baseline{}
+		p.recordLearned(time.Second, balance.Learned{CompletedWork: work, MeanWork: 1})
+		l := *k.learned.Load()
+		l.since = time.Now().Add(-x.age)
+		k.learned.Store(&l)
+		last = p.writeSnapshot(folder, last)
+		if l := savedLearned(t, folder); l == nil || l.CompletedWork != x.want {
+			t.Errorf("%v after the first measure, what is saved is %+v, not %v", x.age, l, x.want)
+		}
+	}
+}
+
+// savedLearned is what the newest snapshot in a folder has of what was learned.
+func savedLearned(t *testing.T, folder string) *balance.Learned {
+	t.Helper()
+	var files [2][]byte
+	for i, name := range snapshot.GenerationFiles {
+		files[i], _ = os.ReadFile(filepath.Join(folder, name))
+	}
+	s, _, errs := snapshot.Newest(files)
+	if s == nil {
+		t.Fatal(errs)
+	}
+	return s.Learned
+}
+
 // The log says who was asked for a measure and who has answered, eight names of each at most.
 func TestMissingMeasureIsLogged(t *testing.T) {
 	lines := make(scripted.LogLines, 10)
--- a/internal/router/program/snapshot.go
+++ b/internal/router/program/snapshot.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/bits"
 	"os"
 	"path/filepath"
 	"slices"
@@ -26,7 +27,7 @@
 	snapshotInterval = time.Second // the least time between two writes; what has not changed is not written
 	lockFile         = "router.lock"
 	// learnedInterval is between two writes of what the decisions have learned although nothing
-	// else has changed.
+	// else has changed. Those of the first measure are closer, by its savedAge.
 	learnedInterval = 10 * time.Second
 )
 
@@ -62,6 +63,16 @@
 type learned struct {
 	mean   balance.Learned
 	demand map[string]float64
+	since  time.Time // when this process first had any
+}
+
+// savedAge is 0 for nil, and grows whenever what is learned is twice as old as before, up to
+// learnedInterval: what a router has learned in its first second is off by much.
+func (l *learned) savedAge() int {
+	if l == nil {
+		return 0
+	}
+	return 1 + bits.Len(uint(min(time.Since(l.since), learnedInterval)/snapshotInterval))
 }
 
 // recordLearned records what the decisions have learned, while hosts are warm.
@@ -72,7 +83,11 @@
 	u := &p.snapshots.usual
 	u.Update(now, l, p.gate.gate.Demand())
 	if mean, ok := u.Learned(); ok {
-		p.snapshots.learned.Store(&learned{mean, maps.Clone(u.Demand())})
+		since := time.Now()
+		if before := p.snapshots.learned.Load(); before != nil {
+			since = before.since
+		}
+		p.snapshots.learned.Store(&learned{mean, maps.Clone(u.Demand()), since})
 	}
 }
 
@@ -264,7 +279,7 @@
 	if p.roles != nil {
 		token = p.roles.HighestToken()
 	}
-	return fmt.Sprint(changes, view, token, k.drained.Load(), time.Since(k.startedAt)/learnedInterval)
+	return fmt.Sprint(changes, view, token, k.drained.Load(), k.learned.Load().savedAge(), time.Since(k.startedAt)/learnedInterval)
 }
 
 // errorKind is an error's text without the names that change each time.
--- /dev/null
+++ b/internal/router/recovery/measure_test.go
@@ -0,0 +1,159 @@
+package recovery
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"reachspread/balance"
+	"reachspread/internal/router/snapshot"
+)
+
+// returningRouter is a router of a fleet that comes back, with the times of what it is told.
+type returningRouter struct {
+	startsAt time.Duration
+	saved    *snapshot.State // that its last process left, nil for none
+	viewAt   time.Duration   // when it knows who is alive
+	learnsAt time.Duration   // when it has a measure of its own, 0 for never
+}
+
+// datagram is an announcement on its way.
+type datagram struct {
+	at           time.Duration // of its arrival
+	to           string
+	announcement Announcement
+}
+
+// returningFleet runs the deciders of routers that come back, in virtual time. A datagram that
+// arrives before its receiver has started is lost, and so is one without an address.
+type returningFleet struct {
+	routers  map[string]returningRouter
+	latency  time.Duration // of a datagram
+	warmAt   time.Duration // when the hosts are warm, for all
+	deciders map[string]*Decider
+	inFlight []datagram
+	lines    map[string][]string // what each has decided about measures, with the time
+}
+
+const fleetStep = 10 * ms
+
+// run returns what each router has decided about measures until the hosts are warm.
+func (f *returningFleet) run(t *testing.T) map[string][]string {
+	f.deciders, f.lines = map[string]*Decider{}, map[string][]string{}
+	members := Membership{saved(len(f.routers), 0).Routers}
+	for now := time.Duration(0); now <= f.warmAt+s; now += fleetStep {
+		for _, name := range slices.Sorted(maps.Keys(f.routers)) {
+			r := f.routers[name]
+			switch now {
+			case r.startsAt:
+				d, err := New(Config{Self: name, Discovery: "d:1", Saved: r.saved}, now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.deciders[name] = d
+				f.step(name, now, ListReceived{Version: 1})
+			case r.viewAt:
+				f.step(name, now, members)
+			case r.learnsAt:
+				f.step(name, now, MeasureLearned{Measure{5 * s, s}})
+			case f.warmAt:
+				f.step(name, now, HostsWarm{true})
+			}
+			f.receive(name, now)
+			if d := f.deciders[name]; d != nil && d.Next() != 0 && d.Next() <= now {
+				f.step(name, now, Tick{})
+			}
+		}
+	}
+	return f.lines
+}
+
+// receive has a router receive the datagrams that have arrived.
+func (f *returningFleet) receive(name string, now time.Duration) {
+	var arrived, later []datagram
+	for _, x := range f.inFlight {
+		if x.to == name && x.at <= now {
+			arrived = append(arrived, x)
+		} else {
+			later = append(later, x)
+		}
+	}
+	f.inFlight = later
+	for _, x := range arrived {
+		f.step(name, now, AnnouncementReceived{x.announcement})
+	}
+}
+
+func (f *returningFleet) step(name string, now time.Duration, e Event) {
+	if f.deciders[name] == nil {
+		return
+	}
+	for _, a := range f.deciders[name].Step(now, e) {
+		switch a := a.(type) {
+		case Announce:
+			for _, to := range a.To {
+				if to.Addr != "" {
+					f.inFlight = append(f.inFlight, datagram{now + f.latency, to.Name, a.Announcement})
+				}
+			}
+		case AdoptMeasure:
+			f.lines[name] = append(f.lines[name], fmt.Sprintf("%v: adopts that of %s", now, a.From))
+		case MeasureMissing:
+			if a.Ended != "" {
+				f.lines[name] = append(f.lines[name], fmt.Sprintf("%v: none in %d rounds, asked %s, answered %s; %s", now, a.Rounds, strings.Join(a.Asked, " "),
+					strings.Join(a.Answered, " "), a.Ended))
+			}
+		}
+	}
+}
+
+// A fleet of six loses power, and two have a snapshot that can be read (TestRecovery's "half with
+// their disks"). Whatever comes late, a router without a measure has one a second after another
+// has, if anybody has; where nobody has, all are asked and all answer.
+func TestMeasureComesFromWhoeverHasOne(t *testing.T) {
+	withMeasure := func(n int) *snapshot.State {
+		b := saved(6, 1)
+		b.Router, b.Learned = fmt.Sprint("r", n), &balance.Learned{CompletedWork: 7, MeanWork: 1}
+		return b
+	}
+	// Those with a snapshot ask all others before these can receive anything, and stop asking.
+	play := func(r3, r5 *snapshot.State) map[string]returningRouter {
+		return map[string]returningRouter{
+			"r0": {startsAt: 4700 * ms, viewAt: 4930 * ms}, "r1": {startsAt: 4600 * ms, viewAt: 4900 * ms}, "r2": {startsAt: 4650 * ms, viewAt: 4900 * ms},
+			"r3": {startsAt: 3400 * ms, saved: r3, viewAt: 4900 * ms}, "r4": {startsAt: 4700 * ms, viewAt: 4950 * ms}, "r5": {startsAt: 3500 * ms, saved: r5, viewAt: 5 * s},
+		}
+	}
+	for name, x := range map[string]struct {
+		fleet  returningFleet
+		change func(map[string]returningRouter)
+		want   string // what r0 does
+	}{
+		"nobody has saved one": {returningFleet{routers: play(saved(6, 1), saved(6, 1)), latency: 10 * ms, warmAt: 8330 * ms}, nil,
+			"8.33s: none in 7 rounds, asked r1 r2 r3 r4 r5, answered r1 r2 r3 r4 r5; hosts no longer wait for one"},
+		"one has":                                {returningFleet{routers: play(withMeasure(3), saved(6, 1)), latency: 10 * ms, warmAt: 8330 * ms}, nil, "4.95s: adopts that of r3"},
+		"answers come after the round has ended": {returningFleet{routers: play(withMeasure(3), saved(6, 1)), latency: 400 * ms, warmAt: 8330 * ms}, nil, "5.73s: adopts that of r3"},
+		"the view comes late": {returningFleet{routers: play(withMeasure(3), saved(6, 1)), latency: 10 * ms, warmAt: 8330 * ms}, func(all map[string]returningRouter) {
+			for name, r := range all {
+				r.viewAt += 2500 * ms
+				all[name] = r
+			}
+		}, "7.45s: adopts that of r3"},
+		"a peer gains one later": {returningFleet{routers: play(saved(6, 1), saved(6, 1)), latency: 10 * ms, warmAt: 8330 * ms}, func(all map[string]returningRouter) {
+			r := all["r4"]
+			r.learnsAt = 6500 * ms
+			all["r4"] = r
+		}, "6.95s: adopts that of r4"},
+	} {
+		if x.change != nil {
+			x.change(x.fleet.routers)
+		}
+		if diff := cmp.Diff([]string{x.want}, x.fleet.run(t)["r0"]); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
