--- a/internal/router/program/snapshot.go
+++ b/internal/router/program/snapshot.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/bits"
 	"os"
 	"path/filepath"
 	"slices"
@@ -26,7 +27,7 @@
 	snapshotInterval = time.Second // the least time between two writes; what has not changed is not written
 	lockFile         = "router.lock"
 	// learnedInterval is between two writes of what the decisions have learned although nothing
-	// else has changed.
+	// else has changed. Those of the first measure are closer, by its savedAge.
 	learnedInterval = 10 * time.Second
 )
 
@@ -62,6 +63,16 @@
 type learned struct {
 	mean   balance.Learned
 	demand map[string]float64
+	since  time.Time // when this process first had any
+}
+
+// savedAge is 0 for nil, and grows whenever what is learned is twice as old as before, up to
+// learnedInterval: what a router has learned in its first second is off by much.
+func (l *learned) savedAge() int {
+	if l == nil {
+		return 0
+	}
+	return 1 + bits.Len(uint(min(time.Since(l.since), learnedInterval)/snapshotInterval))
 }
 
 // recordLearned records what the decisions have learned, while hosts are warm.
@@ -72,7 +83,11 @@
 	u := &p.snapshots.usual
 	u.Update(now, l, p.gate.gate.Demand())
 	if mean, ok := u.Learned(); ok {
-		p.snapshots.learned.Store(&learned{mean, maps.Clone(u.Demand())})
+		since := time.Now()
+		if before := p.snapshots.learned.Load(); before != nil {
+			since = before.since
+		}
+		p.snapshots.learned.Store(&learned{mean, maps.Clone(u.Demand()), since})
 	}
 }
 
@@ -157,11 +172,20 @@
 		if before.SettingsDigest != p.settingsDigest() {
 			settings = "changed"
 		}
-		p.log.Info("snapshot read", "generation", generation, "hosts", hosts, "drained", before.Drained, "unanswered", p.countUnanswered(folder), "settings", settings)
+		p.log.Info("snapshot read", "generation", generation, "hosts", hosts, "drained", before.Drained, "unanswered", p.countUnanswered(folder), "settings", settings,
+			"work", savedMeasure(before).HostWork.Round(time.Millisecond))
 	}
 	return p.prepareRecovery(before, broken)
 }
 
+// savedMeasure is what a warm host did for the previous incarnation, zero where it had no measure.
+func savedMeasure(s *snapshot.State) recovery.Measure {
+	if s.Learned == nil {
+		return recovery.Measure{}
+	}
+	return recovery.MeasureOf(*s.Learned)
+}
+
 // listSource names whose list it is.
 func (p *Program) listSource() string {
 	if name := p.cfg.set.Recovery.Discovery; name != "" {
@@ -255,7 +279,7 @@
 	if p.roles != nil {
 		token = p.roles.HighestToken()
 	}
-	return fmt.Sprint(changes, view, token, k.drained.Load(), time.Since(k.startedAt)/learnedInterval)
+	return fmt.Sprint(changes, view, token, k.drained.Load(), k.learned.Load().savedAge(), time.Since(k.startedAt)/learnedInterval)
 }
 
 // errorKind is an error's text without the names that change each time.
