quorum: a group without an entry is founded again

Cause: a founder that has its group on disk calls an election, and whoever hears of the group goes over to it with an empty log. Where the founder's disk is lost before the first entry came to another founder, all know the group's number, nobody has an entry of it, and nobody may found any more: one disk of three was lost, and there were no duties until an operator rebuilt the group. An empty store keeps its identity as it goes over, so all founders vote from the first command on; records of stores go with their group. Messages and stores are as they were.

--- a/internal/router/quorum/doc.go
+++ b/internal/router/quorum/doc.go
@@ -10,6 +10,8 @@
 // that describe their stores.
 //
 //   - The first candidate founds the group once all founders have said that their stores are empty.
+//     Where a group is known and nobody has an entry of it, as its founder lost its disk too early,
+//     the first candidate founds another once all candidates have said so for longer than a lease.
 //   - A candidate with a new store joins as a learner and is promoted by the leader once it has
 //     caught up; a voter that is lost for ReplaceTimeout, or whose store is another one by now,
 //     makes room for it by one joint configuration change.
--- a/internal/router/quorum/hello.go
+++ b/internal/router/quorum/hello.go
@@ -76,6 +76,12 @@
 		v.actions = append(v.actions, Persist{Meta: v.cloneMeta()})
 		return
 	}
+	clear(v.meta.StoreRecords) // of stores of the last group
+	if v.meta.Starts == firstStart && v.isLogEmpty() {
+		// Whoever founded the new group may count on this store as well.
+		v.resetStore(m.Group, v.meta.ID)
+		return
+	}
 	v.notice(NoticeRejoining, fmt.Sprintf("%s belongs to group %d, founded after the own one", m.From.Name, m.Group))
 	v.newStore(m.Group)
 }
--- a/internal/router/quorum/join.go
+++ b/internal/router/quorum/join.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"go.etcd.io/raft/v3/raftpb"
 
@@ -48,6 +49,55 @@
 	return peers, true
 }
 
+// foundAgain founds a group in place of one whose founder lost its disk before any other candidate
+// had its first command: all candidates know of that group, and none can add the others to it. Only
+// the first candidate does so, once all have said for foundAgainDelay that their logs are empty.
+func (v *Voter) foundAgain() {
+	founders, ok := v.emptyCandidates()
+	if !ok {
+		v.allEmptySince = v.now
+		return
+	}
+	if v.now >= v.allEmptySince+v.foundAgainDelay() {
+		// What stores showed in the last group counts for nothing in this one, and an operator's
+		// rebuild may have taken the next number meanwhile.
+		clear(v.meta.StoreRecords)
+		v.foundGroup(v.meta.Group+2, founders)
+	}
+}
+
+// foundAgainDelay is for how long all logs must be empty until there is a new group. Whoever has
+// entries says so within helloTTL. A lease of a group whose disks were all lost, which this can't
+// be told from, has ended by then.
+func (v *Voter) foundAgainDelay() time.Duration { return helloTTL + v.config.Timing.Duration }
+
+// emptyCandidates returns the other founders if this router is the first candidate, knows of a
+// group, and no log has an entry: neither its own nor, as all others say, theirs.
+func (v *Voter) emptyCandidates() (founders []Node, ok bool) {
+	if v.config.Candidates[0] != v.config.Self || v.meta.Group == 0 || !v.isLogEmpty() {
+		return nil, false
+	}
+	for i, name := range v.config.Candidates[1:] {
+		m, ok := v.recentHello(name)
+		if !ok || m.Hello.LastIndex > 0 || m.Hello.Leader != "" {
+			return nil, false
+		}
+		if i+1 < v.config.Voters {
+			founders = append(founders, m.From)
+		}
+	}
+	return founders, true
+}
+
+// isLogEmpty reports whether nothing of a group has come to the own store yet.
+func (v *Voter) isLogEmpty() bool {
+	if v.raft == nil {
+		return v.lastEntry.index == 0
+	}
+	last, _ := v.storage.LastIndex() // in memory it can't fail
+	return last == 0
+}
+
 // isStoreConfirmed reports whether a majority, with this router, knows of nothing newer of its
 // store, and all that are alive have replied or have had the time to.
 func (v *Voter) isStoreConfirmed() bool {
--- a/internal/router/quorum/voter.go
+++ b/internal/router/quorum/voter.go
@@ -49,6 +49,7 @@
 	nextElectionAt    time.Duration
 
 	// Leadership.
+	allEmptySince   time.Duration // since when all candidates' logs are known to be empty
 	leaderlessSince time.Duration
 	leaderless      bool // operators have been told
 	wasLeader       bool
@@ -89,7 +90,7 @@
 	}
 	v := &Voter{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Boot))),
-		now: now, startedAt: now, leaderlessSince: now,
+		now: now, startedAt: now, leaderlessSince: now, allEmptySince: now,
 		hellos: map[string]receivedHello{}, lostSince: map[string]time.Duration{},
 		confirmedBy: map[uint64]bool{}, storeIDs: map[string]uint64{},
 	}
@@ -123,12 +124,15 @@
 }
 
 // newStore begins a store that nobody has seen, of a group or, with 0, of none yet.
-func (v *Voter) newStore(group uint64) {
+func (v *Voter) newStore(group uint64) { v.resetStore(group, v.rng.Uint64()>>1|1) }
+
+// resetStore drops all that was stored of a group, and begins a store of another with an ID.
+func (v *Voter) resetStore(group, id uint64) {
 	token, records := v.meta.HighestToken, v.meta.StoreRecords
 	if records == nil {
 		records = map[uint64]StoreRecord{}
 	}
-	v.meta = Meta{Version: storeFormat, ID: v.rng.Uint64()>>1 | 1, Name: v.config.Self, Group: group, Starts: firstStart, HighestToken: token, StoreRecords: records}
+	v.meta = Meta{Version: storeFormat, ID: id, Name: v.config.Self, Group: group, Starts: firstStart, HighestToken: token, StoreRecords: records}
 	v.raft, v.storage, v.hardState, v.confState = nil, raft.NewMemoryStorage(), nil, nil
 	v.applied, v.lastEntry = 0, entryID{}
 	v.confirmedBy, v.wasLeader = map[uint64]bool{}, false
@@ -194,6 +198,7 @@
 	if v.now >= v.nextHelloAt {
 		v.sendHellos(v.raft == nil || v.stage() == Joining || v.Leader() == "")
 	}
+	v.foundAgain()
 	switch {
 	case v.raft == nil:
 		v.join()
