program test: a process's end is awaited apart from its reaping

Cause: TestCrowdsAtSmallLimits waited by os/exec, as the chaos tests had, whose wait returns seconds late on a busy machine. Now: what awaits ends is package processexit, and both tests use it. The bound is the same 10 s after SIGTERM; where they pass in vain the test tells the threads' states and for how long its looks held the processes still.

--- a/internal/router/program/exchange_test.go
+++ b/internal/router/program/exchange_test.go
@@ -12,10 +12,12 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"reachspread/internal/testbed/processexit"
 	"reachspread/internal/testbed/scripted"
 	"reachspread/internal/transport"
 )
@@ -37,7 +39,8 @@
 	cmd        *exec.Cmd
 	management string
 	log        chan string
-	ended      chan bool
+	ended      chan bool // closed once the kernel has ended it; it may be reaped later
+	status     int       // with which it ended, -1 for a signal; known once ended is closed
 }
 
 func newPlatform(t *testing.T, hosts ...*scripted.Model) *platformOf {
@@ -87,18 +90,31 @@
 	if err := o.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
+	reaped := make(chan bool)
+	go o.awaitEnd()
 	go func() {
 		for lines := bufio.NewScanner(errs); lines.Scan(); {
 			o.log <- lines.Text()
 		}
 		close(o.log)
+		<-o.ended
 		o.cmd.Wait()
-		close(o.ended)
+		close(reaped)
 	}()
-	p.t.Cleanup(func() { o.cmd.Process.Kill(); <-o.ended })
+	p.t.Cleanup(func() { o.cmd.Process.Kill(); <-reaped })
 	return o
 }
 
+// awaitEnd notes the process's end, which its reaping tells late on a busy machine.
+func (o *one) awaitEnd() {
+	status, _, err := processexit.Await(o.cmd.Process.Pid)
+	if err != nil {
+		o.t.Error(err)
+	}
+	o.status = status
+	close(o.ended)
+}
+
 // yes waits until the process takes clients.
 func (o *one) yes() *one {
 	o.t.Helper()
@@ -127,9 +143,13 @@
 
 func (o *one) exit(well bool) {
 	o.t.Helper()
-	scripted.Receive(o.t, o.ended, "the exit")
-	if o.cmd.ProcessState.Success() != well {
-		o.t.Errorf("the process ended with %v", o.cmd.ProcessState)
+	select {
+	case <-o.ended:
+	case <-time.After(scripted.EventTimeout):
+		o.t.Fatalf("waited %v in vain: the exit; its threads are %s", scripted.EventTimeout, threadStates(o.cmd.Process.Pid))
+	}
+	if (o.status == 0) != well {
+		o.t.Errorf("the process ended with status %d", o.status)
 	}
 }
 
@@ -327,12 +347,13 @@
 	p.binary = script
 }
 
-// uses returns the descriptors and the kilobytes of memory that processes have together; pages that
-// they share count once. The processes stand still while their descriptors are counted: one after
+// uses returns the descriptors and the kilobytes of memory that processes have together, and for how
+// long it held them still; pages that they share count once. The processes stand still while their descriptors are counted: one after
 // the other, a connection that moves from the first to the second between the two counts would be
 // in both (242 were counted so where 227 were open).
-func uses(t *testing.T, all ...*one) (descriptors, kilobytes int) {
+func uses(t *testing.T, all ...*one) (descriptors, kilobytes int, held time.Duration) {
 	t.Helper()
+	begun := time.Now()
 	for _, o := range all {
 		o.pause()
 	}
@@ -343,6 +364,7 @@
 	for _, o := range all {
 		o.cmd.Process.Signal(syscall.SIGCONT) // one that has ended needs none
 	}
+	held = time.Since(begun)
 	for _, o := range all {
 		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/smaps_rollup", o.cmd.Process.Pid))
 		if _, pss, ok := strings.Cut(string(status), "\nPss:"); ok {
@@ -351,7 +373,7 @@
 			kilobytes += n
 		}
 	}
-	return descriptors, kilobytes
+	return descriptors, kilobytes, held
 }
 
 // pause has a process stand still, and returns once it does or has ended.
@@ -365,7 +387,12 @@
 }
 
 // stands tells that every thread of a process is stopped, or has ended.
-func stands(pid int) bool {
+func stands(pid int) bool { return strings.Trim(threadStates(pid), "TZX") == "" }
+
+// threadStates has a letter for each thread of a process, as the kernel names states: R runs or
+// would, S and D wait, T is stopped, Z has ended.
+func threadStates(pid int) string {
+	var states []byte
 	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
 	for _, path := range threads {
 		text, err := os.ReadFile(path)
@@ -373,11 +400,9 @@
 			continue // it has ended
 		}
 		behindName := strings.LastIndexByte(string(text), ')')
-		if state := text[behindName+2]; state != 'T' && state != 'Z' && state != 'X' {
-			return false
-		}
+		states = append(states, text[behindName+2])
 	}
-	return true
+	return string(states)
 }
 
 // With 256 descriptors and 32 MB, in a crowd of silent and asking connections and of callers that
@@ -417,15 +442,23 @@
 		}
 	}
 	most, memory := 0, 0
+	var heldFor atomic.Int64 // nanoseconds
 	look := func(all ...*one) {
-		descriptors, kilobytes := uses(t, all...)
+		descriptors, kilobytes, held := uses(t, all...)
 		most, memory = max(most, descriptors), max(memory, kilobytes)
+		heldFor.Add(held.Nanoseconds())
 	}
 	for range 50 {
 		scrape(first)
 		look(first)
 	}
 	second := p.start()
+	begun, heldAlone := time.Now(), heldFor.Load()
+	defer func() {
+		if t.Failed() {
+			t.Logf("since the second process's start the looks held both still for %v of %v", time.Duration(heldFor.Load()-heldAlone), time.Since(begun))
+		}
+	}()
 	looked := make(chan bool)
 	go func() {
 		defer close(looked)
--- a/internal/testbed/chaos/process.go
+++ b/internal/testbed/chaos/process.go
@@ -22,6 +22,7 @@
 
 	"reachspread/internal/testbed/fakes"
 	"reachspread/internal/testbed/history"
+	"reachspread/internal/testbed/processexit"
 )
 
 // starter starts processes from one thread that lives as long as it does. The kernel kills each of
@@ -254,7 +255,7 @@
 // awaitExit waits until the process has ended, and returns the event that says so.
 func (x *process) awaitExit() history.Event {
 	e := history.Event{What: history.Exit, Who: x.name}
-	status, signal, err := awaitExit(x.pid())
+	status, signal, err := processexit.Await(x.pid())
 	e.Status = status
 	switch {
 	case err != nil:
--- a/internal/testbed/chaos/processexit.go
+++ b/internal/testbed/processexit/processexit.go
@@ -1,4 +1,7 @@
-package chaos
+// Package processexit tells when a child process has ended, apart from its reaping. As it reaps a
+// child the kernel removes its entries in /proc, which takes seconds on a busy machine, and the
+// child has ended before that. The caller reaps, by os/exec or otherwise.
+package processexit
 
 import (
 	"fmt"
@@ -22,10 +25,10 @@
 // exitedByItself is the code of a child that was not ended by a signal, CLD_EXITED.
 const exitedByItself = 1
 
-// awaitExit waits until a child has ended and returns its exit status, or -1 and the signal that
-// ended it. The child is left for os/exec to reap: as it reaps one the kernel removes its entries in
-// /proc, which takes long on a busy machine, and the child has ended before that.
-func awaitExit(pid int) (status int, signal syscall.Signal, err error) {
+// Await waits until a child has ended and returns its exit status, or -1 and the signal that ended
+// it. The child is left to be reaped; for one that has been, or that is no child, it returns an
+// error.
+func Await(pid int) (status int, signal syscall.Signal, err error) {
 	var info childInfo
 	for {
 		_, _, errno := unix.Syscall6(unix.SYS_WAITID, unix.P_PID, uintptr(pid), uintptr(unsafe.Pointer(&info)), unix.WEXITED|unix.WNOWAIT, 0, 0)
--- a/internal/testbed/chaos/processexit_test.go
+++ b/internal/testbed/processexit/processexit_test.go
@@ -1,4 +1,4 @@
-package chaos
+package processexit
 
 import (
 	"os/exec"
@@ -22,7 +22,7 @@
 			if err := cmd.Start(); err != nil {
 				t.Fatal(err)
 			}
-			status, signal, err := awaitExit(cmd.Process.Pid)
+			status, signal, err := Await(cmd.Process.Pid)
 			if err != nil || status != x.status || signal != x.signal {
 				t.Errorf("status %d, signal %v, %v", status, signal, err)
 			}
@@ -30,7 +30,7 @@
 			if got := cmd.ProcessState.ExitCode(); got != x.status {
 				t.Errorf("reaped with %d", got)
 			}
-			if _, _, err := awaitExit(cmd.Process.Pid); err == nil {
+			if _, _, err := Await(cmd.Process.Pid); err == nil {
 				t.Error("no error for one that is reaped")
 			}
 		})
