transport: the listener's lock comes before a socket, so evictions can't block

The lock comes first now, and a body's bytes go the same way, so no request is evicted as its last byte is read. A connection evicted with bytes unread is left for its goroutine, which answers 503. A request that has come counts as due an answer.

--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -40,7 +39,6 @@
 	framing       protocol.RequestFraming // of the request that is being read
 	everRead      bool                    // anything was read
 	requestBegun  bool                    // anything of the next request was read
-	furtherAhead  bool                    // readAhead had bytes of a further request as the last Read returned
 	requestUnread bool                    // more of a rejected request may come
 	requestOpen   bool                    // a request was read to its end and is not answered
 	answerBegun   bool                    // something of the request's final answer was written
@@ -66,30 +64,6 @@
 	nextBegunAt time.Time     // when
 }
 
-// Read is called by the HTTP server between requests and for what is left of one, never while one
-// is open.
-func (c *clientConn) Read(p []byte) (n int, err error) {
-	c.requestAnswered()
-	switch {
-	case c.requestBegun && c.framing.BodyRemaining() > 0 && len(c.readAhead) == 0:
-		n, err = c.Conn.Read(p[:min(len(p), c.framing.BodyRemaining())])
-		c.framing.Feed(p[:n])
-		c.readAt = time.Now()
-		if c.framing.Complete() {
-			c.recordRead()
-		}
-	case !c.requestBegun && len(c.readAhead) == 0 && c.everRead && c.listener.closingAfterAnswers.Load():
-		return c.lastRead(p, io.EOF, ClosedDraining)
-	default:
-		n, err = c.readRequest(p)
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() && !c.requestBegun {
-			return c.lastRead(p, err, c.idleReason())
-		}
-	}
-	c.recordClientClose(n, err)
-	return n, err
-}
-
 // SetReadDeadline is called by the HTTP server before it reads. A Patience replaces the deadline of
 // the server.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
@@ -110,110 +84,11 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	if !c.requestBegun {
-		c.recordReadLocked()
+		c.recordRead()
 	}
 	c.setAnswerDue(true)
 }
 
-// readRequest reads what has come of a request, nothing of the next one, and waits until something
-// has.
-func (c *clientConn) readRequest(p []byte) (n int, err error) {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var failed error
-	if len(c.readAhead) > 0 {
-		err = raw.Control(func(fd uintptr) { n, failed = c.take(int(fd), p) })
-	} else {
-		err = raw.Read(func(fd uintptr) bool {
-			n, failed = c.take(int(fd), p)
-			return failed != syscall.EAGAIN
-		})
-	}
-	if err == nil {
-		err = failed
-	}
-	return n, err
-}
-
-// take reads what has come of a request without waiting for any; the error is EAGAIN for nothing and
-// io.EOF at the end of the connection. What was read elsewhere comes first. That a request has begun,
-// and that it is complete, admission knows in the same step: it would take the connection for an idle
-// one that it may evict, and what was read would be lost.
-func (c *clientConn) take(fd int, p []byte) (n int, err error) {
-	ahead := copy(p, c.readAhead)
-	came, _, err := syscall.Recvfrom(fd, p[ahead:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	came = max(came, 0)
-	switch {
-	case ahead > 0:
-	case err == syscall.EINTR:
-		return 0, syscall.EAGAIN
-	case err != nil:
-		return 0, err
-	case came == 0:
-		return 0, io.EOF
-	}
-	if !c.requestBegun {
-		c.framing = protocol.RequestFraming{}
-	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	if c.closeReason == ClosedEvicted {
-		return 0, net.ErrClosed
-	}
-	n = ahead + came
-	if !c.framing.Complete() { // otherwise the HTTP server sees no end where it is
-		n = c.framing.Feed(p[:ahead+came])
-	}
-	c.readAhead = c.readAhead[min(n, ahead):]
-	c.furtherAhead = len(c.readAhead) > 0
-	if got, err := syscall.Read(fd, p[ahead:n]); got < n-ahead {
-		return 0, cmp.Or(err, io.ErrUnexpectedEOF)
-	}
-	c.readAt = time.Now()
-	c.recordReadLocked()
-	return n, nil
-}
-
-// recordRead records that bytes of a request were read.
-func (c *clientConn) recordRead() {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.recordReadLocked()
-}
-
-// recordReadLocked is recordRead for a caller that has the listener's lock. Admission has to know of
-// a request as it begins and as it is complete; other bytes gain a slow sender no time.
-func (c *clientConn) recordReadLocked() {
-	begins := !c.requestBegun
-	if begins {
-		c.beginRequest()
-	}
-	if !begins && !c.framing.Complete() {
-		return
-	}
-	c.setAnswerDue(c.framing.Complete())
-	c.listener.step(admission.Event{Kind: admission.RequestBegan, Conn: c.admissionID, RequestComplete: c.requestHasCome()})
-	c.restoreDeadline()
-}
-
-// requestHasCome reports whether all of the request has come, also where the end of its body was not
-// read yet.
-func (c *clientConn) requestHasCome() bool {
-	rest := c.framing.BodyRemaining()
-	return c.framing.Complete() || rest > 0 && c.unreadBytes() >= rest
-}
-
-// beginRequest says that the first bytes of a request were read.
-func (c *clientConn) beginRequest() {
-	c.everRead, c.requestBegun, c.answerBegun = true, true, false
-	c.beganAt = c.readAt
-	if c.nextBegun.Swap(false) {
-		c.beganAt = c.nextBegunAt
-	}
-}
-
 // requestAnswered says that the open request, if there is one, has its final answer. Only the
 // goroutine that serves the connection calls it.
 func (c *clientConn) requestAnswered() {
@@ -224,28 +99,6 @@
 	c.listener.notifyAdmission(admission.Event{Kind: admission.RequestDone, Conn: c.admissionID})
 }
 
-// lastRead is for an idle connection whose time is over. If another process takes over, the
-// connection goes there, with what is on its way. Otherwise a request that has come but was not
-// read, as the router was short of processor time, is read now. Without one the close follows at
-// once, so that hardly any request can cross it.
-func (c *clientConn) lastRead(p []byte, over error, reason CloseReason) (n int, err error) {
-	if m := c.listener.mover.Load(); m != nil && m.move(movedConn{Used: c.everRead || c.adoptedIdle}, c.Conn) == nil {
-		c.closeAs(ClosedMoved)
-		return 0, over
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return 0, over
-	}
-	raw.Control(func(fd uintptr) { n, err = c.take(int(fd), p) })
-	if n > 0 {
-		c.Conn.SetReadDeadline(time.Now().Add(requestReadTimeout))
-		return n, nil
-	}
-	c.closeAs(reason)
-	return 0, over
-}
-
 // restoreDeadline gives a request that came as its connection's deadline was shortened the time
 // that any has. The caller has the listener's lock.
 func (c *clientConn) restoreDeadline() {
@@ -357,7 +210,7 @@
 
 // hasFurther reports whether anything of a further request has come while one is open.
 func (c *clientConn) hasFurther() bool {
-	if c.furtherAhead || c.nextBegun.Load() {
+	if c.nextBegun.Load() {
 		return true
 	}
 	n, err := c.peek()
--- a/internal/transport/closereason.go
+++ b/internal/transport/closereason.go
@@ -97,8 +97,22 @@
 	c.closeLocked(reason)
 }
 
-// evict closes the socket as another client needs its place. The caller has the listener's lock.
-func (c *clientConn) evict() { c.closeLocked(ClosedEvicted) }
+// evict closes the socket as another client needs its place. A request that has come, and that its
+// goroutine was late to read, is left for that to reject. The caller has the listener's lock.
+func (c *clientConn) evict() {
+	if c.unreadBytes() > 0 {
+		c.closeReason = ClosedEvicted
+		return
+	}
+	c.closeLocked(ClosedEvicted)
+}
+
+// isEvicted reports whether the connection was evicted.
+func (c *clientConn) isEvicted() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.closeReason == ClosedEvicted
+}
 
 // closeLocked closes the socket for a reason, unless it has another by now. The caller has the
 // listener's lock.
--- a/internal/transport/eviction_test.go
+++ b/internal/transport/eviction_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,6 +48,35 @@
 	}
 }
 
+// Guards against a request whose body came after its head, and that another client's eviction ended
+// between the read of its last byte and admission's knowledge of that.
+func TestRequestIsNotEvictedAsItsLastByteIsRead(t *testing.T) {
+	front, _ := newRoutedFront(t, oneConnection, scripted.Answer(scripted.CompleteAnswer()))
+	client, accepted := pair(t)
+	conn := &pausedConn{TCPConn: accepted}
+	head, body, _ := strings.Cut(scripted.RequestText("q", ""), "\r\n\r\n")
+	client.Write([]byte(head + "\r\n\r\n"))
+	awaitUnread(t, accepted, len(head)+4)
+	front.adopt(conn, nil, false)
+	awaitUnread(t, accepted, 0)
+	passTime(front.listener, time.Second)
+	_, other := pair(t)
+	var once sync.Once
+	otherComes := func() {
+		once.Do(func() {
+			adopted := make(chan error, 1)
+			go func() { adopted <- front.adopt(other, nil, false) }()
+			select {
+			case <-adopted:
+			case <-time.After(100 * time.Millisecond): // it has to wait until admission knows
+			}
+		})
+	}
+	conn.afterBody.Store(&otherComes)
+	client.Write([]byte(body))
+	wantAnswer(t, client)
+}
+
 // longRequest is a request whose body has so many spaces behind it.
 func longRequest(spaces int) string {
 	head, body, _ := strings.Cut(scripted.RequestText("q", ""), "\r\n\r\n")
--- /dev/null
+++ b/internal/transport/evictionlock_test.go
@@ -0,0 +1,45 @@
+package transport
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"reachspread/internal/admission"
+	"reachspread/internal/testbed/scripted"
+)
+
+// An eviction of a connection whose goroutine is about to take its request must not stop the router:
+// the close of a socket waits for those that use it, and these wait for the lock of who closes it.
+func TestEvictionOfConnectionThatIsReadDoesNotBlock(t *testing.T) {
+	front, _ := newRoutedFront(t, oneConnection, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go front.Serve(ln, false)
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	l := front.listener
+	scripted.AwaitCondition(t, "the connection", func() bool { return front.Alive() == 1 })
+	time.Sleep(50 * time.Millisecond) // its goroutine waits for a request
+
+	// Another connection comes: Accept has the lock as the first one's request arrives.
+	l.mu.Lock()
+	client.Write([]byte(readyText))
+	time.Sleep(100 * time.Millisecond) // it has looked, and waits for the lock
+	evicted := make(chan struct{})
+	go func() {
+		l.carryOut(admission.Action{Kind: admission.Evict, Conn: 0, Cause: admission.Evicted})
+		l.mu.Unlock()
+		close(evicted)
+	}()
+	select {
+	case <-evicted:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the eviction waits for the reader, and the reader for the lock of the eviction: the listener is dead")
+	}
+}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -187,9 +187,12 @@
 }
 
 // closeIfDraining ends a connection with its answer while the router is draining, unless further
-// requests on it have come already: those are answered first.
+// requests on it have come already: those are answered first. It ends one that was evicted, too.
 func (f *Front) closeIfDraining(ctx *fasthttp.RequestCtx) {
 	conn, ok := ctx.Conn().(*clientConn)
+	if ok && conn.isEvicted() {
+		ctx.SetConnectionClose()
+	}
 	if f.listener.draining.Load() && !(ok && conn.hasFurther()) {
 		ctx.SetConnectionClose()
 	}
@@ -314,8 +317,8 @@
 		return true
 	}
 	rejection := Rejection{Code: answer.Code, Text: rejectionText(answer), RetryAfter: answer.RetryAfter}
-	if rejection.Code == 0 { // its connection was shut while the request came: nobody reads this
-		rejection.Code = fasthttp.StatusServiceUnavailable
+	if rejection.Code == 0 { // its connection was evicted as the request came
+		rejection.Code, rejection.RetryAfter = fasthttp.StatusServiceUnavailable, f.limits.Admission.MinRetryAfter
 	}
 	f.rejectAndCount(ctx, rejection)
 	return false
--- a/internal/transport/pausedconn_test.go
+++ b/internal/transport/pausedconn_test.go
@@ -41,8 +41,9 @@
 // nil for none. Each runs on the goroutine that makes the call.
 type pausedConn struct {
 	*net.TCPConn
-	beforeRead, afterRead func() // of a request's first bytes
-	beforeRest            func() // before any read but the first
+	beforeRead, afterRead func()                 // of a request's first bytes
+	beforeRest            func()                 // before any read but the first
+	afterBody             atomic.Pointer[func()] // after bytes of a body were read
 	beforeClose           func()
 	afterWrite            func(p []byte)
 	read                  atomic.Bool // the first read was called
@@ -55,7 +56,15 @@
 
 func (c *pausedConn) Read(p []byte) (int, error) {
 	call(c.beforeRest)
-	return c.TCPConn.Read(p)
+	n, err := c.TCPConn.Read(p)
+	c.bodyRead()
+	return n, err
+}
+
+func (c *pausedConn) bodyRead() {
+	if f := c.afterBody.Load(); f != nil {
+		(*f)()
+	}
 }
 
 func (c *pausedConn) Close() error {
@@ -85,6 +94,11 @@
 	return r.RawConn.Read(f)
 }
 
+func (r *pausedRawConn) Control(f func(fd uintptr)) error {
+	defer r.conn.bodyRead()
+	return r.RawConn.Control(f)
+}
+
 func call(f func()) {
 	if f != nil {
 		f()
--- a/internal/transport/unansweredcount_test.go
+++ b/internal/transport/unansweredcount_test.go
@@ -28,13 +28,15 @@
 			front, _ := newRoutedFront(t, limits, scripted.Answer(scripted.CompleteAnswer()))
 			client, accepted := pair(t)
 			point := newPausePoint()
-			if test.interim != "" {
-				close(point.resume)
-			}
 			client.Write([]byte(test.text))
 			awaitUnread(t, accepted, len(test.text))
-			front.adopt(&pausedConn{TCPConn: accepted, afterRead: point.pause}, nil, false)
-			scripted.Receive(t, point.reached, "the read")
+			if test.interim == "" {
+				front.intake = &pausedIntake{Intake: front.intake, head: point.pause}
+			}
+			front.adopt(accepted, nil, false)
+			if test.interim == "" {
+				scripted.Receive(t, point.reached, "the request")
+			}
 			client.SetDeadline(time.Now().Add(scripted.EventTimeout))
 			if n, err := io.ReadFull(client, make([]byte, len(test.interim))); err != nil {
 				t.Fatal(n, err)
@@ -51,3 +53,22 @@
 		})
 	}
 }
+
+// Guards against a process that ends with a request of which it has read a part, while the rest waits
+// in the socket: its client has written all of it, so an answer is due.
+func TestAnswerIsDueToRequestThatHasCome(t *testing.T) {
+	front, _ := newRoutedFront(t, oneConnection, scripted.Answer(scripted.CompleteAnswer()))
+	client, accepted := pair(t)
+	point := newPausePoint()
+	text := longRequest(20 << 10)
+	client.Write([]byte(text))
+	awaitUnread(t, accepted, len(text))
+	front.adopt(&pausedConn{TCPConn: accepted, beforeRest: point.pause}, nil, false)
+	scripted.Receive(t, point.reached, "the pause")
+	if n := front.AnswersDue(); n != 1 {
+		t.Errorf("%d answers are due; want 1", n)
+	}
+	close(point.resume)
+	wantAnswer(t, client)
+	scripted.AwaitCondition(t, "the count of the answer", func() bool { return front.AnswersDue() == 0 })
+}
