transport: a fault of a new connection does not end the listener

accept(2) returns pending errors of the network and of the new connection, and the system's lack of memory; any but three ended Serve, and with it the process and all requests in flight. Those that are not the listener's are waited out.

Found by the review, by reading; not seen. TestListenerOutlivesFaultsOfNewConnections.

--- a/internal/transport/descriptorshortage.go
+++ b/internal/transport/descriptorshortage.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,6 +38,16 @@
 const shortageAnswer = "HTTP/1.1 503 Service Unavailable\r\n" +
 	"Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// connectionErrors are what accept returns for a fault of the new connection or of the network, or for
+// want of the system's memory: the listener is as good as before.
+var connectionErrors = []syscall.Errno{syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH,
+	syscall.ENETUNREACH, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.ETIMEDOUT}
+
+// isConnectionError reports whether accepting failed for a reason that is not the listener's.
+func isConnectionError(err error) bool {
+	return slices.ContainsFunc(connectionErrors, func(cause syscall.Errno) bool { return errors.Is(err, cause) })
+}
+
 // isDescriptorShortage reports whether an error is the lack of a descriptor.
 func isDescriptorShortage(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
--- /dev/null
+++ b/internal/transport/descriptorshortage_test.go
@@ -0,0 +1,20 @@
+package transport
+
+import (
+	"net"
+	"syscall"
+	"testing"
+)
+
+// Guards against a process that ends, with all requests in flight, as accept returned a fault of a new
+// connection or of the network.
+func TestListenerOutlivesFaultsOfNewConnections(t *testing.T) {
+	for cause, want := range map[error]bool{
+		syscall.EPROTO: true, syscall.ENETDOWN: true, syscall.EHOSTUNREACH: true, syscall.ENOBUFS: true, syscall.ENOMEM: true,
+		syscall.EBADF: false, syscall.EINVAL: false, net.ErrClosed: false,
+	} {
+		if got := isConnectionError(&net.OpError{Op: "accept", Err: cause}); got != want {
+			t.Errorf("%v: goes on %t; want %t", cause, got, want)
+		}
+	}
+}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -237,6 +237,8 @@
 		case isDescriptorShortage(err):
 			l.rejectNextForShortage()
 		case errors.Is(err, syscall.ECONNABORTED): // by its client, before it was accepted
+		case isConnectionError(err):
+			time.Sleep(acceptRetryDelay)
 		default:
 			return nil, err
 		}
