chaos tests: reloaded pools and planted programs play apart, and plays tell why

Cause: TestPlantedPrograms played ten plays in one process, and TestPoolsReloaded beside all others. Now: both play in processes of their own, as the others do since. A reload's edits of settings are part of a play's order; one that finds no such text fails the play. A history has a note with what a fault found in a folder and left there, and one for each call without an answer that did not count, with the stalls and what was withheld.

--- a/internal/testbed/chaos/chaos_test.go
+++ b/internal/testbed/chaos/chaos_test.go
@@ -161,17 +161,39 @@
 }
 
 // playOnce plays once, in a process of its own, and fails the test for what can't be played.
-func playOnce(t *testing.T, o Options) *Result {
+func playOnce(t *testing.T, o Options, edits ...settingsEdit) *Result {
 	t.Helper()
 	o.Folder = filepath.Join(t.TempDir(), "play")
-	r, err := playInProcess(t.Context(), o)
+	r, err := playInProcess(t.Context(), o, edits...)
 	if err != nil {
 		t.Fatal(err)
 	}
 	noProcesses(t, r.Events)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(stallsAndNotes(r.Events))
+		}
+	})
 	return r
 }
 
+// stallsAndNotes has how often and how long the machine stalled a play's process, and what the play
+// itself has noted.
+func stallsAndNotes(events []history.Event) string {
+	var notes strings.Builder
+	stalls, longest := 0, time.Duration(0)
+	for i := range events {
+		switch e := &events[i]; {
+		case e.What == history.Fault && e.N > stallNumber:
+			length, _ := time.ParseDuration(e.ID)
+			stalls, longest = stalls+1, max(longest, length)
+		case e.What == history.Note:
+			fmt.Fprintf(&notes, "\n%s", e.String())
+		}
+	}
+	return fmt.Sprintf("the play's process had %d stalls, the longest of %v%s", stalls, longest, notes.String())
+}
+
 // noProcesses checks that every process of a history is gone.
 func noProcesses(t *testing.T, events []history.Event) {
 	t.Helper()
@@ -434,7 +456,7 @@
 			x := parse(t, length, 2, "slack = \"500ms\"", "")
 			ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
 			defer cancel()
-			r, err := Run(ctx, Options{Experiment: x, Seed: 1, Program: bad, Folder: filepath.Join(filepath.Dir(bad), "play")})
+			r, err := playInProcess(ctx, Options{Experiment: x, Seed: 1, Program: bad, Folder: filepath.Join(filepath.Dir(bad), "play")})
 			if err != nil {
 				if want == "" || !strings.Contains(err.Error(), want) {
 					t.Errorf("%s: %v", how, err)
@@ -447,7 +469,7 @@
 				found = found || strings.HasPrefix(v.String(), want) && want != ""
 			}
 			if want == "" && len(r.Verdicts) > 0 || want != "" && !found {
-				t.Errorf("%s: found %v, want %q", how, r.Verdicts, want)
+				t.Errorf("%s: found %v, want %q; %s", how, r.Verdicts, want, stallsAndNotes(r.Events))
 			}
 		})
 	}
--- a/internal/testbed/chaos/duty_test.go
+++ b/internal/testbed/chaos/duty_test.go
@@ -1,10 +1,7 @@
 package chaos
 
 import (
-	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -13,6 +10,7 @@
 	"reachspread/internal/router/lease"
 	"reachspread/internal/router/quorum"
 	"reachspread/internal/testbed/experiment"
+	"reachspread/internal/testbed/faults"
 	"reachspread/internal/testbed/history"
 )
 
@@ -223,10 +221,8 @@
 // copied to a pool that is gone.
 func TestPoolsReloaded(t *testing.T) {
 	t.Parallel()
-	folder := filepath.Join(t.TempDir(), "play")
-	reloads := []struct{ old, now string }{{`pool "candidate" {`, `pool "next" {`}, {`pool "next" {`, "pool \"next\" {\n    silent = \"3s\""}}
-	var at []int64
-	r, err := Run(t.Context(), Options{Experiment: parse(t, "17s", 5, "view = true\nvoters = 3", `
+	edits := []settingsEdit{{`pool "candidate" {`, `pool "next" {`}, {`pool "next" {`, "pool \"next\" {\n    silent = \"3s\""}}
+	r := playOnce(t, Options{Experiment: parse(t, "17s", 5, "view = true\nvoters = 3", `
 fault "reload" {
   at = "5s"
   length = "100ms"
@@ -237,33 +233,16 @@
   length = "100ms"
   routers = "all"
 }
-`), Seed: 1, Program: routerBinary(t), Folder: folder, Observe: func(e *history.Event) { // told before a fault is carried out
-		if e.What != history.Fault || e.Text != "reload" || len(at) == len(reloads) {
-			return
-		}
-		x := reloads[len(at)]
-		at = append(at, e.T)
-		for i := range 5 {
-			path := filepath.Join(folder, fmt.Sprint("r", i), "settings.hcl")
-			text, err := os.ReadFile(path)
-			if err == nil && !strings.Contains(string(text), x.old) {
-				err = errors.New("it has no " + x.old)
-			}
-			if err == nil {
-				err = os.WriteFile(path, []byte(strings.Replace(string(text), x.old, x.now, 1)), 0o644)
-			}
-			if err != nil {
-				t.Error(path, err)
-			}
-		}
-	}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	noProcesses(t, r.Events)
+`), Seed: 1, Program: routerBinary(t)}, edits...)
 	for _, v := range r.Verdicts {
 		t.Error(v.String())
 	}
+	var at []int64
+	for _, e := range r.Events {
+		if e.What == history.Fault && e.Text == string(faults.Reload) {
+			at = append(at, e.T)
+		}
+	}
 	const gone, comes = time.Second, 3 * time.Second // a lease and a second at most until the first copy, and a busy machine
 	copies := map[string]int{}
 	for _, e := range r.Events {
--- a/internal/testbed/chaos/player.go
+++ b/internal/testbed/chaos/player.go
@@ -415,6 +415,35 @@
 	case !info.IsDir():
 		return nil // it can't be written at the moment, nor read
 	}
+	if s.Disk == "" || s.Disk == faults.DiskUnchanged {
+		return nil
+	}
+	before := folderContents(r.disk())
+	if err := y.spoilDisk(s, r); err != nil {
+		return err
+	}
+	y.p.recorder.add(history.Event{What: history.Note, Who: r.name(), Text: fmt.Sprintf("disk %s: %s, then %s", s.Disk, before, folderContents(r.disk()))})
+	return nil
+}
+
+// folderContents has the number of files in a folder and their bytes: a fault of a disk on which
+// nothing is yet changes nothing.
+func folderContents(path string) string {
+	files, size := 0, int64(0)
+	filepath.WalkDir(path, func(_ string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() {
+			return nil // what can't be read is left out
+		}
+		if info, err := e.Info(); err == nil {
+			files, size = files+1, size+info.Size()
+		}
+		return nil
+	})
+	return fmt.Sprintf("%d files of %d bytes", files, size)
+}
+
+// spoilDisk does to a router's folder what a fault says.
+func (y *player) spoilDisk(s *faults.Injection, r *router) error {
 	switch s.Disk {
 	case faults.DiskEmpty:
 		return clearFolder(r.disk())
--- a/internal/testbed/chaos/playprocess_test.go
+++ b/internal/testbed/chaos/playprocess_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -14,6 +15,7 @@
 
 	"reachspread/internal/testbed/checker"
 	"reachspread/internal/testbed/experiment"
+	"reachspread/internal/testbed/faults"
 	"reachspread/internal/testbed/history"
 )
 
@@ -30,8 +32,13 @@
 	Text            []byte // of the experiment
 	Seed            uint64
 	Program, Folder string
+	Edits           []settingsEdit
 }
 
+// settingsEdit is a change of every router's settings file, which is made before a reload is carried
+// out: the first one of a play before the first reload, and so on.
+type settingsEdit struct{ Old, New string }
+
 // playReport is what it has found, beside the history in its folder.
 type playReport struct {
 	Verdicts  []checker.Violation
@@ -42,8 +49,8 @@
 var playProcesses = sync.OnceValue(newStarter)
 
 // playInProcess plays in a process of its own. The error has what that process said.
-func playInProcess(ctx context.Context, o Options) (*Result, error) {
-	order, err := json.Marshal(playOrder{Name: o.Experiment.Name, Text: o.Experiment.Text, Seed: o.Seed, Program: o.Program, Folder: o.Folder})
+func playInProcess(ctx context.Context, o Options, edits ...settingsEdit) (*Result, error) {
+	order, err := json.Marshal(playOrder{Name: o.Experiment.Name, Text: o.Experiment.Text, Seed: o.Seed, Program: o.Program, Folder: o.Folder, Edits: edits})
 	if err != nil {
 		return nil, err
 	}
@@ -80,13 +87,46 @@
 	if err != nil {
 		return err
 	}
-	r, err := Run(context.Background(), Options{Experiment: x, Seed: order.Seed, Program: order.Program, Folder: order.Folder})
-	if err != nil {
+	editor := settingsEditor{folder: order.Folder, routers: x.World(0, order.Seed).Routers, left: order.Edits}
+	r, err := Run(context.Background(), Options{Experiment: x, Seed: order.Seed, Program: order.Program, Folder: order.Folder, Observe: editor.observe})
+	if err := errors.Join(err, editor.err); err != nil {
 		return err
 	}
 	return json.NewEncoder(os.Stdout).Encode(playReport{Verdicts: r.Verdicts, Datagrams: r.Datagrams})
 }
 
+// settingsEditor makes the edits of an order.
+type settingsEditor struct {
+	folder  string
+	routers int
+	left    []settingsEdit
+	err     error
+}
+
+// observe is told of a fault before that is carried out.
+func (s *settingsEditor) observe(e *history.Event) {
+	if e.What != history.Fault || e.Text != string(faults.Reload) || len(s.left) == 0 {
+		return
+	}
+	edit := s.left[0]
+	s.left = s.left[1:]
+	for i := range s.routers {
+		s.err = errors.Join(s.err, edit.apply(filepath.Join(s.folder, fmt.Sprint("r", i), "settings.hcl")))
+	}
+}
+
+// apply changes one file, which must have the old text.
+func (e settingsEdit) apply(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if !bytes.Contains(text, []byte(e.Old)) {
+		return fmt.Errorf("%s has no %s", path, e.Old)
+	}
+	return os.WriteFile(path, bytes.Replace(text, []byte(e.Old), []byte(e.New), 1), 0o644)
+}
+
 // A play in a process of its own finds what it does in this one.
 func TestPlayInProcessOfItsOwn(t *testing.T) {
 	t.Parallel()
@@ -107,3 +147,20 @@
 		t.Error("no error for a router's program that is not there")
 	}
 }
+
+// An edit of a text that a settings file has not is the play's error.
+func TestSettingsEditNeedsItsText(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.hcl")
+	if err := os.WriteFile(path, []byte("pool a, pool a"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := (settingsEdit{Old: "pool b", New: "pool c"}).apply(path); err == nil {
+		t.Error("no error for a text that is not there")
+	}
+	if err := (settingsEdit{Old: "pool a", New: "pool b"}).apply(path); err != nil {
+		t.Error(err)
+	}
+	if got, err := os.ReadFile(path); err != nil || string(got) != "pool b, pool a" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
--- a/internal/testbed/chaos/watch.go
+++ b/internal/testbed/chaos/watch.go
@@ -175,7 +175,11 @@
 	if x.hasEnded() {
 		return nil
 	}
-	stalled := w.p.stalls.count() != u.stalls || withheldFrom(x.pid())-u.withheld > stallOf
+	stalls, withheld := w.p.stalls.count()-u.stalls, withheldFrom(x.pid())-u.withheld
+	stalled := stalls > 0 || withheld > stallOf
+	if err != nil && ctx.Err() == nil && stalled {
+		w.p.recorder.add(history.Event{What: history.Note, Who: x.name, Text: fmt.Sprintf("no answer to check, not counted: %d stalls of the rig, %v withheld from the process", stalls, withheld)})
+	}
 	if err == nil || ctx.Err() != nil || stalled || !x.r.runs() || !x.hasSpoken() {
 		u.count = 0
 		return nil
