transport: a request on a connection that has moved has its own time

A connection that moves has 30 s for its next request, and the HTTP server, which takes it for a new one, counted the request's own time from the move on: one that began late had next to none and got 408. Its time begins with its first byte.

TestRequestOnMovedConnectionHasItsOwnTime: 'i/o timeout' before.

--- a/internal/transport/clientread.go
+++ b/internal/transport/clientread.go
@@ -182,6 +182,9 @@
 
 // beginRequest says that the first bytes of a request were read.
 func (c *clientConn) beginRequest() {
+	if c.adoptedIdle && !c.everRead { // the server took the wait for it for a part of it
+		c.Conn.SetReadDeadline(time.Now().Add(requestReadTimeout))
+	}
 	c.everRead, c.requestBegun, c.answerBegun = true, true, false
 	c.beganAt = c.readAt
 	if c.nextBegun.Swap(false) {
--- a/internal/transport/movedused_test.go
+++ b/internal/transport/movedused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,3 +26,22 @@
 		t.Errorf("closed as %v after %v; want it open, as it was used before", got.Reason, got.IdleTime)
 	}
 }
+
+// Guards against a request on a connection that has moved, and that had only the rest of the time for
+// which the connection may be idle: it has as long to come as any.
+func TestRequestOnMovedConnectionHasItsOwnTime(t *testing.T) {
+	l := newListener(&FrontLimits{Admission: admission.Config{MaxConnections: 1}})
+	client, accepted := pair(t)
+	c := l.adopt(accepted, nil, true)
+	head, _, _ := strings.Cut(scripted.RequestText("q", ""), "\r\n\r\n")
+	client.Write([]byte(head))
+	c.Conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // what is left of the idle time
+	buffer := make([]byte, defaultMaxHead)
+	if _, err := c.Read(buffer); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { client.Write([]byte("\r\n\r\n")) })
+	if _, err := c.Read(buffer); err != nil {
+		t.Errorf("got %v; want the rest of the request, 0.1 s after its beginning", err)
+	}
+}
