--- a/internal/router/program/program.go
+++ b/internal/router/program/program.go
@@ -19,6 +19,7 @@
 	"reachspread/internal/router/processgroup"
 	"reachspread/internal/router/recovery"
 	"reachspread/internal/routing"
+	"reachspread/internal/schedlatency"
 	"reachspread/internal/transport"
 )
 
@@ -50,6 +51,7 @@
 	router    *routing.Router
 	front     *transport.Front
 	ln        net.Listener
+	latency   *schedlatency.Monitor // how late this process runs, once it serves
 
 	management      *transport.Management         // the management address, nil without an address
 	inherited       bool                          // another process has ln as well
@@ -165,6 +167,8 @@
 // serve starts the goroutines that serve; work ends them.
 func (p *Program) serve(work context.Context, siblings processgroup.Siblings, reload <-chan os.Signal) {
 	go p.router.Run(work)
+	p.latency = schedlatency.NewMonitor(time.Now())
+	go p.latency.Run(work)
 	if p.mirror != nil {
 		go p.runAdmission(work)
 	}
--- /dev/null
+++ b/internal/router/program/stoppedprocess_test.go
@@ -0,0 +1,91 @@
+package program
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"reachspread/internal/testbed/scripted"
+)
+
+// stop is a time for which a process is stopped. Both ends are times after SIGTERM.
+type stop struct{ from, until time.Duration }
+
+// stopsInBursts are stops one after another, for four fifths of the time until the end.
+func stopsInBursts(end time.Duration) (stops []stop) {
+	const period = 500 * time.Millisecond
+	for from := time.Duration(0); from < end; from += period {
+		stops = append(stops, stop{from, from + period*4/5})
+	}
+	return stops
+}
+
+// Guards against requests that SIGKILL finds without an answer, as the process did not run when
+// their last answers were due, or when SIGTERM came.
+func TestOpenRequestsAreAnsweredByStoppedProcess(t *testing.T) {
+	t.Parallel()
+	const killDelay = shutdownGrace + maxCountedDeadline
+	for name, stops := range map[string][]stop{
+		"never":                         nil,
+		"for 300 ms before SIGKILL":     {{killDelay - 300*time.Millisecond, killDelay}},
+		"as the last answers are due":   {{2800 * time.Millisecond, 3300 * time.Millisecond}},
+		"as SIGTERM comes":              {{-100 * time.Millisecond, 500 * time.Millisecond}},
+		"for a second as SIGTERM comes": {{-100 * time.Millisecond, time.Second}},
+		"in bursts from SIGTERM on":     stopsInBursts(killDelay),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			host := scripted.NewModel(t, scripted.ModelBehavior{Stalls: true})
+			p := newPlatform(t, host)
+			p.ln.Close() // the process has a listener of its own
+			o := p.start("ROUTER_ACCEPT_FD=").yes()
+			answers := make(chan *http.Response, 1)
+			go func() {
+				defer close(answers)
+				resp, err := new(http.Transport).RoundTrip(scripted.NewRequest(t, p.addr, "open", nil))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				resp.Body.Close()
+				answers <- resp
+			}()
+			scripted.Receive(t, host.Started, "the attempt")
+			o.terminate(stops, killDelay)
+			resp := scripted.Receive(t, answers, "an answer")
+			if resp == nil || resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("got %+v, want status %d", resp, http.StatusBadGateway)
+			}
+		})
+	}
+}
+
+// terminate sends SIGTERM, has the process stopped at times around it, and sends SIGKILL.
+func (o *one) terminate(stops []stop, killDelay time.Duration) {
+	begun := time.Now()
+	if len(stops) > 0 {
+		begun = begun.Add(max(-stops[0].from, 0))
+	}
+	at := func(after time.Duration, signal syscall.Signal) {
+		time.Sleep(time.Until(begun.Add(after)))
+		o.cmd.Process.Signal(signal)
+	}
+	terminated := false
+	sigterm := func() {
+		if !terminated {
+			terminated = true
+			at(0, syscall.SIGTERM)
+		}
+	}
+	for _, s := range stops {
+		if s.from >= 0 {
+			sigterm()
+		}
+		at(s.from, syscall.SIGSTOP)
+		sigterm()
+		at(s.until, syscall.SIGCONT)
+	}
+	sigterm()
+	at(killDelay, syscall.SIGKILL)
+}
--- /dev/null
+++ b/internal/schedlatency/schedlatency.go
@@ -0,0 +1,84 @@
+// Package schedlatency measures the scheduling latency of its own process: how much later than due
+// the process ran, as its machine had no processor for it or as it was stopped. A process that must
+// act by a time that others have set plans with it. The caller starts Run, or calls Tick in its place.
+package schedlatency
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// Interval is the time between two ticks. Of a delay up to so much may be missed.
+	Interval = 100 * time.Millisecond
+	// Window is how long a delay is remembered.
+	Window = 10 * time.Second
+	// minDelay is the shortest delay that is remembered.
+	minDelay = 20 * time.Millisecond
+)
+
+// Monitor remembers by how much the ticks of a process were late. It may be used by several
+// goroutines.
+type Monitor struct {
+	mu     sync.Mutex
+	ticked time.Time
+	delays []delay // within Window, the oldest first
+}
+
+// delay is a tick that was late.
+type delay struct {
+	ended  time.Time
+	length time.Duration
+}
+
+// NewMonitor returns a monitor whose first tick is due Interval after now.
+func NewMonitor(now time.Time) *Monitor { return &Monitor{ticked: now} }
+
+// Run ticks until ctx ends.
+func (m *Monitor) Run(ctx context.Context) {
+	timer := time.NewTimer(Interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		m.Tick(time.Now())
+		timer.Reset(Interval)
+	}
+}
+
+// Tick records that the process runs.
+func (m *Monitor) Tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	late := m.overdue(now)
+	m.ticked = now
+	for len(m.delays) > 0 && now.Sub(m.delays[0].ended) > Window {
+		m.delays = m.delays[1:]
+	}
+	if late >= minDelay {
+		m.delays = append(m.delays, delay{now, late})
+	}
+}
+
+// Longest returns the longest delay that ended in the time before now, or that has not ended yet.
+// Within is at most Window.
+func (m *Monitor) Longest(now time.Time, within time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	longest := m.overdue(now)
+	for _, d := range m.delays {
+		if now.Sub(d.ended) <= within {
+			longest = max(longest, d.length)
+		}
+	}
+	return longest
+}
+
+// overdue returns for how long a tick has been due. The caller has the lock.
+func (m *Monitor) overdue(now time.Time) time.Duration {
+	return max(now.Sub(m.ticked)-Interval, 0)
+}
--- /dev/null
+++ b/internal/schedlatency/schedlatency_test.go
@@ -0,0 +1,44 @@
+package schedlatency
+
+import (
+	"testing"
+	"time"
+)
+
+// A delay counts while it lasts, and after its end for as long as was asked for.
+func TestLongestDelayWithinWindow(t *testing.T) {
+	start := time.Now()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	m := NewMonitor(start)
+	m.Tick(at(Interval))
+	m.Tick(at(Interval + 500*time.Millisecond))                // 400 ms late
+	m.Tick(at(2*Interval + 500*time.Millisecond))              // in time
+	m.Tick(at(3*Interval + 500*time.Millisecond + minDelay/2)) // too little
+	ticked := 3*Interval + 500*time.Millisecond + minDelay/2
+	for _, x := range []struct {
+		now, within, want time.Duration
+	}{
+		{ticked, Window, 400 * time.Millisecond},
+		{ticked, 50 * time.Millisecond, 0},
+		{ticked + Interval, 0, 0},
+		{ticked + Interval + time.Second, 0, time.Second},
+		{ticked + Interval + 200*time.Millisecond, time.Second, 400 * time.Millisecond},
+	} {
+		if got := m.Longest(at(x.now), x.within); got != x.want {
+			t.Errorf("at %v within %v: got %v, want %v", x.now, x.within, got, x.want)
+		}
+	}
+}
+
+// What is older than Window is forgotten.
+func TestOldDelaysAreForgotten(t *testing.T) {
+	now := time.Now()
+	m := NewMonitor(now)
+	for range 1000 {
+		now = now.Add(2 * Interval)
+		m.Tick(now)
+	}
+	if most := int(Window/(2*Interval)) + 1; len(m.delays) > most {
+		t.Errorf("%d delays are remembered, want at most %d", len(m.delays), most)
+	}
+}
