transport: a listener that closes accepts its backlog to the end

Now the backlog is accepted until it is empty; nobody new comes in meanwhile. Who has no place when the last answers before SIGKILL are due gets 503, at both routers, and a router of the fleet stays until the backlog is empty.

--- a/internal/router/program/shutdown.go
+++ b/internal/router/program/shutdown.go
@@ -86,7 +86,9 @@
 }
 
 // answerOpenRequests answers all requests that the platform would find open when it kills this
-// process.
+// process, those of clients that wait for a place too.
 func (p *Program) answerOpenRequests() {
-	p.router.AnswerOpen(p.inForce.Load().balance.MaxRetryAfter)
+	retryAfter := p.inForce.Load().balance.MaxRetryAfter
+	p.router.AnswerOpen(retryAfter)
+	p.front.RejectWaiting(retryAfter)
 }
--- a/internal/system/dataplane/plane.go
+++ b/internal/system/dataplane/plane.go
@@ -23,11 +23,13 @@
 	"reachspread/internal/transport"
 )
 
+// MaxRetryAfter is the longest time after which a rejected client is advised to come back.
+const MaxRetryAfter = 2 * time.Second
+
 const (
-	maxAttempts   = 4 // of a request, those that were rejected among them
-	stepInterval  = time.Millisecond
-	probeTimeout  = time.Second
-	maxRetryAfter = 2 * time.Second
+	maxAttempts  = 4 // of a request, those that were rejected among them
+	stepInterval = time.Millisecond
+	probeTimeout = time.Second
 
 	// The decisions take a host to have half of its capacity at its start and all of it a second
 	// later, and to fail where it gets four times its capacity for a second.
@@ -222,7 +224,7 @@
 		OverloadWindow:       overloadWindow,
 		StepInterval:         stepInterval,
 		CrossZonePenalty:     crossZonePenalty,
-		MaxRetryAfter:        maxRetryAfter,
+		MaxRetryAfter:        MaxRetryAfter,
 		SingleAffinityHost:   true,
 		Broadcast:            p.o.ReportPrompts != nil,
 	}
@@ -262,6 +264,6 @@
 // killed.
 func (p *Plane) AnswerOpen() {
 	for _, s := range *p.serviceMap.Load() {
-		s.router.AnswerOpen(maxRetryAfter)
+		s.router.AnswerOpen(MaxRetryAfter)
 	}
 }
--- a/internal/system/roles/node/draining.go
+++ b/internal/system/roles/node/draining.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"reachspread/internal/system/dataplane"
 	"reachspread/internal/system/settings"
 )
 
@@ -99,6 +100,7 @@
 	case <-ctx.Done():
 	}
 	n.plane.AnswerOpen()
+	n.front.RejectWaiting(dataplane.MaxRetryAfter)
 	poll := time.NewTicker(finalAnswersInterval)
 	defer poll.Stop()
 	for n.front.AnswersDue() > 0 {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -156,11 +156,16 @@
 // and so does an inherited listener for the other processes that have it.
 func (f *Front) StopAccepting() { f.listener.Close() }
 
-// AnswersDue returns how many requests have come to their ends and have nothing of an answer yet.
+// AnswersDue returns how many requests have come to their ends and have nothing of an answer yet. The
+// backlog of a listener that ends counts as one.
 func (f *Front) AnswersDue() int {
 	f.listener.mu.Lock()
 	defer f.listener.mu.Unlock()
-	return f.listener.answersDue
+	due := f.listener.answersDue
+	if f.listener.backlogOpen {
+		due++
+	}
+	return due
 }
 
 // Shutdown waits until all accepted requests are answered. Each idle connection is read once more
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -50,6 +50,7 @@
 	draining            atomic.Bool           // answers say that their connections end
 	mover               atomic.Pointer[Mover] // to a process that takes over, nil for none
 	closingAfterAnswers atomic.Bool           // connections end with their answers, also where those could not say so
+	acceptFailed        atomic.Bool           // for good
 
 	mu           sync.Mutex
 	admission    *admission.Controller
@@ -57,8 +58,10 @@
 	ended        bool           // nothing is accepted any more
 	alive        int            // connections that the HTTP server has
 	maxAlive     int            // of alive
-	aliveDropped *sync.Cond     // alive was lowered
+	aliveDropped *sync.Cond     // alive was lowered, or nobody waits for a place any more
 	closed       closeCounter   // of client connections
+	backlogOpen  bool           // the listener ends, and clients may be in its backlog
+	noWait       *waitRejection // what clients without a place get, nil while they wait for one
 	emptied      bool           // the last connection of a listener that ends has gone
 	answersDue   int            // requests that have come to their ends, and have nothing of an answer
 	closing      sync.WaitGroup // until its sockets are closed: Accept may fail before that
@@ -130,6 +133,7 @@
 	}
 	l.ended = true
 	if !l.shared {
+		l.backlogOpen = true
 		l.closing.Go(func() { l.closeAfterBacklog() })
 		return nil
 	}
@@ -240,6 +244,7 @@
 		case isConnectionError(err):
 			time.Sleep(acceptRetryDelay)
 		default:
+			l.acceptFailed.Store(true)
 			return nil, err
 		}
 	}
@@ -274,9 +279,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 again:
-	for l.alive >= l.maxAlive {
+	for l.alive >= l.maxAlive && l.noWait == nil {
 		l.aliveDropped.Wait()
 	}
+	if l.alive >= l.maxAlive {
+		l.rejectWaiting(fd)
+		return nil
+	}
 	for _, a := range l.admission.Step(l.now(), e) {
 		switch a.Kind {
 		case admission.Admit:
@@ -302,6 +311,10 @@
 			syscall.Read(fd, l.readAhead[:got]) // a close with bytes unread would take back the answer
 			l.reject(fd, e.RequestComplete && got < len(l.readAhead), a)
 		case admission.RetryLater:
+			if l.noWait != nil {
+				l.rejectWaiting(fd)
+				return nil
+			}
 			l.mu.Unlock()
 			time.Sleep(acceptRetryDelay)
 			l.mu.Lock()
@@ -337,7 +350,12 @@
 		syscall.Close(fd)
 		return
 	}
-	// More of it is on its way; a close with bytes unread would take back the answer.
+	l.closeAfterLinger(fd)
+}
+
+// closeAfterLinger closes a rejected connection once more of its request has been read for a moment:
+// a close with bytes unread would take back the answer. The caller has the lock.
+func (l *listener) closeAfterLinger(fd int) {
 	syscall.Shutdown(fd, syscall.SHUT_WR)
 	l.alive++
 	time.AfterFunc(overloadLingerTimeout, func() {
@@ -353,6 +371,9 @@
 	})
 }
 
+// noCapacityText is for a client for which no connection is free.
+const noCapacityText = "no place for this request; trying again is harmless"
+
 // rejectionText returns the text of a rejection.
 func rejectionText(a admission.Action) string {
 	switch {
@@ -361,7 +382,7 @@
 	case a.Code == http.StatusTooManyRequests:
 		return "too many " + a.Cause.String() + " of this client; trying again is harmless"
 	}
-	return "no place for this request; trying again is harmless"
+	return noCapacityText
 }
 
 // carryOut carries out an action on a connection. The caller has the lock.
--- a/internal/transport/listenerclose.go
+++ b/internal/transport/listenerclose.go
@@ -10,22 +10,27 @@
 const (
 	// handshakeTime is how long a handshake that has begun may take to end as the listener closes.
 	handshakeTime = 5 * time.Millisecond
-	// backlogTimeout bounds how long the backlog of a listener that closes is accepted.
-	backlogTimeout = 500 * time.Millisecond
-	// backlogInterval is between two looks at it.
+	// backlogInterval is between two looks at the backlog.
 	backlogInterval = time.Millisecond
 )
 
 // closeAfterBacklog closes a listener that no other process has, once all clients that have
 // connected are accepted: a close would reset those that wait in the backlog, with requests that
 // they may have written by then. New clients are kept out meanwhile, and refused afterwards.
+//
+// Clients in the backlog have to wait while all places are taken. Only the end of the process bounds
+// that, as it does for requests that were read.
 func (l *listener) closeAfterBacklog() error {
 	l.raw.Control(func(fd uintptr) { dropNewConnections(int(fd)) })
 	time.Sleep(handshakeTime)
-	for end := time.Now().Add(backlogTimeout); l.hasBacklog() && time.Now().Before(end); {
+	for l.hasBacklog() && !l.acceptFailed.Load() {
 		time.Sleep(backlogInterval)
 	}
-	return l.closeSockets()
+	err := l.closeSockets()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.backlogOpen = false
+	return err
 }
 
 // hasBacklog reports whether a client waits to be accepted.
--- a/internal/transport/listenerclose_test.go
+++ b/internal/transport/listenerclose_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"reachspread/internal/admission"
 	"reachspread/internal/routing"
@@ -69,6 +71,92 @@
 	}
 }
 
+// Guards against requests in the backlog that were reset as a listener closed before a place was
+// free for them.
+func TestClosingListenerWaitsForPlaces(t *testing.T) {
+	const waiting = 4
+	finish := make(chan bool)
+	front, _ := newRoutedFront(t, FrontLimits{Admission: admission.Config{MaxConnections: 1}}, scripted.GatedAnswer(finish))
+	addr, _ := listenAndServe(t, front)
+	clients := []net.Conn{dial(t, addr, scripted.RequestText("open", ""))}
+	scripted.AwaitCondition(t, "a request that takes the only place", func() bool { return front.router.Metrics().Open == 1 })
+	for i := range waiting {
+		clients = append(clients, dial(t, addr, scripted.RequestText(fmt.Sprint("waits", i), "")))
+	}
+	shut := make(chan error, 1)
+	go func() { shut <- front.Shutdown() }()
+	time.Sleep(2 * time.Second) // longer than any handshake takes
+	close(finish)
+	for _, client := range clients {
+		wantAnswer(t, client)
+		client.Close()
+	}
+	if err := scripted.Receive(t, shut, "the end of Shutdown"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against clients in the backlog that SIGKILL finds there, as streams have all places.
+func TestWaitingClientsAreRejectedBeforeKill(t *testing.T) {
+	const waiting = 4
+	finish := make(chan bool)
+	defer close(finish)
+	front, _ := newRoutedFront(t, FrontLimits{Admission: admission.Config{MaxConnections: 1}}, scripted.GatedAnswer(finish))
+	addr, _ := listenAndServe(t, front)
+	wantAnswer(t, dial(t, addr, scripted.RequestText("stream", "")))
+	var clients []net.Conn
+	for i := range waiting {
+		clients = append(clients, dial(t, addr, scripted.RequestText(fmt.Sprint("waits", i), "")))
+	}
+	go front.Shutdown()
+	scripted.AwaitCondition(t, "the end of accepting", func() bool { return front.AnswersDue() > 0 })
+	front.RejectWaiting(time.Second)
+	for _, client := range clients {
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+			t.Errorf("got %+v, %v; want a rejection", resp, err)
+		}
+	}
+	scripted.AwaitCondition(t, "an empty backlog", func() bool { return front.AnswersDue() == 0 })
+}
+
+// Guards against a client that connects between the last look at the backlog and the close, however
+// long that takes: it does not come so far.
+func TestNobodyConnectsToClosingListener(t *testing.T) {
+	ln, err := Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newListener(&FrontLimits{Admission: admission.Config{MaxConnections: 4}})
+	if err := l.listen(ln, false); err != nil {
+		t.Fatal(err)
+	}
+	l.raw.Control(func(fd uintptr) { dropNewConnections(int(fd)) })
+	if c, err := net.DialTimeout("tcp", ln.Addr().String(), 200*time.Millisecond); err == nil {
+		c.Close()
+		t.Error("a client has connected, and would be reset")
+	}
+	if l.hasBacklog() {
+		t.Error("a client is in the backlog")
+	}
+	if err := l.closeSockets(); err != nil {
+		t.Error(err)
+	}
+}
+
+// listenAndServe has a front serve at an address of its own.
+func listenAndServe(t *testing.T, front *Front) (addr string, ln net.Listener) {
+	t.Helper()
+	ln, err := Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go front.Serve(ln, false)
+	scripted.AwaitCondition(t, "a listener", func() bool { return front.listener.exclusive() })
+	return ln.Addr().String(), ln
+}
+
 // Guards against an address that is in use by the listener that was just closed: Accept fails a
 // moment before the socket is closed, and a router that starts again in that moment could not listen.
 func TestAddressIsFreeOnceServeReturns(t *testing.T) {
