transport: a listener that closes waits for handshakes that have begun

A client takes its connection for open before the listener has it in its backlog: with the block admission the system defers that to the first bytes, up to 1 s, and beside load it gets to packets late. The close waited 5 ms for handshakes. Now the close comes once the system's table of connections has no handshake at the port, after 1.2 s at the latest.

--- /dev/null
+++ b/internal/router/program/sharedbacklog_test.go
@@ -0,0 +1,48 @@
+package program
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"reachspread/internal/testbed/scripted"
+)
+
+// Guards against clients that are reset as the last process of a router ends: the platform holds the
+// listener, so they wait in its backlog for the next process.
+func TestBacklogOutlivesProcesses(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t, scripted.NewModel(t, scripted.ModelBehavior{Events: 3}))
+	processes := []*one{p.start().yes(), p.start().yes()}
+	for _, o := range processes {
+		o.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, o := range processes {
+		o.until("phase name=finishing")
+	}
+	client, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(scripted.EventTimeout))
+	if _, err := io.WriteString(client, scripted.RequestText("waits", "")); err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range processes {
+		o.exit(true)
+	}
+	p.start().yes()
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("got status %d, want %d", resp.StatusCode, http.StatusOK)
+	}
+}
--- a/internal/transport/listenerclose.go
+++ b/internal/transport/listenerclose.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -8,21 +9,28 @@
 )
 
 const (
-	// handshakeTime is how long a handshake that has begun may take to end as the listener closes.
+	// handshakeTime is how long a packet that begins a handshake may take through the system.
 	handshakeTime = 5 * time.Millisecond
-	// backlogInterval is between two looks at the backlog.
-	backlogInterval = time.Millisecond
+	// handshakeTimeout bounds the wait for handshakes that have begun as a listener closes. The
+	// system sends its part once more after a second, also to a client that it keeps from being
+	// accepted until its first bytes have come.
+	handshakeTimeout = 1200 * time.Millisecond
+	// handshakeInterval is between two looks at the handshakes, backlogInterval at the backlog.
+	handshakeInterval = 10 * time.Millisecond
+	backlogInterval   = time.Millisecond
 )
 
 // closeAfterBacklog closes a listener that no other process has, once all clients that have
-// connected are accepted: a close would reset those that wait in the backlog, with requests that
-// they may have written by then. New clients are kept out meanwhile, and refused afterwards.
+// connected are accepted: a close would reset those that wait in the backlog, or whose handshakes
+// the system has not ended, with requests that they may have written by then. New clients are kept
+// out meanwhile, and refused afterwards.
 //
 // Clients in the backlog have to wait while all places are taken. Only the end of the process bounds
 // that, as it does for requests that were read.
 func (l *listener) closeAfterBacklog() error {
 	l.raw.Control(func(fd uintptr) { dropNewConnections(int(fd)) })
 	time.Sleep(handshakeTime)
+	l.awaitHandshakes()
 	for l.hasBacklog() && !l.acceptFailed.Load() {
 		time.Sleep(backlogInterval)
 	}
@@ -33,6 +41,21 @@
 	return err
 }
 
+// awaitHandshakes waits until no handshake with the listener is under way. Where the system does not
+// tell, it does not wait.
+func (l *listener) awaitHandshakes() {
+	address, ok := l.Listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return
+	}
+	for end := time.Now().Add(handshakeTimeout); time.Now().Before(end); time.Sleep(handshakeInterval) {
+		underWay, err := hasHandshakes(address.Port)
+		if !underWay && !isDescriptorShortage(err) {
+			return
+		}
+	}
+}
+
 // hasBacklog reports whether a client waits to be accepted.
 func (l *listener) hasBacklog() (waiting bool) {
 	l.raw.Control(func(fd uintptr) {
--- a/internal/transport/listenerclose_test.go
+++ b/internal/transport/listenerclose_test.go
@@ -120,6 +120,32 @@
 	scripted.AwaitCondition(t, "an empty backlog", func() bool { return front.AnswersDue() == 0 })
 }
 
+// Guards against requests that were reset as a listener closed before the system had handed their
+// connections over: its handshake ends with the first bytes where admission is strict.
+func TestClosingListenerWaitsForHandshakes(t *testing.T) {
+	idle := time.Minute
+	limits := FrontLimits{Admission: admission.Config{MaxConnections: 10, MaxOverflow: 4, IdleTimeout: [3]time.Duration{idle, idle, idle}}}
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			front, _ := newRoutedFront(t, limits, scripted.Answer(scripted.CompleteAnswer()))
+			addr, _ := listenAndServe(t, front)
+			client := dial(t, addr, "")
+			shut := make(chan error, 1)
+			go func() { shut <- front.Shutdown() }()
+			scripted.AwaitCondition(t, "the end of accepting", func() bool { return front.AnswersDue() > 0 })
+			time.Sleep(delay)
+			if _, err := io.WriteString(client, scripted.RequestText("late", "")); err != nil {
+				t.Fatal(err)
+			}
+			wantAnswer(t, client)
+			client.Close()
+			if err := scripted.Receive(t, shut, "the end of Shutdown"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // Guards against a client that connects between the last look at the backlog and the close, however
 // long that takes: it does not come so far.
 func TestNobodyConnectsToClosingListener(t *testing.T) {
