node: draining allows for a process that ran late as SIGTERM came

Read in the code; not played on processes. Now it counts from the beginning of a delay that may have held the signal up, and gives draining up 0.6 s before the end of the grace, earlier by the longest delay of the last 10 s, up to 0.6 s.

--- a/internal/router/program/shutdown.go
+++ b/internal/router/program/shutdown.go
@@ -20,8 +20,6 @@
 	// maxMarginShare is the divisor for the share of the counted deadline that the margin takes, and
 	// that it takes once more where the process has run late.
 	maxMarginShare = 5
-	// signalWindow is how long before SIGTERM was noticed a delay may have ended that held it up.
-	signalWindow = 200 * time.Millisecond
 	// finalAnswersInterval is the time between two looks at whether the process runs late.
 	finalAnswersInterval = 50 * time.Millisecond
 )
@@ -29,7 +27,7 @@
 // shutdown goes through the phases from SIGTERM to the last answer.
 func (p *Program) shutdown() error {
 	noticed := time.Now()
-	signalled := noticed.Add(-p.latency.Longest(noticed, signalWindow)) // or later
+	signalled := noticed.Add(-p.latency.SignalDelay(noticed)) // or later
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	go p.answerBeforeKill(work, signalled)
--- a/internal/schedlatency/schedlatency.go
+++ b/internal/schedlatency/schedlatency.go
@@ -16,6 +16,9 @@
 	Window = 10 * time.Second
 	// minDelay is the shortest delay that is remembered.
 	minDelay = 20 * time.Millisecond
+	// signalWindow is how long before a signal was noticed a delay may have ended that held it up:
+	// the tick may get a processor first.
+	signalWindow = 200 * time.Millisecond
 )
 
 // Monitor remembers by how much the ticks of a process were late. It may be used by several
@@ -78,6 +81,10 @@
 	return longest
 }
 
+// SignalDelay returns how long before now a signal may have been sent that the process has noticed
+// now.
+func (m *Monitor) SignalDelay(now time.Time) time.Duration { return m.Longest(now, signalWindow) }
+
 // overdue returns for how long a tick has been due. The caller has the lock.
 func (m *Monitor) overdue(now time.Time) time.Duration {
 	return max(now.Sub(m.ticked)-Interval, 0)
--- a/internal/system/roles/node/draining.go
+++ b/internal/system/roles/node/draining.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"reachspread/internal/schedlatency"
 	"reachspread/internal/system/dataplane"
 	"reachspread/internal/system/settings"
 )
@@ -13,8 +14,11 @@
 	// lameDuckDuration is how long clients may still arrive after the router has begun to drain:
 	// the platform has to notice that it is not ready.
 	lameDuckDuration = 1200 * time.Millisecond
-	// graceMargin is what is left of the platform's grace when draining is given up.
-	graceMargin = 300 * time.Millisecond
+	// minGraceMargin is what is left of the platform's grace, at the least, when draining is given up:
+	// last answers have to be written, by a process that may wait for a processor.
+	minGraceMargin = 600 * time.Millisecond
+	// maxLatencyMargin bounds what is left more where the process has run late.
+	maxLatencyMargin = 600 * time.Millisecond
 	// finalAnswersInterval is the time between two looks at whether these are written.
 	finalAnswersInterval = 10 * time.Millisecond
 	// handOverPollInterval is the time between two questions whether the register was handed over.
@@ -53,8 +57,7 @@
 // clients' listener.
 func (n *Node) drain() error {
 	began := time.Now()
-	grace := settings.Seconds(n.settings().Bounds.GraceS) - graceMargin
-	end, cancel := context.WithTimeout(context.Background(), max(grace, lameDuckDuration))
+	end, cancel := context.WithTimeout(context.Background(), max(n.drainTimeout(began), lameDuckDuration))
 	defer cancel()
 
 	n.enterPhase(phaseNotified, began)
@@ -76,6 +79,14 @@
 	return err
 }
 
+// drainTimeout returns how long a router may drain that has noticed SIGTERM at noticed. The platform's
+// grace runs from when it sent that, which is earlier where the process ran late.
+func (n *Node) drainTimeout(noticed time.Time) time.Duration {
+	grace := settings.Seconds(n.settings().Bounds.GraceS)
+	margin := minGraceMargin + min(n.latency.Longest(noticed, schedlatency.Window), maxLatencyMargin)
+	return grace - n.latency.SignalDelay(noticed) - margin
+}
+
 // announceDraining tells clients, the register and the other routers that this one drains.
 func (n *Node) announceDraining(ctx context.Context) {
 	n.front.SetKeepAlive(false)
--- a/internal/system/roles/node/finalanswers_test.go
+++ b/internal/system/roles/node/finalanswers_test.go
@@ -13,7 +13,9 @@
 	"github.com/valyala/fasthttp"
 
 	"reachspread/internal/admission"
+	"reachspread/internal/schedlatency"
 	"reachspread/internal/system/dataplane"
+	"reachspread/internal/system/settings"
 	"reachspread/internal/testbed/scripted"
 	"reachspread/internal/transport"
 )
@@ -60,3 +62,29 @@
 	_, err = http.ReadResponse(bufio.NewReader(client), nil)
 	is.NoErr(err)
 }
+
+// Guards against requests that SIGKILL finds without an answer, as the process did not run when
+// SIGTERM came: the platform's grace runs from SIGTERM on.
+func TestDrainingEndsBeforeKill(t *testing.T) {
+	const grace, noticed = 8 * time.Second, time.Minute
+	start := time.Now()
+	for _, x := range []struct {
+		name               string
+		lastTick, tickLate time.Duration // before SIGTERM was noticed; of the tick
+		want               time.Duration
+	}{
+		{"in time", 50 * time.Millisecond, 0, grace - minGraceMargin},
+		{"stopped a while ago", 5 * time.Second, 200 * time.Millisecond, grace - minGraceMargin - 200*time.Millisecond},
+		{"stopped just before", 50 * time.Millisecond, time.Second, grace - time.Second - minGraceMargin - maxLatencyMargin},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			n := &Node{latency: schedlatency.NewMonitor(start.Add(noticed - x.lastTick - x.tickLate - schedlatency.Interval))}
+			n.activeSettings.Store(&settings.Settings{Bounds: settings.Bounds{GraceS: grace.Seconds()}})
+			for at := noticed - x.lastTick; at <= noticed; at += schedlatency.Interval {
+				n.latency.Tick(start.Add(at))
+			}
+			is.Equal(n.drainTimeout(start.Add(noticed)), x.want)
+		})
+	}
+}
--- a/internal/system/roles/node/node.go
+++ b/internal/system/roles/node/node.go
@@ -11,11 +11,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"reachspread/coord/coordpb"
 	"reachspread/coord/link"
 	"reachspread/coord/register"
 	"reachspread/internal/router/peering"
+	"reachspread/internal/schedlatency"
 	"reachspread/internal/system/dataplane"
 	"reachspread/internal/system/settings"
 	"reachspread/internal/transport"
@@ -47,6 +49,7 @@
 	peerReports *peerReporter
 	pins        *pinTracker
 	draining    drainPhase
+	latency     *schedlatency.Monitor // how late this process runs, once the loops have started
 
 	crash      context.CancelFunc // ends all loops at once, without draining; for tests
 	background sync.WaitGroup     // the loops, and what has to be closed before Run returns
@@ -146,6 +149,8 @@
 		}
 		go file.saveLoop(work)
 	}
+	n.latency = schedlatency.NewMonitor(time.Now())
+	n.background.Go(func() { n.latency.Run(work) })
 	n.background.Go(func() { n.hub.run(work) })
 	n.background.Go(func() { n.quotas.run(work) })
 	n.background.Go(func() { n.peerReports.run(work) })
