--- a/internal/transport/listenerclose.go
+++ b/internal/transport/listenerclose.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"net"
 	"syscall"
 	"time"
 
@@ -9,15 +8,11 @@
 )
 
 const (
-	// handshakeTime is how long a packet that begins a handshake may take through the system.
-	handshakeTime = 5 * time.Millisecond
-	// handshakeTimeout bounds the wait for handshakes that have begun as a listener closes. The
-	// system sends its part once more after a second, also to a client that it keeps from being
-	// accepted until its first bytes have come.
-	handshakeTimeout = 1200 * time.Millisecond
-	// handshakeInterval is between two looks at the handshakes, backlogInterval at the backlog.
-	handshakeInterval = 10 * time.Millisecond
-	backlogInterval   = time.Millisecond
+	// handshakeTime is how long a handshake that has begun may take to end as the listener closes: a
+	// round trip to the client, and the system's delay.
+	handshakeTime = 100 * time.Millisecond
+	// backlogInterval is between two looks at the backlog.
+	backlogInterval = time.Millisecond
 )
 
 // closeAfterBacklog closes a listener that no other process has, once all clients that have
@@ -29,8 +24,7 @@
 // that, as it does for requests that were read.
 func (l *listener) closeAfterBacklog() error {
 	l.raw.Control(func(fd uintptr) { dropNewConnections(int(fd)) })
-	time.Sleep(handshakeTime)
-	l.awaitHandshakes()
+	time.Sleep(l.handshakeTimeout())
 	for l.hasBacklog() && !l.acceptFailed.Load() {
 		time.Sleep(backlogInterval)
 	}
@@ -41,19 +35,13 @@
 	return err
 }
 
-// awaitHandshakes waits until no handshake with the listener is under way. Where the system does not
-// tell, it does not wait.
-func (l *listener) awaitHandshakes() {
-	address, ok := l.Listener.Addr().(*net.TCPAddr)
-	if !ok {
-		return
-	}
-	for end := time.Now().Add(handshakeTimeout); time.Now().Before(end); time.Sleep(handshakeInterval) {
-		underWay, err := hasHandshakes(address.Port)
-		if !underWay && !isDescriptorShortage(err) {
-			return
-		}
+// handshakeTimeout returns how long a client that takes its connection for open may not be in the
+// backlog yet.
+func (l *listener) handshakeTimeout() time.Duration {
+	if l.strict {
+		return deferAcceptTime + handshakeTime
 	}
+	return handshakeTime
 }
 
 // hasBacklog reports whether a client waits to be accepted.
