Review, case 2: an acknowledged end of a host is forgotten when those that count die

Shows that DRAIN is broken: the end of a host is acknowledged once another router has it in memory, and the file that routers with a disk load at their start (internal/system/roles/node/statefile.go) is up to a second older and has no removed hosts. Killed right after the acknowledgement, they send the host requests again until its heartbeats are missed.

--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -16,6 +16,9 @@
 // A client that leaves by a reset ends the router's process.
 func TestLeavingClient(t *testing.T) { play(t, "1") }
 
+// The acknowledged end of a host is forgotten when the machines that count are killed.
+func TestAcknowledgedEnd(t *testing.T) { play(t, "2") }
+
 // play plays a case, and fails if its rule is broken.
 func play(t *testing.T, name string) {
 	t.Helper()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,7 @@
 )
 
 // cases are the scripts. Each returns its result. withFault says whether the disruption takes place.
-var cases = map[string]func(rec *Record, f *Fleet, withFault bool) int{"1": departingClient}
+var cases = map[string]func(rec *Record, f *Fleet, withFault bool) int{"1": departingClient, "2": acknowledgedEnd}
 
 const key = "hwrr6x73d3zji9n73hh2"
 
