Review, case 3: an answer without a length that its host breaks off looks complete

A host that crashes in the middle leaves clients with a 200 that has its last chunk and not its whole body.

--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -19,6 +19,9 @@
 // The acknowledged end of a host is forgotten when the machines that count are killed.
 func TestAcknowledgedEnd(t *testing.T) { play(t, "2") }
 
+// An answer without a length that its host breaks off looks complete.
+func TestBrokenOffAnswer(t *testing.T) { play(t, "3") }
+
 // play plays a case, and fails if its rule is broken.
 func play(t *testing.T, name string) {
 	t.Helper()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,13 +21,16 @@
 )
 
 // cases are the scripts. Each returns its result. withFault says whether the disruption takes place.
-var cases = map[string]func(rec *Record, f *Fleet, withFault bool) int{"1": departingClient, "2": acknowledgedEnd}
+var cases = map[string]func(rec *Record, f *Fleet, withFault bool) int{"1": departingClient, "2": acknowledgedEnd, "3": brokenOff}
 
 const key = "hwrr6x73d3zji9n73hh2"
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) == 4 && os.Args[1] == "host" {
+		return hostProcess(os.Args[2], os.Args[3])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD, in the repository, after the build")
 		return notRun
