A panic while one connection or attempt is served ends that one, not the process

Change: transport.PanicLog recovers such a panic, logs "panic recovered" with its stack and counts it (panics_recovered_total in both routers' metrics, panicsRecovered in the status). The request is ended at the balancer, its memory released, its client gets 502 where no answer has begun; an attempt fails and its connection is closed.

--- a/internal/router/management/management.go
+++ b/internal/router/management/management.go
@@ -49,6 +49,7 @@
 	ListedHosts                     int64
 	ExcludedHosts                   int64
 	ConfigsAccepted, ConfigsInvalid uint64
+	PanicsRecovered                 uint64
 	ClosedConnections               []ClosedConnections
 	Fleet                           *Fleet    // nil if the router has no view of the fleet
 	Roles                           *Roles    // nil if the router has no singleton roles
--- a/internal/router/mirror/pool.go
+++ b/internal/router/mirror/pool.go
@@ -89,6 +89,7 @@
 		Keepalive:         m.options.KeepAlive,
 		StreamIdleTimeout: set.StreamIdleTimeout,
 		Connections:       set.Sockets,
+		Panics:            transport.NewPanicLog(log),
 	}
 	p.servers = transport.NewServers(limits, log)
 	p.router = routing.New(b, cappedNetwork{p.servers, p}, log, probeTimeout)
--- a/internal/router/program/admission.go
+++ b/internal/router/program/admission.go
@@ -36,7 +36,7 @@
 // frontLimits returns the limits on the resources that clients may use.
 func (p *Program) frontLimits(r processLimits) transport.FrontLimits {
 	l := transport.FrontLimits{BodyBytes: r.bodies, Seed: p.cfg.seed, Admission: p.cfg.admission(r.clients), OnDescriptorShortage: p.onShortage(),
-		OnClose: p.logUnanswered}
+		OnClose: p.logUnanswered, Panics: p.panics}
 	if p.cfg.set != nil && p.cfg.set.Admission != nil {
 		l.Identity = p.cfg.set.Admission.IdentityHeader
 	}
--- a/internal/router/program/program.go
+++ b/internal/router/program/program.go
@@ -36,6 +36,7 @@
 	getenv    func(string) string
 	file      string // the path of the operators' settings file, empty for none
 	log       routing.Logger
+	panics    *transport.PanicLog
 	servers   *transport.Servers
 	mirror    *mirror.Mirror      // nil without a settings file
 	status    *transport.Status   // nil if the settings name no status folder
@@ -81,7 +82,7 @@
 // New returns a program that is not started. Load and ReadSettings must have filled cfg. The path
 // of the operators' settings file is file, empty for none.
 func New(cfg *Config, getenv func(string) string, file string, log routing.Logger) *Program {
-	p := &Program{cfg: cfg, getenv: getenv, file: file, log: log, phase: Starting,
+	p := &Program{cfg: cfg, getenv: getenv, file: file, log: log, panics: transport.NewPanicLog(log), phase: Starting,
 		serveResult: make(chan error, 1), enteredPhases: make(chan Phase, maxQueuedPhases), leavePhase: func() {}}
 	p.inForce.Store(cfg)
 	return p
@@ -139,7 +140,8 @@
 	p.servers = transport.NewServers(transport.ServerLimits{ConnectTimeout: p.cfg.connectTimeout(),
 		Keepalive:         time.Duration(p.cfg.Settings.Limits.KeepaliveNs),
 		StreamIdleTimeout: streamIdleTimeout,
-		Connections:       alone.servers}, p.log)
+		Connections:       alone.servers,
+		Panics:            p.panics}, p.log)
 	p.balancer = balancer
 	p.router = routing.New(balancer, p.servers, p.log, p.cfg.connectTimeout()+probeAnswerTimeout)
 	p.gate = &recoveryGate{gate: recovery.NewGate(p.cfg.balance, nil, p.cfg.seed)}
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -23,6 +23,7 @@
 	f.router(s)
 	f.requests(&s.Requests)
 	f.connections(s.Connections)
+	f.panics(s.Panics)
 	f.services(s.Services)
 	f.members(s.Members)
 	f.configuration(&s.Configuration)
@@ -77,6 +78,10 @@
 	}
 }
 
+func (f *families) panics(recovered uint64) {
+	f.counter("panics_recovered_total", "Panics that each ended one connection: a fault of this program.").sample(float64(recovered))
+}
+
 func (f *families) services(all []status.Service) {
 	open := f.gauge("requests_open", "Requests in flight or queued.")
 	retries := f.gauge("retry_budget", "Retries that the budget allows now.")
--- a/internal/system/roles/node/dataplane.go
+++ b/internal/system/roles/node/dataplane.go
@@ -44,6 +44,7 @@
 		StreamIdleTimeout: hostIdleTimeout,
 		Connections:       free / 2,
 		Dialect:           protocol.Fleet{},
+		Panics:            n.panics,
 	}, n.log)
 	n.plane = dataplane.New(ctx, dataplane.Options{
 		Settings:      n.settings,
@@ -63,6 +64,7 @@
 		Seed:        rand.Uint64(),
 		Admission:   admission.Config{MaxConnections: free / 2, MaxOverflow: maxRejectedConnections, MinRetryAfter: minRetryAfter},
 		OnClose:     n.logUnanswered,
+		Panics:      n.panics,
 	})
 	n.front.SetKeepAlive(true)
 }
--- a/internal/system/roles/node/node.go
+++ b/internal/system/roles/node/node.go
@@ -34,6 +34,7 @@
 type Node struct {
 	activeSettings atomic.Pointer[settings.Settings]
 	log            logger
+	panics         *transport.PanicLog
 	self           router
 	incarnation    uint64 // identifies this run of the process; random
 
@@ -69,7 +70,7 @@
 
 // New returns a router that does nothing until Run is called.
 func New(s *settings.Settings, log logger) *Node {
-	n := &Node{log: log, incarnation: rand.Uint64(), started: make(chan struct{})}
+	n := &Node{log: log, panics: transport.NewPanicLog(log), incarnation: rand.Uint64(), started: make(chan struct{})}
 	n.pins = &pinTracker{node: n}
 	n.activeSettings.Store(s)
 	n.self = router{address: s.Internal(s.IP()), zone: s.Zone, eligible: mayJoinRegister(s)}
--- a/internal/system/roles/node/status.go
+++ b/internal/system/roles/node/status.go
@@ -69,6 +69,7 @@
 		Loops:         n.loopStatus(),
 		Requests:      n.requestStatus(),
 		Connections:   n.connectionStatus(),
+		Panics:        n.panics.Count(),
 		Link:          status.Link(n.link.Stats()),
 		PromptReports: n.peerReports.stats(),
 		Members:       memberStatus(n.members.Now()),
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -25,6 +25,7 @@
 	Loops         []Loop        `json:"loops"`
 	Requests      Requests      `json:"requests"`
 	Connections   []Connections `json:"connectionsClosed"` // closed client connections, by the reason
+	Panics        uint64        `json:"panicsRecovered"`   // panics that each ended one connection
 	Link          Link          `json:"link"`
 	PromptReports PromptReports `json:"promptReports"`
 	Configuration Configuration `json:"configuration"`
--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -133,6 +133,7 @@
 // the socket, because the connection may still be dropped.
 func (l *listener) readEarly(fd int, from netip.AddrPort) (e admission.Event, got int) {
 	e = admission.Event{Kind: admission.Opened, Addr: from.Addr()}
+	defer l.panics.contain("reading ahead of admission", func() { got = max(got, 0) })
 	if !l.strict {
 		return e, 0
 	}
--- a/internal/transport/clientread.go
+++ b/internal/transport/clientread.go
@@ -14,6 +14,7 @@
 // Read is called by the HTTP server between requests and for the rest of a request, but never while
 // a request is open.
 func (c *clientConn) Read(p []byte) (n int, err error) {
+	defer c.listener.panics.containError("reading a request", &err)
 	c.requestAnswered()
 	if !c.requestBegun && len(c.readAhead) == 0 && c.everRead && c.listener.closingAfterAnswers.Load() {
 		return c.lastRead(p, io.EOF, ClosedDraining)
--- a/internal/transport/clientrequest.go
+++ b/internal/transport/clientrequest.go
@@ -48,6 +48,14 @@
 	r.front.memory.release(r.bodyBytes)
 }
 
+// endPanicked ends a request whose handling panicked. Whoever reserved the bytes of its body
+// releases them.
+func (r *clientRequest) endPanicked() {
+	r.bodyBytes = 0
+	r.abandon()
+	r.end(routing.Answer{Verdict: routing.Failed})
+}
+
 // outdated reports whether a request was rejected without being sent and has to be planned again.
 func (r *clientRequest) outdated(a routing.Answer) bool {
 	return a.Verdict == routing.Rejected && !a.MayHaveExecuted && r.plan.Outdated != nil && r.plan.Outdated()
@@ -100,9 +108,10 @@
 }
 
 // Read implements io.Reader.
-func (r *resumingStream) Read(p []byte) (int, error) {
+func (r *resumingStream) Read(p []byte) (n int, err error) {
+	defer r.request.front.limits.Panics.containError("reading an answer", &err)
 	for {
-		n, err := r.Stream.Read(p)
+		n, err = r.Stream.Read(p)
 		if n > 0 {
 			return n, nil
 		}
@@ -124,8 +133,9 @@
 }
 
 // Close implements io.Closer.
-func (r *resumingStream) Close() error {
-	err := r.Stream.Close()
+func (r *resumingStream) Close() (err error) {
+	defer r.request.front.limits.Panics.containError("closing an answer", &err)
+	err = r.Stream.Close()
 	r.request.end(routing.Answer{Verdict: routing.Served, Stream: r.Stream})
 	return err
 }
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -92,10 +92,15 @@
 	}
 	x := &exchange{servers: s, conn: c, resp: fasthttp.AcquireResponse()}
 	x.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	answered := false
+	defer func() {
+		if !answered {
+			x.close()
+		}
+	}()
 	if err := o.write(ctx, c); err != nil {
 		unsent := errors.Is(err, errUnsent)
 		x.complete = unsent // the connection can be reused
-		x.close()
 		if unsent {
 			return nil, balance.NotSent
 		}
@@ -103,10 +108,9 @@
 	}
 	o.hooks.Written()
 	if err := x.readAnswer(ctx, o.id); err != nil {
-		result := x.failed(ctx, balance.TimedOut)
-		x.close()
-		return nil, result
+		return nil, x.failed(ctx, balance.TimedOut)
 	}
+	answered = true
 	return x, balance.OK
 }
 
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -56,6 +56,7 @@
 	OnDescriptorShortage func()           // called when the process has no descriptor left; nil for nothing
 	// OnClose is called when a client's connection has ended and must not block; nil for nothing.
 	OnClose func(ConnectionClosed)
+	Panics  *PanicLog // of goroutines that serve one client; nil to let a panic end the process
 }
 
 // ReadTimeout returns how long a client may send nothing. The argument begun says whether a request
@@ -184,6 +185,7 @@
 // handle serves one request of the HTTP server.
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
 	defer f.closeIfDraining(ctx)
+	defer f.limits.Panics.contain("serving a request", func() { f.rejectPanicked(ctx) })
 	if !f.intake.Local(ctx) {
 		f.serve(ctx)
 		return
@@ -193,6 +195,13 @@
 	}
 }
 
+// rejectPanicked answers a request whose handling panicked, and closes its connection. An attempt
+// at it may have been executed.
+func (f *Front) rejectPanicked(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Reset()
+	reject(ctx, fasthttp.StatusBadGateway, "failed")
+}
+
 // closeIfDraining closes a connection after its answer while the router is draining, unless further
 // requests have arrived on it: they are answered first. It also closes an evicted connection.
 func (f *Front) closeIfDraining(ctx *fasthttp.RequestCtx) {
@@ -269,14 +278,29 @@
 		observer = f.offerCopy(&ctx.Request.Header, &plan.Arrival, receivedAt, plan.Message)
 	}
 	e := &clientRequest{front: f, plan: plan, conn: conn, request: request, began: conn.beganAt}
-	conn.watch(e.abandon)
+	panicked := true
+	defer func() {
+		if panicked {
+			e.endPanicked()
+		}
+	}()
+	needed, planAgain = f.answerRequest(ctx, e, observer, cap(body))
+	panicked = false
+	return needed, planAgain
+}
+
+// answerRequest waits for the answer to an accepted request and answers the client. bodyBytes is
+// what the request's body has reserved. The results are those of serveOnce.
+func (f *Front) answerRequest(ctx *fasthttp.RequestCtx, e *clientRequest, observer AnswerObserver, bodyBytes int) (needed, planAgain bool) {
+	e.conn.watch(e.abandon)
+	request, plan := e.request, e.plan
 	answer, ok := request.Wait()
 	if ok && e.outdated(answer) {
 		e.end(answer)
 		return false, true
 	}
 	if plan.Resume != nil {
-		needed, e.bodyBytes = true, cap(body)
+		needed, e.bodyBytes = true, bodyBytes
 	}
 	if ok && answer.Verdict == routing.Served {
 		f.intake.Served(ctx, answer.Stream)
--- a/internal/transport/handover.go
+++ b/internal/transport/handover.go
@@ -183,6 +183,7 @@
 // receive handles the messages of one process in sequence.
 func (r *Receiver) receive(c *net.UnixConn) {
 	defer c.Close()
+	defer r.front.limits.Panics.contain("taking over a connection", func() {})
 	text, rights := make([]byte, maxHandoverMessage), make([]byte, syscall.CmsgSpace(4*handoverSockets))
 	for {
 		n, nr, _, _, err := c.ReadMsgUnix(text, rights)
@@ -272,6 +273,7 @@
 // continueStream forwards the rest of a stream and then serves its client.
 func (r *Receiver) continueStream(m movedConn, client, server net.Conn) {
 	ended := r.front.router.CountTakenOver(m.Class)
+	defer r.front.limits.Panics.contain("continuing a stream", func() { client.Close(); server.Close() })
 	watch := &clientConn{Conn: client, listener: r.front.listener}
 	watch.watch(func() { server.Close() })
 	verdict, next := r.relay(&m, watch, server)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -35,6 +35,7 @@
 	header      string // name of the header with a client's identity, empty for none
 	log         func() // called when the process has no descriptor left
 	onClose     func(ConnectionClosed)
+	panics      *PanicLog // nil to let a panic end the process
 	readTimeout ReadTimeout
 
 	draining            atomic.Bool           // answers announce that their connections end
@@ -73,6 +74,7 @@
 		maxAlive:    c.MaxConnections + c.MaxOverflow + maxClosingConns,
 		log:         limits.OnDescriptorShortage,
 		onClose:     limits.OnClose,
+		panics:      limits.Panics,
 		strict:      c.IdleTimeout != [3]time.Duration{},
 		header:      limits.Identity,
 		burst:       minAcceptBurst,
--- a/internal/transport/management.go
+++ b/internal/transport/management.go
@@ -30,20 +30,22 @@
 type Management struct {
 	ln     net.Listener
 	answer func(line string) string
+	panics *PanicLog
 
 	mu                 sync.Mutex
 	callers            []net.Conn // the one that connected first comes first
 	reservedDescriptor *os.File
 }
 
-// NewManagement listens for operators at an address.
-func NewManagement(addr string, answer func(line string) string) (*Management, error) {
+// NewManagement listens for operators at an address. If panics is nil, a panic of answer ends the
+// process.
+func NewManagement(addr string, answer func(line string) string, panics *PanicLog) (*Management, error) {
 	listen := net.ListenConfig{KeepAlive: -1}
 	ln, err := listen.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	m := &Management{ln: ln, answer: answer}
+	m := &Management{ln: ln, answer: answer, panics: panics}
 	m.reservedDescriptor, _ = os.Open(os.DevNull)
 	return m, nil
 }
@@ -114,6 +116,7 @@
 // call reads one line and answers it.
 func (m *Management) call(c net.Conn) {
 	defer m.removeCaller(c)
+	defer m.panics.contain("answering an operator", func() {})
 	c.SetDeadline(time.Now().Add(callTimeout))
 	in := bufio.NewReaderSize(c, management.MaxLineBytes)
 	line, err := in.ReadSlice('\n')
@@ -132,7 +135,7 @@
 		return
 	}
 	// Closing with unread bytes would reset the connection, and the caller might lose the answer.
-	if c.(*net.TCPConn).CloseWrite() == nil {
+	if tcp, ok := c.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 		c.SetReadDeadline(time.Now().Add(lingerTimeout))
 		io.CopyN(io.Discard, in, maxErrorBody)
 	}
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -52,6 +52,7 @@
 	pool    *pool
 	dialect protocol.Dialect
 	log     routing.Logger
+	panics  *PanicLog
 
 	streamIdleTimeout time.Duration
 
@@ -70,6 +71,7 @@
 	StreamIdleTimeout time.Duration // after which a silent stream counts as broken
 	Connections       int
 	Dialect           protocol.Dialect // nil for protocol.Completions
+	Panics            *PanicLog        // of goroutines that serve one attempt; nil to let a panic end the process
 }
 
 // NewServers returns a Servers without connections.
@@ -77,7 +79,7 @@
 	if l.Dialect == nil {
 		l.Dialect = protocol.Completions{}
 	}
-	return &Servers{log: log, dialect: l.Dialect, unreadableLoads: map[string]bool{}, movable: map[*conn]bool{}, streamIdleTimeout: l.StreamIdleTimeout,
+	return &Servers{log: log, panics: l.Panics, dialect: l.Dialect, unreadableLoads: map[string]bool{}, movable: map[*conn]bool{}, streamIdleTimeout: l.StreamIdleTimeout,
 		pool: &pool{connectTimeout: l.ConnectTimeout, idleTimeout: safeIdleTime(l.Keepalive), limit: l.Connections, idle: map[routing.Server][]*conn{}}}
 }
 
@@ -116,7 +118,14 @@
 
 // Send implements routing.Network. It never sends a request twice: package balance decides about
 // retries.
-func (s *Servers) Send(ctx context.Context, deadline time.Time, to routing.Server, m routing.Message, hooks routing.SendHooks) routing.AttemptResult {
+func (s *Servers) Send(ctx context.Context, deadline time.Time, to routing.Server, m routing.Message, hooks routing.SendHooks) (result routing.AttemptResult) {
+	var x *exchange
+	defer s.panics.contain("exchanging a request with a server", func() {
+		result = routing.AttemptResult{Result: balance.Error}
+		if x != nil {
+			x.close()
+		}
+	})
 	msg := m.(*Message)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -125,10 +134,11 @@
 
 	headCtx, cancel := context.WithDeadline(ctx, msg.headDeadline(deadline))
 	defer cancel()
-	x, result := s.exchange(headCtx, to, outgoing{request: req, deadline: deadline, client: msg.client, hooks: hooks,
+	var failure balance.Result
+	x, failure = s.exchange(headCtx, to, outgoing{request: req, deadline: deadline, client: msg.client, hooks: hooks,
 		id: string(msg.id), fixedHost: msg.forward != nil})
 	if x == nil {
-		return routing.AttemptResult{Result: result, ClientLeft: result == balance.NotSent && msg.client.clientLeft()}
+		return routing.AttemptResult{Result: failure, ClientLeft: failure == balance.NotSent && msg.client.clientLeft()}
 	}
 	judged := s.dialect.Judge(x.resp.StatusCode(), x.header)
 	switch {
@@ -215,13 +225,14 @@
 var probeHooks = routing.SendHooks{MaySend: func() bool { return true }, Written: func() {}}
 
 // Probe implements routing.Network.
-func (s *Servers) Probe(ctx context.Context, to routing.Server) (balance.Result, *balance.Load) {
+func (s *Servers) Probe(ctx context.Context, to routing.Server) (result balance.Result, load *balance.Load) {
+	defer s.panics.contain("checking the health of a server", func() { result, load = balance.Error, nil })
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetRequestURI(s.dialect.ProbePath())
-	x, result := s.exchange(ctx, to, outgoing{request: req, hooks: probeHooks})
+	x, failure := s.exchange(ctx, to, outgoing{request: req, hooks: probeHooks})
 	if x == nil {
-		return result, nil
+		return failure, nil
 	}
 	defer x.close()
 	text, err := x.readBody()
@@ -229,7 +240,7 @@
 		return x.failed(ctx, balance.TimedOut), nil
 	}
 	x.complete = true
-	load := func() *balance.Load {
+	report := func() *balance.Load {
 		l, err := s.dialect.ProbeLoad(text)
 		if l != nil || err != nil {
 			s.recordLoadReport(to.ID, err)
@@ -238,9 +249,9 @@
 	}
 	switch x.resp.StatusCode() {
 	case fasthttp.StatusOK:
-		return balance.OK, load()
+		return balance.OK, report()
 	case fasthttp.StatusServiceUnavailable:
-		return balance.Full, load()
+		return balance.Full, report()
 	}
 	return balance.Error, nil
 }
