--- a/coord/feed/subscription.go
+++ b/coord/feed/subscription.go
@@ -110,6 +110,17 @@
 	return false
 }
 
+// Answered reports whether a source of each subscription to a topic has answered a poll since the
+// subscription was made. It is true for a topic without subscriptions.
+func (n *Node) Answered(topic string) bool {
+	for key, s := range n.subscriptions {
+		if key.topic == topic && s.freshAt == never {
+			return false
+		}
+	}
+	return true
+}
+
 // requiresConfirmation reports whether any subscription requires a topic to be confirmed.
 func (n *Node) requiresConfirmation(topic string) bool {
 	for key, s := range n.subscriptions {
--- a/internal/system/deciders/instances/instances.go
+++ b/internal/system/deciders/instances/instances.go
@@ -43,8 +43,19 @@
 	revision       uint64        // of the registry, when the record was stored
 	lastHeartbeat  time.Duration // as far as this router knows; DetectLost measures from it
 	stateSince     time.Duration // when the record was stored
+	endReplicated  bool          // SetEndReplicated was called for this state of the host
 }
 
+// Revision returns the revision of the registry at which the record was stored.
+func (r *Record) Revision() uint64 { return r.revision }
+
+// EndReplicated reports whether SetEndReplicated was called for the host's present state.
+func (r *Record) EndReplicated() bool { return r.endReplicated }
+
+// HasEnded reports whether a record says that its host drains or was removed. Unlike the other
+// states, these are never taken back.
+func HasEnded(in *message.Instance) bool { return in.State >= message.Instance_DRAINING }
+
 // Registry holds the hosts that one router knows, including lost and removed hosts.
 type Registry struct {
 	now              time.Duration // the latest time that a caller passed
@@ -97,18 +108,24 @@
 // Len returns the number of hosts in the registry, including removed hosts.
 func (r *Registry) Len() int { return len(r.records) }
 
-// Active returns all hosts that are not removed, including draining and lost hosts.
-func (r *Registry) Active() (all []*message.Instance) {
+// All returns the records of all hosts, including removed hosts, by service and host id.
+func (r *Registry) All() (all []*message.Instance) {
 	for _, service := range r.Services() {
 		for _, rec := range r.Records(service) {
-			if rec.State != message.Instance_GONE {
-				all = append(all, rec.Instance)
-			}
+			all = append(all, rec.Instance)
 		}
 	}
 	return all
 }
 
+// SetEndReplicated records that enough routers have the state of a host that drains or was
+// removed, unless the host has another state by now.
+func (r *Registry) SetEndReplicated(id string, state message.Instance_State) {
+	if rec := r.records[id]; rec != nil && rec.State == state {
+		rec.endReplicated = true
+	}
+}
+
 // ChangedSince returns the hosts of a service that changed after a revision. The field
 // ColdRemainingMs of each host is what remains of the host's slow start at present.
 func (r *Registry) ChangedSince(service string, after uint64) (all []*message.Instance) {
@@ -237,6 +254,7 @@
 	}
 	if old := r.records[in.Id]; old != nil {
 		rec.lastHeartbeat = max(rec.lastHeartbeat, old.lastHeartbeat)
+		rec.endReplicated = old.endReplicated && old.State == in.State
 		delete(r.byService[old.Service], in.Id)
 		delete(r.sorted, old.Service)
 	}
--- a/internal/system/roles/node/fleet.go
+++ b/internal/system/roles/node/fleet.go
@@ -17,6 +17,7 @@
 	address  netip.AddrPort // for other routers
 	zone     string         // zone label
 	eligible bool           // may be a member of the register
+	hasDisk  bool           // saves the ends of hosts to a disk
 }
 
 // internal returns the address for other routers in the form that messages use.
@@ -41,7 +42,8 @@
 	f := &fleet{self: self, routers: []router{self}}
 	for _, m := range v.Members {
 		if m.Addr != self.address {
-			f.routers = append(f.routers, router{m.Addr, m.Zone, strings.Contains(m.Version, eligibleFlag)})
+			eligible, hasDisk := strings.Contains(m.Version, eligibleFlag), strings.Contains(m.Version, diskFlag)
+			f.routers = append(f.routers, router{m.Addr, m.Zone, eligible, hasDisk})
 		}
 	}
 	f.sort()
@@ -56,7 +58,7 @@
 		address, err := netip.ParseAddrPort(m.Address)
 		known := slices.ContainsFunc(all.routers, func(r router) bool { return r.address == address })
 		if err == nil && !known {
-			all.routers = append(all.routers, router{address, m.Label, true})
+			all.routers = append(all.routers, router{address: address, zone: m.Label, eligible: true, hasDisk: true})
 		}
 	}
 	all.sort()
--- a/internal/system/roles/node/handoff.go
+++ b/internal/system/roles/node/handoff.go
@@ -30,35 +30,15 @@
 	instances      []*message.Instance
 	createdAt      time.Duration
 	sentAt         time.Duration
-	onAcknowledged func(reachesMajority bool) // nil if no caller waits
-}
-
-// replicate hands off a record that must not be lost to other routers. It calls done once one of
-// them has acknowledged the record and either that router or this one reaches a majority of the
-// register. A router that has never known any other calls done at once.
-func (h *hub) replicate(in *message.Instance, done func()) {
-	if h.isStandalone() {
-		done()
-		return
-	}
-	called := false
-	acknowledged := func(reachesMajority bool) {
-		if !called && (reachesMajority || h.reachesMajority()) {
-			called = true
-			done()
-		}
-	}
-	for _, to := range h.handoffTargets(in) {
-		h.handOff(to, in, acknowledged)
-	}
+	onAcknowledged func(*message.Taken) // nil if no caller waits
 }
 
 // handoffTargets returns the other routers that must have a host's record: the owner of its
 // service in each zone, and the first backup owner in the host's own zone.
-func (h *hub) handoffTargets(in *message.Instance) (all []string) {
+func (h *hub) handoffTargets(in *message.Instance) (all []router) {
 	add := func(r router) {
-		if r.address != h.node.self.address && !slices.Contains(all, r.internal()) {
-			all = append(all, r.internal())
+		if r.address != h.node.self.address && !slices.Contains(all, r) {
+			all = append(all, r)
 		}
 	}
 	for _, zone := range h.fleet.zones() {
@@ -73,7 +53,7 @@
 
 // handOff starts a handoff. It calls onAcknowledged at most once, when the target acknowledges the
 // handoff; nil means that no caller waits.
-func (h *hub) handOff(to string, in *message.Instance, onAcknowledged func(reachesMajority bool)) {
+func (h *hub) handOff(to string, in *message.Instance, onAcknowledged func(*message.Taken)) {
 	if len(h.hints) >= maxHints {
 		return
 	}
@@ -107,7 +87,8 @@
 	return age >= handoffTimeout || x.onAcknowledged == nil && age >= heartbeatHandoffTimeout
 }
 
-// receiveHandoff stores the records of another router's handoff and acknowledges it.
+// receiveHandoff stores the records of another router's handoff and acknowledges it. If a host has
+// ended and this router has a disk, it acknowledges once the records are on the disk.
 func (h *hub) receiveHandoff(m *message.Handoff) {
 	var changed []*instances.Record
 	for _, in := range m.Instances {
@@ -120,10 +101,28 @@
 		changed = append(changed, h.registry.Merge(h.now(), []*message.Instance{in})...)
 	}
 	h.hostsChanged(changed)
+	if state := h.node.state; state != nil && slices.ContainsFunc(m.Instances, instances.HasEnded) {
+		state.ensureSaved(h.newestRevision(m.Instances), func() { h.acknowledgeHandoff(m) })
+		return
+	}
+	h.acknowledgeHandoff(m)
+}
+
+func (h *hub) acknowledgeHandoff(m *message.Handoff) {
 	acknowledgement := &message.Taken{Nonce: m.Nonce, Connected: h.reachesMajority()}
 	h.node.send(m.From, &message.Envelope{Body: &message.Envelope_Taken{Taken: acknowledgement}})
 }
 
+// newestRevision returns the highest revision of the records that the registry has of hosts.
+func (h *hub) newestRevision(hosts []*message.Instance) (newest uint64) {
+	for _, in := range hosts {
+		if known := h.registry.Get(in.Id); known != nil {
+			newest = max(newest, known.Revision())
+		}
+	}
+	return newest
+}
+
 // handoffAcknowledged completes the handoff that an acknowledgement belongs to and notifies its
 // caller.
 func (h *hub) handoffAcknowledged(m *message.Taken) {
@@ -133,22 +132,6 @@
 	}
 	delete(h.hints, m.Nonce)
 	if x.onAcknowledged != nil {
-		x.onAcknowledged(m.Connected)
-	}
-}
-
-// handoffPending reports whether a handoff of a host still waits for an acknowledgement on behalf
-// of a caller.
-func (h *hub) handoffPending(id string) bool {
-	for _, hint := range h.hints {
-		if hint.onAcknowledged == nil {
-			continue
-		}
-		for _, in := range hint.instances {
-			if in.Id == id {
-				return true
-			}
-		}
+		x.onAcknowledged(m)
 	}
-	return false
 }
--- a/internal/system/roles/node/hosts.go
+++ b/internal/system/roles/node/hosts.go
@@ -19,8 +19,8 @@
 	owner := h.owner(in.Service, in.Zone)
 	acknowledge := func() { done(h.node.controlAddress(owner)) }
 	known := h.registry.Get(in.Id)
-	if known != nil && known.State >= message.Instance_DRAINING {
-		h.acknowledgeEnd(known, changed == nil, acknowledge)
+	if known != nil && instances.HasEnded(known.Instance) {
+		h.acknowledgeEnd(known, acknowledge)
 		return
 	}
 	if owner.address != h.node.self.address {
@@ -33,14 +33,13 @@
 // Other routers may know a host that this router does not. The end of such a host is acknowledged
 // only if this router has had time to learn what the others know.
 func (h *hub) remove(id string, done func()) {
+	h.acceptRestored() // a restored host must not count as unknown once this router has joined
 	changed := h.registry.Remove(h.now(), id)
 	if changed != nil {
 		h.hostsChanged([]*instances.Record{changed})
-		h.acknowledgeEnd(changed, false, done)
-		return
 	}
 	if known := h.registry.Get(id); known != nil {
-		h.acknowledgeEnd(known, true, done)
+		h.acknowledgeEnd(known, done)
 		return
 	}
 	if h.isStandalone() || h.reachesMajority() && !h.joining() {
@@ -48,17 +47,6 @@
 	}
 }
 
-// acknowledgeEnd acknowledges that a host drains or ends, once a router from which other routers
-// learn about hosts has the record. alreadyKnown reports whether the record already had that state
-// on this router before the call.
-func (h *hub) acknowledgeEnd(known *instances.Record, alreadyKnown bool, done func()) {
-	if alreadyKnown && h.reachesMajority() && !h.handoffPending(known.Id) {
-		done()
-		return
-	}
-	h.replicate(known.Instance, done)
-}
-
 // minPublishInterval plus publishIntervalPerHost for each known host is the shortest time between
 // two publications of changed records to the data plane and to other routers. Hundreds of hosts
 // may send heartbeats at once, and each publication costs some microseconds for each known host. A
--- a/internal/system/roles/node/hub.go
+++ b/internal/system/roles/node/hub.go
@@ -39,6 +39,8 @@
 	fleet   *fleet // members, and during joining also the register's members
 	owned   mapset.Set[ownerKey]
 
+	restored restoredHosts // not accepted yet
+
 	hints map[uint64]*hint // handoffs without an acknowledgement, by nonce
 	nonce uint64           // nonce of the last hint
 
@@ -67,6 +69,7 @@
 		node:         n,
 		startedAt:    time.Now(),
 		calls:        make(chan func(), maxQueuedCalls),
+		restored:     restoredHosts{},
 		hints:        map[uint64]*hint{},
 		owned:        mapset.NewThreadUnsafeSet[ownerKey](),
 		unpublished:  mapset.NewThreadUnsafeSet[string](),
@@ -150,6 +153,7 @@
 	}
 	h.sendAll(h.feed.Tick(h.now()))
 	h.resendHints()
+	h.acceptRestored()
 	if h.now() >= h.nextExpiryAt {
 		h.nextExpiryAt = h.now() + expiryInterval
 		h.hostsChanged(h.registry.DetectLost(h.now(), h.ownsRecord))
@@ -164,6 +168,7 @@
 		h.sendAll(h.feed.HandlePoll(h.now(), body.Poll))
 	case *message.Envelope_Update:
 		h.sendAll(h.feed.HandleUpdate(h.now(), body.Update))
+		h.acceptRestored()
 		h.refreshConfirmation()
 	case *message.Envelope_Handoff:
 		h.receiveHandoff(body.Handoff)
--- a/internal/system/roles/node/membership.go
+++ b/internal/system/roles/node/membership.go
@@ -18,6 +18,7 @@
 const (
 	cardFormatVersion = "1"
 	eligibleFlag      = "c" // the router may be a member of the register
+	diskFlag          = "d" // the router saves the ends of hosts to a disk
 )
 
 // maxDatagramBytes is the largest datagram of the membership or of peer reports, in bytes. A
@@ -47,6 +48,9 @@
 	if n.self.eligible {
 		version += eligibleFlag
 	}
+	if n.self.hasDisk {
+		version += diskFlag
+	}
 	return members.Config{
 		Name:       s.IPAddress,
 		Zone:       zoneLabel(s.Zone),
--- a/internal/system/roles/node/node.go
+++ b/internal/system/roles/node/node.go
@@ -49,6 +49,7 @@
 	hub         *hub
 	quotas      *quotas
 	peerReports *peerReporter
+	state       *stateFile // nil without a disk; set before the loops start
 	pins        *pinTracker
 	draining    drainPhase
 	latency     *schedlatency.Monitor // scheduling delays of this process; set when the loops start
@@ -73,7 +74,7 @@
 	n := &Node{log: log, panics: transport.NewPanicLog(log), incarnation: rand.Uint64(), started: make(chan struct{})}
 	n.pins = &pinTracker{node: n}
 	n.activeSettings.Store(s)
-	n.self = router{address: s.Internal(s.IP()), zone: s.Zone, eligible: mayJoinRegister(s)}
+	n.self = router{address: s.Internal(s.IP()), zone: s.Zone, eligible: mayJoinRegister(s), hasDisk: s.HasDisk()}
 	return n
 }
 
@@ -147,11 +148,11 @@
 // one that saves state, so that a disk that hangs does not delay the end of the process.
 func (n *Node) startLoops(work context.Context) {
 	if n.settings().HasDisk() {
-		file := n.newStateFile()
-		if err := file.load(); err != nil {
+		n.state = n.newStateFile()
+		if err := n.state.load(); err != nil {
 			n.log.Warn("saved state unreadable", "cause", err)
 		}
-		go file.saveLoop(work)
+		go n.state.saveLoop(work)
 	}
 	n.latency = schedlatency.NewMonitor(time.Now())
 	n.background.Go(func() { n.latency.Run(work) })
--- a/internal/system/roles/node/statefile.go
+++ b/internal/system/roles/node/statefile.go
@@ -21,6 +21,9 @@
 	// minSaveInterval is the shortest time between two saves. It applies while tenants use so much
 	// that a longer wait would lose track of their usage.
 	minSaveInterval = 200 * time.Millisecond
+	// minUrgentSaveInterval is the shortest time between two saves if callers wait for them: hosts
+	// that end together share a save.
+	minUrgentSaveInterval = 20 * time.Millisecond
 	// stateFileName is the name of the file within the data directory.
 	stateFileName = "kept"
 )
@@ -29,17 +32,66 @@
 // power failure of the whole fleet, routers can thus serve before every host has sent a heartbeat,
 // and need not reject tenants for usage that they can't rule out.
 //
-// The saved state may be out of date. The router tries a host from the file and removes it if it
-// neither answers nor sends heartbeats. For each tenant it assumes the largest possible usage
-// since the last save. After a crash the file has the last complete save.
+// Ends of hosts that this router or another one has acknowledged are on the disk before that
+// (ensureSaved). All else in the file may be out of date: ready hosts are used once other routers
+// were asked (restoredHosts), and removed if they neither answer nor send heartbeats. For each
+// tenant the router assumes the largest possible usage since the last save. After a crash the file
+// has the last complete save.
 type stateFile struct {
 	node *Node
 	path string
+	wake chan struct{} // asks saveLoop for a save at once
+
+	// Only the hub's goroutine uses these fields:
+	savedRevision uint64 // the disk has all changes of the registry up to this revision
+	waiting       []saveWaiter
+}
+
+// saveWaiter waits until the changes of the registry up to a revision are on the disk.
+type saveWaiter struct {
+	revision uint64
+	done     func()
 }
 
+// maxSaveWaiters is the most callers that may wait for a save. Further ones are not called: other
+// routers resend their handoffs, and hosts their calls.
+const maxSaveWaiters = 2 * maxHints
+
 // newStateFile returns the state file of a router that has a disk.
 func (n *Node) newStateFile() *stateFile {
-	return &stateFile{node: n, path: filepath.Join(n.settings().DataDirectory, stateFileName)}
+	path := filepath.Join(n.settings().DataDirectory, stateFileName)
+	return &stateFile{node: n, path: path, wake: make(chan struct{}, 1)}
+}
+
+// ensureSaved calls done on the hub's goroutine once the changes of the registry up to a revision
+// are on the disk, and has them saved at once if they are not. Only the hub's goroutine may call it.
+func (f *stateFile) ensureSaved(revision uint64, done func()) {
+	if revision <= f.savedRevision {
+		done()
+		return
+	}
+	if len(f.waiting) < maxSaveWaiters {
+		f.waiting = append(f.waiting, saveWaiter{revision, done})
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default: // saveLoop is due to save already
+	}
+}
+
+// recordSaved calls those who wait for the changes up to a revision. Only the hub's goroutine may
+// call it.
+func (f *stateFile) recordSaved(revision uint64) {
+	f.savedRevision = max(f.savedRevision, revision)
+	waiting := f.waiting
+	f.waiting = nil
+	for _, w := range waiting {
+		if w.revision <= f.savedRevision {
+			w.done()
+		} else {
+			f.waiting = append(f.waiting, w)
+		}
+	}
 }
 
 // load restores the saved state. It is called before the loops start. A missing file is not an
@@ -56,13 +108,12 @@
 	if err := proto.Unmarshal(data, saved); err != nil {
 		return err
 	}
-	hub := f.node.hub
-	hub.registry.Merge(hub.now(), saved.Instances)
+	f.node.hub.restore(saved.Instances)
 	f.node.quotas.restoreUsage(saved.Usage)
 	return nil
 }
 
-// saveLoop saves changed state until ctx ends. No other goroutine waits for it.
+// saveLoop saves changed state until ctx ends. No other goroutine blocks until it has saved.
 func (f *stateFile) saveLoop(ctx context.Context) {
 	tick := time.NewTicker(minSaveInterval)
 	defer tick.Stop()
@@ -72,16 +123,31 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-f.wake:
+			sleep(ctx, time.Until(savedAt.Add(minUrgentSaveInterval)))
 		case <-tick.C:
-		}
-		if time.Since(savedAt) < saveInterval && !f.node.quotas.saveDue() {
-			continue
+			if time.Since(savedAt) < saveInterval && !f.node.quotas.saveDue() {
+				continue
+			}
 		}
 		savedAt = time.Now()
 		saver.save(ctx, f)
 	}
 }
 
+// sleep waits for a duration or until ctx ends, whichever is first.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // stateSaver remembers the last save, so that only changes are written and only the first of
 // several failures in a row is logged.
 type stateSaver struct {
@@ -91,31 +157,49 @@
 
 // save writes the state unless the file already has it or ctx has ended.
 func (s *stateSaver) save(ctx context.Context, f *stateFile) {
-	data, err := f.marshal(ctx)
+	data, revision, err := f.marshal(ctx)
 	if ctx.Err() != nil {
 		return
 	}
-	if err == nil && bytes.Equal(data, s.last) {
-		return
-	}
-	if err == nil {
+	if err == nil && !bytes.Equal(data, s.last) {
 		err = durable.WriteFileAtomic(f.path, data)
 	}
-	if err != nil && !s.failed {
-		f.node.log.Warn("state not saved", "cause", err)
+	if err != nil {
+		s.recordFailure(f, err)
+		return
 	}
-	if s.failed = err != nil; !s.failed {
-		s.last = data
+	s.last, s.failed = data, false
+	f.node.hub.post(func() { f.recordSaved(revision) })
+}
+
+// recordFailure logs the first of several failures in a row. What the file has is unknown then.
+func (s *stateSaver) recordFailure(f *stateFile, cause error) {
+	if !s.failed {
+		f.node.log.Warn("state not saved", "cause", cause)
 	}
+	s.last, s.failed = nil, true
 }
 
-// marshal encodes the state. Equal states result in equal bytes.
-func (f *stateFile) marshal(ctx context.Context) ([]byte, error) {
+// marshal encodes the state, which has the changes of the registry up to the returned revision.
+// Equal states result in equal bytes.
+func (f *stateFile) marshal(ctx context.Context) (data []byte, revision uint64, err error) {
 	hub := f.node.hub
-	active, ok := query(ctx, hub, hub.registry.Active)
+	known, ok := query(ctx, hub, hub.knownHosts)
 	if !ok {
-		return nil, ctx.Err()
+		return nil, 0, ctx.Err()
 	}
-	state := &message.Kept{Instances: active, Usage: f.node.quotas.saveUsage()}
-	return proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	state := &message.Kept{Instances: known.hosts, Usage: f.node.quotas.saveUsage()}
+	data, err = proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	return data, known.revision, err
+}
+
+// knownHosts are all hosts that a router has to save, and the revision of its registry.
+type knownHosts struct {
+	hosts    []*message.Instance
+	revision uint64
+}
+
+// knownHosts returns the hosts of the registry and those that are not accepted yet.
+func (h *hub) knownHosts() knownHosts {
+	return knownHosts{append(h.registry.All(), h.restored.all()...), h.registry.Revision()}
 }
--- a/internal/system/roles/node/status_test.go
+++ b/internal/system/roles/node/status_test.go
@@ -113,7 +113,7 @@
 		ask  func(ctx context.Context) (answered bool)
 	}{
 		{"status", func(ctx context.Context) bool { _, ok := n.Status(ctx); return ok }},
-		{"saved state", func(ctx context.Context) bool { _, err := n.newStateFile().marshal(ctx); return err == nil }},
+		{"saved state", func(ctx context.Context) bool { _, _, err := n.newStateFile().marshal(ctx); return err == nil }},
 	} {
 		release := make(chan struct{})
 		blocked := make(chan struct{})
--- a/internal/system/roles/node/stored_test.go
+++ b/internal/system/roles/node/stored_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// A router that starts with the golden state file knows the hosts in it that have not ended, and
-// the tenants' usage.
+// A router that starts with the golden state file knows the hosts in it, those that have ended
+// among them, and the tenants' usage.
 func TestGoldenKeptIsTakenUp(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 1, 1)
@@ -57,13 +57,14 @@
 	is.NoErr(os.WriteFile(path, text, 0o644))
 	f.start(0, filepath.Dir(folder), false)
 	n := f.nodes[0]
-	active, ok := query(t.Context(), n.hub, n.hub.registry.Active)
+	all, ok := query(t.Context(), n.hub, n.hub.registry.All)
 	is.True(ok)
-	ids := map[string]bool{}
-	for _, in := range active {
-		ids[in.Id] = true
+	states := map[string]message.Instance_State{}
+	for _, in := range all {
+		states[in.Id] = in.State
 	}
-	is.Equal(ids, map[string]bool{"i-0": true, "i-1": true, "i-2": true})
+	is.Equal(states, map[string]message.Instance_State{"i-0": message.Instance_READY, "i-1": message.Instance_LOST,
+		"i-2": message.Instance_DRAINING, "i-3": message.Instance_GONE})
 	n.quotas.mu.Lock()
 	defer n.quotas.mu.Unlock()
 	is.Equal(len(n.quotas.owner.saved), 2)
--- a/internal/system/roles/node/subscriptions.go
+++ b/internal/system/roles/node/subscriptions.go
@@ -58,7 +58,11 @@
 	for _, name := range services {
 		h.ensureHostsTopic(name)
 	}
-	h.sendAll(h.feed.Subscribe(h.now(), h.fleet.subscriptions(services, h.registerAddresses())))
+	all := h.fleet.subscriptions(services, h.registerAddresses())
+	if h.wasJoining {
+		all = append(all, h.fleet.predecessorSubscriptions(services)...)
+	}
+	h.sendAll(h.feed.Subscribe(h.now(), all))
 	h.updateOwnership(services)
 }
 
@@ -90,7 +94,7 @@
 	return true
 }
 
-// services returns the services of the configuration and those that have hosts.
+// services returns the services of the configuration and those that have hosts or restored hosts.
 func (h *hub) services() []string {
 	seen := mapset.NewThreadUnsafeSet[string]()
 	var all []string
@@ -107,7 +111,7 @@
 	for _, name := range h.registry.Services() {
 		add(name)
 	}
-	return all
+	return h.restored.addServices(all)
 }
 
 // registerAddresses returns the routers to ask about the register, in this order: the tail, the
