A moved stream whose forwarding panics no longer counts as running

A process that takes over waited for such a stream for ever before it ended. Its end is counted as failed, its connections are closed.

--- a/internal/transport/handover.go
+++ b/internal/transport/handover.go
@@ -273,19 +273,26 @@
 // continueStream forwards the rest of a stream and then serves its client.
 func (r *Receiver) continueStream(m movedConn, client, server net.Conn) {
 	ended := r.front.router.CountTakenOver(m.Class)
-	defer r.front.limits.Panics.contain("continuing a stream", func() { client.Close(); server.Close() })
+	counted := false              // whether the stream's end was counted
+	defer r.activeStreams.Add(-1) // the process must stay until the client has its next answer or another process has the client
+	defer r.front.limits.Panics.contain("continuing a stream", func() {
+		if !counted {
+			ended(routing.Failed)
+		}
+		r.forget(server)
+		client.Close()
+		server.Close()
+	})
 	watch := &clientConn{Conn: client, listener: r.front.listener}
 	watch.watch(func() { server.Close() })
 	verdict, next := r.relay(&m, watch, server)
 	watch.unwatch()
-	r.mu.Lock()
-	delete(r.serverConns, server)
-	r.mu.Unlock()
+	r.forget(server)
 	if verdict != routing.Served || !m.Keep || !r.servers.pool.adopt(server, *m.Server, 0) {
 		server.Close()
 	}
+	counted = true
 	ended(verdict)
-	defer r.activeStreams.Add(-1) // the process must stay until the client has its next answer or another process has the client
 	if next && r.front.adopt(client, watch.readAhead, true) == nil {
 		return
 	}
@@ -295,6 +302,13 @@
 	client.Close()
 }
 
+// forget removes the connection to the server of a stream that has ended.
+func (r *Receiver) forget(server net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.serverConns, server)
+}
+
 // rejectBehindStream rejects a request whose first byte was read before a moved stream ended, if
 // this process can't serve its connection.
 func rejectBehindStream(client net.Conn) {
--- a/internal/transport/panics_test.go
+++ b/internal/transport/panics_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -109,3 +110,20 @@
 		t.Errorf("got %+v, %d panics, %d open connections; want one failed attempt, one panic and none", got, panics.Count(), servers.Open())
 	}
 }
+
+// A panic while a moved stream goes on ends that stream alone: it no longer counts as running, so the
+// process may end.
+func TestPanicOfMovedStreamEndsTheStream(t *testing.T) {
+	limits := oneConnection
+	limits.Panics = NewPanicLog(make(scripted.LogLines, 1))
+	front, _ := newRoutedFront(t, limits, scripted.Answer(scripted.CompleteAnswer()))
+	receiver, client, conn, end := movedStream(t, front)
+	conn.afterWrite = func([]byte) { panic("planted at a write") }
+	end()
+	scripted.AwaitCondition(t, "the end of the stream", func() bool { return receiver.ActiveStreams() == 0 })
+	scripted.AwaitCondition(t, "the end of the request", func() bool { return front.router.Metrics().Open == 0 })
+	client.SetDeadline(time.Now().Add(scripted.EventTimeout))
+	if _, err := io.Copy(io.Discard, client); err != nil || limits.Panics.Count() != 1 {
+		t.Errorf("the client's connection ended with %v and %d panics; want a close and one panic", err, limits.Panics.Count())
+	}
+}
