--- a/internal/system/roles/node/hostends.go
+++ b/internal/system/roles/node/hostends.go
@@ -15,9 +15,8 @@
 //   - requiredCopies routers, which may include this one, have it on a disk, and
 //   - one of the routers that have it reaches a majority of the register.
 //
-// A machine that fails for good, and each other one that is out of reach after a power failure, may
-// be one of those that have the record on a disk. As long as no more than faultTolerance of them
-// fail, another one has it.
+// With faultTolerance + 1 copies, the record survives a power failure of all machines even if as
+// many disks as may fail at once are lost with it.
 type endReplication struct {
 	hub            *hub
 	record         *instances.Record
