Simpler: the peer of a moved connection, containment without a follow-up, the wait for a save

Three callers of PanicLog.contain passed an empty function. stateFile.saveLoop waited in nested selects, with a fourth copy of a cancellable sleep: the wait is a function of its own.

--- a/internal/system/roles/node/statefile.go
+++ b/internal/system/roles/node/statefile.go
@@ -119,32 +119,27 @@
 	defer tick.Stop()
 	var saver stateSaver
 	var savedAt time.Time
+	for f.awaitSave(ctx, tick.C, savedAt) {
+		savedAt = time.Now()
+		saver.save(ctx, f)
+	}
+}
+
+// awaitSave waits until the next save is due and returns true, or false if ctx ends first. tick ticks
+// each minSaveInterval.
+func (f *stateFile) awaitSave(ctx context.Context, tick <-chan time.Time, savedAt time.Time) bool {
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-f.wake:
-			sleep(ctx, time.Until(savedAt.Add(minUrgentSaveInterval)))
-		case <-tick.C:
-			if time.Since(savedAt) < saveInterval && !f.node.quotas.saveDue() {
-				continue
+			time.Sleep(time.Until(savedAt.Add(minUrgentSaveInterval)))
+			return true
+		case <-tick:
+			if time.Since(savedAt) >= saveInterval || f.node.quotas.saveDue() {
+				return true
 			}
 		}
-		savedAt = time.Now()
-		saver.save(ctx, f)
-	}
-}
-
-// sleep waits for a duration or until ctx ends, whichever is first.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
 	}
 }
 
--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -67,24 +67,15 @@
 	return netip.AddrPort{}
 }
 
-// peerOf returns the address of the other side of a connection. ok is false if the system no longer
-// knows it, because the other side has reset the connection.
+// peerOf returns the address of the other side of a connection that was made of a descriptor. ok is
+// false if the other side had reset the connection by then, as the system no longer knew it.
 func peerOf(c net.Conn) (peer netip.AddrPort, ok bool) {
-	socket, isSocket := c.(syscall.Conn)
-	if !isSocket {
+	tcp, ok := c.RemoteAddr().(*net.TCPAddr)
+	if !ok {
 		return netip.AddrPort{}, false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return netip.AddrPort{}, false
-	}
-	var sa syscall.Sockaddr
-	failed := raw.Control(func(fd uintptr) { sa, err = syscall.Getpeername(int(fd)) })
-	if failed != nil || err != nil {
-		return netip.AddrPort{}, false
-	}
-	peer = addrPortOf(sa)
-	return peer, peer.IsValid()
+	peer = tcp.AddrPort()
+	return netip.AddrPortFrom(peer.Addr().Unmap(), peer.Port()), true
 }
 
 // connOf returns a connection for the descriptor fd and takes ownership of fd. If the client has
--- a/internal/transport/closereason.go
+++ b/internal/transport/closereason.go
@@ -83,7 +83,7 @@
 
 // recordClose counts a closed connection and reports it to onClose. The caller holds l.mu.
 func (l *listener) recordClose(c *clientConn) {
-	defer l.panics.contain("recording the close of a connection", func() {})
+	defer l.panics.contain("recording the close of a connection", nil)
 	closed := c.describeClose()
 	l.closed.add(&closed)
 	if l.onClose != nil {
--- a/internal/transport/handover.go
+++ b/internal/transport/handover.go
@@ -183,7 +183,7 @@
 // receive handles the messages of one process in sequence.
 func (r *Receiver) receive(c *net.UnixConn) {
 	defer c.Close()
-	defer r.front.limits.Panics.contain("taking over a connection", func() {})
+	defer r.front.limits.Panics.contain("taking over a connection", nil)
 	text, rights := make([]byte, maxHandoverMessage), make([]byte, syscall.CmsgSpace(4*handoverSockets))
 	for {
 		n, nr, _, _, err := c.ReadMsgUnix(text, rights)
--- a/internal/transport/lostpeer_test.go
+++ b/internal/transport/lostpeer_test.go
@@ -10,12 +10,11 @@
 	"reachspread/internal/testbed/scripted"
 )
 
-// resetByClient returns a client's address and the accepted side of its connection as the router
-// gets it by its descriptor, after the client has reset it: the system no longer knows the peer.
-func resetByClient(t *testing.T) (from netip.AddrPort, accepted net.Conn) {
+// resetByClient returns the accepted side of a connection as the router gets it by its descriptor,
+// after the client has reset it: the system no longer knows the peer.
+func resetByClient(t *testing.T) net.Conn {
 	t.Helper()
 	client, conn := pair(t)
-	from = netip.MustParseAddrPort(client.LocalAddr().String())
 	client.SetLinger(0)
 	client.Close()
 	awaitPeek(t, &clientConn{Conn: conn})
@@ -24,7 +23,7 @@
 		t.Fatal(err)
 	}
 	defer file.Close()
-	accepted, err = net.FileConn(file)
+	accepted, err := net.FileConn(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,7 +31,7 @@
 	if accepted.RemoteAddr() != nil {
 		t.Fatalf("the peer's address is %v; the test needs a connection that has none", accepted.RemoteAddr())
 	}
-	return from, accepted
+	return accepted
 }
 
 // Guards against a process that ends, with the requests of all its clients, because a client reset
@@ -85,8 +84,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(mover.Close)
-	_, reset := resetByClient(t)
-	if err := mover.move(movedConn{Used: true}, reset); err == nil {
+	if err := mover.move(movedConn{Used: true}, resetByClient(t)); err == nil {
 		t.Error("the connection that its client has reset was taken over; want it declined")
 	}
 	client, accepted := pair(t)
--- a/internal/transport/management.go
+++ b/internal/transport/management.go
@@ -116,7 +116,7 @@
 // call reads one line and answers it.
 func (m *Management) call(c net.Conn) {
 	defer m.removeCaller(c)
-	defer m.panics.contain("answering an operator", func() {})
+	defer m.panics.contain("answering an operator", nil)
 	c.SetDeadline(time.Now().Add(callTimeout))
 	in := bufio.NewReaderSize(c, management.MaxLineBytes)
 	line, err := in.ReadSlice('\n')
--- a/internal/transport/panics.go
+++ b/internal/transport/panics.go
@@ -25,15 +25,17 @@
 // Count returns the number of panics so far.
 func (p *PanicLog) Count() uint64 { return p.count.Load() }
 
-// contain recovers from a panic of the deferring function, counts and logs it, and calls then.
-// where names what was being done. It must be deferred directly.
+// contain recovers from a panic of the deferring function, counts and logs it, and calls then unless
+// that is nil. where names what was being done. It must be deferred directly.
 func (p *PanicLog) contain(where string, then func()) {
 	if p == nil {
 		return
 	}
 	if cause := recover(); cause != nil {
 		p.record(where, cause)
-		then()
+		if then != nil {
+			then()
+		}
 	}
 }
 
