A host's answer whose status is not in 100..599 is a failed attempt, not an answer

Cause: fasthttp parses any three digits, and its StatusCode() returns 200 for the zero that stands for "not set"; exchange.readHead took all below 200 as interim answers, and nothing looked above 599.

An answer outside is a malformed attempt: retried only where safe, else 502; its connection is closed; it is counted (malformed_answers_total, malformedAnswers in the status) and logged once a minute a host. So are heads that fasthttp refuses, too many interim answers and a 101.

Evidence: the tests by a stand-in host through client, front and host, with the counter stubbed on: plain answers and streams got 200 for 000 and 099, 600 and 999 with the host's seal, a resumed stream went on with such an answer, `serve` gave 200, and connections were used again; statuses of no three digits were refused, but not counted. Why it holds: no byte of a head reaches the parser, and so the client, before its line passed.

--- a/internal/router/management/figures.go
+++ b/internal/router/management/figures.go
@@ -44,6 +44,7 @@
 	{Name: "connections_closed_unread_total", Meaning: "of these, the ones with bytes that were not read", closed: func(c *ClosedConnections) uint64 { return c.Unread }},
 	{Name: "connections_closed_unanswered_total", Meaning: "of these, the ones with a request that was begun and has no answer", closed: func(c *ClosedConnections) uint64 { return c.Unanswered }},
 	{Name: "panics_recovered_total", Meaning: "panics that each ended one connection; a fault of this program", value: func(v *Values) int64 { return int64(v.PanicsRecovered) }},
+	{Name: "malformed_answers_total", Meaning: "answers of hosts that were malformed by RFC 9110 or RFC 9112", value: func(v *Values) int64 { return int64(v.MalformedAnswers) }},
 	{Name: "fleet_members", Meaning: "routers alive in this one's view, itself among them", fleet: func(f *Fleet) uint64 { return uint64(f.Members) }},
 	{Name: "fleet_suspected", Meaning: "of these, the ones that missed a probe and may still answer", fleet: func(f *Fleet) uint64 { return uint64(f.Suspected) }},
 	{Name: "fleet_dead", Meaning: "routers that are held to be dead, and greeted from time to time", fleet: func(f *Fleet) uint64 { return uint64(f.Dead) }},
--- a/internal/router/management/management.go
+++ b/internal/router/management/management.go
@@ -50,6 +50,7 @@
 	ExcludedHosts                   int64
 	ConfigsAccepted, ConfigsInvalid uint64
 	PanicsRecovered                 uint64
+	MalformedAnswers                uint64
 	ClosedConnections               []ClosedConnections
 	Fleet                           *Fleet    // nil if the router has no view of the fleet
 	Roles                           *Roles    // nil if the router has no singleton roles
--- a/internal/router/management/management_test.go
+++ b/internal/router/management/management_test.go
@@ -78,7 +78,7 @@
 // The first answer to vars already contains every figure, with the classes sorted by name and a
 // final line ".".
 func TestVarsHasEachFigureInOrder(t *testing.T) {
-	s := &scripted{values: Values{AttemptsWritten: 9, OpenRequests: 4, ListedHosts: 10, ExcludedHosts: 2, ConfigsAccepted: 1, ConfigsInvalid: 3, PanicsRecovered: 5,
+	s := &scripted{values: Values{AttemptsWritten: 9, OpenRequests: 4, ListedHosts: 10, ExcludedHosts: 2, ConfigsAccepted: 1, ConfigsInvalid: 3, PanicsRecovered: 5, MalformedAnswers: 6,
 		Classes: []Class{{Name: `o"dd\`, Accepted: 8, Throttled: 8}, {Name: "C", Accepted: 834, Fulfilled: 812, Throttled: 5, Faulted: 6, Abandoned: 7, Moved: 2}}}}
 	want := `+OK
 edge_router_fulfilled_total{priority="C"} 812
@@ -100,6 +100,7 @@
 edge_router_cfg_accepted_total 1
 edge_router_cfg_invalid_total 3
 edge_router_panics_recovered_total 5
+edge_router_malformed_answers_total 6
 .
 `
 	if diff := cmp.Diff(want, Answer("vars", s)); diff != "" {
--- a/internal/router/program/management.go
+++ b/internal/router/program/management.go
@@ -55,7 +55,7 @@
 func (p *Program) Values() management.Values {
 	f := p.router.Metrics()
 	v := management.Values{AttemptsWritten: f.AttemptsSent, OpenRequests: f.Open, ListedHosts: f.ServersListed, ExcludedHosts: f.OutOfRotation,
-		ConfigsAccepted: p.acceptedReloads.Load(), ConfigsInvalid: p.refusedReloads.Load(), PanicsRecovered: p.panics.Count(), Fleet: p.fleetValues(), Roles: p.roleValues(), Recovery: p.recoveryValues()}
+		ConfigsAccepted: p.acceptedReloads.Load(), ConfigsInvalid: p.refusedReloads.Load(), PanicsRecovered: p.panics.Count(), MalformedAnswers: p.servers.MalformedAnswers(), Fleet: p.fleetValues(), Roles: p.roleValues(), Recovery: p.recoveryValues()}
 	for name, c := range f.Classes {
 		v.Classes = append(v.Classes, management.Class{Name: name, Accepted: c.Accepted, Fulfilled: c.Served, Throttled: c.Rejected,
 			Faulted: c.Failed, Abandoned: c.Abandoned, Moved: c.HandedOver})
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -72,7 +72,7 @@
 var (
 	// ErrMalformedAnswer says that the answer can't be parsed although the server and the connection
 	// work. It counts as an error of the server, not as a broken connection.
-	ErrMalformedAnswer = errors.New("spoilt")
+	ErrMalformedAnswer = errors.New("malformed answer")
 	// ErrUnacceptable says that the answer, complete or not, does not match what the request asked
 	// for. It does not count against the server.
 	ErrUnacceptable = errors.New("not what was asked for")
--- a/internal/system/dataplane/plane_test.go
+++ b/internal/system/dataplane/plane_test.go
@@ -29,12 +29,6 @@
 // testTimeout bounds each wait of a test. A passing test never waits that long.
 const testTimeout = 10 * time.Second
 
-// discardLogger discards log lines.
-type discardLogger struct{}
-
-func (discardLogger) Info(string, ...any) {}
-func (discardLogger) Warn(string, ...any) {}
-
 // warningLog keeps log lines of level warn and discards the others.
 type warningLog struct {
 	mu  sync.Mutex
@@ -90,6 +84,7 @@
 type host struct {
 	id     string
 	addr   string
+	conns  atomic.Int32 // connections accepted so far
 	mu     sync.Mutex
 	served []received
 	script func(r received) string
@@ -112,6 +107,7 @@
 			if err != nil {
 				return
 			}
+			h.conns.Add(1)
 			go h.serve(c)
 		}
 	}()
@@ -169,12 +165,13 @@
 
 // fleet is a plane with a front for clients and hosts of service s.
 type fleet struct {
-	plane  *Plane
-	front  *transport.Front
-	addr   string
-	quotas *quotas
-	fresh  atomic.Bool
-	newest atomic.Bool
+	plane   *Plane
+	servers *transport.Servers
+	front   *transport.Front
+	addr    string
+	quotas  *quotas
+	fresh   atomic.Bool
+	newest  atomic.Bool
 
 	revision uint64 // added to the registry's revision in the last call of register
 	log      warningLog
@@ -206,7 +203,8 @@
 	f.newest.Store(true)
 	s := &settings.Settings{Zone: "a", Bounds: settings.Bounds{RetryBudgetRatio: 5, RetryBudgetSlack: 100}}
 	servers := transport.NewServers(transport.ServerLimits{ConnectTimeout: time.Second, Keepalive: time.Minute, StreamIdleTimeout: time.Second, Connections: 50,
-		Dialect: protocol.Fleet{}}, discardLogger{})
+		Dialect: protocol.Fleet{}}, &f.log)
+	f.servers = servers
 	f.plane = New(ctx, Options{Settings: func() *settings.Settings { return s }, Servers: servers, Quotas: f.quotas, Fresh: func() bool { return f.fresh.Load() }, Newest: func() bool { return f.newest.Load() }, Log: &f.log, StartedAt: startedAt})
 	f.front = transport.NewIntakeFront(f.plane, transport.FrontLimits{BodyBytes: 1 << 20, Admission: admission.Config{MaxConnections: 100, MaxOverflow: 8}})
 	f.front.SetKeepAlive(true)
--- a/internal/system/metrics/metrics.go
+++ b/internal/system/metrics/metrics.go
@@ -24,6 +24,7 @@
 	f.requests(&s.Requests)
 	f.connections(s.Connections)
 	f.panics(s.Panics)
+	f.malformedAnswers(s.Malformed)
 	f.services(s.Services)
 	f.members(s.Members)
 	f.configuration(&s.Configuration)
@@ -82,6 +83,10 @@
 	f.counter("panics_recovered_total", "Panics that each ended one connection: a fault of this program.").sample(float64(recovered))
 }
 
+func (f *families) malformedAnswers(count uint64) {
+	f.counter("malformed_answers_total", "Answers of hosts that were malformed by RFC 9110 or RFC 9112, each a failed attempt, a failed health check or the end of a stream.").sample(float64(count))
+}
+
 func (f *families) services(all []status.Service) {
 	open := f.gauge("requests_open", "Requests in flight or queued.")
 	retries := f.gauge("retry_budget", "Retries that the budget allows now.")
--- a/internal/system/roles/node/status.go
+++ b/internal/system/roles/node/status.go
@@ -70,6 +70,7 @@
 		Requests:      n.requestStatus(),
 		Connections:   n.connectionStatus(),
 		Panics:        n.panics.Count(),
+		Malformed:     n.servers.MalformedAnswers(),
 		Link:          status.Link(n.link.Stats()),
 		PromptReports: n.peerReports.stats(),
 		Members:       memberStatus(n.members.Now()),
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -26,6 +26,7 @@
 	Requests      Requests      `json:"requests"`
 	Connections   []Connections `json:"connectionsClosed"` // closed client connections, by the reason
 	Panics        uint64        `json:"panicsRecovered"`   // panics that each ended one connection
+	Malformed     uint64        `json:"malformedAnswers"`  // answers of hosts that were malformed by RFC 9110 or RFC 9112
 	Link          Link          `json:"link"`
 	PromptReports PromptReports `json:"promptReports"`
 	Configuration Configuration `json:"configuration"`
--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -47,7 +47,7 @@
 			return err
 		}
 	}
-	return errMalformedAnswer
+	return routing.ErrMalformedAnswer
 }
 
 // Read returns the bytes received so far. If the stream breaks, times out or is malformed, the
@@ -91,11 +91,11 @@
 	}
 	b.size += n
 	if !b.events.Feed(p[:n]) || b.size > maxStream {
-		return 0, errMalformedAnswer
+		return 0, routing.ErrMalformedAnswer
 	}
 	b.complete = err == io.EOF
 	if err != nil && err != io.EOF && b.conn.err == nil {
-		err = fmt.Errorf("%w: %w", errMalformedAnswer, err)
+		err = fmt.Errorf("%w: %w", routing.ErrMalformedAnswer, err)
 	}
 	return n, err
 }
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -28,7 +28,7 @@
 	}
 	v, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return fmt.Errorf("%w: event id %q is not a number", errMalformedAnswer, text)
+		return fmt.Errorf("%w: event id %q is not a number", routing.ErrMalformedAnswer, text)
 	}
 	*e = eventID{v, true}
 	return nil
@@ -97,7 +97,7 @@
 	}
 	stream := b.resp.BodyStream()
 	if stream == nil {
-		b.endErr = errMalformedAnswer
+		b.endErr = routing.ErrMalformedAnswer
 		return
 	}
 	var chunk [readBuffer]byte
@@ -138,7 +138,7 @@
 		}
 		if end < 0 {
 			if len(rest) > maxEvent {
-				return fmt.Errorf("%w: an event of more than %d bytes", errMalformedAnswer, maxEvent)
+				return fmt.Errorf("%w: an event of more than %d bytes", routing.ErrMalformedAnswer, maxEvent)
 			}
 			return nil
 		}
@@ -165,7 +165,7 @@
 			return err
 		}
 		if id.known && b.last.known && id.value <= b.last.value {
-			return fmt.Errorf("%w: event %d after event %d", errMalformedAnswer, id.value, b.last.value)
+			return fmt.Errorf("%w: event %d after event %d", routing.ErrMalformedAnswer, id.value, b.last.value)
 		}
 		b.last = id
 	}
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -35,6 +35,8 @@
 	resp     *fasthttp.Response
 	stop     func() bool // detaches the exchange from the context
 	complete bool        // the answer was read completely
+
+	malformed *malformedAnswerError // in which way the answer is malformed, nil if it is not
 }
 
 // outgoing is a request to be sent to a server.
@@ -108,6 +110,7 @@
 	}
 	o.hooks.Written()
 	if err := x.readAnswer(ctx, o.id); err != nil {
+		errors.As(err, &x.malformed)
 		return nil, x.failed(ctx, balance.TimedOut)
 	}
 	answered = true
@@ -129,12 +132,12 @@
 		}
 		if body := x.resp.BodyStream(); body != nil {
 			if _, err := io.CopyN(io.Discard, body, maxErrorBody); err != io.EOF {
-				return errMalformedAnswer
+				return routing.ErrMalformedAnswer
 			}
 		}
 		x.resp.Reset()
 	}
-	return errMalformedAnswer
+	return &malformedAnswerError{errTooManyInterim}
 }
 
 // readHead reads the head of the answer and skips any 1xx answers before it. It waits for the first
@@ -146,7 +149,7 @@
 			return err
 		}
 		x.conn.head = ctx
-		err := x.resp.Header.Read(x.conn.in)
+		err := readResponseHead(x.conn.in, &x.resp.Header)
 		x.conn.head = nil
 		if err != nil {
 			return err
@@ -163,14 +166,17 @@
 			x.resp.StreamBody = true
 			return x.resp.ReadBody(x.conn.in, 0)
 		case code == fasthttp.StatusSwitchingProtocols:
-			return errMalformedAnswer
+			return &malformedAnswerError{errProtocolSwitched}
 		}
 	}
-	return errMalformedAnswer
+	return &malformedAnswerError{errTooManyInterim}
 }
 
-// errMalformedAnswer says that an answer can't be read although its connection works.
-var errMalformedAnswer = fmt.Errorf("%w: the answer can not be read", routing.ErrMalformedAnswer)
+// Answers that are malformed as answers to the request that was sent.
+var (
+	errProtocolSwitched = errors.New("the server switches to a protocol that was not asked for")
+	errTooManyInterim   = fmt.Errorf("more than %d interim answers, or answers to other requests", maxInterimAnswers)
+)
 
 // failed returns the result of an answer that broke off: onTimeout or a cancellation if ctx has
 // ended, a reset if the connection failed, and an error otherwise, because the answer was malformed
@@ -206,8 +212,11 @@
 }
 
 // close returns the connection to the pool if the answer was read completely, and closes the
-// connection otherwise.
+// connection otherwise. It records a malformed answer.
 func (x *exchange) close() {
+	if x.malformed != nil {
+		x.servers.malformed.record(x.conn.to.ID, x.malformed.cause)
+	}
 	reuse := x.stop() && x.complete && !x.resp.ConnectionClose()
 	if keep := x.servers.dialect.KeepAlive(x.header); keep > 0 {
 		x.conn.idleTimeout = safeIdleTime(keep)
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -54,6 +54,8 @@
 	log     routing.Logger
 	panics  *PanicLog
 
+	malformed *malformedAnswers
+
 	streamIdleTimeout time.Duration
 
 	mu              sync.Mutex
@@ -79,7 +81,7 @@
 	if l.Dialect == nil {
 		l.Dialect = protocol.Completions{}
 	}
-	return &Servers{log: log, panics: l.Panics, dialect: l.Dialect, unreadableLoads: map[string]bool{}, movable: map[*conn]bool{}, streamIdleTimeout: l.StreamIdleTimeout,
+	return &Servers{log: log, panics: l.Panics, dialect: l.Dialect, malformed: newMalformedAnswers(log), unreadableLoads: map[string]bool{}, movable: map[*conn]bool{}, streamIdleTimeout: l.StreamIdleTimeout,
 		pool: &pool{connectTimeout: l.ConnectTimeout, idleTimeout: safeIdleTime(l.Keepalive), limit: l.Connections, idle: map[routing.Server][]*conn{}}}
 }
 
@@ -89,6 +91,10 @@
 // Open returns the number of open connections, including idle ones.
 func (s *Servers) Open() int { return s.pool.count(0) }
 
+// MalformedAnswers returns the number of answers that were malformed by RFC 9110 or RFC 9112. Each
+// was a failed attempt or health check, or ended a stream.
+func (s *Servers) MalformedAnswers() uint64 { return s.malformed.count.Load() }
+
 // Close closes the idle connections. The connections in use close when their users are done.
 func (s *Servers) Close() { s.pool.keepIdle(false) }
 
@@ -113,6 +119,7 @@
 // CloseIdle implements routing.Network.
 func (s *Servers) CloseIdle(id string) {
 	s.recordLoadReport(id, nil)
+	s.malformed.forget(id)
 	s.pool.closeIdle(id)
 }
 
--- a/internal/transport/servers_test.go
+++ b/internal/transport/servers_test.go
@@ -23,9 +23,10 @@
 
 // router is a front end with a routing core and connections to the servers s0, s1 and so on.
 type router struct {
-	addr  string
-	core  *routing.Router
-	front *transport.Front
+	addr    string
+	core    *routing.Router
+	servers *transport.Servers
+	front   *transport.Front
 }
 
 func newRouter(t *testing.T, servers ...*scripted.Server) *router {
@@ -42,7 +43,7 @@
 	}
 	network := transport.NewServers(transport.ServerLimits{ConnectTimeout: time.Second, Keepalive: time.Minute,
 		Connections: 10, StreamIdleTimeout: 300 * time.Millisecond}, log)
-	r := &router{core: routing.New(b, network, log, time.Second)}
+	r := &router{core: routing.New(b, network, log, time.Second), servers: network}
 	r.front = transport.NewFront(r.core, transport.FrontLimits{Admission: admission.Config{MaxConnections: 100, MaxOverflow: 8}, BodyBytes: 1 << 20}, nil)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/transport/streamtracker.go
+++ b/internal/transport/streamtracker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"reachspread/internal/protocol"
+	"reachspread/internal/routing"
 )
 
 // streamTracker parses the chunks of a stream as they arrive from a server, so that another process
@@ -144,7 +145,7 @@
 	case bad != nil:
 		return n, bad
 	case used < got:
-		return n, errMalformedAnswer
+		return n, routing.ErrMalformedAnswer
 	case err == io.EOF && u.chunks.At != protocol.AtComplete:
 		return n, io.ErrUnexpectedEOF
 	}
