A head with a name that is no token, or with another line end than CR LF, is malformed

Cause: fasthttp keeps a name with a blank inside, takes away a blank behind a name (so that "Content-Length :" counts), joins a line that begins with a blank or tab to the one before, and takes LF alone as the end of a line and of the head. So a name that begins with LF ended the head, and the rest became the body.

Change: protocol.ResponseHead wants CR LF at each line's end and a token (httpguts.IsTokenRune) as each name. RFC 9112 allows recipients LF alone and joined lines; both are refused, as they can't be told from names that begin with LF or with a blank. A status line without a blank behind the status stays accepted.

Why it holds: lines are judged as they came, before a parser trims.

--- a/internal/protocol/responsehead.go
+++ b/internal/protocol/responsehead.go
@@ -26,8 +26,10 @@
 // ResponseHead checks the head of a response, line by line as the lines arrive. The zero value is
 // ready for the first line.
 //
-// It accepts what RFC 9112 lets a sender generate. Of the deviations that a recipient may tolerate
-// it accepts a status line that ends after the status code, which real servers send.
+// It accepts what RFC 9112 lets a sender generate, and, of what a recipient may tolerate besides, a
+// status line that ends behind the status, which real servers send. Line ends without CR and lines
+// that continue the one before (obsolete line folding) are malformed: they can't be told from names
+// that begin with LF or with a blank. Values of fields are left to the parser of the head.
 type ResponseHead struct {
 	Complete bool // the empty line at the end was added
 	status   int
@@ -41,12 +43,17 @@
 
 // AddLine checks the next line, which includes its line end.
 func (h *ResponseHead) AddLine(line []byte) error {
-	line = bytes.TrimRight(line, "\r\n")
-	if h.status == 0 {
+	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	switch {
+	case !ok:
+		return malformedLine("a line does not end with CR LF", line)
+	case h.status == 0:
 		return h.addStatusLine(line)
+	case len(line) == 0:
+		h.Complete = true
+		return nil
 	}
-	h.Complete = len(line) == 0
-	return nil
+	return checkFieldName(line)
 }
 
 // addStatusLine checks the first line.
@@ -77,3 +84,26 @@
 	}
 	return status
 }
+
+// checkFieldName checks the name in a field line.
+func checkFieldName(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	switch {
+	case !ok:
+		return malformedLine("a field line has no colon", line)
+	case !isToken(name):
+		return malformedLine("the name of a field is no token", line)
+	}
+	return nil
+}
+
+// isToken reports whether text is a token, as each name of a field has to be. Blanks and control
+// bytes are in no token.
+func isToken(text []byte) bool {
+	for _, b := range text {
+		if !httpguts.IsTokenRune(rune(b)) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
--- a/internal/testbed/scripted/malformed.go
+++ b/internal/testbed/scripted/malformed.go
@@ -37,3 +37,49 @@
 	{"signed status", statusLine, "HTTP/1.1 +20"},
 	{"status of four digits", statusLine, "HTTP/1.1 2000"},
 }
+
+// MalformedLines are changes of the lines of a head: field lines whose names are no tokens or whose
+// values have control bytes, and line ends that are not CR LF.
+var MalformedLines = []Malformation{
+	withLine("blank in a name", "X Y: z"),
+	withLine("blank behind a name", "X-Y : z"),
+	withLine("tab behind a name", "X-Y\t: z"),
+	withLine("blank before the first name", " X-Y: z"),
+	withLine("blank before a name", "A: b\r\n X-Y: z"),
+	withLine("tab before a name", "A: b\r\n\tX-Y: z"),
+	withLine("blank behind a name of framing", "Content-Length : 4"),
+	withLine("LF before the first name", "\nX-Y: z"),
+	withLine("LF before a name", "A: b\r\n\nX-Y: z"),
+	{"LF before the last name", headEnd, "\r\n\nX-Y: z\r\n\r\n"},
+	withLine("LF in a name", "X\nY: z"),
+	withLine("CR before a name", "A: b\r\n\rX-Y: z"),
+	withLine("CR in a name", "X\rY: z"),
+	withLine("NUL before a name", "\x00X-Y: z"),
+	withLine("NUL in a name", "X\x00Y: z"),
+	withLine("US in a name", "X\x1fY: z"),
+	withLine("DEL in a name", "X\x7fY: z"),
+	withLine("byte above 127 in a name", "X\x80Y: z"),
+	withLine("delimiter in a name", "X(Y: z"),
+	withLine("no name", ": z"),
+	withLine("no colon", "X-Y"),
+	withLine("NUL in a value", "X-Y: a\x00b"),
+	withLine("CR in a value", "X-Y: a\rb"),
+	withLine("DEL in a value", "X-Y: a\x7fb"),
+	withLine("line that ends with LF", "X-Y: z\nA: b"),
+	withLine("line that ends with CR CR LF", "X-Y: z\r"),
+	{"status line that ends with LF", lineEnd, "\n"},
+	{"control byte in the reason", lineEnd, "\x01\r\n"},
+	{"empty line before the status line", statusLine, "\r\nHTTP/1.1 200"},
+}
+
+// The first line end in an answer is that of its status line, and the first headEnd the end of its
+// head.
+const (
+	lineEnd = "\r\n"
+	headEnd = "\r\n\r\n"
+)
+
+// withLine is a Malformation that puts a line behind the status line.
+func withLine(name, line string) Malformation {
+	return Malformation{Name: name, Old: lineEnd, New: lineEnd + line + lineEnd}
+}
