A host's answer whose length is in doubt is malformed: version, transfer coding, body where none is

Cause: fasthttp takes any two digits as the version, ignores Transfer-Encoding outside of 1.1, and reads no body behind interim answers and 204 whatever they announce; RFC 9112, 6.1, calls such framing faulty.

Change: protocol.ResponseHead accepts HTTP/1 alone and refuses a transfer coding outside of 1.1 or beside a length, and a body announced by an interim answer or 204. Content-Length: 0 in a 204, and 1.2 with a length, stay accepted.

Why it holds: what fasthttp is left to frame has one reading by RFC 9112.

--- a/internal/protocol/responsehead.go
+++ b/internal/protocol/responsehead.go
@@ -3,24 +3,26 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
+	"strconv"
 
 	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedResponseError says in which way a response is malformed by RFC 9110 or RFC 9112.
 type MalformedResponseError struct {
-	Violation string // what is wrong with the line
-	Line      string // the line without its end, cut after maxQuotedLine bytes
+	Violation string // what is wrong
+	Found     string // the line without its end, cut after maxQuotedLine bytes, or the part of the head
 }
 
 // maxQuotedLine bounds how many bytes of a line an error quotes.
 const maxQuotedLine = 100
 
 // Error implements error.
-func (e *MalformedResponseError) Error() string { return fmt.Sprintf("%s: %q", e.Violation, e.Line) }
+func (e *MalformedResponseError) Error() string { return fmt.Sprintf("%s: %q", e.Violation, e.Found) }
 
 func malformedLine(violation string, line []byte) error {
-	return &MalformedResponseError{Violation: violation, Line: string(line[:min(len(line), maxQuotedLine)])}
+	return &MalformedResponseError{Violation: violation, Found: string(line[:min(len(line), maxQuotedLine)])}
 }
 
 // ResponseHead checks the head of a response, line by line as the lines arrive. The zero value is
@@ -32,7 +34,12 @@
 // that begin with LF or with a blank. Values of fields are left to the parser of the head.
 type ResponseHead struct {
 	Complete bool // the empty line at the end was added
-	status   int
+
+	status        int
+	minorVersion  byte // of HTTP/1, as a digit
+	transferCoded bool // it has Transfer-Encoding
+	sized         bool // it has Content-Length
+	hasBody       bool // it announces a body of more than 0 bytes
 }
 
 // The statuses that a response may have.
@@ -51,14 +58,19 @@
 		return h.addStatusLine(line)
 	case len(line) == 0:
 		h.Complete = true
-		return nil
+		return h.checkFraming()
 	}
-	return checkFieldName(line)
+	return h.addField(line)
 }
 
 // addStatusLine checks the first line.
 func (h *ResponseHead) addStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !ok || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' {
+		return malformedLine("the version is not one of HTTP/1", line)
+	}
+	h.minorVersion = minor[0]
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	h.status = parseStatus(code)
 	if h.status < minStatus || h.status > maxStatus {
@@ -85,16 +97,47 @@
 	return status
 }
 
-// checkFieldName checks the name in a field line.
-func checkFieldName(line []byte) error {
-	name, _, ok := bytes.Cut(line, []byte(":"))
+// addField checks a field line and notes what it says about the framing of the body.
+func (h *ResponseHead) addField(line []byte) error {
+	name, value, err := splitField(line)
+	if err != nil {
+		return err
+	}
+	switch {
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		h.transferCoded, h.hasBody = true, true
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		h.sized = true
+		h.hasBody = h.hasBody || string(value) != "0"
+	}
+	return nil
+}
+
+// checkFraming checks that recipients can't disagree about the length of the body (RFC 9112,
+// section 6).
+func (h *ResponseHead) checkFraming() error {
+	bodyForbidden := h.status < http.StatusOK || h.status == http.StatusNoContent
+	switch {
+	case h.transferCoded && h.minorVersion != '1':
+		return &MalformedResponseError{Violation: "only HTTP/1.1 has transfer codings", Found: "Transfer-Encoding"}
+	case h.transferCoded && h.sized:
+		return &MalformedResponseError{Violation: "a length and a transfer coding", Found: "Content-Length"}
+	case bodyForbidden && h.hasBody:
+		return &MalformedResponseError{Violation: "a body with a status that has none", Found: strconv.Itoa(h.status)}
+	}
+	return nil
+}
+
+// splitField returns the name and the value, without blanks around it, of a field line.
+func splitField(line []byte) (name, value []byte, err error) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok:
-		return malformedLine("a field line has no colon", line)
+		return nil, nil, malformedLine("a field line has no colon", line)
 	case !isToken(name):
-		return malformedLine("the name of a field is no token", line)
+		return nil, nil, malformedLine("the name of a field is no token", line)
 	}
-	return nil
+	return name, bytes.Trim(value, " \t"), nil
 }
 
 // isToken reports whether text is a token, as each name of a field has to be. Blanks and control
--- a/internal/protocol/responsehead_test.go
+++ b/internal/protocol/responsehead_test.go
@@ -27,6 +27,9 @@
 		"HTTP/1.1 100 Continue\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX-Empty:\r\nx!#$%&'*+-.^_`|~9: \t a : \"b\" \xfc \r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n",
+		"HTTP/1.2 200 OK\r\nContent-Length: 4\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n",
 	} {
 		if h, err := checkHead(text); err != nil || !h.Complete {
 			t.Errorf("%q: got %v, complete %v; want a complete head", text, err, h.Complete)
--- a/internal/system/dataplane/malformedanswers_test.go
+++ b/internal/system/dataplane/malformedanswers_test.go
@@ -12,7 +12,7 @@
 )
 
 // malformedHeads are changes that make the head of an answer malformed.
-var malformedHeads = slices.Concat(scripted.MalformedStatuses, scripted.MalformedLines)
+var malformedHeads = slices.Concat(scripted.MalformedStatuses, scripted.MalformedLines, scripted.MalformedFraming)
 
 // withChange returns a host's script whose answers have a change.
 func withChange(script func(r received) string, change scripted.Malformation) func(r received) string {
--- a/internal/testbed/scripted/malformed.go
+++ b/internal/testbed/scripted/malformed.go
@@ -72,6 +72,22 @@
 	{"empty line before the status line", statusLine, "\r\nHTTP/1.1 200"},
 }
 
+// MalformedFraming are changes after which the length of the answer is in doubt: versions of HTTP
+// that are framed differently, a transfer coding where there is none, and bodies of answers that
+// have none.
+var MalformedFraming = []Malformation{
+	{"version 2", statusLine, "HTTP/2.0 200"},
+	{"version 0.9", statusLine, "HTTP/0.9 200"},
+	{"version in lower case", statusLine, "http/1.1 200"},
+	{"transfer coding in version 1.0", statusLine, "HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\nX-Y:"},
+	{"transfer coding in version 1.2", statusLine, "HTTP/1.2 200 X\r\nTransfer-Encoding: chunked\r\nX-Y:"},
+	{"second length, or one beside a transfer coding", statusLine, "HTTP/1.1 200 X\r\nContent-Length: 4\r\nX-Y:"},
+	{"interim answer of version 2", statusLine, "HTTP/2.0 103 X\r\n\r\nHTTP/1.1 200"},
+	{"interim answer with a length", statusLine, "HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200"},
+	{"interim answer with a transfer coding", statusLine, "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200"},
+	{"body of an answer without content", statusLine, "HTTP/1.1 204"},
+}
+
 // The first line end in an answer is that of its status line, and the first headEnd the end of its
 // head.
 const (
--- a/internal/transport/malformed_test.go
+++ b/internal/transport/malformed_test.go
@@ -9,7 +9,7 @@
 )
 
 // malformedHeads are changes that make the head of an answer malformed.
-var malformedHeads = slices.Concat(scripted.MalformedStatuses, scripted.MalformedLines)
+var malformedHeads = slices.Concat(scripted.MalformedStatuses, scripted.MalformedLines, scripted.MalformedFraming)
 
 // Guards against a malformed answer that reaches a client of `serve` (issue 97). It is a failed
 // attempt, its connection is not used again, and it is counted and logged.
