A malformed trailer section no longer ends an answer

Callers got answers whose trailer section was malformed, and the connection was used again with what was left on it.

Cause: fasthttp reads trailer sections as tolerantly as heads: blanks in, behind and before names, LF alone as the end of a line and of the section.

Trailer fields are no longer looked up as fields of the head. Reading costs less elsewhere to make up for it: events are read into one buffer a stream (4 KiB a read before), fields and small bodies get their size at once.

Why it holds: nothing is an end but the empty line behind sound lines.

--- a/internal/protocol/responsehead.go
+++ b/internal/protocol/responsehead.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -50,10 +51,10 @@
 
 // AddLine checks the next line, which includes its line end.
 func (h *ResponseHead) AddLine(line []byte) error {
-	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	line, err := cutLineEnd(line)
 	switch {
-	case !ok:
-		return malformedLine("a line does not end with CR LF", line)
+	case err != nil:
+		return err
 	case h.status == 0:
 		return h.addStatusLine(line)
 	case len(line) == 0:
@@ -104,15 +105,20 @@
 		return err
 	}
 	switch {
-	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+	case namesField(name, "Transfer-Encoding"):
 		h.transferCoded, h.hasBody = true, true
-	case bytes.EqualFold(name, []byte("Content-Length")):
+	case namesField(name, "Content-Length"):
 		h.sized = true
-		h.hasBody = h.hasBody || string(value) != "0"
+		h.hasBody = h.hasBody || string(bytes.Trim(value, " \t")) != "0"
 	}
 	return nil
 }
 
+// namesField reports whether a name in a head is that of a field, which is the same in any case.
+func namesField(name []byte, field string) bool {
+	return len(name) == len(field) && strings.EqualFold(string(name), field)
+}
+
 // checkFraming checks that recipients can't disagree about the length of the body (RFC 9112,
 // section 6).
 func (h *ResponseHead) checkFraming() error {
@@ -128,16 +134,25 @@
 	return nil
 }
 
-// splitField returns the name and the value, without blanks around it, of a field line.
+// cutLineEnd returns a line without its line end.
+func cutLineEnd(line []byte) ([]byte, error) {
+	content, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok {
+		return nil, malformedLine("a line does not end with CR LF", line)
+	}
+	return content, nil
+}
+
+// splitField returns the name and the value of a field line.
 func splitField(line []byte) (name, value []byte, err error) {
-	name, value, ok := bytes.Cut(line, []byte(":"))
+	colon := bytes.IndexByte(line, ':')
 	switch {
-	case !ok:
+	case colon < 0:
 		return nil, nil, malformedLine("a field line has no colon", line)
-	case !isToken(name):
+	case !isToken(line[:colon]):
 		return nil, nil, malformedLine("the name of a field is no token", line)
 	}
-	return name, bytes.Trim(value, " \t"), nil
+	return line[:colon], line[colon+1:], nil
 }
 
 // isToken reports whether text is a token, as each name of a field has to be. Blanks and control
--- a/internal/system/dataplane/malformedanswers_test.go
+++ b/internal/system/dataplane/malformedanswers_test.go
@@ -104,3 +104,73 @@
 		})
 	}
 }
+
+// Guards against a malformed trailer section that counts as the end of an answer: bytes behind it
+// would be taken for the next answer. A plain answer is a failed attempt. A stream has begun by
+// then, so it is cut, or resumed at another host.
+func TestMalformedTrailerSectionEndsNoAnswer(t *testing.T) {
+	for _, change := range scripted.MalformedTrailers {
+		t.Run(change.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			chunked := func(r received) string { return stream(r, "fine", "") }
+			bad := newHost(t, "i-bad", withChange(chunked, change))
+			a := newFleet(t, "", bad, newHost(t, "i-good", chunked)).call(t, "/safe/", "x")
+			is.Equal(a.StatusCode, 200)
+			is.Equal(a.Header.Get("Response-Seal"), "seal-i-good")
+
+			bad = newHost(t, "i-bad", withChange(chunked, change))
+			f := newFleet(t, "", bad)
+			for i := range 2 {
+				is.Equal(f.call(t, "/unsafe/", "x", fmt.Sprint("Request-Id: q", i)).StatusCode, 502)
+			}
+			is.Equal(int(bad.conns.Load()), len(bad.requests()))
+			is.Equal(f.servers.MalformedAnswers(), uint64(2))
+
+			bad = newHost(t, "i-bad", withChange(streamedAnswer, change))
+			f = newFleet(t, "", bad)
+			a = f.call(t, "/stream/", "x")
+			is.True(a.err != nil) // cut
+			is.Equal(a.body, event(1, "a")+event(2, "b"))
+			is.Equal(f.servers.MalformedAnswers(), uint64(1))
+
+			resumed := func(r received) string {
+				if r.Header.Get("Last-Event-Id") == "" {
+					return change.Of(streamedAnswer(r))
+				}
+				return stream(r, event(3, "c"), "")
+			}
+			f = newFleet(t, "", newHost(t, "i-1", resumed), newHost(t, "i-2", resumed))
+			a = f.call(t, "/resumed/", "x")
+			is.NoErr(a.err)
+			is.Equal(a.body, event(1, "a")+event(2, "b")+event(3, "c"))
+		})
+	}
+}
+
+// Trailer sections, chunk extensions, interim answers and unusual but sound names and values change
+// nothing of an answer.
+func TestSoundAnswersPassUnchanged(t *testing.T) {
+	is := is.New(t)
+	for _, change := range []scripted.Malformation{
+		{Name: "trailer section", Old: "0\r\n\r\n", New: "0\r\nDigest: x\r\nServer-Timing:\r\n\r\n"},
+		{Name: "announced trailer section", Old: "\r\n", New: "\r\nTrailer: Digest\r\n"},
+		{Name: "chunk extension", Old: "0\r\n\r\n", New: "000 ;a=\"b c\"\r\n\r\n"},
+		{Name: "interim answer", Old: "HTTP/1.1 200", New: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200"},
+		{Name: "status alone", Old: "HTTP/1.1 200 OK", New: "HTTP/1.1 200"},
+		{Name: "reason", Old: "200 OK", New: "200 all's\t\xfcber well"},
+		{Name: "names", Old: "\r\n", New: "\r\nx!#$%&'*+-.^_`|~9: y\r\n"},
+		{Name: "values", Old: "\r\n", New: "\r\nX-Y: \t a : \"\xfc\" \r\nX-Empty:\r\n"},
+	} {
+		h := newHost(t, "i-1", withChange(streamedAnswer, change))
+		f := newFleet(t, "", h)
+		for i := range 2 {
+			a := f.call(t, "/stream/", "x", fmt.Sprint("Request-Id: q", i))
+			is.NoErr(a.err)
+			is.Equal(a.StatusCode, 200)
+			is.Equal(a.body, event(1, "a")+event(2, "b"))
+		}
+		is.Equal(int(h.conns.Load()), 1)
+		is.Equal(f.servers.MalformedAnswers(), uint64(0))
+	}
+}
--- a/internal/testbed/scripted/malformed.go
+++ b/internal/testbed/scripted/malformed.go
@@ -88,6 +88,28 @@
 	{"body of an answer without content", statusLine, "HTTP/1.1 204"},
 }
 
+// MalformedTrailers are changes of the trailer section of an answer with a chunked body.
+var MalformedTrailers = []Malformation{
+	withTrailer("blank in a trailer's name", "X Y: z"),
+	withTrailer("blank behind a trailer's name", "X-Y : z"),
+	withTrailer("blank before a trailer's name", "A: b\r\n X-Y: z"),
+	withTrailer("LF before the first trailer's name", "\nX-Y: z"),
+	withTrailer("LF before a trailer's name", "A: b\r\n\nX-Y: z"),
+	withTrailer("NUL in a trailer's name", "X\x00Y: z"),
+	withTrailer("CR in a trailer's value", "X-Y: a\rb"),
+	withTrailer("trailer line that ends with LF", "X-Y: z\nA: b"),
+	withTrailer("length in a trailer section", "Content-Length: 4"),
+	{"trailer section that ends with LF", lastChunk, "0\r\n\n"},
+}
+
+// lastChunk is the end of a chunked body without a trailer section.
+const lastChunk = "0\r\n\r\n"
+
+// withTrailer is a Malformation that puts a line into the trailer section.
+func withTrailer(name, line string) Malformation {
+	return Malformation{Name: name, Old: lastChunk, New: "0\r\n" + line + "\r\n\r\n"}
+}
+
 // The first line end in an answer is that of its status line, and the first headEnd the end of its
 // head.
 const (
--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"reachspread/balance"
@@ -35,10 +35,11 @@
 
 // open waits for the first complete event. Until then another server may still serve the request.
 func (b *body) open() error {
-	buf := make([]byte, readBuffer)
 	for len(b.firstEvent) < maxFirstEvent {
-		n, err := b.readNext(buf)
-		b.firstEvent = append(b.firstEvent, buf[:n]...)
+		b.firstEvent = slices.Grow(b.firstEvent, readBuffer)
+		size := len(b.firstEvent)
+		n, err := b.readNext(b.firstEvent[size : size+readBuffer])
+		b.firstEvent = b.firstEvent[:size+n]
 		if protocol.HasEvent(b.firstEvent) {
 			b.endErr = err
 			return nil
@@ -94,10 +95,7 @@
 		return 0, routing.ErrMalformedAnswer
 	}
 	b.complete = err == io.EOF
-	if err != nil && err != io.EOF && b.conn.err == nil {
-		err = fmt.Errorf("%w: %w", routing.ErrMalformedAnswer, err)
-	}
-	return n, err
+	return n, b.bodyError(err)
 }
 
 // End implements routing.Body.
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -49,9 +49,10 @@
 	ctx         context.Context
 	final       *Final
 	idleTimeout time.Duration
-	buffered    []byte  // read but not forwarded yet
-	ready       int     // length of the complete events at the start of buffered
-	last        eventID // ID of the last event that was forwarded or is ready
+	chunk       [readBuffer]byte // read last
+	buffered    []byte           // read but not forwarded yet
+	ready       int              // length of the complete events at the start of buffered
+	last        eventID          // ID of the last event that was forwarded or is ready
 	// version checks the version of an event.
 	version func(version string) error
 	endErr  error // error of the last read
@@ -95,14 +96,12 @@
 		b.endErr = err
 		return
 	}
-	stream := b.resp.BodyStream()
-	if stream == nil {
+	if b.content == nil {
 		b.endErr = routing.ErrMalformedAnswer
 		return
 	}
-	var chunk [readBuffer]byte
-	n, err := stream.Read(chunk[:])
-	b.buffered = append(b.buffered, chunk[:n]...)
+	n, err := b.content.Read(b.chunk[:])
+	b.buffered = append(b.buffered, b.chunk[:n]...)
 	if bad := b.scan(); bad != nil {
 		b.endErr = bad
 		return
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -33,6 +33,8 @@
 	servers  *Servers
 	conn     *conn
 	resp     *fasthttp.Response
+	body     answerBody
+	content  io.Reader   // &body, or nil if the answer has no body
 	stop     func() bool // detaches the exchange from the context
 	complete bool        // the answer was read completely
 
@@ -130,12 +132,13 @@
 		if id == "" || !x.servers.dialect.AnswersOther(id, x.header) {
 			return nil
 		}
-		if body := x.resp.BodyStream(); body != nil {
-			if _, err := io.CopyN(io.Discard, body, maxErrorBody); err != io.EOF {
+		if x.content != nil {
+			if _, err := io.CopyN(io.Discard, x.content, maxErrorBody); err != io.EOF {
 				return routing.ErrMalformedAnswer
 			}
 		}
 		x.resp.Reset()
+		x.content = nil
 	}
 	return &malformedAnswerError{errTooManyInterim}
 }
@@ -163,8 +166,8 @@
 			if code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified {
 				return nil // has no body, whatever the head says
 			}
-			x.resp.StreamBody = true
-			return x.resp.ReadBody(x.conn.in, 0)
+			x.body.exchange, x.content = x, &x.body
+			return x.body.open()
 		case code == fasthttp.StatusSwitchingProtocols:
 			return &malformedAnswerError{errProtocolSwitched}
 		}
@@ -178,6 +181,46 @@
 	errTooManyInterim   = fmt.Errorf("more than %d interim answers, or answers to other requests", maxInterimAnswers)
 )
 
+// answerBody is the body of an answer, whose errors tell a malformed body from a connection that
+// failed.
+type answerBody struct {
+	exchange *exchange
+	chunked  chunkedBody
+	from     io.Reader // &chunked, or the reader of a body in another framing
+}
+
+// open opens the body of an answer whose head was just read.
+func (b *answerBody) open() error {
+	in, resp := b.exchange.conn.in, b.exchange.resp
+	if isChunked(resp) {
+		b.chunked = chunkedBody{in: in}
+		b.from = &b.chunked
+		return nil
+	}
+	resp.StreamBody = true
+	err := resp.ReadBody(in, 0)
+	b.from = resp.BodyStream()
+	return err
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	return n, b.exchange.bodyError(err)
+}
+
+// bodyError returns the error of a body given an error of its reader. If the connection works, the
+// body is malformed.
+func (x *exchange) bodyError(err error) error {
+	if err == nil || err == io.EOF || x.conn.err != nil || errors.Is(err, errStopped) {
+		return err
+	}
+	if !errors.As(err, &x.malformed) {
+		x.malformed = &malformedAnswerError{err}
+	}
+	return x.malformed
+}
+
 // failed returns the result of an answer that broke off: onTimeout or a cancellation if ctx has
 // ended, a reset if the connection failed, and an error otherwise, because the answer was malformed
 // while its server still works.
@@ -201,10 +244,10 @@
 
 // readBody reads the body of an answer that is not a stream.
 func (x *exchange) readBody() ([]byte, error) {
-	if x.resp.BodyStream() == nil { // a status without a body, such as 204
+	if x.content == nil { // a status without a body, such as 204
 		return nil, nil
 	}
-	text, err := io.ReadAll(io.LimitReader(x.resp.BodyStream(), maxErrorBody))
+	text, err := io.ReadAll(io.LimitReader(x.content, maxErrorBody))
 	if err == nil && len(text) == maxErrorBody {
 		return nil, fmt.Errorf("answer body has more than %d bytes", maxErrorBody)
 	}
--- a/internal/transport/forward.go
+++ b/internal/transport/forward.go
@@ -79,9 +79,12 @@
 	Length int    // of a body that is read from elsewhere, as the server announced it; -1 for chunked
 }
 
+// usualFields is how many fields of an answer are expected to be forwarded.
+const usualFields = 16
+
 // answer copies the head of an answer, without the headers that concern only one connection.
 func (f *Forward) answer(resp *fasthttp.Response) *Final {
-	final := &Final{Status: resp.StatusCode(), Length: resp.Header.ContentLength()}
+	final := &Final{Status: resp.StatusCode(), Length: resp.Header.ContentLength(), Header: make([]protocol.Field, 0, usualFields)}
 	for name, value := range resp.Header.All() {
 		if n := string(name); !protocol.ConnectionField(n) {
 			final.Header = append(final.Header, protocol.Field{Name: n, Value: string(value)})
@@ -227,11 +230,11 @@
 
 // open reads the answer up to maxBufferedAnswer bytes, which includes its end if it is shorter.
 func (b *bufferedAnswer) open() error {
-	if b.resp.BodyStream() == nil {
+	if b.content == nil {
 		b.final.Body, b.complete, b.endErr = []byte{}, true, io.EOF
 		return nil
 	}
-	text, err := io.ReadAll(io.LimitReader(b.resp.BodyStream(), maxBufferedAnswer))
+	text, err := b.readBuffered()
 	switch {
 	case err != nil:
 		return err
@@ -248,6 +251,16 @@
 	return nil
 }
 
+// readBuffered reads the first maxBufferedAnswer bytes.
+func (b *bufferedAnswer) readBuffered() ([]byte, error) {
+	var text bytes.Buffer
+	if b.final.Length > 0 {
+		text.Grow(min(b.final.Length, readBuffer) + bytes.MinRead) // as much as a small answer needs
+	}
+	_, err := text.ReadFrom(io.LimitReader(b.content, maxBufferedAnswer))
+	return text.Bytes(), err
+}
+
 // Final implements hasFinal.
 func (b *bufferedAnswer) Final() *Final { return b.final }
 
@@ -261,7 +274,7 @@
 	if b.endErr != nil {
 		return 0, b.endErr
 	}
-	n, err := b.resp.BodyStream().Read(p)
+	n, err := b.content.Read(p)
 	b.complete = err == io.EOF
 	return n, err
 }
--- a/internal/transport/malformed_test.go
+++ b/internal/transport/malformed_test.go
@@ -44,3 +44,22 @@
 		})
 	}
 }
+
+// A stream of `serve` with a malformed trailer section is cut, and its connection is not used again.
+func TestMalformedTrailerSectionCutsTheStream(t *testing.T) {
+	for _, change := range scripted.MalformedTrailers {
+		t.Run(change.Name, func(t *testing.T) {
+			t.Parallel()
+			s := scripted.NewServer(t, scripted.Answer(change.Of(scripted.CompleteAnswer())))
+			r := newRouter(t, s)
+			status, body, err := scripted.Do(t, scripted.NewRequest(t, r.addr, "q", nil))
+			if status != 200 || err == nil || body != scripted.Event+scripted.Done {
+				t.Errorf("got %d %q, %v; want both events, and the stream cut", status, body, err)
+			}
+			scripted.AwaitCondition(t, "the close of the connection", func() bool { return r.servers.Open() == 0 })
+			if n := r.servers.MalformedAnswers(); n != 1 {
+				t.Errorf("counted %d malformed answers, want 1", n)
+			}
+		})
+	}
+}
--- a/internal/transport/responsereader.go
+++ b/internal/transport/responsereader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 
 	"github.com/valyala/fasthttp"
 
@@ -60,3 +61,102 @@
 		}
 	}
 }
+
+// isChunked reports whether a response has a chunked body.
+func isChunked(resp *fasthttp.Response) bool { return resp.Header.ContentLength() == chunkedLength }
+
+// chunkedLength is the length that fasthttp gives a response with a chunked body.
+const chunkedLength = -1
+
+// chunkedBody reads a chunked body, at most one chunk at a time, and the trailer section behind it,
+// which is checked and dropped. fasthttp's reader tolerates trailer sections that are malformed.
+type chunkedBody struct {
+	in    *bufio.Reader
+	begun bool  // a chunk was begun
+	left  int64 // bytes left of the current chunk
+	err   error // ends all further reads; io.EOF behind a complete trailer section
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (n int, err error) {
+	if b.err == nil && b.left == 0 {
+		b.err = b.nextChunk()
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, b.err = b.in.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	b.err = unexpectedEnd(b.err)
+	return n, b.err
+}
+
+// nextChunk begins the next chunk. Behind the last chunk it reads the trailer section and returns
+// io.EOF.
+func (b *chunkedBody) nextChunk() error {
+	before, err := b.peekChunkEnd()
+	if err != nil {
+		return err
+	}
+	line, err := peekLine(b.in, before)
+	if err != nil {
+		return unexpectedEnd(err)
+	}
+	if b.left, err = protocol.ParseChunkLine(line); err != nil {
+		return &malformedAnswerError{err}
+	}
+	b.begun = true
+	b.in.Discard(before + len(line)) // is buffered
+	if b.left > 0 {
+		return nil
+	}
+	if err := discardTrailer(b.in); err != nil {
+		return unexpectedEnd(err)
+	}
+	return io.EOF
+}
+
+// peekChunkEnd checks the line end behind the data of the chunk before, if there was one, and
+// returns its size.
+func (b *chunkedBody) peekChunkEnd() (size int, err error) {
+	const lineEnd = "\r\n"
+	if !b.begun {
+		return 0, nil
+	}
+	end, err := b.in.Peek(len(lineEnd))
+	if err != nil {
+		return 0, unexpectedEnd(err)
+	}
+	if string(end) != lineEnd {
+		return 0, &malformedAnswerError{errChunkEnd}
+	}
+	return len(lineEnd), nil
+}
+
+// errChunkEnd says that a chunk's data is longer or shorter than its size.
+var errChunkEnd = errors.New("no CR LF behind the data of a chunk")
+
+// discardTrailer reads a trailer section.
+func discardTrailer(in *bufio.Reader) error {
+	size := 0
+	for last := false; !last; {
+		line, err := peekLine(in, size)
+		if err != nil {
+			return err
+		}
+		if last, err = protocol.CheckTrailerLine(line); err != nil {
+			return &malformedAnswerError{err}
+		}
+		size += len(line)
+	}
+	in.Discard(size) // is buffered
+	return nil
+}
+
+// unexpectedEnd returns the error of a read within a body, where the connection must not end.
+func unexpectedEnd(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/internal/transport/servers.go
+++ b/internal/transport/servers.go
@@ -190,7 +190,7 @@
 
 // streamAnswer returns the body of a stream of completions once its first event has arrived.
 func (s *Servers) streamAnswer(ctx, headCtx context.Context, x *exchange, msg *Message) routing.AttemptResult {
-	b := &body{exchange: x, ctx: headCtx, text: x.resp.BodyStream(), message: msg}
+	b := &body{exchange: x, ctx: headCtx, text: x.content, message: msg}
 	b.beginTracking()
 	err := b.open()
 	if err == nil && x.commit(ctx) {
