--- a/internal/protocol/events.go
+++ b/internal/protocol/events.go
@@ -56,7 +56,12 @@
 // line is not one of an event stream.
 func (n *StreamReader) Feed(p []byte) bool {
 	for len(p) > 0 {
-		text, rest, ended := bytes.Cut(p, []byte("\n"))
+		text, rest := p, []byte(nil)
+		end := bytes.IndexByte(p, '\n')
+		ended := end >= 0
+		if ended {
+			text, rest = p[:end], p[end+1:]
+		}
 		free := maxStreamLine - len(n.line)
 		n.lineTooLong = n.lineTooLong || len(text) > free
 		n.line = append(n.line, text[:min(len(text), free)]...)
@@ -82,7 +87,8 @@
 		return true
 	}
 	for _, f := range lineFields {
-		if bytes.HasPrefix(line, []byte(f)) || !complete && len(line) < len(f) && f[:len(line)] == string(line) {
+		shared := min(len(line), len(f))
+		if string(line[:shared]) == f[:shared] && (shared == len(f) || !complete) {
 			return true
 		}
 	}
