Malformed answers of discovery are no lists, and those to health checks no health; with tests

Callers of `serve` could be sent to servers that a malformed answer of discovery named; a malformed answer to a health check made a host healthy.

Change: the watch on discovery reads by the functions of exchanges (transport/responsereader.go), which share the rule for interim heads now. A malformed answer is the loss of discovery, logged with its cause; the next call goes on another connection.

Why it holds: discovery and hosts are read by one function.

--- a/internal/transport/discoverywatch.go
+++ b/internal/transport/discoverywatch.go
@@ -155,11 +155,12 @@
 	if err := w.conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return nil, err
 	}
-	if err := resp.ReadLimitBody(w.in, maxList); err != nil {
+	text, err := readResponse(w.in, resp, maxList)
+	if err != nil {
 		return nil, err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, fmt.Errorf("discovery answered with status %d, want 200", resp.StatusCode())
 	}
-	return protocol.ParseList(resp.Body())
+	return protocol.ParseList(text)
 }
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -161,20 +161,26 @@
 		if err := ctx.Err(); err != nil {
 			return err
 		}
-		switch code := x.resp.StatusCode(); {
-		case code >= 200:
-			if code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified {
-				return nil // has no body, whatever the head says
-			}
-			x.body.exchange, x.content = x, &x.body
-			return x.body.open()
-		case code == fasthttp.StatusSwitchingProtocols:
-			return &malformedAnswerError{errProtocolSwitched}
+		if final, err := isFinal(&x.resp.Header); err != nil {
+			return err
+		} else if final {
+			return x.openBody()
 		}
 	}
 	return &malformedAnswerError{errTooManyInterim}
 }
 
+// openBody opens the body of the answer whose head was just read.
+func (x *exchange) openBody() (err error) {
+	code := x.resp.StatusCode()
+	if code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified {
+		return nil // has no body, whatever the head says
+	}
+	x.body.exchange, x.content = x, &x.body
+	x.body.from, err = openBody(x.conn.in, x.resp, &x.body.chunked)
+	return err
+}
+
 // Answers that are malformed as answers to the request that was sent.
 var (
 	errProtocolSwitched = errors.New("the server switches to a protocol that was not asked for")
@@ -189,20 +195,6 @@
 	from     io.Reader // &chunked, or the reader of a body in another framing
 }
 
-// open opens the body of an answer whose head was just read.
-func (b *answerBody) open() error {
-	in, resp := b.exchange.conn.in, b.exchange.resp
-	if isChunked(resp) {
-		b.chunked = chunkedBody{in: in}
-		b.from = &b.chunked
-		return nil
-	}
-	resp.StreamBody = true
-	err := resp.ReadBody(in, 0)
-	b.from = resp.BodyStream()
-	return err
-}
-
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.from.Read(p)
--- a/internal/transport/malformed_test.go
+++ b/internal/transport/malformed_test.go
@@ -1,11 +1,20 @@
 package transport_test
 
 import (
+	"context"
+	"fmt"
+	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"reachspread/balance"
+	"reachspread/internal/protocol"
+	"reachspread/internal/routing"
 	"reachspread/internal/testbed/scripted"
+	"reachspread/internal/transport"
 )
 
 // malformedHeads are changes that make the head of an answer malformed.
@@ -63,3 +72,65 @@
 		})
 	}
 }
+
+// Guards against a list of servers that is taken from a malformed answer of discovery. The router
+// calls again on another connection.
+func TestMalformedAnswerOfDiscoveryIsNoList(t *testing.T) {
+	sound := func(version int) string {
+		return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n" + scripted.Chunk(scripted.List(version, true)) + scripted.End
+	}
+	for _, change := range slices.Concat(malformedHeads, scripted.MalformedTrailers) {
+		t.Run(change.Name, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int32
+			s := scripted.NewServer(t, func(c net.Conn) bool {
+				switch calls.Add(1) {
+				case 1:
+					fmt.Fprint(c, change.Of(sound(1)))
+				case 2:
+					fmt.Fprint(c, sound(2))
+				}
+				return true
+			})
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			lists, lines := make(chan *protocol.List, 2), make(scripted.LogLines, 10)
+			schedule := transport.RetrySchedule{FirstDelay: time.Millisecond, MaxDelay: time.Millisecond}
+			go transport.NewDiscovery(s.Addr, schedule, transport.FullList, lines, func(l *protocol.List) { lists <- l }).Run(ctx)
+			if l := scripted.Receive(t, lists, "a list"); l.Version != 2 {
+				t.Errorf("got the list of version %d, want 2", l.Version)
+			}
+			if line := scripted.Receive(t, lines, "a log line"); !strings.Contains(line, "discovery lost") {
+				t.Errorf("logged %q, want the loss of discovery", line)
+			}
+			if n := s.Conns.Load(); n != 2 {
+				t.Errorf("discovery was called on %d connections, want 2", n)
+			}
+		})
+	}
+}
+
+// A health check gets the status of a sound answer, and an error for a malformed one.
+func TestMalformedAnswerToHealthCheckIsAnError(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nX-Y: z\r\nTransfer-Encoding: chunked\r\n\r\n" + scripted.End
+	for _, change := range slices.Concat(malformedHeads, scripted.MalformedTrailers) {
+		t.Run(change.Name, func(t *testing.T) {
+			t.Parallel()
+			r := newRouter(t)
+			for text, want := range map[string]balance.Result{sound: balance.OK, change.Of(sound): balance.Error} {
+				s := scripted.NewServer(t, scripted.Answer(text))
+				ctx, stop := context.WithTimeout(context.Background(), scripted.EventTimeout)
+				defer stop()
+				if got, _ := r.servers.Probe(ctx, routing.Server{ID: "s0", Addr: s.Addr}); got != want {
+					t.Errorf("%q: got %v, want %v", text, got, want)
+				}
+			}
+			if n := r.servers.MalformedAnswers(); n != 1 {
+				t.Errorf("counted %d malformed answers, want 1", n)
+			}
+			if n := r.servers.Open(); n != 1 {
+				t.Errorf("%d connections are open, want that of the sound answer", n)
+			}
+		})
+	}
+}
--- a/internal/transport/responsereader.go
+++ b/internal/transport/responsereader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/valyala/fasthttp"
@@ -62,8 +63,58 @@
 	}
 }
 
-// isChunked reports whether a response has a chunked body.
-func isChunked(resp *fasthttp.Response) bool { return resp.Header.ContentLength() == chunkedLength }
+// readResponse reads a response with a body of up to maxBody bytes, and skips interim responses
+// before it. It returns the body only for status 200.
+func readResponse(in *bufio.Reader, resp *fasthttp.Response, maxBody int) ([]byte, error) {
+	if err := readFinalHead(in, &resp.Header); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, nil
+	}
+	from, err := openBody(in, resp, &chunkedBody{})
+	if err != nil {
+		return nil, err
+	}
+	text, err := io.ReadAll(io.LimitReader(from, int64(maxBody)+1))
+	if err == nil && len(text) > maxBody {
+		return nil, fmt.Errorf("a body of more than %d bytes", maxBody)
+	}
+	return text, err
+}
+
+// readFinalHead reads the head of a response and skips interim ones.
+func readFinalHead(in *bufio.Reader, head *fasthttp.ResponseHeader) error {
+	for range maxInterimAnswers {
+		if err := readResponseHead(in, head); err != nil {
+			return err
+		}
+		if final, err := isFinal(head); final || err != nil {
+			return err
+		}
+	}
+	return &malformedAnswerError{errTooManyInterim}
+}
+
+// isFinal reports whether a head is not that of an interim response.
+func isFinal(head *fasthttp.ResponseHeader) (bool, error) {
+	if head.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		return false, &malformedAnswerError{errProtocolSwitched}
+	}
+	return head.StatusCode() >= fasthttp.StatusOK, nil
+}
+
+// openBody returns the body of a response whose head was just read. It uses chunked for a chunked
+// body.
+func openBody(in *bufio.Reader, resp *fasthttp.Response, chunked *chunkedBody) (io.Reader, error) {
+	if resp.Header.ContentLength() == chunkedLength {
+		*chunked = chunkedBody{in: in}
+		return chunked, nil
+	}
+	resp.StreamBody = true
+	err := resp.ReadBody(in, 0)
+	return resp.BodyStream(), err
+}
 
 // chunkedLength is the length that fasthttp gives a response with a chunked body.
 const chunkedLength = -1
