Operators' commands refuse malformed answers of routers

An operator whose router, or what answers at its address, was in trouble could get a broken answer's text as the outcome of a change.

Cause: `reachspread fleet` reads answers with net/http, `shadow status` with fasthttp; both tolerate malformed heads.

Change: both read through transport.NewResponseConn, which checks heads line by line as those of hosts.

Trailer sections are left to net/http: a connection has one answer, and nothing of the section is used.

--- a/cmd/reachspread/fetchstatus.go
+++ b/cmd/reachspread/fetchstatus.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -13,6 +14,7 @@
 
 	mapset "github.com/deckarep/golang-set/v2"
 
+	"reachspread/internal/system/controlclient"
 	"reachspread/internal/system/status"
 )
 
@@ -125,17 +127,12 @@
 func callStatus(ctx context.Context, at string) (*status.Router, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+status.Path, nil)
+	answer, err := controlclient.Do(ctx, controlclient.Call{Address: at, Method: http.MethodGet, Path: status.Path})
 	if err != nil {
 		return nil, err
 	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
+	if answer.Code != http.StatusOK {
 		return nil, fmt.Errorf("the router answered the status request with %s", answer.Status)
 	}
-	return status.Read(answer.Body)
+	return status.Read(bytes.NewReader(answer.Text))
 }
--- a/internal/protocol/responsehead.go
+++ b/internal/protocol/responsehead.go
@@ -35,8 +35,8 @@
 // that begin with LF or with a blank. Values of fields are left to the parser of the head.
 type ResponseHead struct {
 	Complete bool // the empty line at the end was added
+	Status   int  // 0 until the status line was added
 
-	status        int
 	minorVersion  byte // of HTTP/1, as a digit
 	transferCoded bool // it has Transfer-Encoding
 	sized         bool // it has Content-Length
@@ -55,7 +55,7 @@
 	switch {
 	case err != nil:
 		return err
-	case h.status == 0:
+	case h.Status == 0:
 		return h.addStatusLine(line)
 	case len(line) == 0:
 		h.Complete = true
@@ -73,8 +73,8 @@
 	}
 	h.minorVersion = minor[0]
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
-	h.status = parseStatus(code)
-	if h.status < minStatus || h.status > maxStatus {
+	h.Status = parseStatus(code)
+	if h.Status < minStatus || h.Status > maxStatus {
 		return malformedLine("the status is not in 100..599", line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(reason)) {
@@ -122,14 +122,14 @@
 // checkFraming checks that recipients can't disagree about the length of the body (RFC 9112,
 // section 6).
 func (h *ResponseHead) checkFraming() error {
-	bodyForbidden := h.status < http.StatusOK || h.status == http.StatusNoContent
+	bodyForbidden := h.Status < http.StatusOK || h.Status == http.StatusNoContent
 	switch {
 	case h.transferCoded && h.minorVersion != '1':
 		return &MalformedResponseError{Violation: "only HTTP/1.1 has transfer codings", Found: "Transfer-Encoding"}
 	case h.transferCoded && h.sized:
 		return &MalformedResponseError{Violation: "a length and a transfer coding", Found: "Content-Length"}
 	case bodyForbidden && h.hasBody:
-		return &MalformedResponseError{Violation: "a body with a status that has none", Found: strconv.Itoa(h.status)}
+		return &MalformedResponseError{Violation: "a body with a status that has none", Found: strconv.Itoa(h.Status)}
 	}
 	return nil
 }
--- a/internal/system/controlclient/controlclient.go
+++ b/internal/system/controlclient/controlclient.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+
+	"reachspread/internal/transport"
 )
 
 // Call is one call of the control plane's API.
@@ -28,7 +31,17 @@
 
 // client keeps no connections open between calls, because the next call may reach another
 // incarnation of the router at the same address.
-var client = http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var client = http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
+
+// dial connects to a router whose answers are refused if their heads are malformed.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return transport.NewResponseConn(c), nil
+}
 
 // Do makes the call once and returns the answer. It gives up when ctx ends. After an error there was
 // no complete answer, but the call may have taken effect.
--- a/internal/transport/responsereader.go
+++ b/internal/transport/responsereader.go
@@ -16,7 +16,7 @@
 // fasthttp tolerates heads that are malformed by RFC 9112. If the head is malformed, the error wraps
 // routing.ErrMalformedAnswer; all other errors are those of the connection.
 func readResponseHead(in *bufio.Reader, head *fasthttp.ResponseHeader) error {
-	if err := checkResponseHead(in); err != nil {
+	if _, _, err := checkResponseHead(in); err != nil {
 		return err
 	}
 	if err := head.Read(in); err != nil { // reads nothing from the connection, as the complete head is buffered
@@ -26,20 +26,20 @@
 }
 
 // checkResponseHead waits until a complete head is buffered and checks each line as it arrives. It
-// discards nothing.
-func checkResponseHead(in *bufio.Reader) error {
+// discards nothing, and returns the size of the head in bytes and its status.
+func checkResponseHead(in *bufio.Reader) (size, status int, err error) {
 	var head protocol.ResponseHead
-	for checked := 0; !head.Complete; {
-		line, err := peekLine(in, checked)
+	for !head.Complete {
+		line, err := peekLine(in, size)
 		if err != nil {
-			return err
+			return 0, 0, err
 		}
 		if err := head.AddLine(line); err != nil {
-			return &malformedAnswerError{err}
+			return 0, 0, &malformedAnswerError{err}
 		}
-		checked += len(line)
+		size += len(line)
 	}
-	return nil
+	return size, head.Status, nil
 }
 
 // peekLine returns the line that begins behind the first skip bytes, with its line end. Those bytes
--- a/internal/transport/status.go
+++ b/internal/transport/status.go
@@ -76,7 +76,13 @@
 // AskStatus requests a topic from the router that listens on a socket.
 func AskStatus(socket, topic string) ([]byte, error) {
 	client := fasthttp.Client{
-		Dial:        func(string) (net.Conn, error) { return dialUnix("unix", socket, statusTimeout) },
+		Dial: func(string) (net.Conn, error) {
+			c, err := dialUnix("unix", socket, statusTimeout)
+			if err != nil {
+				return nil, err
+			}
+			return NewResponseConn(c), nil
+		},
 		ReadTimeout: statusTimeout, WriteTimeout: statusTimeout, MaxResponseBodySize: maxStatusAnswer,
 	}
 	code, text, err := client.GetTimeout(nil, "http://status"+topic, statusTimeout)
