--- a/internal/transport/malformed_test.go
+++ b/internal/transport/malformed_test.go
@@ -134,3 +134,28 @@
 		})
 	}
 }
+
+// An answer that arrives byte by byte, with an interim answer, chunk extensions and a trailer
+// section, reaches the client unchanged, and its connection is used again.
+func TestAnswerArrivesByteByByte(t *testing.T) {
+	answer := "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + scripted.Head + scripted.Chunk(scripted.Event) +
+		fmt.Sprintf("%x;a=b\r\n%s\r\n", len(scripted.Done), scripted.Done) + "0\r\nDigest: x\r\n\r\n"
+	s := scripted.NewServer(t, func(c net.Conn) bool {
+		for i := range answer {
+			if _, err := c.Write([]byte{answer[i]}); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	r := newRouter(t, s)
+	for i := range 3 {
+		status, body, err := scripted.Do(t, scripted.NewRequest(t, r.addr, fmt.Sprint("q", i), nil))
+		if status != 200 || body != scripted.Event+scripted.Done || err != nil {
+			t.Errorf("got %d %q, %v; want both events", status, body, err)
+		}
+	}
+	if n := s.Conns.Load(); n != 1 {
+		t.Errorf("the server accepted %d connections, want 1", n)
+	}
+}
