--- a/internal/protocol/responsebody.go
+++ b/internal/protocol/responsebody.go
@@ -10,7 +10,7 @@
 // ParseChunkLine returns the size, in bytes, of the chunk that a line begins. The line includes its
 // line end. A size of 0 is that of the last chunk.
 func ParseChunkLine(line []byte) (size int64, err error) {
-	line, err = cutLineEnd(line)
+	line, err = trimLineEnd(line)
 	if err != nil {
 		return 0, err
 	}
@@ -34,7 +34,7 @@
 // CheckTrailerLine checks a line of the trailer section behind a chunked body, which includes its
 // line end. It reports whether the line ends the section.
 func CheckTrailerLine(line []byte) (last bool, err error) {
-	if line, err = cutLineEnd(line); err != nil || len(line) == 0 {
+	if line, err = trimLineEnd(line); err != nil || len(line) == 0 {
 		return err == nil, err
 	}
 	name, value, err := splitField(line)
--- a/internal/protocol/responsehead.go
+++ b/internal/protocol/responsehead.go
@@ -51,7 +51,7 @@
 
 // AddLine checks the next line, which includes its line end.
 func (h *ResponseHead) AddLine(line []byte) error {
-	line, err := cutLineEnd(line)
+	line, err := trimLineEnd(line)
 	switch {
 	case err != nil:
 		return err
@@ -134,8 +134,8 @@
 	return nil
 }
 
-// cutLineEnd returns a line without its line end.
-func cutLineEnd(line []byte) ([]byte, error) {
+// trimLineEnd returns a line without its line end.
+func trimLineEnd(line []byte) ([]byte, error) {
 	content, ok := bytes.CutSuffix(line, []byte("\r\n"))
 	if !ok {
 		return nil, malformedLine("a line does not end with CR LF", line)
